Set out the seams: kernel, clock, endpoint, platform, peers, callers

Cause: the parts that follow are built side by side and need agreed interfaces first. Weighed: types with createX factories beside them (taken) against abstract classes; deciding functions take now as an argument, so the virtual clock stands in for time without a separate state-machine core.

--- /dev/null
+++ b/src/log/silent-log.ts
@@ -0,0 +1,14 @@
+import type {Log} from './log.js';
+
+/** Creates a log that keeps nothing. */
+export function createSilentLog(): Log {
+	const silent: Log = {
+		debug() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+		info() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+		warn() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+		error() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+		part: () => silent,
+	};
+
+	return silent;
+}
--- /dev/null
+++ b/src/platform/platform-errors.ts
@@ -0,0 +1,17 @@
+import ModernError from 'modern-errors';
+
+/** The platform brought no answer; a change asked for may have taken effect. */
+export const PlatformError = ModernError.subclass('PlatformError');
+
+/** The object's version was not the expected one; nothing changed. */
+export const PlatformConflictError = ModernError.subclass('PlatformConflictError');
+
+/** @internal */
+export function throwPlatformSilent(what: string, cause?: unknown): never {
+	throw new PlatformError(`the platform gave no answer to ${what}`, {cause});
+}
+
+/** @internal */
+export function throwVersionConflict(kind: string, name: string, expected: number): never {
+	throw new PlatformConflictError(`${kind} ${name} is no longer at version ${expected}`);
+}
--- /dev/null
+++ b/src/refusals/refusal.ts
@@ -0,0 +1,51 @@
+/** Why a request was refused or delayed. docs/REFUSALS.md has a row for each. */
+export const RefusalCode = {
+	// At the entry.
+	Malformed: 'malformed',
+	UnknownGroup: 'unknown-group',
+	BadToken: 'bad-token',
+	AgeOverLimit: 'age-over-limit',
+	KeyExpired: 'key-expired',
+	HostLeaving: 'host-leaving',
+	NoConfiguration: 'no-configuration',
+	NoOwner: 'no-owner',
+	RetryBudget: 'retry-budget',
+	// At the owner.
+	QueueFull: 'queue-full',
+	DeadlineTooShort: 'deadline-too-short',
+	DeadlinePassed: 'deadline-passed',
+	NoPrimary: 'no-primary',
+	NoEndpoint: 'no-endpoint',
+	NoConnection: 'no-connection',
+	NotConfirmed: 'not-confirmed',
+	PrimarySuperseded: 'primary-superseded',
+	FloorNotReached: 'floor-not-reached',
+	WriteLost: 'write-lost',
+	RequestMismatch: 'request-mismatch',
+	Resolved: 'resolved',
+	StatementFailed: 'statement-failed',
+	EndpointSilent: 'endpoint-silent',
+	OwnerSilent: 'owner-silent',
+	TransactionUnknown: 'transaction-unknown',
+	TransactionEnded: 'transaction-ended',
+	TransactionBusy: 'transaction-busy',
+	InProgress: 'in-progress',
+	/** Not a refusal: a request that was served, but late. */
+	Delayed: 'delayed',
+} as const;
+
+/** One of the codes in {@link RefusalCode}. */
+export type RefusalCode = typeof RefusalCode[keyof typeof RefusalCode];
+
+/** What the deciding proxy knew; every field is an input of the decision. Times are milliseconds since the epoch. */
+export type RefusalFacts = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/** A refusal as it was decided; the caller's answer and every record are made from it. */
+export type Refusal = {
+	readonly code: RefusalCode;
+	/** One sentence for a person. */
+	readonly reason: string;
+	/** When to come back, in milliseconds; undefined where coming back cannot help. */
+	readonly retryAfterMs?: number;
+	readonly facts: RefusalFacts;
+};
--- /dev/null
+++ b/src/stand-ins/time/virtual-clock.ts
@@ -0,0 +1,115 @@
+import {setImmediate} from 'node:timers/promises';
+import type {Clock} from '../../time/clock.js';
+
+/** A clock that moves only when told to, so that a failure's order of events repeats exactly. */
+export type VirtualClock = Clock & {
+	/** Moves the time forward by `ms`, waking each sleeper at its own moment and letting all that follows settle. */
+	advance(ms: number): Promise<void>;
+	/** Moves the time forward until the promise settles, at most by `limitMs`. */
+	runUntil<T>(promise: Promise<T>, limitMs?: number): Promise<T>;
+	/** Moves the calendar alone, as an administrator might. */
+	jumpWall(ms: number): void;
+};
+
+type Sleeper = {
+	readonly at: number;
+	readonly order: number;
+	wake(): void;
+};
+
+/** Default start: 2026-01-05T06:00:00Z. */
+const START_MS = 1_767_592_800_000;
+
+/** Rounds of the event loop in which work set off by one moment settles. */
+const SETTLE_ROUNDS = 3;
+
+/** Creates a virtual clock that begins at `startMs`, milliseconds since the epoch. */
+export function createVirtualClock(startMs = START_MS): VirtualClock {
+	let now = startMs;
+	let wallOffset = 0;
+	let order = 0;
+	const sleepers = new Set<Sleeper>();
+
+	const settle = async () => {
+		for (let round = 0; round < SETTLE_ROUNDS; round++) {
+			await setImmediate();
+		}
+	};
+
+	const getNext = (until: number) => {
+		let next: Sleeper | undefined;
+		for (const sleeper of sleepers) {
+			const earlier = !next || sleeper.at < next.at || (sleeper.at === next.at && sleeper.order < next.order);
+			if (sleeper.at <= until && earlier) {
+				next = sleeper;
+			}
+		}
+
+		return next;
+	};
+
+	const wakeNext = async (until: number) => {
+		const next = getNext(until);
+		if (!next) {
+			return false;
+		}
+
+		now = Math.max(now, next.at);
+		next.wake();
+		await settle();
+		return true;
+	};
+
+	return {
+		now: () => now,
+		wall: () => now + wallOffset,
+		jumpWall(ms) {
+			wallOffset += ms;
+		},
+		async sleep(ms, signal) {
+			if (signal?.aborted) {
+				return;
+			}
+
+			await new Promise<void>(resolve => {
+				const wake = () => {
+					sleepers.delete(sleeper);
+					signal?.removeEventListener('abort', wake);
+					resolve();
+				};
+
+				const sleeper: Sleeper = {at: now + Math.max(0, ms), order: order++, wake};
+				sleepers.add(sleeper);
+				signal?.addEventListener('abort', wake, {once: true});
+			});
+		},
+		async advance(ms) {
+			const until = now + ms;
+			await settle();
+			while (await wakeNext(until)) {
+				// Each sleeper woken may add others before `until`.
+			}
+
+			now = until;
+		},
+		async runUntil(promise, limitMs = 600_000) {
+			const until = now + limitMs;
+			const progress = {settled: false};
+			const mark = () => {
+				progress.settled = true;
+			};
+
+			promise.then(mark, mark);
+			await settle();
+			while (!progress.settled && await wakeNext(until)) {
+				// Woken until the promise settles.
+			}
+
+			if (!progress.settled) {
+				throw new Error(`nothing settled within ${limitMs} ms of virtual time`);
+			}
+
+			return promise;
+		},
+	};
+}
