Keep what an owner has seen of a group, and ages from confirmed samples

Cause: owners route by what they saw last; answers of exchanges side by side arrive in any order. An answer of a lower term, or of the same term seen earlier, never replaces what is known; a name given to another address starts afresh. Ruled out: a ring of the newest samples (128 of 5 ms forget all beyond 0.6 s), fixed spacing (coarse for small ages), samples of an older term for a newer log (a promotion may have dropped what they counted).

--- /dev/null
+++ b/src/groups/confirmed-samples.ts
@@ -0,0 +1,73 @@
+import type {LogPosition} from '../terms/log-position.js';
+
+/** Most samples kept; thinned so that the gaps between them grow with their age. */
+export const MAX_SAMPLES = 128;
+
+/** When the primary's confirmed position was no further than `log`. */
+type Sample = {
+	at: number;
+	readonly log: LogPosition;
+};
+
+/** Samples of the primary's confirmed position over time, from which the age of a replica's data follows. */
+export type ConfirmedSamples = {
+	/** Notes that at `now` nothing beyond `log` had been acknowledged. */
+	add(log: LogPosition, now: number): void;
+	/** The newest time at which everything acknowledged was within a log that ends at `log`, undefined where unknown. */
+	getHeldAt(log: LogPosition): number | undefined;
+	/** How many samples are kept. */
+	readonly size: number;
+};
+
+/** Finds the sample between two others whose loss blurs an age least, relative to that age. */
+function findDispensable(samples: readonly Sample[], now: number): number {
+	let dispensable = 1;
+	let least = Infinity;
+
+	for (let i = 1; i < samples.length - 1; i++) {
+		const gap = samples[i + 1]!.at - samples[i - 1]!.at;
+		const loss = gap / (now - samples[i]!.at + 1);
+		if (loss < least) {
+			least = loss;
+			dispensable = i;
+		}
+	}
+
+	return dispensable;
+}
+
+/** Creates an empty set of samples. Dropping a sample only ever makes an age larger. */
+export function createConfirmedSamples(): ConfirmedSamples {
+	// Oldest first; time, term and, within a term, position all rise.
+	const samples: Sample[] = [];
+
+	const dropDominated = (log: LogPosition) => {
+		// A later sample at the same or a lower position of the same term says more than the earlier one.
+		while (samples.at(-1)?.log.term === log.term && samples.at(-1)!.log.position >= log.position) {
+			samples.pop();
+		}
+	};
+
+	return {
+		add(log, now) {
+			const newest = samples.at(-1);
+			if (newest && (now < newest.at || log.term < newest.log.term)) {
+				return;
+			}
+
+			dropDominated(log);
+			samples.push({at: now, log});
+			if (samples.length > MAX_SAMPLES) {
+				samples.splice(findDispensable(samples, now), 1);
+			}
+		},
+		getHeldAt(log) {
+			// A sample of an older term says nothing of a log of a newer one: with durability `primary` a promotion
+			// may have dropped what the sample counted, and the position alone would hide it.
+			return samples.findLast(sample => sample.log.term === log.term && sample.log.position <= log.position)?.at;
+		},
+		get size() {
+			return samples.length;
+		},
+	};
+}
--- /dev/null
+++ b/src/groups/create-group-knowledge.ts
@@ -0,0 +1,93 @@
+import type {VersionedGroup} from '../configuration/configuration.js';
+import {EndpointRole, type EndpointStatus} from '../endpoints/endpoint.js';
+import {createConfirmedSamples} from './confirmed-samples.js';
+import type {EndpointKnowledge, GroupKnowledge} from './group-knowledge.js';
+
+/** What {@link createGroupKnowledge} needs. */
+export type GroupKnowledgeOptions = {
+	/** The configuration in force. */
+	getGroup(): VersionedGroup;
+};
+
+/** An endpoint's knowledge and the address it was gained at: a name given to another server starts afresh. */
+type Entry = {
+	readonly address: string;
+	knowledge: EndpointKnowledge;
+};
+
+/**
+ * Tells whether an answer was overtaken: answers of exchanges that ran side by side may arrive in any order, and
+ * one that shows a lower promise, or the same one seen earlier, would bring a superseded primary back.
+ */
+function isOvertaken(status: EndpointStatus, now: number, known: EndpointKnowledge | undefined): boolean {
+	if (!known?.status || status.term > known.status.term) {
+		return false;
+	}
+
+	return status.term < known.status.term || now < known.seenAt;
+}
+
+/** Creates the knowledge of one group, empty. */
+export function createGroupKnowledge(options: GroupKnowledgeOptions): GroupKnowledge {
+	const entries = new Map<string, Entry>();
+	const samples = createConfirmedSamples();
+	let highestTerm = 0;
+
+	const getEndpoints = () => options.getGroup().cfg.endpoints;
+
+	const getAddress = (endpoint: string) => getEndpoints().find(({name}) => name === endpoint)?.address;
+
+	const getKnowledge = (endpoint: string) => {
+		const entry = entries.get(endpoint);
+		return entry && entry.address === getAddress(endpoint) ? entry.knowledge : undefined;
+	};
+
+	const setKnowledge = (endpoint: string, knowledge: EndpointKnowledge) => {
+		const address = getAddress(endpoint);
+		if (address !== undefined) {
+			entries.set(endpoint, {address, knowledge});
+		}
+	};
+
+	return {
+		observe(endpoint, status, now) {
+			if (getAddress(endpoint) === undefined || isOvertaken(status, now, getKnowledge(endpoint))) {
+				return;
+			}
+
+			highestTerm = Math.max(highestTerm, status.term);
+			setKnowledge(endpoint, {status, seenAt: now, failures: 0});
+		},
+		observeFailure(endpoint, now) {
+			const known = getKnowledge(endpoint);
+			if (known && now < known.seenAt) {
+				return;
+			}
+
+			setKnowledge(endpoint, {
+				status: known?.status,
+				seenAt: known?.seenAt ?? -Infinity,
+				failures: (known?.failures ?? 0) + 1,
+				failingSince: known?.failingSince ?? now,
+			});
+		},
+		get: getKnowledge,
+		getPrimary() {
+			return getEndpoints().find(({name}) => {
+				const status = getKnowledge(name)?.status;
+				return status?.role === EndpointRole.Primary && status.term === highestTerm;
+			});
+		},
+		get highestTerm() {
+			return highestTerm;
+		},
+		observeConfirmed(position, term, now) {
+			samples.add({term, position}, now);
+		},
+		getAgeMs(endpoint, now) {
+			const status = getKnowledge(endpoint)?.status;
+			const heldAt = status && samples.getHeldAt(status.log);
+			return heldAt === undefined ? Infinity : Math.max(0, now - heldAt);
+		},
+	};
+}
