--- /dev/null
+++ b/src/admission/admission-refusals.ts
@@ -0,0 +1,49 @@
+import {RefusalCode, type Refusal, type RefusalFacts} from '../refusals/refusal.js';
+
+/** @internal The inputs of an admission decision. */
+export type AdmissionFacts = RefusalFacts & {
+	readonly endpoint: string;
+	readonly class: string;
+	/** Time left until the request's deadline, in milliseconds. */
+	readonly remainingMs: number;
+	readonly predictedWaitMs: number;
+	/** Smoothed time that a statement of the class holds a slot, in milliseconds. */
+	readonly serviceMs: number;
+	readonly queued: number;
+	readonly maxQueued: number;
+	readonly running: number;
+	readonly limit: number;
+	/** How long the request had waited, in milliseconds. */
+	readonly waitedMs: number;
+};
+
+/** @internal */
+export function createQueueFull(facts: AdmissionFacts, retryAfterMs: number): Refusal {
+	return {
+		code: RefusalCode.QueueFull,
+		reason: `all ${facts.maxQueued} places in the ${facts.class} queue of ${facts.endpoint} are taken`,
+		retryAfterMs,
+		facts,
+	};
+}
+
+/** @internal */
+export function createDeadlineTooShort(facts: AdmissionFacts, retryAfterMs: number): Refusal {
+	const neededMs = Math.ceil(facts.predictedWaitMs + facts.serviceMs);
+	return {
+		code: RefusalCode.DeadlineTooShort,
+		reason: `${facts.endpoint} would need about ${neededMs} ms, and ${Math.floor(facts.remainingMs)} ms are left`,
+		retryAfterMs,
+		facts,
+	};
+}
+
+/** @internal */
+export function createDeadlinePassed(facts: AdmissionFacts, retryAfterMs: number): Refusal {
+	return {
+		code: RefusalCode.DeadlinePassed,
+		reason: `the deadline passed ${Math.ceil(-facts.remainingMs)} ms ago, before ${facts.endpoint} had a free slot`,
+		retryAfterMs,
+		facts,
+	};
+}
