--- /dev/null
+++ b/tests/retries/retry-budget-tests.ts
@@ -0,0 +1,66 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {createRetryBudget} from '../../src/retries/retry-budget.js';
+import {createRetryBudgets} from '../../src/retries/retry-budgets.js';
+
+describe('retry budget', () => {
+	const countTakes = (budget: ReturnType<typeof createRetryBudget>, now: number) => {
+		let taken = 0;
+		while (budget.take(now)) {
+			taken++;
+		}
+
+		return taken;
+	};
+
+	it('gives a quiet group its floor, and says when the next retry is there', () => {
+		const budget = createRetryBudget({}, 0);
+		expect(countTakes(budget, 0)).to.equal(5);
+		const {nextAfterMs} = budget.getState(0);
+		expect(nextAfterMs).to.equal(2000);
+		expect(budget.take(nextAfterMs * 0.8)).to.equal(false);
+		expect(budget.take(nextAfterMs * 1.2)).to.equal(true);
+	});
+
+	it('gives a tenth of fresh requests, and forgets what was not used', () => {
+		const budget = createRetryBudget({floorPerSecond: 0}, 0);
+		for (let i = 0; i < 1000; i++) {
+			budget.noteFresh(i);
+		}
+
+		expect(Math.round(budget.getState(1000).left)).to.equal(95);
+		expect(Math.round(budget.getState(21_000).left)).to.equal(13);
+	});
+
+	// Story: a group's primary is lost and every request of it fails. Each request is tried again and again until its
+	// deadline. Without a bound the group's load grows by the number of tries, and its new primary is overrun as it comes up.
+	it('never lets more retries through than its share, its floor and what it began with', () => {
+		const steps = fc.array(fc.record({afterMs: fc.nat(200), isFresh: fc.boolean()}), {minLength: 50, maxLength: 400});
+		fc.assert(fc.property(steps, fc.double({min: 0, max: 0.5, noNaN: true}), (sequence, share) => {
+			const budget = createRetryBudget({share}, 0);
+			let now = 0;
+			let fresh = 0;
+			let retries = 0;
+			for (const {afterMs, isFresh} of sequence) {
+				now += afterMs;
+				if (isFresh) {
+					fresh++;
+					budget.noteFresh(now);
+				}
+
+				retries += budget.take(now) ? 1 : 0;
+			}
+
+			expect(retries).to.be.at.most(5 + (fresh * share) + (now * 0.0005) + 1e-6);
+		}), {seed: 1, numRuns: 300});
+	});
+
+	it('keeps the groups apart', () => {
+		const budgets = createRetryBudgets();
+		countTakes(budgets.getBudget('filings', 0), 0);
+		expect(budgets.getBudget('filings', 0).take(0)).to.equal(false);
+		expect(budgets.getBudget('nights', 0).take(0)).to.equal(true);
+		budgets.forget('filings');
+		expect(budgets.getBudget('filings', 0).take(0)).to.equal(true);
+	});
+});
--- /dev/null
+++ b/tests/retries/retry-policy-tests.ts
@@ -0,0 +1,69 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {
+	getBackoffMs, getNextTry, type FailedTry, type NextTryOptions,
+} from '../../src/retries/retry-policy.js';
+import {RefusalCode} from '../../src/refusals/refusal.js';
+
+const NOT_RUN: FailedTry = {
+	provedNotRun: true, isRead: false, hasKey: true, otherOwnerLeft: false,
+};
+const SILENT_READ: FailedTry = {
+	provedNotRun: false, isRead: true, hasKey: false, otherOwnerLeft: false,
+};
+
+describe('retry policy', () => {
+	const doTest = (story: string, options: Partial<NextTryOptions>, expected: string) => {
+		it(`${story}: ${expected}`, () => {
+			const next = getNextTry({
+				failed: NOT_RUN, tries: 1, deadlineAt: 1000, budget: {left: 5, nextAfterMs: 0}, fraction: 0, ...options,
+			}, 0);
+			const text = next.retry
+				? `after ${next.delayMs} ms${next.spendsBudget ? '' : ', free'}`
+				: `${next.reason}${next.retryAfterMs === undefined ? '' : `, come back in ${next.retryAfterMs} ms`}`;
+			expect(text).to.equal(expected);
+		});
+	};
+
+	doTest('a write proved not run', {}, 'after 10 ms');
+	doTest('the third failure', {tries: 3}, 'after 40 ms');
+	doTest('the largest fraction', {fraction: 0.999}, 'after 20 ms');
+	doTest('a read without an answer', {failed: SILENT_READ}, 'after 10 ms');
+	doTest('a keyed write without an answer', {failed: {...SILENT_READ, isRead: false, hasKey: true}}, 'after 10 ms');
+	doTest('a write without a key and without an answer', {failed: {...SILENT_READ, isRead: false}}, 'not-safe');
+	doTest('an owner that was not reached, with another left', {failed: {...NOT_RUN, otherOwnerLeft: true}}, 'after 0 ms, free');
+	doTest('the same without budget', {failed: {...NOT_RUN, otherOwnerLeft: true}, budget: {left: 0, nextAfterMs: 70}}, 'after 0 ms, free');
+	doTest('a silent owner, with another left', {failed: {...SILENT_READ, otherOwnerLeft: true}}, 'after 10 ms');
+	doTest('a full queue', {failed: {...NOT_RUN, code: RefusalCode.QueueFull, retryAfterMs: 80}}, 'final, come back in 80 ms');
+	doTest('a failed statement', {failed: {...NOT_RUN, code: RefusalCode.StatementFailed}}, 'final');
+	doTest('no primary for now', {failed: {...NOT_RUN, code: RefusalCode.NoPrimary, retryAfterMs: 300}}, 'after 300 ms');
+	doTest('no primary until the deadline', {failed: {...NOT_RUN, code: RefusalCode.NoPrimary, retryAfterMs: 1000}}, 'deadline, come back in 1000 ms');
+	doTest('an exhausted budget', {budget: {left: 0.9, nextAfterMs: 70}}, 'budget, come back in 70 ms');
+
+	it('never sends a write twice without proof or key, and never at the deadline or beyond', () => {
+		const failed = fc.record({
+			provedNotRun: fc.boolean(), isRead: fc.boolean(), hasKey: fc.boolean(), otherOwnerLeft: fc.boolean(),
+			code: fc.constantFrom(undefined, ...Object.values(RefusalCode)),
+			retryAfterMs: fc.option(fc.nat(2000), {nil: undefined}),
+		});
+		const options = fc.record({
+			failed, tries: fc.integer({min: 1, max: 100}), deadlineAt: fc.nat(2000), fraction: fc.double({min: 0, max: 0.999, noNaN: true}),
+			budget: fc.record({left: fc.double({min: 0, max: 3, noNaN: true}), nextAfterMs: fc.nat(100)}),
+		});
+		fc.assert(fc.property(options, input => {
+			const next = getNextTry(input, 0);
+			if (!next.retry) {
+				return;
+			}
+
+			expect(input.failed.provedNotRun || input.failed.isRead || input.failed.hasKey).to.equal(true);
+			expect(next.delayMs).to.be.lessThan(input.deadlineAt);
+			expect(next.spendsBudget ? input.budget.left : 1).to.be.at.least(1);
+		}), {seed: 1, numRuns: 2000});
+	});
+
+	it('keeps the delay within half and whole of its bound', () => {
+		const bounds = [1, 2, 3, 4, 5, 6, 7, 8, 60].map(tries => `${getBackoffMs(tries, 0)}-${getBackoffMs(tries, 1)}`);
+		expect(bounds.join(' ')).to.equal('10-20 20-40 40-80 80-160 160-320 320-640 500-1000 500-1000 500-1000');
+	});
+});
