--- a/src/routing/create-entry.ts
+++ b/src/routing/create-entry.ts
@@ -7,6 +7,7 @@
 import {createRequestId, getRequestIdTime} from '../random/request-id.js';
 import type {Random} from '../random/random.js';
 import {RefusalCode, type Refusal} from '../refusals/refusal.js';
+import type {RetryBudgets} from '../retries/retry-budgets.js';
 import type {Session, Sessions} from '../sessions/session.js';
 import type {Clock} from '../time/clock.js';
 import {
@@ -28,10 +29,9 @@
 	readonly ownerClient: OwnerClient;
 	readonly sessions: Sessions;
 	readonly explanations: Explanations;
-	/** Asks the group's retry budget. */
-	mayRetry(group: string, now: number): boolean;
-	/** Notes fresh traffic, from which the retry budget grows. */
-	noteFresh(group: string, now: number): void;
+	readonly retryBudgets: RetryBudgets;
+	/** Told of every retry, for metrics. */
+	onRetry?(answer: OwnerAnswer): void;
 	/** Told of every answer, for metrics and operators. */
 	onAnswer?(asked: AskedRequest, answer: CallerAnswer, now: number): void;
 };
@@ -152,7 +152,9 @@
 		owners: group.cfg.owners,
 		preferred: hosts.self.name,
 		deadlineAt,
-		mayRetry: now => options.mayRetry(asked.group, now),
+		isRead: asked.asked === RequestKind.Read,
+		budget: options.retryBudgets.getBudget(asked.group, clock.now()),
+		onRetry: options.onRetry,
 	}, attempt);
 
 	// Guards against a false "not run" and against a caller left unsure: an earlier try that brought no answer may
@@ -243,7 +245,7 @@
 				return finish(asked, answerRefusal(asked, getRefusedOutcome(asked, refusal!), refusal!));
 			}
 
-			options.noteFresh(name, asked.startedAt);
+			options.retryBudgets.getBudget(name, asked.startedAt).noteFresh(asked.startedAt);
 			return finish(asked, answerEnd(asked, await runTries(asked, judgement.group, req)));
 		},
 		async resolveOutcome(name, requestId, header) {
--- a/src/routing/try-owners.ts
+++ b/src/routing/try-owners.ts
@@ -4,8 +4,9 @@
 import type {Random} from '../random/random.js';
 import {RefusalCode} from '../refusals/refusal.js';
 import type {Clock} from '../time/clock.js';
+import type {RetryBudget} from '../retries/retry-budget.js';
+import {getNextTry, type FailedTry} from '../retries/retry-policy.js';
 import type {OwnerAnswer} from './owner-request.js';
-import {isRetryable} from './retry-rule.js';
 
 /** One try at one owner, with the time that is left in milliseconds. */
 export type OwnerTry = (host: PlatformHost, remainingMs: number) => Promise<OwnerAnswer>;
@@ -27,45 +28,41 @@
 	readonly owners: number;
 	/** Name of the host to be preferred where it is an owner: this one. */
 	readonly preferred: string;
+	readonly isRead: boolean;
 	readonly deadlineAt: number;
-	/** Asks the retry budget; false ends the series with the last answer. */
-	mayRetry(now: number): boolean;
+	readonly budget: RetryBudget;
 	onRetry?(answer: OwnerAnswer): void;
 };
 
-/** Bounds of the pause between tries, in milliseconds. */
-const SHORTEST_PAUSE_MS = 5;
-const LONGEST_PAUSE_MS = 400;
-
-/** Less time than this is not worth another try, in milliseconds. */
-const LEAST_TRY_MS = 2;
-
 /** Tries the owners of a group in turn until one settles the request or its deadline is near. This layer alone retries. */
 export async function tryOwners(options: TryOwnersOptions, attempt: OwnerTry): Promise<TriesEnd> {
-	const {clock, random, deadlineAt} = options;
+	const {clock, random, deadlineAt, budget} = options;
+	const turns = createTurns(options);
 	let unsure = false;
-	let last: OwnerAnswer = refuseNoOwners(options.group);
-	let {preferred}: {preferred?: string} = options;
-	let turn = Math.floor(random.fraction() * options.owners);
 
 	for (let tries = 1; ; tries++) {
-		const host = getHost(options, turn, preferred);
-		if (host) {
-			last = await attempt(host, Math.max(1, deadlineAt - clock.now()));
-			unsure = last.outcome === Outcome.Unknown || (unsure && !isSettled(last));
+		const host = turns.next(clock.now());
+		const answer = host ? await attempt(host, Math.max(1, deadlineAt - clock.now())) : refuseNoOwners(options.group);
+		unsure = answer.outcome === Outcome.Unknown || (unsure && !isSettled(answer));
+		if (answer.outcome === Outcome.Done) {
+			return {answer, tries, unsure};
 		}
 
 		const now = clock.now();
-		const pauseMs = getPause(tries, last, random.fraction());
-		const late = now + pauseMs + LEAST_TRY_MS >= deadlineAt;
-		if (!isRetryable(last) || late || !options.mayRetry(now)) {
-			return {answer: last, tries, unsure};
+		const failed = describeFailedTry(answer, options.isRead, turns.isOtherLeft(now));
+		const next = getNextTry({
+			failed, tries, deadlineAt, budget: budget.getState(now), fraction: random.fraction(),
+		}, now);
+		if (!next.retry) {
+			return {answer: withRetryAfter(answer, next.retryAfterMs), tries, unsure};
+		}
+
+		if (next.spendsBudget) {
+			budget.take(now);
 		}
 
-		options.onRetry?.(last);
-		preferred = undefined;
-		turn++;
-		await clock.sleep(pauseMs);
+		options.onRetry?.(answer);
+		await clock.sleep(next.delayMs);
 	}
 }
 
@@ -74,19 +71,44 @@
 	return answer.outcome === Outcome.Done || answer.refusal?.code === RefusalCode.Resolved;
 }
 
-function getHost(options: TryOwnersOptions, turn: number, preferred: string | undefined): PlatformHost | undefined {
-	const owners = options.owning.getOwners(options.group, options.owners, options.clock.now());
-	return owners.find(({name}) => name === preferred) ?? owners[turn % Math.max(1, owners.length)];
+function describeFailedTry(answer: OwnerAnswer, isRead: boolean, otherOwnerLeft: boolean): FailedTry {
+	return {
+		provedNotRun: answer.outcome === Outcome.NotRun,
+		isRead,
+		// Every write is sent under its request id.
+		hasKey: !isRead,
+		code: answer.refusal?.code,
+		retryAfterMs: answer.refusal?.retryAfterMs,
+		otherOwnerLeft: Boolean(answer.tryNext) && otherOwnerLeft,
+	};
 }
 
-/** Grows exponentially with full jitter; an owner that only points elsewhere costs no pause. */
-function getPause(tries: number, answer: OwnerAnswer, fraction: number): number {
-	if (answer.tryNext && tries === 1) {
-		return 0;
-	}
+function withRetryAfter(answer: OwnerAnswer, retryAfterMs: number | undefined): OwnerAnswer {
+	return answer.refusal && retryAfterMs !== undefined ? {...answer, refusal: {...answer.refusal, retryAfterMs}} : answer;
+}
+
+/** Picks whom to ask: this host first where it is an owner, then each other once before any twice. */
+function createTurns(options: TryOwnersOptions) {
+	const asked = new Set<string>();
+	let turn = Math.floor(options.random.fraction() * options.owners);
 
-	const most = Math.min(LONGEST_PAUSE_MS, SHORTEST_PAUSE_MS * (2 ** Math.min(tries, 10)));
-	return SHORTEST_PAUSE_MS + (fraction * most);
+	const getOwners = (now: number) => options.owning.getOwners(options.group, options.owners, now);
+	const getLeft = (now: number) => getOwners(now).filter(({name}) => !asked.has(name));
+
+	return {
+		isOtherLeft: (now: number) => getLeft(now).length > 0,
+		next(now: number): PlatformHost | undefined {
+			const left = getLeft(now);
+			const choice = left.length > 0 ? left : getOwners(now);
+			const host = choice.find(({name}) => name === options.preferred && !asked.has(name)) ?? choice[turn % Math.max(1, choice.length)];
+			turn++;
+			if (host) {
+				asked.add(host.name);
+			}
+
+			return host;
+		},
+	};
 }
 
 function refuseNoOwners(group: string): OwnerAnswer {
