Add links between proxies, membership and owners

Peers speak msgpackr frames over ws. The links know a transport only, so the simulated network of the tests runs the same link code as the daemon: ids, timeouts, silence and authentication are the ones that ship.

Each host opens a link of its own for its calls. One link for both directions was ruled out: two opened at once need a rule for which one survives, and calls are lost or doubled while it is applied.

Membership polls the platform's list, at 2 s up to 600 proxies and slower beyond, so that the fleet spends at most 300 reads a second on it. Owners are ranked by rendezvous hashing and spread over availability zones.

--- /dev/null
+++ b/src/membership/create-hosts.ts
@@ -0,0 +1,140 @@
+import type {Service} from '../kernel/service.js';
+import type {Log} from '../log/log.js';
+import type {Platform, PlatformHost} from '../platform/platform.js';
+import type {Random} from '../random/random.js';
+import type {Clock} from '../time/clock.js';
+import type {Hosts} from './hosts.js';
+import {createUnreachableHosts} from './unreachable-hosts.js';
+
+/** What membership needs. */
+export type HostsOptions = {
+	/** This host as its settings have it. */
+	readonly self: PlatformHost;
+	readonly platform: Platform;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly log: Log;
+	/** Shortest time between two readings of the list, in milliseconds. */
+	readonly intervalMs?: number;
+};
+
+/** Membership with its life cycle. */
+export type LiveHosts = Hosts & Required<Service> & {
+	/** When the list was last read, on the clock's `now`; undefined before the first time. */
+	readonly listReadAt: number | undefined;
+};
+
+const DEFAULT_INTERVAL_MS = 2000;
+
+/** The platform's reads a second that all proxies together spend on the list, whatever their number. */
+const FLEET_READS_PER_SECOND = 300;
+
+/** Share of the interval by which a reading may come earlier or later, so that hosts started together spread out. */
+const JITTER = 0.1;
+
+const LIST_TIMEOUT_MS = 2000;
+
+/** Time between two readings of the list in milliseconds, for so many proxies and a number from 0 to 1. */
+export function getPollIntervalMs(proxies: number, shortestMs: number, fraction: number): number {
+	const intervalMs = Math.max(shortestMs, proxies / FLEET_READS_PER_SECOND * 1000);
+	return intervalMs * (1 - JITTER + (2 * JITTER * fraction));
+}
+
+/** Creates membership from the platform's list, which is read once in a while, and from this host's own links. */
+export function createHosts(options: HostsOptions): LiveHosts {
+	const {self, platform, clock, random} = options;
+	const log = options.log.part('hosts: ');
+	const unreachable = createUnreachableHosts();
+	const stopped = new AbortController();
+	let list: readonly PlatformHost[] | undefined;
+	let proxies: readonly PlatformHost[] = [self];
+	let leavingEndpoints: ReadonlySet<string> = new Set();
+	let listReadAt: number | undefined;
+	let outage = false;
+	let usable: readonly PlatformHost[] | undefined;
+	let usableUntil = 0;
+	let polling: Promise<void> | undefined;
+
+	const take = (next: readonly PlatformHost[]) => {
+		const listed = next.filter(host => host.role === 'proxy');
+		// A list without a single proxy is a fault of the platform, since this host asks for it: the last list stands.
+		if (next === list || listed.length === 0) {
+			return;
+		}
+
+		list = next;
+		proxies = includeSelf(listed, self);
+		leavingEndpoints = new Set(next.filter(host => host.role === 'endpoint' && host.state === 'leaving').map(host => host.address));
+		unreachable.keepOnly(new Set(proxies.map(host => host.address)));
+		usable = undefined;
+	};
+
+	const read = async () => {
+		try {
+			take(await platform.hosts(LIST_TIMEOUT_MS));
+			listReadAt = clock.now();
+			if (outage) {
+				outage = false;
+				log.info('the list is read again');
+			}
+		} catch (err) {
+			if (!outage) {
+				outage = true;
+				log.warn('the list cannot be read, the last one stands', {err: (err as Error).message});
+			}
+		}
+	};
+
+	const poll = async () => {
+		while (!stopped.signal.aborted) {
+			const ms = getPollIntervalMs(proxies.length, options.intervalMs ?? DEFAULT_INTERVAL_MS, random.fraction());
+			await clock.sleep(ms, stopped.signal);
+			await read();
+		}
+	};
+
+	const isUsable = (host: PlatformHost, now: number) =>
+		host.state === 'live' && (host.name === self.name || !unreachable.has(host.address, now));
+
+	return {
+		self,
+		get listReadAt() {
+			return listReadAt;
+		},
+		getAll: () => proxies,
+		getUsable(now) {
+			if (!usable || now >= usableUntil) {
+				usable = proxies.filter(host => isUsable(host, now));
+				usableUntil = unreachable.getNextEnd(now);
+			}
+
+			return usable;
+		},
+		reportUnreachable(address, now) {
+			if (unreachable.add(address, now)) {
+				usable = undefined;
+			}
+		},
+		reportReachable(address) {
+			if (unreachable.delete(address)) {
+				usable = undefined;
+			}
+		},
+		isEndpointLeaving: address => leavingEndpoints.has(address),
+		async start() {
+			await read();
+			polling = poll();
+		},
+		async stop() {
+			stopped.abort();
+			await polling;
+		},
+	};
+}
+
+/** The list lags: it may lack this host, and have an address of its former life. */
+function includeSelf(listed: readonly PlatformHost[], self: PlatformHost): readonly PlatformHost[] {
+	const own = listed.find(host => host.name === self.name);
+	const others = listed.filter(host => host.name !== self.name);
+	return [...others, {...self, state: own?.state ?? self.state}];
+}
--- /dev/null
+++ b/src/membership/create-owning.ts
@@ -0,0 +1,61 @@
+import type {PlatformHost} from '../platform/platform.js';
+import {createHostRanking, type HostRanking} from './host-ranking.js';
+import type {Hosts, Owning} from './hosts.js';
+
+/** What the choice of owners needs. */
+export type OwningOptions = {
+	readonly hosts: Hosts;
+	/** The availability zones of a group's endpoints, whose hosts own it before all others; empty where unknown. */
+	getGroupZones?(group: string): readonly string[];
+};
+
+type Owners = {
+	readonly count: number;
+	readonly nearZones: string;
+	readonly hosts: readonly PlatformHost[];
+};
+
+/**
+ * Creates the choice of owners.
+ *
+ * Rankings last as long as the list of hosts, the owners of a group as long as the same hosts are usable. Hosts whose
+ * lists differ for a moment may choose different owners: that costs connections and a second try, nothing else.
+ */
+export function createOwning({hosts, getGroupZones}: OwningOptions): Owning {
+	let rankedHosts: readonly PlatformHost[] | undefined;
+	let ranking: HostRanking = createHostRanking([]);
+	let usableHosts: readonly PlatformHost[] | undefined;
+	let usableNames: ReadonlySet<string> = new Set();
+	const ownersByGroup = new Map<string, Owners>();
+
+	const refresh = (now: number) => {
+		const all = hosts.getAll();
+		if (all !== rankedHosts) {
+			rankedHosts = all;
+			ranking = createHostRanking(all);
+		}
+
+		const usable = hosts.getUsable(now);
+		if (usable !== usableHosts) {
+			usableHosts = usable;
+			usableNames = new Set(usable.map(host => host.name));
+			ownersByGroup.clear();
+		}
+	};
+
+	return {
+		getOwners(group, count, now) {
+			refresh(now);
+			const zones = getGroupZones?.(group) ?? [];
+			const nearZones = zones.join(' ');
+			const known = ownersByGroup.get(group);
+			if (known?.count === count && known.nearZones === nearZones) {
+				return known.hosts;
+			}
+
+			const owners = ranking.getOwners(group, count, {isUsable: host => usableNames.has(host.name), nearZones: zones});
+			ownersByGroup.set(group, {count, nearZones, hosts: owners});
+			return owners;
+		},
+	};
+}
--- /dev/null
+++ b/src/membership/host-ranking.ts
@@ -0,0 +1,77 @@
+import type {PlatformHost} from '../platform/platform.js';
+import {hashName} from './rendezvous.js';
+import {
+	compareWeighedHosts, createZoneRanking, type HashedHost, type ZoneRanking,
+} from './zone-ranking.js';
+
+/** The hosts of one list, ranked for any group. */
+export type HostRanking = {
+	/**
+	 * The first `count` usable hosts: the best-ranked host, then the best-ranked one of each further availability zone,
+	 * then each zone's second, and so on. Zones in `nearZones` go before all others.
+	 */
+	getOwners(group: string, count: number, options: RankingOptions): readonly PlatformHost[];
+};
+
+/** What a ranking takes into account beside the group's name. */
+export type RankingOptions = {
+	isUsable(host: PlatformHost): boolean;
+	/** Zones that hold the group's endpoints; empty where unknown. */
+	readonly nearZones: readonly string[];
+};
+
+/** Prepares a list of hosts for ranking; a group is ranked when it is first asked for. */
+export function createHostRanking(hosts: readonly PlatformHost[]): HostRanking {
+	const zones = groupByZone(hosts);
+	const rankings = new Map<string, ReadonlyMap<string, ZoneRanking>>();
+
+	const getRankings = (group: string) => {
+		const known = rankings.get(group);
+		if (known) {
+			return known;
+		}
+
+		const hash = hashName(group);
+		const ranked = new Map([...zones].map(([zone, zoneHosts]) => [zone, createZoneRanking(zoneHosts, hash)]));
+		rankings.set(group, ranked);
+		return ranked;
+	};
+
+	return {
+		getOwners(group, count, {isUsable, nearZones}) {
+			const ranked = [...getRankings(group)];
+			const near = ranked.filter(([zone]) => nearZones.includes(zone));
+			const far = ranked.filter(([zone]) => !nearZones.includes(zone));
+			const owners = spread(near, count, isUsable);
+			return [...owners, ...spread(far, count - owners.length, isUsable)];
+		},
+	};
+}
+
+function spread(zones: ReadonlyArray<[string, ZoneRanking]>, count: number, isUsable: RankingOptions['isUsable']): readonly PlatformHost[] {
+	const owners: PlatformHost[] = [];
+	for (let rank = 0; owners.length < count; rank++) {
+		const round = zones
+			.map(([, ranking]) => ranking.getUsable(rank, isUsable))
+			.filter(weighed => weighed !== undefined)
+			.toSorted(compareWeighedHosts);
+		if (round.length === 0) {
+			break;
+		}
+
+		owners.push(...round.map(({host}) => host));
+	}
+
+	return owners.slice(0, Math.max(0, count));
+}
+
+function groupByZone(hosts: readonly PlatformHost[]): ReadonlyMap<string, readonly HashedHost[]> {
+	const zones = new Map<string, HashedHost[]>();
+	for (const host of hosts) {
+		const zone = zones.get(host.availabilityZone) ?? [];
+		zone.push({host, hash: hashName(host.name)});
+		zones.set(host.availabilityZone, zone);
+	}
+
+	return zones;
+}
--- /dev/null
+++ b/src/peers/answering-link.ts
@@ -0,0 +1,139 @@
+import type {Clock} from '../time/clock.js';
+import {withinMs} from '../time/deadline.js';
+import {createFrameWriter} from './frame-writer.js';
+import {authenticateCaller, type PeerCredentials} from './peer-authentication.js';
+import {throwNotAuthenticated} from './peer-errors.js';
+import {
+	decodeFrames, encodeFrame, FrameType, type CallFrame, type PeerFrame,
+} from './peer-frame.js';
+import type {PeerHandlers} from './peer-handlers.js';
+import type {PeerLimits} from './peer-limits.js';
+import type {PeerChannel} from './peer-transport.js';
+import type {PeerIdentity} from './peers.js';
+
+/** A link on which a peer calls this host. */
+export type AnsweringLink = {
+	/** Takes no more calls, lets those being answered end for `drainMs` at most, then ends the link. */
+	drain(): Promise<void>;
+};
+
+/** What an answering link needs. */
+export type AnsweringLinkOptions = {
+	readonly channel: PeerChannel;
+	readonly peer: PeerIdentity;
+	readonly handlers: PeerHandlers;
+	readonly limits: PeerLimits;
+	readonly clock: Clock;
+	/** Called once when the link has ended. */
+	onClose(): void;
+};
+
+/** The answering end gives an idle link up after this many times the caller's bound, for a caller that died unseen. */
+const IDLE_FACTOR = 2;
+
+/** Runs the answerer's part of the handshake within the time for opening. */
+export async function authenticateWithin(channel: PeerChannel, credentials: PeerCredentials, limits: PeerLimits, clock: Clock): Promise<PeerIdentity> {
+	const outcome = await withinMs(clock, limits.openTimeoutMs, authenticateCaller(channel, credentials));
+	return outcome.timedOut ? throwNotAuthenticated(`no proof within ${limits.openTimeoutMs} ms`) : {address: outcome.value};
+}
+
+/** Answers the calls that come on an authenticated link. */
+export function createAnsweringLink(options: AnsweringLinkOptions): AnsweringLink {
+	const {channel, peer, handlers, limits, clock} = options;
+	const writer = createFrameWriter(channel, limits.maxFrameBytes);
+	const closed = new AbortController();
+	let running = 0;
+	let draining = false;
+	let heardAt = clock.now();
+	let onQuiet: (() => void) | undefined;
+
+	const write = (frame: PeerFrame) => {
+		// A caller that reads no answers would otherwise fill this host's memory.
+		if (writer.bufferedBytes > limits.maxBufferedBytes) {
+			channel.terminate();
+			return;
+		}
+
+		writer.write({bytes: encodeReply(frame, limits.maxFrameBytes), claim: () => true});
+	};
+
+	const answer = async (call: CallFrame) => {
+		const handler = draining ? undefined : handlers.get(call.kind);
+		if (!handler) {
+			const reason = draining ? 'the host ends its links' : 'no handler for this kind of call';
+			write({type: FrameType.Refusal, id: call.id, reason});
+			return;
+		}
+
+		running++;
+		try {
+			const res = await handler(call.req, peer);
+			write({type: FrameType.Answer, id: call.id, res});
+		} catch (err) {
+			write({type: FrameType.Failure, id: call.id, reason: (err as Error).message});
+		} finally {
+			running--;
+			if (running === 0) {
+				onQuiet?.();
+			}
+		}
+	};
+
+	const onMessage = (message: Uint8Array) => {
+		heardAt = clock.now();
+		try {
+			for (const frame of decodeFrames(message)) {
+				if (frame.type === FrameType.Call) {
+					void answer(frame);
+				}
+			}
+		} catch {
+			channel.terminate();
+		}
+	};
+
+	const watchIdle = async () => {
+		const idleMs = limits.idleMs * IDLE_FACTOR;
+		while (!closed.signal.aborted) {
+			await clock.sleep(idleMs, closed.signal);
+			if (running === 0 && clock.now() >= heardAt + idleMs) {
+				channel.terminate();
+			}
+		}
+	};
+
+	channel.listen({
+		onMessage,
+		onClose() {
+			writer.close();
+			closed.abort();
+			options.onClose();
+		},
+	});
+	writer.open();
+	void watchIdle();
+
+	return {
+		async drain() {
+			draining = true;
+			if (running > 0) {
+				const quiet = new Promise<void>(resolve => {
+					onQuiet = resolve;
+				});
+				await withinMs(clock, limits.drainMs, quiet);
+			}
+
+			writer.flush();
+			channel.close();
+		},
+	};
+}
+
+/** An answer that cannot be encoded becomes a failure, so that its caller does not wait for its whole timeout. */
+function encodeReply(frame: PeerFrame, maxBytes: number): Uint8Array {
+	try {
+		return encodeFrame(frame, maxBytes);
+	} catch (err) {
+		return encodeFrame({type: FrameType.Failure, id: frame.id, reason: (err as Error).message}, maxBytes);
+	}
+}
--- /dev/null
+++ b/src/peers/create-peers.ts
@@ -0,0 +1,141 @@
+import type {Service} from '../kernel/service.js';
+import type {Log} from '../log/log.js';
+import type {Random} from '../random/random.js';
+import type {Clock} from '../time/clock.js';
+import {authenticateWithin, createAnsweringLink, type AnsweringLink} from './answering-link.js';
+import type {PeerCredentials} from './peer-authentication.js';
+import {throwPeersStopped, throwPeerUnreachable} from './peer-errors.js';
+import {createPeerFigures, type PeerFigures} from './peer-figures.js';
+import {createPeerHandlers} from './peer-handlers.js';
+import {DEFAULT_PEER_LIMITS, type PeerLimits} from './peer-limits.js';
+import {openPeerLink, type PeerLink} from './peer-link.js';
+import type {PeerChannel, PeerTransport} from './peer-transport.js';
+import type {Peers} from './peers.js';
+
+/** What peers need. */
+export type PeersOptions = {
+	readonly transport: PeerTransport;
+	/** Keys that authenticate links, current first. */
+	readonly peerKeys: readonly string[];
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly log: Log;
+	readonly limits?: Partial<PeerLimits>;
+};
+
+/** Peers with their life cycle and figures. */
+export type LivePeers = Peers & Required<Service> & {
+	/** Own `ip:port`; empty until started. */
+	readonly address: string;
+	readonly figures: Readonly<PeerFigures>;
+};
+
+/**
+ * Creates the links between proxies.
+ *
+ * Each host opens a link of its own for its calls: two hosts that call each other hold two. That costs a second
+ * connection, and spares a rule for which of two links opened at once survives, during which calls could be lost.
+ */
+export function createPeers(options: PeersOptions): LivePeers {
+	const {transport, clock} = options;
+	const limits = {...DEFAULT_PEER_LIMITS, ...options.limits};
+	const log = options.log.part('peers: ');
+	const figures = createPeerFigures();
+	const handlers = createPeerHandlers();
+	const links = new Map<string, PeerLink>();
+	const answering = new Set<AnsweringLink>();
+	let address = '';
+	let handshakes = 0;
+	let accepting = true;
+	let calling = true;
+
+	const getCredentials = (): PeerCredentials => ({address, peerKeys: options.peerKeys, random: options.random});
+
+	const openLink = (peerAddress: string) => {
+		const link = openPeerLink({
+			address: peerAddress,
+			channel: transport.connect(peerAddress),
+			credentials: getCredentials(),
+			limits,
+			clock,
+			figures,
+			onClose(reason) {
+				links.delete(peerAddress);
+				log.debug('a link was closed', {peer: peerAddress, reason});
+			},
+		});
+		figures.linksOpened++;
+		links.set(peerAddress, link);
+		return link;
+	};
+
+	const authenticate = async (channel: PeerChannel) => {
+		handshakes++;
+		try {
+			return await authenticateWithin(channel, getCredentials(), limits, clock);
+		} catch (err) {
+			figures.linksRefused++;
+			log.warn('an incoming link was refused', {reason: (err as Error).message});
+			channel.terminate();
+			return undefined;
+		} finally {
+			handshakes--;
+		}
+	};
+
+	const accept = async (channel: PeerChannel) => {
+		if (!accepting || handshakes >= limits.maxHandshakes) {
+			channel.terminate();
+			return;
+		}
+
+		const peer = await authenticate(channel);
+		if (!peer) {
+			return;
+		}
+
+		const link = createAnsweringLink({
+			channel, peer, handlers, limits, clock, onClose() {
+				answering.delete(link);
+			},
+		});
+		answering.add(link);
+	};
+
+	return {
+		get address() {
+			return address;
+		},
+		figures,
+		handle: handlers.handle,
+		async call(peerAddress, kind, req, timeoutMs) {
+			if (!calling) {
+				throwPeersStopped();
+			}
+
+			if (timeoutMs <= 0) {
+				throwPeerUnreachable(peerAddress, new Error('no time was left'));
+			}
+
+			figures.calls++;
+			const link = links.get(peerAddress) ?? openLink(peerAddress);
+			return link.call(kind, req, timeoutMs) as Promise<never>;
+		},
+		async start() {
+			address = await transport.start(channel => {
+				void accept(channel);
+			});
+			log.info('listening', {address});
+		},
+		async stop() {
+			accepting = false;
+			await Promise.all([...answering].map(async link => link.drain()));
+			calling = false;
+			for (const link of links.values()) {
+				link.close('this host ends its links');
+			}
+
+			await transport.stop(limits.drainMs);
+		},
+	};
+}
--- a/src/peers/peer-errors.ts
+++ b/src/peers/peer-errors.ts
@@ -19,3 +19,33 @@
 export function throwPeerSilent(address: string, kind: string, cause?: unknown): never {
 	throw new PeerError(`${address} gave no answer to ${kind}`, {cause, props: {sent: true}});
 }
+
+/** @internal */
+export function throwPeerBusy(address: string, bufferedBytes: number): never {
+	throw new PeerError(`${bufferedBytes} bytes wait for ${address} already`, {props: {sent: false}});
+}
+
+/** @internal */
+export function throwPeersStopped(): never {
+	throw new PeerError('this host ends its links', {props: {sent: false}});
+}
+
+/** @internal */
+export function throwFrameTooLarge(bytes: number, maxBytes: number): never {
+	throw new PeerError(`a frame of ${bytes} bytes is over the limit of ${maxBytes}`, {props: {sent: false}});
+}
+
+/** @internal */
+export function throwFrameMalformed(): never {
+	throw new PeerError('a message holds something else than frames', {props: {sent: true}});
+}
+
+/** @internal */
+export function throwNotAuthenticated(why: string): never {
+	throw new PeerError(`not authenticated: ${why}`, {props: {sent: false}});
+}
+
+/** @internal Made, not thrown: it rejects a call that waits elsewhere. */
+export function createCallError(address: string, kind: string, reason: string, sent: boolean) {
+	return new PeerError(`${address} gave no answer to ${kind}: ${reason}`, {props: {sent}});
+}
--- /dev/null
+++ b/src/peers/peer-link.ts
@@ -0,0 +1,249 @@
+import type {Clock} from '../time/clock.js';
+import {createAwaitedCalls, type AwaitedCall} from './awaited-calls.js';
+import {createFrameWriter} from './frame-writer.js';
+import {authenticateToAnswerer, type PeerCredentials} from './peer-authentication.js';
+import {createCallError, throwPeerBusy} from './peer-errors.js';
+import type {PeerFigures} from './peer-figures.js';
+import {
+	decodeFrames, encodeFrame, FrameType, type PeerFrame,
+} from './peer-frame.js';
+import type {PeerLimits} from './peer-limits.js';
+import type {PeerChannel} from './peer-transport.js';
+
+/** A link on which this host calls one peer; the peer's calls come on a link of its own. */
+export type PeerLink = {
+	/** Calls the peer; rejects with PeerError, whose `sent` tells whether the frame may have reached it. */
+	call(kind: string, req: unknown, timeoutMs: number): Promise<unknown>;
+	/** Ends the link in order; calls in flight reject. */
+	close(reason: string): void;
+};
+
+/** What a link needs. */
+export type PeerLinkOptions = {
+	/** The peer's `ip:port`. */
+	readonly address: string;
+	/** A channel to it that is being opened. */
+	readonly channel: PeerChannel;
+	readonly credentials: PeerCredentials;
+	readonly limits: PeerLimits;
+	readonly clock: Clock;
+	readonly figures: PeerFigures;
+	/** Called once when the link takes no more calls. */
+	onClose(reason: string): void;
+};
+
+const LinkState = {
+	Opening: 'opening',
+	Open: 'open',
+	Closed: 'closed',
+} as const;
+
+type LinkState = typeof LinkState[keyof typeof LinkState];
+
+/** A link that wakes this much after its time was itself stopped, in milliseconds, so what it heard last proves nothing. */
+const OWN_STALL_MS = 500;
+
+/** Opens a link; it takes calls at once and sends them when both ends are authenticated. */
+export function openPeerLink(options: PeerLinkOptions): PeerLink {
+	const {address, channel, limits, clock, figures} = options;
+	const writer = createFrameWriter(channel, limits.maxFrameBytes);
+	const awaited = createAwaitedCalls(figures);
+	const openBy = clock.now() + limits.openTimeoutMs;
+	let state: LinkState = LinkState.Opening;
+	/** When something was received last, or the first call in flight was made. */
+	let heardAt = clock.now();
+	let pingedAt = -Infinity;
+	let wakeAt = Infinity;
+	let sleeper = new AbortController();
+
+	const close = (reason: string, end: () => void) => {
+		if (state === LinkState.Closed) {
+			return;
+		}
+
+		state = LinkState.Closed;
+		options.onClose(reason);
+		writer.close();
+		end();
+		sleeper.abort();
+		for (const call of awaited.takeAll()) {
+			rejectCall(call, reason);
+		}
+	};
+
+	const rejectCall = (call: AwaitedCall, reason: string) => {
+		call.reject(createCallError(address, call.kind, reason, call.written));
+	};
+
+	const breakOff = (reason: string) => {
+		close(reason, () => {
+			channel.terminate();
+		});
+	};
+
+	const closeInOrder = (reason: string) => {
+		close(reason, () => {
+			channel.close();
+		});
+	};
+
+	const open = async () => {
+		await channel.opened;
+		await authenticateToAnswerer(channel, options.credentials, address);
+		if (state === LinkState.Opening) {
+			state = LinkState.Open;
+			onHeard();
+			channel.listen({onMessage, onPong: onHeard, onClose: breakOff});
+			writer.open();
+			sleeper.abort();
+		}
+	};
+
+	const onHeard = () => {
+		heardAt = clock.now();
+	};
+
+	const onMessage = (message: Uint8Array) => {
+		// A link that was given up may still hand over what it had received: its calls have had their last word.
+		if (state !== LinkState.Open) {
+			return;
+		}
+
+		onHeard();
+		try {
+			for (const frame of decodeFrames(message)) {
+				onAnswer(frame);
+			}
+		} catch (err) {
+			breakOff((err as Error).message);
+		}
+	};
+
+	const onAnswer = (frame: PeerFrame) => {
+		if (frame.type === FrameType.Call) {
+			breakOff('the answering end made a call');
+			return;
+		}
+
+		const call = awaited.take(frame.id);
+		if (frame.type === FrameType.Answer) {
+			call?.resolve(frame.res);
+		} else {
+			call?.reject(createCallError(address, call.kind, frame.reason, frame.type === FrameType.Failure));
+		}
+	};
+
+	const expireCalls = (now: number) => {
+		for (const call of awaited.takeExpired(now)) {
+			rejectCall(call, 'the timeout passed');
+		}
+	};
+
+	const checkOpening = (now: number) => {
+		if (now >= openBy) {
+			breakOff(`not open within ${limits.openTimeoutMs} ms`);
+		}
+
+		return openBy;
+	};
+
+	/**
+	 * Guards against a link that something between the ends has lost track of: nothing is received and no error comes,
+	 * so every call on it would wait for its whole timeout. A ping makes a living peer show itself.
+	 */
+	const checkSilence = (now: number) => {
+		if (now >= wakeAt + OWN_STALL_MS) {
+			heardAt = now;
+		}
+
+		if (now >= heardAt + limits.silentAfterMs) {
+			figures.linksSilent++;
+			breakOff(`silent for ${limits.silentAfterMs} ms`);
+		} else if (now >= heardAt + limits.pingAfterMs && pingedAt < heardAt) {
+			pingedAt = now;
+			channel.ping();
+		}
+
+		return pingedAt < heardAt ? heardAt + limits.pingAfterMs : heardAt + limits.silentAfterMs;
+	};
+
+	const checkIdle = (now: number) => {
+		if (now >= heardAt + limits.idleMs) {
+			closeInOrder('idle');
+		}
+
+		return heardAt + limits.idleMs;
+	};
+
+	/** Looks after what is due and returns when to look again. */
+	const check = (now: number) => {
+		expireCalls(now);
+		if (state === LinkState.Opening) {
+			return Math.min(checkOpening(now), awaited.getNextDeadline());
+		}
+
+		return awaited.size > 0 ? Math.min(checkSilence(now), awaited.getNextDeadline()) : checkIdle(now);
+	};
+
+	const watch = async () => {
+		while (state !== LinkState.Closed) {
+			const now = clock.now();
+			wakeAt = check(now);
+			sleeper = new AbortController();
+			await clock.sleep(Math.max(1, Math.ceil(wakeAt - now)), sleeper.signal);
+		}
+	};
+
+	const wakeBy = (at: number) => {
+		if (at < wakeAt) {
+			wakeAt = at;
+			sleeper.abort();
+		}
+	};
+
+	open().catch((err: unknown) => {
+		breakOff((err as Error).message);
+	});
+	void watch();
+
+	return {
+		async call(kind, req, timeoutMs) {
+			const {bufferedBytes} = writer;
+			if (bufferedBytes > limits.maxBufferedBytes) {
+				throwPeerBusy(address, bufferedBytes);
+			}
+
+			return new Promise((resolve, reject) => {
+				const now = clock.now();
+				if (awaited.size === 0) {
+					heardAt = now;
+				}
+
+				const call = awaited.add({
+					kind, deadlineAt: now + timeoutMs, resolve, reject,
+				});
+				try {
+					const bytes = encodeFrame({
+						type: FrameType.Call, id: call.id, kind, req,
+					}, limits.maxFrameBytes);
+					writer.write({bytes, claim: () => claim(call)});
+				} catch (err) {
+					awaited.take(call.id)?.reject(createCallError(address, kind, (err as Error).message, false));
+					return;
+				}
+
+				wakeBy(Math.min(call.deadlineAt, now + limits.pingAfterMs));
+			});
+		},
+		close: closeInOrder,
+	};
+
+	/**
+	 * Guards against a call that runs after its caller was told that it was never sent: the frame of a call that
+	 * timed out while it waited for the link stays behind.
+	 */
+	function claim(call: AwaitedCall): boolean {
+		call.written = awaited.has(call.id);
+		return call.written;
+	}
+}
--- /dev/null
+++ b/src/peers/ws-transport.ts
@@ -0,0 +1,108 @@
+import {once} from 'node:events';
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {WebSocket, WebSocketServer} from 'ws';
+import type {Clock} from '../time/clock.js';
+import {withinMs} from '../time/deadline.js';
+import type {ChannelListener, PeerChannel, PeerTransport} from './peer-transport.js';
+
+/** What the transport needs. */
+export type WsTransportOptions = {
+	/** IP number to listen on. */
+	readonly hostAddress: string;
+	/** Port to listen on; 0 takes a free one. */
+	readonly port: number;
+	/** A larger message closes its channel, in bytes. */
+	readonly maxMessageBytes: number;
+	readonly clock: Clock;
+};
+
+const PATH = '/peers';
+
+/** Creates the transport over WebSocket, uncompressed. */
+export function createWsTransport(options: WsTransportOptions): PeerTransport {
+	const socketOptions = {perMessageDeflate: false, maxPayload: options.maxMessageBytes};
+	const server = createServer();
+	const webSockets = new WebSocketServer({server, path: PATH, ...socketOptions});
+
+	return {
+		async start(onChannel) {
+			webSockets.on('connection', socket => {
+				onChannel(createWsChannel(socket));
+			});
+			server.listen(options.port, options.hostAddress);
+			await once(server, 'listening');
+			return `${options.hostAddress}:${(server.address() as AddressInfo).port}`;
+		},
+		connect: address => createWsChannel(new WebSocket(`ws://${address}${PATH}`, socketOptions)),
+		async stop(ms) {
+			webSockets.close();
+			server.close();
+			const ended = Promise.all([...webSockets.clients].map(async socket => once(socket, 'close')));
+			await withinMs(options.clock, ms, ended);
+			for (const socket of webSockets.clients) {
+				socket.terminate();
+			}
+
+			server.closeAllConnections();
+		},
+	};
+}
+
+function createWsChannel(socket: WebSocket): PeerChannel {
+	let listener: ChannelListener | undefined;
+	let closedBy: string | undefined;
+	let failure: string | undefined;
+
+	const opened = new Promise<void>((resolve, reject) => {
+		if (socket.readyState === WebSocket.OPEN) {
+			resolve();
+			return;
+		}
+
+		socket.once('open', resolve);
+		socket.once('close', () => {
+			reject(new Error(failure ?? 'closed before it was open'));
+		});
+	});
+	opened.catch(() => undefined);
+
+	socket.on('message', data => {
+		listener?.onMessage(data as Uint8Array);
+	});
+	socket.on('pong', () => {
+		listener?.onPong?.();
+	});
+	socket.on('error', err => {
+		failure = err.message;
+	});
+	socket.on('close', () => {
+		closedBy = failure ?? 'the link broke';
+		listener?.onClose(closedBy);
+	});
+
+	return {
+		opened,
+		get bufferedBytes() {
+			return socket.bufferedAmount;
+		},
+		send(message) {
+			socket.send(message);
+		},
+		ping() {
+			socket.ping();
+		},
+		close() {
+			socket.close();
+		},
+		terminate() {
+			socket.terminate();
+		},
+		listen(next) {
+			listener = next;
+			if (closedBy !== undefined) {
+				next.onClose(closedBy);
+			}
+		},
+	};
+}
--- /dev/null
+++ b/tests/peers/peer-bench.ts
@@ -0,0 +1,70 @@
+import {createSilentLog} from '../../src/log/silent-log.js';
+import type {LivePeers} from '../../src/peers/create-peers.js';
+import type {PeerLimits} from '../../src/peers/peer-limits.js';
+import {createWsPeers} from '../../src/peers/ws-peers.js';
+import {createSeededRandom} from '../../src/random/seeded-random.js';
+import {createPeerNetwork} from '../../src/stand-ins/peers/in-memory-peers.js';
+import {createVirtualClock, type VirtualClock} from '../../src/stand-ins/time/virtual-clock.js';
+
+/** The calls that tests of links make. */
+declare module '../../src/peers/peer-calls.js' {
+	interface PeerCalls {
+		echo: {req: unknown; res: unknown};
+		unhandled: {req: unknown; res: unknown};
+	}
+}
+
+/** The key of hosts whose test states none. */
+export const PEER_KEY = 'the key of every host in this test';
+
+/** Hosts that call each other in a test, over either implementation. */
+export type PeerBench = {
+	readonly clock: VirtualClock;
+	/** Starts a host. */
+	addHost(peerKeys?: readonly string[]): Promise<LivePeers>;
+	/** Waits for a promise: real links need real time, simulated ones the virtual clock's. */
+	settle<T>(promise: Promise<T>): Promise<T>;
+	stop(): Promise<void>;
+};
+
+/** Makes a bench, for a table of tests over both implementations. */
+export type CreatePeerBench = (limits?: Partial<PeerLimits>) => PeerBench;
+
+/** Creates hosts on loopback; the virtual clock rules their timeouts. */
+export const createWsBench: CreatePeerBench = limits => {
+	const clock = createVirtualClock();
+	const hosts: LivePeers[] = [];
+
+	return {
+		clock,
+		async addHost(peerKeys = [PEER_KEY]) {
+			const host = createWsPeers({
+				hostAddress: '127.0.0.1', peerPort: 0, peerKeys, clock, random: createSeededRandom(hosts.length), log: createSilentLog(), limits,
+			});
+			hosts.push(host);
+			await host.start();
+			return host;
+		},
+		settle: async promise => promise,
+		async stop() {
+			await Promise.all(hosts.map(async host => host.stop()));
+		},
+	};
+};
+
+/** Creates hosts on a simulated network. */
+export const createMemoryBench: CreatePeerBench = limits => {
+	const clock = createVirtualClock();
+	const network = createPeerNetwork(clock, {limits});
+	let count = 0;
+
+	return {
+		clock,
+		async addHost(peerKeys = [PEER_KEY]) {
+			count++;
+			return network.addHost(`10.0.0.${count}:7000`, peerKeys);
+		},
+		settle: async promise => clock.runUntil(promise),
+		async stop() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+	};
+};
