Hold interactive transactions at the owner, by an id that names its host

Cause: a transaction keeps one connection from BEGIN to its end, so each step must reach the host that holds it. Weighed: a token naming the connection (taken: any proxy finds the host, nothing is stored) against routing by hash of the transaction (an owner change in between would lose it). A commit in doubt is settled through the transaction's key at any owner. Not yet run end to end.

--- a/src/owners/write-path.ts
+++ b/src/owners/write-path.ts
@@ -17,6 +17,8 @@
 	write(req: OwnerRequest, deadlineAt: number): Promise<OwnerAnswer>;
 	/** Settles what stands under a key; inserts a confirmed tombstone where nothing does. */
 	resolve(requestId: string, deadlineAt: number): Promise<OwnerAnswer>;
+	/** The primary as soon as one is known, undefined where none is by `deadlineAt`. */
+	waitForPrimary(deadlineAt: number): Promise<Primary | undefined>;
 	/** Confirms a primary's keyed answer and turns it into the owner's. */
 	settle(exchange: SettledExchange, deadlineAt: number): Promise<OwnerAnswer>;
 };
@@ -37,7 +39,8 @@
 /** When a caller may come back after an endpoint refused a connection, in milliseconds. */
 const NO_CONNECTION_RETRY_MS = 100;
 
-type Primary = {
+/** The primary of a group as its owner knows it. */
+export type Primary = {
 	readonly endpoint: EndpointConfig;
 	readonly parts: EndpointParts;
 	readonly term: number;
@@ -257,6 +260,7 @@
 
 	return {
 		settle,
+		waitForPrimary,
 		async write(req, deadlineAt) {
 			const {requestId, digest, statement, values} = req;
 			return runAtPrimary(async (connection, term, timeoutMs) => connection.write({
--- /dev/null
+++ b/src/routing/asked-request.ts
@@ -0,0 +1,101 @@
+import {RequestKind, type CallerRequest} from '../callers/caller-request.js';
+import type {Configuration, VersionedGroup} from '../configuration/configuration.js';
+import {createRequestId, getRequestIdTime} from '../random/request-id.js';
+import type {Random} from '../random/random.js';
+import type {Refusal} from '../refusals/refusal.js';
+import type {Session, Sessions} from '../sessions/session.js';
+import type {Clock} from '../time/clock.js';
+import {judgeRequestId, refuseBadToken, refuseUnknownGroup} from './entry-refusals.js';
+import {readSessionHeader} from './session-floor.js';
+
+/** A request as the entry sees it, for records. Never its statement or values. */
+export type AskedRequest = {
+	readonly group: string;
+	readonly requestId: string;
+	/** `read`, `write`, `outcome`, `begin`, … */
+	readonly asked: string;
+	readonly class: string;
+	readonly session: Session;
+	readonly configVersion: number;
+	readonly startedAt: number;
+	readonly deadlineAt: number;
+	/** True where the same request id may have been submitted before. */
+	readonly mayBeRepeat: boolean;
+};
+
+/** What a caller's protocol knows of a request before it is looked at. */
+export type AskedParts = Pick<AskedRequest, 'asked' | 'class'> & Pick<CallerRequest, 'requestId' | 'deadlineMs' | 'attempt'>;
+
+/** A request with what this host knows to judge it. */
+export type Asking = {
+	readonly asked: AskedRequest;
+	readonly group: VersionedGroup | undefined;
+	/** True where the session header was not signed by this system. */
+	readonly bad: boolean;
+};
+
+/** The group that a request may go to, or why it may not. */
+export type Judgement = {readonly group: VersionedGroup} | {readonly refusal: Refusal};
+
+/** Takes requests in. */
+export type Asker = {
+	ask(group: string, header: string | undefined, parts: AskedParts): Asking;
+	judge(asking: Asking): Judgement;
+};
+
+/** What requests are taken in with. */
+export type AskerOptions = {
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly configuration: Configuration;
+	readonly sessions: Sessions;
+};
+
+/** What is asked without a request key of its own, so that no other submission can be meant. */
+const ONCE_ONLY: ReadonlySet<string> = new Set([RequestKind.Read, 'statement', 'rollback']);
+
+/** A caller's id whose time is further than this from now may have been submitted before, in milliseconds. */
+const FRESH_ID_MS = 250;
+
+/** Creates what takes requests in. */
+export function createAsker(options: AskerOptions): Asker {
+	const {
+		clock, random, configuration, sessions,
+	} = options;
+
+	const isFresh = (requestId: string | undefined, wallMs: number) =>
+		requestId === undefined || Math.abs((getRequestIdTime(requestId) ?? 0) - wallMs) <= FRESH_ID_MS;
+
+	return {
+		ask(name, header, parts) {
+			const wallMs = clock.wall();
+			const startedAt = clock.now();
+			const group = configuration.getGroup(name);
+			const read = readSessionHeader(header, sessions, wallMs);
+			const asked: AskedRequest = {
+				group: name,
+				requestId: parts.requestId ?? createRequestId(wallMs, random),
+				asked: parts.asked,
+				class: parts.class,
+				session: read.session,
+				configVersion: group?.version ?? 0,
+				startedAt,
+				deadlineAt: startedAt + parts.deadlineMs,
+				mayBeRepeat: !ONCE_ONLY.has(parts.asked) && (parts.attempt > 1 || !isFresh(parts.requestId, wallMs)),
+			};
+			return {asked, group, bad: read.kind === 'bad'};
+		},
+		judge({asked, group, bad}) {
+			if (bad) {
+				return {refusal: refuseBadToken()};
+			}
+
+			if (!group) {
+				return {refusal: refuseUnknownGroup(asked.group, configuration)};
+			}
+
+			const refusal = judgeRequestId(asked.requestId, group, clock.wall());
+			return refusal ? {refusal} : {group};
+		},
+	};
+}
--- /dev/null
+++ b/src/routing/request-tries.ts
@@ -0,0 +1,76 @@
+import {Outcome} from '../callers/caller-answer.js';
+import {RequestKind} from '../callers/caller-request.js';
+import type {VersionedGroup} from '../configuration/configuration.js';
+import type {Hosts, Owning} from '../membership/hosts.js';
+import type {Random} from '../random/random.js';
+import {RefusalCode} from '../refusals/refusal.js';
+import type {RetryBudgets} from '../retries/retry-budgets.js';
+import type {Clock} from '../time/clock.js';
+import type {AskedRequest} from './asked-request.js';
+import type {OwnerClient} from './owner-client.js';
+import type {OwnerAnswer} from './owner-request.js';
+import {tryOwners, type OwnerTry, type TriesEnd} from './try-owners.js';
+
+/** Brings one request to the owners of its group, again where need be. */
+export type RequestTries = {
+	tryFor(asked: AskedRequest, group: VersionedGroup, deadlineAt: number, attempt: OwnerTry): Promise<TriesEnd>;
+	/** Settles what stands under the request's key, with a tombstone where nothing does. */
+	settle(asked: AskedRequest, group: VersionedGroup, deadlineAt: number): Promise<TriesEnd>;
+	/** Settles what an unsure end left open, where the time suffices. */
+	settleUnsure(asked: AskedRequest, group: VersionedGroup, end: TriesEnd): Promise<TriesEnd>;
+};
+
+/** What tries are made with. */
+export type RequestTriesOptions = {
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly hosts: Hosts;
+	readonly owning: Owning;
+	readonly ownerClient: OwnerClient;
+	readonly retryBudgets: RetryBudgets;
+	/** Told of every retry, for metrics. */
+	onRetry?(answer: OwnerAnswer): void;
+};
+
+/** Creates the tries of one host's entry. */
+export function createRequestTries(options: RequestTriesOptions): RequestTries {
+	const {
+		clock, random, hosts, owning, ownerClient,
+	} = options;
+
+	const tryFor = async (asked: AskedRequest, group: VersionedGroup, deadlineAt: number, attempt: OwnerTry) => tryOwners({
+		clock,
+		random,
+		owning,
+		group: asked.group,
+		owners: group.cfg.owners,
+		preferred: hosts.self.name,
+		deadlineAt,
+		isRead: asked.asked === RequestKind.Read,
+		budget: options.retryBudgets.getBudget(asked.group, clock.now()),
+		onRetry: options.onRetry,
+	}, attempt);
+
+	// Guards against a false "not run" and against a caller left unsure: an earlier try that brought no answer may
+	// still be on its way to the primary. The tombstone keeps it from ever running, and only then is it said.
+	const settle = async (asked: AskedRequest, group: VersionedGroup, deadlineAt: number): Promise<TriesEnd> => {
+		const attempt: OwnerTry = async (host, remainingMs) => ownerClient.call(host, 'resolve', {
+			group: asked.group, requestId: asked.requestId, remainingMs, configVersion: group.version,
+		});
+		return tryFor(asked, group, deadlineAt, attempt);
+	};
+
+	const settleUnsure = async (asked: AskedRequest, group: VersionedGroup, end: TriesEnd): Promise<TriesEnd> => {
+		const settled = await settle(asked, group, asked.deadlineAt);
+		if (settled.answer.outcome === Outcome.Done) {
+			return settled;
+		}
+
+		const isTombstone = settled.answer.refusal?.code === RefusalCode.Resolved && !settled.unsure;
+		return isTombstone
+			? {answer: {...end.answer, outcome: Outcome.NotRun}, tries: end.tries, unsure: false}
+			: {...end, unsure: true};
+	};
+
+	return {tryFor, settle, settleUnsure};
+}
--- /dev/null
+++ b/src/transactions/create-transaction-entry.ts
@@ -0,0 +1,140 @@
+import {Outcome, type CallerAnswer} from '../callers/caller-answer.js';
+import {DEFAULT_DEADLINE_MS} from '../callers/caller-request.js';
+import type {Entry} from '../callers/entry.js';
+import type {VersionedGroup} from '../configuration/configuration.js';
+import type {Hosts} from '../membership/hosts.js';
+import {RefusalCode, type Refusal} from '../refusals/refusal.js';
+import type {AskedRequest, Asker} from '../routing/asked-request.js';
+import type {EntryAnswers} from '../routing/entry-answers.js';
+import type {OwnerClient} from '../routing/owner-client.js';
+import type {OwnerAnswer} from '../routing/owner-request.js';
+import type {RequestTries} from '../routing/request-tries.js';
+import type {TriesEnd} from '../routing/try-owners.js';
+import {formatTransactionId, parseTransactionId, type TransactionId} from './transaction-id.js';
+
+/** What the entry's way for transactions is made from. */
+export type TransactionEntryOptions = {
+	readonly asker: Asker;
+	readonly answers: EntryAnswers;
+	readonly tries: RequestTries;
+	readonly ownerClient: OwnerClient;
+	readonly hosts: Hosts;
+};
+
+type Step = {
+	readonly asked: AskedRequest;
+	readonly group: VersionedGroup;
+	readonly id: TransactionId;
+};
+
+type StepParts = Pick<AskedRequest, 'asked' | 'class'> & {readonly deadlineMs: number};
+
+/** Creates the entry's way for transactions; each step goes to the host that the transaction's id names. */
+export function createTransactionEntry(options: TransactionEntryOptions): Pick<Entry, 'begin' | 'run' | 'commit' | 'rollback'> {
+	const {
+		asker, answers, tries, ownerClient, hosts,
+	} = options;
+
+	const refuseUnknown = (asked: AskedRequest, reason: string): CallerAnswer => answers.leaveOpen(asked, createUnknownRefusal(reason));
+
+	const openStep = (transactionId: string, header: string | undefined, parts: StepParts): Step | CallerAnswer => {
+		const id = parseTransactionId(transactionId);
+		const asking = asker.ask(id?.group ?? '', header, {...parts, requestId: id?.requestId, attempt: 2});
+		const {asked} = asking;
+		if (!id) {
+			return answers.refuse(asked, createUnknownRefusal('this is no transaction id of this system'));
+		}
+
+		const judgement = asker.judge(asking);
+		return 'refusal' in judgement ? answers.refuse(asked, judgement.refusal) : {asked, group: judgement.group, id};
+	};
+
+	const answerOnce = (asked: AskedRequest, id: TransactionId, answer: OwnerAnswer): CallerAnswer => {
+		const end: TriesEnd = {answer, tries: 1, unsure: answer.outcome === Outcome.Unknown};
+		return {...answers.answer(asked, end), requestId: formatTransactionId(id)};
+	};
+
+	const callHost = async (step: Step, call: (host: NonNullable<ReturnType<typeof findHost>>, remainingMs: number) => Promise<OwnerAnswer>) => {
+		const host = findHost(hosts, step.id.host);
+		const {deadlineAt, startedAt} = step.asked;
+		return host ? call(host, deadlineAt - startedAt) : undefined;
+	};
+
+	// Guards against a caller left unsure by a commit whose answer was lost: the transaction's key tells at any
+	// owner whether it is committed, and a tombstone there keeps it from being committed later.
+	const settleCommit = async (step: Step, answer: OwnerAnswer | undefined): Promise<OwnerAnswer> => {
+		const settled = await tries.settle(step.asked, step.group, step.asked.deadlineAt);
+		if (settled.answer.outcome === Outcome.Done || settled.answer.refusal?.code === RefusalCode.Resolved) {
+			return settled.answer;
+		}
+
+		return {outcome: Outcome.Unknown, refusal: answer?.refusal ?? createUnknownRefusal('the host that held the transaction is gone')};
+	};
+
+	return {
+		async begin(name, req, header) {
+			const asking = asker.ask(name, header, {...req, asked: 'begin', attempt: 1});
+			const {asked} = asking;
+			const judgement = asker.judge(asking);
+			if ('refusal' in judgement) {
+				return answers.refuse(asked, judgement.refusal);
+			}
+
+			const {group} = judgement;
+			let holder = hosts.self.name;
+			const end = await tries.tryFor(asked, group, asked.deadlineAt, async (host, remainingMs) => {
+				holder = host.name;
+				return ownerClient.call(host, 'begin', {
+					group: name, requestId: asked.requestId, class: req.class, remainingMs, configVersion: group.version,
+				});
+			});
+			const requestId = formatTransactionId({requestId: asked.requestId, group: name, host: holder});
+			return {...answers.answer(asked, end), requestId};
+		},
+		async run(transactionId, req, header) {
+			const step = openStep(transactionId, header, {asked: 'statement', class: req.class, deadlineMs: req.deadlineMs});
+			if ('outcome' in step) {
+				return step;
+			}
+
+			const {statement, values} = req;
+			const answer = await callHost(step, async (host, remainingMs) => ownerClient.call(host, 'run', {
+				group: step.id.group, requestId: step.id.requestId, statement, values, class: req.class, remainingMs,
+			}));
+			return answer ? answerOnce(step.asked, step.id, answer) : refuseUnknown(step.asked, 'the host that held the transaction is gone, so it was rolled back');
+		},
+		async commit(transactionId, header) {
+			const step = openStep(transactionId, header, {asked: 'commit', class: 'deadline', deadlineMs: DEFAULT_DEADLINE_MS});
+			if ('outcome' in step) {
+				return step;
+			}
+
+			const answer = await callHost(step, async (host, remainingMs) => ownerClient.call(host, 'commit', {
+				group: step.id.group, requestId: step.id.requestId, remainingMs: remainingMs / 2,
+			}));
+			const end = answer?.outcome === Outcome.Done ? answer : await settleCommit(step, answer);
+			return answerOnce(step.asked, step.id, end);
+		},
+		async rollback(transactionId, header) {
+			const step = openStep(transactionId, header, {asked: 'rollback', class: 'deadline', deadlineMs: DEFAULT_DEADLINE_MS});
+			if ('outcome' in step) {
+				return step;
+			}
+
+			const answer = await callHost(step, async (host, remainingMs) => ownerClient.call(host, 'rollback', {
+				group: step.id.group, requestId: step.id.requestId, remainingMs,
+			}));
+			return answerOnce(step.asked, step.id, answer ?? {outcome: Outcome.Unknown, refusal: createUnknownRefusal('the host that held the transaction is gone')});
+		},
+	};
+}
+
+function findHost(hosts: Hosts, name: string) {
+	return hosts.getAll().find(host => host.name === name);
+}
+
+function createUnknownRefusal(reason: string): Refusal {
+	return {
+		code: RefusalCode.TransactionUnknown, reason, facts: {},
+	};
+}
--- /dev/null
+++ b/src/transactions/create-transactions.ts
@@ -0,0 +1,263 @@
+import {Outcome} from '../callers/caller-answer.js';
+import {EndpointRole, KeyedWriteResult, type EndpointConnection} from '../endpoints/endpoint.js';
+import type {Service} from '../kernel/service.js';
+import type {OwnersService} from '../owners/create-owners.js';
+import type {GroupOwner} from '../owners/group-owner.js';
+import {answerNotRun, answerUnknown, createRefusal} from '../owners/owner-answers.js';
+import type {Peers} from '../peers/peers.js';
+import {RefusalCode} from '../refusals/refusal.js';
+import type {OwnerAnswer} from '../routing/owner-request.js';
+import type {Clock} from '../time/clock.js';
+import {createOpenTransactions, type OpenTransaction} from './open-transaction.js';
+import type {BeginCall, EndCall, RunCall} from './transaction-calls.js';
+
+/** Holds the transactions of the groups that this host looks after. */
+export type Transactions = Service & {
+	begin(call: BeginCall): Promise<OwnerAnswer>;
+	run(call: RunCall): Promise<OwnerAnswer>;
+	commit(call: EndCall): Promise<OwnerAnswer>;
+	rollback(call: EndCall): Promise<OwnerAnswer>;
+	/** How many are open. */
+	getOpenCount(): number;
+};
+
+/** What the transactions are made from. */
+export type TransactionsOptions = {
+	readonly clock: Clock;
+	readonly owners: OwnersService;
+	readonly peers: Peers;
+};
+
+/** A transaction without a statement for this long is rolled back, in milliseconds. */
+const IDLE_MS = 30_000;
+
+/** A transaction open for this long is rolled back, in milliseconds. */
+const LONGEST_MS = 120_000;
+
+/** Time between looks for abandoned transactions, in milliseconds. */
+const LOOK_MS = 1000;
+
+/** Digest under which a transaction's key stands; its statements come later. */
+const TRANSACTION_DIGEST = 'transaction';
+
+/** Creates the holder of open transactions. */
+export function createTransactions(options: TransactionsOptions): Transactions {
+	const {clock, owners, peers} = options;
+	const open = createOpenTransactions();
+	const stopping = new AbortController();
+
+	const openAt = async (owner: GroupOwner, call: BeginCall, deadlineAt: number): Promise<OwnerAnswer> => {
+		const primary = await owner.writes.waitForPrimary(deadlineAt);
+		if (!primary) {
+			owner.parts.writeGate.leave();
+			return refuseNoPrimary(owner);
+		}
+
+		let connection: EndpointConnection;
+		try {
+			connection = await primary.parts.pool.acquire(deadlineAt);
+		} catch (err) {
+			owner.parts.writeGate.leave();
+			return answerNotRun(createRefusal(RefusalCode.NoConnection, {
+				reason: `the primary ${primary.endpoint.name} gave no connection`,
+				facts: {endpoint: primary.endpoint.name, cause: (err as Error).message},
+				retryAfterMs: 100,
+			}));
+		}
+
+		// Guards against two submissions of one id: the second would take the first's place and end its connection.
+		if (open.get(call.requestId)) {
+			primary.parts.pool.release(connection);
+			owner.parts.writeGate.leave();
+			return refuseBusy(call.requestId);
+		}
+
+		const transaction: OpenTransaction = {
+			requestId: call.requestId,
+			group: owner.parts,
+			primary: primary.endpoint,
+			parts: primary.parts,
+			term: primary.term,
+			connection,
+			startedAt: clock.now(),
+			lastUsedAt: clock.now(),
+			busy: true,
+		};
+		open.add(transaction);
+		return beginOn(transaction, owner, deadlineAt);
+	};
+
+	const beginOn = async (transaction: OpenTransaction, owner: GroupOwner, deadlineAt: number): Promise<OwnerAnswer> => {
+		const sentAt = clock.now();
+		try {
+			const {requestId, term} = transaction;
+			const answer = await transaction.connection.begin({requestId, digest: TRANSACTION_DIGEST, term}, Math.max(1, deadlineAt - sentAt));
+			if (answer.result === KeyedWriteResult.Ran) {
+				transaction.busy = false;
+				return answerOpen(transaction);
+			}
+
+			// The key stood already: the transaction ended earlier, and its end is answered as any key's.
+			open.end(transaction, false);
+			return await owner.writes.settle({
+				primary: transaction.primary, term, answer, sentAt,
+			}, deadlineAt);
+		} catch (err) {
+			open.end(transaction, false);
+			return refuseLost(transaction, err);
+		}
+	};
+
+	const find = (requestId: string): OpenTransaction | OwnerAnswer => {
+		const transaction = open.get(requestId);
+		if (!transaction) {
+			return answerNotRun(createRefusal(RefusalCode.TransactionUnknown, {
+				reason: 'no such transaction is open here: it ended, timed out, or its host was replaced',
+				facts: {requestId},
+			}));
+		}
+
+		if (transaction.busy) {
+			return refuseBusy(requestId);
+		}
+
+		return transaction;
+	};
+
+	const use = async (requestId: string, work: (transaction: OpenTransaction) => Promise<OwnerAnswer>) => {
+		const found = find(requestId);
+		if ('outcome' in found) {
+			return found;
+		}
+
+		found.busy = true;
+		found.lastUsedAt = clock.now();
+		try {
+			return await work(found);
+		} catch (err) {
+			open.end(found, false);
+			return refuseLost(found, err);
+		} finally {
+			found.busy = false;
+		}
+	};
+
+	const runOn = async (transaction: OpenTransaction, call: RunCall, deadlineAt: number): Promise<OwnerAnswer> => {
+		const {admission, name} = transaction.parts;
+		const slot = await admission.enter({class: call.class, deadlineAt}, clock.now());
+		if (!slot.admitted) {
+			return answerNotRun(slot.refusal);
+		}
+
+		let served = false;
+		try {
+			const answer = await transaction.connection.run(call.statement, call.values, Math.max(1, deadlineAt - clock.now()));
+			served = true;
+			if (answer.message === undefined) {
+				return {...answerOpen(transaction), rows: answer.rows};
+			}
+
+			open.end(transaction, false);
+			return answerNotRun(createRefusal(RefusalCode.StatementFailed, {
+				reason: `${name} rejected the statement and the transaction was rolled back: ${answer.message}`,
+				facts: {endpoint: name, term: transaction.term},
+			}));
+		} finally {
+			slot.release(clock.now(), served);
+		}
+	};
+
+	const commitOn = async (transaction: OpenTransaction, deadlineAt: number): Promise<OwnerAnswer> => {
+		const sentAt = clock.now();
+		const answer = await transaction.connection.commit(Math.max(1, deadlineAt - sentAt));
+		open.end(transaction, true);
+		const {primary, term} = transaction;
+		const owner = owners.getOwner(transaction.group.getGroup().cfg.name);
+		return owner
+			? owner.writes.settle({
+				primary, term, answer, sentAt,
+			}, deadlineAt)
+			: refuseLost(transaction, new Error('the group is no longer looked after here'));
+	};
+
+	const rollBackOn = async (transaction: OpenTransaction, deadlineAt: number): Promise<OwnerAnswer> => {
+		await transaction.connection.rollback(Math.max(1, deadlineAt - clock.now()));
+		open.end(transaction, true);
+		return answerOpen(transaction);
+	};
+
+	// Guards against a caller that left in mid-transaction: its connection, scarce as it is, would be held for ever.
+	const endAbandoned = (now: number) => {
+		for (const transaction of open.getAll()) {
+			const isOver = now - transaction.lastUsedAt > IDLE_MS || now - transaction.startedAt > LONGEST_MS;
+			if (isOver && !transaction.busy) {
+				open.end(transaction, false);
+			}
+		}
+	};
+
+	const lookOn = async () => {
+		while (!stopping.signal.aborted) {
+			endAbandoned(clock.now());
+			await clock.sleep(LOOK_MS, stopping.signal);
+		}
+	};
+
+	const transactions: Transactions = {
+		begin: async call => owners.withOwner(call.group, async owner => {
+			const deadlineAt = clock.now() + call.remainingMs;
+			const {writeGate} = owner.parts;
+			if (!await writeGate.enter(deadlineAt)) {
+				return refuseNoPrimary(owner);
+			}
+
+			// From here the open transaction is inside the gate, and leaves it where it ends.
+			return openAt(owner, call, deadlineAt);
+		}),
+		run: async call => use(call.requestId, async transaction => runOn(transaction, call, clock.now() + call.remainingMs)),
+		commit: async call => use(call.requestId, async transaction => commitOn(transaction, clock.now() + call.remainingMs)),
+		rollback: async call => use(call.requestId, async transaction => rollBackOn(transaction, clock.now() + call.remainingMs)),
+		getOpenCount: () => open.getAll().length,
+		async start() {
+			peers.handle('begin', transactions.begin);
+			peers.handle('run', transactions.run);
+			peers.handle('commit', transactions.commit);
+			peers.handle('rollback', transactions.rollback);
+			void lookOn();
+		},
+		async stop() {
+			stopping.abort();
+			for (const transaction of open.getAll()) {
+				open.end(transaction, false);
+			}
+		},
+	};
+	return transactions;
+}
+
+function answerOpen(transaction: OpenTransaction): OwnerAnswer {
+	return {outcome: Outcome.Done, servedBy: transaction.primary.name, role: EndpointRole.Primary};
+}
+
+function refuseBusy(requestId: string): OwnerAnswer {
+	return answerNotRun(createRefusal(RefusalCode.TransactionBusy, {
+		reason: 'a statement of this transaction is still running',
+		facts: {requestId},
+		retryAfterMs: 50,
+	}));
+}
+
+function refuseNoPrimary(owner: GroupOwner): OwnerAnswer {
+	return answerNotRun(createRefusal(RefusalCode.NoPrimary, {
+		reason: 'the group has no primary that could take the transaction',
+		facts: {highestTerm: owner.parts.knowledge.highestTerm},
+		retryAfterMs: 500,
+	}));
+}
+
+function refuseLost(transaction: OpenTransaction, err: unknown): OwnerAnswer {
+	return answerUnknown(createRefusal(RefusalCode.EndpointSilent, {
+		reason: `the connection of the transaction to ${transaction.primary.name} was lost`,
+		facts: {endpoint: transaction.primary.name, term: transaction.term, cause: (err as Error).message},
+	}));
+}
--- /dev/null
+++ b/src/transactions/transaction-calls.ts
@@ -0,0 +1,38 @@
+import type {WorkClass} from '../groups/group-config.js';
+import type {OwnerAnswer} from '../routing/owner-request.js';
+
+/** Opens a transaction at an owner. */
+export type BeginCall = {
+	readonly group: string;
+	/** Request key of the whole transaction. */
+	readonly requestId: string;
+	readonly class: WorkClass;
+	readonly remainingMs: number;
+	readonly configVersion: number;
+};
+
+/** Runs a statement within a transaction of that owner. */
+export type RunCall = {
+	readonly group: string;
+	readonly requestId: string;
+	readonly statement: string;
+	readonly values: readonly unknown[];
+	readonly class: WorkClass;
+	readonly remainingMs: number;
+};
+
+/** Ends a transaction of that owner. */
+export type EndCall = {
+	readonly group: string;
+	readonly requestId: string;
+	readonly remainingMs: number;
+};
+
+declare module '../peers/peer-calls.js' {
+	interface PeerCalls {
+		begin: {req: BeginCall; res: OwnerAnswer};
+		run: {req: RunCall; res: OwnerAnswer};
+		commit: {req: EndCall; res: OwnerAnswer};
+		rollback: {req: EndCall; res: OwnerAnswer};
+	}
+}
