--- a/src/owners/choose-read-endpoints.ts
+++ b/src/owners/choose-read-endpoints.ts
@@ -33,7 +33,7 @@
 	for (const endpoint of group.getGroup().cfg.endpoints) {
 		const parts = group.getParts(endpoint.name);
 		const isPrimary = endpoint.name === primary?.name;
-		if (!parts || !group.isServing(endpoint) || (!isPrimary && !isFitReplica(group, endpoint.name, need))) {
+		if (!parts || !group.mayTakeWork(endpoint, need.now) || (!isPrimary && !isFitReplica(group, endpoint.name, need))) {
 			continue;
 		}
 
--- a/src/owners/create-owners.ts
+++ b/src/owners/create-owners.ts
@@ -21,6 +21,12 @@
 	getOwnedGroups(): readonly string[];
 };
 
+declare module '../kernel/service-map.js' {
+	interface ServiceMap {
+		owners: OwnersService;
+	}
+}
+
 /** What the owners are made from. */
 export type OwnersOptions = {
 	readonly clock: Clock;
@@ -48,7 +54,7 @@
 	const {
 		clock, configuration, hosts, owning,
 	} = options;
-	const log = options.log.part('owners');
+	const log = options.log.part('owners: ');
 	const running = new Map<string, RunningOwner>();
 	const stopping = new AbortController();
 
@@ -96,6 +102,7 @@
 		}
 
 		for (const [group, current] of running) {
+			current.owner.noteLeaving(now);
 			if (!isOwner(group, now)) {
 				log.info('This host no longer looks after a group.', {group});
 				void end(group, current);
--- a/src/owners/group-owner.ts
+++ b/src/owners/group-owner.ts
@@ -14,6 +14,7 @@
 import {getPoolLimit} from './connection-budget.js';
 import {createGroupChanges} from './group-changes.js';
 import type {EndpointParts, GroupParts} from './group-parts.js';
+import {createLeavingEndpoints} from './leaving-endpoints.js';
 import {createReadPath, type ReadPath} from './read-path.js';
 import {createWriteGate} from './write-gate.js';
 import {createWritePath, type WritePath} from './write-path.js';
@@ -30,6 +31,8 @@
 	stop(): Promise<void>;
 	/** Takes a changed configuration in force. */
 	applyConfig(): void;
+	/** Notes which endpoints are leaving, so that a leaving primary's grace runs without traffic too. */
+	noteLeaving(now: number): void;
 };
 
 /** What a group's owner is made from. */
@@ -58,6 +61,7 @@
 	const changes = createGroupChanges(clock);
 	const knowledge = watchKnowledge(createGroupKnowledge({getGroup}), changes.notify);
 	const writeGate = createWriteGate(clock);
+	const leaving = createLeavingEndpoints();
 
 	const getNames = () => getGroup().cfg.endpoints.map(({name}) => name);
 
@@ -139,6 +143,18 @@
 	};
 	const failover = options.createFailover(failoverContext);
 
+	// Guards against new work on an endpoint that is about to go: the operator's order, the platform's list and
+	// the server's own word each suffice, so that losing one of the three ways does not matter.
+	const isLeavingNow = (endpoint: EndpointConfig) => endpoint.order !== EndpointOrder.Serve
+		|| options.isEndpointLeaving(endpoint.address)
+		|| knowledge.get(endpoint.name)?.status?.leaving === true;
+
+	const noteLeaving = (now: number) => {
+		for (const endpoint of getGroup().cfg.endpoints) {
+			leaving.note(endpoint.name, isLeavingNow(endpoint), now);
+		}
+	};
+
 	const parts: GroupParts = {
 		clock,
 		knowledge,
@@ -147,11 +163,11 @@
 		writeGate,
 		getGroup,
 		getParts: getOwned,
-		// Guards against new work on an endpoint that is about to go: the operator's order, the platform's list and
-		// the server's own word each suffice, so that losing one of the three ways does not matter.
-		isServing: endpoint => endpoint.order === EndpointOrder.Serve
-			&& !options.isEndpointLeaving(endpoint.address)
-			&& knowledge.get(endpoint.name)?.status?.leaving !== true,
+		mayTakeWork(endpoint, now) {
+			const isLeaving = isLeavingNow(endpoint);
+			leaving.note(endpoint.name, isLeaving, now);
+			return !isLeaving || (knowledge.getPrimary()?.name === endpoint.name && !leaving.isGraceOver(endpoint.name, now));
+		},
 		suspect(endpoint, now) {
 			knowledge.observeFailure(endpoint, now);
 			failover.suspect(endpoint, now);
@@ -174,6 +190,7 @@
 			barrier.stop();
 			await Promise.all([...owned.values()].map(async endpoint => close(endpoint)));
 		},
+		noteLeaving,
 		applyConfig() {
 			const {cfg} = getGroup();
 			for (const endpoint of owned.values()) {
@@ -185,6 +202,7 @@
 				}
 			}
 
+			noteLeaving(clock.now());
 			changes.notify();
 		},
 	};
--- a/src/owners/group-parts.ts
+++ b/src/owners/group-parts.ts
@@ -25,8 +25,8 @@
 	readonly writeGate: WriteGate;
 	getGroup(): VersionedGroup;
 	getParts(endpoint: string): EndpointParts | undefined;
-	/** Tells whether the endpoint may be given new work. */
-	isServing(endpoint: EndpointConfig): boolean;
+	/** Tells whether the endpoint may be given new work; a leaving one that is still primary may for a short grace. */
+	mayTakeWork(endpoint: EndpointConfig, now: number): boolean;
 	/** Notes that traffic found an endpoint silent. */
 	suspect(endpoint: string, now: number): void;
 	/** Resolves when the group's primary may have changed, or at `deadlineAt`. */
--- a/src/owners/write-path.ts
+++ b/src/owners/write-path.ts
@@ -54,7 +54,7 @@
 
 	const findPrimary = (): Primary | undefined => {
 		const endpoint = knowledge.getPrimary();
-		if (!endpoint) {
+		if (!endpoint || !group.mayTakeWork(endpoint, clock.now())) {
 			return undefined;
 		}
 
--- a/src/routing/owner-client.ts
+++ b/src/routing/owner-client.ts
@@ -5,6 +5,8 @@
 import type {Peers} from '../peers/peers.js';
 import type {PlatformHost} from '../platform/platform.js';
 import {RefusalCode} from '../refusals/refusal.js';
+import type {OwnersService} from '../owners/create-owners.js';
+import type {Transactions} from '../transactions/create-transactions.js';
 import type {Clock} from '../time/clock.js';
 import type {OwnerAnswer} from './owner-request.js';
 
@@ -23,8 +25,9 @@
 	readonly clock: Clock;
 	readonly hosts: Hosts;
 	readonly peers: Peers;
-	/** Answers a call on this host itself. */
-	answerHere<K extends OwnerCall>(kind: K, req: PeerCalls[K]['req']): Promise<OwnerAnswer>;
+	/** What answers on this host itself. */
+	readonly owners: Pick<OwnersService, 'execute' | 'resolve'>;
+	readonly transactions: Pick<Transactions, 'begin' | 'run' | 'commit' | 'rollback'>;
 };
 
 /** Added to the time an owner has, for its answer's way back, in milliseconds. */
@@ -33,6 +36,14 @@
 /** Creates the client of one host. */
 export function createOwnerClient(options: OwnerClientOptions): OwnerClient {
 	const {clock, hosts, peers} = options;
+	const here: {[K in OwnerCall]: (req: PeerCalls[K]['req']) => Promise<OwnerAnswer>} = {
+		execute: options.owners.execute,
+		resolve: options.owners.resolve,
+		begin: options.transactions.begin,
+		run: options.transactions.run,
+		commit: options.transactions.commit,
+		rollback: options.transactions.rollback,
+	};
 
 	// Guards against a false "not run": a call that reached the link may have been carried out though no answer came.
 	const answerSilent = (host: PlatformHost, err: unknown): OwnerAnswer => {
@@ -52,7 +63,7 @@
 	return {
 		async call(host, kind, req) {
 			if (host.name === hosts.self.name) {
-				return options.answerHere(kind, req);
+				return here[kind](req);
 			}
 
 			try {
--- a/src/routing/owner-request.ts
+++ b/src/routing/owner-request.ts
@@ -54,12 +54,6 @@
 	readonly configVersion: number;
 };
 
-declare module '../kernel/service-map.js' {
-	interface ServiceMap {
-		owners: Owners;
-	}
-}
-
 declare module '../peers/peer-calls.js' {
 	interface PeerCalls {
 		execute: {req: OwnerRequest; res: OwnerAnswer};
--- /dev/null
+++ b/src/stand-ins/system/simulated-system.ts
@@ -0,0 +1,203 @@
+import {createSilentLog} from '../../log/silent-log.js';
+import {createKernel, type Kernel} from '../../kernel/kernel.js';
+import type {GroupConfig} from '../../groups/group-config.js';
+import {groupConfigSchema} from '../../groups/group-config.js';
+import type {StoredGroup} from '../../groups/stored-group.js';
+import type {LivePeers} from '../../peers/create-peers.js';
+import {ObjectKind, type PlatformHost} from '../../platform/platform.js';
+import {createSeededRandom} from '../../random/seeded-random.js';
+import {registerServices} from '../../daemon/register-services.js';
+import type {Settings} from '../../settings/settings.js';
+import {createDatabaseGroup, type DatabaseGroup} from '../database/database-group.js';
+import type {DatabaseServerSizes} from '../database/database-server.js';
+import {createInMemoryEndpoints, type InMemoryEndpoints} from '../database/in-memory-endpoints.js';
+import {createPeerNetwork, type PeerNetwork} from '../peers/in-memory-peers.js';
+import {createInMemoryPlatform, type InMemoryPlatform} from '../platform/in-memory-platform.js';
+import {createObjectStore, type ObjectStore} from '../platform/object-store.js';
+import {createFaultGate, type FaultGate} from '../platform/platform-faults.js';
+import {createVirtualClock, type VirtualClock} from '../time/virtual-clock.js';
+
+/** One proxy of a simulated system, with the ways to fail its surroundings. */
+export type SimulatedProxy = {
+	readonly name: string;
+	readonly address: string;
+	readonly kernel: Kernel;
+	readonly platform: InMemoryPlatform;
+	readonly endpoints: InMemoryEndpoints;
+	readonly peers: LivePeers;
+};
+
+/** Proxies, database groups and a platform in one process, on one virtual clock. */
+export type SimulatedSystem = {
+	readonly clock: VirtualClock;
+	readonly store: ObjectStore;
+	/** Faults of the platform for all proxies. */
+	readonly platformGate: FaultGate;
+	readonly network: PeerNetwork;
+	readonly proxies: readonly SimulatedProxy[];
+	getProxyOrThrow(name: string): SimulatedProxy;
+	getGroupOrThrow(name: string): DatabaseGroup;
+	/** Puts a changed configuration into the store, as an operator's change would. */
+	configure(cfg: GroupConfig): void;
+	/** Starts every proxy and lets the system settle. */
+	start(): Promise<void>;
+	/** Kills a proxy: its links break and it serves nothing more. */
+	kill(name: string): void;
+	stop(): Promise<void>;
+};
+
+/** A database group of a simulated system. */
+export type SimulatedGroup = {
+	readonly name: string;
+	/** Availability zones of its servers, one each. */
+	readonly availabilityZones: readonly string[];
+	readonly config?: Partial<Omit<GroupConfig, 'name' | 'endpoints'>>;
+	readonly sizes?: Partial<DatabaseServerSizes>;
+};
+
+/** What a simulated system is made of. */
+export type SimulatedSystemOptions = {
+	readonly proxies: number;
+	readonly groups: readonly SimulatedGroup[];
+	readonly availabilityZones: readonly string[];
+	readonly seed?: number;
+	/** Time a message takes one way between hosts, in milliseconds. */
+	readonly latencyMs?: number;
+};
+
+const SIGNING_KEY = 'a signing key for simulated systems only';
+const PEER_KEY = 'a peer key for simulated systems alone';
+
+/** Time in which a started system settles, in milliseconds. */
+const SETTLE_MS = 3000;
+
+/** Creates a system; nothing runs before it is started. */
+export function createSimulatedSystem(options: SimulatedSystemOptions): SimulatedSystem {
+	const latencyMs = options.latencyMs ?? 1;
+	const clock = createVirtualClock();
+	const seed = options.seed ?? 1;
+	const store = createObjectStore({clock});
+	const platformGate = createFaultGate({clock});
+	const network = createPeerNetwork(clock, {latencyMs, peerKeys: [PEER_KEY]});
+	const groups = new Map<string, DatabaseGroup>();
+
+	const configure = (cfg: GroupConfig) => {
+		const current = store.get(ObjectKind.Group, cfg.name);
+		const value: StoredGroup = {
+			cfg, audit: [], nextArchive: 0, deleted: false,
+		};
+		store.put({
+			kind: ObjectKind.Group, name: cfg.name, value, expectedVersion: current?.version ?? 0,
+		});
+	};
+
+	for (const [index, group] of options.groups.entries()) {
+		const cfg = createGroupConfig(group, index);
+		groups.set(group.name, createDatabaseGroup({
+			addresses: cfg.endpoints.map(({address}) => address),
+			clock,
+			random: createSeededRandom(seed + 100 + index),
+			sizes: {...group.sizes, connections: cfg.endpoints[0]?.connections, slots: cfg.endpoints[0]?.slots},
+		}));
+		configure(cfg);
+	}
+
+	const createProxy = (host: PlatformHost, index: number): SimulatedProxy => {
+		const kernel = createKernel();
+		const peers = network.addHost(host.address);
+		const platform = createInMemoryPlatform({store, clock, sharedGate: platformGate});
+		const servers = [...groups.values()].flatMap(group => group.servers);
+		const endpoints = createInMemoryEndpoints(servers, {clock, latencyMs, host: host.name});
+		kernel.register('clock', clock);
+		kernel.register('random', createSeededRandom(seed + index));
+		kernel.register('log', createSilentLog());
+		kernel.register('settings', createSettings(host));
+		kernel.register('platform', platform);
+		kernel.register('peers', peers);
+		kernel.register('endpoints', endpoints);
+		registerServices(kernel);
+		return {
+			name: host.name, address: host.address, kernel, platform, endpoints, peers,
+		};
+	};
+
+	const hosts = createHostList(options);
+	store.setHosts(hosts);
+	const proxies = hosts.map((host, index) => createProxy(host, index));
+
+	return {
+		clock,
+		store,
+		platformGate,
+		network,
+		proxies,
+		configure,
+		getProxyOrThrow(name) {
+			return proxies.find(proxy => proxy.name === name) ?? throwUnknown(name);
+		},
+		getGroupOrThrow(name) {
+			return groups.get(name) ?? throwUnknown(name);
+		},
+		async start() {
+			await Promise.all(proxies.map(async ({kernel}) => kernel.start()));
+			await clock.advance(SETTLE_MS);
+		},
+		kill(name) {
+			const {address} = proxies.find(proxy => proxy.name === name) ?? throwUnknown(name);
+			network.kill(address);
+		},
+		async stop() {
+			await clock.runUntil(Promise.all(proxies.map(async ({kernel}) => kernel.stop())));
+			for (const group of groups.values()) {
+				group.stop();
+			}
+		},
+	};
+}
+
+function createHostList({proxies, availabilityZones}: SimulatedSystemOptions): PlatformHost[] {
+	return Array.from({length: proxies}, (_, index) => ({
+		name: `entry-${index + 1}`,
+		role: 'proxy',
+		address: `10.0.0.${index + 1}:7000`,
+		availabilityZone: availabilityZones[index % availabilityZones.length]!,
+		state: 'live',
+	}));
+}
+
+function createGroupConfig(group: SimulatedGroup, index: number): GroupConfig {
+	return groupConfigSchema.parse({
+		...group.config,
+		name: group.name,
+		endpoints: group.availabilityZones.map((availabilityZone, server) => ({
+			name: `${group.name}-${server + 1}`,
+			address: `10.1.${index}.${server + 1}:5432`,
+			availabilityZone,
+			connections: 20,
+			slots: 3,
+		})),
+	});
+}
+
+function createSettings(host: PlatformHost): Settings {
+	const [hostAddress = '', peerPort = ''] = host.address.split(':');
+	return {
+		hostName: host.name,
+		hostAddress,
+		availabilityZone: host.availabilityZone,
+		callerPort: 8080,
+		peerPort: Number(peerPort),
+		operatorPort: 9090,
+		platformUrl: 'http://platform.invalid',
+		signingKeys: [SIGNING_KEY],
+		peerKeys: [PEER_KEY],
+		endpointUser: 'aldercroft',
+		endpointPassword: 'unused',
+		logLevel: 'info',
+		shutdownMs: 10_000,
+	};
+}
+
+function throwUnknown(name: string): never {
+	throw new Error(`the simulated system has no "${name}"`);
+}
--- a/src/transactions/create-transactions.ts
+++ b/src/transactions/create-transactions.ts
@@ -21,6 +21,12 @@
 	getOpenCount(): number;
 };
 
+declare module '../kernel/service-map.js' {
+	interface ServiceMap {
+		transactions: Transactions;
+	}
+}
+
 /** What the transactions are made from. */
 export type TransactionsOptions = {
 	readonly clock: Clock;
