--- a/src/stand-ins/platform/platform-faults.ts
+++ b/src/stand-ins/platform/platform-faults.ts
@@ -46,6 +46,8 @@
 export type FaultGate = {
 	/** The faults in effect; assign to its fields. */
 	readonly faults: PlatformFaults;
+	/** Calls that came this way so far, whatever became of them. */
+	readonly passed: number;
 	/** Runs a call under the faults; stays pending for good where the answer is lost, rejects with PlatformError where it is refused. */
 	pass<T>(effect: CallEffect, run: () => T | Promise<T>): Promise<T>;
 	/** Makes every watch that waits now hang for good, while new ones work. */
@@ -57,6 +59,7 @@
 	const faults: PlatformFaults = {
 		outage: Outage.None, requestDelayMs: 0, answerDelayMs: 0, overtakenMs: 0, lostAnswers: 0, deadWatches: false,
 	};
+	let passed = 0;
 	let answers = 0;
 	let watchGeneration = 0;
 
@@ -94,7 +97,11 @@
 
 	return {
 		faults,
+		get passed() {
+			return passed;
+		},
 		async pass(effect, run) {
+			passed++;
 			const generation = watchGeneration;
 			await failUnderOutage();
 			await delay(faults.requestDelayMs);
--- /dev/null
+++ b/tests/configuration/configuration-watch-tests.ts
@@ -0,0 +1,110 @@
+import {expect} from 'chai';
+import {createFleet, type Fleet, type FleetProxy} from './configuration-fleet.js';
+
+type Example = {
+	readonly title: string;
+	/** Runs for a minute of virtual time. */
+	run(fleet: Fleet, proxies: readonly FleetProxy[]): Promise<void>;
+	/** Most calls, the one of the minute's last moment among them, to the store that a proxy may make in that minute. */
+	readonly mostCalls: number;
+};
+
+const MINUTE_MS = 60_000;
+
+const countAttempts = (proxies: readonly FleetProxy[]) => proxies.reduce((sum, {platform}) => sum + platform.gate.passed, 0);
+
+const examples: readonly Example[] = [
+	{
+		title: 'quiet',
+		async run({clock}) {
+			await clock.advance(MINUTE_MS);
+		},
+		mostCalls: 31,
+	},
+	{
+		title: 'ten changes a second',
+		async run({clock, put}) {
+			for (let i = 0; i < 600; i++) {
+				put('a', i);
+				await clock.advance(100);
+			}
+		},
+		mostCalls: 61,
+	},
+	{
+		title: 'an outage that refuses at once',
+		async run({clock, gate}) {
+			gate.faults.outage = 'refusing';
+			await clock.advance(MINUTE_MS);
+		},
+		mostCalls: 31,
+	},
+	{
+		title: 'an outage that is silent',
+		async run({clock, gate}) {
+			gate.faults.outage = 'silent';
+			await clock.advance(MINUTE_MS);
+		},
+		mostCalls: 31,
+	},
+];
+
+describe('configuration watch', () => {
+	const doTest = ({title, run, mostCalls}: Example) => {
+		it(`calls the store at most ${mostCalls} times a minute: ${title}`, async () => {
+			const fleet = createFleet({size: 9});
+			fleet.put('a', 1000);
+			const proxies = await fleet.startAll();
+			const before = countAttempts(proxies);
+			await run(fleet, proxies);
+			await fleet.stop();
+			expect((countAttempts(proxies) - before) / proxies.length).to.be.within(1, mostCalls);
+		});
+	};
+
+	for (const example of examples) {
+		doTest(example);
+	}
+
+	it('logs a malformed object once, however often it is listed', async () => {
+		const fleet = createFleet({size: 1});
+		fleet.put('a', 1000);
+		fleet.store.put({
+			kind: 'group', name: 'b', value: 'text', expectedVersion: 0,
+		});
+		const [proxy] = await fleet.startAll();
+		await fleet.clock.advance(4 * 3_600_000);
+		await fleet.stop();
+		expect(proxy!.errors).to.deep.equal([
+			'configuration: refused a malformed group {"source":"store","group":"b","version":2,"reason":"it: Invalid input: expected object, received string"}',
+		]);
+	});
+
+	it('heals by a later list what no watch told', async () => {
+		// The platform loses one notice; watches from later revisions never bring it.
+		const fleet = createFleet({size: 1});
+		fleet.put('a', 1000);
+		const [proxy] = await fleet.startAll();
+		proxy!.platform.gate.silenceOpenWatches();
+		proxy!.configuration.takeChanges({revision: 2, objects: []}, fleet.clock.now());
+		fleet.put('b', 1000);
+		await fleet.clock.advance(10_000);
+		const before = proxy!.show();
+		await fleet.clock.advance(2 * 3_600_000);
+		await fleet.stop();
+		expect([before, proxy!.show()]).to.deep.equal(['a@1', 'a@1 b@2']);
+	});
+
+	it('goes on after a listener fails', async () => {
+		const fleet = createFleet({size: 1});
+		const [proxy] = await fleet.startAll();
+		proxy!.configuration.onChange(() => {
+			throw new Error('listener');
+		});
+		fleet.put('a', 1000);
+		fleet.put('b', 1000);
+		await fleet.clock.advance(3000);
+		await fleet.stop();
+		expect([proxy!.show(), proxy!.errors.length]).to.deep.equal(['a@1 b@2', 2]);
+	});
+});
