Answer callers over HTTP in front of the entry, with metrics and a drain

Every message gets one answer in the same shape, also broken JSON, broken UTF-8, an oversized body, a wrong method or bytes that are not HTTP; each such refusal has its record and ticket. Two things kept such answers truthful: a body that failed its checks may repeat the id of a request that ran, so its `not-run` speaks of a fresh id; and a question about another request that was not taken answers `unknown`. A fault of this host's own is `unknown` with the new code host-fault.

A drain counts work apart from connections: a caller that hangs up leaves its write at the database.

--- /dev/null
+++ b/src/callers/http-answers.ts
@@ -0,0 +1,126 @@
+import type {FastifyReply} from 'fastify';
+import type {Log} from '../log/log.js';
+import {AskedKind, type Metrics} from '../metrics/metrics.js';
+import type {WorkClass} from '../groups/group-config.js';
+import type {Clock} from '../time/clock.js';
+import {Outcome, type CallerAnswer} from './caller-answer.js';
+import {toCallerError} from './caller-errors.js';
+import {
+	HOST_FAULT_REFUSAL, LEAVING_REFUSAL, type AskedRequest, type HttpRefusals,
+} from './http-refusals.js';
+import {getHttpStatus, getRetryAfterSeconds} from './http-status.js';
+import type {InFlight} from './in-flight.js';
+
+/** Header that carries a session's token both ways. */
+export const SESSION_HEADER = 'aldercroft-session';
+
+/** Content type of every answer. */
+export const JSON_TYPE = 'application/json; charset=utf-8';
+
+/** What answering over HTTP needs. */
+export type HttpAnswersOptions = {
+	readonly clock: Clock;
+	readonly log: Log;
+	readonly metrics: Metrics;
+	readonly refuse: HttpRefusals;
+	/** Counts what the entry is asked. */
+	readonly working: InFlight;
+	readonly isLeaving: () => boolean;
+};
+
+/** A request that passed its checks, on its way to the entry. */
+export type ServedRequest = AskedRequest & {
+	readonly asked: AskedKind;
+	readonly class?: WorkClass;
+	/** Belongs to work under way, which a leaving host still ends. */
+	readonly continues?: boolean;
+};
+
+/** Answers callers over HTTP. */
+export type HttpAnswers = {
+	/** Has the entry answer a request; sets status and headers and resolves with the body. */
+	serve(reply: FastifyReply, req: ServedRequest, ask: () => Promise<CallerAnswer>): Promise<string>;
+	/** Answers what failed before the entry was asked; sets status and headers and returns the body. */
+	fail(reply: FastifyReply, req: AskedRequest, err: unknown): string;
+};
+
+/** Creates the answering side of the caller port. */
+export function createHttpAnswers(options: HttpAnswersOptions): HttpAnswers {
+	const {clock, log, metrics, refuse, working, isLeaving} = options;
+
+	const prepare = (reply: FastifyReply, answer: CallerAnswer, status = getHttpStatus(answer)) => {
+		const {refusal, session} = answer;
+		if (isLeaving()) {
+			void reply.header('connection', 'close');
+		}
+
+		if (session !== undefined) {
+			void reply.header(SESSION_HEADER, session);
+		}
+
+		if (refusal) {
+			metrics.countRefusal(refusal.code);
+		}
+
+		if (refusal?.retryAfterMs !== undefined) {
+			void reply.header('retry-after', getRetryAfterSeconds(refusal.retryAfterMs));
+		}
+
+		void reply.code(status).header('content-type', JSON_TYPE);
+		return toJson(answer);
+	};
+
+	const askOrRefuse = async (req: ServedRequest, ask: () => Promise<CallerAnswer>) => {
+		if (isLeaving() && !req.continues) {
+			return refuse(req, getUntakenOutcome(req), LEAVING_REFUSAL);
+		}
+
+		try {
+			return await ask();
+		} catch (err) {
+			log.error('the entry failed to answer', {err, requestId: req.requestId});
+			return refuse(req, Outcome.Unknown, HOST_FAULT_REFUSAL);
+		}
+	};
+
+	return {
+		async serve(reply, req, ask) {
+			const startedAt = clock.now();
+			const leave = working.enter();
+			try {
+				const answer = await askOrRefuse(req, ask);
+				const seconds = (clock.now() - startedAt) / 1000;
+				metrics.observeRequest({
+					kind: req.asked, class: req.class, outcome: answer.outcome, seconds,
+				});
+				return prepare(reply, answer);
+			} finally {
+				leave();
+			}
+		},
+		fail(reply, req, err) {
+			const callerError = toCallerError(err);
+			if (!callerError) {
+				log.error('the caller port failed', {err});
+				return prepare(reply, refuse(req, Outcome.Unknown, HOST_FAULT_REFUSAL));
+			}
+
+			const {code, message: reason, status} = callerError;
+			return prepare(reply, refuse(req, getUntakenOutcome(req), {code, reason, facts: {}}), status);
+		},
+	};
+}
+
+/** A question about another request that was not taken says nothing of that one: `not-run` would be untrue. */
+function getUntakenOutcome(req: AskedRequest): Outcome {
+	return req.asked === AskedKind.Outcome ? Outcome.Unknown : Outcome.NotRun;
+}
+
+/** A row may hold what JSON has no form for; failing then would lose the answer to a write that ran. */
+function toJson(answer: CallerAnswer): string {
+	try {
+		return JSON.stringify(answer);
+	} catch {
+		return JSON.stringify(answer, (_key, value: unknown) => typeof value === 'bigint' ? value.toString() : value);
+	}
+}
--- /dev/null
+++ b/src/callers/http-routes.ts
@@ -0,0 +1,122 @@
+import type {FastifyInstance, FastifyReply, FastifyRequest} from 'fastify';
+import type {Clock} from '../time/clock.js';
+import {AskedKind} from '../metrics/metrics.js';
+import type {Random} from '../random/random.js';
+import {createRequestId, getRequestIdTime} from '../random/request-id.js';
+import {MAX_TOKEN_LENGTH} from '../sessions/signed-sessions.js';
+import {checkBeginRequest, checkCallerRequest, checkEmptyBody} from './caller-body.js';
+import {throwBadSessionHeader, throwMalformed} from './caller-errors.js';
+import type {Entry} from './entry.js';
+import {SESSION_HEADER, type HttpAnswers} from './http-answers.js';
+import type {AskedRequest} from './http-refusals.js';
+
+/** What the routes need. */
+export type HttpRoutesOptions = {
+	readonly entry: Entry;
+	readonly answers: HttpAnswers;
+	readonly clock: Clock;
+	readonly random: Random;
+};
+
+type GroupRoute = {group: string};
+type TransactionRoute = {transactionId: string};
+type OutcomeRoute = {group: string; requestId: string};
+
+const OTHER_METHODS = ['GET', 'POST', 'PUT', 'PATCH', 'DELETE', 'HEAD', 'OPTIONS'] as const;
+
+/** Adds the callers' routes; docs/CALLERS.md describes them. */
+export function addHttpRoutes(app: FastifyInstance, options: HttpRoutesOptions): void {
+	const {entry, answers, clock, random} = options;
+
+	// An id made here rather than in the entry lets every answer, also one to a fault, speak of the id that ran.
+	const withRequestId = <T extends {requestId?: string}>(body: T) => ({
+		...body,
+		requestId: body.requestId ?? createRequestId(clock.wall(), random),
+	});
+
+	const addRoute = <Route>(method: 'GET' | 'POST', url: string, handler: (req: FastifyRequest<{Params: Route}>, reply: FastifyReply) => Promise<string>) => {
+		app.route<{Params: Route}>({method, url, handler});
+		app.route({
+			method: OTHER_METHODS.filter(other => other !== method),
+			url,
+			async handler(req, reply) {
+				void reply.header('allow', method);
+				throwMalformed(`method ${req.method}: this route takes ${method}`, 405);
+			},
+		});
+	};
+
+	addRoute<GroupRoute>('POST', '/v1/groups/:group/requests', async (req, reply) => {
+		const {group} = req.params;
+		const body = withRequestId(checkCallerRequest(req.body));
+		const session = getSessionToken(req);
+		const {requestId, class: workClass, kind: asked} = body;
+		return answers.serve(reply, {
+			asked, group, requestId, class: workClass,
+		}, async () => entry.execute(group, body, session));
+	});
+
+	addRoute<GroupRoute>('POST', '/v1/groups/:group/transactions', async (req, reply) => {
+		const {group} = req.params;
+		const body = withRequestId(checkBeginRequest(req.body));
+		const session = getSessionToken(req);
+		const {requestId, class: workClass} = body;
+		return answers.serve(reply, {
+			asked: AskedKind.Begin, group, requestId, class: workClass,
+		}, async () => entry.begin(group, body, session));
+	});
+
+	addRoute<TransactionRoute>('POST', '/v1/transactions/:transactionId/requests', async (req, reply) => {
+		const {transactionId} = req.params;
+		const body = checkCallerRequest(req.body);
+		return answers.serve(reply, {
+			asked: body.kind, requestId: transactionId, class: body.class, continues: true,
+		}, async () => entry.run(transactionId, body));
+	});
+
+	addRoute<TransactionRoute>('POST', '/v1/transactions/:transactionId/commit', async (req, reply) => {
+		const {transactionId} = req.params;
+		checkEmptyBody(req.body);
+		return answers.serve(reply, {asked: AskedKind.Commit, requestId: transactionId, continues: true}, async () => entry.commit(transactionId));
+	});
+
+	addRoute<TransactionRoute>('POST', '/v1/transactions/:transactionId/rollback', async (req, reply) => {
+		const {transactionId} = req.params;
+		checkEmptyBody(req.body);
+		return answers.serve(reply, {asked: AskedKind.Rollback, requestId: transactionId, continues: true}, async () => entry.rollback(transactionId));
+	});
+
+	addRoute<OutcomeRoute>('GET', '/v1/groups/:group/requests/:requestId/outcome', async (req, reply) => {
+		const {group, requestId} = req.params;
+		if (getRequestIdTime(requestId) === undefined) {
+			throwMalformed('requestId: expected a UUIDv7');
+		}
+
+		const session = getSessionToken(req);
+		return answers.serve(reply, {asked: AskedKind.Outcome, group, requestId}, async () => entry.resolveOutcome(group, requestId, session));
+	});
+}
+
+/**
+ * What can be said of a request that no handler took.
+ *
+ * A body that failed its checks may repeat the id of a request that ran: the answer, `not-run`, speaks of a fresh id.
+ */
+export function getAskedRequest(req: FastifyRequest): AskedRequest {
+	const {group, requestId} = (req.params ?? {}) as Partial<OutcomeRoute>;
+	return requestId === undefined ? {asked: 'unclear', group} : {asked: AskedKind.Outcome, group, requestId};
+}
+
+function getSessionToken(req: FastifyRequest): string | undefined {
+	const token = req.headers[SESSION_HEADER];
+	if (token === undefined || token === '') {
+		return undefined;
+	}
+
+	// Sent twice, the header arrives as one value with a comma.
+	if (typeof token !== 'string' || token.length > MAX_TOKEN_LENGTH || !/^[\w\-]+$/v.test(token)) {
+		throwBadSessionHeader('not a token that this service made; send it as it came, or none');
+	}
+
+	return token;
+}
