--- a/src/groups/group-config.ts
+++ b/src/groups/group-config.ts
@@ -37,7 +37,7 @@
 /** One of the classes in {@link WorkClass}. */
 export type WorkClass = typeof WorkClass[keyof typeof WorkClass];
 
-const name = z.string().regex(/^[a-z][a-z\d-]{0,62}$/v, 'a name is 1 to 63 of a-z, 0-9 and "-", beginning with a letter');
+const name = z.string().regex(/^[a-z][a-z\d\-]{0,62}$/v, 'a name is 1 to 63 of a-z, 0-9 and "-", beginning with a letter');
 
 /** Checks one endpoint of a group as the platform stores it. */
 export const endpointConfigSchema = z.strictObject({
