--- a/src/refusals/refusal.ts
+++ b/src/refusals/refusal.ts
@@ -7,6 +7,8 @@
 	AgeOverLimit: 'age-over-limit',
 	KeyExpired: 'key-expired',
 	HostLeaving: 'host-leaving',
+	/** A fault of this host's own while it handled the request. */
+	HostFault: 'host-fault',
 	NoConfiguration: 'no-configuration',
 	NoOwner: 'no-owner',
 	RetryBudget: 'retry-budget',
