--- a/src/explanations/batch-recorder.ts
+++ b/src/explanations/batch-recorder.ts
@@ -120,7 +120,7 @@
 		}
 	};
 
-	const close = async () => {
+	const close = () => {
 		if (firstAt === undefined) {
 			return;
 		}
@@ -130,7 +130,7 @@
 		const sample = sampler.take();
 		firstAt = undefined;
 		lostSinceBatch = 0;
-		waiting.push(await createRecordBatch({
+		waiting.push(createRecordBatch({
 			host, sample, suffix: Buffer.from(random.bytes(4)).toString('hex'), from, lostBefore,
 		}));
 		dropOldest();
@@ -183,7 +183,7 @@
 				await waitForCredit(signal);
 				if (!signal.aborted) {
 					if (isDue()) {
-						await close();
+						close();
 					}
 
 					await sendOldest(PUT_TIMEOUT_MS);
@@ -191,7 +191,7 @@
 			}
 		},
 		async flush(timeoutMs) {
-			await close();
+			close();
 			const until = clock.now() + timeoutMs;
 			while (waiting.length > 0 && clock.now() < until) {
 				if (!await sendOldest(until - clock.now())) {
--- a/src/explanations/batch-sweeper.ts
+++ b/src/explanations/batch-sweeper.ts
@@ -38,9 +38,11 @@
  * then: one list call a minute, and a second one an hour later, for the whole fleet.
  */
 export function createBatchSweeper({platform, clock, hosts, log}: BatchSweeperOptions): BatchSweeper {
-	const isOurs = (minute: number, now: number) => {
+	// Guards against batches that stay for ever because the host whose turn it was is dead, and the host list lags or lies:
+	// the second sweep of a minute falls to another host.
+	const isOurs = (minute: number, sweepNumber: number, now: number) => {
 		const names = hosts.getUsable(now).map(host => host.name).toSorted();
-		return names[minute % names.length] === hosts.self.name;
+		return names[(minute + sweepNumber) % names.length] === hosts.self.name;
 	};
 
 	const sweep = async (minute: number, signal: AbortSignal) => {
@@ -55,8 +57,8 @@
 		}
 	};
 
-	const sweepIfOurs = async (minute: number, signal: AbortSignal) => {
-		if (!isOurs(minute, clock.now())) {
+	const sweepIfOurs = async (minute: number, sweepNumber: number, signal: AbortSignal) => {
+		if (!isOurs(minute, sweepNumber, clock.now())) {
 			return;
 		}
 
@@ -75,8 +77,8 @@
 				const reached = Math.floor(clock.wall() / MINUTE_MS);
 				for (; current < reached && !signal.aborted; current++) {
 					const expired = current - (BATCH_RETENTION_MS / MINUTE_MS) - 1;
-					await sweepIfOurs(expired, signal);
-					await sweepIfOurs(expired - (SECOND_SWEEP_MS / MINUTE_MS), signal);
+					await sweepIfOurs(expired, 0, signal);
+					await sweepIfOurs(expired - (SECOND_SWEEP_MS / MINUTE_MS), 1, signal);
 				}
 			}
 		},
--- a/src/explanations/record-batch.ts
+++ b/src/explanations/record-batch.ts
@@ -1,12 +1,11 @@
 import {Buffer} from 'node:buffer';
 import {promisify} from 'node:util';
-import {deflateRaw, inflateRaw} from 'node:zlib';
+import {deflateRawSync, inflateRaw} from 'node:zlib';
 import {z} from 'zod';
 import {packRecords, unpackRecords} from './record-codec.js';
 import {OTHER_GROUPS, type RecordSample, type RefusalCount} from './record-sampler.js';
 import type {RefusalRecord} from './refusal-record.js';
 
-const deflate = promisify(deflateRaw);
 const inflate = promisify(inflateRaw);
 
 /** Largest batch, in bytes of its compressed records as text. */
@@ -63,12 +62,12 @@
 };
 
 /** Compresses a sample; keeps half of its records, and half again, until it fits. */
-export async function createRecordBatch({host, sample, suffix, from, lostBefore}: RecordBatchOptions): Promise<RecordBatch> {
+export function createRecordBatch({host, sample, suffix, from, lostBefore}: RecordBatchOptions): RecordBatch {
 	let {records} = sample;
-	let text = await compress(records);
+	let text = compress(records);
 	while (text.length > MAX_BATCH_BYTES) {
 		records = records.filter((_, index) => index % 2 === 0);
-		text = await compress(records);
+		text = compress(records);
 	}
 
 	const counts = recount(sample.counts, records);
@@ -103,9 +102,8 @@
 	return new Date(ms).toISOString().replaceAll(/[\-:]/gv, '').slice(0, MINUTE_LENGTH);
 }
 
-async function compress(records: readonly RefusalRecord[]): Promise<string> {
-	const deflated = await deflate(packRecords(records));
-	return deflated.toString('base64');
+function compress(records: readonly RefusalRecord[]): string {
+	return deflateRawSync(packRecords(records)).toString('base64');
 }
 
 function recount(counts: readonly RefusalCount[], records: readonly RefusalRecord[]): RefusalCount[] {
