--- /dev/null
+++ b/src/failover/create-group-failover.ts
@@ -0,0 +1,188 @@
+import type {Log} from '../log/log.js';
+import type {Hosts, Owning} from '../membership/hosts.js';
+import type {Platform} from '../platform/platform.js';
+import type {Random} from '../random/random.js';
+import type {Clock} from '../time/clock.js';
+import type {FailoverParts, Promotion} from './failover-parts.js';
+import type {FailoverMember, FailoverPeers} from './failover-peers.js';
+import type {FailoverSettings} from './failover-settings.js';
+import {FailoverPhase, type FailoverState} from './failover-state.js';
+import {createGroupControl} from './group-control.js';
+import type {GroupFailover, GroupFailoverContext} from './group-failover.js';
+import {createOtherOwners} from './other-owners.js';
+import {createPlannedChanges} from './planned-changes.js';
+import {createPrimaryWatch} from './primary-watch.js';
+import {createGroupRepair} from './repair-group.js';
+import {replacePrimary} from './replace-primary.js';
+import {createReplicaWatch} from './replica-watch.js';
+import {createSecondOpinion} from './second-opinion.js';
+import {createTermClaim} from './term-claim.js';
+import {createWakeup} from './wakeup.js';
+import {createWriteHolds} from './write-holds.js';
+
+/** What {@link createGroupFailover} needs. */
+export type GroupFailoverOptions = {
+	readonly context: GroupFailoverContext;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly log: Log;
+	readonly platform: Platform;
+	/** This host's answering side, shared by all groups. */
+	readonly failoverPeers: FailoverPeers;
+	readonly hosts: Hosts;
+	readonly owning: Owning;
+	readonly settings: FailoverSettings;
+	/** Called after every change of primary that this host brought about. */
+	onPromoted?(promotion: Promotion): void;
+};
+
+/** A group's failover that also tells what it is doing. */
+export type ObservableGroupFailover = GroupFailover & {
+	getState(): FailoverState;
+};
+
+/** Shortest pause between two looks at the primary, in milliseconds; traffic may raise suspicions faster than that. */
+const LEAST_NAP_MS = 20;
+
+/** Creates the failover of one group on this host. */
+export function createGroupFailover(options: GroupFailoverOptions): ObservableGroupFailover {
+	const {context, clock, random, hosts, owning, settings} = options;
+	const {knowledge} = context;
+	const {peers} = options.failoverPeers;
+	const {name: group} = context.getGroup().cfg;
+	const host = hosts.self.name;
+	const log = options.log.part('failover: ');
+	const stopping = new AbortController();
+	const napping = createWakeup(clock);
+	let state: FailoverState = {phase: FailoverPhase.Watching, reason: 'not begun', since: clock.now()};
+	let tasks: ReadonlyArray<Promise<void>> = [];
+
+	const getCfg = () => context.getGroup().cfg;
+	const shared = {
+		clock, peers, hosts, owning, settings, group, getOwnerCount: () => getCfg().owners,
+	};
+
+	const parts: FailoverParts = {
+		clock,
+		random,
+		log,
+		settings,
+		control: createGroupControl({clock, context}),
+		knowledge,
+		claim: createTermClaim({
+			platform: options.platform, log, group, host,
+		}),
+		others: createOtherOwners(shared),
+		group,
+		getCfg,
+		isHostLeaving: address => hosts.isEndpointLeaving(address),
+		setState(phase, reason) {
+			if (state.phase !== phase) {
+				log.info(`entered ${phase}`, {group, reason});
+			}
+
+			state = {phase, reason, since: state.phase === phase ? state.since : clock.now()};
+		},
+		async announce(raised, cause, gap) {
+			const {term, status, followed, endpoint: {name: endpoint}} = raised;
+			log.info('raised a primary', {
+				group, endpoint, term, cause, followed, ...gap,
+			});
+			options.onPromoted?.({
+				group, term, endpoint, status, cause, parts: gap,
+			});
+			parts.setState(FailoverPhase.Watching, `${endpoint} is primary at term ${term}`);
+			await parts.others.tellPrimary(endpoint, status);
+		},
+		stopped: stopping.signal,
+	};
+
+	const holds = createWriteHolds(clock, context);
+	const repair = createGroupRepair(parts);
+	const replicas = createReplicaWatch(parts);
+	const watch = createPrimaryWatch({
+		...parts, opinions: createSecondOpinion(shared), getCutOffSince: now => replicas.getCutOffSince(now),
+	});
+	const planned = createPlannedChanges({
+		...parts, holds, host, lookAgain() {
+			napping.wake();
+		},
+	});
+
+	const watchPrimary = async () => {
+		const pollMs = parts.others.getRank() === 0 ? settings.primaryPollMs : settings.standbyPollMs;
+		const loss = await watch.findLoss(pollMs);
+		if (loss) {
+			await replacePrimary({
+				...parts, loss, noteOwnTerm(term) {
+					watch.noteOwnTerm(term);
+				},
+			});
+		}
+
+		await clock.sleep(LEAST_NAP_MS, stopping.signal);
+		await napping.sleep(pollMs - LEAST_NAP_MS);
+	};
+
+	const repairServers = async () => {
+		if (parts.others.getRank() === 0) {
+			await repair.run();
+		}
+
+		await clock.sleep(settings.repairMs, stopping.signal);
+	};
+
+	/** Runs a task's step over and over until the failover stops; an error of one round ends no task. */
+	const run = async (step: () => Promise<void>) => {
+		while (!stopping.signal.aborted) {
+			try {
+				await step();
+			} catch (err) {
+				log.error('met an error', {group, err});
+				await clock.sleep(settings.retryMinMs, stopping.signal);
+			}
+		}
+	};
+
+	const suspectPrimary = (now: number) => {
+		watch.suspect(now);
+		napping.wake();
+	};
+
+	const member: FailoverMember = {
+		suspectAddress(address) {
+			if (knowledge.getPrimary()?.address === address) {
+				suspectPrimary(clock.now());
+			}
+		},
+		hold: async (holdId, ms) => holds.hold(holdId, ms),
+		release(holdId) {
+			holds.release(holdId);
+		},
+		observePrimary(endpoint, status) {
+			knowledge.observe(endpoint, status, clock.now());
+		},
+	};
+
+	return {
+		async start() {
+			options.failoverPeers.register(group, member);
+			tasks = [watchPrimary, repairServers, async () => replicas.look(), async () => planned.relieve()].map(async step => run(step));
+		},
+		async stop() {
+			stopping.abort();
+			napping.wake();
+			options.failoverPeers.unregister(group, member);
+			await Promise.all(tasks);
+		},
+		suspect(endpoint, now) {
+			if (knowledge.getPrimary()?.name === endpoint) {
+				suspectPrimary(now);
+			}
+		},
+		async switchTo(endpoint, deadlineMs) {
+			await planned.change(endpoint, deadlineMs);
+		},
+		getState: () => state,
+	};
+}
--- /dev/null
+++ b/src/failover/failover-parts.ts
@@ -0,0 +1,49 @@
+import type {EndpointStatus} from '../endpoints/endpoint.js';
+import type {GroupConfig} from '../groups/group-config.js';
+import type {GroupKnowledge} from '../groups/group-knowledge.js';
+import type {Log} from '../log/log.js';
+import type {Random} from '../random/random.js';
+import type {Clock} from '../time/clock.js';
+import type {FailoverSettings} from './failover-settings.js';
+import type {SetFailoverState} from './failover-state.js';
+import type {GroupControl} from './group-control.js';
+import type {OtherOwners} from './other-owners.js';
+import type {GapParts, LossKind} from './promote-group.js';
+import type {RaisedPrimary} from './raise-primary.js';
+import type {TermClaim} from './term-claim.js';
+
+/** What the tasks of one group's failover share. */
+export type FailoverParts = {
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly log: Log;
+	readonly settings: FailoverSettings;
+	readonly control: GroupControl;
+	readonly knowledge: GroupKnowledge;
+	readonly claim: TermClaim;
+	readonly others: OtherOwners;
+	readonly group: string;
+	/** The configuration in force. */
+	getCfg(): GroupConfig;
+	/** Whether the host of the server at that address is leaving. */
+	isHostLeaving(address: string): boolean;
+	readonly setState: SetFailoverState;
+	/** Makes a new primary known; resolves once the other owners were told. */
+	announce(raised: RaisedPrimary, cause: PromotionCause, parts: GapParts): Promise<void>;
+	/** Aborts when the failover stops. */
+	readonly stopped: AbortSignal;
+};
+
+/** Why a primary was raised. */
+export type PromotionCause = LossKind | 'planned';
+
+/** A change of primary, for audit and metrics. */
+export type Promotion = {
+	readonly group: string;
+	readonly term: number;
+	/** Name of the new primary. */
+	readonly endpoint: string;
+	readonly status: EndpointStatus;
+	readonly cause: PromotionCause;
+	readonly parts: GapParts;
+};
--- /dev/null
+++ b/src/failover/fence-group.ts
@@ -0,0 +1,72 @@
+import {type EndpointConfig, getMajority, type GroupConfig} from '../groups/group-config.js';
+import type {TermAnswer} from '../endpoints/endpoint.js';
+import type {Clock} from '../time/clock.js';
+import type {FencedServer} from './choose-candidate.js';
+import {throwNoMajority, throwPaused, throwTermPassed} from './failover-errors.js';
+import type {FailoverSettings} from './failover-settings.js';
+import {gatherAnswers, type Gathered} from './gather-answers.js';
+import type {GroupControl} from './group-control.js';
+
+/** What {@link fenceGroup} needs. */
+export type FenceOptions = {
+	readonly clock: Clock;
+	readonly control: GroupControl;
+	readonly cfg: GroupConfig;
+	readonly settings: FailoverSettings;
+	readonly term: number;
+	/** An endpoint whose grant does not count: a primary that is cut off from its group. */
+	readonly excluded?: string;
+	/** An endpoint whose grant is awaited besides the majority. */
+	readonly awaited?: string;
+};
+
+/**
+ * Raises the promised term at all servers at once and returns those that granted it, a majority at least.
+ *
+ * A majority of grants is the vote: no write of an older term can be confirmed any more, and no other promoter
+ * can get a majority for this term. Rejects with FailoverError where no majority granted it.
+ */
+export async function fenceGroup(options: FenceOptions): Promise<readonly FencedServer[]> {
+	const {clock, control, cfg, settings, term} = options;
+	const majority = getMajority(cfg);
+	const startedAt = clock.now();
+
+	const getGranted = (answers: ReadonlyArray<Gathered<TermAnswer>>) =>
+		answers.filter(({endpoint, answer}) => answer.granted && endpoint.name !== options.excluded);
+
+	const isEnough = (answers: ReadonlyArray<Gathered<TermAnswer>>) => {
+		const granted = getGranted(answers);
+		return granted.length >= majority && (!options.awaited || granted.some(({endpoint}) => endpoint.name === options.awaited));
+	};
+
+	const answers = await gatherAnswers({
+		clock,
+		endpoints: cfg.endpoints,
+		ask: async (endpoint: EndpointConfig) => control.fence(endpoint.name, term, settings.fenceMs),
+		isEnough,
+		stragglerMs: settings.stragglerMs,
+		boundMs: settings.fenceMs,
+	});
+
+	// A promoter that was paused here would promote on answers that are long out of date. The servers' terms keep that
+	// safe; stopping spares the group a second primary that nobody can confirm.
+	if (clock.now() - startedAt > settings.staleFenceMs) {
+		throwPaused(term);
+	}
+
+	const granted = getGranted(answers);
+	if (granted.length < majority) {
+		throwFenceFailed(answers, term, granted.length, majority);
+	}
+
+	return granted.map(({endpoint, answer}) => ({endpoint, status: answer.status}));
+}
+
+function throwFenceFailed(answers: ReadonlyArray<Gathered<TermAnswer>>, term: number, granted: number, majority: number): never {
+	const refusals = answers.filter(({answer}) => !answer.granted).map(({answer}) => answer.status.term);
+	if (refusals.length > 0) {
+		throwTermPassed(term, Math.max(...refusals));
+	}
+
+	throwNoMajority('granted the term', granted, majority);
+}
--- /dev/null
+++ b/src/failover/raise-primary.ts
@@ -0,0 +1,113 @@
+import {EndpointRole, type EndpointStatus, type TermAnswer} from '../endpoints/endpoint.js';
+import {type EndpointConfig, getMajority} from '../groups/group-config.js';
+import {holdsLogPosition} from '../terms/log-position.js';
+import {type CandidatePreference, chooseCandidate, type FencedServer} from './choose-candidate.js';
+import {throwNotPromoted, throwTermPassed} from './failover-errors.js';
+import {fenceGroup, type FenceOptions} from './fence-group.js';
+import {gatherAnswers, type Gathered} from './gather-answers.js';
+
+/** What {@link raisePrimary} needs. */
+export type RaiseOptions = Omit<FenceOptions, 'awaited'> & CandidatePreference;
+
+/** A primary that was raised. */
+export type RaisedPrimary = {
+	readonly endpoint: EndpointConfig;
+	readonly status: EndpointStatus;
+	readonly term: number;
+	/** Time that fencing took, in milliseconds. */
+	readonly fenceMs: number;
+	/** Time that promoting took, in milliseconds. */
+	readonly promoteMs: number;
+	/** Time until a majority held the new primary's first entry, in milliseconds; from then on writes can be acknowledged. */
+	readonly learnMs: number;
+	/** False where the majority was not seen to follow in time. */
+	readonly followed: boolean;
+};
+
+/** Fences the group at a term, promotes the server with the highest log and has the others follow it; rejects with FailoverError. */
+export async function raisePrimary(options: RaiseOptions): Promise<RaisedPrimary> {
+	const {clock, term} = options;
+	const startedAt = clock.now();
+	const fenced = await fenceGroup({...options, awaited: options.preferred});
+	const fencedAt = clock.now();
+	const candidate = chooseCandidate(fenced, options) ?? throwNotPromoted('no server', term);
+	const status = await promote(options, candidate);
+	const promotedAt = clock.now();
+	const followed = await haveOthersFollow(options, candidate.endpoint, status);
+
+	return {
+		endpoint: candidate.endpoint,
+		status,
+		term,
+		fenceMs: fencedAt - startedAt,
+		promoteMs: promotedAt - fencedAt,
+		learnMs: clock.now() - promotedAt,
+		followed,
+	};
+}
+
+async function promote(options: RaiseOptions, candidate: FencedServer): Promise<EndpointStatus> {
+	const {control, settings, term} = options;
+	const {name} = candidate.endpoint;
+	let status: EndpointStatus;
+
+	try {
+		({status} = await control.promote(name, term, settings.promoteMs));
+	} catch (err) {
+		status = await settleLostPromotion(options, name, err);
+	}
+
+	if (status.term > term) {
+		throwTermPassed(term, status.term);
+	}
+
+	return status.role === EndpointRole.Primary ? status : throwNotPromoted(name, term);
+}
+
+/**
+ * Asks the candidate itself what became of an order to promote whose answer was lost.
+ *
+ * Never promotes another server at the same term instead: the order may have taken effect, or still may, and two
+ * primaries of one term could both have writes confirmed. Without an answer the next attempt takes a higher term.
+ */
+async function settleLostPromotion(options: RaiseOptions, candidate: string, cause: unknown): Promise<EndpointStatus> {
+	try {
+		return await options.control.status(candidate, options.settings.promoteMs);
+	} catch {
+		return throwNotPromoted(candidate, options.term, cause);
+	}
+}
+
+async function haveOthersFollow(options: RaiseOptions, primary: EndpointConfig, status: EndpointStatus): Promise<boolean> {
+	const {clock, control, cfg, settings, term} = options;
+	const needed = getMajority(cfg) - 1;
+
+	const follow = async (endpoint: EndpointConfig): Promise<TermAnswer> => {
+		const answer = await control.follow(endpoint.name, term, primary.address, settings.learnMs);
+		if (!answer.granted) {
+			return answer;
+		}
+
+		return {granted: true, status: await control.waitFor(endpoint.name, status.log, settings.learnMs)};
+	};
+
+	const countFollowers = (answers: ReadonlyArray<Gathered<TermAnswer>>) =>
+		answers.filter(({answer}) => answer.granted && answer.status.term === term && holdsLogPosition(answer.status.log, status.log)).length;
+
+	const answers = await gatherAnswers({
+		clock,
+		endpoints: cfg.endpoints.filter(({name}) => name !== primary.name),
+		ask: follow,
+		isEnough: gathered => countFollowers(gathered) >= needed,
+		stragglerMs: 0,
+		boundMs: settings.learnMs,
+	});
+
+	// A promoter that slept between fence and promote may have raised a server that a later term has left behind.
+	const passed = answers.find(({answer}) => answer.status.term > term);
+	if (passed) {
+		throwTermPassed(term, passed.answer.status.term);
+	}
+
+	return countFollowers(answers) >= needed;
+}
--- /dev/null
+++ b/src/failover/replace-primary.ts
@@ -0,0 +1,88 @@
+import {FailoverErrorCode, isFailoverError} from './failover-errors.js';
+import type {FailoverParts} from './failover-parts.js';
+import {FailoverPhase} from './failover-state.js';
+import {type Loss, LossKind, promoteGroup} from './promote-group.js';
+
+/** What {@link replacePrimary} needs. */
+export type ReplaceOptions = FailoverParts & {
+	readonly loss: Loss;
+	/** Called with a term that was raised in vain. */
+	noteOwnTerm(term: number): void;
+};
+
+/** Attempts at one loss before it is looked at afresh. */
+const MOST_TRIES = 5;
+
+/**
+ * Answers a confirmed loss: waits for this host's turn and promotes, again after a pause where that fails.
+ *
+ * Ends with a new primary, whoever raised it, or after a few attempts, so that the loss is then confirmed anew.
+ */
+export async function replacePrimary(options: ReplaceOptions): Promise<void> {
+	const {clock, setState, loss, stopped} = options;
+	await clock.sleep(getTurnMs(options), stopped);
+
+	for (let tries = 0; tries < MOST_TRIES && !stopped.aborted && !isReplaced(options); tries++) {
+		setState(FailoverPhase.Promoting, `replacing a primary that is ${loss.kind}`);
+		if (await tryPromote(options, tries)) {
+			return;
+		}
+	}
+}
+
+/** The first-ranked owner acts at once; the others leave it the time to, each by a different delay. */
+function getTurnMs({others, settings, random}: ReplaceOptions): number {
+	const rank = others.getRank();
+	return rank === 0 ? 0 : (rank * settings.rankDelayMs) + (random.fraction() * settings.rankJitterMs);
+}
+
+function isReplaced({knowledge, loss}: ReplaceOptions): boolean {
+	return knowledge.getPrimary() !== undefined && (loss.kind === LossKind.Vacant || knowledge.highestTerm > loss.term);
+}
+
+/** Makes one attempt and tells whether it settled the loss; pauses where it did not. */
+async function tryPromote(options: ReplaceOptions, tries: number): Promise<boolean> {
+	const {clock, log, group, loss, stopped} = options;
+	try {
+		const raised = await promoteGroup({...options, cfg: options.getCfg()});
+		await options.announce(raised, loss.kind, raised.parts);
+		return true;
+	} catch (err) {
+		if (!isFailoverError(err)) {
+			throw err;
+		}
+
+		log.warn('did not raise a primary', {group, reason: err.message});
+		noteFailure(options, err.code, err.message);
+		if (err.code === FailoverErrorCode.PrimaryStands) {
+			return true;
+		}
+
+		await clock.sleep(getPauseMs(options, err.code, tries), stopped);
+		return false;
+	}
+}
+
+function noteFailure({knowledge, noteOwnTerm, setState}: ReplaceOptions, code: FailoverErrorCode, reason: string): void {
+	if (code === FailoverErrorCode.NoMajority || code === FailoverErrorCode.Failed) {
+		noteOwnTerm(knowledge.highestTerm);
+	}
+
+	const phases: Partial<Record<FailoverErrorCode, FailoverPhase>> = {
+		[FailoverErrorCode.PrimaryStands]: FailoverPhase.Watching,
+		[FailoverErrorCode.NoMajority]: FailoverPhase.NoMajority,
+	};
+	setState(phases[code] ?? FailoverPhase.Promoting, reason);
+}
+
+/**
+ * How long to leave the group alone after a failed attempt.
+ *
+ * Two promoters that answered each other's terms at once would raise them for ever: whoever meets another one pauses
+ * for longer than a whole promotion takes, each for a different time.
+ */
+function getPauseMs({settings, random}: ReplaceOptions, code: FailoverErrorCode, tries: number): number {
+	const competing = code === FailoverErrorCode.Contested || code === FailoverErrorCode.TermPassed;
+	const pauseMs = competing ? settings.competitorMs : Math.min(settings.retryMaxMs, settings.retryMinMs * (2 ** tries));
+	return pauseMs * (0.5 + random.fraction());
+}
--- /dev/null
+++ b/src/failover/second-opinion.ts
@@ -0,0 +1,109 @@
+import type {EndpointStatus} from '../endpoints/endpoint.js';
+import type {Hosts, Owning} from '../membership/hosts.js';
+import type {Peers} from '../peers/peers.js';
+import type {PlatformHost} from '../platform/platform.js';
+import type {Clock} from '../time/clock.js';
+import type {ConfirmSuspicionAnswer} from './failover-calls.js';
+import type {FailoverSettings} from './failover-settings.js';
+
+/** What other hosts say of servers that this one cannot reach. */
+export type Opinion = {
+	/** True once another host answered that it cannot reach them either, or where there is no other host at all. */
+	readonly confirmed: boolean;
+	/** Who was heard, for the log. */
+	readonly heard: readonly string[];
+	/** What the others saw, by address. */
+	readonly seen: ConfirmSuspicionAnswer['seen'];
+};
+
+/** What {@link createSecondOpinion} needs. */
+export type SecondOpinionOptions = {
+	readonly clock: Clock;
+	readonly peers: Peers;
+	readonly hosts: Hosts;
+	readonly owning: Owning;
+	readonly settings: FailoverSettings;
+	readonly group: string;
+	/** How many hosts look after the group. */
+	getOwnerCount(): number;
+};
+
+/** Asks hosts in other availability zones whether they reach servers that are silent here. */
+export type SecondOpinion = {
+	/** Asks about the servers at these addresses; `refutes` tells whether a status shows that the suspicion is wrong. */
+	ask(addresses: readonly string[], refutes: (status: EndpointStatus) => boolean): Promise<Opinion>;
+};
+
+/** How many hosts that are no owners are asked. */
+const MOST_WITNESSES = 3;
+
+/** Creates the asker of one group. */
+export function createSecondOpinion(options: SecondOpinionOptions): SecondOpinion {
+	const {clock, peers, hosts, owning, settings} = options;
+
+	const isElsewhere = (host: PlatformHost) => host.name !== hosts.self.name && host.availabilityZone !== hosts.self.availabilityZone;
+
+	const askHost = async (host: PlatformHost, addresses: readonly string[]) => {
+		const {witnessProbeMs, peerSlackMs} = settings;
+		try {
+			const answer = await peers.call(
+				host.address,
+				'confirm-suspicion',
+				{group: options.group, addresses, probeMs: witnessProbeMs},
+				witnessProbeMs + peerSlackMs,
+			);
+			hosts.reportReachable(host.address);
+			return {host: host.name, answer};
+		} catch {
+			hosts.reportUnreachable(host.address, clock.now());
+			return undefined;
+		}
+	};
+
+	const askAll = async (witnesses: readonly PlatformHost[], addresses: readonly string[]) => {
+		const answers = await Promise.all(witnesses.map(async host => askHost(host, addresses)));
+		return answers.filter(answer => answer !== undefined);
+	};
+
+	const getOwners = () => owning.getOwners(options.group, options.getOwnerCount(), clock.now()).filter(host => isElsewhere(host));
+
+	const getWitnesses = () => {
+		const owners = new Set(getOwners().map(({name}) => name));
+		const usable = hosts.getUsable(clock.now()).filter(host => host.role === 'proxy' && host.name !== hosts.self.name && !owners.has(host.name));
+		const elsewhere = usable.filter(host => isElsewhere(host));
+		return pickAcrossZones(elsewhere.length > 0 ? elsewhere : usable);
+	};
+
+	const isAlone = () => hosts.getAll().every(host => host.role !== 'proxy' || host.name === hosts.self.name);
+
+	return {
+		async ask(addresses, refutes) {
+			if (isAlone()) {
+				return {confirmed: true, heard: [], seen: []};
+			}
+
+			// The other owners first: where one of them reaches the primary, requests can go through it. Only where none
+			// of them answers is another host asked, so that the death of an owner cannot hold up the group.
+			let answers = await askAll(getOwners(), addresses);
+			if (answers.length === 0) {
+				answers = await askAll(getWitnesses(), addresses);
+			}
+
+			// A host that nobody answers is most likely cut off itself and must not depose a healthy primary.
+			const seen = answers.flatMap(({answer}) => answer.seen);
+			const confirmed = answers.length > 0 && !seen.some(({status}) => refutes(status));
+			return {confirmed, heard: answers.map(({host}) => host), seen};
+		},
+	};
+}
+
+/** Picks a few hosts, one from each availability zone before a second of any. */
+function pickAcrossZones(usable: readonly PlatformHost[]): readonly PlatformHost[] {
+	const zones = new Map<string, number>();
+	const ranked = usable.map(host => {
+		const turn = zones.get(host.availabilityZone) ?? 0;
+		zones.set(host.availabilityZone, turn + 1);
+		return {host, turn};
+	});
+	return ranked.toSorted((left, right) => left.turn - right.turn).slice(0, MOST_WITNESSES).map(({host}) => host);
+}
--- /dev/null
+++ b/src/failover/term-claim.ts
@@ -0,0 +1,97 @@
+import {z} from 'zod';
+import {ObjectKind, type Platform, type PlatformObject} from '../platform/platform.js';
+import {PlatformConflictError} from '../platform/platform-errors.js';
+import type {Log} from '../log/log.js';
+import {throwContested} from './failover-errors.js';
+
+/** Checks a claim as it is kept in the platform's store. */
+const claimSchema = z.object({
+	/** The term claimed. */
+	term: z.int().min(0),
+	/** Name of the host that claimed it. */
+	host: z.string(),
+});
+
+/** What was read of the group's claim. */
+export type ClaimReading =
+	| {readonly available: true; readonly object: PlatformObject | undefined}
+	| {readonly available: false};
+
+/**
+ * Claims terms of one group in the platform's store, so that promoters of one group seldom meet.
+ *
+ * A courtesy, not a lock: the fences decide. So it is bounded, and a store that is down, slow or loses its answer only
+ * means that the promoter goes on without the claim.
+ */
+export type TermClaim = {
+	/** Reads the present claim; never rejects. */
+	read(timeoutMs: number): Promise<ClaimReading>;
+	/** Claims a term not under `atLeast` and returns the term to use; rejects with FailoverError where another host has just claimed one. */
+	claim(reading: ClaimReading, atLeast: number, timeoutMs: number): Promise<number>;
+};
+
+/** What {@link createTermClaim} needs. */
+export type TermClaimOptions = {
+	readonly platform: Platform;
+	readonly log: Log;
+	readonly group: string;
+	/** Name of this host. */
+	readonly host: string;
+};
+
+/** Creates the claims of one group by this host. */
+export function createTermClaim(options: TermClaimOptions): TermClaim {
+	const {platform, log, group, host} = options;
+	/** Version of another host's claim that was left alone once already. */
+	let leftAlone = 0;
+
+	const leaveAlone = (object: PlatformObject, term: number, claimant: string) => {
+		if (object.version === leftAlone) {
+			return;
+		}
+
+		leftAlone = object.version;
+		throwContested(term, claimant);
+	};
+
+	const put = async (term: number, expectedVersion: number, timeoutMs: number) => {
+		try {
+			await platform.put({
+				kind: ObjectKind.Claim, name: group, value: {term, host}, expectedVersion,
+			}, timeoutMs);
+		} catch (err) {
+			if (err instanceof PlatformConflictError) {
+				throwContested(term, 'another host');
+			}
+
+			// The answer may have been lost after the claim took effect; then it is this host's own, which holds up nobody.
+			log.warn('went on without a claim: the platform gave no answer', {term});
+		}
+	};
+
+	return {
+		async read(timeoutMs) {
+			try {
+				return {available: true, object: await platform.get(ObjectKind.Claim, group, timeoutMs)};
+			} catch {
+				return {available: false};
+			}
+		},
+		async claim(reading, atLeast, timeoutMs) {
+			if (!reading.available || timeoutMs <= 0) {
+				log.warn('went on without a claim: the platform was not reached in time', {term: atLeast});
+				return atLeast;
+			}
+
+			const {object} = reading;
+			const present = claimSchema.safeParse(object?.value).data;
+			if (object && present && present.term >= atLeast && present.host !== host) {
+				leaveAlone(object, present.term, present.host);
+			}
+
+			const term = Math.max(atLeast, (present?.term ?? 0) + 1);
+			await put(term, object?.version ?? 0, timeoutMs);
+			return term;
+		},
+	};
+}
