Add the in-memory model of a database group and the way to it

Everything above the endpoint seam needs a group that keeps terms, log positions and request keys as the design asks of a real one.

--- /dev/null
+++ b/src/stand-ins/database/database-group.ts
@@ -0,0 +1,58 @@
+import type {Random} from '../../random/random.js';
+import type {Clock} from '../../time/clock.js';
+import {
+	createDatabaseServer, DEFAULT_SERVER_SIZES, type DatabaseServer, type DatabaseServerSizes,
+} from './database-server.js';
+
+/** A stand-in database group. */
+export type DatabaseGroup = {
+	readonly servers: readonly DatabaseServer[];
+	getServerOrThrow(address: string): DatabaseServer;
+	/** Ends the servers' background work. */
+	stop(): void;
+};
+
+/** What a stand-in group needs. */
+export type DatabaseGroupOptions = {
+	/** `ip:port` of each server; the first one begins as primary at term 1. */
+	readonly addresses: readonly string[];
+	readonly clock: Clock;
+	readonly random: Random;
+	/** Sizes of all servers; the defaults hold for what is absent. */
+	readonly sizes?: Partial<DatabaseServerSizes>;
+};
+
+/** Creates a group of running servers. */
+export function createDatabaseGroup({addresses, clock, random, sizes}: DatabaseGroupOptions): DatabaseGroup {
+	const servers = new Map<string, DatabaseServer>();
+	for (const address of addresses) {
+		servers.set(address, createDatabaseServer({
+			address, clock, random, servers, sizes: {...DEFAULT_SERVER_SIZES, ...sizes},
+		}));
+	}
+
+	const [primary, ...replicas] = servers.values();
+	primary?.member.fence(1);
+	primary?.member.promote(1);
+	for (const replica of replicas) {
+		replica.member.fence(1);
+		replica.member.follow(1, primary!.address);
+	}
+
+	return {
+		servers: [...servers.values()],
+		getServerOrThrow(address) {
+			const server = servers.get(address);
+			if (!server) {
+				throw new Error(`no stand-in server has the address ${address}`);
+			}
+
+			return server;
+		},
+		stop() {
+			for (const server of servers.values()) {
+				server.stop();
+			}
+		},
+	};
+}
--- /dev/null
+++ b/src/stand-ins/database/service-slots.ts
@@ -0,0 +1,42 @@
+/** The statements that a server runs at once; others wait in order of arrival. */
+export type ServiceSlots = {
+	readonly running: number;
+	readonly waiting: number;
+	/** Resolves once a slot is free. */
+	take(): Promise<void>;
+	release(): void;
+};
+
+/** Creates `count` free slots. */
+export function createServiceSlots(count: number): ServiceSlots {
+	const queue: Array<() => void> = [];
+	let running = 0;
+
+	return {
+		get running() {
+			return running;
+		},
+		get waiting() {
+			return queue.length;
+		},
+		async take() {
+			if (running < count) {
+				running++;
+				return;
+			}
+
+			await new Promise<void>(resolve => {
+				queue.push(resolve);
+			});
+		},
+		release() {
+			const next = queue.shift();
+			if (next) {
+				// The slot passes on without being free in between.
+				next();
+			} else {
+				running--;
+			}
+		},
+	};
+}
