--- a/src/endpoints/connection-pool.ts
+++ b/src/endpoints/connection-pool.ts
@@ -105,7 +105,8 @@
 		}
 
 		try {
-			options.onStatus?.(await connection.status(HEALTH_CHECK_TIMEOUT_MS));
+			const status = await connection.status(HEALTH_CHECK_TIMEOUT_MS);
+			options.onStatus?.(status);
 			return connection.usable;
 		} catch {
 			connection.destroy();
--- /dev/null
+++ b/tests/owners/confirmer-tests.ts
@@ -0,0 +1,68 @@
+import {expect} from 'chai';
+import type {EndpointConnection, EndpointStatus} from '../../src/endpoints/endpoint.js';
+import {createConfirmer, isHolding} from '../../src/owners/confirmer.js';
+import {createVirtualClock} from '../../src/stand-ins/time/virtual-clock.js';
+
+const createStatus = (term: number, logTerm: number, position: number): EndpointStatus => ({
+	term, log: {term: logTerm, position}, role: 'replica', leaving: false,
+});
+
+describe('confirmer', () => {
+	describe('isHolding', () => {
+		const doTest = (promised: number, logTerm: number, position: number, holds: boolean) => {
+			it(`promised ${promised}, log (${logTerm}, ${position}) ${holds ? 'holds' : 'does not hold'} entry (2, 7)`, () => {
+				expect(isHolding(createStatus(promised, logTerm, position), 2, 7)).to.equal(holds);
+			});
+		};
+
+		doTest(2, 2, 7, true);
+		doTest(2, 2, 8, true);
+		doTest(2, 2, 6, false);
+		// A fenced server with a long divergent tail of an older term.
+		doTest(2, 1, 900, false);
+		// A server that has promised more can be outvoted no longer.
+		doTest(3, 2, 7, false);
+		doTest(3, 3, 9, false);
+	});
+
+	describe('confirm', () => {
+		const doTest = (title: string, answers: Record<string, EndpointStatus[]>, expected: string) => {
+			it(`${title} ends ${expected}`, async () => {
+				const clock = createVirtualClock();
+				const asked: Record<string, number> = {};
+				const confirmer = createConfirmer({
+					clock,
+					getEndpoints: () => ['e1', 'e2', 'e3'],
+					getChannel: name => ({
+						async run(exchange) {
+							const connection = {
+								async waitFor() {
+									await clock.sleep(10);
+									const turn = asked[name] ?? 0;
+									asked[name] = turn + 1;
+									const shown = answers[name]?.[Math.min(turn, answers[name].length - 1)];
+									return shown ?? Promise.reject(new Error('no answer'));
+								},
+							};
+							return exchange(connection as unknown as EndpointConnection);
+						},
+						async close() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+					}),
+					onStatus() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+					onFailure() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+				});
+				const end = await clock.runUntil(confirmer.confirm({
+					term: 2, position: 7, shownBy: 'e1', status: createStatus(2, 2, 7), deadlineAt: clock.now() + 1000,
+				}));
+				confirmer.stop();
+				expect(end).to.equal(expected);
+			});
+		};
+
+		doTest('one replica that catches up', {e2: [createStatus(2, 2, 6), createStatus(2, 2, 7)]}, 'confirmed');
+		doTest('silent replicas', {}, 'timed-out');
+		doTest('a majority of a higher term', {e2: [createStatus(3, 2, 6)], e3: [createStatus(3, 1, 9)]}, 'superseded');
+		doTest('one server of a higher term', {e2: [createStatus(3, 2, 6)]}, 'timed-out');
+		doTest('a divergent tail beside a silent replica', {e3: [createStatus(2, 1, 900)]}, 'timed-out');
+	});
+});
