--- a/src/stand-ins/database/database-session.ts
+++ b/src/stand-ins/database/database-session.ts
@@ -12,8 +12,8 @@
 	readonly backend: Backend;
 	/** Runs one exchange: resolves when its answer leaves the server; rejects with DatabaseError for an error or a dead server. */
 	exchange<T>(kind: ExchangeKind, work: () => T | Promise<T>): Promise<T>;
-	/** Notes that the client is gone: what runs goes on to its end, an open transaction is rolled back. */
-	close(): void;
+	/** Tells the server that the client is gone: what runs goes on to its end, an open transaction is rolled back. */
+	close(): Promise<void>;
 	/** Loses both directions for good without either end being told. */
 	silence(): void;
 	/** Ends the connection from the server's side. */
@@ -66,22 +66,20 @@
 
 	const drop = () => {
 		end();
-		if (!silent) {
+		if (!silent && !faults.isCutFrom(from)) {
 			for (const listener of listeners) {
 				listener();
 			}
 		}
 	};
 
-	const isBlocked = () => alive && (silent || faults.frozen || faults.isCutFrom(from));
+	const isBlocked = () => silent || faults.isCutFrom(from) || (alive && faults.frozen);
 
 	/** Resolves when a packet can pass between the server and the client. */
 	const pass = async () => {
 		while (isBlocked()) {
 			await faults.changed();
 		}
-
-		checkAlive();
 	};
 
 	const watchIdleTransaction = async () => {
@@ -117,6 +115,7 @@
 		}
 
 		await pass();
+		checkAlive();
 	};
 
 	return {
@@ -124,6 +123,7 @@
 		backend,
 		async exchange(kind, work) {
 			await pass();
+			checkAlive();
 			beginExchange();
 			let outcome;
 			try {
@@ -140,7 +140,8 @@
 
 			return outcome.value;
 		},
-		close() {
+		async close() {
+			await pass();
 			gone = true;
 			if (!active) {
 				end();
--- a/src/stand-ins/database/exchange-kind.ts
+++ b/src/stand-ins/database/exchange-kind.ts
@@ -12,6 +12,8 @@
 	Run: 'run',
 	Commit: 'commit',
 	Rollback: 'rollback',
+	/** A command of the protocol itself: BEGIN, SET. */
+	Command: 'command',
 } as const;
 
 /** One of the kinds in {@link ExchangeKind}. */
--- a/src/stand-ins/database/in-memory-connection.ts
+++ b/src/stand-ins/database/in-memory-connection.ts
@@ -1,7 +1,6 @@
-import {EndpointError, throwNoAnswer, throwNotConnected} from '../../endpoints/endpoint-errors.js';
 import type {EndpointConnection, EndpointStatus} from '../../endpoints/endpoint.js';
+import {createExchangeRunner} from '../../endpoints/exchange-runner.js';
 import type {Clock} from '../../time/clock.js';
-import {withinMs} from '../../time/deadline.js';
 import type {DatabaseSession} from './database-session.js';
 import type {GroupMember} from './group-member.js';
 import {ExchangeKind} from './exchange-kind.js';
@@ -21,25 +20,15 @@
 export function createInMemoryConnection({address, session, member, link, clock}: InMemoryConnectionOptions): EndpointConnection {
 	const {backend} = session;
 	const {epoch} = link;
-	let usable = true;
-	let loseCurrent: ((cause: unknown) => void) | undefined;
 
-	const lose = (cause: unknown) => {
-		usable = false;
-		loseCurrent?.(cause);
-	};
-
-	const closeServerEnd = async () => {
-		await link.carry(epoch);
-		session.close();
-	};
-
-	const destroy = () => {
-		if (usable) {
-			lose('the connection was destroyed');
-			void closeServerEnd();
-		}
-	};
+	const runner = createExchangeRunner({
+		address,
+		clock,
+		async onEnd() {
+			await link.carry(epoch);
+			await session.close();
+		},
+	});
 
 	const cross = async <T>(kind: ExchangeKind, work: () => T | Promise<T>) => {
 		await link.carry(epoch);
@@ -52,41 +41,23 @@
 		return answer;
 	};
 
-	const crossUnlessLost = async <T>(kind: ExchangeKind, work: () => T | Promise<T>) => new Promise<T>((resolve, reject) => {
-		loseCurrent = reject;
-		cross(kind, work).then(resolve, reject);
-	});
-
-	const exchange = async <T>(kind: ExchangeKind, timeoutMs: number, work: () => T | Promise<T>): Promise<T> => {
-		if (!usable) {
-			throwNotConnected(address, 'the connection is not usable');
-		}
-
-		if (loseCurrent) {
-			throw new EndpointError(`the connection to ${address} is busy with another exchange`);
-		}
+	const exchange = async <T>(kind: ExchangeKind, timeoutMs: number, work: () => T | Promise<T>): Promise<T> =>
+		runner.run(kind, timeoutMs, async () => cross(kind, work));
 
-		try {
-			const answer = await withinMs(clock, timeoutMs, crossUnlessLost(kind, work));
-			return answer.timedOut ? throwNoAnswer(address, kind, `nothing within ${timeoutMs} ms`) : answer.value;
-		} catch (err) {
-			destroy();
-			throw err instanceof EndpointError ? err : toNoAnswer(address, kind, err);
-		} finally {
-			loseCurrent = undefined;
-		}
+	const destroy = () => {
+		runner.end('the connection was destroyed');
 	};
 
 	session.onDrop(async () => {
 		await link.carry(epoch);
-		lose(`${address} closed the connection`);
+		runner.end(`${address} closed the connection`);
 	});
 
 	const getStatus = (): EndpointStatus => member.getStatus();
 
 	return {
 		get usable() {
-			return usable;
+			return runner.usable;
 		},
 		status: async timeoutMs => exchange(ExchangeKind.Status, timeoutMs, getStatus),
 		waitFor: async (position, waitMs, timeoutMs) => exchange(ExchangeKind.WaitFor, timeoutMs, async () => {
@@ -111,7 +82,3 @@
 		destroy,
 	};
 }
-
-function toNoAnswer(address: string, kind: ExchangeKind, cause: unknown) {
-	return new EndpointError(`${address} gave no answer to ${kind}`, {cause, props: {sent: true}});
-}
--- a/src/stand-ins/database/in-memory-endpoints.ts
+++ b/src/stand-ins/database/in-memory-endpoints.ts
@@ -49,9 +49,7 @@
 			const opened = await withinMs(clock, timeoutMs, opening).catch((err: unknown) => throwNotConnected(address, err));
 			if (opened.timedOut) {
 				// The server may still accept; its end must not stay open.
-				opening.then(session => {
-					session.close();
-				}, () => undefined);
+				opening.then(async session => session.close(), () => undefined);
 				throwNotConnected(address, `not open within ${timeoutMs} ms`);
 			}
 
