--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -20,10 +20,14 @@
 	/** User and password for the database servers. */
 	readonly endpointUser: string;
 	readonly endpointPassword: string;
+	/** Database to open on the database servers. */
+	readonly endpointDatabase: string;
 	/** Bunyan level name. */
 	readonly logLevel: string;
 	/** Bound on ending in-flight work on SIGTERM, in milliseconds. */
 	readonly shutdownMs: number;
+	/** How long a leaving host goes on telling callers to come back, so that the balancer has time to notice, in milliseconds. */
+	readonly leaveNoticeMs: number;
 };
 
 declare module '../kernel/service-map.js' {
