--- a/src/callers/http-callers.ts
+++ b/src/callers/http-callers.ts
@@ -53,8 +53,9 @@
 	});
 	const app = createApp(refuse);
 
-	app.addHook('onRequest', async (_req, reply) => {
+	app.addHook('onRequest', (_req, reply, done) => {
 		reply.raw.once('close', arrived.enter());
+		done();
 	});
 	app.setErrorHandler(async (err, req, reply) => answers.fail(reply, getAskedRequest(req), err));
 	app.setNotFoundHandler(async req => {
--- a/src/sessions/token-codec.ts
+++ b/src/sessions/token-codec.ts
@@ -3,7 +3,7 @@
 import type {Session} from './session.js';
 
 /**
- * The bytes of a session token before they are signed: version, flags, id, time of issue, then the floors, oldest first.
+ * The bytes of a session token before they are signed: version, flags, id, time of issue, then the floors, newest first.
  * Numbers are unsigned LEB128, strings are preceded by their length in one byte.
  */
 
@@ -14,21 +14,26 @@
 
 const MAX_STRING_BYTES = 255;
 
+/** Bytes of the largest safe integer. */
+const MAX_NUMBER_BYTES = 8;
+
 /** Encodes a session into at most `limit` bytes, leaving out the oldest floors as needed and saying so. */
 export function encodeSession(session: Session, limit: number): Uint8Array {
-	const floors = Object.entries(session.floors).map(([group, floor]) => encodeFloor(group, floor));
-	const head = encodeHead(session);
-	let size = head.length;
-	let first = floors.length;
-	while (first > 0 && size + floors[first - 1]!.length <= limit) {
-		first--;
-		size += floors[first]!.length;
-	}
+	const writer = createWriter(limit);
+	writer.byte(TOKEN_VERSION);
+	writer.byte(0);
+	writer.text(session.id);
+	writer.number(Math.floor(session.issuedAt));
+
+	const newestFirst = Object.entries(session.floors).reverse();
+	const firstLeftOut = newestFirst.findIndex(([group, floor]) => !writeFloor(writer, group, floor));
 
 	// A floor that is merely absent reads as "never wrote there". The flag tells readers to take a barrier instead;
 	// without it a session with many groups would lose read-your-writes on the oldest of them.
-	head[1] = first > 0 || session.trimmed ? FLAG_TRIMMED : 0;
-	return Buffer.concat([head, ...floors.slice(first)], size);
+	const trimmed = firstLeftOut !== -1 || session.trimmed;
+	const bytes = writer.end();
+	bytes[1] = trimmed ? FLAG_TRIMMED : 0;
+	return bytes;
 }
 
 /** Decodes what {@link encodeSession} made; undefined for bytes of another version or shape. */
@@ -41,48 +46,60 @@
 	const trimmed = reader.byte() === FLAG_TRIMMED;
 	const id = reader.text();
 	const issuedAt = reader.number();
-	const floors: Record<string, LogPosition> = {};
-	while (!reader.ended && !reader.broken) {
-		const group = reader.text();
-		floors[group] = {term: reader.number(), position: reader.number()};
+	const newestFirst: Array<[string, LogPosition]> = [];
+	while (!reader.ended) {
+		newestFirst.push([reader.text(), {term: reader.number(), position: reader.number()}]);
 	}
 
 	if (reader.broken) {
 		return undefined;
 	}
 
-	const session = {id, issuedAt, floors};
+	const session = {id, issuedAt, floors: Object.fromEntries(newestFirst.reverse())};
 	return trimmed ? {...session, trimmed} : session;
 }
 
-function encodeHead(session: Session): Uint8Array {
-	const bytes = [TOKEN_VERSION, 0];
-	pushText(bytes, session.id);
-	pushNumber(bytes, Math.floor(session.issuedAt));
-	return Uint8Array.from(bytes);
-}
+/** Returns false, having written nothing, where the floor has no room. */
+function writeFloor(writer: Writer, group: string, floor: LogPosition): boolean {
+	if (writer.room < 1 + Buffer.byteLength(group) + (2 * MAX_NUMBER_BYTES)) {
+		return false;
+	}
 
-function encodeFloor(group: string, floor: LogPosition): Uint8Array {
-	const bytes: number[] = [];
-	pushText(bytes, group);
-	pushNumber(bytes, floor.term);
-	pushNumber(bytes, floor.position);
-	return Uint8Array.from(bytes);
+	writer.text(group);
+	writer.number(floor.term);
+	writer.number(floor.position);
+	return true;
 }
 
-function pushText(bytes: number[], text: string): void {
-	const encoded = Buffer.from(text).subarray(0, MAX_STRING_BYTES);
-	bytes.push(encoded.length, ...encoded);
-}
+type Writer = ReturnType<typeof createWriter>;
 
-function pushNumber(bytes: number[], value: number): void {
-	let rest = value;
-	while (rest >= 128) {
-		bytes.push((rest % 128) + 128);
-		rest = Math.floor(rest / 128);
-	}
+function createWriter(limit: number) {
+	const buffer = Buffer.allocUnsafe(limit);
+	let offset = 0;
 
-	bytes.push(rest);
+	return {
+		byte(value: number) {
+			buffer[offset++] = value;
+		},
+		number(value: number) {
+			let rest = value;
+			while (rest >= 128) {
+				buffer[offset++] = (rest % 128) + 128;
+				rest = Math.floor(rest / 128);
+			}
+
+			buffer[offset++] = rest;
+		},
+		text(value: string) {
+			const length = buffer.write(value, offset + 1, MAX_STRING_BYTES);
+			buffer[offset] = length;
+			offset += 1 + length;
+		},
+		get room() {
+			return limit - offset;
+		},
+		end: () => buffer.subarray(0, offset),
+	};
 }
 
 /** Reads bytes in order; running past the end marks it broken and gives zeros. */
