--- a/src/stand-ins/system/simulated-system.ts
+++ b/src/stand-ins/system/simulated-system.ts
@@ -192,8 +192,10 @@
 		peerKeys: [PEER_KEY],
 		endpointUser: 'aldercroft',
 		endpointPassword: 'unused',
+		endpointDatabase: 'aldercroft',
 		logLevel: 'info',
 		shutdownMs: 10_000,
+		leaveNoticeMs: 1000,
 	};
 }
 
