--- a/src/owners/group-owner.ts
+++ b/src/owners/group-owner.ts
@@ -16,6 +16,7 @@
 import type {EndpointParts, GroupParts} from './group-parts.js';
 import {createLeavingEndpoints} from './leaving-endpoints.js';
 import {createReadPath, type ReadPath} from './read-path.js';
+import {createRunningWork} from './running-work.js';
 import {createWriteGate} from './write-gate.js';
 import {createWritePath, type WritePath} from './write-path.js';
 
@@ -31,6 +32,10 @@
 	stop(): Promise<void>;
 	/** Takes a changed configuration in force. */
 	applyConfig(): void;
+	/** Hands the primary's role to another endpoint; rejects with the reason why not. */
+	switchTo(endpoint: string, deadlineMs: number): Promise<void>;
+	/** What order, host list and the server's own word say now. */
+	isLeaving(endpoint: EndpointConfig): boolean;
 	/** Notes which endpoints are leaving, so that a leaving primary's grace runs without traffic too. */
 	noteLeaving(now: number): void;
 };
@@ -161,6 +166,7 @@
 		confirmer,
 		barrier,
 		writeGate,
+		running: createRunningWork(),
 		getGroup,
 		getParts: getOwned,
 		mayTakeWork(endpoint, now) {
@@ -191,6 +197,8 @@
 			await Promise.all([...owned.values()].map(async endpoint => close(endpoint)));
 		},
 		noteLeaving,
+		isLeaving: isLeavingNow,
+		switchTo: async (endpoint, deadlineMs) => failover.switchTo(endpoint, deadlineMs),
 		applyConfig() {
 			const {cfg} = getGroup();
 			for (const endpoint of owned.values()) {
--- a/src/owners/group-parts.ts
+++ b/src/owners/group-parts.ts
@@ -6,6 +6,7 @@
 import type {Clock} from '../time/clock.js';
 import type {Barrier} from './barrier.js';
 import type {Confirmer} from './confirmer.js';
+import type {RunningWork} from './running-work.js';
 import type {WriteGate} from './write-gate.js';
 
 /** One endpoint as an owner uses it. */
@@ -23,6 +24,7 @@
 	readonly barrier: Barrier;
 	/** Closed while a planned change of primary is under way. */
 	readonly writeGate: WriteGate;
+	readonly running: RunningWork;
 	getGroup(): VersionedGroup;
 	getParts(endpoint: string): EndpointParts | undefined;
 	/** Tells whether the endpoint may be given new work; a leaving one that is still primary may for a short grace. */
--- a/src/owners/read-path.ts
+++ b/src/owners/read-path.ts
@@ -42,6 +42,7 @@
 			return {failed: refuseSilent(endpoint, err)};
 		}
 
+		const end = group.running.begin(endpoint.name, {what: 'read', requestId: req.requestId, since: clock.now()});
 		try {
 			const answer = await connection.read({statement: req.statement, values: req.values, floor}, Math.max(1, deadlineAt - clock.now()));
 			knowledge.observe(endpoint.name, answer.status, clock.now());
@@ -51,6 +52,7 @@
 			group.suspect(endpoint.name, clock.now());
 			return {failed: refuseSilent(endpoint, err)};
 		} finally {
+			end();
 			parts.pool.release(connection);
 		}
 	};
--- a/src/owners/write-path.ts
+++ b/src/owners/write-path.ts
@@ -46,7 +46,12 @@
 	readonly term: number;
 };
 
-type KeyedExchange = (connection: EndpointConnection, term: number, timeoutMs: number) => Promise<KeyedWriteAnswer>;
+type KeyedExchange = {
+	readonly what: 'write' | 'resolve';
+	readonly requestId: string;
+	readonly class: WorkClass;
+	run(connection: EndpointConnection, term: number, timeoutMs: number): Promise<KeyedWriteAnswer>;
+};
 
 /** Creates the write path of one group. */
 export function createWritePath(group: GroupParts): WritePath {
@@ -209,8 +214,9 @@
 
 		const stopWatching = cutWhenSuperseded(primary, connection);
 		const sentAt = clock.now();
+		const end = group.running.begin(primary.endpoint.name, {what: exchange.what, requestId: exchange.requestId, since: sentAt});
 		try {
-			const answer = await exchange(connection, primary.term, Math.max(1, deadlineAt - sentAt));
+			const answer = await exchange.run(connection, primary.term, Math.max(1, deadlineAt - sentAt));
 			return {
 				primary: primary.endpoint, term: primary.term, answer, sentAt,
 			};
@@ -220,12 +226,13 @@
 			return isEndpointError(err) && !err.sent ? refuseNoConnection(primary, err) : refuseSilent(primary);
 		} finally {
 			stopWatching();
+			end();
 			primary.parts.pool.release(connection);
 		}
 	};
 
-	const runAdmitted = async (primary: Primary, exchange: KeyedExchange, workClass: WorkClass, deadlineAt: number) => {
-		const admission = await primary.parts.admission.enter({class: workClass, deadlineAt}, clock.now());
+	const runAdmitted = async (primary: Primary, exchange: KeyedExchange, deadlineAt: number) => {
+		const admission = await primary.parts.admission.enter({class: exchange.class, deadlineAt}, clock.now());
 		if (!admission.admitted) {
 			return answerNotRun(admission.refusal);
 		}
@@ -240,7 +247,7 @@
 		}
 	};
 
-	const runAtPrimary = async (exchange: KeyedExchange, workClass: WorkClass, deadlineAt: number): Promise<OwnerAnswer> => {
+	const runAtPrimary = async (exchange: KeyedExchange, deadlineAt: number): Promise<OwnerAnswer> => {
 		if (!await group.writeGate.enter(deadlineAt)) {
 			return refuseNoPrimary();
 		}
@@ -251,7 +258,7 @@
 				return refuseNoPrimary();
 			}
 
-			const end = await runAdmitted(primary, exchange, workClass, deadlineAt);
+			const end = await runAdmitted(primary, exchange, deadlineAt);
 			return 'answer' in end ? await settle(end, deadlineAt) : end;
 		} finally {
 			group.writeGate.leave();
@@ -263,12 +270,22 @@
 		waitForPrimary,
 		async write(req, deadlineAt) {
 			const {requestId, digest, statement, values} = req;
-			return runAtPrimary(async (connection, term, timeoutMs) => connection.write({
-				requestId, digest, statement, values, term,
-			}, timeoutMs), req.class, deadlineAt);
+			return runAtPrimary({
+				what: 'write',
+				requestId,
+				class: req.class,
+				run: async (connection, term, timeoutMs) => connection.write({
+					requestId, digest, statement, values, term,
+				}, timeoutMs),
+			}, deadlineAt);
 		},
 		async resolve(requestId, deadlineAt) {
-			return runAtPrimary(async (connection, term, timeoutMs) => connection.resolve(requestId, term, timeoutMs), 'deadline', deadlineAt);
+			return runAtPrimary({
+				what: 'resolve',
+				requestId,
+				class: 'deadline',
+				run: async (connection, term, timeoutMs) => connection.resolve(requestId, term, timeoutMs),
+			}, deadlineAt);
 		},
 	};
 }
--- a/src/transactions/create-transactions.ts
+++ b/src/transactions/create-transactions.ts
@@ -88,6 +88,7 @@
 			startedAt: clock.now(),
 			lastUsedAt: clock.now(),
 			busy: true,
+			endWork: owner.parts.running.begin(primary.endpoint.name, {what: 'transaction', requestId: call.requestId, since: clock.now()}),
 		};
 		open.add(transaction);
 		return beginOn(transaction, owner, deadlineAt);
--- a/src/transactions/open-transaction.ts
+++ b/src/transactions/open-transaction.ts
@@ -15,6 +15,8 @@
 	lastUsedAt: number;
 	/** True while a statement is in flight. */
 	busy: boolean;
+	/** Takes the transaction off the endpoint's running work. */
+	endWork(): void;
 };
 
 /** The transactions open on this host. */
@@ -46,6 +48,7 @@
 				transaction.connection.destroy();
 			}
 
+			transaction.endWork();
 			transaction.parts.pool.release(transaction.connection);
 			transaction.group.writeGate.leave();
 		},
