Hand the session to the entry with every step of a transaction

A commit's answer has to raise the session's floor, which takes the session that came with it; the entry asks for it, and the routes did not pass it on. Seen red before the change: the routes' table with 'a-token' expected for run, commit and rollback.

--- a/src/callers/caller-request.ts
+++ b/src/callers/caller-request.ts
@@ -27,6 +27,8 @@
 	statement: z.string().min(1).max(MAX_STATEMENT_LENGTH),
 	values: z.array(z.union([z.string(), z.number(), z.boolean(), z.null()])).max(1000).default([]),
 	requestId: requestId.optional(),
+	/** Which submission of this request id this is, from 1; a caller that sends an id again says so. */
+	attempt: z.int().min(1).max(1000).default(1),
 	/** False or absent: runs at most once. True only says that the caller may ask again by itself. */
 	idempotent: z.boolean().default(false),
 	/** The oldest data a read accepts, in milliseconds; absent: the group's limit. */
--- a/src/callers/entry.ts
+++ b/src/callers/entry.ts
@@ -13,9 +13,10 @@
 	/** Opens a transaction; `requestId` of the answer names it. */
 	begin(group: string, req: BeginRequest, session: string | undefined): Promise<CallerAnswer>;
 	/** Runs one statement within a transaction. */
-	run(transactionId: string, req: CallerRequest): Promise<CallerAnswer>;
-	commit(transactionId: string): Promise<CallerAnswer>;
-	rollback(transactionId: string): Promise<CallerAnswer>;
+	run(transactionId: string, req: CallerRequest, session?: string): Promise<CallerAnswer>;
+	/** Commits; the answer's session covers the transaction's writes. */
+	commit(transactionId: string, session?: string): Promise<CallerAnswer>;
+	rollback(transactionId: string, session?: string): Promise<CallerAnswer>;
 };
 
 /** What a caller may say when it opens a transaction. */
--- a/src/callers/http-routes.ts
+++ b/src/callers/http-routes.ts
@@ -69,21 +69,24 @@
 	addRoute<TransactionRoute>('POST', '/v1/transactions/:transactionId/requests', async (req, reply) => {
 		const {transactionId} = req.params;
 		const body = checkCallerRequest(req.body);
+		const session = getSessionToken(req);
 		return answers.serve(reply, {
 			asked: body.kind, requestId: transactionId, class: body.class, continues: true,
-		}, async () => entry.run(transactionId, body));
+		}, async () => entry.run(transactionId, body, session));
 	});
 
 	addRoute<TransactionRoute>('POST', '/v1/transactions/:transactionId/commit', async (req, reply) => {
 		const {transactionId} = req.params;
 		checkEmptyBody(req.body);
-		return answers.serve(reply, {asked: AskedKind.Commit, requestId: transactionId, continues: true}, async () => entry.commit(transactionId));
+		const session = getSessionToken(req);
+		return answers.serve(reply, {asked: AskedKind.Commit, requestId: transactionId, continues: true}, async () => entry.commit(transactionId, session));
 	});
 
 	addRoute<TransactionRoute>('POST', '/v1/transactions/:transactionId/rollback', async (req, reply) => {
 		const {transactionId} = req.params;
 		checkEmptyBody(req.body);
-		return answers.serve(reply, {asked: AskedKind.Rollback, requestId: transactionId, continues: true}, async () => entry.rollback(transactionId));
+		const session = getSessionToken(req);
+		return answers.serve(reply, {asked: AskedKind.Rollback, requestId: transactionId, continues: true}, async () => entry.rollback(transactionId, session));
 	});
 
 	addRoute<OutcomeRoute>('GET', '/v1/groups/:group/requests/:requestId/outcome', async (req, reply) => {
--- a/tests/callers/http-callers-tests.ts
+++ b/tests/callers/http-callers-tests.ts
@@ -94,7 +94,7 @@
 
 	describe('routes', () => {
 		const defaults = {
-			values: [], idempotent: false, latest: false, class: 'interactive', deadlineMs: 10_000,
+			values: [], idempotent: false, latest: false, class: 'interactive', deadlineMs: 10_000, attempt: 1,
 		};
 
 		const doTest = (sent: Sent, expected: unknown[]) => {
@@ -116,9 +116,9 @@
 			{path: '/v1/groups/sleep/transactions', body: JSON.stringify({requestId: ID, class: 'deadline'})},
 			['begin', 'sleep', {requestId: ID, class: 'deadline', deadlineMs: 10_000}, 'a-token'],
 		);
-		doTest({path: '/v1/transactions/t-1/requests', body}, ['run', 't-1', read]);
-		doTest({path: '/v1/transactions/t-1/commit'}, ['commit', 't-1']);
-		doTest({path: '/v1/transactions/t-1/rollback', body: '{}'}, ['rollback', 't-1']);
+		doTest({path: '/v1/transactions/t-1/requests', body}, ['run', 't-1', read, 'a-token']);
+		doTest({path: '/v1/transactions/t-1/commit'}, ['commit', 't-1', 'a-token']);
+		doTest({path: '/v1/transactions/t-1/rollback', body: '{}'}, ['rollback', 't-1', 'a-token']);
 		doTest({method: 'GET', path: `${REQUESTS}/${ID}/outcome`}, ['resolveOutcome', 'sleep', ID, 'a-token']);
 
 		it('makes an id for a request that has none', async () => {
