Run the operators' commands, and let in only who belongs

Operators ask, inspect, change, drain, stop, resume and promote through one text language. A command that changes something reads the operators from the platform first, so that one who was let out is refused also at a host whose watch has gone silent; every kind of command names the role it needs, which the compiler checks. A drain or a stop is refused with the reason where what is left is no majority or has no target for the primary; what drains, is stopped, gives no answer, is leaving or was seen by no owner does not count. A promotion is in the audit trail before it is carried out, and its failure after. Ruled out: carrying out a promotion before its entry (an effect without an order in the trail), counting a draining endpoint towards the majority (its host is about to go), and a command that makes tokens (its answer can be lost; the client sends the hash alone).

A golden transcript plays an on-call night: storm, why, drain, conflicting commands, outage of the platform, audit trail.

--- /dev/null
+++ b/src/operators/describe-change.ts
@@ -0,0 +1,54 @@
+import type {AuditEntry} from '../audit/audit-entry.js';
+import {ChangeResult, type ChangeAnswer} from '../audit/change.js';
+import {formatInstant} from '../time/format-time.js';
+import {answerOk, answerRefused} from './answers.js';
+import type {CommandAnswer} from './operator-commands.js';
+
+/** Tells an operator how a change ended. */
+export function describeChange(answer: ChangeAnswer, changeId: string): CommandAnswer {
+	const data = {...answer, changeId};
+	switch (answer.result) {
+		case ChangeResult.Applied: {
+			const {entry, repeated} = answer;
+			const before = repeated ? 'Done before, this was the same command again' : 'Done';
+			return answerOk(`${before}: ${describeEntry(entry)}. ${describeParts(entry)}`.trimEnd(), data);
+		}
+
+		case ChangeResult.Unchanged: {
+			const {by} = answer;
+			return answerOk(`Nothing to change, it stands so already${by ? `: ${describeEntry(by)}` : ''}.`, data);
+		}
+
+		case ChangeResult.Refused: {
+			const {reason, beatenBy} = answer;
+			return answerRefused(`Refused, nothing was changed: ${reason}.${beatenBy ? ` What stands: ${describeEntry(beatenBy)}.` : ''}`, data);
+		}
+
+		case ChangeResult.Unknown: {
+			return answerRefused(`Not known: ${answer.reason}. Send the same command again with change id ${changeId}: it takes effect once.`, data);
+		}
+	}
+}
+
+function describeEntry({who, what, at}: AuditEntry): string {
+	return `"${what}" by ${who} at ${formatInstant(at)}`;
+}
+
+function describeParts({from, to}: AuditEntry): string {
+	return from === null ? '' : `From ${describePart(from)} to ${describePart(to)}. `;
+}
+
+/** Writes the fields of a changed part: `name value` for each. */
+export function describePart(part: unknown): string {
+	return Object.entries(part as Record<string, unknown>)
+		.map(([name, value]) => `${name} ${describeValue(value)}`)
+		.join(', ');
+}
+
+function describeValue(value: unknown): string {
+	if (value === null) {
+		return 'none';
+	}
+
+	return typeof value === 'string' ? value : JSON.stringify(value);
+}
--- a/src/operators/group-change.ts
+++ b/src/operators/group-change.ts
@@ -18,7 +18,7 @@
 const PRIMARY_FIELD = 'primary';
 
 /** Makes the change that a command asks of a group. */
-export function createGroupChange(command: GroupCommand, what: string, rows: readonly EndpointRow[]): Change<GroupState> {
+export function createGroupChange(command: GroupCommand & {readonly group: string}, what: string, rows: readonly EndpointRow[]): Change<GroupState> {
 	return {
 		what,
 		decide(current, now) {
@@ -36,6 +36,18 @@
 	};
 }
 
+/** Makes the note that an order to promote was not carried out; it changes nothing but the audit trail. */
+export function createPrimaryNote(endpoint: string, reason: string): Change<GroupState> {
+	return {
+		what: `promote endpoint ${endpoint} failed: ${reason}`,
+		decide: current => current
+			? {
+				kind: DecisionKind.Change, fields: [], state: current, from: {[PRIMARY_FIELD]: endpoint}, to: {[PRIMARY_FIELD]: null},
+			}
+			: refuse([EXISTENCE_FIELD], 'the group is not there'),
+	};
+}
+
 type ChangeCommand = Exclude<GroupCommand, CreateGroupCommand>;
 
 function decideOn(command: ChangeCommand, current: GroupState, rows: readonly EndpointRow[], now: number): Decision {
@@ -187,7 +199,7 @@
 
 function refuseUnknownEndpoint(cfg: GroupConfig, endpoint: string): Decision {
 	const known = cfg.endpoints.map(other => other.name).join(', ');
-	return refuse([EXISTENCE_FIELD], `the group ${cfg.name} has no endpoint ${endpoint}; it has ${known}`);
+	return refuse([], `the group ${cfg.name} has no endpoint ${endpoint}; it has ${known}`);
 }
 
 function refuse(fields: readonly string[], reason: string): Decision {
--- /dev/null
+++ b/tests/golden/on-call-bench.ts
@@ -0,0 +1,137 @@
+import {createAuditTrail} from '../../src/audit/audit-trail.js';
+import {groupKind} from '../../src/audit/audited-kinds.js';
+import {createChanges} from '../../src/audit/create-changes.js';
+import type {Configuration, VersionedGroup} from '../../src/configuration/configuration.js';
+import {createSilentLog} from '../../src/log/silent-log.js';
+import {BOOTSTRAP_OPERATOR, createOperatorAccess, hashToken} from '../../src/operators/create-operator-access.js';
+import {createOperatorCommands} from '../../src/operators/create-operator-commands.js';
+import type {EndpointRow, FleetView} from '../../src/operators/fleet-view.js';
+import type {CommandAnswer} from '../../src/operators/operator-commands.js';
+import {createSessionSightings} from '../../src/sessions/session-sightings.js';
+import type {ObjectStore} from '../../src/stand-ins/platform/object-store.js';
+import {createExplanationBench, createHost} from '../explanations/explanation-fixtures.js';
+
+/** What the fake owners know of an endpoint beside its configuration. */
+export type EndpointState = Partial<EndpointRow>;
+
+export const BOOTSTRAP_TOKEN = 'the token in the settings';
+
+/** Two proxies with all that operators use, one store, and owners that a test plays itself. */
+export function createOnCallBench() {
+	const bench = createExplanationBench(3);
+	const {clock, random, store, platform} = bench;
+	const states = new Map<string, EndpointState>();
+	const sightings = createSessionSightings();
+	const configuration = createStoreConfiguration(store);
+	const promotions: string[] = [];
+	let promotionFailure: string | undefined;
+
+	const fleet: FleetView = {
+		async getEndpoints(group) {
+			const groups = configuration.getGroups().filter(({cfg}) => group === undefined || cfg.name === group);
+			return groups.flatMap(({cfg}) => cfg.endpoints.map(endpoint => ({
+				group: cfg.name,
+				name: endpoint.name,
+				address: endpoint.address,
+				availabilityZone: endpoint.availabilityZone,
+				order: endpoint.order,
+				orderedAt: endpoint.orderedAt,
+				seen: true,
+				reachable: true,
+				leaving: false,
+				running: 0,
+				work: [],
+				queued: 0,
+				...states.get(endpoint.name),
+			})));
+		},
+		async getSessions() {
+			return sightings.getAll().map(sighting => ({...sighting, host: 'entry-1'}));
+		},
+		async getSession(sessionId) {
+			const sighting = sightings.get(sessionId);
+			return sighting && {...sighting, host: 'entry-1'};
+		},
+		async getHosts() {
+			return [1, 2, 3].map(number => ({...createHost(number), reachable: number !== 1, configRevision: number === 1 ? undefined : store.revision}));
+		},
+		async promote(_group, endpoint) {
+			promotions.push(endpoint);
+			if (promotionFailure !== undefined) {
+				return {promoted: false, reason: promotionFailure};
+			}
+
+			for (const name of states.keys()) {
+				setState(name, {role: 'replica'});
+			}
+
+			setState(endpoint, {role: 'primary'});
+			return {promoted: true};
+		},
+	};
+
+	const setState = (endpoint: string, state: EndpointState) => {
+		states.set(endpoint, {...states.get(endpoint), ...state});
+	};
+
+	const access = createOperatorAccess({
+		platform, clock, random, log: createSilentLog(), bootstrapTokenHash: hashToken(BOOTSTRAP_TOKEN),
+	});
+	const options = {
+		changes: createChanges({platform, clock, random}),
+		trail: createAuditTrail({platform}),
+		configuration,
+		fleet,
+		clock,
+		random,
+		access,
+	};
+	const proxies = bench.hosts.map(explanations => createOperatorCommands({...options, explanations}));
+
+	return {
+		...bench,
+		access,
+		sightings,
+		setState,
+		/** The endpoints that the owners were asked to promote. */
+		promotions,
+		failPromotions(reason: string) {
+			promotionFailure = reason;
+		},
+		/** Changes something by way of another host, so that `access` does not hear of it. */
+		async runUnheard(command: string) {
+			const unheard = createOperatorCommands({...options, access: {...access, refresh: async () => true}, explanations: bench.hosts[2]!});
+			return clock.runUntil(unheard.run(command, {name: BOOTSTRAP_OPERATOR, role: 'operate'}, undefined));
+		},
+		/** Runs a command at a proxy, by its index, as whoever holds the token; undefined where nobody does. */
+		async run(proxy: number, token: string, command: string, changeId?: string): Promise<CommandAnswer | undefined> {
+			const who = access.identify(token);
+			if (!who) {
+				return undefined;
+			}
+
+			const answer = proxies[proxy]!.run(command, who, changeId);
+			return command.startsWith('why') ? answer : clock.runUntil(answer);
+		},
+	};
+}
+
+/** The configuration as it stands in the store, in force at once. */
+function createStoreConfiguration(store: ObjectStore): Configuration {
+	const getGroups = (): VersionedGroup[] => store.list('group', '').objects
+		.map(({version, value}) => ({version, ...groupKind.parse(value).state!}))
+		.filter(({deleted}) => !deleted)
+		.map(({version, cfg}) => ({version, cfg}));
+	const getGroup = (name: string) => getGroups().find(({cfg}) => cfg.name === name);
+	return {
+		getGroup,
+		getGroupOrThrow: name => getGroup(name)!,
+		getGroups,
+		offer: () => false,
+		onChange() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+		loaded: true,
+		get revision() {
+			return store.revision;
+		},
+	};
+}
