--- a/src/failover/create-group-failover.ts
+++ b/src/failover/create-group-failover.ts
@@ -125,10 +125,7 @@
 	};
 
 	const repairServers = async () => {
-		if (parts.others.getRank() === 0) {
-			await repair.run();
-		}
-
+		await repair.run(parts.others.getRank());
 		await clock.sleep(settings.repairMs, stopping.signal);
 	};
 
--- a/src/failover/failover-settings.ts
+++ b/src/failover/failover-settings.ts
@@ -55,7 +55,7 @@
 	readonly stallUnknownMs: number;
 	/** How often replicas are asked while a majority is behind. */
 	readonly stallPollMs: number;
-	/** How often servers that do not replicate are sent to follow the primary. */
+	/** How often it is looked whether a server is to be sent to follow the primary, and whether the primary is to be relieved. */
 	readonly repairMs: number;
 	/** How long a replica may be behind without moving before it is sent to follow again; doubles each time it does not help. */
 	readonly repairIdleMs: number;
@@ -95,7 +95,7 @@
 	stallFactor: 4,
 	stallUnknownMs: 10_000,
 	stallPollMs: 200,
-	repairMs: 1000,
+	repairMs: 300,
 	repairIdleMs: 1500,
 	holdMs: 2000,
 	switchRetryMs: 2000,
--- a/src/failover/primary-watch.ts
+++ b/src/failover/primary-watch.ts
@@ -57,8 +57,8 @@
 			const result = await probePrimary(primary);
 			detector.note(result, startedAt);
 			const health = detector.getHealth(clock.now());
-			if (health === Health.Healthy) {
-				setState(FailoverPhase.Watching, `${primary.name} answers`);
+			if (health === Health.Healthy || knowledge.getPrimary()?.name !== primary.name) {
+				setState(FailoverPhase.Watching, `${primary.name} answers, or another endpoint is primary`);
 				return undefined;
 			}
 
--- a/src/failover/repair-group.ts
+++ b/src/failover/repair-group.ts
@@ -10,8 +10,8 @@
 
 /** Sends servers that came back, or that follow nobody, to follow the present primary. */
 export type GroupRepair = {
-	/** Looks at every server once. */
-	run(): Promise<void>;
+	/** Looks at every server once; owners of lower rank leave a server to the others for a while. */
+	run(rank: number): Promise<void>;
 };
 
 /** What {@link createGroupRepair} needs. */
@@ -26,6 +26,7 @@
 
 /** A server that is behind the primary and where it stood. */
 type Idle = {
+	readonly term: number;
 	readonly log: LogPosition;
 	readonly since: number;
 	readonly patienceMs: number;
@@ -39,18 +40,26 @@
 	const {clock, control, knowledge, settings, log} = options;
 	const idle = new Map<string, Idle>();
 
-	/** Tells whether a server of the present term has stood still behind the primary for too long. */
-	const isStuck = (name: string, status: EndpointStatus, primary: EndpointStatus) => {
-		if (compareLogPositions(status.log, primary.log) >= 0) {
+	const getPatienceMs = (status: EndpointStatus, primary: EndpointStatus, rank: number) => {
+		// A server of a lower term, or without the primary's first entry, follows nobody or somebody else; any other one lags.
+		const astray = status.term < primary.term || status.log.term < primary.term;
+		return (astray ? 0 : settings.repairIdleMs) + (rank * settings.rankDelayMs);
+	};
+
+	/** Tells whether a server has stood still behind the primary for too long. */
+	const isStuck = (name: string, status: EndpointStatus, primary: EndpointStatus, rank: number) => {
+		if (status.term === primary.term && compareLogPositions(status.log, primary.log) >= 0) {
 			idle.delete(name);
 			return false;
 		}
 
 		const now = clock.now();
-		const known = idle.get(name);
-		if (!known || compareLogPositions(known.log, status.log) !== 0) {
-			idle.set(name, {log: status.log, since: now, patienceMs: settings.repairIdleMs});
-			return false;
+		let known = idle.get(name);
+		if (known?.term !== primary.term || compareLogPositions(known.log, status.log) !== 0) {
+			known = {
+				term: primary.term, log: status.log, since: now, patienceMs: getPatienceMs(status, primary, rank),
+			};
+			idle.set(name, known);
 		}
 
 		if (now - known.since < known.patienceMs) {
@@ -58,7 +67,8 @@
 		}
 
 		// A replica that merely lags looks the same; each order that does not help is followed by a longer pause.
-		idle.set(name, {log: status.log, since: now, patienceMs: Math.min(MOST_PATIENCE_MS, known.patienceMs * 2)});
+		const patienceMs = Math.min(MOST_PATIENCE_MS, Math.max(settings.repairIdleMs, known.patienceMs * 2));
+		idle.set(name, {...known, since: now, patienceMs});
 		return true;
 	};
 
@@ -77,17 +87,13 @@
 		}
 	};
 
-	const needsRepair = (endpoint: EndpointConfig, primary: EndpointStatus) => {
+	const needsRepair = (endpoint: EndpointConfig, primary: EndpointStatus, rank: number) => {
 		const known = knowledge.get(endpoint.name);
-		if (!known?.status || known.failures > 0) {
-			return false;
-		}
-
-		return known.status.term < primary.term || isStuck(endpoint.name, known.status, primary);
+		return known?.status !== undefined && known.failures === 0 && isStuck(endpoint.name, known.status, primary, rank);
 	};
 
 	return {
-		async run() {
+		async run(rank) {
 			const primary = knowledge.getPrimary();
 			const status = primary && knowledge.get(primary.name)?.status;
 			if (!status) {
@@ -95,7 +101,7 @@
 			}
 
 			const others = options.getCfg().endpoints.filter(({name, order}) => name !== primary.name && order !== EndpointOrder.Stop);
-			const lost = others.filter(endpoint => needsRepair(endpoint, status));
+			const lost = others.filter(endpoint => needsRepair(endpoint, status, rank));
 			await Promise.all(lost.map(async endpoint => repair(endpoint, primary, status.term)));
 		},
 	};
--- a/src/failover/replica-watch.ts
+++ b/src/failover/replica-watch.ts
@@ -20,7 +20,8 @@
 	const isDue = ({name, order}: EndpointConfig) => {
 		const known = knowledge.get(name);
 		const heardMs = known?.status && known.failures === 0 ? clock.now() - known.seenAt : Infinity;
-		return order !== EndpointOrder.Stop && name !== knowledge.getPrimary()?.name && heardMs >= settings.stallPollMs;
+		const dueMs = stall.behind ? settings.stallPollMs : settings.replicaPollMs;
+		return order !== EndpointOrder.Stop && name !== knowledge.getPrimary()?.name && heardMs >= dueMs;
 	};
 
 	const poll = async () => {
@@ -49,7 +50,7 @@
 		async look() {
 			await poll();
 			noteStall();
-			await clock.sleep(stall.behind ? settings.stallPollMs : settings.replicaPollMs, stopped);
+			await clock.sleep(settings.stallPollMs, stopped);
 		},
 		getCutOffSince(now) {
 			// With durability `primary` acknowledged writes may be on the primary alone; deposing it while it answers would lose them.
--- a/src/failover/second-opinion.ts
+++ b/src/failover/second-opinion.ts
@@ -67,11 +67,11 @@
 
 	const getOwners = () => owning.getOwners(options.group, options.getOwnerCount(), clock.now()).filter(host => isElsewhere(host));
 
-	const getWitnesses = () => {
-		const owners = new Set(getOwners().map(({name}) => name));
-		const usable = hosts.getUsable(clock.now()).filter(host => host.role === 'proxy' && host.name !== hosts.self.name && !owners.has(host.name));
-		const elsewhere = usable.filter(host => isElsewhere(host));
-		return pickAcrossZones(elsewhere.length > 0 ? elsewhere : usable);
+	const getWitnesses = (asked: readonly PlatformHost[]) => {
+		const isCandidate = (host: PlatformHost) => host.role === 'proxy' && host.name !== hosts.self.name && !asked.some(({name}) => name === host.name);
+		const candidates = hosts.getUsable(clock.now()).filter(host => isCandidate(host));
+		const elsewhere = candidates.filter(host => isElsewhere(host));
+		return pickAcrossZones(elsewhere.length > 0 ? elsewhere : candidates);
 	};
 
 	const isAlone = () => hosts.getAll().every(host => host.role !== 'proxy' || host.name === hosts.self.name);
@@ -84,9 +84,10 @@
 
 			// The other owners first: where one of them reaches the primary, requests can go through it. Only where none
 			// of them answers is another host asked, so that the death of an owner cannot hold up the group.
-			let answers = await askAll(getOwners(), addresses);
+			const owners = getOwners();
+			let answers = await askAll(owners, addresses);
 			if (answers.length === 0) {
-				answers = await askAll(getWitnesses(), addresses);
+				answers = await askAll(getWitnesses(owners), addresses);
 			}
 
 			// A host that nobody answers is most likely cut off itself and must not depose a healthy primary.
