--- a/src/groups/create-group-knowledge.ts
+++ b/src/groups/create-group-knowledge.ts
@@ -1,5 +1,6 @@
 import type {VersionedGroup} from '../configuration/configuration.js';
 import {EndpointRole, type EndpointStatus} from '../endpoints/endpoint.js';
+import type {LogPosition} from '../terms/log-position.js';
 import {createConfirmedSamples} from './confirmed-samples.js';
 import type {EndpointKnowledge, GroupKnowledge} from './group-knowledge.js';
 
@@ -49,6 +50,11 @@
 		}
 	};
 
+	const getLogAgeMs = (log: LogPosition, now: number) => {
+		const heldAt = samples.getHeldAt(log);
+		return heldAt === undefined ? Infinity : Math.max(0, now - heldAt);
+	};
+
 	return {
 		observe(endpoint, status, now) {
 			if (getAddress(endpoint) === undefined || isOvertaken(status, now, getKnowledge(endpoint))) {
@@ -86,8 +92,8 @@
 		},
 		getAgeMs(endpoint, now) {
 			const status = getKnowledge(endpoint)?.status;
-			const heldAt = status && samples.getHeldAt(status.log);
-			return heldAt === undefined ? Infinity : Math.max(0, now - heldAt);
+			return status ? getLogAgeMs(status.log, now) : Infinity;
 		},
+		getLogAgeMs,
 	};
 }
--- a/src/groups/group-knowledge.ts
+++ b/src/groups/group-knowledge.ts
@@ -1,4 +1,5 @@
 import type {EndpointStatus} from '../endpoints/endpoint.js';
+import type {LogPosition} from '../terms/log-position.js';
 import type {EndpointConfig} from './group-config.js';
 
 /**
@@ -20,6 +21,8 @@
 	observeConfirmed(position: number, term: number, now: number): void;
 	/** Upper bound of the age of what an endpoint holds, in milliseconds; Infinity where unknown. */
 	getAgeMs(endpoint: string, now: number): number;
+	/** Upper bound of the age of what a log that ends at `log` holds, in milliseconds; Infinity where unknown. */
+	getLogAgeMs(log: LogPosition, now: number): number;
 };
 
 /** What was last seen of one endpoint. */
--- a/src/owners/read-path.ts
+++ b/src/owners/read-path.ts
@@ -73,11 +73,12 @@
 		}
 	};
 
-	// Guards against an answer older than the caller accepts: the owner's picture of a replica may be stale, so
-	// the age is judged anew by the position that the server showed before the rows, never by the prediction.
-	const getAnswerAge = (endpoint: EndpointConfig, floorAt: number | undefined) => {
+	// Guards against an answer older than the caller accepts: it may have been held up while the server moved on or
+	// was promoted. So the age is judged by the position that the server showed before the rows, never by what is
+	// known of the server.
+	const getAnswerAge = (answer: FloorReadAnswer, floorAt: number | undefined) => {
 		const now = clock.now();
-		const known = knowledge.getAgeMs(endpoint.name, now);
+		const known = knowledge.getLogAgeMs(answer.status.log, now);
 		return floorAt === undefined ? known : Math.min(known, now - floorAt);
 	};
 
@@ -94,7 +95,7 @@
 		}
 
 		const {role} = answer.status;
-		const ageMs = getAnswerAge(endpoint, floorAt);
+		const ageMs = getAnswerAge(answer, floorAt);
 		if (ageMs > req.maxAgeMs) {
 			return undefined;
 		}
