--- /dev/null
+++ b/src/daemon/register-entry.ts
@@ -0,0 +1,68 @@
+import {createExplanations} from '../explanations/create-explanations.js';
+import type {Kernel} from '../kernel/kernel.js';
+import {createRetryBudgets} from '../retries/retry-budgets.js';
+import {createAsker} from '../routing/asked-request.js';
+import {createEntry} from '../routing/create-entry.js';
+import {createEntryAnswers} from '../routing/entry-answers.js';
+import {createOwnerClient} from '../routing/owner-client.js';
+import {createRequestTries} from '../routing/request-tries.js';
+import {createSessionSightings} from '../sessions/session-sightings.js';
+import {createSignedSessions} from '../sessions/signed-sessions.js';
+import {createTransactionEntry} from '../transactions/create-transaction-entry.js';
+import {getCommonParts} from './common-parts.js';
+
+/** Registers the way of a caller's request: sessions, explanations and the entry. */
+export function registerEntry(kernel: Kernel): void {
+	const common = getCommonParts(kernel);
+	const {signingKeys} = kernel.getOrThrow('settings');
+	const hosts = kernel.getOrThrow('hosts');
+	const peers = kernel.getOrThrow('peers');
+	const sessions = createSignedSessions({keys: signingKeys, random: common.random});
+	const sightings = createSessionSightings();
+	const explanations = createExplanations({
+		...common, platform: kernel.getOrThrow('platform'), peers, hosts, signingKeys,
+	});
+	kernel.register('sessions', sessions);
+	kernel.register('sessionSightings', sightings);
+	kernel.register('explanations', explanations);
+
+	const ownerClient = createOwnerClient({
+		clock: common.clock, hosts, peers, owners: kernel.getOrThrow('owners'), transactions: kernel.getOrThrow('transactions'),
+	});
+	const retryBudgets = createRetryBudgets();
+	const asker = createAsker({...common, configuration: kernel.getOrThrow('configuration'), sessions});
+	const answers = createEntryAnswers({
+		...common,
+		hosts,
+		sessions,
+		explanations,
+		onAnswer({session, group, requestId}) {
+			sightings.note({
+				session, group, requestId, at: common.clock.wall(),
+			});
+		},
+		onServed(role) {
+			kernel.get('metrics')?.countRead(role);
+		},
+	});
+	const tries = createRequestTries({
+		...common,
+		hosts,
+		owning: kernel.getOrThrow('owning'),
+		ownerClient,
+		retryBudgets,
+		onRetry({refusal}) {
+			if (refusal) {
+				kernel.get('metrics')?.countRetry(refusal.code);
+			}
+		},
+	});
+	kernel.register('entry', {
+		...createEntry({
+			asker, answers, tries, ownerClient, retryBudgets,
+		}),
+		...createTransactionEntry({
+			asker, answers, tries, ownerClient, hosts,
+		}),
+	});
+}
--- /dev/null
+++ b/src/daemon/register-operators.ts
@@ -0,0 +1,48 @@
+import {createAuditTrail} from '../audit/audit-trail.js';
+import {createChanges, type Changes} from '../audit/create-changes.js';
+import type {ExplanationsService} from '../explanations/create-explanations.js';
+import type {Kernel} from '../kernel/kernel.js';
+import {createFleetView} from '../operators/create-fleet-view.js';
+import {createOperatorAccess} from '../operators/create-operator-access.js';
+import {createOperatorCommands} from '../operators/create-operator-commands.js';
+import {getCommonParts} from './common-parts.js';
+
+declare module '../kernel/service-map.js' {
+	interface ServiceMap {
+		changes: Changes;
+	}
+}
+
+/** Registers what makes changes in the platform. */
+export function registerChanges(kernel: Kernel): void {
+	kernel.register('changes', createChanges({...getCommonParts(kernel), platform: kernel.getOrThrow('platform')}));
+}
+
+/** Registers the operators' side: who may come in, what they see, what they command. */
+export function registerOperators(kernel: Kernel): void {
+	const common = getCommonParts(kernel);
+	const platform = kernel.getOrThrow('platform');
+	const configuration = kernel.getOrThrow('configuration');
+	const {bootstrapTokenHash} = kernel.getOrThrow('settings');
+	const fleet = createFleetView({
+		clock: common.clock,
+		configuration,
+		hosts: kernel.getOrThrow('hosts'),
+		owning: kernel.getOrThrow('owning'),
+		owners: kernel.getOrThrow('owners'),
+		peers: kernel.getOrThrow('peers'),
+		sightings: kernel.getOrThrow('sessionSightings'),
+	});
+	const access = createOperatorAccess({...common, platform, bootstrapTokenHash: bootstrapTokenHash === '' ? undefined : bootstrapTokenHash});
+	kernel.register('fleetView', fleet);
+	kernel.register('operatorAccess', access);
+	kernel.register('operatorCommands', createOperatorCommands({
+		...common,
+		access,
+		configuration,
+		fleet,
+		changes: kernel.getOrThrow('changes'),
+		trail: createAuditTrail({platform}),
+		explanations: kernel.getOrThrow('explanations') as ExplanationsService,
+	}));
+}
--- /dev/null
+++ b/src/daemon/register-owners.ts
@@ -0,0 +1,74 @@
+import {createAdmission} from '../admission/create-admission.js';
+import {groupKind} from '../audit/audited-kinds.js';
+import {createGroupFailover} from '../failover/create-group-failover.js';
+import type {Promotion} from '../failover/failover-parts.js';
+import {createFailoverPeers} from '../failover/failover-peers.js';
+import {DEFAULT_FAILOVER_SETTINGS} from '../failover/failover-settings.js';
+import {createPromotionNote} from '../failover/promotion-note.js';
+import type {Kernel} from '../kernel/kernel.js';
+import {createGroupOwner, type GroupOwner} from '../owners/group-owner.js';
+import {createOwners} from '../owners/create-owners.js';
+import {createRequestId} from '../random/request-id.js';
+import {createTransactions} from '../transactions/create-transactions.js';
+import {getCommonParts} from './common-parts.js';
+
+/** Registers what looks after groups on this host: owners with their failover, and open transactions. */
+export function registerOwners(kernel: Kernel): void {
+	const common = getCommonParts(kernel);
+	const peers = kernel.getOrThrow('peers');
+	const owners = createOwners({
+		...common,
+		configuration: kernel.getOrThrow('configuration'),
+		hosts: kernel.getOrThrow('hosts'),
+		owning: kernel.getOrThrow('owning'),
+		peers,
+		createGroupOwner: createGroupOwnerFactory(kernel),
+	});
+	kernel.register('owners', owners);
+	kernel.register('transactions', createTransactions({clock: common.clock, owners, peers}));
+}
+
+function createGroupOwnerFactory(kernel: Kernel): (group: string) => GroupOwner {
+	const common = getCommonParts(kernel);
+	const {clock, random} = common;
+	const configuration = kernel.getOrThrow('configuration');
+	const hosts = kernel.getOrThrow('hosts');
+	const endpoints = kernel.getOrThrow('endpoints');
+	const failoverPeers = createFailoverPeers({
+		peers: kernel.getOrThrow('peers'), endpoints, clock, settings: DEFAULT_FAILOVER_SETTINGS,
+	});
+
+	return group => createGroupOwner({
+		clock,
+		random,
+		endpoints,
+		getGroup: () => configuration.getGroupOrThrow(group),
+		isEndpointLeaving: address => hosts.isEndpointLeaving(address),
+		createAdmission: (endpoint, cfg) => createAdmission({
+			endpoint: endpoint.name, slots: endpoint.slots, shares: cfg.classShares, clock, random,
+		}),
+		createFailover: context => createGroupFailover({
+			...common,
+			context,
+			platform: kernel.getOrThrow('platform'),
+			failoverPeers,
+			hosts,
+			owning: kernel.getOrThrow('owning'),
+			settings: DEFAULT_FAILOVER_SETTINGS,
+			onPromoted(promotion) {
+				void notePromotion(kernel, promotion);
+			},
+		}),
+	});
+}
+
+/** Puts a promotion into the audit trail and the metrics; nothing waits for it. */
+async function notePromotion(kernel: Kernel, promotion: Promotion): Promise<void> {
+	const {clock, random, log} = getCommonParts(kernel);
+	const {detectMs, claimMs, fenceMs, promoteMs, learnMs} = promotion.parts;
+	kernel.get('metrics')?.observeFailover(promotion.group, (detectMs + claimMs + fenceMs + promoteMs + learnMs) / 1000);
+	const answer = await kernel.getOrThrow('changes').apply(groupKind, promotion.group, createPromotionNote(promotion), {
+		who: `failover ${kernel.getOrThrow('hosts').self.name}`, changeId: createRequestId(clock.wall(), random),
+	});
+	log.part('audit: ').info('A promotion went into the trail.', {group: promotion.group, term: promotion.term, result: answer.result});
+}
--- /dev/null
+++ b/src/failover/promotion-note.ts
@@ -0,0 +1,15 @@
+import type {GroupState} from '../audit/audited-kinds.js';
+import {DecisionKind, type Change} from '../audit/change.js';
+import type {Promotion} from './failover-parts.js';
+
+/** Makes the audit entry of a promotion: it changes nothing of the group but its trail. */
+export function createPromotionNote({endpoint, term, cause}: Promotion): Change<GroupState> {
+	return {
+		what: `${endpoint} is primary of term ${term} (${cause})`,
+		decide: current => current
+			? {
+				kind: DecisionKind.Change, fields: [], state: current, from: undefined, to: {primary: endpoint, term},
+			}
+			: {kind: DecisionKind.Refuse, fields: [], reason: 'the group is not there'},
+	};
+}
--- a/src/routing/entry-answers.ts
+++ b/src/routing/entry-answers.ts
@@ -1,5 +1,6 @@
 import {Outcome, type CallerAnswer} from '../callers/caller-answer.js';
 import {RequestKind} from '../callers/caller-request.js';
+import type {EndpointRole} from '../endpoints/endpoint.js';
 import type {Explanations} from '../explanations/explanations.js';
 import type {Hosts} from '../membership/hosts.js';
 import {RefusalCode, type Refusal} from '../refusals/refusal.js';
@@ -28,6 +29,8 @@
 	readonly explanations: Explanations;
 	/** Told of every answer, for metrics and operators. */
 	onAnswer?(asked: AskedRequest, answer: CallerAnswer, now: number): void;
+	/** Told of the role of the endpoint that served a read, for metrics. */
+	onServed?(role: EndpointRole): void;
 };
 
 /** Refusals that hold for every submission of the id: a tombstone or another statement stands under the key. */
@@ -65,6 +68,10 @@
 
 	const answerDone = (asked: AskedRequest, answer: OwnerAnswer): CallerAnswer => {
 		const isWrite = asked.asked !== RequestKind.Read;
+		if (!isWrite && answer.role) {
+			options.onServed?.(answer.role);
+		}
+
 		const session = isWrite && answer.log ? raiseFloor(asked.session, asked.group, answer.log, clock.wall()) : asked.session;
 		return {
 			outcome: Outcome.Done,
--- a/src/settings/settings-schema.ts
+++ b/src/settings/settings-schema.ts
@@ -60,6 +60,12 @@
 	endpointDatabase: {
 		schema: text, default: 'postgres', unit: 'name', description: 'Database to open on the database servers',
 	},
+	bootstrapTokenHash: {
+		schema: z.string().regex(/^(?:[\da-f]{64})?$/iv, 'must be 64 hexadecimal digits, or empty'),
+		default: '',
+		unit: 'SHA-256 in hex',
+		description: 'Hash of the token that opens a system without operators; empty for none',
+	},
 	logLevel: {
 		schema: z.enum(LOG_LEVELS, `must be one of ${LOG_LEVELS.join(', ')}`), default: 'info', unit: 'level', description: 'Least level of log lines to print',
 	},
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -22,6 +22,8 @@
 	readonly endpointPassword: string;
 	/** Database to open on the database servers. */
 	readonly endpointDatabase: string;
+	/** SHA-256, in hex, of the token that opens a system without operators; empty for none. */
+	readonly bootstrapTokenHash: string;
 	/** Bunyan level name. */
 	readonly logLevel: string;
 	/** Bound on ending in-flight work on SIGTERM, in milliseconds. */
--- a/src/stand-ins/system/simulated-system.ts
+++ b/src/stand-ins/system/simulated-system.ts
@@ -193,6 +193,7 @@
 		endpointUser: 'aldercroft',
 		endpointPassword: 'unused',
 		endpointDatabase: 'aldercroft',
+		bootstrapTokenHash: '',
 		logLevel: 'info',
 		shutdownMs: 10_000,
 		leaveNoticeMs: 1000,
--- a/tests/settings/read-settings-tests.ts
+++ b/tests/settings/read-settings-tests.ts
@@ -36,6 +36,7 @@
 			endpointUser: 'aldercroft',
 			endpointPassword: 'hush',
 			endpointDatabase: 'postgres',
+			bootstrapTokenHash: '',
 			logLevel: 'info',
 			shutdownMs: 30_000,
 			leaveNoticeMs: 2000,
