--- a/src/admission/admission-refusals.ts
+++ b/src/admission/admission-refusals.ts
@@ -1,20 +1,28 @@
 import {RefusalCode, type Refusal, type RefusalFacts} from '../refusals/refusal.js';
 
-/** @internal The inputs of an admission decision. */
+/** @internal The inputs of an admission decision. Times are in milliseconds. */
 export type AdmissionFacts = RefusalFacts & {
 	readonly endpoint: string;
 	readonly class: string;
-	/** Time left until the request's deadline, in milliseconds. */
+	/** Time left until the request's deadline; negative once it has passed. */
 	readonly remainingMs: number;
+	/** How long the request had waited. */
+	readonly waitedMs: number;
+	/** How long it would have had to wait yet. */
 	readonly predictedWaitMs: number;
-	/** Smoothed time that a statement of the class holds a slot, in milliseconds. */
+	/** Smoothed time that a statement of the class holds a slot. */
 	readonly serviceMs: number;
+	/** Predicted time between two turns of the class. */
+	readonly turnMs: number;
+	/** Requests of the class that wait. */
 	readonly queued: number;
 	readonly maxQueued: number;
 	readonly running: number;
 	readonly limit: number;
-	/** How long the request had waited, in milliseconds. */
-	readonly waitedMs: number;
+	/** The class's share of the slots. */
+	readonly share: number;
+	/** How long all slots have been held without one given back. */
+	readonly stalledMs: number;
 };
 
 /** @internal */
@@ -42,7 +50,7 @@
 export function createDeadlinePassed(facts: AdmissionFacts, retryAfterMs: number): Refusal {
 	return {
 		code: RefusalCode.DeadlinePassed,
-		reason: `the deadline passed ${Math.ceil(-facts.remainingMs)} ms ago, before ${facts.endpoint} had a free slot`,
+		reason: `the deadline passed ${Math.ceil(-facts.remainingMs)} ms before ${facts.endpoint} had a free slot`,
 		retryAfterMs,
 		facts,
 	};
--- a/src/admission/class-queues.ts
+++ b/src/admission/class-queues.ts
@@ -10,6 +10,8 @@
 	readonly req: AdmissionRequest;
 	/** When it came, on the clock's `now`. */
 	readonly enteredAt: number;
+	/** How long the model of the wait had it wait, in milliseconds. */
+	readonly modelWaitMs: number;
 	/** Gives it its one answer. */
 	answer(answer: AdmissionAnswer): void;
 };
--- a/src/admission/class-shares.ts
+++ b/src/admission/class-shares.ts
@@ -8,8 +8,8 @@
  * Divides an endpoint's slot time between the classes.
  *
  * Each class earns its share of all slot time that is used, as credit up to a bound, and pays with it. A class with credit
- * goes before one without, the more urgent first among equals; so no class can be kept from its share by a more urgent one,
- * and what no class has earned goes to the most urgent.
+ * goes before one without, and the more urgent goes first among equals. So no class can be kept from its share by a more
+ * urgent one, an urgent class within its share never waits for others, and what nobody has earned goes to the most urgent.
  */
 export type ClassShares = {
 	/** Picks the class that runs next among those with work; undefined where none has. */
@@ -29,8 +29,11 @@
 	readonly paidMs: number;
 };
 
-/** Most credit that a class keeps, in times that a slot is held. */
-const CREDIT_BOUND = 4;
+/** Most credit that a class keeps, in times that the longest class holds a slot: how long a burst may go before the others. */
+const CREDIT_BOUND = 16;
+
+/** How fast the longest time is forgotten, for each slot taken. */
+const LONGEST_KEPT = 0.999;
 
 /** Creates the division of an endpoint's slot time. */
 export function createClassShares(shares: Shares): ClassShares {
@@ -39,20 +42,26 @@
 	const getShare = (workClass: WorkClass) => shares[workClass] / sum;
 	let longestMs = 0;
 
-	const earn = (usedMs: number) => {
-		for (const workClass of WORK_CLASSES) {
-			credits[workClass] = Math.min(credits[workClass] + (getShare(workClass) * usedMs), CREDIT_BOUND * longestMs);
-		}
-	};
-
 	return {
 		getShare,
 		pick(hasWork) {
-			const waiting = WORK_CLASSES.filter(workClass => hasWork(workClass));
-			return waiting.find(workClass => credits[workClass] > 0) ?? waiting[0];
+			let spare: WorkClass | undefined;
+			for (const workClass of WORK_CLASSES) {
+				if (!hasWork(workClass)) {
+					continue;
+				}
+
+				if (credits[workClass] > 0) {
+					return workClass;
+				}
+
+				spare ??= workClass;
+			}
+
+			return spare;
 		},
 		claim(workClass, expectedMs) {
-			longestMs = Math.max(expectedMs, longestMs * 0.999);
+			longestMs = Math.max(expectedMs, longestMs * LONGEST_KEPT);
 			const paidMs = credits[workClass] > 0 ? expectedMs : 0;
 			credits[workClass] -= paidMs;
 			return {class: workClass, paidMs};
@@ -62,7 +71,10 @@
 				credits[claim.class] += claim.paidMs - heldMs;
 			}
 
-			earn(heldMs);
+			for (const workClass of WORK_CLASSES) {
+				const earned = credits[workClass] + (getShare(workClass) * heldMs);
+				credits[workClass] = Math.min(earned, CREDIT_BOUND * longestMs);
+			}
 		},
 	};
 }
--- a/src/admission/concurrency-limit.ts
+++ b/src/admission/concurrency-limit.ts
@@ -5,7 +5,7 @@
 	/** The limit in force, a whole number from 1. */
 	readonly limit: number;
 	/** Notes a statement that gave its slot back. */
-	observe(sample: SlotSample, now: number): void;
+	observe(sample: SlotSample): void;
 };
 
 /** How one statement's stay in its slot went. */
@@ -14,8 +14,6 @@
 	readonly heldMs: number;
 	/** Whether the endpoint gave an answer. */
 	readonly served: boolean;
-	/** How many ran, this one among them, when it gave its slot back. */
-	readonly running: number;
 };
 
 /** A limit that stays as it is. */
--- a/src/admission/create-admission.ts
+++ b/src/admission/create-admission.ts
@@ -1,18 +1,19 @@
 import type {WorkClass} from '../groups/group-config.js';
-import type {Random} from '../random/random.js';
 import type {Refusal} from '../refusals/refusal.js';
 import type {Clock} from '../time/clock.js';
-import type {
-	Admission, AdmissionAnswer, AdmissionRequest,
-} from './admission.js';
+import {createComeBackTimes} from '../refusals/come-back-times.js';
+import {AdaptiveLimit} from './adaptive-limit.js';
+import type {Admission, AdmissionAnswer, AdmissionRequest} from './admission.js';
 import {
 	createDeadlinePassed, createDeadlineTooShort, createQueueFull, type AdmissionFacts,
 } from './admission-refusals.js';
 import {createClassQueues, WORK_CLASSES, type QueuedRequest} from './class-queues.js';
 import {createClassShares, type Shares} from './class-shares.js';
-import {FixedLimit, type ConcurrencyLimit} from './concurrency-limit.js';
+import type {ConcurrencyLimit} from './concurrency-limit.js';
+import {createHopelessWatch} from './hopeless-watch.js';
 import {DeadlineOrder, type QueueOrder} from './queue-order.js';
 import {createServiceTime} from './service-time.js';
+import {createWaitPrediction, type QueueSituation} from './wait-prediction.js';
 
 /** What an admission is made of. */
 export type AdmissionOptions = {
@@ -20,75 +21,91 @@
 	readonly endpoint: string;
 	/** Statements that the endpoint runs at once. */
 	readonly slots: number;
+	/** How many hosts look after the group and send the endpoint statements. */
+	readonly owners: number;
 	readonly shares: Shares;
-	/** Wakes the admission when a waiting request's time runs out; decisions take `now`. */
+	/** Wakes the admission when a waiting request becomes hopeless; decisions take `now`. */
 	readonly clock: Clock;
-	readonly random: Random;
-	/** Most requests that wait in one class; default 20 for each slot. */
+	/** Most requests that wait in one class; default 10 for each slot. */
 	readonly maxQueued?: number;
 	/** Assumed time that a statement holds a slot until one was measured, in milliseconds; default 5. */
 	readonly initialServiceMs?: number;
+	/** Order within a class; default the earliest deadline first. */
 	readonly order?: QueueOrder;
+	/** Default adapts to measured times. */
 	readonly limit?: ConcurrencyLimit;
 };
 
-const QUEUED_PER_SLOT = 20;
+/** A longer queue brings no more answers in time under overload, only longer waits; docs/notes/admission.md has the figures. */
+const QUEUED_PER_SLOT = 10;
 const INITIAL_SERVICE_MS = 5;
 
-/** A come-back time is drawn out by up to this share of itself, so that callers refused together do not return together. */
-const RETRY_JITTER = 0.5;
-
 /** Creates the admission of one endpoint. */
 export function createAdmission(options: AdmissionOptions): Admission {
-	const {endpoint, slots, clock, random} = options;
+	const {endpoint, slots, owners, clock} = options;
 	const maxQueued = options.maxQueued ?? slots * QUEUED_PER_SLOT;
-	const limit = options.limit ?? new FixedLimit(slots);
+	const limit = options.limit ?? new AdaptiveLimit(slots, owners);
 	const queues = createClassQueues(options.order ?? new DeadlineOrder());
 	const shares = createClassShares(options.shares);
 	const serviceTime = createServiceTime(options.initialServiceMs ?? INITIAL_SERVICE_MS);
+	const prediction = createWaitPrediction(shares, serviceTime);
+	const comeBackTimes = {deadline: createComeBackTimes(), interactive: createComeBackTimes(), background: createComeBackTimes()};
 	let running = 0;
+	/** When a slot was last given back, or the last free one taken. */
+	let progressAt = 0;
 	let closedBy: Refusal | undefined;
-	let wakeAt = Number.POSITIVE_INFINITY;
-	let wake = new AbortController();
-
-	/** Time between two turns of the class while all classes have work, in milliseconds. */
-	const getTurnMs = (workClass: WorkClass) => {
-		const contended = WORK_CLASSES.some(other => other !== workClass && queues.getLength(other) > 0);
-		const part = contended ? Math.max(shares.getShare(workClass), 0.05) : 1;
-		return serviceTime.getClassMeanMs(workClass) / (limit.limit * part);
-	};
 
-	const predictWaitMs = (workClass: WorkClass, place: number) =>
-		running < limit.limit && queues.total === 0 ? 0 : (place + 1) * getTurnMs(workClass);
-
-	const getFacts = (req: AdmissionRequest, predictedWaitMs: number, enteredAt: number, now: number): AdmissionFacts => ({
-		endpoint,
-		class: req.class,
-		remainingMs: req.deadlineAt - now,
-		predictedWaitMs,
-		serviceMs: serviceTime.getClassMeanMs(req.class),
-		queued: queues.getLength(req.class),
-		maxQueued,
-		running,
+	const getSituation = (workClass: WorkClass, now: number): QueueSituation => ({
 		limit: limit.limit,
-		waitedMs: now - enteredAt,
+		isContended: queues.total > queues.getLength(workClass),
+		stalledMs: running < limit.limit ? 0 : Math.max(0, now - progressAt),
 	});
 
-	const addJitter = (ms: number) => Math.ceil(ms * (1 + (RETRY_JITTER * random.fraction())));
+	const hasFreeSlot = () => running < limit.limit && queues.total === 0;
+
+	const predictWaitMs = (workClass: WorkClass, place: number, now: number) =>
+		hasFreeSlot() ? 0 : prediction.predictMs(workClass, place, getSituation(workClass, now));
+
+	const getHopelessAt = (req: AdmissionRequest) => req.deadlineAt - serviceTime.getClassMeanMs(req.class);
 
-	const refuseLate = (req: AdmissionRequest, waitMs: number, enteredAt: number, now: number): AdmissionAnswer => {
-		const facts = getFacts(req, waitMs, enteredAt, now);
-		const drainMs = predictWaitMs(req.class, queues.getLength(req.class));
-		const refusal = facts.remainingMs <= 0
-			? createDeadlinePassed(facts, addJitter(drainMs))
-			: createDeadlineTooShort(facts, addJitter(Math.max(1, waitMs + facts.serviceMs - facts.remainingMs)));
-		return {admitted: false, refusal};
+	const getFacts = (req: AdmissionRequest, enteredAt: number, predictedWaitMs: number, now: number): AdmissionFacts => {
+		const situation = getSituation(req.class, now);
+		return {
+			endpoint,
+			class: req.class,
+			remainingMs: req.deadlineAt - now,
+			waitedMs: now - enteredAt,
+			predictedWaitMs,
+			serviceMs: serviceTime.getClassMeanMs(req.class),
+			turnMs: prediction.getTurnMs(req.class, situation),
+			queued: queues.getLength(req.class),
+			maxQueued,
+			running,
+			limit: situation.limit,
+			share: shares.getShare(req.class),
+			stalledMs: situation.stalledMs,
+		};
+	};
+
+	const refuseFull = (req: AdmissionRequest, waitMs: number, now: number): AdmissionAnswer => {
+		const facts = getFacts(req, now, waitMs, now);
+		const retryAfterMs = comeBackTimes[req.class].take(waitMs, facts.turnMs, now);
+		return {admitted: false, refusal: createQueueFull(facts, retryAfterMs)};
+	};
+
+	const refuseLate = (req: AdmissionRequest, enteredAt: number, waitMs: number, now: number): AdmissionAnswer => {
+		const facts = getFacts(req, enteredAt, waitMs, now);
+		const drainedMs = waitMs + facts.serviceMs - Math.max(0, facts.remainingMs);
+		const retryAfterMs = comeBackTimes[req.class].take(drainedMs, facts.turnMs, now);
+		const createRefusal = facts.remainingMs <= 0 ? createDeadlinePassed : createDeadlineTooShort;
+		return {admitted: false, refusal: createRefusal(facts, retryAfterMs)};
 	};
 
 	const grant = (req: AdmissionRequest, enteredAt: number, now: number): AdmissionAnswer => {
 		const claim = shares.claim(req.class, serviceTime.getClassMeanMs(req.class));
 		let held = true;
 		running++;
+		progressAt = now;
 		return {
 			admitted: true,
 			queuedMs: now - enteredAt,
@@ -102,21 +119,20 @@
 				const heldMs = releasedAt - now;
 				shares.settle(claim, heldMs);
 				serviceTime.observe(req.class, heldMs, served);
-				limit.observe({
-					class: req.class, heldMs, served, running,
-				}, releasedAt);
+				limit.observe({class: req.class, heldMs, served});
 				running--;
+				progressAt = releasedAt;
 				dispatch(releasedAt);
 			},
 		};
 	};
 
-	const isHopeless = (req: AdmissionRequest, now: number) => now + serviceTime.getClassMeanMs(req.class) > req.deadlineAt;
-
+	/** Refuses what would be late even if it ran now, so that its caller hears it before the deadline and no slot is spent on it. */
 	const refuseHopeless = (now: number) => {
 		for (const workClass of WORK_CLASSES) {
-			for (const queued of queues.removeWhere(workClass, ({req}) => isHopeless(req, now))) {
-				queued.answer(refuseLate(queued.req, 0, queued.enteredAt, now));
+			const hopeless = queues.removeWhere(workClass, ({req}) => now > getHopelessAt(req));
+			for (const {req, enteredAt, answer} of hopeless) {
+				answer(refuseLate(req, enteredAt, 0, now));
 			}
 		}
 	};
@@ -125,49 +141,32 @@
 		refuseHopeless(now);
 		while (running < limit.limit) {
 			const workClass = shares.pick(candidate => queues.getLength(candidate) > 0);
-			const queued = workClass && queues.shift(workClass);
-			if (!queued) {
+			const next = workClass && queues.shift(workClass);
+			if (!next) {
 				return;
 			}
 
-			queued.answer(grant(queued.req, queued.enteredAt, now));
+			prediction.learn(next.req.class, next.modelWaitMs, now - next.enteredAt);
+			next.answer(grant(next.req, next.enteredAt, now));
 		}
 	}
 
-	/** Sleeps until the first waiting request becomes hopeless, while any waits. */
-	const watchDeadlines = async () => {
-		while (queues.total > 0) {
-			let firstAt = Number.POSITIVE_INFINITY;
-			for (const workClass of WORK_CLASSES) {
-				const serviceMs = serviceTime.getClassMeanMs(workClass);
-				for (const {req} of queues.getAll(workClass)) {
-					firstAt = Math.min(firstAt, req.deadlineAt - serviceMs);
-				}
-			}
-
-			wakeAt = firstAt;
-			wake = new AbortController();
-			await clock.sleep(Math.max(1, Math.ceil(firstAt - clock.now())), wake.signal);
-			dispatch(clock.now());
-		}
-
-		wakeAt = Number.POSITIVE_INFINITY;
-	};
-
-	const watch = (req: AdmissionRequest) => {
-		const hopelessAt = req.deadlineAt - serviceTime.getClassMeanMs(req.class);
-		if (wakeAt === Number.POSITIVE_INFINITY) {
-			wakeAt = hopelessAt;
-			void watchDeadlines();
-		} else if (hopelessAt < wakeAt) {
-			wake.abort();
-		}
-	};
+	const watch = createHopelessWatch({
+		clock,
+		getFirstAt() {
+			const times = WORK_CLASSES.flatMap(workClass => queues.getAll(workClass).map(({req}) => getHopelessAt(req)));
+			return times.length > 0 ? Math.min(...times) : undefined;
+		},
+		onDue: dispatch,
+	});
 
-	const enqueue = async (req: AdmissionRequest, now: number) => new Promise<AdmissionAnswer>(resolve => {
-		const queued: QueuedRequest = {req, enteredAt: now, answer: resolve};
+	const enqueue = async (req: AdmissionRequest, place: number, now: number) => new Promise<AdmissionAnswer>(resolve => {
+		const modelWaitMs = (place + 1) * prediction.getTurnMs(req.class, getSituation(req.class, now));
+		const queued: QueuedRequest = {
+			req, enteredAt: now, modelWaitMs, answer: resolve,
+		};
 		queues.insert(queued);
-		watch(req);
+		watch.expect(getHopelessAt(req));
 	});
 
 	return {
@@ -177,27 +176,27 @@
 			}
 
 			if (req.deadlineAt <= now) {
-				return refuseLate(req, 0, now, now);
+				return refuseLate(req, now, 0, now);
 			}
 
-			// A free slot is always given, however slow the endpoint seems: only what runs can show that it is fast again.
-			if (running < limit.limit && queues.total === 0) {
+			// A free slot is always given, however slow the endpoint seemed: refusing here, it would never be seen to be fast again.
+			if (hasFreeSlot()) {
 				return grant(req, now, now);
 			}
 
-			const waitMs = predictWaitMs(req.class, queues.findPlace(req));
-			if (now + waitMs + serviceTime.getClassMeanMs(req.class) > req.deadlineAt) {
-				return refuseLate(req, waitMs, now, now);
+			const place = queues.findPlace(req);
+			const waitMs = predictWaitMs(req.class, place, now);
+			if (now + waitMs > getHopelessAt(req)) {
+				return refuseLate(req, now, waitMs, now);
 			}
 
 			if (queues.getLength(req.class) >= maxQueued) {
-				const facts = getFacts(req, waitMs, now, now);
-				return {admitted: false, refusal: createQueueFull(facts, addJitter(waitMs))};
+				return refuseFull(req, waitMs, now);
 			}
 
-			return enqueue(req, now);
+			return enqueue(req, place, now);
 		},
-		getPredictedWaitMs: workClass => predictWaitMs(workClass, queues.getLength(workClass)),
+		getPredictedWaitMs: (workClass, now) => predictWaitMs(workClass, queues.getLength(workClass), now),
 		getLoad: () => ({
 			running,
 			limit: limit.limit,
@@ -211,12 +210,12 @@
 		close(refusal) {
 			closedBy = refusal;
 			for (const workClass of WORK_CLASSES) {
-				for (const queued of queues.removeWhere(workClass, () => true)) {
-					queued.answer({admitted: false, refusal});
+				for (const {answer} of queues.removeWhere(workClass, () => true)) {
+					answer({admitted: false, refusal});
 				}
 			}
 
-			wake.abort();
+			watch.wake();
 		},
 	};
 }
--- a/src/admission/service-time.ts
+++ b/src/admission/service-time.ts
@@ -8,8 +8,6 @@
 	getMeanMs(): number;
 	/** Smoothed time of one class, in milliseconds. */
 	getClassMeanMs(workClass: WorkClass): number;
-	/** Smoothed distance of a class's times from their mean, in milliseconds. */
-	getClassDeviationMs(workClass: WorkClass): number;
 };
 
 /** Weight of the newest sample. */
@@ -17,14 +15,13 @@
 
 /** Creates the figures; `initialMs` stands until the first sample. */
 export function createServiceTime(initialMs: number): ServiceTime {
-	const createFigure = () => ({meanMs: initialMs, deviationMs: initialMs / 2, samples: 0});
+	const createFigure = () => ({meanMs: initialMs, samples: 0});
 	const all = createFigure();
 	const classes = {deadline: createFigure(), interactive: createFigure(), background: createFigure()};
 
 	const add = (figure: typeof all, heldMs: number) => {
 		// The first samples count evenly, so that a wrong initial figure is soon forgotten.
 		const weight = Math.max(SAMPLE_WEIGHT, 1 / (figure.samples + 1));
-		figure.deviationMs += weight * (Math.abs(heldMs - figure.meanMs) - figure.deviationMs);
 		figure.meanMs += weight * (heldMs - figure.meanMs);
 		figure.samples++;
 	};
@@ -43,6 +40,5 @@
 		},
 		getMeanMs: () => all.meanMs,
 		getClassMeanMs: workClass => getFigure(workClass).meanMs,
-		getClassDeviationMs: workClass => getFigure(workClass).deviationMs,
 	};
 }
--- /dev/null
+++ b/src/bench/experiments.ts
@@ -0,0 +1,7 @@
+import type {Experiment} from './experiment.js';
+import {overload} from './overload.js';
+
+/** Every experiment, by its name on the command line. */
+export const EXPERIMENTS: Readonly<Record<string, Experiment>> = {
+	[overload.name]: overload,
+};
--- /dev/null
+++ b/src/bench/overload/hot-group.ts
@@ -0,0 +1,55 @@
+import type {ExperimentOptions} from '../experiment.js';
+import {CallerKind} from './caller-model.js';
+import {getInTimePart} from './figures.js';
+import {
+	measureSeeds, SLOTS, type Figures, type Part,
+} from './part.js';
+import {PRODUCT} from './policies.js';
+import {runScenario, type GroupPlan} from './scenario.js';
+import {USERS_MIX} from './traffic.js';
+
+const LENGTH_MS = 30_000;
+const WINDOW = {from: 10_000, to: 25_000};
+
+/** A group whose server goes away again and again while its callers send five times what it could do. */
+const hot: GroupPlan = {
+	getLoad: () => 5,
+	faults: Array.from({length: 30}, (_, i) => ({
+		at: i * 1000,
+		apply(server) {
+			server.setRefusing(i % 2 === 0);
+		},
+	})),
+};
+
+/** Groups whose server takes no connection for a moment now and then, so that they need a retry. */
+const calm: GroupPlan = {
+	getLoad: () => 0.6,
+	faults: Array.from({length: 120}, (_, i) => ({
+		at: (Math.floor(i / 2) * 500) + ((i % 2) * 15),
+		apply(server) {
+			server.setRefusing(i % 2 === 0);
+		},
+	})),
+};
+
+/** Measures whether one hot group behind the same entry harms two calm ones, with a budget for each group and with one for all. */
+export async function runHotGroup({seeds, report}: ExperimentOptions): Promise<Part> {
+	report('hot group');
+	return {
+		measures: await measureSeeds(seeds, async seed => getFigures(seed, [calm, hot, calm], false)),
+		baselines: [
+			{name: 'one retry budget for all groups', measures: await measureSeeds(seeds, async seed => getFigures(seed, [calm, hot, calm], true))},
+			{name: 'no hot group', measures: await measureSeeds(seeds, async seed => getFigures(seed, [calm, calm, calm], false))},
+		],
+		plots: [],
+	};
+}
+
+async function getFigures(seed: number, groups: readonly GroupPlan[], hasSharedBudget: boolean): Promise<Figures> {
+	const [first, , third] = await runScenario({
+		seed, policy: PRODUCT, callers: CallerKind.Single, mix: USERS_MIX, slots: SLOTS, owners: 1, groups, hasSharedBudget, lengthMs: LENGTH_MS,
+	});
+	const outcomes = [...first!.outcomes, ...third!.outcomes];
+	return {'calm groups beside a hot one: answered in time (part)': getInTimePart(outcomes, WINDOW)};
+}
--- /dev/null
+++ b/src/bench/overload/owner-model.ts
@@ -0,0 +1,39 @@
+import type {Admission} from '../../admission/admission.js';
+import {RefusalCode} from '../../refusals/refusal.js';
+import type {VirtualSchedule} from '../virtual-schedule.js';
+import type {ModelAnswer, ModelService} from './request-model.js';
+import {RunResult, type ServerModel} from './server-model.js';
+
+/** What an owner's model is made of. */
+export type OwnerModelOptions = {
+	readonly schedule: VirtualSchedule;
+	readonly admission: Admission;
+	readonly server: ServerModel;
+	/** Whether a statement is given up at its deadline. */
+	readonly givesUp: boolean;
+};
+
+const ANSWERS: Readonly<Record<RunResult, ModelAnswer>> = {
+	done: {done: true, provedNotRun: false},
+	refused: {done: false, provedNotRun: true, code: RefusalCode.NoConnection},
+	silent: {done: false, provedNotRun: false, code: RefusalCode.EndpointSilent},
+};
+
+/** Creates an owner: a slot from the admission, then the statement at the server. */
+export function createOwnerModel({schedule, admission, server, givesUp}: OwnerModelOptions): ModelService {
+	return {
+		async execute(req) {
+			const answer = await admission.enter({class: req.class, deadlineAt: req.deadlineAt}, schedule.now());
+			if (!answer.admitted) {
+				const {code, retryAfterMs} = answer.refusal;
+				return {
+					done: false, provedNotRun: true, code, retryAfterMs,
+				};
+			}
+
+			const result = await server.run(req.workMs, givesUp ? req.deadlineAt : Number.MAX_VALUE);
+			answer.release(schedule.now(), result === RunResult.Done);
+			return ANSWERS[result];
+		},
+	};
+}
--- /dev/null
+++ b/src/bench/overload/part.ts
@@ -0,0 +1,71 @@
+import type {
+	ExperimentOptions, Measure, Plot, Variant,
+} from '../experiment.js';
+import {createMeasure} from '../statistics.js';
+import {CallerKind} from './caller-model.js';
+import {PRODUCT, type Policy} from './policies.js';
+import {runScenario, type GroupOutcome, type Scenario} from './scenario.js';
+import {USERS_MIX} from './traffic.js';
+
+/** One part of the experiment: the product's figures, those of the other ways, and plots. */
+export type Part = {
+	readonly measures: readonly Measure[];
+	readonly baselines: readonly Variant[];
+	readonly plots: readonly Plot[];
+};
+
+/** Runs one part. */
+export type RunPart = (options: ExperimentOptions) => Promise<Part>;
+
+/** Statements that a server runs at once, as at Granite Loop. */
+export const SLOTS = 3;
+
+/** Figures of one seed, by name; `unit` is told by the name's last word in parentheses. */
+export type Figures = Readonly<Record<string, number>>;
+
+/** Runs one group on one server, as the product and with single callers unless said otherwise. */
+export async function runOneGroup(seed: number, scenario: Partial<Scenario> & Pick<Scenario, 'groups' | 'lengthMs'>): Promise<GroupOutcome> {
+	const [outcome] = await runScenario({
+		seed,
+		policy: PRODUCT,
+		callers: CallerKind.Single,
+		mix: USERS_MIX,
+		slots: SLOTS,
+		owners: 1,
+		...scenario,
+	});
+	return outcome!;
+}
+
+/** Runs `getFigures` for each seed and makes a measure of each figure; a name ends with its unit in parentheses. */
+export async function measureSeeds(seeds: readonly number[], getFigures: (seed: number) => Promise<Figures>): Promise<readonly Measure[]> {
+	const runs: Figures[] = [];
+	for (const seed of seeds) {
+		runs.push(await getFigures(seed));
+	}
+
+	return Object.keys(runs[0] ?? {}).map(title => {
+		const {name, unit} = /^(?<name>.*) \((?<unit>[^\(\)]+)\)$/v.exec(title)!.groups as {name: string; unit: string};
+		return createMeasure(name, unit, runs.map(run => run[title]!));
+	});
+}
+
+/** Measures several policies the same way: the first is the product, the others its baselines. */
+export async function comparePolicies(
+	policies: readonly Policy[],
+	{seeds, report}: ExperimentOptions,
+	getFigures: (seed: number, policy: Policy) => Promise<Figures>,
+): Promise<Pick<Part, 'measures' | 'baselines'>> {
+	const variants: Variant[] = [];
+	for (const policy of policies) {
+		report(`  ${policy.name}`);
+		variants.push({name: policy.name, measures: await measureSeeds(seeds, async seed => getFigures(seed, policy))});
+	}
+
+	return {measures: variants[0]!.measures, baselines: variants.slice(1)};
+}
+
+/** The median of a measure by its name. */
+export function getValue(measures: readonly Measure[], name: string): number {
+	return measures.find(measure => measure.name === name)?.value ?? Number.NaN;
+}
--- /dev/null
+++ b/src/bench/overload/scenario.ts
@@ -0,0 +1,130 @@
+import type {Random} from '../../random/random.js';
+import {createSeededRandom} from '../../random/seeded-random.js';
+import {createRetries, type Retries} from '../../retries/create-retries.js';
+import {createVirtualSchedule, type VirtualSchedule} from '../virtual-schedule.js';
+import {createCallerModel, type CallerKind, type CallerOutcome} from './caller-model.js';
+import {createEntryModel} from './entry-model.js';
+import {createOwnerModel} from './owner-model.js';
+import type {Policy} from './policies.js';
+import {createServerModel, type ServerModel} from './server-model.js';
+import {
+	drawClass, drawGapMs, getCapacity, type Mix,
+} from './traffic.js';
+
+/** One run of callers, entry, owners and a server for each group. */
+export type Scenario = {
+	readonly seed: number;
+	readonly policy: Policy;
+	readonly callers: CallerKind;
+	readonly mix: Mix;
+	readonly slots: number;
+	/** How many owners share each server. */
+	readonly owners: number;
+	readonly groups: readonly GroupPlan[];
+	/** Whether all groups draw on one retry budget. */
+	readonly hasSharedBudget?: boolean;
+	/** How long callers send requests, in milliseconds. */
+	readonly lengthMs: number;
+};
+
+/** What happens to one group. */
+export type GroupPlan = {
+	/** Fresh requests at that time, as a multiple of what the server can do. */
+	getLoad(at: number): number;
+	/** Faults of the server. */
+	readonly faults: readonly Fault[];
+};
+
+/** Something done to a server at a set time. */
+export type Fault = {
+	readonly at: number;
+	apply(server: ServerModel): void;
+};
+
+/** What became of one group's requests. */
+export type GroupOutcome = {
+	readonly outcomes: readonly CallerOutcome[];
+	/** Fresh requests and retries that reached an owner. */
+	readonly tries: number;
+};
+
+const ROUND_TRIP_MS = 2;
+
+/** Time after the last request in which answers may still come. */
+const TAIL_MS = 30_000;
+
+/** A floor of the budget that no run uses up. */
+const UNLIMITED_RETRIES = 1e6;
+
+/** How often the load is looked up while no request comes, in milliseconds. */
+const IDLE_STEP_MS = 100;
+
+/** Runs a scenario and returns what became of each group's requests. */
+export async function runScenario(scenario: Scenario): Promise<readonly GroupOutcome[]> {
+	const schedule = createVirtualSchedule();
+	const random = createSeededRandom(scenario.seed);
+	const retries = createRetries(scenario.policy.hasRetryBudget ? {} : {floorPerSecond: UNLIMITED_RETRIES});
+	const groups = scenario.groups.map((plan, i) => startGroup({
+		scenario, plan, schedule, random, retries, budgetName: scenario.hasSharedBudget ? 'all' : `group-${i}`,
+	}));
+	await schedule.runUntil(scenario.lengthMs + TAIL_MS);
+	return groups;
+}
+
+type GroupOptions = {
+	readonly scenario: Scenario;
+	readonly plan: GroupPlan;
+	readonly schedule: VirtualSchedule;
+	readonly random: Random;
+	readonly retries: Retries;
+	readonly budgetName: string;
+};
+
+function startGroup(options: GroupOptions): GroupOutcome {
+	const {
+		scenario, plan, schedule, random, retries, budgetName,
+	} = options;
+	const {policy, mix, slots} = scenario;
+	const outcome = {outcomes: [] as CallerOutcome[], tries: 0};
+	const server = createServerModel(schedule, slots, ROUND_TRIP_MS);
+	const owners = Array.from({length: scenario.owners}, () => createOwnerModel({
+		schedule, server, givesUp: policy.givesUp, admission: policy.createAdmission({slots, owners: scenario.owners, clock: schedule}),
+	}));
+	const entry = createEntryModel({
+		schedule,
+		random,
+		owners,
+		retries,
+		group: budgetName,
+		onTry() {
+			outcome.tries++;
+		},
+	});
+	const call = createCallerModel({
+		schedule, random, mix, kind: scenario.callers, entry,
+	});
+
+	for (const fault of plan.faults) {
+		schedule.at(fault.at, () => {
+			fault.apply(server);
+		});
+	}
+
+	const arrive = async () => {
+		while (schedule.now() < scenario.lengthMs) {
+			const perSecond = plan.getLoad(schedule.now()) * getCapacity(mix, slots);
+			if (perSecond <= 0) {
+				await schedule.sleep(IDLE_STEP_MS);
+				continue;
+			}
+
+			await schedule.sleep(drawGapMs(perSecond, random));
+			void call(drawClass(mix, random)).then(result => {
+				outcome.outcomes.push(result);
+			});
+		}
+	};
+
+	void arrive();
+	return outcome;
+}
--- /dev/null
+++ b/src/bench/write-result.ts
@@ -0,0 +1,17 @@
+import {mkdir, writeFile} from 'node:fs/promises';
+import path from 'node:path';
+import type {ExperimentResult} from './experiment.js';
+import {drawPlots} from './svg-plot.js';
+
+/** Writes a result as JSON to `file` and its plots beside it as `.svg`; returns the files written. */
+export async function writeResult(result: ExperimentResult, file: string): Promise<readonly string[]> {
+	await mkdir(path.dirname(file), {recursive: true});
+	await writeFile(file, `${JSON.stringify(result, undefined, '\t')}\n`);
+	if (result.plots.length === 0) {
+		return [file];
+	}
+
+	const plotFile = file.replace(/\.json$/v, '') + '.svg';
+	await writeFile(plotFile, drawPlots(result.plots));
+	return [file, plotFile];
+}
--- a/src/retries/retry-budget.ts
+++ b/src/retries/retry-budget.ts
@@ -10,7 +10,7 @@
 	noteFresh(now: number): void;
 	/** Takes one retry out of the budget; false where it is exhausted. */
 	take(now: number): boolean;
-	/** What is left, for {@link getNextTry}. */
+	/** What is left. */
 	getState(now: number): RetryBudgetState;
 };
 
@@ -20,6 +20,8 @@
 	readonly left: number;
 	/** How long until one more retry may be made at the present rate of fresh requests, in milliseconds; 0 where one may be made now. */
 	readonly nextAfterMs: number;
+	/** Mean time between fresh requests, in milliseconds; Infinity where there were none. */
+	readonly freshEveryMs: number;
 };
 
 /** What a budget is made of. */
@@ -80,7 +82,7 @@
 		},
 		getState(at) {
 			age(at);
-			return {left, nextAfterMs: getNextAfterMs()};
+			return {left, nextAfterMs: getNextAfterMs(), freshEveryMs: keepMs / fresh};
 		},
 	};
 }
--- a/src/retries/retry-policy.ts
+++ b/src/retries/retry-policy.ts
@@ -27,7 +27,7 @@
 	/** Tries made so far, from 1. */
 	readonly tries: number;
 	readonly deadlineAt: number;
-	readonly budget: RetryBudgetState;
+	readonly budget: Pick<RetryBudgetState, 'left' | 'nextAfterMs'>;
 	/** A random number from 0 up to but not including 1. */
 	readonly fraction: number;
 };
