--- a/src/daemon/register-entry.ts
+++ b/src/daemon/register-entry.ts
@@ -1,6 +1,6 @@
 import {createExplanations} from '../explanations/create-explanations.js';
 import type {Kernel} from '../kernel/kernel.js';
-import {createRetryBudgets} from '../retries/retry-budgets.js';
+import {createRetries} from '../retries/create-retries.js';
 import {createAsker} from '../routing/asked-request.js';
 import {createEntry} from '../routing/create-entry.js';
 import {createEntryAnswers} from '../routing/entry-answers.js';
@@ -29,7 +29,7 @@
 	const ownerClient = createOwnerClient({
 		clock: common.clock, hosts, peers, owners: kernel.getOrThrow('owners'), transactions: kernel.getOrThrow('transactions'),
 	});
-	const retryBudgets = createRetryBudgets();
+	const retries = createRetries();
 	const asker = createAsker({...common, configuration: kernel.getOrThrow('configuration'), sessions});
 	const answers = createEntryAnswers({
 		...common,
@@ -50,7 +50,7 @@
 		hosts,
 		owning: kernel.getOrThrow('owning'),
 		ownerClient,
-		retryBudgets,
+		retries,
 		onRetry({refusal}) {
 			if (refusal) {
 				kernel.get('metrics')?.countRetry(refusal.code);
@@ -59,7 +59,7 @@
 	});
 	kernel.register('entry', {
 		...createEntry({
-			asker, answers, tries, ownerClient, retryBudgets,
+			asker, answers, tries, ownerClient, retries,
 		}),
 		...createTransactionEntry({
 			asker, answers, tries, ownerClient, hosts,
--- a/src/daemon/register-owners.ts
+++ b/src/daemon/register-owners.ts
@@ -45,7 +45,7 @@
 		getGroup: () => configuration.getGroupOrThrow(group),
 		isEndpointLeaving: address => hosts.isEndpointLeaving(address),
 		createAdmission: (endpoint, cfg) => createAdmission({
-			endpoint: endpoint.name, slots: endpoint.slots, shares: cfg.classShares, clock, random,
+			endpoint: endpoint.name, slots: endpoint.slots, owners: cfg.owners, shares: cfg.classShares, clock,
 		}),
 		createFailover: context => createGroupFailover({
 			...common,
--- a/src/routing/create-entry.ts
+++ b/src/routing/create-entry.ts
@@ -2,7 +2,7 @@
 import type {Entry} from '../callers/entry.js';
 import type {VersionedGroup} from '../configuration/configuration.js';
 import {RefusalCode} from '../refusals/refusal.js';
-import type {RetryBudgets} from '../retries/retry-budgets.js';
+import type {Retries} from '../retries/create-retries.js';
 import type {AskedRequest, Asker} from './asked-request.js';
 import type {EntryAnswers} from './entry-answers.js';
 import {judgeAge} from './entry-refusals.js';
@@ -18,7 +18,7 @@
 	readonly answers: EntryAnswers;
 	readonly tries: RequestTries;
 	readonly ownerClient: OwnerClient;
-	readonly retryBudgets: RetryBudgets;
+	readonly retries: Retries;
 };
 
 /** The part of a deadline kept back to settle what an unsure try left, in milliseconds, and its share of the deadline. */
@@ -31,7 +31,7 @@
 /** Creates the entry's way for single requests; transactions have their own. */
 export function createEntry(options: EntryOptions): Pick<Entry, 'execute' | 'resolveOutcome'> {
 	const {
-		asker, answers, tries, ownerClient, retryBudgets,
+		asker, answers, tries, ownerClient, retries,
 	} = options;
 
 	const runTries = async (asked: AskedRequest, group: VersionedGroup, req: CallerRequest): Promise<TriesEnd> => {
@@ -66,7 +66,7 @@
 				return answers.refuse(asked, refusal!);
 			}
 
-			retryBudgets.getBudget(name, asked.startedAt).noteFresh(asked.startedAt);
+			retries.noteFresh(name, asked.startedAt);
 			return answers.answer(asked, await runTries(asked, judgement.group, req));
 		},
 		async resolveOutcome(name, requestId, header) {
--- a/src/routing/request-tries.ts
+++ b/src/routing/request-tries.ts
@@ -4,7 +4,7 @@
 import type {Hosts, Owning} from '../membership/hosts.js';
 import type {Random} from '../random/random.js';
 import {RefusalCode} from '../refusals/refusal.js';
-import type {RetryBudgets} from '../retries/retry-budgets.js';
+import type {Retries} from '../retries/create-retries.js';
 import type {Clock} from '../time/clock.js';
 import type {AskedRequest} from './asked-request.js';
 import type {OwnerClient} from './owner-client.js';
@@ -27,7 +27,7 @@
 	readonly hosts: Hosts;
 	readonly owning: Owning;
 	readonly ownerClient: OwnerClient;
-	readonly retryBudgets: RetryBudgets;
+	readonly retries: Retries;
 	/** Told of every retry, for metrics. */
 	onRetry?(answer: OwnerAnswer): void;
 };
@@ -47,7 +47,7 @@
 		preferred: hosts.self.name,
 		deadlineAt,
 		isRead: asked.asked === RequestKind.Read,
-		budget: options.retryBudgets.getBudget(asked.group, clock.now()),
+		retries: options.retries,
 		onRetry: options.onRetry,
 	}, attempt);
 
--- a/src/routing/try-owners.ts
+++ b/src/routing/try-owners.ts
@@ -4,8 +4,9 @@
 import type {Random} from '../random/random.js';
 import {RefusalCode} from '../refusals/refusal.js';
 import type {Clock} from '../time/clock.js';
-import type {RetryBudget} from '../retries/retry-budget.js';
-import {getNextTry, type FailedTry} from '../retries/retry-policy.js';
+import type {Retries} from '../retries/create-retries.js';
+import {GiveUpReason, type FailedTry} from '../retries/retry-policy.js';
+import {createRetryBudgetRefusal} from '../retries/retry-refusals.js';
 import type {OwnerAnswer} from './owner-request.js';
 
 /** One try at one owner, with the time that is left in milliseconds. */
@@ -30,19 +31,19 @@
 	readonly preferred: string;
 	readonly isRead: boolean;
 	readonly deadlineAt: number;
-	readonly budget: RetryBudget;
+	readonly retries: Retries;
 	onRetry?(answer: OwnerAnswer): void;
 };
 
 /** Tries the owners of a group in turn until one settles the request or its deadline is near. This layer alone retries. */
 export async function tryOwners(options: TryOwnersOptions, attempt: OwnerTry): Promise<TriesEnd> {
-	const {clock, random, deadlineAt, budget} = options;
+	const {clock, random, deadlineAt, group, retries} = options;
 	const turns = createTurns(options);
 	let unsure = false;
 
 	for (let tries = 1; ; tries++) {
 		const host = turns.next(clock.now());
-		const answer = host ? await attempt(host, Math.max(1, deadlineAt - clock.now())) : refuseNoOwners(options.group);
+		const answer = host ? await attempt(host, Math.max(1, deadlineAt - clock.now())) : refuseNoOwners(group);
 		unsure = answer.outcome === Outcome.Unknown || (unsure && !isSettled(answer));
 		if (answer.outcome === Outcome.Done) {
 			return {answer, tries, unsure};
@@ -50,15 +51,12 @@
 
 		const now = clock.now();
 		const failed = describeFailedTry(answer, options.isRead, turns.isOtherLeft(now));
-		const next = getNextTry({
-			failed, tries, deadlineAt, budget: budget.getState(now), fraction: random.fraction(),
+		const next = retries.decide({
+			group, failed, tries, deadlineAt, fraction: random.fraction(),
 		}, now);
 		if (!next.retry) {
-			return {answer: withRetryAfter(answer, next.retryAfterMs), tries, unsure};
-		}
-
-		if (next.spendsBudget) {
-			budget.take(now);
+			const last = next.reason === GiveUpReason.Budget ? describeSpentBudget(options, answer, tries, now) : answer;
+			return {answer: withRetryAfter(last, next.retryAfterMs), tries, unsure};
 		}
 
 		options.onRetry?.(answer);
@@ -83,6 +81,17 @@
 	};
 }
 
+function describeSpentBudget(options: TryOwnersOptions, answer: OwnerAnswer, tries: number, now: number): OwnerAnswer {
+	const refusal = createRetryBudgetRefusal({
+		group: options.group,
+		tries,
+		budget: options.retries.getBudget(options.group, now).getState(now),
+		lastCode: answer.refusal?.code,
+		retryAfterMs: answer.refusal?.retryAfterMs ?? 0,
+	});
+	return {...answer, refusal};
+}
+
 function withRetryAfter(answer: OwnerAnswer, retryAfterMs: number | undefined): OwnerAnswer {
 	return answer.refusal && retryAfterMs !== undefined ? {...answer, refusal: {...answer.refusal, retryAfterMs}} : answer;
 }
--- a/src/stand-ins/processes/local-system.ts
+++ b/src/stand-ins/processes/local-system.ts
@@ -41,8 +41,7 @@
 	readonly groups: readonly LocalGroupOptions[];
 	/** Availability zones of the proxies, in turn. */
 	readonly availabilityZones: readonly string[];
-	/** Bunyan level of the daemons; their lines go nowhere unless `onLine` takes them. */
-	readonly logLevel?: string;
+	/** Takes the daemons' log lines; without it they go nowhere. */
 	onLine?(proxy: string, line: string): void;
 	/** Further flags of every daemon. */
 	readonly flags?: readonly string[];
@@ -172,7 +171,6 @@
 					'peer-keys': PEER_KEY,
 					'endpoint-user': 'aldercroft',
 					'endpoint-password': 'stand-in',
-					'log-level': options.logLevel ?? 'info',
 				}),
 				...options.flags ?? [],
 			],
