--- /dev/null
+++ b/tests/daemon/create-daemon-tests.ts
@@ -0,0 +1,103 @@
+import {expect} from 'chai';
+import type {CallerAnswer, CallerRefusal} from '../../src/callers/caller-answer.js';
+import {createDaemon, type Daemon} from '../../src/daemon/create-daemon.js';
+import {createStubDaemon, type StubDaemon} from './stub-daemon.js';
+
+describe('daemon', () => {
+	let stub: StubDaemon;
+	let daemon: Daemon;
+	let openTransactions: number;
+
+	beforeEach(() => {
+		stub = createStubDaemon();
+		openTransactions = 0;
+		daemon = createDaemon({...stub, countOpenTransactions: () => openTransactions});
+	});
+
+	afterEach(async () => {
+		await stub.clock.runUntil(daemon.stop());
+	});
+
+	const send = async (port: number, path: string, body?: string) => {
+		const res = await fetch(`http://127.0.0.1:${port}${path}`, {method: body === undefined ? 'GET' : 'POST', body, headers: body === undefined ? {} : {'content-type': 'application/json', authorization: 'Bearer x'}});
+		return [res.status, await res.json()] as [number, Record<string, unknown>];
+	};
+
+	const askReady = async () => send(daemon.kernel.getOrThrow('operators').port, '/ready');
+
+	const read = async () => send(daemon.kernel.getOrThrow('callers').port, '/v1/groups/sleep/requests', '{"kind":"read","statement":"x"}');
+
+	it('serves callers and operators', async () => {
+		await daemon.start();
+		const [status, answer] = await read();
+		expect([status, answer.outcome]).to.deep.equal([200, 'done']);
+		const command = await send(daemon.kernel.getOrThrow('operators').port, '/v1/commands', '{"command":"show hosts"}');
+		expect(command).to.deep.equal([200, {status: 'ok', text: 'show hosts', data: null}]);
+	});
+
+	// A host starts while the platform is down. Were it called ready, the balancer would send it callers that it can only refuse.
+	it('is ready only between its start, with a configuration, and its stop', async () => {
+		stub.behaviour.loaded = false;
+		stub.behaviour.start = async () => {
+			expect(await askReady()).to.deep.equal([503, {ready: false, reason: 'starting'}]);
+		};
+
+		await daemon.start();
+		expect(await askReady()).to.deep.equal([503, {ready: false, reason: 'no configuration'}]);
+		stub.behaviour.loaded = true;
+		expect(await askReady()).to.deep.equal([200, {ready: true}]);
+		const stopping = daemon.stop();
+		expect(await askReady()).to.deep.equal([503, {ready: false, reason: 'leaving'}]);
+		await stub.clock.runUntil(stopping);
+	});
+
+	// A host is replaced with a read at the database, a filing's transaction open, and a balancer that has not noticed yet.
+	it('stops in order: new work refused, work in flight ended, then the services in reverse', async () => {
+		await daemon.start();
+		let finish!: (answer: CallerAnswer) => void;
+		stub.behaviour.execute = async () => new Promise(resolve => {
+			stub.events.push('reading');
+			finish = resolve;
+		});
+		const inFlight = read();
+		while (!stub.events.includes('reading')) {
+			await stub.clock.advance(0);
+		}
+
+		openTransactions = 1;
+		const stopping = daemon.stop();
+		const [status, refused] = await read();
+		expect([status, (refused.refusal as CallerRefusal).code]).to.deep.equal([503, 'host-leaving']);
+		await stub.clock.advance(3000);
+		expect(stub.events).to.deep.equal(['inside starts', 'reading']);
+
+		finish({outcome: 'done', requestId: ''});
+		const [answered] = await inFlight;
+		expect(answered).to.equal(200);
+		await stub.clock.advance(3000);
+		expect(stub.events).to.deep.equal(['inside starts', 'reading']);
+
+		openTransactions = 0;
+		await stub.clock.runUntil(stopping);
+		expect(stub.events).to.deep.equal(['inside starts', 'reading', 'inside stops', 'platform stops']);
+	});
+
+	it('goes on telling callers to come back until the balancer has had time to notice', async () => {
+		await daemon.start();
+		const stopping = daemon.stop();
+		await stub.clock.advance(1999);
+		const [status] = await read();
+		expect(status).to.equal(503);
+		expect(stub.events).to.not.include('inside stops');
+		await stub.clock.runUntil(stopping);
+	});
+
+	it('ends within its bound when a service does not', async () => {
+		await daemon.start();
+		stub.behaviour.stop = async () => new Promise(() => {}); // eslint-disable-line @typescript-eslint/no-empty-function
+		const stoppedAt = stub.clock.now() + 10_000;
+		await stub.clock.runUntil(daemon.stop());
+		expect(stub.clock.now()).to.equal(stoppedAt);
+		expect(stub.events.at(-1)).to.equal('the services did not stop within the bound');
+	});
+});
--- /dev/null
+++ b/tests/daemon/stub-daemon.ts
@@ -0,0 +1,94 @@
+import type {CallerAnswer} from '../../src/callers/caller-answer.js';
+import type {DaemonParts} from '../../src/daemon/create-daemon.js';
+import type {Kernel} from '../../src/kernel/kernel.js';
+import type {Service} from '../../src/kernel/service.js';
+import type {LogFields} from '../../src/log/log.js';
+import {createPromMetrics} from '../../src/metrics/prom-metrics.js';
+import {createSeededRandom} from '../../src/random/seeded-random.js';
+import type {Settings} from '../../src/settings/settings.js';
+import {createVirtualClock, type VirtualClock} from '../../src/stand-ins/time/virtual-clock.js';
+
+const KEY = 'k'.repeat(32);
+
+export const STUB_SETTINGS: Settings = {
+	hostName: 'entry-1',
+	hostAddress: '127.0.0.1',
+	availabilityZone: 'hall-a',
+	callerPort: 0,
+	peerPort: 0,
+	operatorPort: 0,
+	platformUrl: 'http://127.0.0.1:1',
+	signingKeys: [KEY],
+	peerKeys: [KEY],
+	endpointUser: 'aldercroft',
+	endpointPassword: 'hush',
+	endpointDatabase: 'postgres',
+	logLevel: 'info',
+	shutdownMs: 10_000,
+	leaveNoticeMs: 2000,
+};
+
+/** A daemon's surroundings that keep a list of what happened to them. */
+export type StubDaemon = {
+	readonly clock: VirtualClock;
+	readonly events: string[];
+	readonly parts: DaemonParts;
+	readonly registerServices: (kernel: Kernel) => void;
+	/** What the stubs do; a test changes it. */
+	readonly behaviour: {
+		loaded: boolean;
+		execute: () => Promise<CallerAnswer>;
+		start: () => Promise<void>;
+		stop: () => Promise<void>;
+	};
+};
+
+/** Creates surroundings in which everything works. */
+export function createStubDaemon(): StubDaemon {
+	const clock = createVirtualClock();
+	const events: string[] = [];
+	const behaviour: StubDaemon['behaviour'] = {
+		loaded: true,
+		execute: async () => ({outcome: 'done', requestId: ''}),
+		async start() {
+			events.push('inside starts');
+		},
+		async stop() {
+			events.push('inside stops');
+		},
+	};
+	const write = (sentence: string, fields?: LogFields) => {
+		events.push([sentence, (fields?.err as Error | undefined)?.message].filter(Boolean).join(': '));
+	};
+
+	const log = {
+		debug: write, info: write, warn: write, error: write, part: () => log,
+	};
+	const outside: Service = {
+		async stop() {
+			events.push('platform stops');
+		},
+	};
+	const parts = {
+		clock, random: createSeededRandom(1), settings: STUB_SETTINGS, log, metrics: createPromMetrics(), platform: outside, peers: {}, endpoints: {},
+	} as unknown as DaemonParts;
+
+	const registerServices = (kernel: Kernel) => {
+		const configuration = {
+			get loaded() {
+				return behaviour.loaded;
+			},
+			start: async () => behaviour.start(),
+			stop: async () => behaviour.stop(),
+		};
+		kernel.register('configuration', configuration as never);
+		kernel.register('explanations', {record: () => 'ticket'} as never);
+		kernel.register('entry', {execute: async () => behaviour.execute()} as never);
+		kernel.register('operatorAccess', {identify: () => ({name: 'dana', role: 'view'})});
+		kernel.register('operatorCommands', {run: async command => ({status: 'ok', text: command, data: null})});
+	};
+
+	return {
+		clock, events, parts, registerServices, behaviour,
+	};
+}
