--- a/src/daemon/create-daemon.ts
+++ b/src/daemon/create-daemon.ts
@@ -95,7 +95,7 @@
 		async stop() {
 			const served = phase === DaemonPhase.Serving;
 			phase = DaemonPhase.Leaving;
-			const stopped = {timedOut: await stopServices(served).then(() => false)};
+			const stopped = await withinMs(clock, settings.shutdownMs, stopServices(served));
 			if (stopped.timedOut) {
 				log.warn('the services did not stop within the bound', {shutdownMs: settings.shutdownMs});
 			}
