--- a/src/stand-ins/database/in-memory-endpoints.ts
+++ b/src/stand-ins/database/in-memory-endpoints.ts
@@ -36,9 +36,11 @@
 	const open = async (address: string, server: DatabaseServer): Promise<DatabaseSession> => {
 		const link = getLink(address);
 		await link.carry(link.epoch);
-		const session = await server.connect(host);
-		await link.carry(link.epoch);
-		return session;
+		try {
+			return await server.connect(host);
+		} finally {
+			await link.carry(link.epoch);
+		}
 	};
 
 	const getEndpoint = (address: string): Endpoint => ({
--- a/tests/stand-ins/database/endpoint-contract.ts
+++ b/tests/stand-ins/database/endpoint-contract.ts
@@ -170,6 +170,20 @@
 			'ran [] primary 1/4 of 1',
 		]);
 
+		doTest('two transactions that both create a table share it', async steps => [
+			await steps.begin(0, 'a'),
+			await steps.run(0, INSERT, ['ana', 7]),
+			await steps.insert(3, 'b', ['ana', 8]),
+			await steps.commit(0),
+			await steps.read(0, 'ana'),
+		], [
+			'ran [] primary 1/1 of 1',
+			'[{"member":"ana","score":7}]',
+			'ran [{"member":"ana","score":8}] primary 1/2 of 1',
+			'ran [] primary 1/3 of 1',
+			'held [{"member":"ana","score":7},{"member":"ana","score":8}] primary 1/3 of 1',
+		]);
+
 		doTest('a failed transaction can only be rolled back, and takes its key back', async steps => [
 			await steps.begin(0, 'a'),
 			await steps.run(0, INSERT, ['ana', 7]),
