--- a/src/stand-ins/database/database-session.ts
+++ b/src/stand-ins/database/database-session.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '../../time/clock.js';
+import {createDeadlineWatch} from '../../time/deadline-watch.js';
 import type {Backend} from './backend.js';
 import {throwConnectionLost} from './database-errors.js';
 import type {ExchangeKind} from './exchange-kind.js';
@@ -45,7 +46,6 @@
 	let gone = false;
 	let silent = false;
 	let active = false;
-	let idle = new AbortController();
 
 	const checkAlive = () => {
 		if (!alive) {
@@ -58,7 +58,7 @@
 	const end = () => {
 		if (alive) {
 			alive = false;
-			idle.abort();
+			idleWatch.stop();
 			backend.rollback();
 			options.onEnd();
 		}
@@ -82,16 +82,11 @@
 		}
 	};
 
-	const watchIdleTransaction = async () => {
-		const {signal} = idle;
-		await clock.sleep(options.idleInTransactionMs, signal);
-		if (!signal.aborted) {
-			drop();
-		}
-	};
+	/** A transaction whose client is gone unnoticed must not hold its key and rows for ever. */
+	const idleWatch = createDeadlineWatch(clock, drop);
 
 	const beginExchange = () => {
-		idle.abort();
+		idleWatch.clear();
 		active = true;
 	};
 
@@ -100,8 +95,7 @@
 		if (gone) {
 			end();
 		} else if (backend.inTransaction) {
-			idle = new AbortController();
-			void watchIdleTransaction();
+			idleWatch.set(clock.now() + options.idleInTransactionMs);
 		}
 	};
 
--- a/tests/endpoints/pg-endpoint-tests.ts
+++ b/tests/endpoints/pg-endpoint-tests.ts
@@ -1,6 +1,9 @@
+import {expect} from 'chai';
+import {isEndpointError} from '../../src/endpoints/endpoint-errors.js';
+import type {Endpoints} from '../../src/endpoints/endpoint.js';
 import {createPgEndpoints} from '../../src/endpoints/pg-endpoint.js';
 import {createSeededRandom} from '../../src/random/seeded-random.js';
-import {startPgGroup} from '../../src/stand-ins/database/pg-group.js';
+import {startPgGroup, type PgGroup} from '../../src/stand-ins/database/pg-group.js';
 import {createSystemClock} from '../../src/time/system-clock.js';
 import {describeEndpointContract} from '../stand-ins/database/endpoint-contract.js';
 
@@ -18,3 +21,34 @@
 		group, endpoints, settle: async promise => promise, stop,
 	};
 });
+
+describe('connecting over the PostgreSQL protocol', () => {
+	const doTest = (title: string, connect: (group: PgGroup, endpoints: Endpoints) => Promise<unknown>, expected: string) => {
+		it(title, async () => {
+			const clock = createSystemClock();
+			const group = await startPgGroup({
+				host: HOST, ports: [0], password: 'secret', clock, random: createSeededRandom(1),
+			});
+			const endpoints = createPgEndpoints({
+				user: 'aldercroft', password: title.includes('password') ? 'wrong' : 'secret', database: 'nights', clock,
+			});
+			const outcome = await connect(group, endpoints).then(() => 'open', (err: unknown) =>
+				isEndpointError(err) ? `sent ${err.sent}: ${err.message.split('\n', 1)[0]!.replace(/:\d+$/v, '')}` : String(err));
+			await group.stop();
+			expect(outcome).to.equal(expected);
+		});
+	};
+
+	const connect = async ({group}: PgGroup, endpoints: Endpoints) => endpoints.getEndpoint(group.servers[0]!.address).connect(50);
+
+	doTest('opens', connect, 'open');
+	doTest('tells a wrong password', connect, 'sent false: error: password authentication failed');
+	doTest('tells that nobody listens', async (group, endpoints) => {
+		await group.stop();
+		return connect(group, endpoints);
+	}, 'sent false: connect ECONNREFUSED 127.0.0.1');
+	doTest('gives up on a server that accepts and says nothing', async (group, endpoints) => {
+		group.group.servers[0]!.faults.freeze();
+		return connect(group, endpoints);
+	}, 'sent false: not open within 50 ms');
+});
