--- a/src/endpoints/pg-connection.ts
+++ b/src/endpoints/pg-connection.ts
@@ -90,19 +90,19 @@
 		},
 		status: async timeoutMs => runner.run('status', timeoutMs, getStatus),
 		waitFor: async ({term, position}, waitMs, timeoutMs) => runner.run('waitFor', timeoutMs, async () =>
-			call(PgCalls.WaitFor, [term, position, waitMs], endpointStatusSchema)),
+			call(PgCalls.WaitFor, [term, position, Math.ceil(waitMs)], endpointStatusSchema)),
 		fence: async (term, timeoutMs) => runner.run('fence', timeoutMs, async () => call(PgCalls.Fence, [term], termAnswerSchema)),
 		promote: async (term, timeoutMs) => runner.run('promote', timeoutMs, async () => call(PgCalls.Promote, [term], termAnswerSchema)),
 		follow: async (term, primary, timeoutMs) => runner.run('follow', timeoutMs, async () => call(PgCalls.Follow, [term, primary], termAnswerSchema)),
 		write: async ({requestId, digest, statement, values, term}, timeoutMs) => runner.run('write', timeoutMs, async () =>
-			call(PgCalls.Write, [requestId, digest, statement, JSON.stringify(values), term, timeoutMs], keyedWriteAnswerSchema)),
+			call(PgCalls.Write, [requestId, digest, statement, JSON.stringify(values), term, Math.ceil(timeoutMs)], keyedWriteAnswerSchema)),
 		resolve: async (requestId, term, timeoutMs) => runner.run('resolve', timeoutMs, async () =>
-			call(PgCalls.Resolve, [requestId, term, timeoutMs], keyedWriteAnswerSchema)),
+			call(PgCalls.Resolve, [requestId, term, Math.ceil(timeoutMs)], keyedWriteAnswerSchema)),
 		read: async ({statement, values, floor}, timeoutMs) => runner.run('read', timeoutMs, async () =>
 			call(PgCalls.Read, [statement, JSON.stringify(values), floor.term, floor.position], floorReadAnswerSchema)),
 		begin: async ({requestId, digest, term}, timeoutMs) => runner.run('begin', timeoutMs, async () => {
 			await client.query('BEGIN');
-			const answer = await call(PgCalls.BeginKey, [requestId, digest, term, timeoutMs], keyedWriteAnswerSchema);
+			const answer = await call(PgCalls.BeginKey, [requestId, digest, term, Math.ceil(timeoutMs)], keyedWriteAnswerSchema);
 			if (answer.result !== KeyedWriteResult.Ran) {
 				await client.query('ROLLBACK');
 			}
--- a/src/stand-ins/database/database-server.ts
+++ b/src/stand-ins/database/database-server.ts
@@ -31,7 +31,7 @@
 	setLeaving(leaving: boolean): void;
 	/** Goes on with replication after a change elsewhere in the group. */
 	wake(): void;
-	/** Ends the server's background work. */
+	/** Ends the server's connections and background work. */
 	stop(): void;
 };
 
@@ -137,6 +137,12 @@
 		return session;
 	};
 
+	const dropSessions = () => {
+		for (const session of sessions) {
+			session.drop();
+		}
+	};
+
 	return {
 		address,
 		member,
@@ -160,10 +166,7 @@
 			return sessions.size < sizes.connections ? openSession(from) : throwTooManyConnections(address);
 		},
 		kill() {
-			for (const session of sessions) {
-				session.drop();
-			}
-
+			dropSessions();
 			memory = createServerMemory(sizes.slots);
 			faults.setKilled(true);
 		},
@@ -181,7 +184,10 @@
 		setReplicationStalled: replication.setStalled,
 		setLeaving: member.setLeaving,
 		wake: replication.wake,
-		stop: replication.stop,
+		stop() {
+			dropSessions();
+			replication.stop();
+		},
 	};
 }
 
--- a/src/stand-ins/database/database-session.ts
+++ b/src/stand-ins/database/database-session.ts
@@ -59,6 +59,7 @@
 		if (alive) {
 			alive = false;
 			idleWatch.stop();
+			keepAliveWatch.stop();
 			backend.rollback();
 			options.onEnd();
 		}
@@ -85,6 +86,9 @@
 	/** A transaction whose client is gone unnoticed must not hold its key and rows for ever. */
 	const idleWatch = createDeadlineWatch(clock, drop);
 
+	/** A connection that went silent must not count for ever among those granted. */
+	const keepAliveWatch = createDeadlineWatch(clock, drop);
+
 	const beginExchange = () => {
 		idleWatch.clear();
 		active = true;
@@ -143,7 +147,7 @@
 		},
 		silence() {
 			silent = true;
-			void clock.sleep(options.keepAliveMs).then(drop);
+			keepAliveWatch.set(clock.now() + options.keepAliveMs);
 		},
 		drop,
 		onDrop(listener) {
