--- a/src/explanations/batch-search.ts
+++ b/src/explanations/batch-search.ts
@@ -44,9 +44,9 @@
 async function searchMinutes(platform: Platform, requestId: string, times: readonly number[]): Promise<BatchSearchResult> {
 	const lists = await Promise.all(times.filter(time => time >= 0).map(async time => listMinute(platform, time)));
 	const objects = lists.flatMap(list => list?.objects ?? []);
-	const batches = await Promise.all(objects.map(async object => readRecordBatch(object.value)));
+	const batches = await Promise.all(objects.map(async object => readRecordBatch(object.value, requestId)));
 	const known = batches.filter(batch => batch !== undefined);
-	const records = known.flatMap(batch => batch.records.filter(record => record.requestId === requestId));
+	const records = known.flatMap(batch => batch.records);
 	const counts = known.flatMap(batch => batch.counts);
 	return {
 		records: records.toSorted((left, right) => left.at - right.at),
--- a/src/explanations/bounded-record.ts
+++ b/src/explanations/bounded-record.ts
@@ -55,13 +55,18 @@
 
 function boundFacts(facts: RefusalFacts): RefusalFacts {
 	const bounded: Record<string, string | number | boolean> = {};
-	for (const [name, value] of Object.entries(facts)) {
-		if (value !== undefined) {
-			bounded[cut(name, MAX_FACT_NAME)] = typeof value === 'string' ? cut(value, MAX_FACT_TEXT) : value;
+	let count = 0;
+	for (const name in facts) {
+		if (!Object.hasOwn(facts, name) || facts[name] === undefined) {
+			continue;
 		}
+
+		const value = facts[name];
+		bounded[cut(name, MAX_FACT_NAME)] = typeof value === 'string' ? cut(value, MAX_FACT_TEXT) : value;
+		count++;
 	}
 
-	return keepFacts(bounded, MAX_FACTS);
+	return count > MAX_FACTS ? keepFacts(bounded, MAX_FACTS) : bounded;
 }
 
 /**
--- a/src/explanations/record-batch.ts
+++ b/src/explanations/record-batch.ts
@@ -14,6 +14,9 @@
 /** Largest text that a batch may inflate to, in bytes. */
 const MAX_INFLATED_BYTES = 8_388_608;
 
+/** How far under its bound a batch that was too large is aimed. */
+const FIT_SHARE = 0.95;
+
 /** Minutes from the calendar time in a name. */
 const MINUTE_LENGTH = 'YYYYMMDDTHHMM'.length;
 
@@ -43,8 +46,8 @@
 /** The value of a platform object of kind `explanations`. */
 export type StoredBatch = z.infer<typeof storedBatchSchema>;
 
-/** A batch as it was read. */
-export type ReadBatch = {
+/** What a batch tells of one request. */
+export type BatchReading = {
 	readonly records: readonly RefusalRecord[];
 	readonly counts: readonly RefusalCount[];
 	readonly lostBefore: number;
@@ -61,12 +64,12 @@
 	readonly lostBefore: number;
 };
 
-/** Compresses a sample; keeps half of its records, and half again, until it fits. */
+/** Compresses a sample; leaves out records all along it until it fits. */
 export function createRecordBatch({host, sample, suffix, from, lostBefore}: RecordBatchOptions): RecordBatch {
 	let {records} = sample;
 	let text = compress(records);
 	while (text.length > MAX_BATCH_BYTES) {
-		records = records.filter((_, index) => index % 2 === 0);
+		records = keepShare(records, FIT_SHARE * MAX_BATCH_BYTES / text.length);
 		text = compress(records);
 	}
 
@@ -81,8 +84,8 @@
 	};
 }
 
-/** Reads a batch; undefined where the value is none. */
-export async function readRecordBatch(value: unknown): Promise<ReadBatch | undefined> {
+/** Finds the records of one request in a batch; undefined where the value is no batch. */
+export async function readRecordBatch(value: unknown, requestId: string): Promise<BatchReading | undefined> {
 	const parsed = storedBatchSchema.safeParse(value);
 	if (!parsed.success) {
 		return undefined;
@@ -91,7 +94,9 @@
 	const {records, counts, lostBefore} = parsed.data;
 	try {
 		const packed = await inflate(Buffer.from(records, 'base64'), {maxOutputLength: MAX_INFLATED_BYTES});
-		return {records: unpackRecords(packed), counts, lostBefore};
+		// A storm leaves hundreds of batches in a minute, and the id stands as text in the one that is looked for.
+		const found = packed.includes(requestId) ? unpackRecords(packed) : [];
+		return {records: found.filter(record => record.requestId === requestId), counts, lostBefore};
 	} catch {
 		return undefined;
 	}
@@ -102,6 +107,11 @@
 	return new Date(ms).toISOString().replaceAll(/[\-:]/gv, '').slice(0, MINUTE_LENGTH);
 }
 
+/** Keeps a share of the records, evenly along them. */
+function keepShare(records: readonly RefusalRecord[], share: number): RefusalRecord[] {
+	return records.filter((_, index) => Math.floor((index + 1) * share) > Math.floor(index * share));
+}
+
 function compress(records: readonly RefusalRecord[]): string {
 	return deflateRawSync(packRecords(records)).toString('base64');
 }
--- a/src/explanations/refusal-tickets.ts
+++ b/src/explanations/refusal-tickets.ts
@@ -1,5 +1,7 @@
 import {Buffer} from 'node:buffer';
-import {createHmac, timingSafeEqual} from 'node:crypto';
+import {
+	createHmac, createSecretKey, timingSafeEqual, type KeyObject,
+} from 'node:crypto';
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import {cut, keepFacts} from './bounded-record.js';
 import {packRecord, unpackRecord} from './record-codec.js';
@@ -40,7 +42,8 @@
 
 /** Creates the signer and reader of tickets. */
 export function createRefusalTickets({keys}: RefusalTicketsOptions): RefusalTickets {
-	const [currentKey] = keys;
+	const keyObjects = keys.map(key => createSecretKey(key, 'utf8'));
+	const [currentKey] = keyObjects;
 	if (currentKey === undefined) {
 		throw new Error('tickets need a signing key');
 	}
@@ -60,14 +63,14 @@
 
 			const given = Buffer.from(mac, 'base64url');
 			const signed = `${prefix}.${body}`;
-			const known = keys.some(key => given.length === MAC_BYTES && timingSafeEqual(given, getMac(signed, key)));
+			const known = keyObjects.some(key => given.length === MAC_BYTES && timingSafeEqual(given, getMac(signed, key)));
 			return known ? fromBody(Buffer.from(body, 'base64url')) : undefined;
 		},
 	};
 }
 
 /** The label keeps a session token's signature from passing for a ticket's, since both are made with the same keys. */
-function getMac(text: string, key: string): Uint8Array {
+function getMac(text: string, key: KeyObject): Uint8Array {
 	return createHmac('sha256', key).update('aldercroft refusal ticket\0').update(text).digest().subarray(0, MAC_BYTES);
 }
 
--- a/src/operators/change-commands.ts
+++ b/src/operators/change-commands.ts
@@ -94,7 +94,7 @@
 
 	const {endpoint} = command;
 	const groups = configuration.getGroups()
-		.filter(({cfg}) => cfg.endpoints.some(other => other.name === endpoint))
+		.filter(({cfg, deleted}) => !deleted && cfg.endpoints.some(other => other.name === endpoint))
 		.map(({cfg}) => cfg.name);
 	const [group, ...others] = groups;
 	if (group === undefined) {
--- a/src/operators/endpoint-orders.ts
+++ b/src/operators/endpoint-orders.ts
@@ -24,7 +24,7 @@
 
 	const left = cfg.endpoints.filter(other => other.name !== endpoint && other.order === EndpointOrder.Serve);
 	const missing = left.map(other => getTrouble(other.name, rows)).filter(trouble => trouble !== undefined);
-	const isPrimary = rows.some(row => row.name === endpoint && row.role === EndpointRole.Primary);
+	const isPrimary = findPrimary(rows)?.name === endpoint;
 	const remaining = left.length - missing.length;
 	const others = cfg.endpoints.filter(other => other.name !== endpoint && other.order !== EndpointOrder.Serve);
 	const causes = [...others.map(other => `${other.name} ${describeOrder(other.order)}`), ...missing];
@@ -39,6 +39,17 @@
 		: undefined;
 }
 
+/**
+ * The row of a group's primary, undefined where none is seen.
+ *
+ * A superseded primary that is cut off may still show itself as one, so the highest term decides.
+ */
+export function findPrimary(rows: readonly EndpointRow[]): EndpointRow | undefined {
+	return rows
+		.filter(row => row.role === EndpointRole.Primary)
+		.toSorted((left, right) => (right.term ?? 0) - (left.term ?? 0))[0];
+}
+
 /** An order as an endpoint's state: `serves`, `drains`, `is stopped`. */
 export function describeOrder(order: EndpointOrder): string {
 	const states = {
--- a/src/operators/group-change.ts
+++ b/src/operators/group-change.ts
@@ -2,14 +2,13 @@
 	DecisionKind, EVERY_FIELD, EXISTENCE_FIELD, type Change, type ChangeDecision,
 } from '../audit/change.js';
 import {OPERATORS_OBJECT, type GroupState} from '../audit/audited-kinds.js';
-import {EndpointRole} from '../endpoints/endpoint.js';
 import {
 	EndpointOrder, groupConfigSchema, type EndpointConfig, type GroupConfig,
 } from '../groups/group-config.js';
 import {
 	CommandKind, type CreateGroupCommand, type GroupCommand, type OrderEndpointCommand, type PromoteEndpointCommand, type SetSharesCommand,
 } from '../language/command.js';
-import {describeOrder, judgeOrder} from './endpoint-orders.js';
+import {describeOrder, findPrimary, judgeOrder} from './endpoint-orders.js';
 import type {EndpointRow} from './fleet-view.js';
 
 type Decision = ChangeDecision<GroupState>;
@@ -179,7 +178,7 @@
 		return refuseUnknownEndpoint(current.cfg, endpoint);
 	}
 
-	const primary = rows.find(row => row.role === EndpointRole.Primary)?.name;
+	const primary = findPrimary(rows)?.name;
 	if (primary === endpoint) {
 		return {kind: DecisionKind.Unchanged, fields};
 	}
--- a/src/operators/show-commands.ts
+++ b/src/operators/show-commands.ts
@@ -1,12 +1,12 @@
 import type {AuditTrail, ChangeRow} from '../audit/audit-trail.js';
 import type {Configuration, VersionedGroup} from '../configuration/configuration.js';
-import {EndpointRole} from '../endpoints/endpoint.js';
 import {WorkClass, type GroupConfig} from '../groups/group-config.js';
 import {
 	CommandKind, type HelpCommand, type ShowChangesCommand, type ViewCommand, type WhyCommand,
 } from '../language/command.js';
 import {formatDuration, formatInstant} from '../time/format-time.js';
 import {answerOk, answerRefused} from './answers.js';
+import {findPrimary} from './endpoint-orders.js';
 import type {FleetView, SessionRow} from './fleet-view.js';
 import type {OperatorIdentity} from './operator-access.js';
 import type {CommandAnswer} from './operator-commands.js';
@@ -86,10 +86,10 @@
 
 async function showGroups({configuration, fleet}: ShowCommandsOptions): Promise<CommandAnswer> {
 	const endpoints = await fleet.getEndpoints();
-	const rows = configuration.getGroups().map(({cfg, version}) => ({
+	const rows = getLiveGroups(configuration).map(({cfg, version}) => ({
 		group: cfg.name,
 		version,
-		primary: endpoints.find(row => row.group === cfg.name && row.role === EndpointRole.Primary)?.name,
+		primary: findPrimary(endpoints.filter(row => row.group === cfg.name))?.name,
 		endpoints: cfg.endpoints.length,
 		readAgeLimitMs: cfg.readAgeLimitMs,
 		durability: cfg.durability,
@@ -112,8 +112,12 @@
 	return answerOk(table, rows);
 }
 
+function getLiveGroups(configuration: Configuration): readonly VersionedGroup[] {
+	return configuration.getGroups().filter(({deleted}) => !deleted);
+}
+
 function showConfig(group: string | undefined, configuration: Configuration): CommandAnswer {
-	const known = configuration.getGroups();
+	const known = getLiveGroups(configuration);
 	const groups = group === undefined ? known : known.filter(({cfg}) => cfg.name === group);
 	if (group !== undefined && groups.length === 0) {
 		return refuseUnknownGroup(group);
