--- a/src/explanations/explain-refusal.ts
+++ b/src/explanations/explain-refusal.ts
@@ -1,4 +1,5 @@
 import {Outcome} from '../callers/caller-answer.js';
+import {RequestKind} from '../callers/caller-request.js';
 import {formatDuration, formatInstant} from '../time/format-time.js';
 import {RefusalCode} from '../refusals/refusal.js';
 import {describeFacts} from './describe-facts.js';
@@ -40,14 +41,16 @@
 	return known.length > 0 ? `What the host knew then: ${known.join('; ')}.` : '';
 }
 
-function describeOutcome({outcome}: RefusalRecord, {notRun}: RefusalExplanation): string {
+function describeOutcome({outcome, asked}: RefusalRecord, {notRun}: RefusalExplanation): string {
 	switch (outcome) {
 		case Outcome.NotRun: {
 			return `It did not run. ${notRun}`;
 		}
 
 		case Outcome.Unknown: {
-			return 'It may have run: nobody could tell then. Asking for its outcome under the same request id settles it.';
+			return asked === RequestKind.Read
+				? 'It may have run without its answer arriving; a read changes nothing and can be sent again.'
+				: 'It may have run: nobody could tell then. Asking for its outcome under the same request id settles it.';
 		}
 
 		case Outcome.Done: {
--- a/tests/explanations/explain-refusal-tests.ts
+++ b/tests/explanations/explain-refusal-tests.ts
@@ -44,6 +44,11 @@
 		'Ask for its outcome under the same request id; check in `show endpoints` that a majority answers.',
 	]);
 
+	it('says that a read which may have run can be sent again', () => {
+		const sentences = explainRefusal(createQueueFullRecord(REQUEST, AT, {code: 'endpoint-silent', outcome: 'unknown'}));
+		expect(sentences).to.include('It may have run without its answer arriving; a read changes nothing and can be sent again.');
+	});
+
 	doTest('says of a code that a newer version added what it can', {
 		code: 'brand-new' as RefusalCode, facts: {}, configVersion: 0, retryAfterMs: undefined,
 	}, [
