Tell a session once that an acknowledged write was lost

Cause: with `durability: primary` a promotion may go on without an acknowledged write, and the session's floor, of an older term, passed as held: the night was gone without a word. The refusal code write-lost existed, nothing gave it.

Now a server's read says `lost` where its log has passed the floor without holding its entry (FloorReadAnswer.lost, also over the PostgreSQL front), and runs nothing. The owner refuses with write-lost, and the session's new token goes on from the present log. A barrier's floor that was lost is taken anew. A rejected statement is now judged by its age like any answer: a replica over the stated age could report a missing table.

Ruled out: telling the loss on one server's word. The server promoted without the write may die unfollowed and the old log be promoted after all; so a majority's logs must end in the term that lacks the entry.

--- a/src/endpoints/answer-schemas.ts
+++ b/src/endpoints/answer-schemas.ts
@@ -32,6 +32,7 @@
 /** Checks a FloorReadAnswer. */
 export const floorReadAnswerSchema = z.object({
 	held: z.boolean(),
+	lost: z.boolean().optional(),
 	rows,
 	status: endpointStatusSchema,
 	message: z.string().optional(),
--- a/src/endpoints/endpoint.ts
+++ b/src/endpoints/endpoint.ts
@@ -80,6 +80,11 @@
 /** A server's answer to a floor read; `status` was read before the rows. */
 export type FloorReadAnswer = {
 	readonly held: boolean;
+	/**
+	 * True where the log has passed the floor without holding its entry: the entry at the floor's position is of another
+	 * term, or there is none. The statement was not run, and `held` is false.
+	 */
+	readonly lost?: boolean;
 	readonly rows: readonly Row[];
 	readonly status: EndpointStatus;
 	/** The server's error where the statement failed. */
--- /dev/null
+++ b/src/owners/lost-writes.ts
@@ -0,0 +1,53 @@
+import type {FloorReadAnswer} from '../endpoints/endpoint.js';
+import type {EndpointConfig} from '../groups/group-config.js';
+import {RefusalCode} from '../refusals/refusal.js';
+import type {OwnerAnswer} from '../routing/owner-request.js';
+import type {LogPosition} from '../terms/log-position.js';
+import {Confirmation} from './confirmer.js';
+import type {GroupParts} from './group-parts.js';
+import {answerNotRun, createRefusal} from './owner-answers.js';
+
+/** A server's answer that the log has passed a session's floor without holding its entry. */
+export type SeenLoss = {
+	readonly endpoint: EndpointConfig;
+	readonly answer: FloorReadAnswer;
+	readonly floor: LogPosition;
+};
+
+/** Any log that ends in a term holds that term's first entry, and with it all that the promotion kept. */
+const ANY_POSITION = 1;
+
+/**
+ * Tells a session that an acknowledged write of its own was lost, where that is final; undefined where it is not.
+ *
+ * Guards against telling a session too early: the server that was promoted without the write may die before anyone
+ * follows it, and the next promotion may bring the old primary's log back with the write in it. Once a majority's
+ * logs end in the term that lacks it, every later promotion starts from such a log.
+ */
+export async function refuseLostWrite(group: GroupParts, {endpoint, answer, floor}: SeenLoss, deadlineAt: number): Promise<OwnerAnswer | undefined> {
+	const {status} = answer;
+	if (status.log.term !== status.term) {
+		return undefined;
+	}
+
+	const confirmation = await group.confirmer.confirm({
+		term: status.term, position: ANY_POSITION, shownBy: endpoint.name, status, deadlineAt,
+	});
+	if (confirmation !== Confirmation.Confirmed) {
+		return undefined;
+	}
+
+	const refusal = createRefusal(RefusalCode.WriteLost, {
+		reason: `a promotion went on without position ${floor.position} of term ${floor.term}, up to which writes of this session were acknowledged`,
+		facts: {
+			endpoint: endpoint.name,
+			floorTerm: floor.term,
+			floorPosition: floor.position,
+			term: status.log.term,
+			position: status.log.position,
+			durability: group.getGroup().cfg.durability,
+		},
+		retryAfterMs: 0,
+	});
+	return {...answerNotRun(refusal), log: status.log};
+}
--- a/src/owners/read-path.ts
+++ b/src/owners/read-path.ts
@@ -8,6 +8,7 @@
 import type {GroupParts} from './group-parts.js';
 import {answerNotRun, createRefusal} from './owner-answers.js';
 import {chooseReadEndpoints} from './choose-read-endpoints.js';
+import {refuseLostWrite} from './lost-writes.js';
 
 /** Serves reads of one group at an endpoint that holds the floor and the stated age. */
 export type ReadPath = {
@@ -28,6 +29,9 @@
 	readonly takenAt?: number;
 };
 
+/** The barrier that a read started from no longer bounds anything: its primary's log was not kept. */
+const BARRIER_LOST = 'barrier-lost';
+
 /** Creates the read path of one group. */
 export function createReadPath(group: GroupParts): ReadPath {
 	const {clock, knowledge} = group;
@@ -87,6 +91,11 @@
 			return undefined;
 		}
 
+		const ageMs = getAnswerAge(answer, floorAt);
+		if (ageMs > req.maxAgeMs) {
+			return undefined;
+		}
+
 		if (answer.message !== undefined) {
 			return answerNotRun(createRefusal(RefusalCode.StatementFailed, {
 				reason: `${endpoint.name} rejected the statement: ${answer.message}`,
@@ -95,11 +104,6 @@
 		}
 
 		const {role} = answer.status;
-		const ageMs = getAnswerAge(answer, floorAt);
-		if (ageMs > req.maxAgeMs) {
-			return undefined;
-		}
-
 		return {
 			outcome: Outcome.Done, rows: answer.rows, servedBy: endpoint.name, role, log: answer.status.log, ageMs,
 		};
@@ -138,7 +142,23 @@
 		return {floor: req.floor};
 	};
 
-	const tryEach = async (req: OwnerRequest, start: ReadStart, deadlineAt: number): Promise<OwnerAnswer> => {
+	const judgeAttempt = async (endpoint: EndpointConfig, attempt: Attempt, req: OwnerRequest, start: ReadStart, deadlineAt: number) => {
+		if ('failed' in attempt) {
+			return undefined;
+		}
+
+		const {answer} = attempt;
+		if (!answer.lost) {
+			return judge(endpoint, answer, req, start.takenAt);
+		}
+
+		// A barrier's floor bounds what was acknowledged, but may itself be an entry that nobody confirmed.
+		return start.takenAt === undefined
+			? refuseLostWrite(group, {endpoint, answer, floor: start.floor}, deadlineAt)
+			: BARRIER_LOST;
+	};
+
+	const tryEach = async (req: OwnerRequest, start: ReadStart, deadlineAt: number): Promise<OwnerAnswer | typeof BARRIER_LOST> => {
 		const endpoints = chooseReadEndpoints(group, {
 			floor: start.floor, maxAgeMs: req.maxAgeMs, class: req.class, now: clock.now(),
 		});
@@ -151,8 +171,9 @@
 			}
 
 			const isLast = index === endpoints.length - 1;
-			const attempt = await runAdmitted(endpoint, req, start.floor, isLast ? deadlineAt : clock.now() + (leftMs * TRY_SHARE));
-			const answer = 'answer' in attempt ? judge(endpoint, attempt.answer, req, start.takenAt) : undefined;
+			const tryUntil = isLast ? deadlineAt : clock.now() + (leftMs * TRY_SHARE);
+			const attempt = await runAdmitted(endpoint, req, start.floor, tryUntil);
+			const answer = await judgeAttempt(endpoint, attempt, req, start, tryUntil);
 			if (answer) {
 				return answer;
 			}
@@ -167,8 +188,14 @@
 
 	return {
 		async read(req, deadlineAt) {
-			const start = await takeStart(req, deadlineAt);
-			return start ? tryEach(req, start, deadlineAt) : refuseNoPrimary();
+			for (let start = await takeStart(req, deadlineAt); start; start = await takeStart(req, deadlineAt)) {
+				const answer = await tryEach(req, start, deadlineAt);
+				if (answer !== BARRIER_LOST) {
+					return answer;
+				}
+			}
+
+			return refuseNoPrimary();
 		},
 	};
 }
--- a/src/routing/entry-answers.ts
+++ b/src/routing/entry-answers.ts
@@ -93,6 +93,12 @@
 		}
 
 		const refusal = answer.refusal!;
+		if (refusal.code === RefusalCode.WriteLost && answer.log) {
+			// Told once: the session goes on from the log that is without the write.
+			const session = raiseFloor(asked.session, asked.group, answer.log, clock.wall());
+			return answerRefusal({...asked, session}, Outcome.NotRun, refusal);
+		}
+
 		const outcome = unsure || answer.outcome === Outcome.Unknown ? Outcome.Unknown : getRefusedOutcome(asked, refusal);
 		return answerRefusal(asked, outcome, refusal);
 	};
--- a/src/stand-ins/database/backend.ts
+++ b/src/stand-ins/database/backend.ts
@@ -132,6 +132,12 @@
 			return {held: false, rows: [], status};
 		}
 
+		if (floor.position > 0 && member.log.get(floor.position)?.term !== floor.term) {
+			return {
+				held: false, lost: true, rows: [], status,
+			};
+		}
+
 		try {
 			await serve();
 			const statement = parseStatement(text);
--- /dev/null
+++ b/tests/proofs/lost-writes-tests.ts
@@ -0,0 +1,72 @@
+import type {DatabaseServer} from '../../src/stand-ins/database/database-server.js';
+import {
+	doProof, pull, say, sync, type Proof,
+} from './proof-bench.js';
+
+const PRIMARY_ALONE = {config: {durability: 'primary'}} as const;
+
+const cutApart = (left: DatabaseServer, ...others: readonly DatabaseServer[]) => {
+	left.faults.cut(others.map(({address}) => address));
+};
+
+/** One night is everywhere; a second one, acknowledged too, is at the primary alone. */
+async function syncUnreplicated(proof: Proof) {
+	const [primary, ...replicas] = proof.servers;
+	const first = await proof.ask(proof.owners[0]!, sync(41), 'new');
+	await proof.clock.advance(100);
+	cutApart(primary!, ...replicas);
+	return proof.ask(proof.owners[0]!, sync(43), first.session);
+}
+
+describe('proof: a lost write is told', () => {
+	// The group acknowledges what its primary alone holds. A member's night is acknowledged and the primary dies with it.
+	// The session must hear of it before it sees a list without the night, and then go on.
+	doProof('once, to its own session', async proof => {
+		const written = await syncUnreplicated(proof);
+		proof.servers[0]!.kill();
+		await proof.clock.advance(5000);
+		const told = await proof.ask(proof.outsider, pull(), written.session);
+		const next = await proof.ask(proof.owners[0]!, pull(), told.session);
+		const stranger = await proof.ask(proof.owners[0]!, pull(), undefined);
+		return [say(written), say(told), say(next), say(stranger)];
+	}, ['done', 'not-run: write-lost', 'done: 41', 'done: 41'], PRIMARY_ALONE);
+
+	// The server that was promoted without the night dies before any other follows it; the old primary comes back, and
+	// the next promotion takes its log. A session that was told of a loss in between would have been told wrong.
+	doProof('only once no promotion can bring the write back', async proof => {
+		const [old, successor, third] = proof.servers;
+		const written = await syncUnreplicated(proof);
+		old!.kill();
+		cutApart(successor!, third!);
+		await proof.clock.advance(5000);
+		const between = await proof.ask(proof.owners[0]!, pull({deadlineMs: 1000}), written.session);
+		const promoted = `promoted: ${successor!.member.isPrimaryAt(2)}`;
+		successor!.kill();
+		old!.restart();
+		old!.faults.heal();
+		await proof.clock.advance(5000);
+		const after = await proof.ask(proof.owners[0]!, pull(), written.session);
+		return [say(written), promoted, say(between), say(after)];
+	}, ['done', 'promoted: true', 'not-run: no-endpoint', 'done: 41, 43'], PRIMARY_ALONE);
+
+	// A caller without a token is served from behind a barrier, whose position is an entry that only the primary holds. The
+	// read is held up on its way; the primary is deposed, follows the new one and drops the entry before the read
+	// comes. The caller wrote nothing and has lost nothing: the barrier is taken anew.
+	doProof('never for a barrier', async proof => {
+		const [owner = ''] = proof.owners;
+		const [old] = proof.servers;
+		const link = proof.getLink(owner, old!);
+		const written = await syncUnreplicated(proof);
+		await proof.ask(owner, pull({latest: true}), written.session);
+		const reading = proof.send(owner, pull({deadlineMs: 30_000}), undefined);
+		await proof.clock.advance(1.5);
+		link.setDelay(20_000);
+		await proof.clock.advance(1);
+		link.setDelay(0);
+		old!.faults.cut();
+		await proof.clock.advance(14_000);
+		old!.faults.heal();
+		const read = await proof.clock.runUntil(reading);
+		return [say(written), `position of term ${old!.member.log.get(3)!.term}`, say(read)];
+	}, ['done', 'position of term 2', 'done: 41'], PRIMARY_ALONE);
+});
--- a/tests/stand-ins/database/contract-steps.ts
+++ b/tests/stand-ins/database/contract-steps.ts
@@ -120,8 +120,9 @@
 	return [result, rows && JSON.stringify(rows), message && `"${message}"`, formatStatus(status)].filter(Boolean).join(' ');
 }
 
-function formatRead({held, rows, message, status}: FloorReadAnswer) {
-	return [held ? 'held' : 'behind', JSON.stringify(rows), message && `"${message}"`, formatStatus(status)].filter(Boolean).join(' ');
+function formatRead({held, lost, rows, message, status}: FloorReadAnswer) {
+	const behind = lost ? 'lost' : 'behind';
+	return [held ? 'held' : behind, JSON.stringify(rows), message && `"${message}"`, formatStatus(status)].filter(Boolean).join(' ');
 }
 
 function formatRun({rows, message}: StatementAnswer) {
--- a/tests/stand-ins/database/endpoint-contract.ts
+++ b/tests/stand-ins/database/endpoint-contract.ts
@@ -217,6 +217,9 @@
 				await steps.fence(1, 2),
 				await steps.promote(1, 2),
 				await steps.insert(1, 'e', ['ana', 10], 2),
+				await steps.read(1, 'ana', {term: 1, position: 2}),
+				await steps.read(1, 'ana', {term: 1, position: 3}),
+				await steps.read(1, 'ana', {term: 1, position: 5}),
 			);
 			servers[0]!.faults.heal();
 			lines.push(
@@ -235,6 +238,9 @@
 			'granted replica 1/2 of 2',
 			'granted primary 2/3 of 2',
 			'ran [{"member":"ana","score":10}] primary 2/4 of 2',
+			'held [{"member":"ana","score":7},{"member":"ana","score":10}] primary 2/4 of 2',
+			'lost [] primary 2/4 of 2',
+			'lost [] primary 2/4 of 2',
 			'granted replica 1/5 of 2',
 			'replica 2/4 of 2',
 			'held [{"member":"ana","score":7},{"member":"ana","score":10}] replica 2/4 of 2',
