Prove that a caller gets its own answer alone, also under a shared request id

Cause: the proofs of this property stopped at the links between proxies. End to end two faults came up.

Two callers with one request id and different statements: where the second one's answer was lost, its proxy settled the id and handed on what stood there: the first caller's rows, as done (before "done: 41", after "not-run: request-mismatch"). The proxy now fetches what stands by sending the request itself again, with its digest; it cannot run any more. Ruled out: a digest in `resolve`, which changes the group's SQL interface for a rare case. A begin under the id of a committed transaction was answered done (after: "not-run: transaction-ended"): the caller took it for open, and a commit of it succeeded without its statements.

Not proved here: answers cut within a frame (tests/peers), and by the PostgreSQL library on a broken connection. SimulatedSystem gains wrapEndpoints, behind which the proofs put connections that are plain pipes.

--- a/src/owners/write-path.ts
+++ b/src/owners/write-path.ts
@@ -140,6 +140,13 @@
 			}));
 		}
 
+		if (answer.result === KeyedWriteResult.Mismatch) {
+			return answerNotRun(createRefusal(RefusalCode.RequestMismatch, {
+				reason: 'another statement or other values stand under this request id',
+				facts: {endpoint: primary.name, term: status.term, position: status.log.position},
+			}));
+		}
+
 		return {
 			outcome: Outcome.Done, rows: answer.rows ?? [], servedBy: primary.name, role: EndpointRole.Primary, log: status.log, ageMs: 0,
 		};
@@ -161,15 +168,9 @@
 				}));
 			}
 
-			case KeyedWriteResult.Mismatch: {
-				return answerNotRun(createRefusal(RefusalCode.RequestMismatch, {
-					reason: 'another statement or other values stand under this request id',
-					facts: {endpoint: primary.name, term},
-				}));
-			}
-
 			case KeyedWriteResult.Ran:
 			case KeyedWriteResult.Found:
+			case KeyedWriteResult.Mismatch:
 			case KeyedWriteResult.Tombstone: {
 				break;
 			}
--- a/src/routing/create-entry.ts
+++ b/src/routing/create-entry.ts
@@ -10,7 +10,7 @@
 import type {RequestTries} from './request-tries.js';
 import {getFloor} from './session-floor.js';
 import {getStatementDigest} from './statement-digest.js';
-import type {TriesEnd} from './try-owners.js';
+import type {OwnerTry, TriesEnd} from './try-owners.js';
 
 /** What the entry is made from. */
 export type EntryOptions = {
@@ -39,7 +39,7 @@
 		const digest = isWrite ? getStatementDigest(req.statement, req.values) : '';
 		const floor = req.latest ? undefined : getFloor(asked.session, asked.group);
 		const keptBackMs = isWrite ? Math.min(SETTLE_MS, req.deadlineMs * SETTLE_SHARE) : 0;
-		const end = await tries.tryFor(asked, group, asked.deadlineAt - keptBackMs, async (host, remainingMs) => ownerClient.call(host, 'execute', {
+		const attempt: OwnerTry = async (host, remainingMs) => ownerClient.call(host, 'execute', {
 			group: asked.group,
 			requestId: asked.requestId,
 			kind: req.kind,
@@ -51,9 +51,10 @@
 			class: req.class,
 			remainingMs,
 			configVersion: group.version,
-		}));
+		});
+		const end = await tries.tryFor(asked, group, asked.deadlineAt - keptBackMs, attempt);
 		const isOpen = end.unsure || (asked.mayBeRepeat && end.answer.refusal?.code === RefusalCode.StatementFailed);
-		return isWrite && isOpen ? tries.settleUnsure(asked, group, end) : end;
+		return isWrite && isOpen ? tries.settleUnsure(asked, group, end, attempt) : end;
 	};
 
 	return {
--- a/src/routing/entry-answers.ts
+++ b/src/routing/entry-answers.ts
@@ -87,7 +87,7 @@
 	const getRefusedOutcome = (asked: AskedRequest, refusal: Refusal) =>
 		asked.mayBeRepeat && !SETTLED_CODES.has(refusal.code) ? Outcome.Unknown : Outcome.NotRun;
 
-	const answerEnd = (asked: AskedRequest, {answer, unsure}: TriesEnd): CallerAnswer => {
+	const answerEnd = (asked: AskedRequest, {answer, unsure, settled}: TriesEnd): CallerAnswer => {
 		if (answer.outcome === Outcome.Done) {
 			return answerDone(asked, answer);
 		}
@@ -99,8 +99,11 @@
 			return answerRefusal({...asked, session}, Outcome.NotRun, refusal);
 		}
 
-		const outcome = unsure || answer.outcome === Outcome.Unknown ? Outcome.Unknown : getRefusedOutcome(asked, refusal);
-		return answerRefusal(asked, outcome, refusal);
+		if (unsure || answer.outcome === Outcome.Unknown) {
+			return answerRefusal(asked, Outcome.Unknown, refusal);
+		}
+
+		return answerRefusal(asked, settled ? Outcome.NotRun : getRefusedOutcome(asked, refusal), refusal);
 	};
 
 	const finish = (asked: AskedRequest, answer: CallerAnswer) => {
--- a/src/routing/request-tries.ts
+++ b/src/routing/request-tries.ts
@@ -16,8 +16,8 @@
 	tryFor(asked: AskedRequest, group: VersionedGroup, deadlineAt: number, attempt: OwnerTry): Promise<TriesEnd>;
 	/** Settles what stands under the request's key, with a tombstone where nothing does. */
 	settle(asked: AskedRequest, group: VersionedGroup, deadlineAt: number): Promise<TriesEnd>;
-	/** Settles what an unsure end left open, where the time suffices. */
-	settleUnsure(asked: AskedRequest, group: VersionedGroup, end: TriesEnd): Promise<TriesEnd>;
+	/** Settles what an unsure end of `attempt` left open, where the time suffices. */
+	settleUnsure(asked: AskedRequest, group: VersionedGroup, end: TriesEnd, attempt: OwnerTry): Promise<TriesEnd>;
 };
 
 /** What tries are made with. */
@@ -60,16 +60,25 @@
 		return tryFor(asked, group, deadlineAt, attempt);
 	};
 
-	const settleUnsure = async (asked: AskedRequest, group: VersionedGroup, end: TriesEnd): Promise<TriesEnd> => {
+	// Guards against another caller's answer: what stands under the id may be the answer to another statement, sent by
+	// mistake under the same id. Only the request itself, sent again with its digest, tells; it cannot run any more.
+	const fetchOwn = async (asked: AskedRequest, group: VersionedGroup, attempt: OwnerTry): Promise<TriesEnd | undefined> => {
+		const fetched = await tryFor(asked, group, asked.deadlineAt, attempt);
+		const isOwn = fetched.answer.outcome === Outcome.Done || fetched.answer.refusal?.code === RefusalCode.RequestMismatch;
+		return isOwn ? fetched : undefined;
+	};
+
+	const settleUnsure = async (asked: AskedRequest, group: VersionedGroup, end: TriesEnd, attempt: OwnerTry): Promise<TriesEnd> => {
 		const settled = await settle(asked, group, asked.deadlineAt);
-		if (settled.answer.outcome === Outcome.Done) {
-			return settled;
+		const isTombstone = settled.answer.refusal?.code === RefusalCode.Resolved && !settled.unsure;
+		if (isTombstone) {
+			return {
+				answer: {...end.answer, outcome: Outcome.NotRun}, tries: end.tries, unsure: false, settled: true,
+			};
 		}
 
-		const isTombstone = settled.answer.refusal?.code === RefusalCode.Resolved && !settled.unsure;
-		return isTombstone
-			? {answer: {...end.answer, outcome: Outcome.NotRun}, tries: end.tries, unsure: false}
-			: {...end, unsure: true};
+		const own = settled.answer.outcome === Outcome.Done ? await fetchOwn(asked, group, attempt) : undefined;
+		return own ?? {...end, unsure: true};
 	};
 
 	return {tryFor, settle, settleUnsure};
--- a/src/routing/try-owners.ts
+++ b/src/routing/try-owners.ts
@@ -17,6 +17,8 @@
 	readonly tries: number;
 	/** True where some try may have run and the last answer does not settle it. */
 	readonly unsure: boolean;
+	/** True where a confirmed tombstone keeps every submission of the request from running. */
+	readonly settled?: boolean;
 };
 
 /** What the tries of one request need. */
@@ -66,9 +68,9 @@
 	}
 }
 
-/** A confirmed answer or a confirmed tombstone holds for every try under the same key. */
-function isSettled(answer: OwnerAnswer): boolean {
-	return answer.outcome === Outcome.Done || answer.refusal?.code === RefusalCode.Resolved;
+/** What is confirmed under a key, an answer, a tombstone or another request, holds for every try under it. */
+function isSettled({outcome, refusal}: OwnerAnswer): boolean {
+	return outcome === Outcome.Done || refusal?.code === RefusalCode.Resolved || refusal?.code === RefusalCode.RequestMismatch;
 }
 
 function describeFailedTry(answer: OwnerAnswer, isRead: boolean, otherOwnerLeft: boolean): FailedTry {
--- a/src/stand-ins/system/simulated-system.ts
+++ b/src/stand-ins/system/simulated-system.ts
@@ -2,11 +2,13 @@
 import {createKernel, type Kernel} from '../../kernel/kernel.js';
 import {type GroupConfig, groupConfigSchema} from '../../groups/group-config.js';
 import type {StoredGroup} from '../../groups/stored-group.js';
+import type {Endpoints} from '../../endpoints/endpoint.js';
 import type {LivePeers} from '../../peers/create-peers.js';
 import {ObjectKind, type PlatformHost} from '../../platform/platform.js';
 import {createSeededRandom} from '../../random/seeded-random.js';
 import {registerServices} from '../../daemon/register-services.js';
 import type {Settings} from '../../settings/settings.js';
+import type {Clock} from '../../time/clock.js';
 import {createDatabaseGroup, type DatabaseGroup} from '../database/database-group.js';
 import type {DatabaseServerSizes} from '../database/database-server.js';
 import {createInMemoryEndpoints, type InMemoryEndpoints} from '../database/in-memory-endpoints.js';
@@ -62,6 +64,8 @@
 	readonly seed?: number;
 	/** Time a message takes one way between hosts, in milliseconds. */
 	readonly latencyMs?: number;
+	/** Puts something between the proxies and their way to the servers. */
+	wrapEndpoints?(endpoints: Endpoints, clock: Clock): Endpoints;
 };
 
 const SIGNING_KEY = 'a signing key for simulated systems only';
@@ -113,7 +117,7 @@
 		kernel.register('settings', createSettings(host));
 		kernel.register('platform', platform);
 		kernel.register('peers', peers);
-		kernel.register('endpoints', endpoints);
+		kernel.register('endpoints', options.wrapEndpoints?.(endpoints, clock) ?? endpoints);
 		registerServices(kernel);
 		return {
 			name: host.name, address: host.address, kernel, platform, endpoints, peers,
--- a/src/transactions/create-transactions.ts
+++ b/src/transactions/create-transactions.ts
@@ -104,11 +104,13 @@
 				return answerOpen(transaction);
 			}
 
-			// The key stood already: the transaction ended earlier, and its end is answered as any key's.
+			// The key stood already. Guards against a caller that is told "done" and takes a transaction for open that
+			// another submission of the id has ended: its commit would seem to succeed without its statements.
 			open.end(transaction, false);
-			return await owner.writes.settle({
+			const end = await owner.writes.settle({
 				primary: transaction.primary, term, answer, sentAt,
 			}, deadlineAt);
+			return end.outcome === Outcome.Done ? refuseEnded(transaction) : end;
 		} catch (err) {
 			open.end(transaction, false);
 			return refuseLost(transaction, err);
@@ -254,6 +256,13 @@
 	}));
 }
 
+function refuseEnded({requestId, primary, term}: OpenTransaction): OwnerAnswer {
+	return answerNotRun(createRefusal(RefusalCode.TransactionEnded, {
+		reason: 'a transaction has ended under this id before',
+		facts: {requestId, endpoint: primary.name, term},
+	}));
+}
+
 function refuseNoPrimary(owner: GroupOwner): OwnerAnswer {
 	return answerNotRun(createRefusal(RefusalCode.NoPrimary, {
 		reason: 'the group has no primary that could take the transaction',
--- a/tests/proofs/proof-bench.ts
+++ b/tests/proofs/proof-bench.ts
@@ -1,12 +1,13 @@
 import {expect} from 'chai';
 import type {CallerAnswer} from '../../src/callers/caller-answer.js';
 import {callerRequestSchema} from '../../src/callers/caller-request.js';
+import type {Entry} from '../../src/callers/entry.js';
 import {createRequestId} from '../../src/random/request-id.js';
 import {createSeededRandom} from '../../src/random/seeded-random.js';
 import type {DatabaseServer} from '../../src/stand-ins/database/database-server.js';
 import type {Link} from '../../src/stand-ins/database/link-faults.js';
 import {
-	createSimulatedSystem, type SimulatedGroup, type SimulatedSystem,
+	createSimulatedSystem, type SimulatedGroup, type SimulatedSystem, type SimulatedSystemOptions,
 } from '../../src/stand-ins/system/simulated-system.js';
 import type {VirtualClock} from '../../src/stand-ins/time/virtual-clock.js';
 
@@ -30,6 +31,8 @@
 	send(proxy: string, body: Body, token?: string): Promise<CallerAnswer>;
 	/** Sends a request and lets time pass until it is answered. */
 	ask(proxy: string, body: Body, token?: string): Promise<CallerAnswer>;
+	/** The way in of a proxy, for transactions. */
+	getEntry(proxy: string): Entry;
 	/** Asks what became of a request. */
 	askOutcome(proxy: string, requestId: string): Promise<CallerAnswer>;
 	/** A request id made now. */
@@ -44,6 +47,9 @@
 	getScores(member?: string): string;
 };
 
+/** What a proof's system has that others' have not. */
+export type ProofOptions = Pick<SimulatedGroup, 'config' | 'sizes'> & Pick<SimulatedSystemOptions, 'wrapEndpoints'>;
+
 export const MEMBER = 'm-17';
 
 /** A sync of one night, which no caller may see doubled. */
@@ -57,12 +63,15 @@
 });
 
 /** Declares a proof: what the story's steps answer, against what they must. */
-export function doProof(title: string, play: (proof: Proof) => Promise<readonly string[]>, expected: readonly string[], group: Partial<SimulatedGroup> = {}): void {
+export function doProof(title: string, play: (proof: Proof) => Promise<readonly string[]>, expected: readonly string[], options: ProofOptions = {}): void {
 	it(title, async () => {
 		const system = createSimulatedSystem({
 			proxies: 3,
 			availabilityZones: ['hall-a', 'hall-b', 'hall-c', 'hall-d'],
-			groups: [{name: GROUP, availabilityZones: ['hall-a', 'hall-b', 'hall-c'], ...group}],
+			groups: [{
+				name: GROUP, availabilityZones: ['hall-a', 'hall-b', 'hall-c'], config: options.config, sizes: options.sizes,
+			}],
+			wrapEndpoints: options.wrapEndpoints,
 		});
 		await system.start();
 		try {
@@ -101,6 +110,7 @@
 		system,
 		clock,
 		servers,
+		getEntry,
 		owners: ranked,
 		outsider: system.proxies.find(({name}) => !ranked.includes(name))!.name,
 		send,
