--- a/tests/daemon/stub-daemon.ts
+++ b/tests/daemon/stub-daemon.ts
@@ -23,6 +23,7 @@
 	endpointUser: 'aldercroft',
 	endpointPassword: 'hush',
 	endpointDatabase: 'postgres',
+	bootstrapTokenHash: '',
 	logLevel: 'info',
 	shutdownMs: 10_000,
 	leaveNoticeMs: 2000,
