Confirm by a majority whatever "not run" rests on, in every group

Cause: with `durability: primary` a tombstone counted once a majority showed the primary's term. It stood at that primary alone; a promotion went on without it, and a sync that another proxy still held up ran there, after its caller was told that it never would. A tombstone and another request under the id are now confirmed like a write of a group with `durability: majority`. Ruled out: the same for found answers; such a group chose to lose acknowledged writes.

--- a/src/owners/write-path.ts
+++ b/src/owners/write-path.ts
@@ -134,7 +134,10 @@
 			return Confirmation.Superseded;
 		}
 
-		if (group.getGroup().cfg.durability === Durability.Primary) {
+		// A group may choose to lose what it acknowledged with its primary, but "not run" must outlive every promotion: what
+		// it rests on has to be held by a majority.
+		const saysNotRun = answer.result === KeyedWriteResult.Tombstone || answer.result === KeyedWriteResult.Mismatch;
+		if (group.getGroup().cfg.durability === Durability.Primary && !saysNotRun) {
 			const round = await group.barrier.take(deadlineAt);
 			return round?.floor.term === term ? Confirmation.Confirmed : Confirmation.TimedOut;
 		}
--- a/tests/proofs/not-run-tests.ts
+++ b/tests/proofs/not-run-tests.ts
@@ -164,6 +164,24 @@
 			}, [expected, 'done', 'stands: 40, 41']);
 		};
 
+		// The group acknowledges what its primary alone holds. One owner reaches every server, the other all but the primary,
+		// and holds a sync up for want of it. The first one's "not run" must outlive the promotion that the second brings about.
+		doProof('by a primary that alone holds the tombstone', async proof => {
+			const {system, servers, owners: [reaching = '', waiting = '']} = proof;
+			const requestId = proof.createId();
+			await proof.ask(reaching, sync(40), 'new');
+			await proof.clock.advance(1000);
+			servers[0]!.faults.cut([waiting, proof.outsider, ...servers.slice(1).map(({address}) => address)]);
+			for (const proxy of [waiting, proof.outsider]) {
+				system.network.setFaultsBetween(system.getProxyOrThrow(reaching).address, system.getProxyOrThrow(proxy).address, {cut: true});
+			}
+
+			const held = proof.send(waiting, sync(41, {requestId, deadlineMs: 30_000}), 'new');
+			const outcome = await proof.askOutcome(reaching, requestId);
+			const done = await proof.clock.runUntil(held);
+			return [say(outcome), say(done), await getTruth(proof)];
+		}, ['done', 'done', 'stands: 40, 41'], {config: {durability: 'primary'}});
+
 		doTest('by a superseded primary: nothing', undefined, 'unknown: not-confirmed');
 		doTest('by a superseded primary: another request', 42, 'unknown: not-confirmed');
 	});
