--- a/src/owners/group-parts.ts
+++ b/src/owners/group-parts.ts
@@ -16,6 +16,13 @@
 	readonly admission: Admission;
 };
 
+/** The primary of a group as its owner knows it. */
+export type Primary = {
+	readonly endpoint: EndpointConfig;
+	readonly parts: EndpointParts;
+	readonly term: number;
+};
+
 /** What an owner of one group works with; shared by its read, write, transaction and failover paths. */
 export type GroupParts = {
 	readonly clock: Clock;
--- /dev/null
+++ b/src/owners/write-answers.ts
@@ -0,0 +1,92 @@
+import {Outcome} from '../callers/caller-answer.js';
+import {EndpointRole, KeyedWriteResult, type KeyedWriteAnswer} from '../endpoints/endpoint.js';
+import type {EndpointConfig} from '../groups/group-config.js';
+import {RefusalCode} from '../refusals/refusal.js';
+import type {OwnerAnswer} from '../routing/owner-request.js';
+import type {GroupParts, Primary} from './group-parts.js';
+import {answerNotRun, answerUnknown, createRefusal} from './owner-answers.js';
+
+/** Makes the answers of a group's write path. */
+export type WriteAnswers = {
+	/** Nothing was sent: no primary is known. */
+	refuseNoPrimary(): OwnerAnswer;
+	/** Nothing was sent: the primary gave no connection; another owner may have one. */
+	refuseNoConnection(primary: Primary, err: unknown): OwnerAnswer;
+	/** The request was sent and no answer came. */
+	refuseSilent(primary: Primary): OwnerAnswer;
+	/** The endpoint is no longer primary of the term; `sent` tells whether the request may have run there. */
+	refuseSuperseded(endpoint: string, term: number, sent: boolean): OwnerAnswer;
+	/** The primary rejected the statement and rolled it back. */
+	refuseFailed(primary: EndpointConfig, term: number, answer: KeyedWriteAnswer): OwnerAnswer;
+	/** The primary took the request, and no majority confirmed it. */
+	refuseNotConfirmed(primary: EndpointConfig, term: number, answer: KeyedWriteAnswer): OwnerAnswer;
+	/** What stands under the key is confirmed. */
+	answerConfirmed(primary: EndpointConfig, answer: KeyedWriteAnswer): OwnerAnswer;
+};
+
+/** When a caller may come back while no primary is known, in milliseconds. */
+const NO_PRIMARY_RETRY_MS = 500;
+
+/** When a caller may come back after an endpoint refused a connection, in milliseconds. */
+const NO_CONNECTION_RETRY_MS = 100;
+
+/** Creates the answers of one group. */
+export function createWriteAnswers({knowledge, getGroup}: GroupParts): WriteAnswers {
+	return {
+		refuseNoPrimary: () => answerNotRun(createRefusal(RefusalCode.NoPrimary, {
+			reason: 'the group has no primary that could take the write',
+			facts: {highestTerm: knowledge.highestTerm},
+			retryAfterMs: NO_PRIMARY_RETRY_MS,
+		})),
+		refuseNoConnection({endpoint, parts, term}, err) {
+			const load = parts.pool.getLoad();
+			return answerNotRun(createRefusal(RefusalCode.NoConnection, {
+				reason: `the primary ${endpoint.name} gave no connection`,
+				facts: {
+					endpoint: endpoint.name, term, cause: (err as Error).message, lent: load.lent, limit: load.limit,
+				},
+				retryAfterMs: NO_CONNECTION_RETRY_MS,
+			}), true);
+		},
+		refuseSilent: ({endpoint, term}) => answerUnknown(createRefusal(RefusalCode.EndpointSilent, {
+			reason: `the primary ${endpoint.name} gave no answer after the request was sent`,
+			facts: {endpoint: endpoint.name, term},
+		})),
+		refuseSuperseded(endpoint, term, sent) {
+			const refusal = createRefusal(RefusalCode.PrimarySuperseded, {
+				reason: `${endpoint} is no longer primary of term ${term}`,
+				facts: {endpoint, term, highestTerm: knowledge.highestTerm},
+				retryAfterMs: 0,
+			});
+			return sent ? answerUnknown(refusal) : answerNotRun(refusal);
+		},
+		refuseFailed: (primary, term, answer) => answerNotRun(createRefusal(RefusalCode.StatementFailed, {
+			reason: `${primary.name} rejected the statement and rolled it back: ${answer.message ?? 'no message'}`,
+			facts: {endpoint: primary.name, term},
+		})),
+		refuseNotConfirmed: (primary, term, answer) => answerUnknown(createRefusal(RefusalCode.NotConfirmed, {
+			reason: `${primary.name} took the request, but no majority confirmed it in time`,
+			facts: {
+				endpoint: primary.name, term, position: answer.status.log.position, durability: getGroup().cfg.durability,
+			},
+		})),
+		answerConfirmed(primary, {result, rows, status}) {
+			const facts = {endpoint: primary.name, term: status.term, position: status.log.position};
+			if (result === KeyedWriteResult.Tombstone) {
+				return answerNotRun(createRefusal(RefusalCode.Resolved, {
+					reason: 'the request was settled as not run, and never will run under this id', facts,
+				}));
+			}
+
+			if (result === KeyedWriteResult.Mismatch) {
+				return answerNotRun(createRefusal(RefusalCode.RequestMismatch, {
+					reason: 'another statement or other values stand under this request id', facts,
+				}));
+			}
+
+			return {
+				outcome: Outcome.Done, rows: rows ?? [], servedBy: primary.name, role: EndpointRole.Primary, log: status.log, ageMs: 0,
+			};
+		},
+	};
+}
--- a/src/owners/write-path.ts
+++ b/src/owners/write-path.ts
@@ -1,4 +1,3 @@
-import {Outcome} from '../callers/caller-answer.js';
 import {
 	EndpointRole, KeyedWriteResult, type EndpointConnection, type KeyedWriteAnswer,
 } from '../endpoints/endpoint.js';
@@ -7,9 +6,10 @@
 import {RefusalCode} from '../refusals/refusal.js';
 import type {OwnerAnswer, OwnerRequest, ResolveRequest} from '../routing/owner-request.js';
 import {Confirmation, isHolding} from './confirmer.js';
-import type {EndpointParts, GroupParts} from './group-parts.js';
-import {answerNotRun, answerUnknown, createRefusal} from './owner-answers.js';
+import type {GroupParts, Primary} from './group-parts.js';
+import {answerNotRun} from './owner-answers.js';
 import {isTellingFailure, type GivenTime} from './telling-failure.js';
+import {createWriteAnswers} from './write-answers.js';
 
 /**
  * Runs keyed exchanges at a group's primary and answers only what a majority has confirmed.
@@ -34,12 +34,6 @@
 	readonly sentAt: number;
 };
 
-/** When a caller may come back while no primary is known, in milliseconds. */
-const NO_PRIMARY_RETRY_MS = 500;
-
-/** When a caller may come back after an endpoint refused a connection, in milliseconds. */
-const NO_CONNECTION_RETRY_MS = 100;
-
 /**
  * Part of the remaining time that an exchange may take.
  *
@@ -48,13 +42,6 @@
  */
 const TRY_SHARE = 0.5;
 
-/** The primary of a group as its owner knows it. */
-export type Primary = {
-	readonly endpoint: EndpointConfig;
-	readonly parts: EndpointParts;
-	readonly term: number;
-};
-
 type KeyedExchange = {
 	readonly what: 'write' | 'resolve';
 	readonly requestId: string;
@@ -67,6 +54,7 @@
 /** Creates the write path of one group. */
 export function createWritePath(group: GroupParts): WritePath {
 	const {clock, knowledge} = group;
+	const answers = createWriteAnswers(group);
 
 	const findPrimary = (): Primary | undefined => {
 		const endpoint = knowledge.getPrimary();
@@ -89,43 +77,12 @@
 		return primary;
 	};
 
-	const refuseNoPrimary = () => answerNotRun(createRefusal(RefusalCode.NoPrimary, {
-		reason: 'the group has no primary that could take the write',
-		facts: {highestTerm: knowledge.highestTerm},
-		retryAfterMs: NO_PRIMARY_RETRY_MS,
-	}));
-
-	const refuseNoConnection = (primary: Primary, err: unknown) => {
-		const load = primary.parts.pool.getLoad();
-		return answerNotRun(createRefusal(RefusalCode.NoConnection, {
-			reason: `the primary ${primary.endpoint.name} gave no connection`,
-			facts: {
-				endpoint: primary.endpoint.name, term: primary.term, cause: (err as Error).message, lent: load.lent, limit: load.limit,
-			},
-			retryAfterMs: NO_CONNECTION_RETRY_MS,
-		}), true);
-	};
-
-	const refuseSilent = (primary: Primary) => answerUnknown(createRefusal(RefusalCode.EndpointSilent, {
-		reason: `the primary ${primary.endpoint.name} gave no answer after the request was sent`,
-		facts: {endpoint: primary.endpoint.name, term: primary.term},
-	}));
-
 	const noteFailure = (primary: Primary, given: GivenTime) => {
 		if (isTellingFailure(given, clock.now())) {
 			group.suspect(primary.endpoint.name, clock.now());
 		}
 	};
 
-	const refuseSuperseded = (endpoint: string, term: number, sent: boolean) => {
-		const refusal = createRefusal(RefusalCode.PrimarySuperseded, {
-			reason: `${endpoint} is no longer primary of term ${term}`,
-			facts: {endpoint, term, highestTerm: knowledge.highestTerm},
-			retryAfterMs: 0,
-		});
-		return sent ? answerUnknown(refusal) : answerNotRun(refusal);
-	};
-
 	// Guards against acknowledging a write on the word of a primary that has been superseded: its own answer
 	// looks like any other. Whatever it says of a key counts only once a majority shows the same term.
 	const getConfirmation = async ({term, primary, answer}: SettledExchange, deadlineAt: number) => {
@@ -147,41 +104,17 @@
 		});
 	};
 
-	const answerConfirmed = (primary: EndpointConfig, answer: KeyedWriteAnswer): OwnerAnswer => {
-		const {status} = answer;
-		if (answer.result === KeyedWriteResult.Tombstone) {
-			return answerNotRun(createRefusal(RefusalCode.Resolved, {
-				reason: 'the request was settled as not run, and never will run under this id',
-				facts: {endpoint: primary.name, term: status.term, position: status.log.position},
-			}));
-		}
-
-		if (answer.result === KeyedWriteResult.Mismatch) {
-			return answerNotRun(createRefusal(RefusalCode.RequestMismatch, {
-				reason: 'another statement or other values stand under this request id',
-				facts: {endpoint: primary.name, term: status.term, position: status.log.position},
-			}));
-		}
-
-		return {
-			outcome: Outcome.Done, rows: answer.rows ?? [], servedBy: primary.name, role: EndpointRole.Primary, log: status.log, ageMs: 0,
-		};
-	};
-
 	const settle = async (exchange: SettledExchange, deadlineAt: number): Promise<OwnerAnswer> => {
 		const {term, primary, answer} = exchange;
 		knowledge.observe(primary.name, answer.status, clock.now());
 		switch (answer.result) {
 			case KeyedWriteResult.NotPrimary: {
 				group.suspect(primary.name, clock.now());
-				return refuseSuperseded(primary.name, term, false);
+				return answers.refuseSuperseded(primary.name, term, false);
 			}
 
 			case KeyedWriteResult.Failed: {
-				return answerNotRun(createRefusal(RefusalCode.StatementFailed, {
-					reason: `${primary.name} rejected the statement and rolled it back: ${answer.message ?? 'no message'}`,
-					facts: {endpoint: primary.name, term},
-				}));
+				return answers.refuseFailed(primary, term, answer);
 			}
 
 			case KeyedWriteResult.Ran:
@@ -199,18 +132,13 @@
 				knowledge.observeConfirmed(answer.status.log.position, term, exchange.sentAt);
 			}
 
-			return answerConfirmed(primary, answer);
+			return answers.answerConfirmed(primary, answer);
 		}
 
 		group.suspect(primary.name, clock.now());
 		return confirmation === Confirmation.Superseded
-			? refuseSuperseded(primary.name, term, true)
-			: answerUnknown(createRefusal(RefusalCode.NotConfirmed, {
-				reason: `${primary.name} took the request, but no majority confirmed it in time`,
-				facts: {
-					endpoint: primary.name, term, position: answer.status.log.position, durability: group.getGroup().cfg.durability,
-				},
-			}));
+			? answers.refuseSuperseded(primary.name, term, true)
+			: answers.refuseNotConfirmed(primary, term, answer);
 	};
 
 	// Guards against a filing that hangs on a lost primary until its deadline, although another primary could take
@@ -228,7 +156,7 @@
 			connection = await primary.parts.pool.acquire(deadlineAt);
 		} catch (err) {
 			noteFailure(primary, {startedAt: enteredAt, until: deadlineAt});
-			return refuseNoConnection(primary, err);
+			return answers.refuseNoConnection(primary, err);
 		}
 
 		const stopWatching = cutWhenSuperseded(primary, connection);
@@ -244,7 +172,7 @@
 			// A connection whose exchange was abandoned is never lent again: its late answer would reach another caller.
 			connection.destroy();
 			noteFailure(primary, {startedAt: sentAt, until: sentAt + timeoutMs});
-			return isEndpointError(err) && !err.sent ? refuseNoConnection(primary, err) : refuseSilent(primary);
+			return isEndpointError(err) && !err.sent ? answers.refuseNoConnection(primary, err) : answers.refuseSilent(primary);
 		} finally {
 			stopWatching();
 			end();
@@ -288,7 +216,7 @@
 		for (;;) {
 			const primary = await waitForPrimary(deadlineAt);
 			if (!primary) {
-				return refuseNoPrimary();
+				return answers.refuseNoPrimary();
 			}
 
 			const end = await runAdmitted(primary, exchange, deadlineAt);
@@ -305,7 +233,7 @@
 
 	const runAtPrimary = async (exchange: KeyedExchange, deadlineAt: number): Promise<OwnerAnswer> => {
 		if (!await group.writeGate.enter(deadlineAt)) {
-			return refuseNoPrimary();
+			return answers.refuseNoPrimary();
 		}
 
 		try {
