Ask on the kept and on a fresh connection before a primary is held lost

Now the fresh connection always gets 600 ms, begun 100 ms after the first question; a witness that was paused gives no opinion; an owner that waits its turn goes on asking; an old suspicion gives the suspect the whole survey.

--- a/src/failover/create-group-failover.ts
+++ b/src/failover/create-group-failover.ts
@@ -1,3 +1,4 @@
+import {throwNotConnected} from '../endpoints/endpoint-errors.js';
 import type {Log} from '../log/log.js';
 import type {Hosts, Owning} from '../membership/hosts.js';
 import type {Platform} from '../platform/platform.js';
@@ -101,7 +102,10 @@
 	const repair = createGroupRepair(parts);
 	const replicas = createReplicaWatch(parts);
 	const watch = createPrimaryWatch({
-		...parts, opinions: createSecondOpinion(shared), getCutOffSince: now => replicas.getCutOffSince(now),
+		...parts,
+		opinions: createSecondOpinion(shared),
+		getStatus: async (address, timeoutMs) => options.failoverPeers.getStatus(address, timeoutMs),
+		getCutOffSince: now => replicas.getCutOffSince(now),
 	});
 	const planned = createPlannedChanges({
 		...parts, holds, host, lookAgain() {
@@ -147,6 +151,10 @@
 	};
 
 	const member: FailoverMember = {
+		async getStatus(address, timeoutMs) {
+			const endpoint = getCfg().endpoints.find(each => each.address === address);
+			return endpoint ? parts.control.status(endpoint.name, timeoutMs) : throwNotConnected(address, 'the group has no such endpoint');
+		},
 		suspectAddress(address) {
 			if (knowledge.getPrimary()?.address === address) {
 				suspectPrimary(clock.now());
--- a/src/failover/failover-errors.ts
+++ b/src/failover/failover-errors.ts
@@ -44,6 +44,11 @@
 	throw new FailoverError(`the promoter of term ${term} was paused and stops`, {props: {code: FailoverErrorCode.TermPassed}});
 }
 
+/** @internal */
+export function throwWitnessPaused(address: string): never {
+	throw new FailoverError(`this host was paused while it probed ${address}`, {props: {code: FailoverErrorCode.Failed}});
+}
+
 /** @internal */
 export function throwContested(term: number, host: string): never {
 	throw new FailoverError(`term ${term} is claimed by ${host}`, {props: {code: FailoverErrorCode.Contested}});
--- a/src/failover/failover-peers.ts
+++ b/src/failover/failover-peers.ts
@@ -1,16 +1,18 @@
 import type {Endpoints, EndpointStatus} from '../endpoints/endpoint.js';
-import {throwNoAnswer} from '../endpoints/endpoint-errors.js';
 import type {Peers} from '../peers/peers.js';
 import type {Clock} from '../time/clock.js';
-import {withinMs} from '../time/deadline.js';
 import type {ConfirmSuspicionRequest} from './failover-calls.js';
 import type {FailoverSettings} from './failover-settings.js';
-import {probe, ProbeResult} from './probe.js';
+import {throwWitnessPaused} from './failover-errors.js';
+import {detectFailure} from './failure-detector.js';
+import {ProbeResult} from './probe.js';
 
 /** Answers the failover's peer calls on this host, for every group it looks after and as a witness for the others. */
 export type FailoverPeers = {
 	/** The way to the other proxies. */
 	readonly peers: Peers;
+	/** Asks a server on a connection of its own: an old one may have gone silent while the server is well. */
+	getStatus(address: string, timeoutMs: number): Promise<EndpointStatus>;
 	/** Hands the calls that concern a group to its failover. */
 	register(group: string, member: FailoverMember): void;
 	/** Ends that, unless another member took the group over. */
@@ -19,6 +21,8 @@
 
 /** One group's failover as its peers reach it. */
 export type FailoverMember = {
+	/** Asks the server at that address on the connection kept for control. */
+	getStatus(address: string, timeoutMs: number): Promise<EndpointStatus>;
 	/** Another owner cannot reach the server at that address, nor can this host. */
 	suspectAddress(address: string): void;
 	hold(holdId: string, ms: number): Promise<boolean>;
@@ -42,7 +46,6 @@
 
 	const getStatus = async (address: string, ms: number): Promise<EndpointStatus> => {
 		const endsAt = clock.now() + ms;
-		// On a connection of its own: an old one may have gone silent while the server is well.
 		const connection = await endpoints.getEndpoint(address).connect(ms);
 		try {
 			return await connection.status(Math.max(1, endsAt - clock.now()));
@@ -51,40 +54,27 @@
 		}
 	};
 
-	const probeOnce = async (address: string, timeoutMs: number) => {
+	/** Probes a server; rejects where this process was paused meanwhile and its failure to answer says nothing. */
+	const probeAddress = async (group: string, address: string, ms: number): Promise<EndpointStatus | undefined> => {
+		const member = members.get(group);
 		let status: EndpointStatus | undefined;
-		const result = await probe({
+		const note = async (answer: Promise<EndpointStatus>) => {
+			status = await answer;
+		};
+
+		const result = await detectFailure({
 			clock,
-			timeoutMs,
-			pauseSlackMs: settings.pauseSlackMs,
-			async exchange(ms) {
-				const bounded = await withinMs(clock, ms, getStatus(address, ms));
-				status = bounded.timedOut ? throwNoAnswer(address, 'a probe') : bounded.value;
-			},
+			settings,
+			headStartMs: 0,
+			silenceMs: ms,
+			askKept: member && (async timeoutMs => note(member.getStatus(address, timeoutMs))),
+			askFresh: async timeoutMs => note(getStatus(address, timeoutMs)),
 		});
-		return {result, status};
-	};
-
-	/** Probes for the whole time where the server is silent, a little longer than once where it refuses. */
-	const probeAddress = async (address: string, ms: number): Promise<EndpointStatus | undefined> => {
-		const startedAt = clock.now();
-		for (;;) {
-			const tookMs = clock.now() - startedAt;
-			const {result, status} = await probeOnce(address, Math.max(settings.probeRetryMs, ms - tookMs));
-			if (result === ProbeResult.Answered || result === ProbeResult.Silent) {
-				return status;
-			}
-
-			if (result === ProbeResult.Refused && clock.now() - startedAt >= settings.refusedMs) {
-				return undefined;
-			}
-
-			await clock.sleep(settings.probeRetryMs);
-		}
+		return result === ProbeResult.Paused ? throwWitnessPaused(address) : status;
 	};
 
 	const confirmSuspicion = async (req: ConfirmSuspicionRequest) => {
-		const probes = await Promise.all(req.addresses.map(async address => ({address, status: await probeAddress(address, req.probeMs)})));
+		const probes = await Promise.all(req.addresses.map(async address => ({address, status: await probeAddress(req.group, address, req.probeMs)})));
 		for (const {address} of probes.filter(({status}) => status === undefined)) {
 			members.get(req.group)?.suspectAddress(address);
 		}
@@ -106,6 +96,7 @@
 
 	return {
 		peers,
+		getStatus,
 		register(group, member) {
 			members.set(group, member);
 		},
--- a/src/failover/failover-settings.ts
+++ b/src/failover/failover-settings.ts
@@ -6,15 +6,17 @@
 	readonly standbyPollMs: number;
 	/** How often replicas are asked for their status. */
 	readonly replicaPollMs: number;
-	/** Time a probe of the primary may take. */
+	/** Time a status of a server that is under no suspicion may take. */
 	readonly probeMs: number;
+	/** A primary that has not answered after this long is asked on a fresh connection too, and others are asked about it. */
+	readonly headStartMs: number;
 	/** Pause between probes of a primary that refuses. */
 	readonly probeRetryMs: number;
 	/** A primary that refuses connections is suspect after this long. */
 	readonly refusedMs: number;
-	/** A primary that is silent is suspect after this long; more than the longest pause of a healthy process. */
+	/** A primary that is then silent for this long is suspect; more than the longest pause of a healthy process. */
 	readonly silenceMs: number;
-	/** Time another host may take to probe the primary for a second opinion; with its own start it outlasts a pause too. */
+	/** Time another host takes to probe a silent primary for a second opinion; it outlasts a pause by itself. */
 	readonly witnessProbeMs: number;
 	/** Time a call to a peer may take besides the work it asks for. */
 	readonly peerSlackMs: number;
@@ -36,7 +38,9 @@
 	readonly competitorMs: number;
 	/** Bound on fencing the group. */
 	readonly fenceMs: number;
-	/** How long answers are awaited beyond a majority. */
+	/** How long answers to the survey are awaited beyond a majority; enough for a suspect that is back to show itself on a fresh connection. */
+	readonly surveyStragglerMs: number;
+	/** How long grants of a fence are awaited beyond a majority. */
 	readonly stragglerMs: number;
 	/** Bound on promoting the candidate. */
 	readonly promoteMs: number;
@@ -71,10 +75,11 @@
 	standbyPollMs: 500,
 	replicaPollMs: 1000,
 	probeMs: 300,
+	headStartMs: 100,
 	probeRetryMs: 40,
 	refusedMs: 100,
-	silenceMs: 700,
-	witnessProbeMs: 400,
+	silenceMs: 600,
+	witnessProbeMs: 600,
 	peerSlackMs: 100,
 	pauseSlackMs: 50,
 	contestedMs: 1000,
@@ -82,10 +87,11 @@
 	rankJitterMs: 200,
 	vacancyGraceMs: 600,
 	surveyMs: 300,
-	claimMs: 150,
+	claimMs: 75,
 	competitorMs: 600,
 	fenceMs: 300,
-	stragglerMs: 25,
+	surveyStragglerMs: 40,
+	stragglerMs: 10,
 	promoteMs: 300,
 	staleFenceMs: 1000,
 	learnMs: 500,
--- a/src/failover/failure-detector.ts
+++ b/src/failover/failure-detector.ts
@@ -1,55 +1,76 @@
+import type {Clock} from '../time/clock.js';
+import {withinMs} from '../time/deadline.js';
 import type {FailoverSettings} from './failover-settings.js';
-import {ProbeResult} from './probe.js';
-
-/** What the probes of one server add up to. */
-export const Health = {
-	/** The last probe was answered, or nothing is known against the server. */
-	Healthy: 'healthy',
-	/** Probes failed, but not for long enough. */
-	Doubtful: 'doubtful',
-	/** It failed for longer than a healthy server ever would; a second opinion is still needed. */
-	Suspect: 'suspect',
-} as const;
-
-/** One of the states in {@link Health}. */
-export type Health = typeof Health[keyof typeof Health];
-
-/** Judges one server by the run of probes that failed. */
-export type FailureDetector = {
-	/** Notes how a probe that began at `startedAt` ended. */
-	note(result: ProbeResult, startedAt: number): void;
-	getHealth(now: number): Health;
+import {probe, ProbeResult} from './probe.js';
+
+/** What {@link detectFailure} needs. */
+export type DetectOptions = {
+	readonly clock: Clock;
+	readonly settings: Pick<FailoverSettings, 'pauseSlackMs' | 'probeRetryMs' | 'refusedMs'>;
+	/** How much later than on the connection at hand it is asked on a fresh one, in milliseconds. */
+	readonly headStartMs: number;
+	/** How long a server may be silent on the fresh connection, in milliseconds. */
+	readonly silenceMs: number;
+	/** Asks on a connection that is open already, where there is one. */
+	askKept?(timeoutMs: number): Promise<unknown>;
+	/** Asks on a connection of its own. */
+	askFresh(timeoutMs: number): Promise<unknown>;
+	/** Called once the first question is not answered at once. */
+	onDoubt?(): void;
 };
 
-/** A server is never held lost on a single probe: a connection may have been cut or gone silent on its own. */
-const LEAST_FAILURES = 2;
-
-/** Creates a detector that knows nothing against the server. */
-export function createFailureDetector(settings: Pick<FailoverSettings, 'refusedMs' | 'silenceMs'>): FailureDetector {
-	let failures = 0;
-	let failingSince = 0;
-	let wasSilent = false;
-
-	return {
-		note(result, startedAt) {
-			if (result === ProbeResult.Answered || result === ProbeResult.Paused) {
-				failures = 0;
-				wasSilent = false;
-				return;
-			}
+/**
+ * Seeks a sign of life of a server and tells what came of it; never rejects.
+ *
+ * It asks on two connections. The one that is open already brings the answer of a server that was merely paused as soon
+ * as it goes on, without the time that connecting takes. A fresh one brings the answer of a server whose old connections
+ * went silent. A server is failed only when both bring nothing: when all is silent to the end, or, since a paused
+ * server does not refuse, when it refuses for a shorter while. The fresh connection always gets its whole time: what the
+ * other one did not bring may be its own fault, or that of a pause of this process.
+ */
+export async function detectFailure(options: DetectOptions): Promise<ProbeResult> {
+	const {clock, settings, headStartMs, silenceMs} = options;
+
+	const ask = async (timeoutMs: number, exchange: (timeoutMs: number) => Promise<unknown>) => probe({
+		clock, timeoutMs, pauseSlackMs: settings.pauseSlackMs, exchange,
+	});
 
-			failingSince = failures === 0 ? startedAt : failingSince;
-			failures++;
-			wasSilent ||= result === ProbeResult.Silent;
-		},
-		getHealth(now) {
-			if (failures === 0) {
-				return Health.Healthy;
+	const askFreshUntilEnd = async (): Promise<ProbeResult> => {
+		const startedAt = clock.now();
+		for (;;) {
+			const leftMs = Math.max(settings.probeRetryMs, startedAt + silenceMs - clock.now());
+			const result = await ask(leftMs, async timeoutMs => options.askFresh(timeoutMs));
+			if (result !== ProbeResult.Refused || clock.now() - startedAt >= settings.refusedMs) {
+				return result;
 			}
 
-			// A paused server is silent and comes back; one whose process is gone refuses, which needs no such patience.
-			const patienceMs = wasSilent ? settings.silenceMs : settings.refusedMs;
-			return failures >= LEAST_FAILURES && now - failingSince >= patienceMs ? Health.Suspect : Health.Doubtful;
-		},
+			await clock.sleep(settings.probeRetryMs);
+		}
 	};
+
+	const {askKept} = options;
+	const kept = askKept ? ask(headStartMs + silenceMs, async timeoutMs => askKept(timeoutMs)) : Promise.resolve(ProbeResult.Refused);
+	const first = await withinMs(clock, headStartMs, kept);
+	if (!first.timedOut && isNoEvidence(first.value)) {
+		return first.value;
+	}
+
+	options.onDoubt?.();
+	return combine([kept, askFreshUntilEnd()]);
+}
+
+function isNoEvidence(result: ProbeResult): boolean {
+	return result === ProbeResult.Answered || result === ProbeResult.Paused;
+}
+
+/** The first answer, or what all questions together amount to. */
+async function combine(questions: ReadonlyArray<Promise<ProbeResult>>): Promise<ProbeResult> {
+	const answered = questions.map(async question => (await question) === ProbeResult.Answered ? ProbeResult.Answered : Promise.reject(new Error('no answer')));
+	try {
+		return await Promise.any(answered);
+	} catch {
+		const results = await Promise.all(questions);
+		const weight = [ProbeResult.Paused, ProbeResult.Silent, ProbeResult.Refused];
+		return weight.find(result => results.includes(result)) ?? ProbeResult.Refused;
+	}
 }
--- a/src/failover/group-control.ts
+++ b/src/failover/group-control.ts
@@ -7,7 +7,8 @@
 
 /** Group control over an owner's control connections; every answer goes into the group's knowledge, every failure too. */
 export type GroupControl = {
-	status(endpoint: string, ms: number): Promise<EndpointStatus>;
+	/** Once the signal aborts, the connection is given up, so that the next exchange begins on a fresh one. */
+	status(endpoint: string, ms: number, signal?: AbortSignal): Promise<EndpointStatus>;
 	fence(endpoint: string, term: number, ms: number): Promise<TermAnswer>;
 	promote(endpoint: string, term: number, ms: number): Promise<TermAnswer>;
 	/** Makes a server follow the primary at that address. */
@@ -58,7 +59,7 @@
 	const getOwnStatus = (status: EndpointStatus) => status;
 
 	return {
-		status: async (endpoint, ms) => run(endpoint, ms, async (connection, left) => connection.status(left), getOwnStatus),
+		status: async (endpoint, ms, signal) => run(endpoint, ms, async (connection, left) => askStatus(connection, left, signal), getOwnStatus),
 		fence: async (endpoint, term, ms) => run(endpoint, ms, async (connection, left) => connection.fence(term, left), getTermStatus),
 		promote: async (endpoint, term, ms) => run(endpoint, ms, async (connection, left) => connection.promote(term, left), getTermStatus),
 		follow: async (endpoint, term, primaryAddress, ms) => run(
@@ -75,3 +76,16 @@
 		),
 	};
 }
+
+async function askStatus(connection: EndpointConnection, ms: number, signal: AbortSignal | undefined): Promise<EndpointStatus> {
+	const giveUp = () => {
+		connection.destroy();
+	};
+
+	signal?.addEventListener('abort', giveUp, {once: true});
+	try {
+		return await connection.status(ms);
+	} finally {
+		signal?.removeEventListener('abort', giveUp);
+	}
+}
--- a/src/failover/primary-watch.ts
+++ b/src/failover/primary-watch.ts
@@ -2,9 +2,9 @@
 import {type EndpointConfig, getMajority} from '../groups/group-config.js';
 import type {FailoverParts} from './failover-parts.js';
 import {FailoverPhase} from './failover-state.js';
-import {createFailureDetector, Health} from './failure-detector.js';
+import {detectFailure} from './failure-detector.js';
 import {gatherAnswers} from './gather-answers.js';
-import {probe, ProbeResult} from './probe.js';
+import {ProbeResult} from './probe.js';
 import {type Loss, LossKind} from './promote-group.js';
 import type {SecondOpinion} from './second-opinion.js';
 
@@ -21,6 +21,8 @@
 /** What {@link createPrimaryWatch} needs. */
 export type PrimaryWatchOptions = Pick<FailoverParts, 'clock' | 'control' | 'knowledge' | 'settings' | 'log' | 'getCfg' | 'setState'> & {
 	readonly opinions: SecondOpinion;
+	/** Asks a server on a connection of its own. */
+	getStatus(address: string, timeoutMs: number): Promise<EndpointStatus>;
 	/** When the primary was last seen to be followed, where it is cut off from its group. */
 	getCutOffSince(now: number): number | undefined;
 };
@@ -30,6 +32,7 @@
 	const {clock, control, knowledge, opinions, settings, log, setState} = options;
 	let suspectedAt = -Infinity;
 	let ownTerm = 0;
+	let contested = false;
 	let vacancy: {term: number; at: number; since: number} | undefined;
 
 	const isFresh = (endpoint: EndpointConfig, pollMs: number) => {
@@ -37,48 +40,48 @@
 		return known?.status !== undefined && known.failures === 0 && known.seenAt > suspectedAt && clock.now() - known.seenAt < pollMs;
 	};
 
-	const probePrimary = async (endpoint: EndpointConfig) => probe({
-		clock,
-		timeoutMs: settings.probeMs,
-		pauseSlackMs: settings.pauseSlackMs,
-		exchange: async ms => control.status(endpoint.name, ms),
-	});
-
 	const isPrimarySince = (term: number) => (status: EndpointStatus) => status.role === EndpointRole.Primary && status.term >= term;
 
 	const investigate = async (primary: EndpointConfig): Promise<Loss | undefined> => {
-		const detector = createFailureDetector(settings);
 		const term = knowledge.highestTerm;
 		const since = knowledge.get(primary.name)?.seenAt ?? clock.now();
 		let opinion: ReturnType<SecondOpinion['ask']> | undefined;
 
-		for (;;) {
-			const startedAt = clock.now();
-			const result = await probePrimary(primary);
-			detector.note(result, startedAt);
-			const health = detector.getHealth(clock.now());
-			if (health === Health.Healthy || knowledge.getPrimary()?.name !== primary.name) {
-				setState(FailoverPhase.Watching, `${primary.name} answers, or another endpoint is primary`);
-				return undefined;
-			}
-
-			// Asked at the first failure, so that the other host's own probing runs beside this one's.
-			setState(FailoverPhase.Suspecting, `${primary.name} does not answer`);
-			opinion ??= opinions.ask([primary.address], isPrimarySince(term));
-			if (health === Health.Suspect) {
-				break;
-			}
+		const kept = new AbortController();
+		const result = await detectFailure({
+			clock,
+			settings,
+			headStartMs: settings.headStartMs,
+			silenceMs: settings.silenceMs,
+			askKept: async ms => control.status(primary.name, ms, kept.signal),
+			async askFresh(ms) {
+				knowledge.observe(primary.name, await options.getStatus(primary.address, ms), clock.now());
+			},
+			onDoubt() {
+				// Asked at the first doubt, so that the other host's own probing runs beside this one's.
+				if (!contested) {
+					setState(FailoverPhase.Suspecting, `${primary.name} does not answer`);
+				}
+
+				opinion = opinions.ask([primary.address], isPrimarySince(term));
+			},
+		});
 
-			if (result === ProbeResult.Refused) {
-				await clock.sleep(settings.probeRetryMs);
-			}
+		// Where the fresh connection brought the answer, the kept one went silent and would hold up what comes after.
+		kept.abort();
+		const failed = result === ProbeResult.Refused || result === ProbeResult.Silent;
+		if (!failed || !opinion || knowledge.getPrimary()?.name !== primary.name) {
+			contested = false;
+			setState(FailoverPhase.Watching, `${primary.name} answers, or another endpoint is primary`);
+			return undefined;
 		}
 
 		const {confirmed, heard} = await opinion;
+		contested = !confirmed;
 		if (confirmed) {
 			log.warn('lost the primary', {endpoint: primary.name, term, confirmedBy: heard});
 			return {
-				kind: LossKind.Unreachable, endpoint: primary.name, term, since,
+				kind: LossKind.Unreachable, endpoint: primary.name, term, since, confirmedAt: clock.now(),
 			};
 		}
 
@@ -94,7 +97,7 @@
 		if (cutOffSince !== undefined) {
 			log.warn('found the primary cut off from its group', {endpoint: primary.name, term: knowledge.highestTerm});
 			return {
-				kind: LossKind.CutOff, endpoint: primary.name, term: knowledge.highestTerm, since: cutOffSince,
+				kind: LossKind.CutOff, endpoint: primary.name, term: knowledge.highestTerm, since: cutOffSince, confirmedAt: clock.now(),
 			};
 		}
 
@@ -152,7 +155,9 @@
 			}
 		}
 
-		return {kind: LossKind.Vacant, term, since};
+		return {
+			kind: LossKind.Vacant, term, since, confirmedAt: clock.now(),
+		};
 	};
 
 	return {
--- a/src/failover/promote-group.ts
+++ b/src/failover/promote-group.ts
@@ -31,6 +31,8 @@
 	readonly term: number;
 	/** When all was last well, on the clock's `now`. */
 	readonly since: number;
+	/** When it was confirmed. */
+	readonly confirmedAt: number;
 };
 
 /** The parts of the gap during which no write could land, in milliseconds. */
@@ -93,13 +95,15 @@
 	const endpoints = cfg.endpoints.filter(({name}) => loss.kind !== LossKind.CutOff || name !== loss.endpoint);
 	// Two tries: the first may meet a control connection that went silent on its own.
 	const tryMs = settings.surveyMs / 2;
+	// A suspicion of some time ago may be out of date: then the suspect gets the whole time to show itself.
+	const isRecent = loss.kind !== LossKind.Unreachable || clock.now() - loss.confirmedAt <= settings.surveyStragglerMs;
 
 	return gatherAnswers({
 		clock,
 		endpoints,
 		ask: async ({name}) => control.status(name, tryMs).catch(async () => control.status(name, tryMs)),
-		isEnough: gathered => gathered.length >= getMajority(cfg),
-		stragglerMs: settings.stragglerMs,
+		isEnough: gathered => gathered.length >= getMajority(cfg) && (isRecent || gathered.some(({endpoint}) => endpoint.name === loss.endpoint)),
+		stragglerMs: settings.surveyStragglerMs,
 		boundMs: settings.surveyMs,
 	});
 }
--- a/src/failover/replace-primary.ts
+++ b/src/failover/replace-primary.ts
@@ -19,8 +19,8 @@
  * Ends with a new primary, whoever raised it, or after a few attempts, so that the loss is then confirmed anew.
  */
 export async function replacePrimary(options: ReplaceOptions): Promise<void> {
-	const {clock, setState, loss, stopped} = options;
-	await clock.sleep(getTurnMs(options), stopped);
+	const {setState, loss, stopped} = options;
+	await waitForTurn(options);
 
 	for (let tries = 0; tries < MOST_TRIES && !stopped.aborted && !isReplaced(options); tries++) {
 		setState(FailoverPhase.Promoting, `replacing a primary that is ${loss.kind}`);
@@ -30,14 +30,26 @@
 	}
 }
 
-/** The first-ranked owner acts at once; the others leave it the time to, each by a different delay. */
-function getTurnMs({others, settings, random}: ReplaceOptions): number {
+/** The first-ranked owner acts at once; the others leave it the time to, each by a different delay, and go on asking the lost primary. */
+async function waitForTurn({clock, control, others, settings, random, loss, stopped}: ReplaceOptions): Promise<void> {
 	const rank = others.getRank();
-	return rank === 0 ? 0 : (rank * settings.rankDelayMs) + (random.fraction() * settings.rankJitterMs);
+	if (rank === 0) {
+		return;
+	}
+
+	const turnMs = (rank * settings.rankDelayMs) + (random.fraction() * settings.rankJitterMs);
+	const asking = loss.kind === LossKind.Unreachable && loss.endpoint ? control.status(loss.endpoint, turnMs) : Promise.resolve();
+	await Promise.all([clock.sleep(turnMs, stopped), asking.catch(() => undefined)]);
 }
 
+/** Tells whether there is a primary again: another one, or the lost one itself. */
 function isReplaced({knowledge, loss}: ReplaceOptions): boolean {
-	return knowledge.getPrimary() !== undefined && (loss.kind === LossKind.Vacant || knowledge.highestTerm > loss.term);
+	const primary = knowledge.getPrimary();
+	if (!primary || loss.kind === LossKind.Vacant || knowledge.highestTerm > loss.term) {
+		return primary !== undefined;
+	}
+
+	return loss.kind === LossKind.Unreachable && knowledge.get(primary.name)?.failures === 0;
 }
 
 /** Makes one attempt and tells whether it settled the loss; pauses where it did not. */
