--- a/src/bench/experiments.ts
+++ b/src/bench/experiments.ts
@@ -1,7 +1,9 @@
 import type {Experiment} from './experiment.js';
+import {hop} from './hop.js';
 import {overload} from './overload.js';
 
 /** Every experiment, by its name on the command line. */
 export const EXPERIMENTS: Readonly<Record<string, Experiment>> = {
+	[hop.name]: hop,
 	[overload.name]: overload,
 };
--- /dev/null
+++ b/src/bench/load/caller-load.ts
@@ -0,0 +1,87 @@
+import {Buffer} from 'node:buffer';
+import {Agent, request} from 'node:http';
+import {performance} from 'node:perf_hooks';
+
+/** Closed-loop load on one daemon: each caller sends its next request when it has its answer. */
+export type CallerLoad = {
+	readonly callerUrl: string;
+	readonly group: string;
+	readonly callers: number;
+	/** How long, in milliseconds. */
+	readonly durationMs: number;
+	readonly session: string;
+	/** Makes the body of the request number `index`. */
+	createBody(index: number): Record<string, unknown>;
+};
+
+/** What a load saw. */
+export type CallerLoadResult = {
+	/** Time from request to answer of those answered 200, in milliseconds. */
+	readonly latenciesMs: readonly number[];
+	readonly requestsPerSecond: number;
+	/** Answers other than 200, by status. */
+	readonly others: Readonly<Record<string, number>>;
+};
+
+/** Puts the load on and waits for the last answer. */
+export async function runCallerLoad(load: CallerLoad): Promise<CallerLoadResult> {
+	const agent = new Agent({keepAlive: true, maxSockets: load.callers});
+	const latenciesMs: number[] = [];
+	const others: Record<string, number> = {};
+	const startedAt = performance.now();
+	let index = 0;
+
+	const call = async () => {
+		while (performance.now() - startedAt < load.durationMs) {
+			const sentAt = performance.now();
+			const {status} = await post(agent, load, JSON.stringify(load.createBody(index++)));
+			if (status === 200) {
+				latenciesMs.push(performance.now() - sentAt);
+			} else {
+				others[status] = (others[status] ?? 0) + 1;
+			}
+		}
+	};
+
+	await Promise.all(Array.from({length: load.callers}, call));
+	agent.destroy();
+	return {latenciesMs, requestsPerSecond: latenciesMs.length / ((performance.now() - startedAt) / 1000), others};
+}
+
+/** An answer as far as a load looks at it. */
+export type PostAnswer = {
+	readonly status: number;
+	readonly body: string;
+};
+
+async function post(agent: Agent, load: Pick<CallerLoad, 'callerUrl' | 'group' | 'session'>, body: string): Promise<PostAnswer> {
+	return new Promise((resolve, reject) => {
+		const req = request(`${load.callerUrl}/v1/groups/${load.group}/requests`, {
+			method: 'POST',
+			agent,
+			headers: {
+				'content-type': 'application/json', 'content-length': Buffer.byteLength(body), 'aldercroft-session': load.session,
+			},
+		}, res => {
+			let text = '';
+			res.setEncoding('utf8');
+			res.on('data', (part: string) => {
+				text += part;
+			});
+			res.on('end', () => {
+				resolve({status: res.statusCode!, body: text});
+			});
+			res.on('error', reject);
+		});
+		req.on('error', reject);
+		req.end(body);
+	});
+}
+
+/** Sends one request and answers with its parsed body. */
+export async function askOnce(load: Pick<CallerLoad, 'callerUrl' | 'group' | 'session'>, body: Record<string, unknown>): Promise<Record<string, unknown>> {
+	const agent = new Agent();
+	const answer = await post(agent, load, JSON.stringify(body));
+	agent.destroy();
+	return JSON.parse(answer.body) as Record<string, unknown>;
+}
