--- a/src/configuration/configuration-peers.ts
+++ b/src/configuration/configuration-peers.ts
@@ -7,6 +7,7 @@
 import type {Clock} from '../time/clock.js';
 import type {ConfigurationState} from './create-configuration.js';
 import type {GroupEntry} from './group-entry.js';
+import {createPeerRotation} from './peer-rotation.js';
 
 /** Takes the configuration from other proxies where the store does not tell it, and passes changes on. */
 export type ConfigurationPeers = Service & {
@@ -88,6 +89,7 @@
 	const {configuration, peers, hosts, clock, random} = options;
 	const log = options.log.part('configuration peers: ');
 	const stopped = new AbortController();
+	const rotation = createPeerRotation(random);
 	const heard = new Set<string>();
 	/** When each exchange began, the oldest first. */
 	const reconciledAt = new Map<string, number>();
@@ -145,13 +147,14 @@
 	 * up to which it is complete, so asking one at a time catches up as a watch would.
 	 */
 	const pullWhereStoreIsSilent = async () => {
-		const [address] = draw(1);
 		const isSilent = configuration.getStoreSilenceMs(clock.now()) >= STORE_SILENT_MS;
-		if (!address || !isSilent) {
+		const address = isSilent ? rotation.next(getPeerAddresses()) : undefined;
+		if (address === undefined) {
 			return;
 		}
 
 		await pullFrom(address).catch((err: unknown) => {
+			rotation.drop(address);
 			log.debug('a peer gave no configuration', {address, err});
 		});
 	};
