Offer an accepted change to peers at once, and reconcile by the version in a peer's request

Cause: only the store's watch carried a change; the configuration's push and reconcile had no callers. Now whoever makes a change takes it in force and passes it on, and an owner that sees a newer version in a request fetches it.

--- a/src/audit/create-changes.ts
+++ b/src/audit/create-changes.ts
@@ -1,4 +1,4 @@
-import type {Platform} from '../platform/platform.js';
+import type {Platform, PlatformObject} from '../platform/platform.js';
 import {PlatformConflictError, PlatformError, PlatformRefusedError} from '../platform/platform-errors.js';
 import type {Random} from '../random/random.js';
 import type {Clock} from '../time/clock.js';
@@ -25,6 +25,8 @@
 	readonly platform: Platform;
 	readonly clock: Clock;
 	readonly random: Random;
+	/** Told of every object read or written on the way, so that this host takes an accepted change in force at once. */
+	onSeen?(object: PlatformObject): void;
 };
 
 /** Longest time that a change is tried, in milliseconds. */
@@ -54,9 +56,13 @@
 };
 
 /** Creates the maker of changes. */
-export function createChanges({platform, clock, random}: ChangesOptions): Changes {
+export function createChanges({platform, clock, random, onSeen}: ChangesOptions): Changes {
 	const read = async <T>({kind, name}: Attempt<T>) => {
 		const stored = await platform.get(kind.kind, name, CALL_TIMEOUT_MS);
+		if (stored) {
+			onSeen?.(stored);
+		}
+
 		const object: AuditedObject<T> = stored ? kind.parse(stored.value) : {state: undefined, audit: [], nextArchive: 0};
 		return {version: stored?.version ?? 0, object};
 	};
@@ -70,6 +76,7 @@
 		const written = await platform.put({
 			kind: kind.kind, name, value, expectedVersion: version,
 		}, CALL_TIMEOUT_MS);
+		onSeen?.(written);
 		return written.version;
 	};
 
--- a/src/daemon/register-operators.ts
+++ b/src/daemon/register-operators.ts
@@ -1,10 +1,12 @@
 import {createAuditTrail} from '../audit/audit-trail.js';
 import {createChanges, type Changes} from '../audit/create-changes.js';
+import {checkStoredGroup} from '../configuration/group-entry.js';
 import type {ExplanationsService} from '../explanations/create-explanations.js';
 import type {Kernel} from '../kernel/kernel.js';
 import {createFleetView} from '../operators/create-fleet-view.js';
 import {createOperatorAccess} from '../operators/create-operator-access.js';
 import {createOperatorCommands} from '../operators/create-operator-commands.js';
+import {ObjectKind} from '../platform/platform.js';
 import {getCommonParts} from './common-parts.js';
 
 declare module '../kernel/service-map.js' {
@@ -13,9 +15,19 @@
 	}
 }
 
-/** Registers what makes changes in the platform. */
+/** Registers what makes changes in the platform; an accepted one goes from here to peers, also where every watch is dead. */
 export function registerChanges(kernel: Kernel): void {
-	kernel.register('changes', createChanges({...getCommonParts(kernel), platform: kernel.getOrThrow('platform')}));
+	const configuration = kernel.getOrThrow('configuration');
+	kernel.register('changes', createChanges({
+		...getCommonParts(kernel),
+		platform: kernel.getOrThrow('platform'),
+		onSeen(object) {
+			const {entry} = object.kind === ObjectKind.Group ? checkStoredGroup(object) : {};
+			if (entry) {
+				configuration.offer(object.name, entry);
+			}
+		},
+	}));
 }
 
 /** Registers the operators' side: who may come in, what they see, what they command. */
--- a/src/daemon/register-owners.ts
+++ b/src/daemon/register-owners.ts
@@ -23,6 +23,9 @@
 		owning: kernel.getOrThrow('owning'),
 		peers,
 		createGroupOwner: createGroupOwnerFactory(kernel),
+		onVersionSeen(group, version, peerAddress) {
+			kernel.getOrThrow('configurationPeers').reconcile(group, version, peerAddress);
+		},
 	});
 	kernel.register('owners', owners);
 	kernel.register('transactions', createTransactions({clock: common.clock, owners, peers}));
--- a/src/owners/create-owners.ts
+++ b/src/owners/create-owners.ts
@@ -36,6 +36,8 @@
 	readonly peers: Peers;
 	readonly log: Log;
 	createGroupOwner(group: string): GroupOwner;
+	/** Told which version of a group's configuration a peer's request carried. */
+	onVersionSeen?(group: string, version: number, peerAddress: string): void;
 };
 
 /** Time between looks at which groups this host looks after, in milliseconds. */
@@ -155,8 +157,14 @@
 		getOwner: group => running.get(group)?.owner,
 		getOwnedGroups: () => [...running.keys()],
 		async start() {
-			options.peers.handle('execute', execute);
-			options.peers.handle('resolve', resolve);
+			options.peers.handle('execute', async (req, from) => {
+				options.onVersionSeen?.(req.group, req.configVersion, from.address);
+				return execute(req);
+			});
+			options.peers.handle('resolve', async (req, from) => {
+				options.onVersionSeen?.(req.group, req.configVersion, from.address);
+				return resolve(req);
+			});
 			configuration.onChange(group => {
 				running.get(group)?.owner.applyConfig();
 			});
