--- a/tests/peers/peer-authentication-tests.ts
+++ b/tests/peers/peer-authentication-tests.ts
@@ -10,8 +10,8 @@
 import {createWsPeers} from '../../src/peers/ws-peers.js';
 import {createSeededRandom} from '../../src/random/seeded-random.js';
 import {createVirtualClock} from '../../src/stand-ins/time/virtual-clock.js';
+import {startTcpRelay} from '../../src/stand-ins/peers/tcp-relay.js';
 import {describeOutcome, PEER_KEY} from './peer-bench.js';
-import {startTcpRelay} from './tcp-relay.js';
 
 const CALL = {
 	type: FrameType.Call, id: 1, kind: 'echo', req: 'stolen',
--- a/tests/peers/peer-links-tests.ts
+++ b/tests/peers/peer-links-tests.ts
@@ -5,8 +5,8 @@
 import {createSeededRandom} from '../../src/random/seeded-random.js';
 import {createPeerNetwork, type PeerNetwork} from '../../src/stand-ins/peers/in-memory-peers.js';
 import {createVirtualClock, type VirtualClock} from '../../src/stand-ins/time/virtual-clock.js';
+import {startTcpRelay, type TcpRelay} from '../../src/stand-ins/peers/tcp-relay.js';
 import {createGatedHandler, describeOutcome, PEER_KEY} from './peer-bench.js';
-import {startTcpRelay, type TcpRelay} from './tcp-relay.js';
 
 const SILENT = 'sent true: gave no answer to echo: silent for 2500 ms';
 const NOT_OPEN = 'sent false: gave no answer to echo: not open within 1000 ms';
