Let a promotion's note count as one of the primary, and of nothing else

The owners' note of a promotion has nothing before it, and was taken for the group's creation: an operator's order to promote in the same seconds was not beaten by it, and a group created twice named it as what stands. An entry is now about the fields that it names, and a creation names its own.

--- a/src/audit/change.ts
+++ b/src/audit/change.ts
@@ -89,8 +89,9 @@
 	return fields.includes(EVERY_FIELD) || entryFields.some(field => fields.includes(field));
 }
 
+/** The fields of both parts; a part that is null, as of a note, has none. */
 function getEntryFields({from, to}: AuditEntry): readonly string[] {
-	return isPart(from) && isPart(to) ? [...Object.keys(from), ...Object.keys(to)] : [EXISTENCE_FIELD];
+	return [from, to].flatMap(part => isPart(part) ? Object.keys(part) : []);
 }
 
 function isPart(part: unknown): part is Readonly<Record<string, unknown>> {
--- a/src/operators/describe-change.ts
+++ b/src/operators/describe-change.ts
@@ -4,6 +4,9 @@
 import {answerOk, answerRefused} from './answers.js';
 import type {CommandAnswer} from './operator-commands.js';
 
+/** Longest value written out, in characters; the answer's data has all of it. */
+const MAX_VALUE_LENGTH = 120;
+
 /** Tells an operator how a change ended. */
 export function describeChange(answer: ChangeAnswer, changeId: string): CommandAnswer {
 	const data = {...answer, changeId};
@@ -11,7 +14,7 @@
 		case ChangeResult.Applied: {
 			const {entry, repeated} = answer;
 			const before = repeated ? 'Done before, this was the same command again' : 'Done';
-			return answerOk(`${before}: ${describeEntry(entry)}. ${describeParts(entry)}`.trimEnd(), data);
+			return answerOk(`${before}: ${describeEntry(entry)}. ${describeParts(entry)}`, data);
 		}
 
 		case ChangeResult.Unchanged: {
@@ -35,12 +38,12 @@
 }
 
 function describeParts({from, to}: AuditEntry): string {
-	return from === null ? '' : `From ${describePart(from)} to ${describePart(to)}. `;
+	return `From ${describePart(from)} to ${describePart(to)}.`;
 }
 
-/** Writes the fields of a changed part: `name value` for each. */
+/** Writes the fields of a changed part: `name value` for each; a note has none. */
 export function describePart(part: unknown): string {
-	return Object.entries(part as Record<string, unknown>)
+	return Object.entries(part ?? {})
 		.map(([name, value]) => `${name} ${describeValue(value)}`)
 		.join(', ');
 }
@@ -50,5 +53,6 @@
 		return 'none';
 	}
 
-	return typeof value === 'string' ? value : JSON.stringify(value);
+	const text = typeof value === 'string' ? value : JSON.stringify(value);
+	return text.length <= MAX_VALUE_LENGTH ? text : '…';
 }
--- a/src/operators/group-change.ts
+++ b/src/operators/group-change.ts
@@ -109,7 +109,11 @@
 	const cfg = groupConfigSchema.safeParse({name: group, endpoints});
 	return cfg.success
 		? {
-			kind: DecisionKind.Change, fields, state: {cfg: cfg.data, deleted: false}, from: undefined, to: cfg.data,
+			kind: DecisionKind.Change,
+			fields,
+			state: {cfg: cfg.data, deleted: false},
+			from: {[EXISTENCE_FIELD]: false},
+			to: {[EXISTENCE_FIELD]: true, cfg: cfg.data},
 		}
 		: refuse(fields, cfg.error.issues[0]!.message);
 }
