Prove that statements of different transactions never mix

Eight stories on the simulated system; what counts is the primary's log, whose entries must each hold one transaction's rows.

The stand-in server rolled an open transaction back at the next BEGIN, which PostgreSQL does not: it warns and goes on within the open one. So a connection that was lent again with a transaction on it looked harmless; now it mixes. Killing a proxy of the simulated system cut its links to peers but left its connections to the servers alive, with its transactions; now its host is gone for the servers too. No other test killed a proxy that way.

Each guard was taken out, and seen red: - destroying a connection whose transaction did not end (createOpenTransactions): "committed: 1, 2" in place of "committed: 2"; "committed: 7, 20" in place of "committed: 20". - ending idle transactions (endAbandoned): "committed: 1" by a caller gone for 32 s; "not-run: transaction-unknown" in place of "done: 20" for the caller who found every connection lent. - ending the transaction with the exchange that brought no answer (use): "unknown: endpoint-silent" in place of "not-run: transaction-unknown". - settling a commit under its key (settleCommit): "unknown: endpoint-silent" in place of "done", "unknown: owner-silent" in place of "not-run: resolved". - confirming a commit (settle): "done" and "committed: 2" at a primary that was superseded, in place of "not-run: resolved". Not red alone: the exchange runner's end of a connection, since the transaction destroys it too.

--- a/src/stand-ins/database/backend.ts
+++ b/src/stand-ins/database/backend.ts
@@ -175,17 +175,15 @@
 			},
 		})),
 		read: async read => inSlot(async () => runRead(read)),
-		begin: async (key, waitMs) => inSlot(async () => {
-			rollback();
-			return withKey({
-				...key,
-				waitMs,
-				onAbsent() {
-					open = createKeyedTransaction(key, member.state, memory);
-					return {...answer(KeyedWriteResult.Ran), rows: []};
-				},
-			});
-		}),
+		begin: async (key, waitMs) => inSlot(async () => withKey({
+			...key,
+			waitMs,
+			onAbsent() {
+				// As in PostgreSQL, a BEGIN within a transaction is only warned of: what follows belongs to the open one.
+				open ??= createKeyedTransaction(key, member.state, memory);
+				return {...answer(KeyedWriteResult.Ran), rows: []};
+			},
+		})),
 		run: async (statement, values) => inSlot(async () => {
 			try {
 				await serve();
--- a/src/stand-ins/system/simulated-system.ts
+++ b/src/stand-ins/system/simulated-system.ts
@@ -42,7 +42,7 @@
 	configure(cfg: GroupConfig): void;
 	/** Starts every proxy and lets the system settle. */
 	start(): Promise<void>;
-	/** Kills a proxy: its links break and it serves nothing more. */
+	/** Takes a proxy's host away: its links break, its connections to servers go silent, and it reaches nothing more. */
 	kill(name: string): void;
 	stop(): Promise<void>;
 };
@@ -148,6 +148,10 @@
 		kill(name) {
 			const {address} = proxies.find(proxy => proxy.name === name) ?? throwUnknown(name);
 			network.kill(address);
+			for (const server of [...groups.values()].flatMap(group => group.servers)) {
+				server.silenceConnections(name);
+				server.faults.cut([name]);
+			}
 		},
 		async stop() {
 			await clock.runUntil(Promise.all(proxies.map(async ({kernel}) => kernel.stop())));
--- a/tests/proofs/pipe-endpoints.ts
+++ b/tests/proofs/pipe-endpoints.ts
@@ -8,7 +8,7 @@
 /** The pipes of a system. */
 export type Pipes = {
 	wrap(endpoints: Endpoints, clock: Clock): Endpoints;
-	/** Holds the next answer to a read or a write up for `ms` milliseconds. */
+	/** Holds the next answer to a read, a write or a transaction's statement up for `ms` milliseconds. */
 	holdNext(ms: number): void;
 	/** How long to hold the answer at hand, in milliseconds. */
 	takeHold(): number;
@@ -104,7 +104,7 @@
 		resolve: async (requestId, term, ms) => pass(ms, async () => inner.resolve(requestId, term, BELOW_MS)),
 		read: async (read, ms) => pass(ms, async () => askHeld(async () => inner.read(read, BELOW_MS))),
 		begin: async (transaction, ms) => pass(ms, async () => inner.begin(transaction, BELOW_MS)),
-		run: async (statement, values, ms) => pass(ms, async () => inner.run(statement, values, BELOW_MS)),
+		run: async (statement, values, ms) => pass(ms, async () => askHeld(async () => inner.run(statement, values, BELOW_MS))),
 		commit: async ms => pass(ms, async () => inner.commit(BELOW_MS)),
 		rollback: async ms => pass(ms, async () => inner.rollback(BELOW_MS)),
 		close: async () => inner.close(),
