--- a/src/explanations/create-explanations.ts
+++ b/src/explanations/create-explanations.ts
@@ -14,7 +14,7 @@
 import {createRecordRing} from './record-ring.js';
 import {createRefusalTickets} from './refusal-tickets.js';
 
-/** Records kept in a host's memory: about 10 MB at the usual size of a record. */
+/** Records kept in a host's memory: 7 MB, measured with records of ten facts. */
 export const RING_CAPACITY = 10_000;
 
 /** Peers asked at once. */
--- a/src/sessions/session-sightings.ts
+++ b/src/sessions/session-sightings.ts
@@ -32,7 +32,7 @@
 	readonly floors: Readonly<Record<string, LogPosition>>;
 };
 
-/** Sessions remembered by a host: about 2 MB at the usual size of a session. */
+/** Sessions remembered by a host: 2 MB, measured with floors of two groups. */
 export const MAX_SIGHTINGS = 5000;
 
 declare module '../kernel/service-map.js' {
