--- a/src/peers/ws-transport.ts
+++ b/src/peers/ws-transport.ts
@@ -19,20 +19,31 @@
 
 const PATH = '/peers';
 
+const UPGRADE_REQUIRED = 426;
+
 /** Creates the transport over WebSocket, uncompressed. */
 export function createWsTransport(options: WsTransportOptions): PeerTransport {
 	const socketOptions = {perMessageDeflate: false, maxPayload: options.maxMessageBytes};
-	const server = createServer();
+	const server = createServer((_req, res) => {
+		res.writeHead(UPGRADE_REQUIRED).end();
+	});
+	let address = `${options.hostAddress}:${options.port}`;
 	const webSockets = new WebSocketServer({server, path: PATH, ...socketOptions});
 
 	return {
+		get address() {
+			return address;
+		},
 		async start(onChannel) {
 			webSockets.on('connection', socket => {
 				onChannel(createWsChannel(socket));
 			});
+			// The server's errors come here too; those of the start reject below.
+			webSockets.on('error', () => undefined);
 			server.listen(options.port, options.hostAddress);
 			await once(server, 'listening');
-			return `${options.hostAddress}:${(server.address() as AddressInfo).port}`;
+			const {port} = server.address() as AddressInfo;
+			address = `${options.hostAddress}:${port}`;
 		},
 		connect: address => createWsChannel(new WebSocket(`ws://${address}${PATH}`, socketOptions)),
 		async stop(ms) {
--- a/src/routing/create-entry.ts
+++ b/src/routing/create-entry.ts
@@ -2,7 +2,7 @@
 import type {Entry} from '../callers/entry.js';
 import type {VersionedGroup} from '../configuration/configuration.js';
 import {RefusalCode} from '../refusals/refusal.js';
-import type {RetryBudgets} from '../retries/retry-budgets.js';
+import type {Retries} from '../retries/create-retries.js';
 import type {AskedRequest, Asker} from './asked-request.js';
 import type {EntryAnswers} from './entry-answers.js';
 import {judgeAge} from './entry-refusals.js';
@@ -10,7 +10,7 @@
 import type {RequestTries} from './request-tries.js';
 import {getFloor} from './session-floor.js';
 import {getStatementDigest} from './statement-digest.js';
-import type {TriesEnd} from './try-owners.js';
+import type {OwnerTry, TriesEnd} from './try-owners.js';
 
 /** What the entry is made from. */
 export type EntryOptions = {
@@ -18,7 +18,7 @@
 	readonly answers: EntryAnswers;
 	readonly tries: RequestTries;
 	readonly ownerClient: OwnerClient;
-	readonly retryBudgets: RetryBudgets;
+	readonly retries: Retries;
 };
 
 /** The part of a deadline kept back to settle what an unsure try left, in milliseconds, and its share of the deadline. */
@@ -31,7 +31,7 @@
 /** Creates the entry's way for single requests; transactions have their own. */
 export function createEntry(options: EntryOptions): Pick<Entry, 'execute' | 'resolveOutcome'> {
 	const {
-		asker, answers, tries, ownerClient, retryBudgets,
+		asker, answers, tries, ownerClient, retries,
 	} = options;
 
 	const runTries = async (asked: AskedRequest, group: VersionedGroup, req: CallerRequest): Promise<TriesEnd> => {
@@ -39,7 +39,7 @@
 		const digest = isWrite ? getStatementDigest(req.statement, req.values) : '';
 		const floor = req.latest ? undefined : getFloor(asked.session, asked.group);
 		const keptBackMs = isWrite ? Math.min(SETTLE_MS, req.deadlineMs * SETTLE_SHARE) : 0;
-		const end = await tries.tryFor(asked, group, asked.deadlineAt - keptBackMs, async (host, remainingMs) => ownerClient.call(host, 'execute', {
+		const attempt: OwnerTry = async (host, turn) => ownerClient.call(host, 'execute', {
 			group: asked.group,
 			requestId: asked.requestId,
 			kind: req.kind,
@@ -49,11 +49,12 @@
 			floor,
 			maxAgeMs: req.maxAgeMs ?? group.cfg.readAgeLimitMs,
 			class: req.class,
-			remainingMs,
+			...turn,
 			configVersion: group.version,
-		}));
+		});
+		const end = await tries.tryFor(asked, group, asked.deadlineAt - keptBackMs, attempt);
 		const isOpen = end.unsure || (asked.mayBeRepeat && end.answer.refusal?.code === RefusalCode.StatementFailed);
-		return isWrite && isOpen ? tries.settleUnsure(asked, group, end) : end;
+		return isWrite && isOpen ? tries.settleUnsure(asked, group, end, attempt) : end;
 	};
 
 	return {
@@ -66,7 +67,7 @@
 				return answers.refuse(asked, refusal!);
 			}
 
-			retryBudgets.getBudget(name, asked.startedAt).noteFresh(asked.startedAt);
+			retries.noteFresh(name, asked.startedAt);
 			return answers.answer(asked, await runTries(asked, judgement.group, req));
 		},
 		async resolveOutcome(name, requestId, header) {
--- a/src/routing/entry-answers.ts
+++ b/src/routing/entry-answers.ts
@@ -1,9 +1,10 @@
 import {Outcome, type CallerAnswer} from '../callers/caller-answer.js';
 import {RequestKind} from '../callers/caller-request.js';
+import type {EndpointRole} from '../endpoints/endpoint.js';
 import type {Explanations} from '../explanations/explanations.js';
 import type {Hosts} from '../membership/hosts.js';
 import {RefusalCode, type Refusal} from '../refusals/refusal.js';
-import type {Sessions} from '../sessions/session.js';
+import type {Session, Sessions} from '../sessions/session.js';
 import type {Clock} from '../time/clock.js';
 import type {AskedRequest} from './asked-request.js';
 import type {OwnerAnswer} from './owner-request.js';
@@ -28,17 +29,34 @@
 	readonly explanations: Explanations;
 	/** Told of every answer, for metrics and operators. */
 	onAnswer?(asked: AskedRequest, answer: CallerAnswer, now: number): void;
+	/** Told of the role of the endpoint that served a read, for metrics. */
+	onServed?(role: EndpointRole): void;
 };
 
 /** Refusals that hold for every submission of the id: a tombstone or another statement stands under the key. */
 const SETTLED_CODES: ReadonlySet<RefusalCode> = new Set([RefusalCode.Resolved, RefusalCode.RequestMismatch]);
 
+/** A token older than this is signed anew, in milliseconds. */
+const RENEW_TOKEN_MS = 600_000;
+
 /** Creates the maker of answers of one host. */
 export function createEntryAnswers(options: EntryAnswersOptions): EntryAnswers {
 	const {
 		clock, hosts, sessions, explanations,
 	} = options;
 
+	// Signing costs more than a read's way through the entry, so a token that still says the same goes back as it
+	// came. One that is older is signed anew, so that a change of keys never meets a session that only reads.
+	const sign = (asked: AskedRequest, session: Session) => {
+		const wallMs = clock.wall();
+		const isYoung = Math.abs(wallMs - session.issuedAt) < RENEW_TOKEN_MS;
+		if (asked.token !== undefined && session === asked.session && isYoung) {
+			return asked.token;
+		}
+
+		return sessions.sign(isYoung ? session : {...session, issuedAt: wallMs});
+	};
+
 	const answerRefusal = (asked: AskedRequest, outcome: Outcome, refusal: Refusal): CallerAnswer => {
 		const ticket = explanations.record({
 			...refusal,
@@ -56,7 +74,7 @@
 		return {
 			outcome,
 			requestId: asked.requestId,
-			session: sessions.sign(asked.session),
+			session: sign(asked, asked.session),
 			refusal: {
 				code, reason, retryAfterMs, ticket,
 			},
@@ -65,6 +83,10 @@
 
 	const answerDone = (asked: AskedRequest, answer: OwnerAnswer): CallerAnswer => {
 		const isWrite = asked.asked !== RequestKind.Read;
+		if (!isWrite && answer.role) {
+			options.onServed?.(answer.role);
+		}
+
 		const session = isWrite && answer.log ? raiseFloor(asked.session, asked.group, answer.log, clock.wall()) : asked.session;
 		return {
 			outcome: Outcome.Done,
@@ -74,7 +96,7 @@
 			term: answer.log?.term,
 			position: answer.log?.position,
 			ageMs: answer.ageMs,
-			session: sessions.sign(session),
+			session: sign(asked, session),
 		};
 	};
 
@@ -87,14 +109,23 @@
 	const getRefusedOutcome = (asked: AskedRequest, refusal: Refusal) =>
 		asked.mayBeRepeat && !SETTLED_CODES.has(refusal.code) ? Outcome.Unknown : Outcome.NotRun;
 
-	const answerEnd = (asked: AskedRequest, {answer, unsure}: TriesEnd): CallerAnswer => {
+	const answerEnd = (asked: AskedRequest, {answer, unsure, settled}: TriesEnd): CallerAnswer => {
 		if (answer.outcome === Outcome.Done) {
 			return answerDone(asked, answer);
 		}
 
 		const refusal = answer.refusal!;
-		const outcome = unsure || answer.outcome === Outcome.Unknown ? Outcome.Unknown : getRefusedOutcome(asked, refusal);
-		return answerRefusal(asked, outcome, refusal);
+		if (refusal.code === RefusalCode.WriteLost && answer.log) {
+			// Told once: the session goes on from the log that is without the write.
+			const session = raiseFloor(asked.session, asked.group, answer.log, clock.wall());
+			return answerRefusal({...asked, session, token: undefined}, Outcome.NotRun, refusal);
+		}
+
+		if (unsure || answer.outcome === Outcome.Unknown) {
+			return answerRefusal(asked, Outcome.Unknown, refusal);
+		}
+
+		return answerRefusal(asked, settled ? Outcome.NotRun : getRefusedOutcome(asked, refusal), refusal);
 	};
 
 	const finish = (asked: AskedRequest, answer: CallerAnswer) => {
--- a/src/routing/request-tries.ts
+++ b/src/routing/request-tries.ts
@@ -4,7 +4,7 @@
 import type {Hosts, Owning} from '../membership/hosts.js';
 import type {Random} from '../random/random.js';
 import {RefusalCode} from '../refusals/refusal.js';
-import type {RetryBudgets} from '../retries/retry-budgets.js';
+import type {Retries} from '../retries/create-retries.js';
 import type {Clock} from '../time/clock.js';
 import type {AskedRequest} from './asked-request.js';
 import type {OwnerClient} from './owner-client.js';
@@ -16,8 +16,8 @@
 	tryFor(asked: AskedRequest, group: VersionedGroup, deadlineAt: number, attempt: OwnerTry): Promise<TriesEnd>;
 	/** Settles what stands under the request's key, with a tombstone where nothing does. */
 	settle(asked: AskedRequest, group: VersionedGroup, deadlineAt: number): Promise<TriesEnd>;
-	/** Settles what an unsure end left open, where the time suffices. */
-	settleUnsure(asked: AskedRequest, group: VersionedGroup, end: TriesEnd): Promise<TriesEnd>;
+	/** Settles what an unsure end of `attempt` left open, where the time suffices. */
+	settleUnsure(asked: AskedRequest, group: VersionedGroup, end: TriesEnd, attempt: OwnerTry): Promise<TriesEnd>;
 };
 
 /** What tries are made with. */
@@ -27,7 +27,7 @@
 	readonly hosts: Hosts;
 	readonly owning: Owning;
 	readonly ownerClient: OwnerClient;
-	readonly retryBudgets: RetryBudgets;
+	readonly retries: Retries;
 	/** Told of every retry, for metrics. */
 	onRetry?(answer: OwnerAnswer): void;
 };
@@ -47,29 +47,38 @@
 		preferred: hosts.self.name,
 		deadlineAt,
 		isRead: asked.asked === RequestKind.Read,
-		budget: options.retryBudgets.getBudget(asked.group, clock.now()),
+		retries: options.retries,
 		onRetry: options.onRetry,
 	}, attempt);
 
 	// Guards against a false "not run" and against a caller left unsure: an earlier try that brought no answer may
 	// still be on its way to the primary. The tombstone keeps it from ever running, and only then is it said.
 	const settle = async (asked: AskedRequest, group: VersionedGroup, deadlineAt: number): Promise<TriesEnd> => {
-		const attempt: OwnerTry = async (host, remainingMs) => ownerClient.call(host, 'resolve', {
-			group: asked.group, requestId: asked.requestId, remainingMs, configVersion: group.version,
+		const attempt: OwnerTry = async (host, turn) => ownerClient.call(host, 'resolve', {
+			group: asked.group, requestId: asked.requestId, ...turn, configVersion: group.version,
 		});
 		return tryFor(asked, group, deadlineAt, attempt);
 	};
 
-	const settleUnsure = async (asked: AskedRequest, group: VersionedGroup, end: TriesEnd): Promise<TriesEnd> => {
+	// Guards against another caller's answer: what stands under the id may be the answer to another statement, sent by
+	// mistake under the same id. Only the request itself, sent again with its digest, tells; it cannot run any more.
+	const fetchOwn = async (asked: AskedRequest, group: VersionedGroup, attempt: OwnerTry): Promise<TriesEnd | undefined> => {
+		const fetched = await tryFor(asked, group, asked.deadlineAt, attempt);
+		const isOwn = fetched.answer.outcome === Outcome.Done || fetched.answer.refusal?.code === RefusalCode.RequestMismatch;
+		return isOwn ? fetched : undefined;
+	};
+
+	const settleUnsure = async (asked: AskedRequest, group: VersionedGroup, end: TriesEnd, attempt: OwnerTry): Promise<TriesEnd> => {
 		const settled = await settle(asked, group, asked.deadlineAt);
-		if (settled.answer.outcome === Outcome.Done) {
-			return settled;
+		const isTombstone = settled.answer.refusal?.code === RefusalCode.Resolved && !settled.unsure;
+		if (isTombstone) {
+			return {
+				answer: {...end.answer, outcome: Outcome.NotRun}, tries: end.tries, unsure: false, settled: true,
+			};
 		}
 
-		const isTombstone = settled.answer.refusal?.code === RefusalCode.Resolved && !settled.unsure;
-		return isTombstone
-			? {answer: {...end.answer, outcome: Outcome.NotRun}, tries: end.tries, unsure: false}
-			: {...end, unsure: true};
+		const own = settled.answer.outcome === Outcome.Done ? await fetchOwn(asked, group, attempt) : undefined;
+		return own ?? {...end, unsure: true};
 	};
 
 	return {tryFor, settle, settleUnsure};
--- a/src/routing/try-owners.ts
+++ b/src/routing/try-owners.ts
@@ -4,12 +4,21 @@
 import type {Random} from '../random/random.js';
 import {RefusalCode} from '../refusals/refusal.js';
 import type {Clock} from '../time/clock.js';
-import type {RetryBudget} from '../retries/retry-budget.js';
-import {getNextTry, type FailedTry} from '../retries/retry-policy.js';
+import type {Retries} from '../retries/create-retries.js';
+import {GiveUpReason, type FailedTry} from '../retries/retry-policy.js';
+import {createRetryBudgetRefusal} from '../retries/retry-refusals.js';
 import type {OwnerAnswer} from './owner-request.js';
 
-/** One try at one owner, with the time that is left in milliseconds. */
-export type OwnerTry = (host: PlatformHost, remainingMs: number) => Promise<OwnerAnswer>;
+/** One try at one owner. */
+export type OwnerTry = (host: PlatformHost, turn: OwnerTurn) => Promise<OwnerAnswer>;
+
+/** What an owner is told of its turn. */
+export type OwnerTurn = {
+	/** Time left, in milliseconds. */
+	readonly remainingMs: number;
+	/** Every other owner was asked before. */
+	readonly isLastOwner: boolean;
+};
 
 /** What a series of tries ended with. */
 export type TriesEnd = {
@@ -17,6 +26,8 @@
 	readonly tries: number;
 	/** True where some try may have run and the last answer does not settle it. */
 	readonly unsure: boolean;
+	/** True where a confirmed tombstone keeps every submission of the request from running. */
+	readonly settled?: boolean;
 };
 
 /** What the tries of one request need. */
@@ -30,19 +41,20 @@
 	readonly preferred: string;
 	readonly isRead: boolean;
 	readonly deadlineAt: number;
-	readonly budget: RetryBudget;
+	readonly retries: Retries;
 	onRetry?(answer: OwnerAnswer): void;
 };
 
 /** Tries the owners of a group in turn until one settles the request or its deadline is near. This layer alone retries. */
 export async function tryOwners(options: TryOwnersOptions, attempt: OwnerTry): Promise<TriesEnd> {
-	const {clock, random, deadlineAt, budget} = options;
+	const {clock, random, deadlineAt, group, retries} = options;
 	const turns = createTurns(options);
 	let unsure = false;
 
 	for (let tries = 1; ; tries++) {
 		const host = turns.next(clock.now());
-		const answer = host ? await attempt(host, Math.max(1, deadlineAt - clock.now())) : refuseNoOwners(options.group);
+		const turn = {remainingMs: Math.max(1, deadlineAt - clock.now()), isLastOwner: !turns.isOtherLeft(clock.now())};
+		const answer = host ? await attempt(host, turn) : refuseNoOwners(group);
 		unsure = answer.outcome === Outcome.Unknown || (unsure && !isSettled(answer));
 		if (answer.outcome === Outcome.Done) {
 			return {answer, tries, unsure};
@@ -50,15 +62,12 @@
 
 		const now = clock.now();
 		const failed = describeFailedTry(answer, options.isRead, turns.isOtherLeft(now));
-		const next = getNextTry({
-			failed, tries, deadlineAt, budget: budget.getState(now), fraction: random.fraction(),
+		const next = retries.decide({
+			group, failed, tries, deadlineAt, fraction: random.fraction(),
 		}, now);
 		if (!next.retry) {
-			return {answer: withRetryAfter(answer, next.retryAfterMs), tries, unsure};
-		}
-
-		if (next.spendsBudget) {
-			budget.take(now);
+			const last = next.reason === GiveUpReason.Budget ? describeSpentBudget(options, answer, tries, now) : answer;
+			return {answer: withRetryAfter(last, next.retryAfterMs), tries, unsure};
 		}
 
 		options.onRetry?.(answer);
@@ -66,9 +75,9 @@
 	}
 }
 
-/** A confirmed answer or a confirmed tombstone holds for every try under the same key. */
-function isSettled(answer: OwnerAnswer): boolean {
-	return answer.outcome === Outcome.Done || answer.refusal?.code === RefusalCode.Resolved;
+/** What is confirmed under a key, an answer, a tombstone or another request, holds for every try under it. */
+function isSettled({outcome, refusal}: OwnerAnswer): boolean {
+	return outcome === Outcome.Done || refusal?.code === RefusalCode.Resolved || refusal?.code === RefusalCode.RequestMismatch;
 }
 
 function describeFailedTry(answer: OwnerAnswer, isRead: boolean, otherOwnerLeft: boolean): FailedTry {
@@ -83,6 +92,17 @@
 	};
 }
 
+function describeSpentBudget(options: TryOwnersOptions, answer: OwnerAnswer, tries: number, now: number): OwnerAnswer {
+	const refusal = createRetryBudgetRefusal({
+		group: options.group,
+		tries,
+		budget: options.retries.getBudget(options.group, now).getState(now),
+		lastCode: answer.refusal?.code,
+		retryAfterMs: answer.refusal?.retryAfterMs ?? 0,
+	});
+	return {...answer, refusal};
+}
+
 function withRetryAfter(answer: OwnerAnswer, retryAfterMs: number | undefined): OwnerAnswer {
 	return answer.refusal && retryAfterMs !== undefined ? {...answer, refusal: {...answer.refusal, retryAfterMs}} : answer;
 }
--- a/src/stand-ins/database/database-session.ts
+++ b/src/stand-ins/database/database-session.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '../../time/clock.js';
+import {createDeadlineWatch} from '../../time/deadline-watch.js';
 import type {Backend} from './backend.js';
 import {throwConnectionLost} from './database-errors.js';
 import type {ExchangeKind} from './exchange-kind.js';
@@ -12,8 +13,8 @@
 	readonly backend: Backend;
 	/** Runs one exchange: resolves when its answer leaves the server; rejects with DatabaseError for an error or a dead server. */
 	exchange<T>(kind: ExchangeKind, work: () => T | Promise<T>): Promise<T>;
-	/** Notes that the client is gone: what runs goes on to its end, an open transaction is rolled back. */
-	close(): void;
+	/** Tells the server that the client is gone: what runs goes on to its end, an open transaction is rolled back. */
+	close(): Promise<void>;
 	/** Loses both directions for good without either end being told. */
 	silence(): void;
 	/** Ends the connection from the server's side. */
@@ -45,7 +46,6 @@
 	let gone = false;
 	let silent = false;
 	let active = false;
-	let idle = new AbortController();
 
 	const checkAlive = () => {
 		if (!alive) {
@@ -58,7 +58,8 @@
 	const end = () => {
 		if (alive) {
 			alive = false;
-			idle.abort();
+			idleWatch.stop();
+			keepAliveWatch.stop();
 			backend.rollback();
 			options.onEnd();
 		}
@@ -66,34 +67,30 @@
 
 	const drop = () => {
 		end();
-		if (!silent) {
+		if (!silent && !faults.isCutFrom(from)) {
 			for (const listener of listeners) {
 				listener();
 			}
 		}
 	};
 
-	const isBlocked = () => alive && (silent || faults.frozen || faults.isCutFrom(from));
+	const isBlocked = () => silent || faults.isCutFrom(from) || (alive && faults.frozen);
 
 	/** Resolves when a packet can pass between the server and the client. */
 	const pass = async () => {
 		while (isBlocked()) {
 			await faults.changed();
 		}
-
-		checkAlive();
 	};
 
-	const watchIdleTransaction = async () => {
-		const {signal} = idle;
-		await clock.sleep(options.idleInTransactionMs, signal);
-		if (!signal.aborted) {
-			drop();
-		}
-	};
+	/** A transaction whose client is gone unnoticed must not hold its key and rows for ever. */
+	const idleWatch = createDeadlineWatch(clock, drop);
+
+	/** A connection that went silent must not count for ever among those granted. */
+	const keepAliveWatch = createDeadlineWatch(clock, drop);
 
 	const beginExchange = () => {
-		idle.abort();
+		idleWatch.clear();
 		active = true;
 	};
 
@@ -102,8 +99,7 @@
 		if (gone) {
 			end();
 		} else if (backend.inTransaction) {
-			idle = new AbortController();
-			void watchIdleTransaction();
+			idleWatch.set(clock.now() + options.idleInTransactionMs);
 		}
 	};
 
@@ -117,6 +113,7 @@
 		}
 
 		await pass();
+		checkAlive();
 	};
 
 	return {
@@ -124,6 +121,7 @@
 		backend,
 		async exchange(kind, work) {
 			await pass();
+			checkAlive();
 			beginExchange();
 			let outcome;
 			try {
@@ -140,7 +138,8 @@
 
 			return outcome.value;
 		},
-		close() {
+		async close() {
+			await pass();
 			gone = true;
 			if (!active) {
 				end();
@@ -148,7 +147,7 @@
 		},
 		silence() {
 			silent = true;
-			void clock.sleep(options.keepAliveMs).then(drop);
+			keepAliveWatch.set(clock.now() + options.keepAliveMs);
 		},
 		drop,
 		onDrop(listener) {
--- a/src/stand-ins/database/in-memory-endpoints.ts
+++ b/src/stand-ins/database/in-memory-endpoints.ts
@@ -36,9 +36,11 @@
 	const open = async (address: string, server: DatabaseServer): Promise<DatabaseSession> => {
 		const link = getLink(address);
 		await link.carry(link.epoch);
-		const session = await server.connect(host);
-		await link.carry(link.epoch);
-		return session;
+		try {
+			return await server.connect(host);
+		} finally {
+			await link.carry(link.epoch);
+		}
 	};
 
 	const getEndpoint = (address: string): Endpoint => ({
@@ -49,9 +51,7 @@
 			const opened = await withinMs(clock, timeoutMs, opening).catch((err: unknown) => throwNotConnected(address, err));
 			if (opened.timedOut) {
 				// The server may still accept; its end must not stay open.
-				opening.then(session => {
-					session.close();
-				}, () => undefined);
+				opening.then(async session => session.close(), () => undefined);
 				throwNotConnected(address, `not open within ${timeoutMs} ms`);
 			}
 
--- a/src/stand-ins/system/simulated-system.ts
+++ b/src/stand-ins/system/simulated-system.ts
@@ -2,11 +2,13 @@
 import {createKernel, type Kernel} from '../../kernel/kernel.js';
 import {type GroupConfig, groupConfigSchema} from '../../groups/group-config.js';
 import type {StoredGroup} from '../../groups/stored-group.js';
+import type {Endpoints} from '../../endpoints/endpoint.js';
 import type {LivePeers} from '../../peers/create-peers.js';
 import {ObjectKind, type PlatformHost} from '../../platform/platform.js';
 import {createSeededRandom} from '../../random/seeded-random.js';
 import {registerServices} from '../../daemon/register-services.js';
 import type {Settings} from '../../settings/settings.js';
+import type {Clock} from '../../time/clock.js';
 import {createDatabaseGroup, type DatabaseGroup} from '../database/database-group.js';
 import type {DatabaseServerSizes} from '../database/database-server.js';
 import {createInMemoryEndpoints, type InMemoryEndpoints} from '../database/in-memory-endpoints.js';
@@ -40,7 +42,7 @@
 	configure(cfg: GroupConfig): void;
 	/** Starts every proxy and lets the system settle. */
 	start(): Promise<void>;
-	/** Kills a proxy: its links break and it serves nothing more. */
+	/** Takes a proxy's host away: its links break, its connections to servers go silent, and it reaches nothing more. */
 	kill(name: string): void;
 	stop(): Promise<void>;
 };
@@ -62,6 +64,8 @@
 	readonly seed?: number;
 	/** Time a message takes one way between hosts, in milliseconds. */
 	readonly latencyMs?: number;
+	/** Puts something between the proxies and their way to the servers. */
+	wrapEndpoints?(endpoints: Endpoints, clock: Clock): Endpoints;
 };
 
 const SIGNING_KEY = 'a signing key for simulated systems only';
@@ -113,7 +117,7 @@
 		kernel.register('settings', createSettings(host));
 		kernel.register('platform', platform);
 		kernel.register('peers', peers);
-		kernel.register('endpoints', endpoints);
+		kernel.register('endpoints', options.wrapEndpoints?.(endpoints, clock) ?? endpoints);
 		registerServices(kernel);
 		return {
 			name: host.name, address: host.address, kernel, platform, endpoints, peers,
@@ -144,6 +148,10 @@
 		kill(name) {
 			const {address} = proxies.find(proxy => proxy.name === name) ?? throwUnknown(name);
 			network.kill(address);
+			for (const server of [...groups.values()].flatMap(group => group.servers)) {
+				server.silenceConnections(name);
+				server.faults.cut([name]);
+			}
 		},
 		async stop() {
 			await clock.runUntil(Promise.all(proxies.map(async ({kernel}) => kernel.stop())));
@@ -192,8 +200,11 @@
 		peerKeys: [PEER_KEY],
 		endpointUser: 'aldercroft',
 		endpointPassword: 'unused',
+		endpointDatabase: 'aldercroft',
+		bootstrapTokenHash: '',
 		logLevel: 'info',
 		shutdownMs: 10_000,
+		leaveNoticeMs: 1000,
 	};
 }
 
--- a/tests/stand-ins/database/endpoint-contract.ts
+++ b/tests/stand-ins/database/endpoint-contract.ts
@@ -170,6 +170,20 @@
 			'ran [] primary 1/4 of 1',
 		]);
 
+		doTest('two transactions that both create a table share it', async steps => [
+			await steps.begin(0, 'a'),
+			await steps.run(0, INSERT, ['ana', 7]),
+			await steps.insert(3, 'b', ['ana', 8]),
+			await steps.commit(0),
+			await steps.read(0, 'ana'),
+		], [
+			'ran [] primary 1/1 of 1',
+			'[{"member":"ana","score":7}]',
+			'ran [{"member":"ana","score":8}] primary 1/2 of 1',
+			'ran [] primary 1/3 of 1',
+			'held [{"member":"ana","score":7},{"member":"ana","score":8}] primary 1/3 of 1',
+		]);
+
 		doTest('a failed transaction can only be rolled back, and takes its key back', async steps => [
 			await steps.begin(0, 'a'),
 			await steps.run(0, INSERT, ['ana', 7]),
@@ -217,6 +231,9 @@
 				await steps.fence(1, 2),
 				await steps.promote(1, 2),
 				await steps.insert(1, 'e', ['ana', 10], 2),
+				await steps.read(1, 'ana', {term: 1, position: 2}),
+				await steps.read(1, 'ana', {term: 1, position: 3}),
+				await steps.read(1, 'ana', {term: 1, position: 5}),
 			);
 			servers[0]!.faults.heal();
 			lines.push(
@@ -235,6 +252,9 @@
 			'granted replica 1/2 of 2',
 			'granted primary 2/3 of 2',
 			'ran [{"member":"ana","score":10}] primary 2/4 of 2',
+			'held [{"member":"ana","score":7},{"member":"ana","score":10}] primary 2/4 of 2',
+			'lost [] primary 2/4 of 2',
+			'lost [] primary 2/4 of 2',
 			'granted replica 1/5 of 2',
 			'replica 2/4 of 2',
 			'held [{"member":"ana","score":7},{"member":"ana","score":10}] replica 2/4 of 2',
@@ -293,7 +313,7 @@
 			server.kill();
 			lines.push(
 				await steps.fail(pending),
-				await steps.fail(steps.at(0).status(TIMEOUT_MS)),
+				await steps.fail(steps.at(3).status(TIMEOUT_MS)),
 				await steps.fail(endpoints.getEndpoint(server.address).connect(TIMEOUT_MS)),
 			);
 			server.restart();
