Tell the embedded demo, and keep a daemon from spinning without its log's reader

The demo starts the platform, two groups and nine daemons as processes, tells eight chapters and judges ten promises; it ends with 1 where one was broken or never judged.

Found while building it: - Daemons whose starter had died spun at a full core and ignored SIGTERM (two of nine, 12 minutes). Cause, from a profile: each log line raised EPIPE on the output, nobody caught it, and the line about that raised the next. The log now takes the error; without its reader a daemon serves and stops. - A process that never became ready was waited for without a bound, and was left behind by an interrupted start. It is now killed after 30 s, and whoever starts a system is told of each process as soon as it exists.

--- /dev/null
+++ b/src/demo/run-demo.ts
@@ -0,0 +1,129 @@
+import {createSystemRandom} from '../random/system-random.js';
+import type {OwnProcess} from '../stand-ins/processes/child-process.js';
+import {startLocalSystem, type LocalSystem} from '../stand-ins/processes/local-system.js';
+import {createSystemClock} from '../time/system-clock.js';
+import {auditTrail} from './audit-trail.js';
+import {createBalancer} from './balancer.js';
+import {
+	FILINGS, SLEEP_LOGS, type Chapter, type Demo,
+} from './demo.js';
+import {drainEndpoint} from './drain-endpoint.js';
+import {laggingReplicas} from './lagging-replicas.js';
+import {losePrimary} from './lose-primary.js';
+import {createOperator, type DemoOperator} from './operator.js';
+import {createPromises} from './promises.js';
+import {refuseAndExplain} from './refuse-and-explain.js';
+import {replaceHost} from './replace-host.js';
+import {roamSession} from './roam-session.js';
+import {createStory, type Story} from './story.js';
+import {syncNights} from './sync-nights.js';
+
+/** What the demo needs of its process. */
+export type RunDemoOptions = {
+	readonly print: (line: string) => void;
+	/** Emits `SIGINT` and `SIGTERM`, as the process does. */
+	readonly events: NodeJS.EventEmitter;
+};
+
+/** Exit code of a run that was interrupted or could not be told to its end. */
+const FAILED = 1;
+
+const PROXIES = 9;
+const GRANITE_LOOP_ZONES = ['hall-a', 'hall-b', 'hall-c', 'hall-d'];
+const BUREAU_ZONES = ['lozenets', 'mladost', 'druzhba'];
+const LAG_MS = 20;
+const LEAVE_NOTICE_MS = 500;
+
+/** Time that a process may take to end before it is killed, in milliseconds. */
+const STOP_BOUND_MS = 5000;
+
+const CHAPTERS: readonly Chapter[] = [
+	syncNights, roamSession, laggingReplicas, losePrimary, drainEndpoint, replaceHost, refuseAndExplain, auditTrail,
+];
+
+/** Tells the whole story; resolves with the exit code once every process that it started has ended. */
+export async function runDemo({print, events}: RunDemoOptions): Promise<number> {
+	const clock = createSystemClock();
+	const random = createSystemRandom();
+	const story = createStory({print});
+	const promises = createPromises(story);
+	const bootstrap = createOperator(random);
+	const dana = createOperator(random);
+	const iva = createOperator(random);
+	const spawned: OwnProcess[] = [];
+	const interrupted = waitForInterrupt(events);
+	const startedAt = clock.now();
+
+	const tell = async () => {
+		print('aldercroft: nine daemons, two database groups of three servers and a platform, as processes on loopback');
+		const system = await startSystem(bootstrap, own => spawned.push(own));
+		print(`All were ready after ${formatSeconds(clock.now() - startedAt)}.`);
+		const demo: Demo = {
+			system, clock, random, story, promises, dana, iva, balancer: createBalancer(system.proxies),
+		};
+		await admitOperators(demo, bootstrap);
+		await tellAll(demo);
+	};
+
+	try {
+		const signal = await Promise.race([interrupted, tell()]);
+		print('');
+		return signal ? describeInterrupt(story, signal) : promises.conclude();
+	} catch (err) {
+		story.showVerdict(false, `the story could not be told to its end: ${(err as Error).message}`);
+		return FAILED;
+	} finally {
+		await Promise.all(spawned.map(async own => own.stop(STOP_BOUND_MS)));
+		print(`Every process has ended. The whole took ${formatSeconds(clock.now() - startedAt)}.`);
+	}
+}
+
+/** The token whose hash is in the settings lets the first operators in. */
+async function admitOperators({dana, iva, balancer}: Demo, bootstrap: DemoOperator): Promise<void> {
+	await bootstrap.runOrThrow(`create operator dana role operate token-hash ${dana.tokenHash}`, balancer.next());
+	await bootstrap.runOrThrow(`create operator iva role operate token-hash ${iva.tokenHash}`, balancer.next());
+}
+
+async function startSystem(bootstrap: DemoOperator, onSpawned: (own: OwnProcess) => void): Promise<LocalSystem> {
+	return startLocalSystem({
+		proxies: PROXIES,
+		availabilityZones: [...GRANITE_LOOP_ZONES, ...BUREAU_ZONES],
+		groups: [
+			{
+				name: SLEEP_LOGS, availabilityZones: GRANITE_LOOP_ZONES.slice(0, 3), connections: 20, slots: 3, lagMs: LAG_MS,
+			},
+			{
+				name: FILINGS, availabilityZones: BUREAU_ZONES, connections: 35, slots: 2, lagMs: LAG_MS,
+			},
+		],
+		flags: ['--bootstrap-token-hash', bootstrap.tokenHash, '--leave-notice-ms', String(LEAVE_NOTICE_MS)],
+		onSpawned,
+	});
+}
+
+async function tellAll(demo: Demo): Promise<void> {
+	for (const chapter of CHAPTERS) {
+		demo.story.beginChapter(chapter.title, chapter.why);
+		await chapter.tell(demo);
+	}
+}
+
+async function waitForInterrupt(events: NodeJS.EventEmitter): Promise<string> {
+	return new Promise(resolve => {
+		// Listened to for good: without a listener a second signal would leave processes behind.
+		for (const signal of ['SIGINT', 'SIGTERM']) {
+			events.on(signal, () => {
+				resolve(signal);
+			});
+		}
+	});
+}
+
+function describeInterrupt(story: Story, signal: string): number {
+	story.showVerdict(false, `the story was interrupted by ${signal}`);
+	return FAILED;
+}
+
+function formatSeconds(ms: number): string {
+	return `${(ms / 1000).toFixed(1)} s`;
+}
--- /dev/null
+++ b/src/demo/sync-nights.ts
@@ -0,0 +1,56 @@
+import {Outcome} from '../callers/caller-answer.js';
+import {RequestKind} from '../callers/caller-request.js';
+import {WorkClass} from '../groups/group-config.js';
+import {createRequestId} from '../random/request-id.js';
+import {createCaller} from './caller.js';
+import {SLEEP_LOGS, type Chapter, type Demo} from './demo.js';
+import {findLostOrDoubled, type SentWrite} from './judge-writes.js';
+import {Promised} from './promises.js';
+
+const MEMBERS = 45;
+
+/** Bands sync their nights over a shaky link: each sync is sent twice under one request id, at two proxies. */
+export const syncNights: Chapter = {
+	title: 'Bands sync their nights, each of them twice',
+	why: 'A lost sync makes a night vanish; a doubled one skews the recovery score. The request id keeps both from happening.',
+	async tell(demo) {
+		const {promises, story} = demo;
+		const members = Array.from({length: MEMBERS}, (_, index) => `m-${index + 1}`);
+		const writes = await Promise.all(members.map(async member => syncTwice(demo, member)));
+		const repeats = writes.filter(({bothDone}) => bothDone).length;
+		story.tell(`${MEMBERS} bands sent their night to two of nine proxies; ${repeats} were told "done" by both`);
+		const stored = await readMembers(demo);
+		promises.check(Promised.OnceOnly, findLostOrDoubled(writes, stored), `${MEMBERS} nights sent ${MEMBERS * 2} times, ${stored.length} rows found`);
+	},
+};
+
+async function syncTwice(demo: Demo, member: string): Promise<SentWrite & {bothDone: boolean}> {
+	const {balancer, clock, random} = demo;
+	const band = createCaller({...demo, group: SLEEP_LOGS});
+	const sentAt = clock.now();
+	const req = {
+		kind: RequestKind.Write,
+		statement: 'INSERT INTO nights (member, batch, mark) VALUES ($1, $2, $3)',
+		values: [member, 'sync', member],
+		requestId: createRequestId(clock.wall(), random),
+		class: WorkClass.Deadline,
+	};
+	// Both at once: neither proxy has heard of the other's submission.
+	const [first, second] = await Promise.all([band.ask(balancer.next(), req), band.ask(balancer.next(), {...req, attempt: 2})]);
+	const done = first.outcome === Outcome.Done ? first : second;
+	return {
+		mark: member,
+		outcome: done.outcome,
+		code: done.refusal?.code,
+		sentAt,
+		answeredAt: clock.now(),
+		bothDone: first.outcome === Outcome.Done && second.outcome === Outcome.Done,
+	};
+}
+
+async function readMembers(demo: Demo): Promise<string[]> {
+	const {answer} = await createCaller({...demo, group: SLEEP_LOGS}).send({
+		kind: RequestKind.Read, statement: 'SELECT mark FROM nights WHERE batch = $1', values: ['sync'], latest: true,
+	});
+	return (answer.rows ?? []).map(row => row.mark as string);
+}
--- a/src/log/bunyan-log.ts
+++ b/src/log/bunyan-log.ts
@@ -21,6 +21,9 @@
 
 /** Creates a log that prints one JSON object a line. */
 export function createBunyanLog({clock, name, hostName, level, stream = process.stdout}: BunyanLogOptions): Log {
+	// Guards against a daemon that spins instead of serving and stopping: where the reader of its output is gone, each
+	// line raises an error that nobody catches, and the line about that raises the next. Without its log it still serves.
+	stream.on('error', ignoreLostReader);
 	const logger = bunyan.createLogger({
 		name, hostname: hostName, level: level as bunyan.LogLevelString, stream,
 	});
@@ -43,3 +46,5 @@
 
 	return createPart('');
 }
+
+function ignoreLostReader(): void {} // eslint-disable-line @typescript-eslint/no-empty-function
--- a/src/stand-ins/processes/child-process.ts
+++ b/src/stand-ins/processes/child-process.ts
@@ -1,6 +1,7 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
 import process from 'node:process';
+import type {Readable} from 'node:stream';
 import {createInterface} from 'node:readline';
 
 /** A process of the project's own, started by a demo, a benchmark or a test. */
@@ -23,8 +24,12 @@
 	readonly args?: readonly string[];
 	/** Tells from a line of output that the process is ready; its value is handed back. */
 	readonly isReady: (line: string) => boolean;
-	/** Told of each further line. */
+	/** Told of each line. */
 	onLine?(line: string): void;
+	/** Told of the process before it is ready, so that its starter can end it whatever happens. */
+	onSpawned?(own: OwnProcess): void;
+	/** How long it may take to be ready, in milliseconds. */
+	readonly readyBoundMs?: number;
 };
 
 /** A process and the line that showed that it was ready. */
@@ -34,25 +39,40 @@
 };
 
 const STOP_BOUND_MS = 15_000;
+const READY_BOUND_MS = 30_000;
 
-/** Starts a script of the build with this Node and waits until it is ready; rejects where it ends before. */
+/** Starts a script of the build with this Node and waits until it is ready; kills it and rejects where it ends before or takes too long. */
 export async function startOwnProcess(options: OwnProcessOptions): Promise<ReadyProcess> {
-	const script = new URL(`../../../dist/${options.script}`, import.meta.url);
-	const child = spawn(process.execPath, [script.pathname, ...options.args ?? []], {stdio: ['ignore', 'pipe', 'inherit']});
-	const readyLine = await new Promise<string>((resolve, reject) => {
+	const {script, args = [], readyBoundMs = READY_BOUND_MS} = options;
+	const path = new URL(`../../../dist/${script}`, import.meta.url).pathname;
+	const child = spawn(process.execPath, [path, ...args], {stdio: ['ignore', 'pipe', 'inherit']});
+	const own = createOwnProcess(child);
+	options.onSpawned?.(own);
+	// Guards against a process that is left behind: one that never becomes ready would outlive whoever waits for it.
+	const timer = setTimeout(() => {
+		void own.kill();
+	}, readyBoundMs);
+	try {
+		return {process: own, readyLine: await waitForReadyLine(child, options)};
+	} finally {
+		clearTimeout(timer);
+	}
+}
+
+async function waitForReadyLine(child: ChildProcess & {readonly stdout: Readable}, {script, isReady, onLine}: OwnProcessOptions): Promise<string> {
+	return new Promise((resolve, reject) => {
 		const lines = createInterface({input: child.stdout});
 		lines.on('line', line => {
-			if (options.isReady(line)) {
+			if (isReady(line)) {
 				resolve(line);
 			}
 
-			options.onLine?.(line);
+			onLine?.(line);
 		});
 		child.once('exit', code => {
-			reject(new Error(`${options.script} ended with ${code ?? 'a signal'} before it was ready`));
+			reject(new Error(`${script} ended with ${code ?? 'a signal'} before it was ready`));
 		});
 	});
-	return {process: createOwnProcess(child), readyLine};
 }
 
 function createOwnProcess(child: ChildProcess): OwnProcess {
--- a/src/stand-ins/processes/local-system.ts
+++ b/src/stand-ins/processes/local-system.ts
@@ -45,6 +45,8 @@
 	onLine?(proxy: string, line: string): void;
 	/** Further flags of every daemon. */
 	readonly flags?: readonly string[];
+	/** Told of each process as soon as it exists, so that an interrupted start can be ended. */
+	onSpawned?(own: OwnProcess): void;
 };
 
 /** A database group to start. */
@@ -66,22 +68,29 @@
 const READY_POLL_MS = 50;
 const READY_BOUND_MS = 30_000;
 
+type StartOptions = LocalSystemOptions & Required<Pick<LocalSystemOptions, 'onSpawned'>>;
+
 /** Starts everything and waits until each proxy tells the balancer that it is ready. */
 export async function startLocalSystem(options: LocalSystemOptions): Promise<LocalSystem> {
 	const started: OwnProcess[] = [];
+	const onSpawned = (own: OwnProcess) => {
+		started.push(own);
+		options.onSpawned?.(own);
+	};
+
 	try {
-		return await startAll(options, started);
+		return await startAll({...options, onSpawned}, started);
 	} catch (err) {
 		await Promise.all(started.map(async own => own.kill()));
 		throw err;
 	}
 }
 
-async function startAll(options: LocalSystemOptions, started: OwnProcess[]): Promise<LocalSystem> {
-	const platformUrl = await startPlatform(started);
+async function startAll(options: StartOptions, started: readonly OwnProcess[]): Promise<LocalSystem> {
+	const platformUrl = await startPlatform(options);
 	const platform = createHttpPlatform({baseUrl: platformUrl, clock: createSystemClock()});
-	const groups = await Promise.all(options.groups.map(async group => startGroup(group, platform, started)));
-	const proxies = await startProxies(options, platformUrl, started);
+	const groups = await Promise.all(options.groups.map(async group => startGroup(group, platform, options)));
+	const proxies = await startProxies(options, platformUrl);
 	await Promise.all(proxies.map(async proxy => waitUntilReady(proxy)));
 
 	return {
@@ -98,13 +107,12 @@
 	};
 }
 
-async function startPlatform(started: OwnProcess[]): Promise<string> {
-	const {process, readyLine} = await startOwnProcess({script: 'stand-ins/platform/main.js', isReady: isJson});
-	started.push(process);
+async function startPlatform({onSpawned}: StartOptions): Promise<string> {
+	const {readyLine} = await startOwnProcess({script: 'stand-ins/platform/main.js', isReady: isJson, onSpawned});
 	return (JSON.parse(readyLine) as {url: string}).url;
 }
 
-async function startGroup(group: LocalGroupOptions, platform: Platform, started: OwnProcess[]): Promise<LocalGroup> {
+async function startGroup(group: LocalGroupOptions, platform: Platform, {onSpawned}: StartOptions): Promise<LocalGroup> {
 	const {process, readyLine} = await startOwnProcess({
 		script: 'stand-ins/database/main.js',
 		args: formatFlags({
@@ -115,8 +123,8 @@
 			lagMs: group.lagMs,
 		}),
 		isReady: isJson,
+		onSpawned,
 	});
-	started.push(process);
 	const ready = JSON.parse(readyLine) as {servers: string[]; control: string};
 	const cfg = groupConfigSchema.parse({
 		...group.config,
@@ -138,7 +146,7 @@
 	return {cfg, controlUrl: ready.control, process};
 }
 
-async function startProxies(options: LocalSystemOptions, platformUrl: string, started: OwnProcess[]): Promise<LocalProxy[]> {
+async function startProxies(options: StartOptions, platformUrl: string): Promise<LocalProxy[]> {
 	const ports = await findFreePorts(options.proxies * PORTS_PER_PROXY);
 	const planned = Array.from({length: options.proxies}, (_, index) => {
 		const [callerPort, peerPort, operatorPort] = ports.slice(index * PORTS_PER_PROXY);
@@ -175,11 +183,11 @@
 				...options.flags ?? [],
 			],
 			isReady: line => line.includes('serving'),
+			onSpawned: options.onSpawned,
 			onLine(line) {
 				options.onLine?.(host.name, line);
 			},
 		});
-		started.push(process);
 		return {
 			host, callerUrl: `http://${HOST}:${callerPort}`, operatorUrl: `http://${HOST}:${operatorPort}`, process,
 		};
--- a/tests/log/bunyan-log-tests.ts
+++ b/tests/log/bunyan-log-tests.ts
@@ -1,4 +1,4 @@
-import {PassThrough} from 'node:stream';
+import {PassThrough, Writable} from 'node:stream';
 import {expect} from 'chai';
 import {createBunyanLog} from '../../src/log/bunyan-log.js';
 import {PlatformError} from '../../src/platform/platform-errors.js';
@@ -60,4 +60,23 @@
 		expect(line).to.include('the platform gave no answer').and.include('reset').and.include('shown');
 		expect(line).to.not.include('hush');
 	});
+
+	// The reader of a daemon's output ends, and the daemon is asked to stop. It spins at a full core instead: writing a
+	// line raises an error, nobody catches it, and the line about that raises the next one.
+	it('goes on where the reader of its output is gone', async () => {
+		let lines = 0;
+		const stream = new Writable({
+			autoDestroy: false,
+			write(_chunk, _encoding, done) {
+				lines++;
+				done(new Error('EPIPE'));
+			},
+		});
+		const log = createBunyanLog({
+			clock: createVirtualClock(0), name: 'aldercroftd', hostName: 'entry-1', level: 'info', stream,
+		});
+		log.info('serving');
+		await new Promise(setImmediate);
+		expect(lines).to.equal(1);
+	});
 });
