--- /dev/null
+++ b/tests/random-check/checked-proxy.ts
@@ -0,0 +1,154 @@
+import type {Admission} from '../../src/admission/admission.js';
+import type {Entry} from '../../src/callers/entry.js';
+import type {Configuration} from '../../src/configuration/configuration.js';
+import type {Endpoints} from '../../src/endpoints/endpoint.js';
+import {DEFAULT_FAILOVER_SETTINGS} from '../../src/failover/failover-settings.js';
+import {createGroupControl, type GroupControl} from '../../src/failover/group-control.js';
+import {raisePrimary} from '../../src/failover/raise-primary.js';
+import {createGroupRepair} from '../../src/failover/repair-group.js';
+import {createSilentLog} from '../../src/log/silent-log.js';
+import type {Hosts, Owning} from '../../src/membership/hosts.js';
+import {createOwners, type OwnersService} from '../../src/owners/create-owners.js';
+import {createGroupOwner, type GroupOwner} from '../../src/owners/group-owner.js';
+import type {Peers} from '../../src/peers/peers.js';
+import type {PlatformHost} from '../../src/platform/platform.js';
+import type {Random} from '../../src/random/random.js';
+import {createRetries} from '../../src/retries/create-retries.js';
+import {createAsker} from '../../src/routing/asked-request.js';
+import {createEntry} from '../../src/routing/create-entry.js';
+import {createEntryAnswers} from '../../src/routing/entry-answers.js';
+import {createOwnerClient} from '../../src/routing/owner-client.js';
+import {createRequestTries} from '../../src/routing/request-tries.js';
+import {createSignedSessions} from '../../src/sessions/signed-sessions.js';
+import type {PausableClock} from '../failover/pausable-clock.js';
+import type {GuardBreak} from './guard-breaks.js';
+
+/** One proxy's way of requests and its promotions, without sockets, platform and tasks of its own. */
+export type CheckedProxy = {
+	readonly host: PlatformHost;
+	readonly clock: PausableClock;
+	readonly owners: OwnersService;
+	readonly owner: GroupOwner;
+	readonly entry: Pick<Entry, 'execute' | 'resolveOutcome'>;
+	/** Asks every server for its status. */
+	look(): Promise<void>;
+	/** Raises a primary at the term after the highest seen; resolves with whether that came about. */
+	raise(): Promise<boolean>;
+	/** Looks, and sends servers that follow nobody to follow the primary. */
+	tend(): Promise<void>;
+};
+
+/** What a proxy is made from. */
+export type CheckedProxyOptions = {
+	readonly group: string;
+	readonly host: PlatformHost;
+	readonly clock: PausableClock;
+	readonly random: Random;
+	readonly configuration: Configuration;
+	readonly endpoints: Endpoints;
+	readonly hosts: Hosts;
+	readonly owning: Owning;
+	readonly peers: Peers;
+	readonly guardBreak?: GuardBreak;
+};
+
+const SIGNING_KEY = 'a signing key for the random check';
+const LOOK_MS = 300;
+
+/** Creates a proxy that knows nothing yet. */
+export function createCheckedProxy(options: CheckedProxyOptions): CheckedProxy {
+	const {
+		group, host, clock, random, configuration, hosts, owning, peers, guardBreak,
+	} = options;
+	const log = createSilentLog();
+	const common = {
+		clock, random, configuration, hosts, owning, peers, log,
+	};
+	const getCfg = () => configuration.getGroupOrThrow(group).cfg;
+
+	const owner = createGroupOwner({
+		...common,
+		endpoints: guardBreak?.breakEndpoints?.(options.endpoints, clock) ?? options.endpoints,
+		getGroup: () => configuration.getGroupOrThrow(group),
+		isEndpointLeaving: () => false,
+		createAdmission: () => createOpenAdmission(),
+		createFailover: () => ({
+			async start() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+			async stop() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+			suspect() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+			async switchTo() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+		}),
+	});
+	Object.assign(owner.parts, guardBreak?.breakParts?.(owner.parts, {clock, endpoints: options.endpoints}));
+	const {knowledge} = owner.parts;
+
+	const owners = createOwners({...common, createGroupOwner: () => owner});
+	const sessions = createSignedSessions({keys: [SIGNING_KEY], random});
+	const retries = createRetries();
+	const ownerClient = createOwnerClient({...common, owners, transactions: noTransactions});
+	const tries = createRequestTries({...common, ownerClient, retries});
+	const asker = createAsker({...common, sessions});
+	const entry = createEntry({
+		asker: guardBreak?.breakAsker?.(asker) ?? asker,
+		answers: createEntryAnswers({
+			...common, sessions, explanations: {record: () => '', openTicket: () => undefined, find: async () => []},
+		}),
+		tries: guardBreak?.breakTries?.(tries) ?? tries,
+		ownerClient,
+		retries,
+	});
+
+	const control: GroupControl = createGroupControl({clock, context: owner.failoverContext});
+	const settings = DEFAULT_FAILOVER_SETTINGS;
+	const repair = createGroupRepair({
+		clock, control, knowledge, settings, log, getCfg,
+	});
+
+	const look = async () => {
+		await Promise.allSettled(getCfg().endpoints.map(async ({name}) => control.status(name, LOOK_MS)));
+	};
+
+	return {
+		host,
+		clock,
+		owners,
+		owner,
+		entry,
+		look,
+		async raise() {
+			const raised = await raisePrimary({
+				clock,
+				control: guardBreak?.breakControl?.(control) ?? control,
+				cfg: getCfg(),
+				settings,
+				term: knowledge.highestTerm + 1,
+				isHostLeaving: () => false,
+			}).catch(() => undefined);
+			return raised !== undefined;
+		},
+		async tend() {
+			await look();
+			await repair.run(0);
+		},
+	};
+}
+
+/** Lets everything in: what queues do is checked elsewhere. */
+function createOpenAdmission(): Admission {
+	return {
+		enter: async () => ({admitted: true, queuedMs: 0, release() {}}), // eslint-disable-line @typescript-eslint/no-empty-function
+		getPredictedWaitMs: () => 0,
+		getLoad: () => ({
+			running: 0, limit: 1, queued: {deadline: 0, interactive: 0, background: 0}, serviceMs: 1,
+		}),
+		close() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+	};
+}
+
+const throwNoTransactions = async (): Promise<never> => {
+	throw new Error('the random check has no transactions');
+};
+
+const noTransactions = {
+	begin: throwNoTransactions, run: throwNoTransactions, commit: throwNoTransactions, rollback: throwNoTransactions,
+};
--- /dev/null
+++ b/tests/random-check/schedule-clock.ts
@@ -0,0 +1,128 @@
+import type {Clock} from '../../src/time/clock.js';
+
+/** A virtual clock for many thousands of short runs: sleepers in a heap, and one round of the event loop for each moment. */
+export type ScheduleClock = Clock & {
+	/** Moves the time forward by `ms`, waking each sleeper at its own moment. */
+	advance(ms: number): Promise<void>;
+	/** Sleepers woken so far. */
+	readonly wakes: number;
+};
+
+type Sleeper = {
+	readonly at: number;
+	readonly order: number;
+	asleep: boolean;
+	wake(): void;
+};
+
+/** 2026-01-05T06:00:00Z. */
+const START_MS = 1_767_592_800_000;
+
+/** Creates a clock that moves only when told to. */
+export function createScheduleClock(): ScheduleClock {
+	const heap: Sleeper[] = [];
+	let now = START_MS;
+	let order = 0;
+	let wakes = 0;
+
+	// Every promise that one wake settles is followed to its end before the event loop's next round.
+	const settle = async () => new Promise<void>(resolve => {
+		setImmediate(resolve);
+	});
+
+	const takeNext = (until: number) => {
+		while (heap.length > 0 && (!heap[0]!.asleep || heap[0]!.at <= until)) {
+			const next = pop(heap);
+			if (next.asleep) {
+				return next;
+			}
+		}
+
+		return undefined;
+	};
+
+	return {
+		now: () => now,
+		wall: () => now,
+		get wakes() {
+			return wakes;
+		},
+		async sleep(ms, signal) {
+			if (signal?.aborted) {
+				return;
+			}
+
+			await new Promise<void>(resolve => {
+				const sleeper: Sleeper = {
+					at: now + Math.max(0, ms),
+					order: order++,
+					asleep: true,
+					wake() {
+						sleeper.asleep = false;
+						signal?.removeEventListener('abort', sleeper.wake);
+						resolve();
+					},
+				};
+				push(heap, sleeper);
+				signal?.addEventListener('abort', sleeper.wake, {once: true});
+			});
+		},
+		async advance(ms) {
+			const until = now + ms;
+			await settle();
+			for (let next = takeNext(until); next; next = takeNext(until)) {
+				now = Math.max(now, next.at);
+				wakes++;
+				next.wake();
+				await settle();
+			}
+
+			now = until;
+		},
+	};
+}
+
+function isBefore(left: Sleeper, right: Sleeper): boolean {
+	return left.at < right.at || (left.at === right.at && left.order < right.order);
+}
+
+function push(heap: Sleeper[], sleeper: Sleeper): void {
+	let place = heap.length;
+	while (place > 0) {
+		const parent = (place - 1) >> 1;
+		if (!isBefore(sleeper, heap[parent]!)) {
+			break;
+		}
+
+		heap[place] = heap[parent]!;
+		place = parent;
+	}
+
+	heap[place] = sleeper;
+}
+
+function pop(heap: Sleeper[]): Sleeper {
+	const first = heap[0]!;
+	const last = heap.pop()!;
+	if (heap.length === 0) {
+		return first;
+	}
+
+	let place = 0;
+	for (;;) {
+		let child = (2 * place) + 1;
+		if (child + 1 < heap.length && isBefore(heap[child + 1]!, heap[child]!)) {
+			child++;
+		}
+
+		if (child >= heap.length || !isBefore(heap[child]!, last)) {
+			break;
+		}
+
+		heap[place] = heap[child]!;
+		place = child;
+	}
+
+	heap[place] = last;
+	return first;
+}
