Measure the share of reads on replicas against an oracle

Cause: where a read goes was decided on paper alone. The placement is now an interface with a class for each way, so that the experiment replica-share can drive the owners' real read and write paths with the product's way and its baselines in the same run: primary only, a fixed wait of 20 ms at a replica, and an oracle that knows every position. It runs on a virtual schedule, so its figures repeat. The product's way is unchanged (LastSeenPlacement). The virtual schedule now takes its listener off a signal when a sleep ends: signals that live long gathered one for each sleep.

--- a/src/bench/experiments.ts
+++ b/src/bench/experiments.ts
@@ -1,9 +1,11 @@
 import type {Experiment} from './experiment.js';
 import {hop} from './hop.js';
 import {overload} from './overload.js';
+import {replicaShare} from './replica-share.js';
 
 /** Every experiment, by its name on the command line. */
 export const EXPERIMENTS: Readonly<Record<string, Experiment>> = {
 	[hop.name]: hop,
 	[overload.name]: overload,
+	[replicaShare.name]: replicaShare,
 };
--- /dev/null
+++ b/src/bench/replica-share/placements.ts
@@ -0,0 +1,65 @@
+import {holdsLogPosition, type LogPosition} from '../../terms/log-position.js';
+import type {GroupKnowledge} from '../../groups/group-knowledge.js';
+import type {GroupParts} from '../../owners/group-parts.js';
+import {getPrimaryCandidate, getReplicaCandidates, type ReadCandidate} from '../../owners/read-candidates.js';
+import type {
+	PlacementGroup, ReadChoice, ReadNeed, ReadPlacement,
+} from '../../owners/read-placement.js';
+import type {Random} from '../../random/random.js';
+import type {ShareSystem} from './share-system.js';
+import {getTrueAgeMs} from './truth.js';
+
+/** Sends every read to the primary. */
+export class PrimaryOnlyPlacement implements ReadPlacement {
+	choose(group: PlacementGroup, need: ReadNeed): readonly ReadChoice[] {
+		return toChoices(getPrimaryCandidate(group, need));
+	}
+}
+
+/** Holds every read back for a fixed time, then tries a replica by chance, then the primary. */
+export class FixedWaitPlacement implements ReadPlacement {
+	constructor(private readonly random: Random, private readonly waitMs: number) {}
+
+	choose(group: PlacementGroup, need: ReadNeed): readonly ReadChoice[] {
+		const replicas = getReplicaCandidates(group, need);
+		const replica = replicas[Math.floor(this.random.fraction() * replicas.length)];
+		const choices = replica ? [{endpoint: replica.endpoint, waitMs: this.waitMs}] : [];
+		return [...choices, ...toChoices(getPrimaryCandidate(group, need))];
+	}
+}
+
+/** Knows what every server holds at the moment, and never waits. */
+export class OraclePlacement implements ReadPlacement {
+	constructor(private readonly system: ShareSystem) {}
+
+	choose(group: PlacementGroup, need: ReadNeed): readonly ReadChoice[] {
+		const replicas = getReplicaCandidates(group, need)
+			.filter(({endpoint}) => this.#isFit(endpoint.name, need))
+			.sort((left, right) => left.queueMs - right.queueMs || this.system.random.fraction() - 0.5);
+		return [...replicas.flatMap(replica => toChoices(replica)), ...toChoices(getPrimaryCandidate(group, need))];
+	}
+
+	#isFit(endpoint: string, need: ReadNeed): boolean {
+		const {end} = this.system.getServerOrThrow(endpoint).member.log;
+		return holdsLogPosition(end, need.floor) && getTrueAgeMs(this.system, end, need.now) <= need.maxAgeMs;
+	}
+}
+
+/** An owner's parts with the true age of every log in place of what the owner knows of it. */
+export function withTrueAges(parts: GroupParts, system: ShareSystem): GroupParts {
+	const {knowledge} = parts;
+	const getLogAgeMs = (log: LogPosition, now: number) => getTrueAgeMs(system, log, now);
+	const truthful: GroupKnowledge = {
+		...knowledge,
+		get highestTerm() {
+			return knowledge.highestTerm;
+		},
+		getLogAgeMs,
+		getAgeMs: (endpoint, now) => getLogAgeMs(system.getServerOrThrow(endpoint).member.log.end, now),
+	};
+	return {...parts, knowledge: truthful};
+}
+
+function toChoices(candidate: ReadCandidate | undefined): readonly ReadChoice[] {
+	return candidate ? [{endpoint: candidate.endpoint, waitMs: 0}] : [];
+}
--- /dev/null
+++ b/src/bench/replica-share/settings.ts
@@ -0,0 +1,60 @@
+import {LastSeenPlacement} from '../../owners/last-seen-placement.js';
+import {createSeededRandom} from '../../random/seeded-random.js';
+import type {ReplicaLag} from './lag-model.js';
+import {FixedWaitPlacement, OraclePlacement, PrimaryOnlyPlacement} from './placements.js';
+import type {Lags, Policy} from './scenario.js';
+import type {Traffic} from './workload.js';
+
+/** Longest wait of the fixed-wait baseline, in milliseconds. */
+export const FIXED_WAIT_MS = 20;
+
+/** The product's way. */
+export const PRODUCT: Policy = {
+	name: 'product: last seen',
+	createPlacement: () => new LastSeenPlacement(),
+};
+
+export const BASELINES: readonly Policy[] = [
+	{name: 'primary only', createPlacement: () => new PrimaryOnlyPlacement()},
+	{name: `fixed wait of ${FIXED_WAIT_MS} ms`, createPlacement: (_, seed) => new FixedWaitPlacement(createSeededRandom(seed + 4000), FIXED_WAIT_MS)},
+	{name: 'oracle', createPlacement: system => new OraclePlacement(system)},
+];
+
+const lag = (medianMs: number): ReplicaLag => ({medianMs, stallEveryMs: 4000, stallMs: 600});
+
+/** From replicas close by to replicas far behind. */
+export const LAGS: readonly Lags[] = [
+	{name: 'lags 5 and 20 ms', replicas: [lag(5), lag(20)]},
+	{name: 'lags 50 and 200 ms', replicas: [lag(50), lag(200)]},
+	{name: 'lags 0.5 and 2 s', replicas: [lag(500), lag(2000)]},
+	{name: 'lags 20 ms and 30 s', replicas: [lag(20), lag(30_000)]},
+	{name: 'lags 5 and 30 s', replicas: [lag(5000), lag(30_000)]},
+];
+
+/** The lags at which the share of sessions that just wrote is varied. */
+export const SWEPT_LAGS = LAGS[1]!;
+
+/** Parts of the reads that come from sessions that just wrote. */
+export const JUST_WROTE_PARTS = [0, 0.3, 0.9];
+
+/** Parts of reads without a token and of those that ask for the latest. */
+const NO_TOKEN_PART = 0.05;
+const LATEST_PART = 0.05;
+
+/** The morning's reads during the sync peak. */
+export function createTraffic(justWrotePart: number): Traffic {
+	return {
+		readsPerSecond: 400,
+		syncsPerSecond: 120,
+		parts: {
+			'just wrote': justWrotePart,
+			'wrote before': 1 - justWrotePart - NO_TOKEN_PART - LATEST_PART,
+			'no token': NO_TOKEN_PART,
+			latest: LATEST_PART,
+		},
+		agesMs: [100, 1000, 5000, 60_000],
+	};
+}
+
+/** The usual part of sessions that just wrote. */
+export const USUAL_JUST_WROTE = 0.3;
--- /dev/null
+++ b/src/bench/replica-share/share-system.ts
@@ -0,0 +1,122 @@
+import {createAdmission} from '../../admission/create-admission.js';
+import type {VersionedGroup} from '../../configuration/configuration.js';
+import {createGroupControl} from '../../failover/group-control.js';
+import {DEFAULT_FAILOVER_SETTINGS} from '../../failover/failover-settings.js';
+import type {GroupFailover, GroupFailoverContext} from '../../failover/group-failover.js';
+import {createReplicaWatch} from '../../failover/replica-watch.js';
+import {groupConfigSchema} from '../../groups/group-config.js';
+import {createGroupOwner, type GroupOwner} from '../../owners/group-owner.js';
+import type {Random} from '../../random/random.js';
+import {createSeededRandom} from '../../random/seeded-random.js';
+import {createDatabaseGroup} from '../../stand-ins/database/database-group.js';
+import type {DatabaseServer} from '../../stand-ins/database/database-server.js';
+import {createInMemoryEndpoints} from '../../stand-ins/database/in-memory-endpoints.js';
+import type {Clock} from '../../time/clock.js';
+import {createVirtualSchedule, type VirtualSchedule} from '../virtual-schedule.js';
+
+/** One database group with its real owners, on a virtual schedule. */
+export type ShareSystem = {
+	readonly schedule: VirtualSchedule;
+	readonly random: Random;
+	/** The first is primary. */
+	readonly servers: readonly [DatabaseServer, DatabaseServer, DatabaseServer];
+	readonly owners: readonly GroupOwner[];
+	/** Address of an endpoint by its name. */
+	getServerOrThrow(endpoint: string): DatabaseServer;
+	stop(): void;
+};
+
+/** Time a message takes one way between hosts, in milliseconds. */
+export const HOP_MS = 1;
+
+export const SLOTS = 3;
+export const CONNECTIONS = 20;
+export const OWNERS = 2;
+
+/** Mean time a statement holds a slot, in milliseconds. */
+export const SERVICE_MS = 4;
+
+const ENDPOINTS = ['hall-a', 'hall-b', 'hall-c'].map((availabilityZone, i) => ({
+	name: `sleep-logs-${i + 1}`, address: `10.1.0.${i + 1}:5432`, availabilityZone, connections: CONNECTIONS, slots: SLOTS,
+}));
+
+/** Creates and starts the group and its owners; nothing fails over, since nothing fails. */
+export function createShareSystem(seed: number): ShareSystem {
+	const schedule = createVirtualSchedule();
+	const random = createSeededRandom(seed);
+	const group: VersionedGroup = {version: 1, cfg: groupConfigSchema.parse({name: 'sleep-logs', endpoints: ENDPOINTS, owners: OWNERS})};
+	const database = createDatabaseGroup({
+		addresses: ENDPOINTS.map(({address}) => address),
+		clock: schedule,
+		random: createSeededRandom(seed + 1000),
+		sizes: {connections: CONNECTIONS, slots: SLOTS, serviceMs: SERVICE_MS},
+	});
+
+	const owners = Array.from({length: OWNERS}, (_, i) => createGroupOwner({
+		clock: schedule,
+		random: createSeededRandom(seed + 2000 + i),
+		endpoints: createInMemoryEndpoints(database.servers, {clock: schedule, latencyMs: HOP_MS, host: `entry-${i + 1}`}),
+		getGroup: () => group,
+		isEndpointLeaving: () => false,
+		createAdmission: (endpoint, cfg) => createAdmission({
+			endpoint: endpoint.name, slots: endpoint.slots, owners: cfg.owners, shares: cfg.classShares, clock: schedule,
+		}),
+		createFailover: context => createStatusPolls(context, schedule),
+	}));
+	for (const owner of owners) {
+		void owner.start();
+	}
+
+	return {
+		schedule,
+		random,
+		servers: database.servers as unknown as ShareSystem['servers'],
+		owners,
+		getServerOrThrow: endpoint => database.getServerOrThrow(ENDPOINTS.find(({name}) => name === endpoint)!.address),
+		stop() {
+			database.stop();
+		},
+	};
+}
+
+/** The part of failover that keeps knowledge fresh, with the times that ship. */
+function createStatusPolls(context: GroupFailoverContext, clock: Clock): GroupFailover {
+	const settings = DEFAULT_FAILOVER_SETTINGS;
+	const stopping = new AbortController();
+	const control = createGroupControl({clock, context});
+	const replicas = createReplicaWatch({
+		clock, control, knowledge: context.knowledge, settings, getCfg: () => context.getGroup().cfg, stopped: stopping.signal,
+	});
+
+	const pollPrimary = async () => {
+		const primary = context.knowledge.getPrimary();
+		const known = primary && context.knowledge.get(primary.name);
+		if (known && clock.now() - known.seenAt >= settings.primaryPollMs) {
+			await control.status(primary.name, settings.probeMs).catch(() => undefined);
+		}
+
+		await clock.sleep(settings.primaryPollMs, stopping.signal);
+	};
+
+	const run = async (step: () => Promise<void>) => {
+		while (!stopping.signal.aborted) {
+			await step();
+		}
+	};
+
+	return {
+		async start() {
+			void run(pollPrimary);
+			void run(async () => replicas.look());
+		},
+		async stop() {
+			stopping.abort();
+		},
+		suspect() {
+			// Nothing is ever promoted here.
+		},
+		async switchTo() {
+			// Nothing is ever promoted here.
+		},
+	};
+}
--- a/src/bench/virtual-schedule.ts
+++ b/src/bench/virtual-schedule.ts
@@ -35,10 +35,13 @@
 			}
 
 			await new Promise<void>(resolve => {
-				at(now + ms, resolve);
-				signal?.addEventListener('abort', () => {
+				const wake = () => {
+					signal?.removeEventListener('abort', wake);
 					resolve();
-				}, {once: true});
+				};
+
+				at(now + ms, wake);
+				signal?.addEventListener('abort', wake, {once: true});
 			});
 		},
 		async runUntil(time) {
--- a/src/owners/group-owner.ts
+++ b/src/owners/group-owner.ts
@@ -14,6 +14,7 @@
 import {getPoolLimit} from './connection-budget.js';
 import {createGroupChanges} from './group-changes.js';
 import type {EndpointParts, GroupParts} from './group-parts.js';
+import {LastSeenPlacement} from './last-seen-placement.js';
 import {createLeavingEndpoints} from './leaving-endpoints.js';
 import {createReadPath, type ReadPath} from './read-path.js';
 import {createRunningWork} from './running-work.js';
@@ -184,7 +185,7 @@
 
 	return {
 		parts,
-		reads: createReadPath(parts),
+		reads: createReadPath(parts, new LastSeenPlacement()),
 		writes: createWritePath(parts),
 		failoverContext,
 		async start() {
--- a/src/owners/read-path.ts
+++ b/src/owners/read-path.ts
@@ -7,8 +7,8 @@
 import type {LogPosition} from '../terms/log-position.js';
 import type {GroupParts} from './group-parts.js';
 import {answerNotRun, createRefusal} from './owner-answers.js';
-import {chooseReadEndpoints} from './choose-read-endpoints.js';
 import {refuseLostWrite} from './lost-writes.js';
+import type {ReadPlacement} from './read-placement.js';
 
 /** Serves reads of one group at an endpoint that holds the floor and the stated age. */
 export type ReadPath = {
@@ -33,7 +33,7 @@
 const BARRIER_LOST = 'barrier-lost';
 
 /** Creates the read path of one group. */
-export function createReadPath(group: GroupParts): ReadPath {
+export function createReadPath(group: GroupParts, placement: ReadPlacement): ReadPath {
 	const {clock, knowledge} = group;
 
 	const exchange = async (endpoint: EndpointConfig, req: OwnerRequest, floor: LogPosition, deadlineAt: number): Promise<Attempt> => {
@@ -158,19 +158,26 @@
 			: BARRIER_LOST;
 	};
 
+	const waitBefore = async (waitMs: number, deadlineAt: number) => {
+		if (waitMs > 0) {
+			await clock.sleep(Math.min(waitMs, (deadlineAt - clock.now()) * TRY_SHARE));
+		}
+	};
+
 	const tryEach = async (req: OwnerRequest, start: ReadStart, deadlineAt: number): Promise<OwnerAnswer | typeof BARRIER_LOST> => {
-		const endpoints = chooseReadEndpoints(group, {
-			floor: start.floor, maxAgeMs: req.maxAgeMs, class: req.class, now: clock.now(),
+		const choices = placement.choose(group, {
+			floor: start.floor, barrierAt: start.takenAt, maxAgeMs: req.maxAgeMs, class: req.class, now: clock.now(),
 		});
 		let last: OwnerAnswer | undefined;
 		let mayHaveRun = false;
-		for (const [index, endpoint] of endpoints.entries()) {
+		for (const [index, {endpoint, waitMs}] of choices.entries()) {
+			await waitBefore(waitMs, deadlineAt);
 			const leftMs = deadlineAt - clock.now();
 			if (leftMs <= 0) {
 				break;
 			}
 
-			const isLast = index === endpoints.length - 1;
+			const isLast = index === choices.length - 1;
 			const tryUntil = isLast ? deadlineAt : clock.now() + (leftMs * TRY_SHARE);
 			const attempt = await runAdmitted(endpoint, req, start.floor, tryUntil);
 			const answer = await judgeAttempt(endpoint, attempt, req, start, tryUntil);
