--- a/src/owners/read-path.ts
+++ b/src/owners/read-path.ts
@@ -7,8 +7,8 @@
 import type {LogPosition} from '../terms/log-position.js';
 import type {GroupParts} from './group-parts.js';
 import {answerNotRun, createRefusal} from './owner-answers.js';
-import {chooseReadEndpoints} from './choose-read-endpoints.js';
 import {refuseLostWrite} from './lost-writes.js';
+import type {ReadPlacement} from './read-placement.js';
 
 /** Serves reads of one group at an endpoint that holds the floor and the stated age. */
 export type ReadPath = {
@@ -27,13 +27,26 @@
 type ReadStart = {
 	readonly floor: LogPosition;
 	readonly takenAt?: number;
+	/** Whether a barrier was taken for this read, be it for its floor or for the ages alone. */
+	readonly withBarrier: boolean;
 };
 
-/** The barrier that a read started from no longer bounds anything: its primary's log was not kept. */
-const BARRIER_LOST = 'barrier-lost';
+/** Why a read has to start again. */
+const StartAgain = {
+	/** The barrier that it started from no longer bounds anything: its primary's log was not kept. */
+	BarrierLost: 'barrier-lost',
+	/** The last endpoint's rows were not known to be young enough when they came. */
+	AgeUnknown: 'age-unknown',
+} as const;
+
+type StartAgain = typeof StartAgain[keyof typeof StartAgain];
+
+function isStartAgain(end: OwnerAnswer | StartAgain): end is StartAgain {
+	return typeof end === 'string';
+}
 
 /** Creates the read path of one group. */
-export function createReadPath(group: GroupParts): ReadPath {
+export function createReadPath(group: GroupParts, placement: ReadPlacement): ReadPath {
 	const {clock, knowledge} = group;
 
 	const exchange = async (endpoint: EndpointConfig, req: OwnerRequest, floor: LogPosition, deadlineAt: number): Promise<Attempt> => {
@@ -128,20 +141,19 @@
 		return !req.floor || !primary || knowledge.getAgeMs(primary.name, clock.now()) > req.maxAgeMs;
 	};
 
-	const takeStart = async (req: OwnerRequest, deadlineAt: number): Promise<ReadStart | undefined> => {
-		if (req.floor && !needsBarrier(req)) {
-			return {floor: req.floor};
-		}
-
+	const takeBarrier = async (req: OwnerRequest, deadlineAt: number): Promise<ReadStart | undefined> => {
 		const taken = await group.barrier.take(deadlineAt);
-		if (!taken || !req.floor) {
-			return taken;
+		if (!taken) {
+			return undefined;
 		}
 
-		// The session's floor decides where the read may go; the barrier only made the ages known.
-		return {floor: req.floor};
+		// A session's floor decides where the read may go; the barrier then only made the ages known.
+		return req.floor ? {floor: req.floor, withBarrier: true} : {floor: taken.floor, takenAt: taken.takenAt, withBarrier: true};
 	};
 
+	const takeStart = async (req: OwnerRequest, deadlineAt: number): Promise<ReadStart | undefined> =>
+		req.floor && !needsBarrier(req) ? {floor: req.floor, withBarrier: false} : takeBarrier(req, deadlineAt);
+
 	const judgeAttempt = async (endpoint: EndpointConfig, attempt: Attempt, req: OwnerRequest, start: ReadStart, deadlineAt: number) => {
 		if ('failed' in attempt) {
 			return undefined;
@@ -155,22 +167,30 @@
 		// A barrier's floor bounds what was acknowledged, but may itself be an entry that nobody confirmed.
 		return start.takenAt === undefined
 			? refuseLostWrite(group, {endpoint, answer, floor: start.floor}, deadlineAt)
-			: BARRIER_LOST;
+			: StartAgain.BarrierLost;
 	};
 
-	const tryEach = async (req: OwnerRequest, start: ReadStart, deadlineAt: number): Promise<OwnerAnswer | typeof BARRIER_LOST> => {
-		const endpoints = chooseReadEndpoints(group, {
-			floor: start.floor, maxAgeMs: req.maxAgeMs, class: req.class, now: clock.now(),
+	const waitBefore = async (waitMs: number, deadlineAt: number) => {
+		if (waitMs > 0) {
+			await clock.sleep(Math.min(waitMs, (deadlineAt - clock.now()) * TRY_SHARE));
+		}
+	};
+
+	const tryEach = async (req: OwnerRequest, start: ReadStart, deadlineAt: number): Promise<OwnerAnswer | StartAgain> => {
+		const choices = placement.choose(group, {
+			floor: start.floor, barrierAt: start.takenAt, maxAgeMs: req.maxAgeMs, class: req.class, now: clock.now(),
 		});
 		let last: OwnerAnswer | undefined;
 		let mayHaveRun = false;
-		for (const [index, endpoint] of endpoints.entries()) {
+		let isAgeUnknown = false;
+		for (const [index, {endpoint, waitMs}] of choices.entries()) {
+			await waitBefore(waitMs, deadlineAt);
 			const leftMs = deadlineAt - clock.now();
 			if (leftMs <= 0) {
 				break;
 			}
 
-			const isLast = index === endpoints.length - 1;
+			const isLast = index === choices.length - 1;
 			const tryUntil = isLast ? deadlineAt : clock.now() + (leftMs * TRY_SHARE);
 			const attempt = await runAdmitted(endpoint, req, start.floor, tryUntil);
 			const answer = await judgeAttempt(endpoint, attempt, req, start, tryUntil);
@@ -179,20 +199,30 @@
 			}
 
 			last = 'failed' in attempt ? attempt.failed : undefined;
+			isAgeUnknown = 'answer' in attempt && attempt.answer.held;
 			mayHaveRun ||= 'failed' in attempt ? attempt.failed.outcome === Outcome.Unknown : attempt.answer.held;
 		}
 
+		// Guards against refusing what the primary could answer: the newest known sample passes the stated age while
+		// the rows are under way. It would show as refusals of reads with short ages from a healthy group.
+		if (isAgeUnknown && !start.withBarrier) {
+			return StartAgain.AgeUnknown;
+		}
+
 		const refused = last ?? refuseNoEndpoint(start.floor);
 		return mayHaveRun ? {...refused, outcome: Outcome.Unknown} : refused;
 	};
 
 	return {
 		async read(req, deadlineAt) {
-			for (let start = await takeStart(req, deadlineAt); start; start = await takeStart(req, deadlineAt)) {
-				const answer = await tryEach(req, start, deadlineAt);
-				if (answer !== BARRIER_LOST) {
-					return answer;
+			let start = await takeStart(req, deadlineAt);
+			while (start) {
+				const end = await tryEach(req, start, deadlineAt);
+				if (!isStartAgain(end)) {
+					return end;
 				}
+
+				start = end === StartAgain.AgeUnknown ? await takeBarrier(req, deadlineAt) : await takeStart(req, deadlineAt);
 			}
 
 			return refuseNoPrimary();
