Measure what control costs a node over nodes, groups and changes

Parts that one machine cannot reach with processes (1,100 groups, 900 hosts, rings) are measured within one process. Ruled out: a relay before the platform to count bytes, since it counts one target and adds a process.

--- /dev/null
+++ b/src/bench/control/sized-fleet.ts
@@ -0,0 +1,66 @@
+import {groupConfigSchema, type GroupConfig} from '../../groups/group-config.js';
+import type {StoredGroup} from '../../groups/stored-group.js';
+import {
+	ObjectKind, type PlatformHost, type PlatformList, type PlatformObject,
+} from '../../platform/platform.js';
+import type {Random} from '../../random/random.js';
+
+/** The size designed for. */
+export const SIZE = {nodes: 900, groups: 1100, serversPerGroup: 3} as const;
+
+/** Seven zones in two regions. */
+export const REGIONS: ReadonlyArray<readonly string[]> = [['east-1', 'east-2', 'east-3', 'east-4'], ['west-1', 'west-2', 'west-3']];
+
+const ZONES = REGIONS.flat();
+
+/** The platform's list: proxies spread over all zones, and every group's servers. */
+export function createHostList(groups: readonly GroupConfig[]): PlatformHost[] {
+	const proxies = Array.from({length: SIZE.nodes}, (_, index) => createProxy(index));
+	const endpoints = groups.flatMap(group => group.endpoints.map((endpoint): PlatformHost => ({
+		name: endpoint.name, role: 'endpoint', address: endpoint.address, availabilityZone: endpoint.availabilityZone, state: 'live',
+	})));
+	return [...proxies, ...endpoints];
+}
+
+/** A proxy by its number; the same number always stands in the same zone. */
+export function createProxy(index: number, name = `entry-${index}`): PlatformHost {
+	return {
+		name, role: 'proxy', address: `10.0.${Math.floor(index / 250)}.${(index % 250) + 1}:7401`, availabilityZone: ZONES[index % ZONES.length]!, state: 'live',
+	};
+}
+
+/** The groups, each within one region, in zones drawn by chance. */
+export function createGroups(random: Random): GroupConfig[] {
+	return Array.from({length: SIZE.groups}, (_, index) => {
+		const zones = drawZones(random);
+		return groupConfigSchema.parse({
+			name: `group-${index}`,
+			endpoints: zones.map((availabilityZone, place) => ({
+				name: `group-${index}-${place + 1}`,
+				address: `10.${place + 1}.${Math.floor(index / 250)}.${(index % 250) + 1}:5432`,
+				availabilityZone,
+				connections: 20,
+				slots: 3,
+			})),
+		});
+	});
+}
+
+function drawZones(random: Random): string[] {
+	const region = random.fraction() < REGIONS[0]!.length / ZONES.length ? REGIONS[0]! : REGIONS[1]!;
+	const left = [...region];
+	return Array.from({length: SIZE.serversPerGroup}, () => left.splice(Math.floor(random.fraction() * left.length), 1)[0]!);
+}
+
+/** The groups as the store lists them. */
+export function createStoredList(groups: readonly GroupConfig[]): PlatformList {
+	const objects = groups.map((cfg, index): PlatformObject => {
+		const value: StoredGroup = {
+			cfg, audit: [], nextArchive: 0, deleted: false,
+		};
+		return {
+			kind: ObjectKind.Group, name: cfg.name, version: index + 1, value,
+		};
+	});
+	return {revision: objects.length, objects};
+}
--- a/src/bench/experiments.ts
+++ b/src/bench/experiments.ts
@@ -1,9 +1,11 @@
+import {control} from './control.js';
 import type {Experiment} from './experiment.js';
 import {hop} from './hop.js';
 import {overload} from './overload.js';
 
 /** Every experiment, by its name on the command line. */
 export const EXPERIMENTS: Readonly<Record<string, Experiment>> = {
+	[control.name]: control,
 	[hop.name]: hop,
 	[overload.name]: overload,
 };
