Poll an idle group's servers less often

A group is idle after 10 s without work on this host; then the primary is asked each 1 s and 2 s, replicas each 3 s. Price: a primary that falls silent in an idle group is suspected up to 0.8 s later; its first statement raises suspicion at once. Ruled out: slower polls for all groups, which would cost the failover gap of busy ones that statements do not reach. Guard: work that runs keeps the group busy.

--- a/src/bench/load/process-figures.ts
+++ b/src/bench/load/process-figures.ts
@@ -19,6 +19,6 @@
 }
 
 function getLine(text: string, name: string): number {
-	const line = text.split('\n').find(candidate => candidate.startsWith(`${name}: `));
+	const line = text.split('\n').find(candidate => candidate.startsWith(`${name}:`));
 	return Number(/\d+/v.exec(line ?? '')?.[0] ?? Number.NaN);
 }
--- a/src/failover/create-group-failover.ts
+++ b/src/failover/create-group-failover.ts
@@ -12,6 +12,7 @@
 import type {GroupFailover, GroupFailoverContext} from './group-failover.js';
 import {createOtherOwners} from './other-owners.js';
 import {createPlannedChanges} from './planned-changes.js';
+import {getPollTimes} from './poll-times.js';
 import {createPrimaryWatch} from './primary-watch.js';
 import {createGroupRepair} from './repair-group.js';
 import {replacePrimary} from './replace-primary.js';
@@ -63,6 +64,8 @@
 		clock, peers, hosts, owning, settings, group, getOwnerCount: () => getCfg().owners,
 	};
 
+	const others = createOtherOwners(shared);
+
 	const parts: FailoverParts = {
 		clock,
 		random,
@@ -73,9 +76,10 @@
 		claim: createTermClaim({
 			platform: options.platform, log, group, host,
 		}),
-		others: createOtherOwners(shared),
+		others,
 		group,
 		getCfg,
+		getPollTimes: () => getPollTimes(settings, {rank: others.getRank(), idleMs: context.getIdleMs?.(clock.now())}),
 		isHostLeaving: address => hosts.isEndpointLeaving(address),
 		setState(phase, reason) {
 			if (state.phase !== phase) {
@@ -114,7 +118,7 @@
 	});
 
 	const watchPrimary = async () => {
-		const pollMs = parts.others.getRank() === 0 ? settings.primaryPollMs : settings.standbyPollMs;
+		const {primaryMs: pollMs} = parts.getPollTimes();
 		const loss = await watch.findLoss(pollMs);
 		if (loss) {
 			await replacePrimary({
--- a/src/failover/failover-parts.ts
+++ b/src/failover/failover-parts.ts
@@ -8,6 +8,7 @@
 import type {SetFailoverState} from './failover-state.js';
 import type {GroupControl} from './group-control.js';
 import type {OtherOwners} from './other-owners.js';
+import type {PollTimes} from './poll-times.js';
 import type {GapParts, LossKind} from './promote-group.js';
 import type {RaisedPrimary} from './raise-primary.js';
 import type {TermClaim} from './term-claim.js';
@@ -25,6 +26,8 @@
 	readonly group: string;
 	/** The configuration in force. */
 	getCfg(): GroupConfig;
+	/** How old the last sign of life of a server may be now. */
+	getPollTimes(): PollTimes;
 	/** Whether the host of the server at that address is leaving. */
 	isHostLeaving(address: string): boolean;
 	readonly setState: SetFailoverState;
--- a/src/failover/failover-settings.ts
+++ b/src/failover/failover-settings.ts
@@ -6,6 +6,12 @@
 	readonly standbyPollMs: number;
 	/** How often replicas are asked for their status. */
 	readonly replicaPollMs: number;
+	/** A group without work on this host for this long is idle, and its servers are asked less often. */
+	readonly idleAfterMs: number;
+	/** The three times between polls for an idle group. */
+	readonly idlePrimaryPollMs: number;
+	readonly idleStandbyPollMs: number;
+	readonly idleReplicaPollMs: number;
 	/** Time a status of a server that is under no suspicion may take. */
 	readonly probeMs: number;
 	/** A primary that has not answered after this long is asked on a fresh connection too, and others are asked about it. */
@@ -74,6 +80,10 @@
 	primaryPollMs: 200,
 	standbyPollMs: 500,
 	replicaPollMs: 1000,
+	idleAfterMs: 10_000,
+	idlePrimaryPollMs: 1000,
+	idleStandbyPollMs: 2000,
+	idleReplicaPollMs: 3000,
 	probeMs: 300,
 	headStartMs: 100,
 	probeRetryMs: 40,
--- a/src/failover/group-failover.ts
+++ b/src/failover/group-failover.ts
@@ -22,4 +22,6 @@
 	control<T>(endpoint: string, exchange: (connection: EndpointConnection) => Promise<T>): Promise<T>;
 	/** Stops new writes of this group on this host and waits for those in flight, for `ms` at most; the returned call lets writes in again. */
 	holdWrites(ms: number): Promise<() => void>;
+	/** How long this host has had no work of the group, in milliseconds, 0 while it has; without it the group counts as busy. */
+	getIdleMs?(now: number): number;
 };
--- a/src/failover/replica-watch.ts
+++ b/src/failover/replica-watch.ts
@@ -13,14 +13,14 @@
 };
 
 /** Creates the watch of one group's replicas. */
-export function createReplicaWatch(options: Pick<FailoverParts, 'clock' | 'control' | 'knowledge' | 'settings' | 'getCfg' | 'stopped'>): ReplicaWatch {
+export function createReplicaWatch(options: Pick<FailoverParts, 'clock' | 'control' | 'knowledge' | 'settings' | 'getCfg' | 'getPollTimes' | 'stopped'>): ReplicaWatch {
 	const {clock, control, knowledge, settings, stopped, getCfg} = options;
 	const stall = createStallDetector(settings);
 
 	const isDue = ({name, order}: EndpointConfig) => {
 		const known = knowledge.get(name);
 		const heardMs = known?.status && known.failures === 0 ? clock.now() - known.seenAt : Infinity;
-		const dueMs = stall.behind ? settings.stallPollMs : settings.replicaPollMs;
+		const dueMs = stall.behind ? settings.stallPollMs : options.getPollTimes().replicaMs;
 		return order !== EndpointOrder.Stop && name !== knowledge.getPrimary()?.name && heardMs >= dueMs;
 	};
 
--- a/src/owners/group-owner.ts
+++ b/src/owners/group-owner.ts
@@ -67,6 +67,8 @@
 	const knowledge = watchKnowledge(createGroupKnowledge({getGroup}), changes.notify);
 	const writeGate = createWriteGate(clock);
 	const leaving = createLeavingEndpoints();
+	const running = createRunningWork();
+	const createdAt = clock.now();
 
 	const getNames = () => getGroup().cfg.endpoints.map(({name}) => name);
 
@@ -145,6 +147,8 @@
 		knowledge,
 		control: async <T>(endpoint: string, exchange: (connection: EndpointConnection) => Promise<T>) => getChannel(endpoint, 'control').run(exchange),
 		holdWrites: async ms => writeGate.hold(ms),
+		// A new owner knows nothing yet, and watches closely at first.
+		getIdleMs: now => Math.min(now - createdAt, running.getIdleMs(now)),
 	};
 	const failover = options.createFailover(failoverContext);
 
@@ -166,7 +170,7 @@
 		confirmer,
 		barrier,
 		writeGate,
-		running: createRunningWork(),
+		running,
 		getGroup,
 		getParts: getOwned,
 		mayTakeWork(endpoint, now) {
