--- a/src/bench/experiments.ts
+++ b/src/bench/experiments.ts
@@ -1,3 +1,4 @@
+import {control} from './control.js';
 import type {Experiment} from './experiment.js';
 import {hop} from './hop.js';
 import {overload} from './overload.js';
@@ -5,6 +6,7 @@
 
 /** Every experiment, by its name on the command line. */
 export const EXPERIMENTS: Readonly<Record<string, Experiment>> = {
+	[control.name]: control,
 	[hop.name]: hop,
 	[overload.name]: overload,
 	[replicaShare.name]: replicaShare,
