--- a/src/bench/replica-share/share-system.ts
+++ b/src/bench/replica-share/share-system.ts
@@ -3,6 +3,7 @@
 import {createGroupControl} from '../../failover/group-control.js';
 import {DEFAULT_FAILOVER_SETTINGS} from '../../failover/failover-settings.js';
 import type {GroupFailover, GroupFailoverContext} from '../../failover/group-failover.js';
+import {getPollTimes} from '../../failover/poll-times.js';
 import {createReplicaWatch} from '../../failover/replica-watch.js';
 import {groupConfigSchema} from '../../groups/group-config.js';
 import {createGroupOwner, type GroupOwner} from '../../owners/group-owner.js';
@@ -85,7 +86,13 @@
 	const stopping = new AbortController();
 	const control = createGroupControl({clock, context});
 	const replicas = createReplicaWatch({
-		clock, control, knowledge: context.knowledge, settings, getCfg: () => context.getGroup().cfg, stopped: stopping.signal,
+		clock,
+		control,
+		knowledge: context.knowledge,
+		settings,
+		getCfg: () => context.getGroup().cfg,
+		getPollTimes: () => getPollTimes(settings, {rank: 0, idleMs: context.getIdleMs?.(clock.now())}),
+		stopped: stopping.signal,
 	});
 
 	const pollPrimary = async () => {
