--- a/src/failover/create-group-failover.ts
+++ b/src/failover/create-group-failover.ts
@@ -1,3 +1,4 @@
+import {throwNotConnected} from '../endpoints/endpoint-errors.js';
 import type {Log} from '../log/log.js';
 import type {Hosts, Owning} from '../membership/hosts.js';
 import type {Platform} from '../platform/platform.js';
@@ -11,6 +12,7 @@
 import type {GroupFailover, GroupFailoverContext} from './group-failover.js';
 import {createOtherOwners} from './other-owners.js';
 import {createPlannedChanges} from './planned-changes.js';
+import {getPollTimes} from './poll-times.js';
 import {createPrimaryWatch} from './primary-watch.js';
 import {createGroupRepair} from './repair-group.js';
 import {replacePrimary} from './replace-primary.js';
@@ -62,6 +64,8 @@
 		clock, peers, hosts, owning, settings, group, getOwnerCount: () => getCfg().owners,
 	};
 
+	const others = createOtherOwners(shared);
+
 	const parts: FailoverParts = {
 		clock,
 		random,
@@ -72,9 +76,10 @@
 		claim: createTermClaim({
 			platform: options.platform, log, group, host,
 		}),
-		others: createOtherOwners(shared),
+		others,
 		group,
 		getCfg,
+		getPollTimes: () => getPollTimes(settings, {rank: others.getRank(), idleMs: context.getIdleMs?.(clock.now())}),
 		isHostLeaving: address => hosts.isEndpointLeaving(address),
 		setState(phase, reason) {
 			if (state.phase !== phase) {
@@ -101,7 +106,10 @@
 	const repair = createGroupRepair(parts);
 	const replicas = createReplicaWatch(parts);
 	const watch = createPrimaryWatch({
-		...parts, opinions: createSecondOpinion(shared), getCutOffSince: now => replicas.getCutOffSince(now),
+		...parts,
+		opinions: createSecondOpinion(shared),
+		getStatus: async (address, timeoutMs) => options.failoverPeers.getStatus(address, timeoutMs),
+		getCutOffSince: now => replicas.getCutOffSince(now),
 	});
 	const planned = createPlannedChanges({
 		...parts, holds, host, lookAgain() {
@@ -110,7 +118,7 @@
 	});
 
 	const watchPrimary = async () => {
-		const pollMs = parts.others.getRank() === 0 ? settings.primaryPollMs : settings.standbyPollMs;
+		const {primaryMs: pollMs} = parts.getPollTimes();
 		const loss = await watch.findLoss(pollMs);
 		if (loss) {
 			await replacePrimary({
@@ -147,6 +155,10 @@
 	};
 
 	const member: FailoverMember = {
+		async getStatus(address, timeoutMs) {
+			const endpoint = getCfg().endpoints.find(each => each.address === address);
+			return endpoint ? parts.control.status(endpoint.name, timeoutMs) : throwNotConnected(address, 'the group has no such endpoint');
+		},
 		suspectAddress(address) {
 			if (knowledge.getPrimary()?.address === address) {
 				suspectPrimary(clock.now());
--- a/src/owners/group-owner.ts
+++ b/src/owners/group-owner.ts
@@ -14,6 +14,7 @@
 import {getPoolLimit} from './connection-budget.js';
 import {createGroupChanges} from './group-changes.js';
 import type {EndpointParts, GroupParts} from './group-parts.js';
+import {LastSeenPlacement} from './last-seen-placement.js';
 import {createLeavingEndpoints} from './leaving-endpoints.js';
 import {createReadPath, type ReadPath} from './read-path.js';
 import {createRunningWork} from './running-work.js';
@@ -67,6 +68,8 @@
 	const knowledge = watchKnowledge(createGroupKnowledge({getGroup}), changes.notify);
 	const writeGate = createWriteGate(clock);
 	const leaving = createLeavingEndpoints();
+	const running = createRunningWork();
+	const createdAt = clock.now();
 
 	const getNames = () => getGroup().cfg.endpoints.map(({name}) => name);
 
@@ -145,6 +148,8 @@
 		knowledge,
 		control: async <T>(endpoint: string, exchange: (connection: EndpointConnection) => Promise<T>) => getChannel(endpoint, 'control').run(exchange),
 		holdWrites: async ms => writeGate.hold(ms),
+		// A new owner knows nothing yet, and watches closely at first.
+		getIdleMs: now => Math.min(now - createdAt, running.getIdleMs(now)),
 	};
 	const failover = options.createFailover(failoverContext);
 
@@ -166,7 +171,7 @@
 		confirmer,
 		barrier,
 		writeGate,
-		running: createRunningWork(),
+		running,
 		getGroup,
 		getParts: getOwned,
 		mayTakeWork(endpoint, now) {
@@ -184,7 +189,7 @@
 
 	return {
 		parts,
-		reads: createReadPath(parts),
+		reads: createReadPath(parts, new LastSeenPlacement()),
 		writes: createWritePath(parts),
 		failoverContext,
 		async start() {
