--- a/src/daemon/register-operators.ts
+++ b/src/daemon/register-operators.ts
@@ -1,3 +1,4 @@
+import {groupKind, type GroupState} from '../audit/audited-kinds.js';
 import {createAuditTrail} from '../audit/audit-trail.js';
 import {createChanges, type Changes} from '../audit/create-changes.js';
 import {checkStoredGroup} from '../configuration/group-entry.js';
--- a/src/owners/read-path.ts
+++ b/src/owners/read-path.ts
@@ -68,6 +68,12 @@
 			return fail(err, enteredAt);
 		}
 
+		// Guards against work that waited for its turn while the endpoint was told to leave: the wait may be long.
+		if (!group.mayTakeWork(endpoint, clock.now())) {
+			parts.pool.release(connection);
+			return {failed: refuseLeaving(endpoint)};
+		}
+
 		const sentAt = clock.now();
 		const end = group.running.begin(endpoint.name, {what: 'read', requestId: req.requestId, since: sentAt});
 		try {
@@ -239,6 +245,14 @@
 	};
 }
 
+function refuseLeaving(endpoint: EndpointConfig): OwnerAnswer {
+	return answerNotRun(createRefusal(RefusalCode.NoEndpoint, {
+		reason: `${endpoint.name} is leaving and takes no new work`,
+		facts: {endpoint: endpoint.name},
+		retryAfterMs: NO_ENDPOINT_RETRY_MS,
+	}));
+}
+
 function refuseSilent(endpoint: EndpointConfig, err: unknown): OwnerAnswer {
 	const sent = isEndpointError(err) && err.sent;
 	return {
--- a/src/owners/write-path.ts
+++ b/src/owners/write-path.ts
@@ -18,8 +18,11 @@
 	write(req: OwnerRequest, deadlineAt: number): Promise<OwnerAnswer>;
 	/** Settles what stands under a key; inserts a confirmed tombstone where nothing does. */
 	resolve(req: ResolveRequest, deadlineAt: number): Promise<OwnerAnswer>;
-	/** The primary as soon as one is known, undefined where none is by `deadlineAt`. */
-	waitForPrimary(deadlineAt: number): Promise<Primary | undefined>;
+	/**
+	 * Enters the write gate as soon as a primary takes work, and tells which; whoever entered leaves the gate.
+	 * Undefined, and not entered, where none does by `deadlineAt`.
+	 */
+	enterAtPrimary(deadlineAt: number): Promise<Primary | undefined>;
 	/** Confirms a primary's keyed answer and turns it into the owner's. */
 	settle(exchange: SettledExchange, deadlineAt: number): Promise<OwnerAnswer>;
 };
@@ -42,6 +45,9 @@
  */
 const TRY_SHARE = 0.5;
 
+/** The primary was told to leave before the exchange was sent; the next one may take it. */
+const PRIMARY_LEAVES = 'primary-leaves';
+
 type KeyedExchange = {
 	readonly what: 'write' | 'resolve';
 	readonly requestId: string;
@@ -67,14 +73,24 @@
 		return parts && term !== undefined ? {endpoint, parts, term} : undefined;
 	};
 
-	const waitForPrimary = async (deadlineAt: number) => {
-		let primary = findPrimary();
-		while (!primary && clock.now() < deadlineAt) {
+	// Guards against a planned change that never comes about: it waits until nobody is inside the gate, so whoever
+	// waits for that change's new primary must do so outside.
+	const enterAtPrimary = async (deadlineAt: number) => {
+		while (await group.writeGate.enter(deadlineAt)) {
+			const primary = findPrimary();
+			if (primary) {
+				return primary;
+			}
+
+			group.writeGate.leave();
+			if (clock.now() >= deadlineAt) {
+				break;
+			}
+
 			await group.waitForChange(deadlineAt);
-			primary = findPrimary();
 		}
 
-		return primary;
+		return undefined;
 	};
 
 	const noteFailure = (primary: Primary, given: GivenTime) => {
@@ -159,6 +175,12 @@
 			return answers.refuseNoConnection(primary, err);
 		}
 
+		// Guards against work that waited for its turn while the primary was told to leave: the wait may be long.
+		if (!group.mayTakeWork(primary.endpoint, clock.now())) {
+			primary.parts.pool.release(connection);
+			return PRIMARY_LEAVES;
+		}
+
 		const stopWatching = cutWhenSuperseded(primary, connection);
 		const sentAt = clock.now();
 		const timeoutMs = Math.max(1, (deadlineAt - sentAt) * TRY_SHARE);
@@ -189,7 +211,7 @@
 		let served = false;
 		try {
 			const end = await exchangeAt(primary, exchange, deadlineAt);
-			served = 'answer' in end;
+			served = end !== PRIMARY_LEAVES && 'answer' in end;
 			return end;
 		} finally {
 			admission.release(clock.now(), served);
@@ -209,44 +231,45 @@
 		return false;
 	};
 
-	// Guards against a burst of filings that is refused the moment a primary is lost, although another leads a second
-	// later: going back and forth between owners would use up the group's retries, and queueing at the lost one would
-	// end in refusals. Nothing was sent, so the last owner asked waits for a primary that answers.
-	const runConnected = async (exchange: KeyedExchange, deadlineAt: number) => {
-		for (;;) {
-			const primary = await waitForPrimary(deadlineAt);
-			if (!primary) {
-				return answers.refuseNoPrimary();
-			}
+	/** Runs the exchange at the primary of the moment, inside the gate; undefined where that primary was told to leave first. */
+	const runOnce = async (exchange: KeyedExchange, deadlineAt: number): Promise<OwnerAnswer | undefined> => {
+		const primary = await enterAtPrimary(deadlineAt);
+		if (!primary) {
+			return answers.refuseNoPrimary();
+		}
 
+		try {
 			const end = await runAdmitted(primary, exchange, deadlineAt);
-			const isUnconnected = 'refusal' in end && end.refusal?.code === RefusalCode.NoConnection;
-			if (!isUnconnected || !exchange.isLastOwner) {
-				return end;
+			if (end === PRIMARY_LEAVES) {
+				return undefined;
 			}
 
-			if (!await waitForSoundPrimary(deadlineAt)) {
-				return end;
-			}
+			return 'answer' in end ? await settle(end, deadlineAt) : end;
+		} finally {
+			group.writeGate.leave();
 		}
 	};
 
+	// Guards against a burst of filings that is refused the moment a primary is lost, although another leads a second
+	// later: going back and forth between owners would use up the group's retries, and queueing at the lost one would
+	// end in refusals. Nothing was sent, so the last owner asked waits for a primary that answers.
 	const runAtPrimary = async (exchange: KeyedExchange, deadlineAt: number): Promise<OwnerAnswer> => {
-		if (!await group.writeGate.enter(deadlineAt)) {
-			return answers.refuseNoPrimary();
-		}
+		for (;;) {
+			const answer = await runOnce(exchange, deadlineAt);
+			if (!answer) {
+				continue;
+			}
 
-		try {
-			const end = await runConnected(exchange, deadlineAt);
-			return 'answer' in end ? await settle(end, deadlineAt) : end;
-		} finally {
-			group.writeGate.leave();
+			const isUnconnected = answer.refusal?.code === RefusalCode.NoConnection;
+			if (!isUnconnected || !exchange.isLastOwner || !await waitForSoundPrimary(deadlineAt)) {
+				return answer;
+			}
 		}
 	};
 
 	return {
 		settle,
-		waitForPrimary,
+		enterAtPrimary,
 		async write(req, deadlineAt) {
 			const {requestId, digest, statement, values, isLastOwner} = req;
 			return runAtPrimary({
