Measure the failover gap on the whole simulated system, with filings going in

Nine proxies, a group of three servers, a filing every 10 ms through one entry after the other, all on the virtual clock. Each way of losing the primary with the platform up, slow and silent; a drain of the primary; jitter and pauses without a loss. The gap is what callers see: the longest time from one acknowledgement to the next. Every run fails where an acknowledged filing is not there exactly once or one said not to have run is there.

Seams: an optional kernel service failoverHooks (other settings, told of promotions, a wrapper), which a daemon registers none of; wrapPeers and failoverHooks of the simulated system, whose group configuration now follows the servers' sizes.

--- a/src/bench/experiments.ts
+++ b/src/bench/experiments.ts
@@ -1,9 +1,11 @@
 import type {Experiment} from './experiment.js';
+import {failoverGap} from './failover-gap.js';
 import {hop} from './hop.js';
 import {overload} from './overload.js';
 
 /** Every experiment, by its name on the command line. */
 export const EXPERIMENTS: Readonly<Record<string, Experiment>> = {
+	[failoverGap.name]: failoverGap,
 	[hop.name]: hop,
 	[overload.name]: overload,
 };
--- a/src/daemon/register-owners.ts
+++ b/src/daemon/register-owners.ts
@@ -4,6 +4,7 @@
 import type {Promotion} from '../failover/failover-parts.js';
 import {createFailoverPeers} from '../failover/failover-peers.js';
 import {DEFAULT_FAILOVER_SETTINGS} from '../failover/failover-settings.js';
+import type {GroupFailover, GroupFailoverContext} from '../failover/group-failover.js';
 import {createPromotionNote} from '../failover/promotion-note.js';
 import type {Kernel} from '../kernel/kernel.js';
 import {createGroupOwner, type GroupOwner} from '../owners/group-owner.js';
@@ -37,9 +38,7 @@
 	const configuration = kernel.getOrThrow('configuration');
 	const hosts = kernel.getOrThrow('hosts');
 	const endpoints = kernel.getOrThrow('endpoints');
-	const failoverPeers = createFailoverPeers({
-		peers: kernel.getOrThrow('peers'), endpoints, clock, settings: DEFAULT_FAILOVER_SETTINGS,
-	});
+	const createFailover = createFailoverFactory(kernel);
 
 	return group => createGroupOwner({
 		clock,
@@ -50,19 +49,34 @@
 		createAdmission: (endpoint, cfg) => createAdmission({
 			endpoint: endpoint.name, slots: endpoint.slots, owners: cfg.owners, shares: cfg.classShares, clock,
 		}),
-		createFailover: context => createGroupFailover({
+		createFailover,
+	});
+}
+
+function createFailoverFactory(kernel: Kernel): (context: GroupFailoverContext) => GroupFailover {
+	const common = getCommonParts(kernel);
+	const hooks = kernel.get('failoverHooks');
+	const settings = {...DEFAULT_FAILOVER_SETTINGS, ...hooks?.settings};
+	const failoverPeers = createFailoverPeers({
+		peers: kernel.getOrThrow('peers'), endpoints: kernel.getOrThrow('endpoints'), clock: common.clock, settings,
+	});
+
+	return context => {
+		const failover = createGroupFailover({
 			...common,
 			context,
 			platform: kernel.getOrThrow('platform'),
 			failoverPeers,
-			hosts,
+			hosts: kernel.getOrThrow('hosts'),
 			owning: kernel.getOrThrow('owning'),
-			settings: DEFAULT_FAILOVER_SETTINGS,
+			settings,
 			onPromoted(promotion) {
+				hooks?.onPromoted?.(promotion);
 				void notePromotion(kernel, promotion);
 			},
-		}),
-	});
+		});
+		return hooks?.wrap?.(failover) ?? failover;
+	};
 }
 
 /** Puts a promotion into the audit trail and the metrics; nothing waits for it. */
--- a/src/stand-ins/system/simulated-system.ts
+++ b/src/stand-ins/system/simulated-system.ts
@@ -3,6 +3,7 @@
 import {type GroupConfig, groupConfigSchema} from '../../groups/group-config.js';
 import type {StoredGroup} from '../../groups/stored-group.js';
 import type {Endpoints} from '../../endpoints/endpoint.js';
+import type {FailoverHooks} from '../../failover/failover-hooks.js';
 import type {LivePeers} from '../../peers/create-peers.js';
 import {ObjectKind, type PlatformHost} from '../../platform/platform.js';
 import {createSeededRandom} from '../../random/seeded-random.js';
@@ -66,6 +67,10 @@
 	readonly latencyMs?: number;
 	/** Puts something between the proxies and their way to the servers. */
 	wrapEndpoints?(endpoints: Endpoints, clock: Clock): Endpoints;
+	/** Puts something between the proxies and their way to each other. */
+	wrapPeers?(peers: LivePeers): LivePeers;
+	/** What differs from the failover that ships, and who is told of promotions. */
+	readonly failoverHooks?: FailoverHooks;
 };
 
 const SIGNING_KEY = 'a signing key for simulated systems only';
@@ -116,7 +121,8 @@
 		kernel.register('log', createSilentLog());
 		kernel.register('settings', createSettings(host));
 		kernel.register('platform', platform);
-		kernel.register('peers', peers);
+		kernel.register('peers', options.wrapPeers?.(peers) ?? peers);
+		kernel.register('failoverHooks', options.failoverHooks ?? {});
 		kernel.register('endpoints', options.wrapEndpoints?.(endpoints, clock) ?? endpoints);
 		registerServices(kernel);
 		return {
@@ -180,8 +186,8 @@
 			name: `${group.name}-${server + 1}`,
 			address: `10.1.${index}.${server + 1}:5432`,
 			availabilityZone,
-			connections: 20,
-			slots: 3,
+			connections: group.sizes?.connections ?? 20,
+			slots: group.sizes?.slots ?? 3,
 		})),
 	});
 }
--- /dev/null
+++ b/tests/bench/failover-gap-tests.ts
@@ -0,0 +1,31 @@
+import {expect} from 'chai';
+import {LOSSES} from '../../src/bench/failover-gap/losses.js';
+import {checkFilings} from '../../src/bench/failover-gap/filings.js';
+import {openStage, runLoss} from '../../src/bench/failover-gap/loss-run.js';
+import {PRODUCT} from '../../src/bench/failover-gap/policies.js';
+import {runSwitch} from '../../src/bench/failover-gap/switch-run.js';
+
+describe('failover-gap', () => {
+	const lose = async (name: string) => runLoss(1, PRODUCT, LOSSES.find(loss => loss.name === name)!, 'up');
+
+	it('repeats a run of the same seed', async () => {
+		expect(await lose('killed')).to.deep.equal(await lose('killed'));
+	});
+
+	it('changes the primary as planned without a failed filing', async () => {
+		const {failed, promotions} = await runSwitch(1, PRODUCT);
+		expect({failed, promotions}).to.deep.equal({failed: 0, promotions: 1});
+	});
+
+	// A run that no longer sees a lost filing would give its figures all the same.
+	it('fails where an acknowledged filing is missing', async () => {
+		const {system, stream} = await openStage(1, PRODUCT);
+		await system.clock.advance(200);
+		await system.clock.runUntil(stream.end());
+		const acknowledged = {...stream.filings[0]!, id: 1_000_000};
+		expect(() => {
+			checkFilings(system, [acknowledged]);
+		}).to.throw('failover-gap: filing 1000000 was answered done and is there 0 times');
+		await system.stop();
+	});
+});
