Never depose a new primary for its predecessor's stalled entries

Cause: the verdict 'cut off' was kept until the detector's next look (200 ms), and the second owner, told of the new primary, met it with the old verdict. Ruled out: a second real loss (the new primary was followed within 6 ms), rank delay too short (the second promotion came 470 ms after the first, at a term of its own).

Guard: stall.term !== knowledge.highestTerm. Shown to fail without it: 'replaces a primary that is cut off from its group once', expected 2 to equal 1.

--- a/src/failover/replica-watch.ts
+++ b/src/failover/replica-watch.ts
@@ -53,6 +53,12 @@
 			await clock.sleep(settings.stallPollMs, stopped);
 		},
 		getCutOffSince(now) {
+			// Guards against deposing a new primary for what its predecessor was found guilty of: until the next look the
+			// detector still tells of the old term. It showed as a second promotion half a second after the first.
+			if (stall.term !== knowledge.highestTerm) {
+				return undefined;
+			}
+
 			// With durability `primary` acknowledged writes may be on the primary alone; deposing it while it answers would lose them.
 			return getCfg().durability === Durability.Majority ? stall.getCutOffSince(now) : undefined;
 		},
--- a/src/failover/stall-detector.ts
+++ b/src/failover/stall-detector.ts
@@ -23,6 +23,8 @@
 	note(view: StallView, now: number): void;
 	/** True while a majority is behind the primary. */
 	readonly behind: boolean;
+	/** The term of the primary that was looked at last, 0 before the first look. */
+	readonly term: number;
 	/** When the primary was last seen to be followed, once it is held to be cut off. */
 	getCutOffSince(now: number): number | undefined;
 };
@@ -89,6 +91,9 @@
 		get behind() {
 			return mark !== undefined;
 		},
+		get term() {
+			return term;
+		},
 		getCutOffSince(now) {
 			// Where no majority answers without the primary, another one would be no better off.
 			return mark?.majorityAnswers && now - mark.movedAt >= getPatienceMs() ? mark.movedAt : undefined;
--- a/tests/bench/failover-gap-tests.ts
+++ b/tests/bench/failover-gap-tests.ts
@@ -12,6 +12,13 @@
 		expect(await lose('killed')).to.deep.equal(await lose('killed'));
 	});
 
+	// Filings stall twice: the second owner, told of the new primary, still held the verdict on the old one and deposed the
+	// new one for it.
+	it('replaces a primary that is cut off from its group once', async () => {
+		const {promotions} = await lose('cut off from its group only');
+		expect(promotions).to.equal(1);
+	});
+
 	it('changes the primary as planned without a failed filing', async () => {
 		const {failed, promotions} = await runSwitch(1, PRODUCT);
 		expect({failed, promotions}).to.deep.equal({failed: 0, promotions: 1});
