Look at the primary when its last sign of life has its age, not a period after a nap

Cause: the nap between two looks always lasted a whole period. With traffic it began at any age of the last sign of life, so that a loss was looked into up to two periods late; without traffic each poll is itself the sign, which hid it.

Also: after the survey, which can take 300 ms, a primary that another host raised meanwhile now stands. The servers' answers are from before it; with the first owner dead a second promotion followed the first by 190 ms.

Guards: getNapMs, and highestTerm > loss.term in checkSurvey.

--- a/src/failover/create-group-failover.ts
+++ b/src/failover/create-group-failover.ts
@@ -125,7 +125,7 @@
 		}
 
 		await clock.sleep(LEAST_NAP_MS, stopping.signal);
-		await napping.sleep(pollMs - LEAST_NAP_MS);
+		await napping.sleep(watch.getNapMs(pollMs));
 	};
 
 	const repairServers = async () => {
--- a/src/failover/primary-watch.ts
+++ b/src/failover/primary-watch.ts
@@ -12,6 +12,8 @@
 export type PrimaryWatch = {
 	/** Looks once, `pollMs` being how old the last sign of life may be; resolves with a loss only when it is confirmed. */
 	findLoss(pollMs: number): Promise<Loss | undefined>;
+	/** How long there is nothing to look for, in milliseconds: until the last sign of life will be `pollMs` old. */
+	getNapMs(pollMs: number): number;
 	/** Notes that traffic found the primary silent at `now`; the next look asks it. */
 	suspect(now: number): void;
 	/** Notes a term that this host raised without success, which nobody else will bring to a primary. */
@@ -165,6 +167,13 @@
 			const primary = knowledge.getPrimary();
 			return primary ? checkPrimary(primary, pollMs) : checkVacancy();
 		},
+		// Guards against a nap of a whole period that began when the last sign of life was nearly as old: a loss just after
+		// its beginning would be looked for two periods late.
+		getNapMs(pollMs) {
+			const primary = knowledge.getPrimary();
+			const known = primary && knowledge.get(primary.name);
+			return known?.failures === 0 ? Math.max(0, known.seenAt + pollMs - clock.now()) : pollMs;
+		},
 		suspect(now) {
 			suspectedAt = now;
 		},
--- a/src/failover/promote-group.ts
+++ b/src/failover/promote-group.ts
@@ -109,6 +109,13 @@
 }
 
 function checkSurvey(options: PromoteOptions, answers: ReadonlyArray<Gathered<EndpointStatus>>): void {
+	// Guards against deposing a primary that another host raised while the suspect was awaited: the servers' answers are
+	// from before it. It showed as two promotions 200 ms apart, the second one holding up filings again.
+	const raised = options.knowledge.getPrimary();
+	if (raised && options.knowledge.highestTerm > options.loss.term) {
+		throwPrimaryStands(raised.name);
+	}
+
 	const primary = answers.find(({answer}) => answer.role === EndpointRole.Primary && answer.term >= options.knowledge.highestTerm);
 	if (primary) {
 		throwPrimaryStands(primary.endpoint.name);
--- /dev/null
+++ b/tests/failover/primary-watch-tests.ts
@@ -0,0 +1,55 @@
+import {expect} from 'chai';
+import {EndpointRole, type EndpointStatus} from '../../src/endpoints/endpoint.js';
+import {DEFAULT_FAILOVER_SETTINGS} from '../../src/failover/failover-settings.js';
+import type {GroupControl} from '../../src/failover/group-control.js';
+import {createPrimaryWatch} from '../../src/failover/primary-watch.js';
+import {createGroupKnowledge} from '../../src/groups/create-group-knowledge.js';
+import {groupConfigSchema} from '../../src/groups/group-config.js';
+import {createSilentLog} from '../../src/log/silent-log.js';
+import {createVirtualClock} from '../../src/stand-ins/time/virtual-clock.js';
+
+describe('nap between two looks at the primary', () => {
+	// Filings stall for up to 400 ms before anybody asks the primary: the nap began just before the last sign of life was
+	// 200 ms old, and lasted another 200.
+	const doTest = (title: string, heardMsAgo: number | undefined, fails: boolean, expected: number) => {
+		it(title, () => {
+			const clock = createVirtualClock();
+			const cfg = groupConfigSchema.parse({
+				name: 'filings', endpoints: [{
+					name: 'a', address: 'a:1', availabilityZone: 'druzhba', connections: 1, slots: 1,
+				}],
+			});
+			const knowledge = createGroupKnowledge({getGroup: () => ({version: 1, cfg})});
+			const status: EndpointStatus = {
+				term: 1, log: {term: 1, position: 1}, role: EndpointRole.Primary, leaving: false,
+			};
+			if (heardMsAgo !== undefined) {
+				knowledge.observe('a', status, clock.now() - heardMsAgo);
+			}
+
+			if (fails) {
+				knowledge.observeFailure('a', clock.now());
+			}
+
+			const watch = createPrimaryWatch({
+				clock,
+				knowledge,
+				control: {} as GroupControl, // eslint-disable-line @typescript-eslint/consistent-type-assertions
+				settings: DEFAULT_FAILOVER_SETTINGS,
+				log: createSilentLog(),
+				getCfg: () => cfg,
+				setState() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+				opinions: {ask: async () => ({confirmed: false, heard: [], seen: []})},
+				getStatus: async () => status,
+				getCutOffSince: () => undefined,
+			});
+			expect(watch.getNapMs(200)).to.equal(expected);
+		});
+	};
+
+	doTest('ends when the sign of life has its age', 150, false, 50);
+	doTest('lasts a period after a sign just now', 0, false, 200);
+	doTest('is none where the sign is too old', 201, false, 0);
+	doTest('lasts a period where the primary failed, which was looked into', 150, true, 200);
+	doTest('lasts a period where no primary is known', undefined, false, 200);
+});
