Act on a primary cut off from its group when the patience with it ends

Cause: the verdict was looked for at the watch's naps and the detector's fixed 200 ms alone, one after the other. The replica watch now looks when the patience ends and wakes the watch; failed attempts go back to 200 ms.

--- a/src/failover/create-group-failover.ts
+++ b/src/failover/create-group-failover.ts
@@ -100,7 +100,12 @@
 
 	const holds = createWriteHolds(clock, context);
 	const repair = createGroupRepair(parts);
-	const replicas = createReplicaWatch(parts);
+	const replicas = createReplicaWatch({
+		...parts,
+		onCutOff() {
+			napping.wake();
+		},
+	});
 	const watch = createPrimaryWatch({
 		...parts,
 		opinions: createSecondOpinion(shared),
--- a/src/failover/replica-watch.ts
+++ b/src/failover/replica-watch.ts
@@ -12,8 +12,17 @@
 	getCutOffSince(now: number): number | undefined;
 };
 
+/** What {@link createReplicaWatch} needs. */
+export type ReplicaWatchOptions = Pick<FailoverParts, 'clock' | 'control' | 'knowledge' | 'settings' | 'getCfg' | 'stopped'> & {
+	/** Called at each look that finds the primary cut off from its group. */
+	onCutOff(): void;
+};
+
+/** Shortest pause between two looks, in milliseconds. */
+const LEAST_PAUSE_MS = 20;
+
 /** Creates the watch of one group's replicas. */
-export function createReplicaWatch(options: Pick<FailoverParts, 'clock' | 'control' | 'knowledge' | 'settings' | 'getCfg' | 'stopped'>): ReplicaWatch {
+export function createReplicaWatch(options: ReplicaWatchOptions): ReplicaWatch {
 	const {clock, control, knowledge, settings, stopped, getCfg} = options;
 	const stall = createStallDetector(settings);
 
@@ -46,21 +55,29 @@
 		stall.note({primary: status, replicas: answering, majority: getMajority(cfg)}, clock.now());
 	};
 
+	const getCutOffSince = (now: number) => {
+		// Guards against deposing a new primary for what its predecessor was found guilty of: until the next look the
+		// detector still tells of the old term. It showed as a second promotion half a second after the first.
+		if (stall.term !== knowledge.highestTerm) {
+			return undefined;
+		}
+
+		// With durability `primary` acknowledged writes may be on the primary alone; deposing it while it answers would lose them.
+		return getCfg().durability === Durability.Majority ? stall.getCutOffSince(now) : undefined;
+	};
+
 	return {
+		getCutOffSince,
 		async look() {
 			await poll();
 			noteStall();
-			await clock.sleep(settings.stallPollMs, stopped);
-		},
-		getCutOffSince(now) {
-			// Guards against deposing a new primary for what its predecessor was found guilty of: until the next look the
-			// detector still tells of the old term. It showed as a second promotion half a second after the first.
-			if (stall.term !== knowledge.highestTerm) {
-				return undefined;
+			const leftMs = stall.getPatienceLeftMs(clock.now());
+			if (getCutOffSince(clock.now()) !== undefined) {
+				options.onCutOff();
 			}
 
-			// With durability `primary` acknowledged writes may be on the primary alone; deposing it while it answers would lose them.
-			return getCfg().durability === Durability.Majority ? stall.getCutOffSince(now) : undefined;
+			const pauseMs = leftMs > 0 ? Math.max(LEAST_PAUSE_MS, Math.min(settings.stallPollMs, leftMs)) : settings.stallPollMs;
+			await clock.sleep(pauseMs, stopped);
 		},
 	};
 }
--- a/src/failover/stall-detector.ts
+++ b/src/failover/stall-detector.ts
@@ -27,6 +27,8 @@
 	readonly term: number;
 	/** When the primary was last seen to be followed, once it is held to be cut off. */
 	getCutOffSince(now: number): number | undefined;
+	/** How long until the primary will be held to be cut off unless a replica moves, in milliseconds; Infinity where it is not behind. */
+	getPatienceLeftMs(now: number): number;
 };
 
 type Mark = {
@@ -98,6 +100,7 @@
 			// Where no majority answers without the primary, another one would be no better off.
 			return mark?.majorityAnswers && now - mark.movedAt >= getPatienceMs() ? mark.movedAt : undefined;
 		},
+		getPatienceLeftMs: now => mark ? Math.max(0, mark.movedAt + getPatienceMs() - now) : Infinity,
 	};
 }
 
--- a/tests/failover/decisions-tests.ts
+++ b/tests/failover/decisions-tests.ts
@@ -99,6 +99,16 @@
 	doTest('has four times the patience of the slowest catch-up', [[0, 5, 5, 5], [1000, 6, 5, 5], [2500, 6, 6, 6], [3000, 7, 6, 6]], 8000, undefined);
 	doTest('has the longest patience where it saw no catch-up yet', [[0, 6, 5, 5]], 9000, undefined);
 	doTest('finds nothing where no other majority answers', [[0, 5, 5, 5], [1000, 6, 5]], 9000, undefined);
+
+	it('tells when its patience will end', () => {
+		const detector = createStallDetector(DEFAULT_FAILOVER_SETTINGS);
+		const note = (position: number, now: number) => {
+			detector.note({primary: createStatus(1, position), replicas: [createStatus(1, 5), createStatus(1, 5)], majority: 2}, now);
+			return detector.getPatienceLeftMs(now);
+		};
+
+		expect([note(5, 0), note(6, 1000), note(6, 2500), note(6, 4000)]).to.deep.equal([Infinity, 2000, 500, 0]);
+	});
 });
 
 describe('probe', () => {
