Count what a second owner asked while it waited for its turn

Cause: with the first owner dead the second one waits 400 to 600 ms for its turn, asking the lost primary, and the survey then gave that primary 300 ms once more, since its suspicion was old. It now asks to the end of the turn, again after a failure, and a loss that it found confirmed all that time is as recent as the first owner's.

Guard: the new confirmedAt. Shown to fail without it: 'does not wait for a lost primary twice when the first owner is dead', expected 300 to be below 100.

--- a/src/failover/replace-primary.ts
+++ b/src/failover/replace-primary.ts
@@ -19,27 +19,48 @@
  * Ends with a new primary, whoever raised it, or after a few attempts, so that the loss is then confirmed anew.
  */
 export async function replacePrimary(options: ReplaceOptions): Promise<void> {
-	const {setState, loss, stopped} = options;
-	await waitForTurn(options);
+	const {setState, stopped} = options;
+	const current = {...options, loss: await waitForTurn(options)};
 
-	for (let tries = 0; tries < MOST_TRIES && !stopped.aborted && !isReplaced(options); tries++) {
-		setState(FailoverPhase.Promoting, `replacing a primary that is ${loss.kind}`);
-		if (await tryPromote(options, tries)) {
+	for (let tries = 0; tries < MOST_TRIES && !stopped.aborted && !isReplaced(current); tries++) {
+		setState(FailoverPhase.Promoting, `replacing a primary that is ${current.loss.kind}`);
+		if (await tryPromote(current, tries)) {
 			return;
 		}
 	}
 }
 
-/** The first-ranked owner acts at once; the others leave it the time to, each by a different delay, and go on asking the lost primary. */
-async function waitForTurn({clock, control, others, settings, random, loss, stopped}: ReplaceOptions): Promise<void> {
+/**
+ * The first-ranked owner acts at once; the others leave it the time to, each by a different delay.
+ *
+ * They go on asking the lost primary meanwhile. Where it brings no answer to the end, the loss returned is confirmed as of
+ * now, and the survey need not give the suspect its whole time once more.
+ */
+async function waitForTurn(options: ReplaceOptions): Promise<Loss> {
+	const {clock, others, settings, random, loss, stopped} = options;
 	const rank = others.getRank();
 	if (rank === 0) {
-		return;
+		return loss;
 	}
 
 	const turnMs = (rank * settings.rankDelayMs) + (random.fraction() * settings.rankJitterMs);
-	const asking = loss.kind === LossKind.Unreachable && loss.endpoint ? control.status(loss.endpoint, turnMs) : Promise.resolve();
-	await Promise.all([clock.sleep(turnMs, stopped), asking.catch(() => undefined)]);
+	const asking = loss.kind === LossKind.Unreachable && loss.endpoint ? askOn(options, loss.endpoint, clock.now() + turnMs) : true;
+	const [, answered] = await Promise.all([clock.sleep(turnMs, stopped), asking]);
+	return answered ? loss : {...loss, confirmedAt: clock.now()};
+}
+
+/** Asks a server until it answers, or until the time; tells whether it did. */
+async function askOn({clock, control, settings, stopped}: ReplaceOptions, endpoint: string, endsAt: number): Promise<boolean> {
+	while (clock.now() < endsAt && !stopped.aborted) {
+		try {
+			await control.status(endpoint, endsAt - clock.now());
+			return true;
+		} catch {
+			await clock.sleep(Math.min(settings.probeRetryMs, endsAt - clock.now()), stopped);
+		}
+	}
+
+	return false;
 }
 
 /** Tells whether there is a primary again: another one, or the lost one itself. */
--- a/tests/bench/failover-gap-tests.ts
+++ b/tests/bench/failover-gap-tests.ts
@@ -19,6 +19,12 @@
 		expect(promotions).to.equal(1);
 	});
 
+	// The second owner waited for its turn, asked the lost primary all that time, and then waited for it for 300 ms more.
+	it('does not wait for a lost primary twice when the first owner is dead', async () => {
+		const {parts} = await lose('frozen, first owner dead');
+		expect(parts?.claim).to.be.below(100);
+	});
+
 	it('changes the primary as planned without a failed filing', async () => {
 		const {failed, promotions} = await runSwitch(1, PRODUCT);
 		expect({failed, promotions}).to.deep.equal({failed: 0, promotions: 1});
