--- a/src/bench/experiments.ts
+++ b/src/bench/experiments.ts
@@ -1,5 +1,6 @@
 import {control} from './control.js';
 import type {Experiment} from './experiment.js';
+import {failoverGap} from './failover-gap.js';
 import {hop} from './hop.js';
 import {overload} from './overload.js';
 import {replicaShare} from './replica-share.js';
@@ -7,6 +8,7 @@
 /** Every experiment, by its name on the command line. */
 export const EXPERIMENTS: Readonly<Record<string, Experiment>> = {
 	[control.name]: control,
+	[failoverGap.name]: failoverGap,
 	[hop.name]: hop,
 	[overload.name]: overload,
 	[replicaShare.name]: replicaShare,
--- a/src/bench/replica-share/share-system.ts
+++ b/src/bench/replica-share/share-system.ts
@@ -93,6 +93,7 @@
 		getCfg: () => context.getGroup().cfg,
 		getPollTimes: () => getPollTimes(settings, {rank: 0, idleMs: context.getIdleMs?.(clock.now())}),
 		stopped: stopping.signal,
+		onCutOff: ignore,
 	});
 
 	const pollPrimary = async () => {
@@ -127,3 +128,7 @@
 		},
 	};
 }
+
+function ignore() {
+	// This experiment loses no primary.
+}
--- a/src/failover/create-group-failover.ts
+++ b/src/failover/create-group-failover.ts
@@ -104,7 +104,12 @@
 
 	const holds = createWriteHolds(clock, context);
 	const repair = createGroupRepair(parts);
-	const replicas = createReplicaWatch(parts);
+	const replicas = createReplicaWatch({
+		...parts,
+		onCutOff() {
+			napping.wake();
+		},
+	});
 	const watch = createPrimaryWatch({
 		...parts,
 		opinions: createSecondOpinion(shared),
@@ -129,7 +134,7 @@
 		}
 
 		await clock.sleep(LEAST_NAP_MS, stopping.signal);
-		await napping.sleep(pollMs - LEAST_NAP_MS);
+		await napping.sleep(watch.getNapMs(pollMs));
 	};
 
 	const repairServers = async () => {
--- a/src/failover/stall-detector.ts
+++ b/src/failover/stall-detector.ts
@@ -23,8 +23,12 @@
 	note(view: StallView, now: number): void;
 	/** True while a majority is behind the primary. */
 	readonly behind: boolean;
+	/** The term of the primary that was looked at last, 0 before the first look. */
+	readonly term: number;
 	/** When the primary was last seen to be followed, once it is held to be cut off. */
 	getCutOffSince(now: number): number | undefined;
+	/** How long until the primary will be held to be cut off unless a replica moves, in milliseconds; Infinity where it is not behind. */
+	getPatienceLeftMs(now: number): number;
 };
 
 type Mark = {
@@ -89,10 +93,14 @@
 		get behind() {
 			return mark !== undefined;
 		},
+		get term() {
+			return term;
+		},
 		getCutOffSince(now) {
 			// Where no majority answers without the primary, another one would be no better off.
 			return mark?.majorityAnswers && now - mark.movedAt >= getPatienceMs() ? mark.movedAt : undefined;
 		},
+		getPatienceLeftMs: now => mark ? Math.max(0, mark.movedAt + getPatienceMs() - now) : Infinity,
 	};
 }
 
--- a/src/owners/write-path.ts
+++ b/src/owners/write-path.ts
@@ -182,6 +182,7 @@
 		}
 
 		const stopWatching = cutWhenSuperseded(primary, connection);
+		const noteEnd = group.silence.begin(primary.endpoint.name);
 		const sentAt = clock.now();
 		const timeoutMs = Math.max(1, (deadlineAt - sentAt) * TRY_SHARE);
 		const end = group.running.begin(primary.endpoint.name, {what: exchange.what, requestId: exchange.requestId, since: sentAt});
@@ -197,6 +198,7 @@
 			return isEndpointError(err) && !err.sent ? answers.refuseNoConnection(primary, err) : answers.refuseSilent(primary);
 		} finally {
 			stopWatching();
+			noteEnd();
 			end();
 			primary.parts.pool.release(connection);
 		}
