--- a/src/bench/control/inside-one-node.ts
+++ b/src/bench/control/inside-one-node.ts
@@ -17,6 +17,7 @@
 import {measureHeapBytes} from '../load/heap-figures.js';
 import {createMeasure} from '../statistics.js';
 import {measureOwnership} from './ownership-at-size.js';
+import {measureStoreLoad} from './store-load.js';
 import {createGroups, createHostList, createStoredList} from './sized-fleet.js';
 
 type Figures = Readonly<Record<string, readonly [value: number, unit: string]>>;
@@ -32,6 +33,7 @@
 			...await measureHostList(random),
 			...measureOwnership(random),
 			...await measureRecords(random),
+			...await measureStoreLoad(seed),
 		});
 	}
 
--- /dev/null
+++ b/src/bench/control/store-load.ts
@@ -0,0 +1,114 @@
+import {createConfigurationWatch} from '../../configuration/configuration-watch.js';
+import {createConfiguration} from '../../configuration/create-configuration.js';
+import {createSilentLog} from '../../log/silent-log.js';
+import {createHosts} from '../../membership/create-hosts.js';
+import {ObjectKind, type PlatformHost} from '../../platform/platform.js';
+import {createSeededRandom} from '../../random/seeded-random.js';
+import {createInMemoryPlatform} from '../../stand-ins/platform/in-memory-platform.js';
+import {createObjectStore, type ObjectStore} from '../../stand-ins/platform/object-store.js';
+import {createFaultGate, Outage, type FaultGate} from '../../stand-ins/platform/platform-faults.js';
+import {createVirtualSchedule, type VirtualSchedule} from '../virtual-schedule.js';
+import {createHostList, SIZE} from './sized-fleet.js';
+
+type Figures = Readonly<Record<string, readonly [value: number, unit: string]>>;
+
+const STARTED_OVER_MS = 10_000;
+const CALM = {from: 20_000, to: 50_000};
+const CHANGE_AT = 60_000;
+const ZONE_RETURNS_AT = 70_000;
+const ZONE_NODES = 129;
+const OUTAGE = {from: 100_000, to: 160_000};
+const END = 180_000;
+/** One way to the store and back, in milliseconds. */
+const STORE_MS = 2;
+const SECOND = 1000;
+
+/** Measures the calls to the store of a whole fleet's watches and host lists, in virtual time. */
+export async function measureStoreLoad(seed: number): Promise<Figures> {
+	const schedule = createVirtualSchedule();
+	const store = createObjectStore({clock: schedule});
+	const gate = createFaultGate({clock: schedule});
+	gate.faults.requestDelayMs = STORE_MS / 2;
+	gate.faults.answerDelayMs = STORE_MS / 2;
+	store.setHosts(createHostList([]));
+	const random = createSeededRandom(seed);
+	for (const [index, self] of createHostList([]).entries()) {
+		schedule.at(random.fraction() * STARTED_OVER_MS, () => {
+			startNode({
+				schedule, store, gate, self, seed: (seed * SIZE.nodes) + index,
+			});
+		});
+	}
+
+	schedule.at(CHANGE_AT, () => {
+		store.put({
+			kind: ObjectKind.Group, name: 'changed', value: {}, expectedVersion: 0,
+		});
+	});
+	schedule.at(ZONE_RETURNS_AT, () => {
+		for (const [index, self] of createHostList([]).slice(0, ZONE_NODES).entries()) {
+			startNode({
+				schedule, store, gate, seed: -index - 1, self: {...self, name: `returned-${index}`},
+			});
+		}
+	});
+	schedule.at(OUTAGE.from, () => {
+		gate.faults.outage = Outage.Silent;
+	});
+	schedule.at(OUTAGE.to, () => {
+		gate.faults.outage = Outage.None;
+	});
+
+	const counts = await countCalls(schedule, gate);
+	return {
+		'store calls, 900 nodes, calm': [getMean(counts, CALM.from, CALM.to), 'calls/s'],
+		'store calls, 900 nodes, most in a second after a change': [getMost(counts, CHANGE_AT, CHANGE_AT + 5000), 'calls/s'],
+		'store calls, 129 nodes return at once, most in a second': [getMost(counts, ZONE_RETURNS_AT, ZONE_RETURNS_AT + 10_000), 'calls/s'],
+		'store calls, 1,029 nodes, silent outage': [getMean(counts, OUTAGE.from + 20_000, OUTAGE.to), 'calls/s'],
+		'store calls, 1,029 nodes, most in a second after an outage': [getMost(counts, OUTAGE.to, OUTAGE.to + 10_000), 'calls/s'],
+	};
+}
+
+type NodeOptions = {
+	readonly schedule: VirtualSchedule;
+	readonly store: ObjectStore;
+	readonly gate: FaultGate;
+	readonly self: PlatformHost;
+	readonly seed: number;
+};
+
+function startNode({schedule, store, gate, self, seed}: NodeOptions) {
+	const log = createSilentLog();
+	const random = createSeededRandom(seed);
+	const platform = createInMemoryPlatform({store, clock: schedule, sharedGate: gate});
+	const common = {
+		platform, clock: schedule, random, log,
+	};
+	void createConfigurationWatch({...common, configuration: createConfiguration({log})}).start?.();
+	void createHosts({...common, self}).start();
+}
+
+/** Calls in each second. */
+async function countCalls(schedule: VirtualSchedule, gate: FaultGate): Promise<number[]> {
+	const counts: number[] = [];
+	for (let until = SECOND; until <= END; until += SECOND) {
+		const before = gate.passed;
+		await schedule.runUntil(until);
+		counts.push(gate.passed - before);
+	}
+
+	return counts;
+}
+
+function getSeconds(counts: readonly number[], from: number, to: number): readonly number[] {
+	return counts.slice(from / SECOND, to / SECOND);
+}
+
+function getMean(counts: readonly number[], from: number, to: number): number {
+	const seconds = getSeconds(counts, from, to);
+	return seconds.reduce((sum, count) => sum + count, 0) / seconds.length;
+}
+
+function getMost(counts: readonly number[], from: number, to: number): number {
+	return Math.max(...getSeconds(counts, from, to));
+}
--- a/src/bench/virtual-schedule.ts
+++ b/src/bench/virtual-schedule.ts
@@ -35,10 +35,14 @@
 			}
 
 			await new Promise<void>(resolve => {
-				at(now + ms, resolve);
-				signal?.addEventListener('abort', () => {
+				const end = () => {
+					// A signal outlives many sleeps; each listener left on it would be kept for as long.
+					signal?.removeEventListener('abort', end);
 					resolve();
-				}, {once: true});
+				};
+
+				at(now + ms, end);
+				signal?.addEventListener('abort', end);
 			});
 		},
 		async runUntil(time) {
