--- a/src/bench/experiments.ts
+++ b/src/bench/experiments.ts
@@ -4,6 +4,7 @@
 import {hop} from './hop.js';
 import {overload} from './overload.js';
 import {replicaShare} from './replica-share.js';
+import {pooling} from './pooling.js';
 
 /** Every experiment, by its name on the command line. */
 export const EXPERIMENTS: Readonly<Record<string, Experiment>> = {
@@ -12,4 +13,5 @@
 	[hop.name]: hop,
 	[overload.name]: overload,
 	[replicaShare.name]: replicaShare,
+	[pooling.name]: pooling,
 };
--- a/src/bench/virtual-schedule.ts
+++ b/src/bench/virtual-schedule.ts
@@ -35,13 +35,14 @@
 			}
 
 			await new Promise<void>(resolve => {
-				const wake = () => {
-					signal?.removeEventListener('abort', wake);
+				const end = () => {
+					// A signal outlives many sleeps; each listener left on it would be kept for as long.
+					signal?.removeEventListener('abort', end);
 					resolve();
 				};
 
-				at(now + ms, wake);
-				signal?.addEventListener('abort', wake, {once: true});
+				at(now + ms, end);
+				signal?.addEventListener('abort', end);
 			});
 		},
 		async runUntil(time) {
