--- a/src/admission/class-queues.ts
+++ b/src/admission/class-queues.ts
@@ -70,6 +70,10 @@
 			return first;
 		},
 		removeWhere(workClass, isRemoved) {
+			if (queues[workClass].length === 0) {
+				return [];
+			}
+
 			const removed: QueuedRequest[] = [];
 			const kept: QueuedRequest[] = [];
 			for (const queued of queues[workClass]) {
--- a/src/bench/experiment.ts
+++ b/src/bench/experiment.ts
@@ -20,7 +20,7 @@
 	/** What was measured, with its setting, as in `goodput at 2x`. */
 	readonly name: string;
 	readonly unit: string;
-	/** Median over the seeds. */
+	/** Median over the seeds; Infinity and NaN, for what was not seen, are written as null. */
 	readonly value: number;
 	/** Least and greatest over the seeds. */
 	readonly spread: Spread;
--- a/src/bench/overload/faults.ts
+++ b/src/bench/overload/faults.ts
@@ -81,6 +81,17 @@
 	],
 };
 
+/** A server that dies again and again under its work, after which nobody knows what ran. */
+const crashLoop: GroupPlan = {
+	getLoad: () => 0.8,
+	faults: Array.from({length: 50}, (_, i) => ({
+		at: BEGIN_AT + (i * 100),
+		apply(server) {
+			server.crash();
+		},
+	})),
+};
+
 const burst: GroupPlan = {
 	getLoad: at => at >= BEGIN_AT && at < 20_000 ? 3 : 0.7,
 	faults: [],
@@ -99,6 +110,9 @@
 	{
 		name: 'silent server for 5 s', endAt: 15_000, callers: CallerKind.Impatient, plan: silentServer,
 	},
+	{
+		name: 'crashes every 100 ms for 5 s', endAt: 15_000, callers: CallerKind.Impatient, plan: crashLoop,
+	},
 	{
 		name: '3x load for 10 s', endAt: 20_000, callers: CallerKind.Impatient, plan: burst,
 	},
--- a/src/bench/overload/figures.ts
+++ b/src/bench/overload/figures.ts
@@ -8,15 +8,14 @@
 	readonly to: number;
 };
 
-/** Requests a second that were asked for in the window and answered in time. */
+/** Answers a second that came in the window, and in time. */
 export function getGoodput(outcomes: readonly CallerOutcome[], window: Window): number {
-	return getAsked(outcomes, window).filter(({inTime}) => inTime).length * 1000 / (window.to - window.from);
+	return getAnswered(outcomes, window).length * 1000 / (window.to - window.from);
 }
 
 /** Part of the server's slot time that went into requests answered in time. */
 export function getUsefulWork(outcomes: readonly CallerOutcome[], window: Window, slots: number): number {
-	const useful = outcomes.filter(({endedAt, inTime}) => inTime && endedAt >= window.from && endedAt < window.to);
-	return useful.reduce((sum, {workMs}) => sum + workMs, 0) / (slots * (window.to - window.from));
+	return getAnswered(outcomes, window).reduce((sum, {workMs}) => sum + workMs, 0) / (slots * (window.to - window.from));
 }
 
 /** Part of the class's requests that were answered in time. */
@@ -63,3 +62,7 @@
 function getAsked(outcomes: readonly CallerOutcome[], {from, to}: Window): readonly CallerOutcome[] {
 	return outcomes.filter(({askedAt}) => askedAt >= from && askedAt < to);
 }
+
+function getAnswered(outcomes: readonly CallerOutcome[], {from, to}: Window): readonly CallerOutcome[] {
+	return outcomes.filter(({endedAt, inTime}) => inTime && endedAt >= from && endedAt < to);
+}
--- a/src/bench/overload/hot-group.ts
+++ b/src/bench/overload/hot-group.ts
@@ -5,33 +5,32 @@
 	measureSeeds, SLOTS, type Figures, type Part,
 } from './part.js';
 import {PRODUCT} from './policies.js';
-import {runScenario, type GroupPlan} from './scenario.js';
+import {runScenario, type Fault, type GroupPlan} from './scenario.js';
 import {USERS_MIX} from './traffic.js';
 
 const LENGTH_MS = 30_000;
 const WINDOW = {from: 10_000, to: 25_000};
 
-/** A group whose server goes away again and again while its callers send five times what it could do. */
+/** A group whose server dies again and again while its callers send five times what it could do. */
 const hot: GroupPlan = {
 	getLoad: () => 5,
-	faults: Array.from({length: 30}, (_, i) => ({
-		at: i * 1000,
-		apply(server) {
-			server.setRefusing(i % 2 === 0);
-		},
-	})),
+	faults: createCrashes(50),
 };
 
-/** Groups whose server takes no connection for a moment now and then, so that they need a retry. */
+/** Groups whose connections are cut now and then, so that they need a retry. */
 const calm: GroupPlan = {
 	getLoad: () => 0.6,
-	faults: Array.from({length: 120}, (_, i) => ({
-		at: (Math.floor(i / 2) * 500) + ((i % 2) * 15),
+	faults: createCrashes(500),
+};
+
+function createCrashes(everyMs: number): readonly Fault[] {
+	return Array.from({length: Math.floor(LENGTH_MS / everyMs)}, (_, i) => ({
+		at: i * everyMs,
 		apply(server) {
-			server.setRefusing(i % 2 === 0);
+			server.crash();
 		},
-	})),
-};
+	}));
+}
 
 /** Measures whether one hot group behind the same entry harms two calm ones, with a budget for each group and with one for all. */
 export async function runHotGroup({seeds, report}: ExperimentOptions): Promise<Part> {
--- a/src/bench/write-result.ts
+++ b/src/bench/write-result.ts
@@ -6,7 +6,9 @@
 /** Writes a result as JSON to `file` and its plots beside it as `.svg`; returns the files written. */
 export async function writeResult(result: ExperimentResult, file: string): Promise<readonly string[]> {
 	await mkdir(path.dirname(file), {recursive: true});
-	await writeFile(file, `${JSON.stringify(result, undefined, '\t')}\n`);
+	// One figure a line, so that two results can be compared line by line.
+	const text = JSON.stringify(result).replaceAll('{"name"', '\n{"name"');
+	await writeFile(file, `${text}\n`);
 	if (result.plots.length === 0) {
 		return [file];
 	}
