--- a/src/callers/caller-answer.ts
+++ b/src/callers/caller-answer.ts
@@ -23,7 +23,7 @@
 	readonly servedBy?: string;
 	readonly term?: number;
 	readonly position?: number;
-	/** Upper bound of the answer's age in milliseconds; 0 from the primary. */
+	/** Upper bound of the answer's age in whole milliseconds: since its endpoint was known to hold all that was confirmed; 0 for a write. */
 	readonly ageMs?: number;
 	/** The session's new token; to be sent with the next request. */
 	readonly session?: string;
--- a/src/daemon/register-owners.ts
+++ b/src/daemon/register-owners.ts
@@ -70,5 +70,5 @@
 	const answer = await kernel.getOrThrow('changes').apply(groupKind, promotion.group, createPromotionNote(promotion), {
 		who: `failover ${kernel.getOrThrow('hosts').self.name}`, changeId: createRequestId(clock.wall(), random),
 	});
-	log.part('audit: ').info('A promotion went into the trail.', {group: promotion.group, term: promotion.term, result: answer.result});
+	log.part('audit: ').info('a promotion went into the trail', {group: promotion.group, term: promotion.term, result: answer.result});
 }
--- a/src/demo/caller.ts
+++ b/src/demo/caller.ts
@@ -14,8 +14,13 @@
 	ask(proxy: LocalProxy, req: DemoRequest): Promise<CallerAnswer>;
 	/** Sends a request through the balancer until an answer comes; asks for the outcome where it was left unsure. */
 	send(req: DemoRequest): Promise<SentAnswer>;
+	/** Asks what became of a write that was left unsure; undefined where nobody could tell. */
+	askOutcome(requestId: string): Promise<OutcomeAnswer | undefined>;
 };
 
+/** What became of a request, and which host told. */
+export type OutcomeAnswer = Pick<SentAnswer, 'answer' | 'host'>;
+
 /** An answer with what it took to get it. */
 export type SentAnswer = {
 	readonly answer: CallerAnswer;
@@ -76,8 +81,6 @@
 		{method: 'POST', body: JSON.stringify(req)},
 	);
 
-	const askOutcome = async (proxy: LocalProxy, requestId: string) => exchange(`${proxy.callerUrl}/v1/groups/${group}/requests/${requestId}/outcome`, {});
-
 	/** Undefined where no answer came; a proxy that refuses connections leaves the balancer, as its checks would do. */
 	const tryAt = async (exchangeAt: (proxy: LocalProxy) => Promise<CallerAnswer>) => {
 		const proxy = balancer.next();
@@ -96,21 +99,22 @@
 		}
 	};
 
-	const settle = async (requestId: string, unsure: SentAnswer): Promise<SentAnswer> => {
+	const askOutcome = async (requestId: string): Promise<OutcomeAnswer | undefined> => {
 		for (let tries = 1; tries <= MOST_TRIES; tries++) {
-			const {answer, host} = await tryAt(async proxy => askOutcome(proxy, requestId));
+			const {answer, host} = await tryAt(async proxy => exchange(`${proxy.callerUrl}/v1/groups/${group}/requests/${requestId}/outcome`, {}));
 			if (answer && answer.outcome !== Outcome.Unknown) {
-				return {...unsure, answer, host};
+				return {answer, host};
 			}
 
 			await clock.sleep(PAUSE_MS);
 		}
 
-		return unsure;
+		return undefined;
 	};
 
 	return {
 		ask,
+		askOutcome,
 		async send(req) {
 			const requestId = createRequestId(clock.wall(), random);
 			const submit = async (attempt: number) => tryAt(async proxy => ask(proxy, {...req, requestId, attempt}));
@@ -119,7 +123,8 @@
 				const {answer, host, sent} = await submit(cuts + 1);
 				if (answer && answer.refusal?.code !== RefusalCode.HostLeaving) {
 					const end: SentAnswer = {answer, host, cuts};
-					return answer.outcome === Outcome.Unknown && req.kind === RequestKind.Write ? settle(requestId, end) : end;
+					const isUnsure = answer.outcome === Outcome.Unknown && req.kind === RequestKind.Write;
+					return isUnsure ? {...end, ...await askOutcome(requestId)} : end;
 				}
 
 				if (answer) {
--- a/src/demo/refuse-and-explain.ts
+++ b/src/demo/refuse-and-explain.ts
@@ -2,6 +2,7 @@
 import {RequestKind} from '../callers/caller-request.js';
 import {ExitCode} from '../cli/exit-code.js';
 import {WorkClass} from '../groups/group-config.js';
+import {RefusalCode} from '../refusals/refusal.js';
 import {createCaller, type SentAnswer} from './caller.js';
 import {FILINGS, type Chapter, type Demo} from './demo.js';
 import {findUntrueRefusals, type SentWrite} from './judge-writes.js';
@@ -23,7 +24,7 @@
 		const refused = sent.filter(({write}) => write.outcome === Outcome.NotRun);
 		story.tell(`${FILINGS_AT_ONCE} filings came in one moment, each to be done within ${DEADLINE_MS} ms: ${describeOutcomes(writes)}`);
 		promises.check(Promised.TruthfulRefusal, findUntrueRefusals(writes, await readMarks(demo)), `${refused.length} refused filings compared with the rows`);
-		const [asked] = refused;
+		const asked = refused.find(({write}) => write.code === RefusalCode.QueueFull) ?? refused[0];
 		if (asked) {
 			await explain(demo, asked.end);
 		}
--- a/src/demo/roam-session.ts
+++ b/src/demo/roam-session.ts
@@ -7,6 +7,7 @@
 import {Promised} from './promises.js';
 
 const LAG_MS = 400;
+const MEMBER = 'm-101';
 
 /** A member annotates a night at one proxy and looks at it through each of the others, while every replica lags. */
 export const roamSession: Chapter = {
@@ -37,7 +38,7 @@
 
 async function annotate(member: DemoCaller, proxy: LocalProxy, note: string): Promise<void> {
 	const answer = await member.ask(proxy, {
-		kind: RequestKind.Write, statement: 'INSERT INTO notes (member, mark) VALUES ($1, $2)', values: ['m-1', note],
+		kind: RequestKind.Write, statement: 'INSERT INTO notes (member, mark) VALUES ($1, $2)', values: [MEMBER, note],
 	});
 	if (answer.outcome !== Outcome.Done) {
 		throw new Error(`${note} was not written: ${answer.refusal?.code}`);
@@ -46,7 +47,7 @@
 
 async function readNotes(member: DemoCaller, proxy: LocalProxy): Promise<{notes: readonly string[]; servedBy: string}> {
 	const answer = await member.ask(proxy, {
-		kind: RequestKind.Read, statement: 'SELECT mark FROM notes WHERE member = $1', values: ['m-1'],
+		kind: RequestKind.Read, statement: 'SELECT mark FROM notes WHERE member = $1', values: [MEMBER],
 	});
 	if (answer.outcome !== Outcome.Done) {
 		throw new Error(`the notes were not read: ${answer.refusal?.code}`);
--- a/src/demo/sync-nights.ts
+++ b/src/demo/sync-nights.ts
@@ -7,7 +7,10 @@
 import {findLostOrDoubled, type SentWrite} from './judge-writes.js';
 import {Promised} from './promises.js';
 
-const MEMBERS = 45;
+/** Bands of one wave sync at once; the next wave begins when they are done. */
+const WAVES = 3;
+const BANDS_IN_WAVE = 15;
+const MEMBERS = WAVES * BANDS_IN_WAVE;
 
 /** Bands sync their nights over a shaky link: each sync is sent twice under one request id, at two proxies. */
 export const syncNights: Chapter = {
@@ -15,8 +18,12 @@
 	why: 'A lost sync makes a night vanish; a doubled one skews the recovery score. The request id keeps both from happening.',
 	async tell(demo) {
 		const {promises, story} = demo;
-		const members = Array.from({length: MEMBERS}, (_, index) => `m-${index + 1}`);
-		const writes = await Promise.all(members.map(async member => syncTwice(demo, member)));
+		const writes: SyncedNight[] = [];
+		for (let wave = 1; wave <= WAVES; wave++) {
+			const members = Array.from({length: BANDS_IN_WAVE}, (_, index) => `m-${wave}${String(index + 1).padStart(2, '0')}`);
+			writes.push(...await Promise.all(members.map(async member => syncTwice(demo, member))));
+		}
+
 		const repeats = writes.filter(({bothDone}) => bothDone).length;
 		story.tell(`${MEMBERS} bands sent their night to two of nine proxies; ${repeats} were told "done" by both`);
 		const stored = await readMembers(demo);
@@ -24,7 +31,12 @@
 	},
 };
 
-async function syncTwice(demo: Demo, member: string): Promise<SentWrite & {bothDone: boolean}> {
+type SyncedNight = SentWrite & {
+	/** Both proxies told that the sync is done. */
+	readonly bothDone: boolean;
+};
+
+async function syncTwice(demo: Demo, member: string): Promise<SyncedNight> {
 	const {balancer, clock, random} = demo;
 	const band = createCaller({...demo, group: SLEEP_LOGS});
 	const sentAt = clock.now();
@@ -37,11 +49,13 @@
 	};
 	// Both at once: neither proxy has heard of the other's submission.
 	const [first, second] = await Promise.all([band.ask(balancer.next(), req), band.ask(balancer.next(), {...req, attempt: 2})]);
-	const done = first.outcome === Outcome.Done ? first : second;
+	const done = [first, second].find(({outcome}) => outcome === Outcome.Done);
+	const settled = done ? undefined : await band.askOutcome(req.requestId);
+	const end = done ?? settled?.answer ?? second;
 	return {
 		mark: member,
-		outcome: done.outcome,
-		code: done.refusal?.code,
+		outcome: end.outcome,
+		code: end.refusal?.code,
 		sentAt,
 		answeredAt: clock.now(),
 		bothDone: first.outcome === Outcome.Done && second.outcome === Outcome.Done,
--- a/src/owners/create-owners.ts
+++ b/src/owners/create-owners.ts
@@ -79,7 +79,7 @@
 	const begin = (group: string) => {
 		const begun: RunningOwner = {owner: options.createGroupOwner(group), inFlight: 0};
 		running.set(group, begun);
-		log.info('This host now looks after a group.', {group});
+		log.info('this host now looks after a group', {group});
 		void begun.owner.start();
 		return begun;
 	};
@@ -104,7 +104,7 @@
 		for (const [group, current] of running) {
 			current.owner.noteLeaving(now);
 			if (!isOwner(group, now)) {
-				log.info('This host no longer looks after a group.', {group});
+				log.info('this host no longer looks after a group', {group});
 				void end(group, current);
 			}
 		}
--- a/tests/daemon/separate-processes-tests.ts
+++ b/tests/daemon/separate-processes-tests.ts
@@ -34,6 +34,7 @@
 				const read = await ask(system, proxy, pull, written.session!);
 				expect(read.rows).to.deep.equal([{score: 41}]);
 				expect(read.position).to.be.at.least(written.position!);
+				expect(read.ageMs).to.satisfy(Number.isInteger);
 			}
 
 			const exitCodes = await Promise.all(system.proxies.map(async proxy => proxy.process.stop()));
