--- a/src/demo/run-demo.ts
+++ b/src/demo/run-demo.ts
@@ -9,6 +9,7 @@
 } from './demo.js';
 import {drainEndpoint} from './drain-endpoint.js';
 import {laggingReplicas} from './lagging-replicas.js';
+import {loseHost} from './lose-host.js';
 import {losePrimary} from './lose-primary.js';
 import {createOperator, type DemoOperator} from './operator.js';
 import {createPromises} from './promises.js';
@@ -38,7 +39,7 @@
 const STOP_BOUND_MS = 5000;
 
 const CHAPTERS: readonly Chapter[] = [
-	syncNights, roamSession, laggingReplicas, losePrimary, drainEndpoint, replaceHost, refuseAndExplain, auditTrail,
+	syncNights, roamSession, laggingReplicas, losePrimary, loseHost, drainEndpoint, replaceHost, refuseAndExplain, auditTrail,
 ];
 
 /** Tells the whole story; resolves with the exit code once every process that it started has ended. */
