--- a/src/bench/pooling/pooling-scenario.ts
+++ b/src/bench/pooling/pooling-scenario.ts
@@ -113,7 +113,7 @@
 	const workClass = drawClass(USERS_MIX, random);
 	const {workMs, deadlineMs, isRead} = USERS_MIX[workClass];
 	const req: ModelRequest = {
-		class: workClass, workMs: drawWorkMs(workMs, random), deadlineAt: at + (deadlineMs * (0.5 + random.fraction())), isRead,
+		class: workClass, workMs: drawWorkMs(workMs, random), deadlineAt: at + (deadlineMs * (0.5 + random.fraction())), isRead, replicationMs: 0,
 	};
 	const done = proxies[entry]!.dead ? undefined : await tryOwners(entry, known, req, run);
 	requests.push({at, done: done?.done ?? false, waitedMs: done?.waitedMs ?? 0});
