Predict what a replica will hold when a read reaches it

Cause: reads went by a replica's last sight alone, so its data counted as older by the time since then, a floor that the replica had reached meanwhile sent the read to the primary, and a barrier's floor always did. Change (PredictedPlacement): the age is taken as it was at the last sight (at most 1 s ago); an acknowledged floor is presumed at as many of the most advanced replicas as a majority needs beside the primary; a barrier's floor is waited for up to 10 ms where the replica's measured lag says so; equals are chosen by lot.

--- a/src/bench/replica-share/scenario.ts
+++ b/src/bench/replica-share/scenario.ts
@@ -15,6 +15,8 @@
 /** A way to place reads. */
 export type Policy = {
 	readonly name: string;
+	/** Whether sessions raise their floors by reads. */
+	readonly monotonicReads?: boolean;
 	createPlacement(system: ShareSystem, seed: number): ReadPlacement;
 };
 
@@ -44,7 +46,8 @@
 const LAGS_BEFORE = 1.7;
 
 /** Runs a scenario in virtual time. */
-export async function runScenario({policy, lags, traffic}: Scenario, seed: number): Promise<RunResult> {
+export async function runScenario({policy, lags, ...scenario}: Scenario, seed: number): Promise<RunResult> {
+	const traffic = {...scenario.traffic, monotonicReads: policy.monotonicReads};
 	const system = createShareSystem(seed);
 	const {schedule} = system;
 	const placement = policy.createPlacement(system, seed);
--- a/src/bench/replica-share/settings.ts
+++ b/src/bench/replica-share/settings.ts
@@ -1,4 +1,5 @@
 import {LastSeenPlacement} from '../../owners/last-seen-placement.js';
+import {PredictedPlacement} from '../../owners/predicted-placement.js';
 import {createSeededRandom} from '../../random/seeded-random.js';
 import type {ReplicaLag} from './lag-model.js';
 import {FixedWaitPlacement, OraclePlacement, PrimaryOnlyPlacement} from './placements.js';
@@ -10,11 +11,16 @@
 
 /** The product's way. */
 export const PRODUCT: Policy = {
-	name: 'product: last seen',
-	createPlacement: () => new LastSeenPlacement(),
+	name: 'product: predicted',
+	createPlacement: (_, seed) => new PredictedPlacement(createSeededRandom(seed + 4000)),
 };
 
+/** The product's way where a session's reads raise its floor as well. */
+const MONOTONIC: Policy = {...PRODUCT, name: 'product with monotonic reads', monotonicReads: true};
+
 export const BASELINES: readonly Policy[] = [
+	MONOTONIC,
+	{name: 'last seen', createPlacement: () => new LastSeenPlacement()},
 	{name: 'primary only', createPlacement: () => new PrimaryOnlyPlacement()},
 	{name: `fixed wait of ${FIXED_WAIT_MS} ms`, createPlacement: (_, seed) => new FixedWaitPlacement(createSeededRandom(seed + 4000), FIXED_WAIT_MS)},
 	{name: 'oracle', createPlacement: (system, seed) => new OraclePlacement(system, createSeededRandom(seed + 4000))},
--- a/src/bench/replica-share/workload.ts
+++ b/src/bench/replica-share/workload.ts
@@ -29,6 +29,8 @@
 	readonly parts: Readonly<Record<SessionKind, number>>;
 	/** Stated ages, equally often, in milliseconds. */
 	readonly agesMs: readonly number[];
+	/** Whether a session's reads raise its floor too, so that none goes back behind an earlier one. */
+	readonly monotonicReads?: boolean;
 };
 
 /** How one read ended. */
@@ -54,6 +56,9 @@
 const SYNC_DEADLINE_MS = 15_000;
 const MEMBERS = 500;
 
+/** Sessions among which the reads are spread. */
+export const SESSIONS = 500;
+
 /** Sends reads and syncs through the owners' paths. */
 export type Workload = {
 	readonly results: readonly ReadResult[];
@@ -70,6 +75,7 @@
 	const {schedule, random, owners} = system;
 	const acks: Ack[] = [{at: 0, log: LOG_START}];
 	const results: ReadResult[] = [];
+	const readFloors = new Map<number, LogPosition>();
 	let latestAck: LogPosition = LOG_START;
 	let failedSyncs = 0;
 
@@ -153,7 +159,9 @@
 		const askedAt = schedule.now();
 		const kind = pickKind(traffic.parts);
 		const hasFloor = kind === SessionKind.JustWrote || kind === SessionKind.WroteBefore;
-		const floor = hasFloor ? pickFloor(kind) : undefined;
+		const session = Math.floor(random.fraction() * SESSIONS);
+		const readFloor = (traffic.monotonicReads ? readFloors.get(session) : undefined) ?? LOG_START;
+		const floor = hasFloor ? getLaterLogPosition(pickFloor(kind), readFloor) : undefined;
 		const mustHold = floor ?? latestAck;
 		const maxAgeMs = kind === SessionKind.Latest ? 60_000 : traffic.agesMs[Math.floor(random.fraction() * traffic.agesMs.length)]!;
 		const req = createRequest('read', 'SELECT score FROM nights WHERE member = $1', [pickMember()], {floor, maxAgeMs});
@@ -162,6 +170,10 @@
 		const done = answer.outcome === Outcome.Done;
 		const stale = done && isStale(answer, mustHold, maxAgeMs, schedule.now());
 		await schedule.sleep(HOP_MS);
+		if (done) {
+			readFloors.set(session, getLaterLogPosition(readFloor, answer.log!));
+		}
+
 		results.push({
 			askedAt, kind, maxAgeMs, latencyMs: schedule.now() - askedAt, done, byReplica: answer.role === EndpointRole.Replica, stale,
 		});
--- a/src/groups/create-group-knowledge.ts
+++ b/src/groups/create-group-knowledge.ts
@@ -3,6 +3,7 @@
 import type {LogPosition} from '../terms/log-position.js';
 import {createConfirmedSamples} from './confirmed-samples.js';
 import type {EndpointKnowledge, GroupKnowledge} from './group-knowledge.js';
+import {createPrimaryHistory} from './primary-history.js';
 
 /** What {@link createGroupKnowledge} needs. */
 export type GroupKnowledgeOptions = {
@@ -32,6 +33,7 @@
 export function createGroupKnowledge(options: GroupKnowledgeOptions): GroupKnowledge {
 	const entries = new Map<string, Entry>();
 	const samples = createConfirmedSamples();
+	const history = createPrimaryHistory();
 	let highestTerm = 0;
 
 	const getEndpoints = () => options.getGroup().cfg.endpoints;
@@ -63,6 +65,9 @@
 
 			highestTerm = Math.max(highestTerm, status.term);
 			setKnowledge(endpoint, {status, seenAt: now, failures: 0});
+			if (status.role === EndpointRole.Primary && status.term === highestTerm && status.log.term === highestTerm) {
+				history.note(status.log, now);
+			}
 		},
 		observeFailure(endpoint, now) {
 			const known = getKnowledge(endpoint);
@@ -95,5 +100,6 @@
 			return status ? getLogAgeMs(status.log, now) : Infinity;
 		},
 		getLogAgeMs,
+		getReachedAt: log => history.getReachedAt(log),
 	};
 }
--- a/src/groups/group-knowledge.ts
+++ b/src/groups/group-knowledge.ts
@@ -23,6 +23,8 @@
 	getAgeMs(endpoint: string, now: number): number;
 	/** Upper bound of the age of what a log that ends at `log` holds, in milliseconds; Infinity where unknown. */
 	getLogAgeMs(log: LogPosition, now: number): number;
+	/** About when the primary's log reached that end, for predictions; undefined where it was not seen to, or is too long ago. */
+	getReachedAt(log: LogPosition): number | undefined;
 };
 
 /** What was last seen of one endpoint. */
--- a/src/owners/group-owner.ts
+++ b/src/owners/group-owner.ts
@@ -14,8 +14,8 @@
 import {getPoolLimit} from './connection-budget.js';
 import {createGroupChanges} from './group-changes.js';
 import type {EndpointParts, GroupParts} from './group-parts.js';
-import {LastSeenPlacement} from './last-seen-placement.js';
 import {createLeavingEndpoints} from './leaving-endpoints.js';
+import {PredictedPlacement} from './predicted-placement.js';
 import {createReadPath, type ReadPath} from './read-path.js';
 import {createRunningWork} from './running-work.js';
 import {createWriteGate} from './write-gate.js';
@@ -185,7 +185,7 @@
 
 	return {
 		parts,
-		reads: createReadPath(parts, new LastSeenPlacement()),
+		reads: createReadPath(parts, new PredictedPlacement(random)),
 		writes: createWritePath(parts),
 		failoverContext,
 		async start() {
--- /dev/null
+++ b/src/owners/predicted-placement.ts
@@ -0,0 +1,82 @@
+import {Durability, getMajority} from '../groups/group-config.js';
+import type {Random} from '../random/random.js';
+import {compareLogPositions, holdsLogPosition} from '../terms/log-position.js';
+import {getPrimaryCandidate, getReplicaCandidates, type ReplicaCandidate} from './read-candidates.js';
+import type {
+	PlacementGroup, ReadChoice, ReadNeed, ReadPlacement,
+} from './read-placement.js';
+
+/** A replica seen within this time is taken to keep its distance to the primary, in milliseconds; it is asked each second. */
+const STEADY_MS = 1000;
+
+/** Longest time for which a read is held back until a replica has what it needs, in milliseconds. */
+const MAX_WAIT_MS = 10;
+
+type RankedChoice = ReadChoice & {
+	/** Predicted time until the read runs, in milliseconds. */
+	readonly startMs: number;
+	/** Sets the order among equals. */
+	readonly lot: number;
+};
+
+/**
+ * Predicts what a replica will hold when the read reaches it, from what it showed and how far it was behind then.
+ *
+ * A replica that was last seen some time ago has moved on with the primary since: its data is as old as it was then,
+ * not older by the time that passed. A floor that a session brought was acknowledged, so a majority holds it: as many of
+ * the most advanced replicas as that takes beside the primary are tried at once, seen to hold it or not.
+ */
+export class PredictedPlacement implements ReadPlacement {
+	constructor(private readonly random: Random) {}
+
+	choose(group: PlacementGroup, need: ReadNeed): readonly ReadChoice[] {
+		const replicas = getReplicaCandidates(group, need);
+		const presumed = getPresumedHolders(group, replicas, need);
+		const choices = replicas
+			.filter(replica => getPredictedAgeMs(group, replica, need) <= need.maxAgeMs)
+			.map(replica => this.#rank(replica, presumed.has(replica) ? 0 : getFloorWaitMs(group, replica, need)))
+			.filter(({waitMs}) => waitMs <= MAX_WAIT_MS)
+			.sort((left, right) => left.startMs - right.startMs || left.lot - right.lot);
+		const primary = getPrimaryCandidate(group, need);
+		return [...choices, ...(primary ? [{endpoint: primary.endpoint, waitMs: 0}] : [])];
+	}
+
+	#rank({endpoint, queueMs}: ReplicaCandidate, waitMs: number): RankedChoice {
+		// Several owners that see the same replicas idle would all take the first of them.
+		return {
+			endpoint, waitMs, startMs: Math.max(waitMs, queueMs), lot: this.random.fraction(),
+		};
+	}
+}
+
+function getPredictedAgeMs({knowledge}: PlacementGroup, {endpoint, known}: ReplicaCandidate, {now}: ReadNeed): number {
+	const isSteady = now - known.seenAt <= STEADY_MS;
+	return isSteady ? knowledge.getLogAgeMs(known.status.log, known.seenAt) : knowledge.getAgeMs(endpoint.name, now);
+}
+
+function getPresumedHolders(group: PlacementGroup, replicas: readonly ReplicaCandidate[], need: ReadNeed): ReadonlySet<ReplicaCandidate> {
+	const {cfg} = group.getGroup();
+	if (need.barrierAt !== undefined || cfg.durability !== Durability.Majority) {
+		return new Set();
+	}
+
+	const byAdvance = replicas.toSorted((left, right) => compareLogPositions(right.known.status.log, left.known.status.log));
+	return new Set(byAdvance.slice(0, getMajority(cfg) - 1));
+}
+
+/** How long until the replica is predicted to hold the floor, in milliseconds; Infinity where nothing tells. */
+function getFloorWaitMs({knowledge}: PlacementGroup, {known}: ReplicaCandidate, {floor, now}: ReadNeed): number {
+	const {log} = known.status;
+	if (holdsLogPosition(log, floor)) {
+		return 0;
+	}
+
+	const shownAt = knowledge.getReachedAt(log);
+	const floorAt = knowledge.getReachedAt(floor);
+	if (shownAt === undefined || floorAt === undefined || now - known.seenAt > STEADY_MS) {
+		return Infinity;
+	}
+
+	const lagMs = Math.max(0, known.seenAt - shownAt);
+	return Math.max(0, floorAt + lagMs - now);
+}
