Take samples of the confirmed position in any order of time

Cause: a write's sample bears the time at which it was sent, but is known only once a majority holds the write, a replica's lag later. A barrier's sample is known within one round. Change: a sample goes to its place in time. A sample states what held at its own time, so the order of arrival takes nothing from it; one that a later sample outdoes, or whose term contradicts its neighbours, is passed over.

--- a/src/groups/confirmed-samples.ts
+++ b/src/groups/confirmed-samples.ts
@@ -5,14 +5,14 @@
 
 /** When the primary's confirmed position was no further than `log`. */
 type Sample = {
-	at: number;
+	readonly at: number;
 	readonly log: LogPosition;
 };
 
 /** Samples of the primary's confirmed position over time, from which the age of a replica's data follows. */
 export type ConfirmedSamples = {
-	/** Notes that at `now` nothing beyond `log` had been acknowledged. */
-	add(log: LogPosition, now: number): void;
+	/** Notes that at `at` nothing beyond `log` had been acknowledged; samples may come in any order of time. */
+	add(log: LogPosition, at: number): void;
 	/** The newest time at which everything acknowledged was within a log that ends at `log`, undefined where unknown. */
 	getHeldAt(log: LogPosition): number | undefined;
 	/** How many samples are kept. */
@@ -41,24 +41,38 @@
 	// Oldest first; time, term and, within a term, position all rise.
 	const samples: Sample[] = [];
 
-	const dropDominated = (log: LogPosition) => {
+	/** Where a sample of that time belongs, so that times stay in order. */
+	const findPlace = (at: number) => samples.findLastIndex(sample => sample.at <= at) + 1;
+
+	const dropDominated = (log: LogPosition, place: number) => {
 		// A later sample at the same or a lower position of the same term says more than the earlier one.
-		while (samples.at(-1)?.log.term === log.term && samples.at(-1)!.log.position >= log.position) {
-			samples.pop();
+		let first = place;
+		while (first > 0 && samples[first - 1]!.log.term === log.term && samples[first - 1]!.log.position >= log.position) {
+			first--;
 		}
+
+		samples.splice(first, place - first);
+		return first;
 	};
 
+	const isDominated = (log: LogPosition, next: Sample | undefined) =>
+		next?.log.term === log.term && next.log.position <= log.position;
+
+	const isContradicted = (log: LogPosition, place: number) =>
+		(place > 0 && log.term < samples[place - 1]!.log.term) || (place < samples.length && log.term > samples[place]!.log.term);
+
 	return {
-		add(log, now) {
-			const newest = samples.at(-1);
-			if (newest && (now < newest.at || log.term < newest.log.term)) {
+		// A write is confirmed a replica's lag after it was sent, and a barrier within one round. Were a sample older than
+		// the newest refused, each barrier would cost the samples of all writes under way, and ages would look that much larger.
+		add(log, at) {
+			const place = findPlace(at);
+			if (isContradicted(log, place) || isDominated(log, samples[place])) {
 				return;
 			}
 
-			dropDominated(log);
-			samples.push({at: now, log});
+			samples.splice(dropDominated(log, place), 0, {at, log});
 			if (samples.length > MAX_SAMPLES) {
-				samples.splice(findDispensable(samples, now), 1);
+				samples.splice(findDispensable(samples, samples.at(-1)!.at), 1);
 			}
 		},
 		getHeldAt(log) {
