Record what the random check has run and which missing guards it sees

Ruled out: that unseen guards are unseen because the asserts are blind; the written schedules end in a violation as soon as the guard is missing.

--- a/tests/random-check/written-schedules.ts
+++ b/tests/random-check/written-schedules.ts
@@ -23,7 +23,7 @@
 /** The first server is alone with the first proxy and takes four writes that nobody confirms. */
 const alone: readonly Step[] = [partition([true, false, false], [true, false, false], true), write(0, 0, 4, 40)];
 
-/** Interleavings of more steps than chance finds in a few minutes. */
+/** Interleavings of a divergent tail or a server left behind, which chance meets seldom or not in minutes. */
 export const WRITTEN_SCHEDULES: readonly WrittenSchedule[] = [
 	{
 		// The tail of the first server is longer than the log of the next term, which a write was acknowledged in.
