--- a/tests/proofs/retries-tests.ts
+++ b/tests/proofs/retries-tests.ts
@@ -76,12 +76,12 @@
 
 	describe('a lost primary', () => {
 		const doTest = (title: string, fail: (proof: Proof) => void) => {
-			// The primary is lost with fifty attorneys about to file. The next one leads within seconds. None of the filings
-			// needs to be sent before, so none has to be refused.
+			// The primary is lost with fifty attorneys about to file. Another leads within seconds. None of the filings needs to
+			// be sent before, so none has to be refused.
 			doProof(title, async proof => {
 				await proof.ask(proof.owners[0]!, sync(40), 'new');
 				fail(proof);
-				return syncAtOnce(proof, 50, 10_000);
+				return syncAtOnce(proof, 50, 15_000);
 			}, ['50 done']);
 		};
 
@@ -91,6 +91,13 @@
 		doTest('that is silent holds filings up, and loses none', ({servers}) => {
 			servers[0]!.faults.cut();
 		});
+		doTest('that is lost with a replica for six seconds holds filings up, and loses none', ({clock, servers}) => {
+			servers[0]!.kill();
+			servers[1]!.kill();
+			void clock.sleep(6000).then(() => {
+				servers[1]!.restart();
+			});
+		});
 	});
 
 	// One replica froze for five seconds, in which many callers without a token were served from behind barriers. It comes
