Hand a stopping host's groups on, and prove that planned stops cut nothing

Cause: a daemon's stop waited for its own callers and its open transactions only. What other proxies' callers had under way at its owners was cut with the services, and new requests kept coming until its links broke.

Now `owners.leave` comes first in a stop: it tells the group's other owners and successors (owner-leaving), refuses new requests as not run (host-leaving, try the next owner at once), and waits for what had begun; open transactions go on meanwhile. Ruled out: telling every host, which on 900 costs 900 links a stop. The daemon drains once more after that, for a transaction that opened last of all; that race has no test of its own.

Proved at a stream of reads, writes and transactions: drain and removal of a replica and of the primary, a named change of primary, the stop of either owner, of an only owner also among 7 proxies, of one whose successor heard of it from nobody, and of one with statements under way.

--- a/src/bench/explanations-trial.ts
+++ b/src/bench/explanations-trial.ts
@@ -166,6 +166,7 @@
 		getUsable: () => [self],
 		reportUnreachable() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 		reportReachable() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+		reportLeaving() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 		isEndpointLeaving: () => false,
 	};
 	const peers: Peers = {
--- a/src/daemon/create-daemon.ts
+++ b/src/daemon/create-daemon.ts
@@ -38,7 +38,7 @@
 	/** Starts the services in order; rejects with the error of the first that cannot start. */
 	start(): Promise<void>;
 	/**
-	 * Stops gracefully within the setting `shutdownMs`: no longer ready, new work refused, work in flight ended,
+	 * Stops gracefully within the setting `shutdownMs`: no longer ready, new work refused, groups handed on, work in flight ended,
 	 * services stopped in reverse. Never rejects; what did not end in time is logged.
 	 */
 	stop(): Promise<void>;
@@ -70,9 +70,20 @@
 
 	const drainCallers = async () => {
 		const drainMs = settings.shutdownMs * DRAIN_SHARE;
+		const until = clock.now() + drainMs;
+		const callers = kernel.getOrThrow('callers');
 		// Callers that the balancer still sends here get an answer; a closed port would look like a failure.
 		const notice = clock.sleep(Math.min(settings.leaveNoticeMs, drainMs));
-		await Promise.all([notice, kernel.getOrThrow('callers').drain(drainMs)]);
+		await Promise.all([
+			notice,
+			callers.drain(drainMs),
+			kernel.get('owners')?.leave(drainMs),
+		]);
+
+		// A transaction that was being opened for another proxy's caller may have opened last of all.
+		if (clock.now() < until) {
+			await callers.drain(until - clock.now());
+		}
 	};
 
 	const stopServices = async (served: boolean) => {
--- a/src/membership/create-hosts.ts
+++ b/src/membership/create-hosts.ts
@@ -4,6 +4,7 @@
 import type {Random} from '../random/random.js';
 import type {Clock} from '../time/clock.js';
 import type {Hosts} from './hosts.js';
+import {createLeavingHosts} from './leaving-hosts.js';
 import {createUnreachableHosts} from './unreachable-hosts.js';
 
 /** What membership needs. */
@@ -45,6 +46,7 @@
 	const {self, platform, clock, random} = options;
 	const log = options.log.part('hosts: ');
 	const unreachable = createUnreachableHosts();
+	const leaving = createLeavingHosts();
 	const stopped = new AbortController();
 	let list: readonly PlatformHost[] | undefined;
 	let proxies: readonly PlatformHost[] = [self];
@@ -94,7 +96,7 @@
 	};
 
 	const isUsable = (host: PlatformHost, now: number) =>
-		host.state === 'live' && (host.name === self.name || !unreachable.has(host.address, now));
+		host.state === 'live' && !leaving.has(host.address, now) && (host.name === self.name || !unreachable.has(host.address, now));
 
 	return {
 		self,
@@ -105,7 +107,7 @@
 		getUsable(now) {
 			if (!usable || now >= usableUntil) {
 				usable = proxies.filter(host => isUsable(host, now));
-				usableUntil = unreachable.getNextEnd(now);
+				usableUntil = Math.min(unreachable.getNextEnd(now), leaving.getNextEnd(now));
 			}
 
 			return usable;
@@ -120,6 +122,10 @@
 				usable = undefined;
 			}
 		},
+		reportLeaving(address, now) {
+			leaving.add(address, now);
+			usable = undefined;
+		},
 		isEndpointLeaving: address => leavingEndpoints.has(address),
 		async start() {
 			await read();
--- a/src/membership/hosts.ts
+++ b/src/membership/hosts.ts
@@ -12,6 +12,8 @@
 	reportUnreachable(address: string, now: number): void;
 	/** Notes that the host at that address answered. */
 	reportReachable(address: string): void;
+	/** Notes that the proxy at that address said that it is stopping: it owns nothing from now on, until it is long gone. */
+	reportLeaving(address: string, now: number): void;
 	/** Tells whether the list calls the host of the database server at that address leaving. */
 	isEndpointLeaving(address: string): boolean;
 };
--- a/src/owners/create-owners.ts
+++ b/src/owners/create-owners.ts
@@ -10,6 +10,7 @@
 import type {Clock} from '../time/clock.js';
 import type {Service} from '../kernel/service.js';
 import type {GroupOwner} from './group-owner.js';
+import {tellLeaving} from './tell-leaving.js';
 import {answerNotRun, createRefusal} from './owner-answers.js';
 
 /** The owners on this host, with what operators and transactions need of them. */
@@ -19,6 +20,11 @@
 	/** Admits a request into the group's owner here; a refusal where this host is none. */
 	withOwner(group: string, work: (owner: GroupOwner) => Promise<OwnerAnswer>): Promise<OwnerAnswer>;
 	getOwnedGroups(): readonly string[];
+	/**
+	 * Hands this host's groups on, for a planned stop: tells those who come next, sends every new request to them, and
+	 * resolves once what had begun has ended, or after `boundMs`. Open transactions go on meanwhile.
+	 */
+	leave(boundMs: number): Promise<void>;
 };
 
 declare module '../kernel/service-map.js' {
@@ -44,6 +50,9 @@
 /** How long a former owner lets its requests end, in milliseconds. */
 const ENDING_MS = 60_000;
 
+/** Time between looks at what is still in flight while this host leaves, in milliseconds. */
+const LEAVE_LOOK_MS = 10;
+
 type RunningOwner = {
 	readonly owner: GroupOwner;
 	inFlight: number;
@@ -57,6 +66,7 @@
 	const log = options.log.part('owners: ');
 	const running = new Map<string, RunningOwner>();
 	const stopping = new AbortController();
+	let leaving = false;
 
 	const isOwner = (group: string, now: number) => {
 		const cfg = configuration.getGroup(group)?.cfg;
@@ -112,7 +122,11 @@
 
 	const lookOn = async () => {
 		while (!stopping.signal.aborted) {
-			look();
+			// A host that leaves keeps its owners for what had begun.
+			if (!leaving) {
+				look();
+			}
+
 			await clock.sleep(LOOK_MS, stopping.signal);
 		}
 	};
@@ -126,7 +140,21 @@
 		}), true);
 	};
 
+	// Guards against work that begins at a host that is about to stop and would be cut: it has not run, and the caller's
+	// proxy brings it to another owner at once.
+	const refuseLeaving = (group: string) => answerNotRun(createRefusal(RefusalCode.HostLeaving, {
+		reason: `host ${hosts.self.name} is stopping and has handed group ${group} on`,
+		facts: {host: hosts.self.name},
+		retryAfterMs: 0,
+	}), true);
+
+	const countInFlight = () => [...running.values()].reduce((sum, {inFlight}) => sum + inFlight, 0);
+
 	const withOwner = async (group: string, work: (owner: GroupOwner) => Promise<OwnerAnswer>) => {
+		if (leaving) {
+			return refuseLeaving(group);
+		}
+
 		const current = getRunning(group);
 		if (!current) {
 			return refuseNotOwner(group);
@@ -154,7 +182,20 @@
 		withOwner,
 		getOwner: group => running.get(group)?.owner,
 		getOwnedGroups: () => [...running.keys()],
+		async leave(boundMs) {
+			const until = clock.now() + boundMs;
+			await tellLeaving({...options, groups: [...running.keys()]});
+			leaving = true;
+			hosts.reportLeaving(hosts.self.address, clock.now());
+			while (countInFlight() > 0 && clock.now() < until) {
+				await clock.sleep(LEAVE_LOOK_MS, stopping.signal);
+			}
+		},
 		async start() {
+			options.peers.handle('owner-leaving', async (_req, from) => {
+				hosts.reportLeaving(from.address, clock.now());
+				return {noted: true};
+			});
 			options.peers.handle('execute', execute);
 			options.peers.handle('resolve', resolve);
 			configuration.onChange(group => {
--- a/src/routing/owner-client.ts
+++ b/src/routing/owner-client.ts
@@ -69,6 +69,10 @@
 			try {
 				const answer: OwnerAnswer = await peers.call(host.address, kind, req, req.remainingMs + ANSWER_MARGIN_MS);
 				hosts.reportReachable(host.address);
+				if (answer.refusal?.code === RefusalCode.HostLeaving) {
+					hosts.reportLeaving(host.address, clock.now());
+				}
+
 				return answer;
 			} catch (err) {
 				const answer = answerSilent(host, err);
--- a/src/stand-ins/system/simulated-system.ts
+++ b/src/stand-ins/system/simulated-system.ts
@@ -42,6 +42,8 @@
 	configure(cfg: GroupConfig): void;
 	/** Starts every proxy and lets the system settle. */
 	start(): Promise<void>;
+	/** Stops a proxy as its daemon does, once its own callers went elsewhere: hands its groups on and ends what is open. */
+	leave(name: string): Promise<void>;
 	/** Takes a proxy's host away: its links break, its connections to servers go silent, and it reaches nothing more. */
 	kill(name: string): void;
 	stop(): Promise<void>;
@@ -71,6 +73,10 @@
 const SIGNING_KEY = 'a signing key for simulated systems only';
 const PEER_KEY = 'a peer key for simulated systems alone';
 
+/** Bound on what a leaving proxy waits for, and time between its looks, in milliseconds. */
+const LEAVE_MS = 8000;
+const LEAVE_LOOK_MS = 20;
+
 /** Time in which a started system settles, in milliseconds. */
 const SETTLE_MS = 3000;
 
@@ -145,6 +151,17 @@
 			await Promise.all(proxies.map(async ({kernel}) => kernel.start()));
 			await clock.advance(SETTLE_MS);
 		},
+		async leave(name) {
+			const {kernel, address} = proxies.find(proxy => proxy.name === name) ?? throwUnknown(name);
+			const transactions = kernel.getOrThrow('transactions');
+			await kernel.getOrThrow('owners').leave(LEAVE_MS);
+			for (const until = clock.now() + LEAVE_MS; transactions.getOpenCount() > 0 && clock.now() < until;) {
+				await clock.sleep(LEAVE_LOOK_MS);
+			}
+
+			await kernel.stop();
+			network.kill(address);
+		},
 		kill(name) {
 			const {address} = proxies.find(proxy => proxy.name === name) ?? throwUnknown(name);
 			network.kill(address);
--- a/tests/daemon/create-daemon-tests.ts
+++ b/tests/daemon/create-daemon-tests.ts
@@ -92,6 +92,26 @@
 		await stub.clock.runUntil(stopping);
 	});
 
+	// Other proxies send their callers' requests to this host, which looks after groups. Were its services stopped first,
+	// those requests would be cut.
+	it('hands its groups on before any service stops', async () => {
+		const handingOn = createDaemon({
+			...stub,
+			registerServices(kernel) {
+				stub.registerServices(kernel);
+				kernel.register('owners', {
+					async leave(ms: number) {
+						await stub.clock.sleep(5000);
+						stub.events.push(`handed on within ${ms} ms`);
+					},
+				} as never);
+			},
+		});
+		await handingOn.start();
+		await stub.clock.runUntil(handingOn.stop());
+		expect(stub.events).to.deep.equal(['inside starts', 'handed on within 8000 ms', 'inside stops', 'platform stops']);
+	});
+
 	it('ends within its bound when a service does not', async () => {
 		await daemon.start();
 		stub.behaviour.stop = async () => new Promise(() => {}); // eslint-disable-line @typescript-eslint/no-empty-function
--- a/tests/explanations/explanation-fixtures.ts
+++ b/tests/explanations/explanation-fixtures.ts
@@ -31,6 +31,7 @@
 		getUsable: () => all,
 		reportUnreachable() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 		reportReachable() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+		reportLeaving() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 		isEndpointLeaving: () => false,
 	};
 }
--- /dev/null
+++ b/tests/proofs/planned-stops-tests.ts
@@ -0,0 +1,106 @@
+import {BOOTSTRAP_OPERATOR} from '../../src/operators/create-operator-access.js';
+import {
+	doProof, GROUP, pull, sync, type Proof, type ProofOptions,
+} from './proof-bench.js';
+import {startTraffic, type Traffic, type TrafficOptions} from './traffic.js';
+
+type StopOptions = ProofOptions & {readonly traffic?: TrafficOptions};
+
+/** How long the callers go on after the stop began, in milliseconds. */
+const GO_ON_MS = 5000;
+
+async function order(proof: Proof, command: string): Promise<void> {
+	const commands = proof.system.getProxyOrThrow(proof.outsider).kernel.getOrThrow('operatorCommands');
+	const {status, text} = await proof.clock.runUntil(commands.run(command, {name: BOOTSTRAP_OPERATOR, role: 'operate'}, undefined));
+	if (status !== 'ok') {
+		throw new Error(text);
+	}
+}
+
+/** What runs at an endpoint through any proxy, as an operator is shown it. */
+function countRunning(proof: Proof, endpoint: string): number {
+	const owners = proof.system.proxies.map(({kernel}) => kernel.getOrThrow('owners').getOwner(GROUP));
+	return owners.flatMap(owner => owner?.parts.running.getAt(endpoint) ?? []).length;
+}
+
+/** Waits until nothing runs there any more, as an operator does before taking the server away. */
+async function waitForEnd(proof: Proof, endpoint: string): Promise<void> {
+	await proof.clock.advance(2000);
+	while (countRunning(proof, endpoint) > 0) {
+		await proof.clock.advance(100);
+	}
+}
+
+function doTest(title: string, stop: (proof: Proof, traffic: Traffic) => Promise<readonly string[]>, expected: readonly string[], options: StopOptions = {}) {
+	doProof(title, async proof => {
+		await proof.ask(proof.outsider, sync(41), 'new');
+		const traffic = startTraffic(proof, {transactions: true, ...options.traffic});
+		await proof.clock.advance(1000);
+		const events = await stop(proof, traffic);
+		await proof.clock.advance(GO_ON_MS);
+		return [...events, ...await traffic.stop()];
+	}, expected, options);
+}
+
+describe('proof: a planned stop cuts no request', () => {
+	describe('of an endpoint', () => {
+		// An operator drains a server, waits until nothing runs there and has it taken away. Statements take up to a tenth
+		// of a second, so some are under way at each step. No caller may notice.
+		const doEndpointTest = (title: string, index: number) => {
+			doTest(title, async proof => {
+				const endpoint = `${GROUP}-${index + 1}`;
+				await order(proof, `drain endpoint ${endpoint}`);
+				await waitForEnd(proof, endpoint);
+				await order(proof, `stop endpoint ${endpoint}`);
+				await proof.clock.advance(1000);
+				const cut = `cut: ${countRunning(proof, endpoint)}`;
+				proof.servers[index]!.kill();
+				return [cut, `primary: ${proof.servers.indexOf(proof.getPrimaryOrThrow()) === 0 ? 'the old one' : 'a new one'}`];
+			}, ['cut: 0', `primary: ${index === 0 ? 'a new one' : 'the old one'}`], {sizes: {serviceMs: 30}});
+		};
+
+		doEndpointTest('that is a replica', 1);
+		doEndpointTest('that is the primary', 0);
+	});
+
+	// An operator names the next primary in the middle of the day.
+	doTest('of the primary\'s reign', async proof => {
+		await order(proof, `promote endpoint ${GROUP}-3`);
+		return [`primary: ${proof.servers.indexOf(proof.getPrimaryOrThrow()) + 1}`];
+	}, ['primary: 3'], {sizes: {serviceMs: 30}});
+
+	describe('of a proxy', () => {
+		const doProxyTest = (title: string, pick: (proof: Proof) => string, options: StopOptions = {}) => {
+			doTest(title, async (proof, traffic) => {
+				const name = pick(proof);
+				traffic.leaveProxy(name);
+				await proof.clock.advance(500);
+				await proof.clock.runUntil(proof.system.leave(name));
+				return [];
+			}, [], {sizes: {serviceMs: 30}, ...options});
+		};
+
+		// A host is replaced. The balancer sends its callers elsewhere, but it looks after the group: requests of all other
+		// proxies are with it, and transactions are open there.
+		doProxyTest('that is the first owner', ({owners}) => owners[0]!);
+		doProxyTest('that is the second owner', ({owners}) => owners[1]!);
+		doProxyTest('that is the only owner', ({owners}) => owners[0]!, {config: {owners: 1}});
+		doProxyTest('that is the only owner of a larger fleet', ({owners}) => owners[0]!, {config: {owners: 1}, proxies: 7});
+		doProxyTest('that is the only owner, before the next one has heard of it from callers', ({owners}) => owners[0]!, {config: {owners: 1}, traffic: {atOutsider: true}});
+		doProxyTest('that owns nothing', ({outsider}) => outsider);
+
+		// Statements are under way at the host in the instant in which it is stopped, and their callers' time does not suffice
+		// for a second try.
+		doProof('with statements under way', async proof => {
+			const [owner = ''] = proof.owners;
+			const written = await proof.ask(owner, sync(41), 'new');
+			await proof.clock.advance(1000);
+			const bodies = [1, 2, 3].flatMap(score => [pull({deadlineMs: 500}), sync(score, {deadlineMs: 500})]);
+			const asked = bodies.map(async body => proof.send(proof.outsider, body, written.session));
+			await proof.clock.advance(50);
+			await proof.clock.runUntil(proof.system.leave(owner));
+			const answers = await proof.clock.runUntil(Promise.all(asked));
+			return answers.map(({outcome}) => outcome);
+		}, ['done', 'done', 'done', 'done', 'done', 'done'], {config: {owners: 1}, sizes: {serviceMs: 200}});
+	});
+});
--- a/tests/proofs/proof-bench.ts
+++ b/tests/proofs/proof-bench.ts
@@ -48,7 +48,7 @@
 };
 
 /** What a proof's system has that others' have not. */
-export type ProofOptions = Pick<SimulatedGroup, 'config' | 'sizes'> & Pick<SimulatedSystemOptions, 'wrapEndpoints'>;
+export type ProofOptions = Pick<SimulatedGroup, 'config' | 'sizes'> & Partial<Pick<SimulatedSystemOptions, 'proxies' | 'wrapEndpoints'>>;
 
 export const MEMBER = 'm-17';
 
@@ -66,7 +66,7 @@
 export function doProof(title: string, play: (proof: Proof) => Promise<readonly string[]>, expected: readonly string[], options: ProofOptions = {}): void {
 	it(title, async () => {
 		const system = createSimulatedSystem({
-			proxies: 3,
+			proxies: options.proxies ?? 3,
 			availabilityZones: ['hall-a', 'hall-b', 'hall-c', 'hall-d'],
 			groups: [{
 				name: GROUP, availabilityZones: ['hall-a', 'hall-b', 'hall-c'], config: options.config, sizes: options.sizes,
--- a/tests/proofs/traffic.ts
+++ b/tests/proofs/traffic.ts
@@ -15,6 +15,8 @@
 /** What kinds of callers there are besides those that read and write. */
 export type TrafficOptions = {
 	readonly transactions?: boolean;
+	/** The callers come through the proxy alone that does not look after the group. */
+	readonly atOutsider?: boolean;
 	/** What each read says besides its statement. */
 	readonly read?: Body;
 	/** Pause of a caller after an answer, in milliseconds. */
@@ -28,7 +30,7 @@
 const ENOUGH = 20;
 
 /** Starts one caller of each kind at every proxy. */
-export function startTraffic(proof: Proof, {transactions = false, read = {}, pauseMs = 25}: TrafficOptions = {}): Traffic {
+export function startTraffic(proof: Proof, {transactions = false, atOutsider = false, read = {}, pauseMs = 25}: TrafficOptions = {}): Traffic {
 	const {clock, system} = proof;
 	const done = new Map<string, number>();
 	const failed = new Map<string, number>();
@@ -83,7 +85,8 @@
 		count('commit', await proof.getEntry(choose(home)).commit(id, 'new'));
 	});
 
-	const callers = system.proxies.flatMap(({name}) => [
+	const homes = system.proxies.filter(({name}) => !atOutsider || name === proof.outsider);
+	const callers = homes.flatMap(({name}) => [
 		startReader(name, 'new'),
 		startReader(name, undefined),
 		startWriter(name),
