--- a/src/owners/last-seen-placement.ts
+++ b/src/bench/replica-share/last-seen-placement.ts
@@ -1,8 +1,8 @@
-import {holdsLogPosition} from '../terms/log-position.js';
-import {getPrimaryCandidate, getReplicaCandidates, type ReplicaCandidate} from './read-candidates.js';
+import {holdsLogPosition} from '../../terms/log-position.js';
+import {getPrimaryCandidate, getReplicaCandidates, type ReplicaCandidate} from '../../owners/read-candidates.js';
 import type {
 	PlacementGroup, ReadChoice, ReadNeed, ReadPlacement,
-} from './read-placement.js';
+} from '../../owners/read-placement.js';
 
 /** Takes the replicas that were last seen to hold the floor and the age, least busy first, then the primary. */
 export class LastSeenPlacement implements ReadPlacement {
--- a/src/bench/replica-share/settings.ts
+++ b/src/bench/replica-share/settings.ts
@@ -1,6 +1,6 @@
-import {LastSeenPlacement} from '../../owners/last-seen-placement.js';
 import {PredictedPlacement} from '../../owners/predicted-placement.js';
 import {createSeededRandom} from '../../random/seeded-random.js';
+import {LastSeenPlacement} from './last-seen-placement.js';
 import type {ReplicaLag} from './lag-model.js';
 import {FixedWaitPlacement, OraclePlacement, PrimaryOnlyPlacement} from './placements.js';
 import type {Lags, Policy} from './scenario.js';
