Go on without a log whose reader died

Two daemons whose starter had ended spun for 18 minutes at 60% of a core each and did not heed SIGTERM: each line failed with EPIPE, which was logged as an uncaught error, which failed as well. Ruled out: ending the process, since callers need no log. Guard: the listener on the stream. Taken away: 'goes on where its lines cannot be written any more', expected [Function] to not throw an error but 'Error: write EPIPE' was thrown.

--- a/src/log/bunyan-log.ts
+++ b/src/log/bunyan-log.ts
@@ -25,6 +25,10 @@
 		name, hostname: hostName, level: level as bunyan.LogLevelString, stream,
 	});
 
+	// Guards against whatever reads the log dying: the write's error would be uncaught, its log line fail as well, and so on
+	// for ever, in a process that serves nobody and heeds no signal. A log that cannot be written is done without.
+	stream.on('error', () => undefined);
+
 	const createPart = (prefix: string): Log => {
 		const print = (lineLevel: Level) => (sentence: string, fields: LogFields = {}) => {
 			if (logger[lineLevel]()) {
--- a/tests/log/bunyan-log-tests.ts
+++ b/tests/log/bunyan-log-tests.ts
@@ -60,4 +60,14 @@
 		expect(line).to.include('the platform gave no answer').and.include('reset').and.include('shown');
 		expect(line).to.not.include('hush');
 	});
+
+	it('goes on where its lines cannot be written any more', () => {
+		// The collector of the logs dies. Each line then fails, the failure is logged as an uncaught error, which fails
+		// as well: the host spins at a core's cost, answers no caller, and does not stop when told to.
+		const stream = new PassThrough();
+		createBunyanLog({
+			clock: createVirtualClock(0), name: 'aldercroftd', hostName: 'entry-1', level: 'info', stream,
+		});
+		expect(() => stream.emit('error', new Error('write EPIPE'))).not.to.throw();
+	});
 });
