--- a/src/bench/hop.ts
+++ b/src/bench/hop.ts
@@ -121,7 +121,7 @@
 	const all = system.proxies.map(({host}) => host);
 	const owning = createOwning({
 		hosts: {
-			self: all[0]!, getAll: () => all, getUsable: () => all, reportUnreachable: ignore, reportReachable: ignore, isEndpointLeaving: () => false,
+			self: all[0]!, getAll: () => all, getUsable: () => all, reportUnreachable: ignore, reportReachable: ignore, reportLeaving: ignore, isEndpointLeaving: () => false,
 		},
 		getGroupZones: () => ZONES,
 	});
--- a/tests/random-check/world.ts
+++ b/tests/random-check/world.ts
@@ -128,6 +128,7 @@
 				getUsable: () => hostList,
 				reportUnreachable() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 				reportReachable() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+				reportLeaving() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 				isEndpointLeaving: () => false,
 			},
 			owning: {getOwners: () => hostList},
