Count a gap that nothing ended in the failover bench

Cause: only gaps between two acknowledgements were counted, so a variant that raises no primary at all showed 7 to 10 ms (claim required, platform silent, killed).

--- a/src/bench/failover-gap/filings.ts
+++ b/src/bench/failover-gap/filings.ts
@@ -83,9 +83,10 @@
 	}
 }
 
-/** Longest time from one acknowledgement to the next that ended after `since`, in milliseconds. */
-export function getLongestGap(filings: readonly Filing[], since: number): {readonly ms: number; readonly endedAt: number} {
-	const times = filings.filter(({answer}) => answer?.outcome === Outcome.Done).map(({endedAt}) => endedAt!).toSorted((left, right) => left - right);
+/** Longest time from one acknowledgement to the next that ended after `since`, in milliseconds; one that none ended lasts to `until`. */
+export function getLongestGap(filings: readonly Filing[], since: number, until: number): {readonly ms: number; readonly endedAt: number} {
+	const done = filings.filter(({answer}) => answer?.outcome === Outcome.Done).map(({endedAt}) => endedAt!);
+	const times = [...done, until].toSorted((left, right) => left - right);
 	let longest = {ms: 0, endedAt: since};
 	for (const [index, endedAt] of times.entries()) {
 		const ms = endedAt - (times[index - 1] ?? endedAt);
--- a/src/bench/failover-gap/loss-run.ts
+++ b/src/bench/failover-gap/loss-run.ts
@@ -90,12 +90,13 @@
 	const lostAt = system.clock.now();
 	await loss.apply(stage);
 	await system.clock.advance(LOSS_MS);
+	const endedAt = system.clock.now();
 	healAll(stage);
 	const promotion = promotions.find(({cause}) => cause !== 'planned');
 	const count = promotions.length;
 	await closeStage(stage);
 
-	const gap = getLongestGap(stream.filings, lostAt);
+	const gap = getLongestGap(stream.filings, lostAt, endedAt);
 	return {
 		gapMs: gap.ms,
 		longestMs: getLongestFiling(stream.filings),
--- a/src/bench/failover-gap/switch-run.ts
+++ b/src/bench/failover-gap/switch-run.ts
@@ -20,6 +20,7 @@
 		endpoints: cfg.endpoints.map(endpoint => endpoint.address === primary.address ? {...endpoint, order: 'drain'} : endpoint),
 	});
 	await system.clock.advance(AFTER_MS);
+	const endedAt = system.clock.now();
 	const count = promotions.length;
 	await closeStage(stage);
 	if (count === 0 || primary.member.getStatus().role === 'primary') {
@@ -27,7 +28,7 @@
 	}
 
 	return {
-		gapMs: getLongestGap(stream.filings, drainedAt).ms,
+		gapMs: getLongestGap(stream.filings, drainedAt, endedAt).ms,
 		longestMs: getLongestFiling(stream.filings),
 		failed: countFailed(stream),
 		promotions: count,
--- a/tests/bench/failover-gap-tests.ts
+++ b/tests/bench/failover-gap-tests.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {LOSSES} from '../../src/bench/failover-gap/losses.js';
-import {checkFilings} from '../../src/bench/failover-gap/filings.js';
+import {checkFilings, getLongestGap} from '../../src/bench/failover-gap/filings.js';
 import {openStage, runLoss} from '../../src/bench/failover-gap/loss-run.js';
 import {PRODUCT} from '../../src/bench/failover-gap/policies.js';
 import {runSwitch} from '../../src/bench/failover-gap/switch-run.js';
@@ -30,6 +30,13 @@
 		expect({failed, promotions}).to.deep.equal({failed: 0, promotions: 1});
 	});
 
+	it('counts a gap that nothing ended', () => {
+		const done = [10, 20].map(endedAt => ({
+			id: endedAt, entry: 'a', askedAt: endedAt, endedAt, answer: {outcome: 'done' as const, requestId: ''},
+		}));
+		expect([getLongestGap(done, 0, 25).ms, getLongestGap(done, 0, 500).ms]).to.deep.equal([10, 480]);
+	});
+
 	// A run that no longer sees a lost filing would give its figures all the same.
 	it('fails where an acknowledged filing is missing', async () => {
 		const {system, stream} = await openStage(1, PRODUCT);
