Prove the opening that outlasts its caller at the pool itself

Two tests at the pool show it: - a caller in a hurry that counts as a refusal: EndpointError: it refused connections a moment ago - its connection not kept: EndpointError: every connection was lent until the deadline They brought out a fault of openBy: where the opening was refused after its caller had left, nobody who waited for room was told (60 s instead of 10 ms; red: - 60000 + 10). The next one is woken now.

--- a/src/endpoints/connection-pool.ts
+++ b/src/endpoints/connection-pool.ts
@@ -171,7 +171,7 @@
 			return opened.value;
 		}
 
-		opening.then(keep, () => undefined);
+		opening.then(keep, wakeOne);
 		return throwNotConnected(endpoint.address, new Error('it was not open by the deadline'));
 	};
 
--- a/tests/endpoints/connection-pool-tests.ts
+++ b/tests/endpoints/connection-pool-tests.ts
@@ -119,6 +119,29 @@
 		expect(told.map(at => Number(at) - diedAt)).to.deep.equal([10, 10, 10]);
 	});
 
+	// A dashboard asks with three milliseconds to go, and a connection takes ten. The coach who asks next, with time to
+	// spare, must not be told that the server refused, and gets the connection that was being opened.
+	it('opens a connection on for the next caller when the first one is in a hurry', async () => {
+		const clock = createVirtualClock();
+		const {pool, fake} = createFakePool(1, clock);
+		const hurried = await acquire(pool, clock, 3).catch((err: unknown) => err as Error);
+		expect(hurried).to.be.instanceOf(EndpointError);
+		const next = await acquire(pool, clock);
+		expect(next.id).to.equal(1);
+		expect(fake.connections.length).to.equal(1);
+	});
+
+	// As before, but the server refuses. The one who waits for room must be told when the opening ends, not at its deadline.
+	it('tells who waits when what a hurried caller began to open is refused', async () => {
+		const clock = createVirtualClock();
+		const {pool, fake} = createFakePool(1, clock);
+		fake.refusing = true;
+		const startedAt = clock.now();
+		const hurried = pool.acquire(startedAt + 3).catch(() => clock.now() - startedAt);
+		const waiting = pool.acquire(startedAt + 60_000).catch(() => clock.now() - startedAt);
+		expect(await clock.runUntil(Promise.all([hurried, waiting]))).to.deep.equal([3, 10]);
+	});
+
 	it('leaves a server alone for a moment after it refused', async () => {
 		const clock = createVirtualClock();
 		const {pool, fake} = createFakePool(2, clock);
