--- a/src/callers/http-routes.ts
+++ b/src/callers/http-routes.ts
@@ -22,6 +22,9 @@
 type TransactionRoute = {transactionId: string};
 type OutcomeRoute = {group: string; requestId: string};
 
+/** Most tokens in one session header. */
+const MAX_TOKENS = 8;
+
 const OTHER_METHODS = ['GET', 'POST', 'PUT', 'PATCH', 'DELETE', 'HEAD', 'OPTIONS'] as const;
 
 /** Adds the callers' routes; docs/CALLERS.md describes them. */
@@ -116,8 +119,10 @@
 		return undefined;
 	}
 
-	// Sent twice, the header arrives as one value with a comma.
-	if (typeof token !== 'string' || token.length > MAX_TOKEN_LENGTH || !/^[\w\-]+$/v.test(token)) {
+	// Tokens of requests sent side by side come parted by commas, as does a header sent twice; the entry merges them.
+	const tokens = typeof token === 'string' ? token.split(',').map(part => part.trim()) : [];
+	const isOne = (part: string) => part.length <= MAX_TOKEN_LENGTH && /^[\w\-]+$/v.test(part);
+	if (typeof token !== 'string' || tokens.length > MAX_TOKENS || !tokens.every(part => isOne(part))) {
 		throwBadSessionHeader('not a token that this service made; send it as it came, or none');
 	}
 
--- a/tests/callers/http-callers-tests.ts
+++ b/tests/callers/http-callers-tests.ts
@@ -92,6 +92,12 @@
 
 	const sendJson = async (path: string, body: unknown, headers?: Record<string, string>) => send({path, body: JSON.stringify(body), headers});
 
+	it('hands several session tokens on together', async () => {
+		const {status} = await send({path: REQUESTS, body: JSON.stringify(READ), headers: {'aldercroft-session': 'a-token, b-token'}});
+		expect(status).to.equal(200);
+		expect(calls[0]?.at(-1)).to.equal('a-token, b-token');
+	});
+
 	describe('routes', () => {
 		const defaults = {
 			values: [], idempotent: false, latest: false, class: 'interactive', deadlineMs: 10_000, attempt: 1,
@@ -159,6 +165,8 @@
 		doTest('a broken path', {method: 'GET', path: '/v1/groups/%ZZ/requests'}, 400, '\'/v1/groups/%ZZ/requests\' is not a valid url component');
 		const badToken = 'header "aldercroft-session": not a token that this service made; send it as it came, or none';
 		doTest('a session header with other signs', {...post(READ), headers: {'aldercroft-session': 'a b'}}, 400, badToken, 'bad-token');
+		doTest('too many tokens in the session header', {...post(READ), headers: {'aldercroft-session': Array.from({length: 9}, () => 'a').join(',')}}, 400, badToken, 'bad-token');
+		doTest('an empty token among others', {...post(READ), headers: {'aldercroft-session': 'a,,b'}}, 400, badToken, 'bad-token');
 		doTest('an oversized session header', {...post(READ), headers: {'aldercroft-session': 'a'.repeat(2001)}}, 400, badToken, 'bad-token');
 
 		it('says nothing of the request that a faulty question was about', async () => {
