--- a/src/owners/read-path.ts
+++ b/src/owners/read-path.ts
@@ -105,7 +105,7 @@
 
 		const {role} = answer.status;
 		return {
-			outcome: Outcome.Done, rows: answer.rows, servedBy: endpoint.name, role, log: answer.status.log, ageMs: Math.ceil(ageMs),
+			outcome: Outcome.Done, rows: answer.rows, servedBy: endpoint.name, role, log: answer.status.log, ageMs,
 		};
 	};
 
--- a/src/routing/entry-answers.ts
+++ b/src/routing/entry-answers.ts
@@ -80,7 +80,7 @@
 			servedBy: answer.servedBy,
 			term: answer.log?.term,
 			position: answer.log?.position,
-			ageMs: answer.ageMs,
+			ageMs: answer.ageMs === undefined ? undefined : Math.ceil(answer.ageMs),
 			session: sessions.sign(session),
 		};
 	};
