Move the object store's seam out of src/platform

Cause: src/platform is to hold only what translates the users' platform, and the seam that owners, configuration and audit use is the product's own interface. Moved to src/object-store without a change of content. Ruled out: keeping both in one folder, since the product's interface must not sit beside the platform's words. Type check and lint green before and after; no behaviour changes.

--- a/src/audit/audit-archive.ts
+++ b/src/audit/audit-archive.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {z} from 'zod';
-import {ObjectKind, type Platform} from '../platform/platform.js';
-import {PlatformConflictError} from '../platform/platform-errors.js';
+import {ObjectKind, type Platform} from '../object-store/platform.js';
+import {PlatformConflictError} from '../object-store/platform-errors.js';
 import {auditEntrySchema, type AuditEntry} from './audit-entry.js';
 import {throwNotAudited} from './audit-errors.js';
 
--- a/src/audit/audit-trail.ts
+++ b/src/audit/audit-trail.ts
@@ -1,4 +1,4 @@
-import {ObjectKind, type Platform} from '../platform/platform.js';
+import {ObjectKind, type Platform} from '../object-store/platform.js';
 import type {AuditEntry} from './audit-entry.js';
 import {
 	getArchiveName, parseArchive, readArchive, type Trail,
--- a/src/audit/audited-kinds.ts
+++ b/src/audit/audited-kinds.ts
@@ -2,7 +2,7 @@
 import type {GroupConfig} from '../groups/group-config.js';
 import {storedGroupSchema} from '../groups/stored-group.js';
 import {OperatorRole} from '../operators/operator-access.js';
-import {ObjectKind} from '../platform/platform.js';
+import {ObjectKind} from '../object-store/platform.js';
 import {throwNotAudited} from './audit-errors.js';
 import {auditEntrySchema} from './audit-entry.js';
 import type {AuditedKind} from './change.js';
--- a/src/audit/change.ts
+++ b/src/audit/change.ts
@@ -1,4 +1,4 @@
-import type {ObjectKind} from '../platform/platform.js';
+import type {ObjectKind} from '../object-store/platform.js';
 import type {AuditEntry} from './audit-entry.js';
 
 /** An object that carries its own audit entries, so that one conditional update changes both together. */
--- a/src/audit/create-changes.ts
+++ b/src/audit/create-changes.ts
@@ -1,5 +1,5 @@
-import type {Platform, PlatformObject} from '../platform/platform.js';
-import {PlatformConflictError, PlatformError, PlatformRefusedError} from '../platform/platform-errors.js';
+import type {Platform, PlatformObject} from '../object-store/platform.js';
+import {PlatformConflictError, PlatformError, PlatformRefusedError} from '../object-store/platform-errors.js';
 import type {Random} from '../random/random.js';
 import type {Clock} from '../time/clock.js';
 import {archiveOldest, isFull} from './audit-archive.js';
--- a/src/audit/find-change.ts
+++ b/src/audit/find-change.ts
@@ -1,4 +1,4 @@
-import type {Platform} from '../platform/platform.js';
+import type {Platform} from '../object-store/platform.js';
 import {getRequestIdTime} from '../random/request-id.js';
 import type {AuditEntry} from './audit-entry.js';
 import {getArchiveName, readArchive, type Trail} from './audit-archive.js';
--- a/src/bench/control/inside-one-node.ts
+++ b/src/bench/control/inside-one-node.ts
@@ -6,7 +6,7 @@
 import {RING_CAPACITY} from '../../explanations/create-explanations.js';
 import {createSilentLog} from '../../log/silent-log.js';
 import {createHostRanking} from '../../membership/host-ranking.js';
-import {platformHostsSchema, platformListSchema} from '../../platform/platform-schemas.js';
+import {platformHostsSchema, platformListSchema} from '../../object-store/platform-schemas.js';
 import {createRequestId} from '../../random/request-id.js';
 import type {Random} from '../../random/random.js';
 import {createSeededRandom} from '../../random/seeded-random.js';
--- a/src/bench/control/ownership-at-size.ts
+++ b/src/bench/control/ownership-at-size.ts
@@ -1,7 +1,7 @@
 import {performance} from 'node:perf_hooks';
 import type {GroupConfig} from '../../groups/group-config.js';
 import {createHostRanking} from '../../membership/host-ranking.js';
-import type {PlatformHost} from '../../platform/platform.js';
+import type {PlatformHost} from '../../object-store/platform.js';
 import type {Random} from '../../random/random.js';
 import {
 	createGroups, createHostList, createProxy, REGIONS,
--- a/src/bench/control/quiet-fleet.ts
+++ b/src/bench/control/quiet-fleet.ts
@@ -1,4 +1,4 @@
-import {ObjectKind, type PlatformHost} from '../../platform/platform.js';
+import {ObjectKind, type PlatformHost} from '../../object-store/platform.js';
 import {startLocalSystem, type LocalSystem} from '../../stand-ins/processes/local-system.js';
 import {createSystemClock} from '../../time/system-clock.js';
 import {getProcessorSeconds, getResidentBytes} from '../load/daemon-figures.js';
--- a/src/bench/control/sized-fleet.ts
+++ b/src/bench/control/sized-fleet.ts
@@ -2,7 +2,7 @@
 import type {StoredGroup} from '../../groups/stored-group.js';
 import {
 	ObjectKind, type PlatformHost, type PlatformList, type PlatformObject,
-} from '../../platform/platform.js';
+} from '../../object-store/platform.js';
 import type {Random} from '../../random/random.js';
 
 /** The size designed for. */
--- a/src/bench/control/store-load.ts
+++ b/src/bench/control/store-load.ts
@@ -2,7 +2,7 @@
 import {createConfiguration} from '../../configuration/create-configuration.js';
 import {createSilentLog} from '../../log/silent-log.js';
 import {createHosts} from '../../membership/create-hosts.js';
-import {ObjectKind, type PlatformHost} from '../../platform/platform.js';
+import {ObjectKind, type PlatformHost} from '../../object-store/platform.js';
 import {createSeededRandom} from '../../random/seeded-random.js';
 import {createInMemoryPlatform} from '../../stand-ins/platform/in-memory-platform.js';
 import {createObjectStore, type ObjectStore} from '../../stand-ins/platform/object-store.js';
--- a/src/bench/failover-gap/switch-run.ts
+++ b/src/bench/failover-gap/switch-run.ts
@@ -1,4 +1,4 @@
-import {ObjectKind} from '../../platform/platform.js';
+import {ObjectKind} from '../../object-store/platform.js';
 import type {StoredGroup} from '../../groups/stored-group.js';
 import {getLongestFiling, getLongestGap, GROUP} from './filings.js';
 import {
--- a/src/bench/pooling.ts
+++ b/src/bench/pooling.ts
@@ -1,5 +1,5 @@
 import {createHostRanking} from '../membership/host-ranking.js';
-import type {PlatformHost} from '../platform/platform.js';
+import type {PlatformHost} from '../object-store/platform.js';
 import type {Experiment, Variant} from './experiment.js';
 import {measureSeeds, type Figures} from './overload/part.js';
 import {
--- a/src/configuration/configuration-watch.ts
+++ b/src/configuration/configuration-watch.ts
@@ -1,6 +1,6 @@
 import type {Service} from '../kernel/service.js';
 import type {Log} from '../log/log.js';
-import {ObjectKind, type Platform} from '../platform/platform.js';
+import {ObjectKind, type Platform} from '../object-store/platform.js';
 import type {Random} from '../random/random.js';
 import type {Clock} from '../time/clock.js';
 import {withinMs} from '../time/deadline.js';
--- a/src/configuration/create-configuration.ts
+++ b/src/configuration/create-configuration.ts
@@ -1,5 +1,5 @@
 import type {Log} from '../log/log.js';
-import type {PlatformList, PlatformObject} from '../platform/platform.js';
+import type {PlatformList, PlatformObject} from '../object-store/platform.js';
 import {throwGroupUnknown} from './configuration-errors.js';
 import type {Configuration, VersionedGroup} from './configuration.js';
 import {
--- a/src/configuration/group-entry.ts
+++ b/src/configuration/group-entry.ts
@@ -1,6 +1,6 @@
 import {z} from 'zod';
 import {storedGroupSchema} from '../groups/stored-group.js';
-import type {PlatformObject} from '../platform/platform.js';
+import type {PlatformObject} from '../object-store/platform.js';
 
 /** Checks one group's configuration as proxies pass it on; audit entries stay in the store. */
 export const groupEntrySchema = z.object({
--- a/src/daemon/create-daemon.ts
+++ b/src/daemon/create-daemon.ts
@@ -5,7 +5,7 @@
 import type {Metrics} from '../metrics/metrics.js';
 import {createOperatorHttp, type Readiness} from '../operators/operator-http.js';
 import type {Peers} from '../peers/peers.js';
-import type {Platform} from '../platform/platform.js';
+import type {Platform} from '../object-store/platform.js';
 import type {Random} from '../random/random.js';
 import type {Settings} from '../settings/settings.js';
 import type {Clock} from '../time/clock.js';
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -4,7 +4,7 @@
 import {createBunyanLog} from '../log/bunyan-log.js';
 import {createPromMetrics} from '../metrics/prom-metrics.js';
 import {createWsPeers} from '../peers/ws-peers.js';
-import {createHttpPlatform} from '../platform/http-platform.js';
+import {createHttpPlatform} from '../object-store/http-platform.js';
 import {createSystemRandom} from '../random/system-random.js';
 import type {Settings} from '../settings/settings.js';
 import {createSystemClock} from '../time/system-clock.js';
--- a/src/daemon/register-operators.ts
+++ b/src/daemon/register-operators.ts
@@ -7,7 +7,7 @@
 import {createFleetView} from '../operators/create-fleet-view.js';
 import {createOperatorAccess} from '../operators/create-operator-access.js';
 import {createOperatorCommands} from '../operators/create-operator-commands.js';
-import {ObjectKind} from '../platform/platform.js';
+import {ObjectKind} from '../object-store/platform.js';
 import {getCommonParts} from './common-parts.js';
 
 declare module '../kernel/service-map.js' {
--- a/src/daemon/register-services.ts
+++ b/src/daemon/register-services.ts
@@ -5,7 +5,7 @@
 import type {Service} from '../kernel/service.js';
 import {createHosts} from '../membership/create-hosts.js';
 import {createOwning} from '../membership/create-owning.js';
-import type {PlatformHost} from '../platform/platform.js';
+import type {PlatformHost} from '../object-store/platform.js';
 import {getCommonParts} from './common-parts.js';
 import {registerEntry} from './register-entry.js';
 import {registerChanges, registerOperators} from './register-operators.js';
--- a/src/explanations/batch-recorder.ts
+++ b/src/explanations/batch-recorder.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import type {Log} from '../log/log.js';
-import {ObjectKind, type Platform} from '../platform/platform.js';
-import {PlatformConflictError} from '../platform/platform-errors.js';
+import {ObjectKind, type Platform} from '../object-store/platform.js';
+import {PlatformConflictError} from '../object-store/platform-errors.js';
 import type {Random} from '../random/random.js';
 import type {Clock} from '../time/clock.js';
 import {createRecordBatch, type RecordBatch} from './record-batch.js';
--- a/src/explanations/batch-search.ts
+++ b/src/explanations/batch-search.ts
@@ -1,4 +1,4 @@
-import {ObjectKind, type Platform, type PlatformList} from '../platform/platform.js';
+import {ObjectKind, type Platform, type PlatformList} from '../object-store/platform.js';
 import {getRequestIdTime} from '../random/request-id.js';
 import {getMinute, readRecordBatch} from './record-batch.js';
 import type {RefusalRecord} from './refusal-record.js';
--- a/src/explanations/batch-sweeper.ts
+++ b/src/explanations/batch-sweeper.ts
@@ -1,6 +1,6 @@
 import type {Log} from '../log/log.js';
 import type {Hosts} from '../membership/hosts.js';
-import {ObjectKind, type Platform} from '../platform/platform.js';
+import {ObjectKind, type Platform} from '../object-store/platform.js';
 import type {Clock} from '../time/clock.js';
 import {getMinute} from './record-batch.js';
 
--- a/src/explanations/create-explanations.ts
+++ b/src/explanations/create-explanations.ts
@@ -1,7 +1,7 @@
 import type {Service} from '../kernel/service.js';
 import type {Log} from '../log/log.js';
 import type {Hosts} from '../membership/hosts.js';
-import type {PlatformHost, Platform} from '../platform/platform.js';
+import type {PlatformHost, Platform} from '../object-store/platform.js';
 import type {Peers} from '../peers/peers.js';
 import type {Random} from '../random/random.js';
 import type {Clock} from '../time/clock.js';
--- a/src/failover/create-group-failover.ts
+++ b/src/failover/create-group-failover.ts
@@ -1,7 +1,7 @@
 import {throwNotConnected} from '../endpoints/endpoint-errors.js';
 import type {Log} from '../log/log.js';
 import type {Hosts, Owning} from '../membership/hosts.js';
-import type {Platform} from '../platform/platform.js';
+import type {Platform} from '../object-store/platform.js';
 import type {Random} from '../random/random.js';
 import type {Clock} from '../time/clock.js';
 import type {FailoverParts, Promotion} from './failover-parts.js';
--- a/src/failover/other-owners.ts
+++ b/src/failover/other-owners.ts
@@ -2,7 +2,7 @@
 import type {Hosts, Owning} from '../membership/hosts.js';
 import {isPeerError} from '../peers/peer-errors.js';
 import type {Peers} from '../peers/peers.js';
-import type {PlatformHost} from '../platform/platform.js';
+import type {PlatformHost} from '../object-store/platform.js';
 import type {Clock} from '../time/clock.js';
 import {throwSwitchRefused} from './failover-errors.js';
 import type {FailoverSettings} from './failover-settings.js';
--- a/src/failover/second-opinion.ts
+++ b/src/failover/second-opinion.ts
@@ -1,7 +1,7 @@
 import type {EndpointStatus} from '../endpoints/endpoint.js';
 import type {Hosts, Owning} from '../membership/hosts.js';
 import type {Peers} from '../peers/peers.js';
-import type {PlatformHost} from '../platform/platform.js';
+import type {PlatformHost} from '../object-store/platform.js';
 import type {Clock} from '../time/clock.js';
 import type {ConfirmSuspicionAnswer} from './failover-calls.js';
 import type {FailoverSettings} from './failover-settings.js';
--- a/src/failover/term-claim.ts
+++ b/src/failover/term-claim.ts
@@ -1,6 +1,6 @@
 import {z} from 'zod';
-import {ObjectKind, type Platform, type PlatformObject} from '../platform/platform.js';
-import {PlatformConflictError} from '../platform/platform-errors.js';
+import {ObjectKind, type Platform, type PlatformObject} from '../object-store/platform.js';
+import {PlatformConflictError} from '../object-store/platform-errors.js';
 import type {Log} from '../log/log.js';
 import {throwContested} from './failover-errors.js';
 
--- a/src/membership/create-owning.ts
+++ b/src/membership/create-owning.ts
@@ -1,4 +1,4 @@
-import type {PlatformHost} from '../platform/platform.js';
+import type {PlatformHost} from '../object-store/platform.js';
 import {createHostRanking, type HostRanking} from './host-ranking.js';
 import type {Hosts, Owning} from './hosts.js';
 
--- a/src/membership/host-ranking.ts
+++ b/src/membership/host-ranking.ts
@@ -1,4 +1,4 @@
-import type {PlatformHost} from '../platform/platform.js';
+import type {PlatformHost} from '../object-store/platform.js';
 import {hashName} from './rendezvous.js';
 import {
 	compareWeighedHosts, createZoneRanking, type HashedHost, type ZoneRanking,
--- a/src/membership/hosts.ts
+++ b/src/membership/hosts.ts
@@ -1,4 +1,4 @@
-import type {PlatformHost} from '../platform/platform.js';
+import type {PlatformHost} from '../object-store/platform.js';
 
 /** Which proxy hosts there are, from the platform's lagging list and from this host's own links. */
 export type Hosts = {
--- a/src/membership/zone-ranking.ts
+++ b/src/membership/zone-ranking.ts
@@ -1,4 +1,4 @@
-import type {PlatformHost} from '../platform/platform.js';
+import type {PlatformHost} from '../object-store/platform.js';
 import {getWeight, type NameHash} from './rendezvous.js';
 
 /** A host with the hash of its name. */
--- a/src/operators/create-fleet-view.ts
+++ b/src/operators/create-fleet-view.ts
@@ -4,7 +4,7 @@
 import type {OwnersService} from '../owners/create-owners.js';
 import type {PeerCalls} from '../peers/peer-calls.js';
 import type {Peers} from '../peers/peers.js';
-import type {PlatformHost} from '../platform/platform.js';
+import type {PlatformHost} from '../object-store/platform.js';
 import type {SessionSightings} from '../sessions/session-sightings.js';
 import type {Clock} from '../time/clock.js';
 import type {
--- a/src/operators/create-operator-access.ts
+++ b/src/operators/create-operator-access.ts
@@ -2,7 +2,7 @@
 import {OPERATORS_OBJECT, operatorsKind, type OperatorRecord} from '../audit/audited-kinds.js';
 import type {Service} from '../kernel/service.js';
 import type {Log} from '../log/log.js';
-import {ObjectKind, type Platform, type PlatformObject} from '../platform/platform.js';
+import {ObjectKind, type Platform, type PlatformObject} from '../object-store/platform.js';
 import type {Random} from '../random/random.js';
 import type {Clock} from '../time/clock.js';
 import {OperatorRole, type OperatorAccess, type OperatorIdentity} from './operator-access.js';
--- a/src/operators/create-operator-commands.ts
+++ b/src/operators/create-operator-commands.ts
@@ -7,7 +7,7 @@
 } from '../language/command.js';
 import {formatHelp, getHelp} from '../language/help.js';
 import {explainWrongPlace, parseCommand} from '../language/parse-command.js';
-import {PlatformError} from '../platform/platform-errors.js';
+import {PlatformError} from '../object-store/platform-errors.js';
 import {createRequestId, getRequestIdTime} from '../random/request-id.js';
 import {answerMalformed, answerOk, answerRefused} from './answers.js';
 import {runGroupCommand, runOperatorCommand, type ChangeCommandsOptions} from './change-commands.js';
--- a/src/routing/owner-client.ts
+++ b/src/routing/owner-client.ts
@@ -3,7 +3,7 @@
 import type {PeerCalls} from '../peers/peer-calls.js';
 import {isPeerError} from '../peers/peer-errors.js';
 import type {Peers} from '../peers/peers.js';
-import type {PlatformHost} from '../platform/platform.js';
+import type {PlatformHost} from '../object-store/platform.js';
 import {RefusalCode} from '../refusals/refusal.js';
 import type {OwnersService} from '../owners/create-owners.js';
 import type {Transactions} from '../transactions/create-transactions.js';
--- a/src/routing/try-owners.ts
+++ b/src/routing/try-owners.ts
@@ -1,6 +1,6 @@
 import {Outcome} from '../callers/caller-answer.js';
 import type {Owning} from '../membership/hosts.js';
-import type {PlatformHost} from '../platform/platform.js';
+import type {PlatformHost} from '../object-store/platform.js';
 import type {Random} from '../random/random.js';
 import {RefusalCode} from '../refusals/refusal.js';
 import type {Clock} from '../time/clock.js';
--- a/src/stand-ins/platform/http-front.ts
+++ b/src/stand-ins/platform/http-front.ts
@@ -4,9 +4,9 @@
 import {gzip} from 'node:zlib';
 import fastify, {type FastifyInstance, type FastifyReply, type FastifyRequest} from 'fastify';
 import {z} from 'zod';
-import {ObjectKind} from '../../platform/platform.js';
-import {PlatformConflictError, PlatformError, PlatformRefusedError} from '../../platform/platform-errors.js';
-import {platformHostsSchema} from '../../platform/platform-schemas.js';
+import {ObjectKind} from '../../object-store/platform.js';
+import {PlatformConflictError, PlatformError, PlatformRefusedError} from '../../object-store/platform-errors.js';
+import {platformHostsSchema} from '../../object-store/platform-schemas.js';
 import {MAX_VALUE_BYTES, type ObjectStore} from './object-store.js';
 import {CallEffect, platformFaultsSchema, type FaultGate} from './platform-faults.js';
 
--- a/src/stand-ins/platform/in-memory-platform.ts
+++ b/src/stand-ins/platform/in-memory-platform.ts
@@ -1,7 +1,7 @@
-import type {Platform} from '../../platform/platform.js';
+import type {Platform} from '../../object-store/platform.js';
 import {
 	PlatformConflictError, PlatformRefusedError, throwPlatformRefused, throwPlatformSilent,
-} from '../../platform/platform-errors.js';
+} from '../../object-store/platform-errors.js';
 import type {Clock} from '../../time/clock.js';
 import {withinMs} from '../../time/deadline.js';
 import type {ObjectStore} from './object-store.js';
--- a/src/stand-ins/platform/object-store.ts
+++ b/src/stand-ins/platform/object-store.ts
@@ -1,8 +1,8 @@
 import {Buffer} from 'node:buffer';
 import type {
 	ObjectKind, PlatformHost, PlatformList, PlatformObject, PutObject,
-} from '../../platform/platform.js';
-import {PlatformRefusedError, throwVersionConflict} from '../../platform/platform-errors.js';
+} from '../../object-store/platform.js';
+import {PlatformRefusedError, throwVersionConflict} from '../../object-store/platform-errors.js';
 import type {Clock} from '../../time/clock.js';
 
 /** Largest value the platform holds, in bytes of JSON. */
--- a/src/stand-ins/platform/platform-faults.ts
+++ b/src/stand-ins/platform/platform-faults.ts
@@ -1,5 +1,5 @@
 import {z} from 'zod';
-import {throwPlatformSilent} from '../../platform/platform-errors.js';
+import {throwPlatformSilent} from '../../object-store/platform-errors.js';
 import type {Clock} from '../../time/clock.js';
 
 /** How the platform fails as a whole. */
--- a/src/stand-ins/processes/local-system.ts
+++ b/src/stand-ins/processes/local-system.ts
@@ -1,7 +1,7 @@
 import {groupConfigSchema, type GroupConfig} from '../../groups/group-config.js';
 import type {StoredGroup} from '../../groups/stored-group.js';
-import {createHttpPlatform} from '../../platform/http-platform.js';
-import {ObjectKind, type Platform, type PlatformHost} from '../../platform/platform.js';
+import {createHttpPlatform} from '../../object-store/http-platform.js';
+import {ObjectKind, type Platform, type PlatformHost} from '../../object-store/platform.js';
 import {createSystemClock} from '../../time/system-clock.js';
 import {startOwnProcess, type OwnProcess} from './child-process.js';
 import {findFreePorts} from './free-ports.js';
--- a/src/stand-ins/system/simulated-system.ts
+++ b/src/stand-ins/system/simulated-system.ts
@@ -5,7 +5,7 @@
 import type {Endpoints} from '../../endpoints/endpoint.js';
 import type {FailoverHooks} from '../../failover/failover-hooks.js';
 import type {LivePeers} from '../../peers/create-peers.js';
-import {ObjectKind, type PlatformHost} from '../../platform/platform.js';
+import {ObjectKind, type PlatformHost} from '../../object-store/platform.js';
 import {createSeededRandom} from '../../random/seeded-random.js';
 import {registerServices} from '../../daemon/register-services.js';
 import type {Settings} from '../../settings/settings.js';
--- a/tests/configuration/configuration-fleet.ts
+++ b/tests/configuration/configuration-fleet.ts
@@ -8,7 +8,7 @@
 import type {Log} from '../../src/log/log.js';
 import {throwPeerSilent} from '../../src/peers/peer-errors.js';
 import type {Peers} from '../../src/peers/peers.js';
-import type {PlatformHost} from '../../src/platform/platform.js';
+import type {PlatformHost} from '../../src/object-store/platform.js';
 import {createSeededRandom} from '../../src/random/seeded-random.js';
 import {createInMemoryPlatform, type InMemoryPlatform} from '../../src/stand-ins/platform/in-memory-platform.js';
 import {createObjectStore} from '../../src/stand-ins/platform/object-store.js';
--- a/tests/configuration/create-configuration-tests.ts
+++ b/tests/configuration/create-configuration-tests.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {createConfiguration, type ConfigurationState} from '../../src/configuration/create-configuration.js';
 import {createSilentLog} from '../../src/log/silent-log.js';
-import type {PlatformObject} from '../../src/platform/platform.js';
+import type {PlatformObject} from '../../src/object-store/platform.js';
 import {createGroupConfig} from './configuration-fleet.js';
 
 const store = (name: string, version: number, more = {}): PlatformObject => ({
--- a/tests/explanations/explanation-fixtures.ts
+++ b/tests/explanations/explanation-fixtures.ts
@@ -5,7 +5,7 @@
 import type {PeerCalls} from '../../src/peers/peer-calls.js';
 import {throwPeerUnreachable} from '../../src/peers/peer-errors.js';
 import type {PeerHandler, Peers} from '../../src/peers/peers.js';
-import type {Platform, PlatformHost} from '../../src/platform/platform.js';
+import type {Platform, PlatformHost} from '../../src/object-store/platform.js';
 import type {Random} from '../../src/random/random.js';
 import {createRequestId} from '../../src/random/request-id.js';
 import {createSeededRandom} from '../../src/random/seeded-random.js';
--- a/tests/failover/failover-bench.ts
+++ b/tests/failover/failover-bench.ts
@@ -3,7 +3,7 @@
 import {DEFAULT_FAILOVER_SETTINGS, type FailoverSettings} from '../../src/failover/failover-settings.js';
 import {type EndpointOrder, groupConfigSchema} from '../../src/groups/group-config.js';
 import type {Log} from '../../src/log/log.js';
-import type {PlatformHost} from '../../src/platform/platform.js';
+import type {PlatformHost} from '../../src/object-store/platform.js';
 import {createSeededRandom} from '../../src/random/seeded-random.js';
 import {createDatabaseGroup} from '../../src/stand-ins/database/database-group.js';
 import {createDatabaseServer, DEFAULT_SERVER_SIZES, type DatabaseServer} from '../../src/stand-ins/database/database-server.js';
--- a/tests/failover/promoters-tests.ts
+++ b/tests/failover/promoters-tests.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {ExchangeKind} from '../../src/stand-ins/database/exchange-kind.js';
 import {EndpointOrder} from '../../src/groups/group-config.js';
-import {ObjectKind} from '../../src/platform/platform.js';
+import {ObjectKind} from '../../src/object-store/platform.js';
 import {Outage, type PlatformFaults} from '../../src/stand-ins/platform/platform-faults.js';
 import {createFailoverBench, type FailoverBench} from './failover-bench.js';
 
--- a/tests/log/bunyan-log-tests.ts
+++ b/tests/log/bunyan-log-tests.ts
@@ -1,7 +1,7 @@
 import {PassThrough, Writable} from 'node:stream';
 import {expect} from 'chai';
 import {createBunyanLog} from '../../src/log/bunyan-log.js';
-import {PlatformError} from '../../src/platform/platform-errors.js';
+import {PlatformError} from '../../src/object-store/platform-errors.js';
 import {createVirtualClock} from '../../src/stand-ins/time/virtual-clock.js';
 
 describe('bunyan log', () => {
--- a/tests/membership/hosts-tests.ts
+++ b/tests/membership/hosts-tests.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {createSilentLog} from '../../src/log/silent-log.js';
 import {createHosts, getPollIntervalMs, type LiveHosts} from '../../src/membership/create-hosts.js';
-import type {Platform, PlatformHost} from '../../src/platform/platform.js';
+import type {Platform, PlatformHost} from '../../src/object-store/platform.js';
 import {createSeededRandom} from '../../src/random/seeded-random.js';
 import {createVirtualClock, type VirtualClock} from '../../src/stand-ins/time/virtual-clock.js';
 
--- a/tests/membership/owning-tests.ts
+++ b/tests/membership/owning-tests.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import {createOwning} from '../../src/membership/create-owning.js';
 import type {Hosts} from '../../src/membership/hosts.js';
-import type {PlatformHost} from '../../src/platform/platform.js';
+import type {PlatformHost} from '../../src/object-store/platform.js';
 
 const ZONES = ['hall-a', 'hall-b', 'hall-c', 'hall-d'];
 const GROUPS = Array.from({length: 60}, (_, i) => `group-${i}`);
--- a/tests/platform/http-platform-tests.ts
+++ b/tests/object-store/http-platform-tests.ts
@@ -2,7 +2,7 @@
 import type {AddressInfo, Socket} from 'node:net';
 import {setImmediate} from 'node:timers/promises';
 import {expect} from 'chai';
-import {createHttpPlatform} from '../../src/platform/http-platform.js';
+import {createHttpPlatform} from '../../src/object-store/http-platform.js';
 import {createVirtualClock} from '../../src/stand-ins/time/virtual-clock.js';
 
 const TIMEOUT_MS = 3000;
--- a/tests/platform/platform-contract-tests.ts
+++ b/tests/object-store/platform-contract-tests.ts
@@ -1,7 +1,7 @@
 import {setImmediate} from 'node:timers/promises';
 import {expect} from 'chai';
-import {createHttpPlatform} from '../../src/platform/http-platform.js';
-import type {Platform, PlatformHost, PlatformObject} from '../../src/platform/platform.js';
+import {createHttpPlatform} from '../../src/object-store/http-platform.js';
+import type {Platform, PlatformHost, PlatformObject} from '../../src/object-store/platform.js';
 import {createHttpFront} from '../../src/stand-ins/platform/http-front.js';
 import {createInMemoryPlatform} from '../../src/stand-ins/platform/in-memory-platform.js';
 import {createObjectStore, MAX_VALUE_BYTES, type ObjectStore} from '../../src/stand-ins/platform/object-store.js';
--- a/tests/random-check/checked-proxy.ts
+++ b/tests/random-check/checked-proxy.ts
@@ -11,7 +11,7 @@
 import {createOwners, type OwnersService} from '../../src/owners/create-owners.js';
 import {createGroupOwner, type GroupOwner} from '../../src/owners/group-owner.js';
 import type {Peers} from '../../src/peers/peers.js';
-import type {PlatformHost} from '../../src/platform/platform.js';
+import type {PlatformHost} from '../../src/object-store/platform.js';
 import type {Random} from '../../src/random/random.js';
 import {createRetries} from '../../src/retries/create-retries.js';
 import {createAsker} from '../../src/routing/asked-request.js';
--- a/tests/random-check/world.ts
+++ b/tests/random-check/world.ts
@@ -3,7 +3,7 @@
 import type {PeerCalls} from '../../src/peers/peer-calls.js';
 import {throwPeerSilent} from '../../src/peers/peer-errors.js';
 import type {Peers} from '../../src/peers/peers.js';
-import type {PlatformHost} from '../../src/platform/platform.js';
+import type {PlatformHost} from '../../src/object-store/platform.js';
 import {createSeededRandom} from '../../src/random/seeded-random.js';
 import {createDatabaseGroup} from '../../src/stand-ins/database/database-group.js';
 import type {DatabaseServer} from '../../src/stand-ins/database/database-server.js';
