--- /dev/null
+++ b/src/gateway/caller-session.ts
@@ -0,0 +1,284 @@
+import type {RetryBudget} from '../retries/retry-budget.js';
+import type {Route} from '../routes/routing.js';
+import {
+	Access, SessionState, type IdentifiedStatement, type Statement,
+} from '../statements/statement.js';
+import {AnswerCode} from '../statements/statement-answer.js';
+import {withinMs} from '../time/deadline.js';
+import type {CallerChannel} from './caller-channel.js';
+import {createCallerTransaction, type CallerTransaction} from './caller-transaction.js';
+import {getShape, type EndpointStatement} from './exchange.js';
+import type {GatewayParts} from './gateway-parts.js';
+import {runRead} from './run-read.js';
+import {runWrite} from './run-write.js';
+import {createSessionMemory} from './session-memory.js';
+import {DONE, refuse, type StatementResult} from './statement-result.js';
+
+/** A caller's session on its connection. */
+export type CallerSession = {
+	/** Whether nothing is under way: no statement, no transaction. */
+	readonly idle: boolean;
+	/** Serves the caller until it leaves or is sent away. */
+	run(): Promise<void>;
+	/** Ends the session as soon as nothing is under way. */
+	leave(): void;
+	/** Rolls an open transaction back and ends the session. */
+	abort(reason: string): void;
+};
+
+/** What a session needs. */
+export type CallerSessionOptions = {
+	readonly parts: GatewayParts;
+	readonly channel: CallerChannel;
+	getBudget(group: string): RetryBudget;
+};
+
+/** Bound of a statement whose route has gone, in milliseconds: only what ends a transaction is still answered. */
+const ENDING_TIMEOUT_MS = 1000;
+
+/** Longest second look for a route, in milliseconds: callers give up on a session that is not open after 2,000. */
+const SECOND_LOOK_MS = 1000;
+
+/** Creates a session. */
+export function createCallerSession({parts, channel, getBudget}: CallerSessionOptions): CallerSession {
+	const {clock, elapsedClock, log, metrics, mirror} = parts;
+	let memory = createSessionMemory('');
+	let transaction: CallerTransaction | undefined;
+	let transactionRoute: Route | undefined;
+	let busy = false;
+	let leaving = false;
+	let idleTimer: AbortController | undefined;
+
+	const isWanted = () => !channel.left;
+
+	const getRoute = () => transactionRoute ?? mirror.state.routing?.routes.get(memory.database);
+
+	const endTransaction = () => {
+		transaction = undefined;
+		transactionRoute = undefined;
+	};
+
+	const getState = (): SessionState => transaction ? (transaction.failed ? SessionState.Failed : SessionState.Open) : SessionState.Idle;
+
+	const begin = (id: string, readOnly: boolean): StatementResult => {
+		const route = getRoute();
+		if (!route) {
+			return refuse(AnswerCode.UnknownDatabase, 'no route has this name');
+		}
+
+		transactionRoute = route;
+		transaction = createCallerTransaction({
+			parts,
+			beginId: id,
+			readOnly,
+			req: {
+				route, memory, arrivedAt: elapsedClock.elapsed(), isWanted,
+			},
+		});
+		return DONE;
+	};
+
+	const runStatement = async (id: string, statement: EndpointStatement): Promise<StatementResult> => {
+		const route = getRoute();
+		if (!route) {
+			return refuse(AnswerCode.UnknownDatabase, 'no route has this name');
+		}
+
+		const until = clock.now() + route.statementTimeoutMs;
+		if (transaction) {
+			return transaction.run(id, statement, until);
+		}
+
+		const shape = getShape(memory, statement);
+		if (!shape) {
+			return refuse(AnswerCode.UnknownStatement, 'no statement has that name');
+		}
+
+		const single = {
+			id,
+			statement,
+			req: {
+				route, memory, arrivedAt: elapsedClock.elapsed(), until, isWanted,
+			},
+		};
+		return shape.access === Access.Read ? runRead(parts, getBudget(route.group), single) : runWrite(parts, single);
+	};
+
+	const commit = async (id: string): Promise<StatementResult> => {
+		if (!transaction) {
+			return refuse(AnswerCode.Malformed, 'no transaction is open');
+		}
+
+		const timeoutMs = getRoute()?.statementTimeoutMs ?? ENDING_TIMEOUT_MS;
+		const {failed} = transaction;
+		const result = await transaction.commit(id, clock.now() + timeoutMs);
+		endTransaction();
+		return failed ? refuse(AnswerCode.Aborted, 'the transaction had failed and was rolled back') : result;
+	};
+
+	const rollback = (): StatementResult => {
+		transaction?.rollback();
+		endTransaction();
+		return DONE;
+	};
+
+	const handle = async ({id, statement}: IdentifiedStatement): Promise<StatementResult> => {
+		if (transaction?.failed && statement.kind !== 'rollback' && statement.kind !== 'commit') {
+			return refuse(AnswerCode.Malformed, 'the transaction failed and waits to be rolled back');
+		}
+
+		switch (statement.kind) {
+			case 'begin': {
+				return transaction ? refuse(AnswerCode.Malformed, 'a transaction is open') : begin(id, statement.readOnly);
+			}
+
+			case 'commit': {
+				return commit(id);
+			}
+
+			case 'rollback': {
+				return rollback();
+			}
+
+			case 'run':
+			case 'execute': {
+				return runStatement(id, statement);
+			}
+
+			case 'malformed': {
+				return refuse(AnswerCode.Malformed, 'the statement is not understood');
+			}
+
+			case 'set':
+			case 'prepare':
+			case 'forget': {
+				return remember(statement);
+			}
+		}
+	};
+
+	const remember = (statement: Extract<Statement, {kind: 'set' | 'prepare' | 'forget'}>): StatementResult => {
+		if (statement.kind === 'set') {
+			memory.values.set(statement.name, statement.value);
+		} else if (statement.kind === 'prepare') {
+			memory.prepared.set(statement.name, statement.shape);
+		} else {
+			memory.prepared.delete(statement.name);
+		}
+
+		return DONE;
+	};
+
+	/** An idle transaction keeps one of the endpoint's few connections from everybody else. */
+	const watchIdle = async () => {
+		const timer = new AbortController();
+		idleTimer = timer;
+		const idleMs = mirror.state.routing?.idleTransactionMs ?? Number.POSITIVE_INFINITY;
+		await clock.sleep(idleMs, timer.signal);
+		if (!timer.signal.aborted) {
+			transaction?.abort(`the transaction was idle for ${idleMs} ms`);
+		}
+	};
+
+	const serve = async (req: IdentifiedStatement) => {
+		const askedAt = clock.now();
+		idleTimer?.abort();
+		const result = await handle(req);
+		observe(req, result, clock.now() - askedAt);
+		const state = getState();
+		if (state === SessionState.Open) {
+			void watchIdle();
+		}
+
+		await channel.answer(result, state);
+	};
+
+	const observe = ({id, statement}: IdentifiedStatement, {end}: StatementResult, tookMs: number) => {
+		const outcome = end.kind === 'error' ? end.code : 'done';
+		metrics.observeStatement(statement.kind, outcome, tookMs / 1000);
+		if (end.kind === 'error') {
+			const route = getRoute();
+			log.info('a statement was refused', {
+				id, kind: statement.kind, code: end.code, text: end.text, database: memory.database, group: route?.group,
+				tookMs: Math.round(tookMs), routing: mirror.state.routing?.version, epoch: route && mirror.state.leadership.get(route.group)?.epoch,
+				confirmedAgoMs: mirror.confirmedAt === undefined ? undefined : Math.round(elapsedClock.elapsed() - mirror.confirmedAt),
+			});
+		}
+	};
+
+	const open = async (): Promise<boolean> => {
+		const req = await channel.next();
+		if (req?.kind !== 'open') {
+			if (req) {
+				channel.refuse(AnswerCode.Malformed, 'a session begins by naming its database');
+			}
+
+			return false;
+		}
+
+		if (!mirror.state.routing?.routes.has(req.database)) {
+			// The copy may lack a route that was just added; a second look costs a call and spares a false refusal.
+			await withinMs(clock, SECOND_LOOK_MS, mirror.confirm());
+		}
+
+		if (!mirror.state.routing?.routes.has(req.database)) {
+			log.info('a session was refused: no route has its name', {database: req.database, routing: mirror.state.routing?.version});
+			channel.refuse(AnswerCode.UnknownDatabase, 'no route has this name');
+			return false;
+		}
+
+		memory = createSessionMemory(req.database);
+		channel.greet();
+		return true;
+	};
+
+	const serveAll = async () => {
+		while (!leaving || transaction !== undefined || channel.waiting) {
+			const req = await channel.next();
+			if (!req || req.kind === 'end') {
+				return;
+			}
+
+			if (req.kind !== 'statement') {
+				channel.refuse(req.kind === 'too-large' ? AnswerCode.TooLarge : AnswerCode.Malformed, 'the message is not understood');
+				return;
+			}
+
+			busy = true;
+			await serve(req);
+			busy = false;
+		}
+	};
+
+	return {
+		get idle() {
+			return !busy && !transaction;
+		},
+		async run() {
+			try {
+				if (await open()) {
+					await serveAll();
+				}
+			} finally {
+				idleTimer?.abort();
+				transaction?.rollback();
+				endTransaction();
+				channel.close();
+			}
+		},
+		leave() {
+			leaving = true;
+			if (!busy && !transaction && !channel.waiting) {
+				channel.close();
+			}
+		},
+		abort(reason) {
+			leaving = true;
+			transaction?.abort(reason);
+			if (!busy) {
+				channel.refuse(AnswerCode.Aborted, reason);
+				channel.close();
+			}
+		},
+	};
+}
--- /dev/null
+++ b/src/gateway/caller-transaction.ts
@@ -0,0 +1,224 @@
+import {Access} from '../statements/statement.js';
+import {AnswerCode, type EndpointAnswer} from '../statements/statement-answer.js';
+import {
+	exchangeStatement, exchangeWithin, getShape, type EndpointStatement,
+} from './exchange.js';
+import type {GatewayParts} from './gateway-parts.js';
+import {mayAcknowledge} from './judge-commit.js';
+import {
+	lendForRead, lendPrimary, type LentLink, type LinkRequest,
+} from './lend-link.js';
+import {refuse, type StatementResult} from './statement-result.js';
+
+/** A caller's transaction: one connection from its first statement to its end. */
+export type CallerTransaction = {
+	/** Its changes are rolled back and nothing but a rollback is answered any more. */
+	readonly failed: boolean;
+	run(id: string, statement: EndpointStatement, until: number): Promise<StatementResult>;
+	commit(id: string, until: number): Promise<StatementResult>;
+	/** Rolls back; the caller need not wait for the endpoint. */
+	rollback(): void;
+	/** Rolls back on the host's own account: the caller is told with its next statement. */
+	abort(reason: string): void;
+};
+
+/** What a transaction begins with. */
+export type CallerTransactionOptions = {
+	readonly parts: GatewayParts;
+	readonly beginId: string;
+	readonly readOnly: boolean;
+	readonly req: Omit<LinkRequest, 'until'>;
+};
+
+/** When to come back after a transaction that found no endpoint, in milliseconds: a third of a promotion. */
+const COME_BACK_MS = 400;
+
+/** Longest rollback, in milliseconds; after that the connection is cut, which rolls back as well. */
+const ROLLBACK_TIMEOUT_MS = 1000;
+
+/** Pause before an endpoint that could not begin is asked again, in milliseconds. */
+const BEGIN_PAUSE_MS = 20;
+
+/** Creates a transaction; nothing is sent to an endpoint before its first statement. */
+export function createCallerTransaction({parts, beginId, readOnly, req}: CallerTransactionOptions): CallerTransaction {
+	const {clock, evidences, log, metrics, mirror} = parts;
+	const {group} = req.route;
+	let lent: LentLink | undefined;
+	let failure: StatementResult | undefined;
+	let wrote = false;
+
+	const fail = (code: AnswerCode, reason: string, comeBackMs?: number) => {
+		failure = refuse(code, reason, comeBackMs);
+		return failure;
+	};
+
+	/** Ends the transaction at the endpoint, where it was begun there. */
+	const endAtEndpoint = () => {
+		const ending = lent;
+		lent = undefined;
+		if (!ending) {
+			return;
+		}
+
+		if (ending.sessionLink.link.closed) {
+			ending.release();
+			return;
+		}
+
+		void exchangeWithin(parts, ending, {id: undefined, command: {kind: 'rollback'}}, ROLLBACK_TIMEOUT_MS).then(answer => {
+			if (answer?.state !== 'idle') {
+				ending.sessionLink.link.cut();
+			}
+
+			ending.release();
+		});
+	};
+
+	const abort = (reason: string) => {
+		if (failure) {
+			return;
+		}
+
+		log.info('a transaction is rolled back', {
+			id: beginId, group, reason, wrote,
+		});
+		fail(AnswerCode.Aborted, reason);
+		endAtEndpoint();
+	};
+
+	/** Begins at an endpoint; undefined where none took it in time. */
+	const begin = async (until: number): Promise<LentLink | undefined> => {
+		const excluded = new Set<string>();
+		while (clock.now() < until && req.isWanted()) {
+			const wish = {...req, until, excluded};
+			const candidate = await (readOnly ? lendForRead(parts, wish) : lendPrimary(parts, wish));
+			if (!candidate) {
+				if (excluded.size === 0) {
+					return undefined;
+				}
+
+				excluded.clear();
+				await clock.sleep(BEGIN_PAUSE_MS);
+				continue;
+			}
+
+			candidate.sessionLink.adapt({values: req.memory.values});
+			const answer = await exchangeWithin(parts, candidate, {
+				id: beginId, command: {kind: 'begin', readOnly}, floor: candidate.floor,
+			}, until - clock.now());
+			if (answer?.end.kind === 'complete') {
+				return candidate;
+			}
+
+			candidate.release();
+			if (readOnly) {
+				excluded.add(candidate.endpoint.entry.id);
+			} else {
+				mirror.confirmSoon();
+				await clock.sleep(BEGIN_PAUSE_MS);
+			}
+
+			const reason = answer?.end.kind === 'error' ? answer.end.code : 'no whole answer came';
+			log.info('a transaction is begun again', {
+				id: beginId, group, endpoint: candidate.endpoint.entry.id, reason, floor: candidate.floor,
+			});
+			metrics.countRetry(reason);
+		}
+
+		return undefined;
+	};
+
+	const judge = (answer: EndpointAnswer): StatementResult => {
+		if (answer.end.kind === 'error') {
+			failure = answer;
+			endAtEndpoint();
+		}
+
+		return answer;
+	};
+
+	return {
+		get failed() {
+			return failure !== undefined;
+		},
+		async run(id, statement, until) {
+			if (failure) {
+				return failure;
+			}
+
+			const shape = getShape(req.memory, statement);
+			if (!shape) {
+				return fail(AnswerCode.UnknownStatement, 'no statement has that name');
+			}
+
+			lent ??= await begin(until);
+			if (!lent) {
+				return fail(AnswerCode.Overloaded, 'no endpoint could begin the transaction; nothing ran', COME_BACK_MS);
+			}
+
+			wrote ||= shape.access === Access.Write;
+			const answer = await exchangeStatement(parts, lent, req.memory, {id, statement, timeoutMs: until - clock.now()});
+			if (failure) {
+				// It was rolled back while the statement ran.
+				return failure;
+			}
+
+			if (answer) {
+				return judge(answer);
+			}
+
+			// The connection is cut, so the endpoint rolls back: no commit was sent.
+			log.warn('a transaction is aborted: no whole answer came', {id, group, endpoint: lent.endpoint.entry.id});
+			endAtEndpoint();
+			return fail(AnswerCode.Aborted, 'no answer came within a transaction; it was rolled back');
+		},
+		async commit(id, until) {
+			if (failure) {
+				return failure;
+			}
+
+			const ending = lent;
+			if (!ending) {
+				lent = await begin(until);
+				return lent ? this.commit(id, until) : fail(AnswerCode.Overloaded, 'no endpoint could begin the transaction; nothing ran', COME_BACK_MS);
+			}
+
+			// A replaced primary may still commit; as long as no commit was sent, the transaction can be rolled back for certain.
+			if (wrote && ending.evidence && evidences.isSuperseded(ending.evidence)) {
+				abort('the primary was replaced before the commit');
+				return failure!;
+			}
+
+			lent = undefined;
+			const answer = await exchangeWithin(parts, ending, {id, command: {kind: 'commit'}}, until - clock.now());
+			ending.release();
+			if (!answer) {
+				log.warn('no whole answer to a commit came', {
+					id, group, endpoint: ending.endpoint.entry.id, wrote,
+				});
+				return wrote
+					? fail(AnswerCode.OutcomeUnknown, 'the commit was sent and no answer came')
+					: fail(AnswerCode.Aborted, 'the transaction wrote nothing and its end was not confirmed');
+			}
+
+			if (answer.end.kind === 'error' || !wrote) {
+				return answer;
+			}
+
+			if (ending.evidence && !await mayAcknowledge(parts, ending.evidence, id)) {
+				return fail(AnswerCode.OutcomeUnknown, 'the primary may have been replaced before it committed');
+			}
+
+			if (answer.position) {
+				req.memory.floors.set(group, answer.position);
+			}
+
+			return answer;
+		},
+		rollback() {
+			endAtEndpoint();
+		},
+		abort,
+	};
+}
+
--- /dev/null
+++ b/src/gateway/gateway-parts.ts
@@ -0,0 +1,23 @@
+import type {EndpointDirectory} from '../links/endpoint-directory.js';
+import type {LeadEvidences} from '../leadership/lead-evidence.js';
+import type {PrimaryWork} from '../leadership/primary-work.js';
+import type {Log} from '../log/log.js';
+import type {StoreMirror} from '../mirror/store-mirror.js';
+import type {PlacementKnowledge} from '../placement/placement-knowledge.js';
+import type {Clock} from '../time/clock.js';
+import type {ElapsedClock} from '../time/elapsed-clock.js';
+import type {GatewayMetrics} from './gateway-metrics.js';
+
+/** What serving callers needs of the rest of the proxy. */
+export type GatewayParts = {
+	readonly clock: Clock;
+	readonly elapsedClock: ElapsedClock;
+	readonly log: Log;
+	readonly metrics: GatewayMetrics;
+	readonly mirror: StoreMirror;
+	readonly evidences: LeadEvidences;
+	readonly directory: EndpointDirectory;
+	readonly knowledge: PlacementKnowledge;
+	readonly primaryWork: PrimaryWork;
+	readonly availabilityZone: string;
+};
--- /dev/null
+++ b/src/gateway/lend-link.ts
@@ -0,0 +1,170 @@
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import type {KnownEndpoint} from '../links/endpoint-directory.js';
+import type {SessionLink} from '../links/link-session.js';
+import type {LeadEvidence} from '../leadership/lead-evidence.js';
+import {chooseEndpoint, type ReadCandidate} from '../placement/choose-endpoint.js';
+import {getHigherFloor, limitToStart} from '../placement/position-samples.js';
+import {ReadPolicy, type Route} from '../routes/routing.js';
+import type {LogPosition} from '../terms/log-position.js';
+import type {GatewayParts} from './gateway-parts.js';
+import type {SessionMemory} from './session-memory.js';
+
+/** A connection to an endpoint, lent for one statement or transaction. */
+export type LentLink = {
+	readonly endpoint: KnownEndpoint;
+	readonly sessionLink: SessionLink;
+	/** Under what the endpoint is used as the primary; undefined where it is read as a replica. */
+	readonly evidence?: LeadEvidence;
+	/** What a replica's log must hold. */
+	readonly floor?: LogPosition;
+	/** Gives the connection back, or drops it where it ended. */
+	release(): void;
+};
+
+/** Who wants a connection, and for what. */
+export type LinkRequest = {
+	readonly route: Route;
+	readonly memory: SessionMemory;
+	/** Elapsed time at or after which the first byte of the statement, or of its transaction, had come. */
+	readonly arrivedAt: number;
+	/** Steady time until which a connection is of use. */
+	readonly until: number;
+	/** Endpoints that have been tried. */
+	readonly excluded?: ReadonlySet<string>;
+	/** Whether the caller is still there. */
+	isWanted(): boolean;
+};
+
+/**
+ * Floors are taken this much younger than the staleness allows, in milliseconds: the hosts' clocks differ in rate, by far
+ * less than this over the seconds that a staleness lasts.
+ */
+const FLOOR_MARGIN_MS = 5;
+
+/** Longest wait before the circumstances are looked at again, in milliseconds. */
+const RECHECK_MS = 50;
+
+/** Lends a connection to the primary, once there is evidence of one; undefined where none was to be had in time. */
+export async function lendPrimary(parts: GatewayParts, req: LinkRequest): Promise<LentLink | undefined> {
+	while (req.isWanted() && parts.clock.now() < req.until) {
+		const evidence = parts.evidences.get(req.route.group, parts.elapsedClock.elapsed());
+		const endpoint = evidence && parts.directory.get(evidence.primaryId);
+		if (!evidence || !endpoint) {
+			await waitForChange(parts, req);
+			continue;
+		}
+
+		const lent = await acquire(parts, req, endpoint, evidence);
+		if (lent) {
+			return lent;
+		}
+
+		await nextTurn();
+		await waitForChange(parts, req);
+	}
+
+	return undefined;
+}
+
+/** Lends a connection for reads under the route's policy; undefined where none was to be had in time. */
+export async function lendForRead(parts: GatewayParts, req: LinkRequest): Promise<LentLink | undefined> {
+	if (req.route.policy === ReadPolicy.Primary) {
+		return lendPrimary(parts, req);
+	}
+
+	while (req.isWanted() && parts.clock.now() < req.until) {
+		const evidence = parts.evidences.get(req.route.group, parts.elapsedClock.elapsed());
+		const floor = getFloor(parts, req);
+		const chosen = chooseEndpoint(getCandidates(parts, req, evidence, floor), floor, parts.clock.now());
+		const endpoint = chosen && parts.directory.get(chosen.endpointId);
+		if (!endpoint) {
+			if (req.excluded?.size) {
+				return undefined;
+			}
+
+			await waitForChange(parts, req);
+			continue;
+		}
+
+		const lent = await acquire(parts, req, endpoint, chosen.isPrimary ? evidence : undefined, chosen.isPrimary ? undefined : floor);
+		if (lent) {
+			return lent;
+		}
+
+		await nextTurn();
+		await waitForChange(parts, req);
+	}
+
+	return undefined;
+}
+
+/** What a replica must hold to serve a read; undefined where no position is known that covers what the route asks for. */
+function getFloor({knowledge, mirror}: GatewayParts, {route, memory, arrivedAt}: LinkRequest): LogPosition | undefined {
+	const sampled = knowledge.getSamples(route.group).getFloor(arrivedAt - route.maxStalenessMs + FLOOR_MARGIN_MS);
+	const own = route.policy === ReadPolicy.OwnWrites ? memory.floors.get(route.group) : undefined;
+	const floor = sampled && getHigherFloor(sampled, own);
+	const start = mirror.state.leadership.get(route.group)?.start;
+	return floor && start ? limitToStart(floor, start) : floor;
+}
+
+function getCandidates(parts: GatewayParts, req: LinkRequest, evidence: LeadEvidence | undefined, floor: LogPosition | undefined): ReadCandidate[] {
+	const now = parts.clock.now();
+	const candidates: ReadCandidate[] = [];
+	for (const {entry, pool} of parts.directory.list(req.route.group)) {
+		const isPrimary = entry.id === evidence?.primaryId;
+		const asReplica = floor !== undefined && !entry.leaving;
+		const usable = isPrimary ? true : asReplica;
+		if (!usable || req.excluded?.has(entry.id) || pool.health.getSuspicion(now)) {
+			continue;
+		}
+
+		const {serviceMs, held, laggingUntil} = parts.knowledge.getFigures(entry.id);
+		candidates.push({
+			endpointId: entry.id,
+			isPrimary,
+			sameZone: entry.availabilityZone === parts.availabilityZone,
+			load: pool.lent + pool.waiting,
+			slots: entry.slots,
+			serviceMs,
+			held,
+			laggingUntil,
+		});
+	}
+
+	return candidates;
+}
+
+async function acquire(parts: GatewayParts, req: LinkRequest, endpoint: KnownEndpoint, evidence?: LeadEvidence, floor?: LogPosition): Promise<LentLink | undefined> {
+	const {pool} = endpoint;
+	const askedAt = parts.clock.now();
+	const sessionLink = await pool.acquire({priority: req.route.priority, until: req.until, values: req.memory.values});
+	if (!sessionLink) {
+		return undefined;
+	}
+
+	parts.metrics.observeLinkWait((parts.clock.now() - askedAt) / 1000);
+	// The wait may have outlasted the evidence, or the caller.
+	const stillHolds = !evidence || parts.evidences.get(evidence.group, parts.elapsedClock.elapsed())?.epoch === evidence.epoch;
+	if (!stillHolds || !req.isWanted()) {
+		pool.release(sessionLink);
+		return undefined;
+	}
+
+	const endWork = evidence ? parts.primaryWork.begin(evidence.group) : undefined;
+	return {
+		endpoint,
+		sessionLink,
+		evidence,
+		floor,
+		release() {
+			endWork?.();
+			pool.release(sessionLink);
+		},
+	};
+}
+
+async function waitForChange({evidences, clock}: GatewayParts, {until}: LinkRequest) {
+	const abort = new AbortController();
+	await Promise.race([evidences.changed(abort.signal), clock.sleep(Math.min(RECHECK_MS, until - clock.now()), abort.signal)]);
+	abort.abort();
+}
--- /dev/null
+++ b/src/gateway/prom-gateway-metrics.ts
@@ -0,0 +1,100 @@
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
+import type {GatewayMetrics} from './gateway-metrics.js';
+
+/** The metrics with what else is counted of the proxy, and their text. */
+export type ProxyMetrics = GatewayMetrics & {
+	/** A call to the platform ended. */
+	countPlatformCall(call: string, result: string): void;
+	/** A group has a primary again after so long. */
+	observeReplacement(part: string, seconds: number): void;
+	/** Sets what is read off at each question. */
+	setState(state: {readonly evidenceAgeSeconds: number; readonly routingVersion: number; readonly hosts: number}): void;
+	setPool(endpoint: string, open: number, lent: number, waiting: number): void;
+	render(): Promise<string>;
+	readonly contentType: string;
+};
+
+/** Upper bounds of the buckets for times within one statement, in seconds. */
+const STATEMENT_BUCKETS = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6];
+
+/** Upper bounds of the buckets for the parts of a replacement, in seconds. */
+const REPLACEMENT_BUCKETS = [0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 1.5, 2, 3, 5, 9];
+
+/** Creates the metrics of a proxy in a registry of their own. */
+export function createPromGatewayMetrics(): ProxyMetrics {
+	const registry = new Registry();
+	const registers = [registry];
+	const statements = new Counter({
+		name: 'aldercroft_statements_total', help: 'Answered statements of callers', labelNames: ['kind', 'outcome'], registers,
+	});
+	const statementSeconds = new Histogram({
+		name: 'aldercroft_statement_seconds', help: 'Time from a statement to its answer', labelNames: ['kind'], buckets: STATEMENT_BUCKETS, registers,
+	});
+	const linkWaitSeconds = new Histogram({
+		name: 'aldercroft_link_wait_seconds', help: 'Time for which statements waited for a connection to an endpoint', buckets: STATEMENT_BUCKETS, registers,
+	});
+	const reads = new Counter({
+		name: 'aldercroft_endpoint_reads_total', help: 'Reads served, by the role of the endpoint', labelNames: ['role'], registers,
+	});
+	const retries = new Counter({
+		name: 'aldercroft_endpoint_retries_total', help: 'Statements tried again, by the reason', labelNames: ['reason'], registers,
+	});
+	const judgements = new Counter({
+		name: 'aldercroft_second_judgements_total', help: 'Commits judged by newer evidence than they began under', labelNames: ['outcome'], registers,
+	});
+	const sessions = new Gauge({name: 'aldercroft_sessions', help: 'Open sessions of callers', registers});
+	const platformCalls = new Counter({
+		name: 'aldercroft_store_calls_total', help: 'Calls to the platform, by result', labelNames: ['call', 'result'], registers,
+	});
+	const replacementSeconds = new Histogram({
+		name: 'aldercroft_replacement_seconds', help: 'Parts of replacing a primary', labelNames: ['part'], buckets: REPLACEMENT_BUCKETS, registers,
+	});
+	const evidenceAge = new Gauge({name: 'aldercroft_evidence_age_seconds', help: 'Time since the copy of the store was last confirmed', registers});
+	const routingVersion = new Gauge({name: 'aldercroft_routing_version', help: 'Version of the configuration in force', registers});
+	const hosts = new Gauge({name: 'aldercroft_hosts', help: 'Proxies that are registered', registers});
+	const poolLinks = new Gauge({
+		name: 'aldercroft_endpoint_links', help: 'Connections to endpoints, and requests that wait for one', labelNames: ['endpoint', 'state'], registers,
+	});
+
+	return {
+		observeStatement(kind, outcome, seconds) {
+			statements.inc({kind, outcome});
+			statementSeconds.observe({kind}, seconds);
+		},
+		observeLinkWait(seconds) {
+			linkWaitSeconds.observe(seconds);
+		},
+		countRead(role) {
+			reads.inc({role});
+		},
+		countRetry(reason) {
+			retries.inc({reason});
+		},
+		countSecondJudgement(outcome) {
+			judgements.inc({outcome});
+		},
+		setSessions(open) {
+			sessions.set(open);
+		},
+		countPlatformCall(call, result) {
+			platformCalls.inc({call, result});
+		},
+		observeReplacement(part, seconds) {
+			replacementSeconds.observe({part}, seconds);
+		},
+		setState(state) {
+			evidenceAge.set(state.evidenceAgeSeconds);
+			routingVersion.set(state.routingVersion);
+			hosts.set(state.hosts);
+		},
+		setPool(endpoint, open, lent, waiting) {
+			poolLinks.set({endpoint, state: 'open'}, open);
+			poolLinks.set({endpoint, state: 'lent'}, lent);
+			poolLinks.set({endpoint, state: 'waiting'}, waiting);
+		},
+		render: async () => registry.metrics(),
+		contentType: registry.contentType,
+	};
+}
--- /dev/null
+++ b/src/gateway/session-memory.ts
@@ -0,0 +1,20 @@
+import type {PreparedShape} from '../statements/statement.js';
+import type {LogPosition} from '../terms/log-position.js';
+
+/** What lasts as long as a caller's session. */
+export type SessionMemory = {
+	readonly database: string;
+	/** Session values that the caller set. */
+	readonly values: Map<string, string>;
+	/** Prepared statements by the caller's own names. */
+	readonly prepared: Map<string, PreparedShape>;
+	/** By group, the position of the session's last commit: its reads must not see less. */
+	readonly floors: Map<string, LogPosition>;
+};
+
+/** Creates the memory of a fresh session. */
+export function createSessionMemory(database: string): SessionMemory {
+	return {
+		database, values: new Map(), prepared: new Map(), floors: new Map(),
+	};
+}
--- /dev/null
+++ b/src/leadership/lead-evidence.ts
@@ -0,0 +1,104 @@
+import type {StoreMirror} from '../mirror/store-mirror.js';
+import type {ElapsedClock} from '../time/elapsed-clock.js';
+import {LeadPhase, type LeadershipRecord} from './leadership-record.js';
+
+/** What a proxy may rely on when it uses a primary. */
+export type LeadEvidence = Pick<LeadershipRecord, 'group' | 'primaryId' | 'term' | 'epoch' | 'start'>;
+
+/** Knows which primaries this host may use at this moment. */
+export type LeadEvidences = {
+	/** Evidence for new work; undefined where there is none at the elapsed time `now`. */
+	get(group: string, now: number): LeadEvidence | undefined;
+	/** Whether evidence that work began under still holds at the elapsed time `now`, at which its answer is here. */
+	holds(evidence: LeadEvidence, now: number): boolean;
+	/** Whether the primary of the evidence has been replaced for good, so that no later confirmation can help. */
+	isSuperseded(evidence: LeadEvidence): boolean;
+	/** Gives no evidence below `epoch` for new work any more; what was begun may still end under its own. */
+	pause(group: string, epoch: number): void;
+	/** Gives up all evidence below `epoch`, for good. */
+	revoke(group: string, epoch: number): void;
+	/** Resolves after the next change of what is known, or when the signal aborts. */
+	changed(signal: AbortSignal): Promise<void>;
+};
+
+/** What the evidences need. */
+export type LeadEvidencesOptions = {
+	readonly mirror: StoreMirror;
+	readonly elapsedClock: ElapsedClock;
+	/** Own address as registered: a host that is not registered is not asked before a primary is replaced. */
+	readonly ownPeerAddress: string;
+};
+
+/**
+ * How long a confirmation that the store shows a steady primary is good for, in milliseconds of elapsed time, counted
+ * from when it was asked for.
+ *
+ * Whoever replaces a primary waits this long where a host does not acknowledge, so a failover with a dead host lasts
+ * longer by as much; and an outage of the store shorter than this stops nothing. Outages of 3 to 6 s are ordinary.
+ */
+export const EVIDENCE_MS = 3000;
+
+/** Creates the evidences. */
+export function createLeadEvidences({mirror, elapsedClock, ownPeerAddress}: LeadEvidencesOptions): LeadEvidences {
+	const pausedBelow = new Map<string, number>();
+	const revokedBelow = new Map<string, number>();
+	let waiting: Array<() => void> = [];
+
+	const tell = () => {
+		const woken = waiting;
+		waiting = [];
+		for (const resolve of woken) {
+			resolve();
+		}
+	};
+
+	mirror.onChange(tell);
+
+	const isConfirmed = (now: number) => mirror.confirmedAt !== undefined && now < mirror.confirmedAt + EVIDENCE_MS;
+
+	const isRegistered = () => mirror.state.hosts.some(host => host.peerAddress === ownPeerAddress && !host.gone);
+
+	const getSteady = (group: string, now: number) => {
+		const record = mirror.state.leadership.get(group);
+		const usable = record?.phase === LeadPhase.Steady && record.epoch >= (revokedBelow.get(group) ?? 0);
+		return usable && isConfirmed(now) && isRegistered() ? record : undefined;
+	};
+
+	const raise = (floors: Map<string, number>, group: string, epoch: number) => {
+		floors.set(group, Math.max(floors.get(group) ?? 0, epoch));
+	};
+
+	return {
+		get(group, now) {
+			const record = getSteady(group, now);
+			return record && record.epoch >= (pausedBelow.get(group) ?? 0) ? record : undefined;
+		},
+		holds(evidence, now) {
+			return getSteady(evidence.group, now)?.epoch === evidence.epoch;
+		},
+		isSuperseded(evidence) {
+			const record = mirror.state.leadership.get(evidence.group);
+			return (record !== undefined && record.epoch > evidence.epoch) || evidence.epoch < (revokedBelow.get(evidence.group) ?? 0);
+		},
+		pause(group, epoch) {
+			raise(pausedBelow, group, epoch);
+		},
+		revoke(group, epoch) {
+			raise(pausedBelow, group, epoch);
+			raise(revokedBelow, group, epoch);
+			tell();
+		},
+		async changed(signal) {
+			if (signal.aborted) {
+				return;
+			}
+
+			await new Promise<void>(resolve => {
+				waiting.push(resolve);
+				signal.addEventListener('abort', () => {
+					resolve();
+				}, {once: true});
+			});
+		},
+	};
+}
--- /dev/null
+++ b/src/leadership/leadership-record.ts
@@ -0,0 +1,92 @@
+import {z} from 'zod';
+import type {LogPosition} from '../terms/log-position.js';
+
+/** Whether a group has a primary that may be used, or is between two. */
+export const LeadPhase = {
+	Steady: 'steady',
+	Changing: 'changing',
+} as const;
+
+/** One of the phases in {@link LeadPhase}. */
+export type LeadPhase = typeof LeadPhase[keyof typeof LeadPhase];
+
+/** Who leads a group, as the store has it; changed only by conditional update. */
+export type LeadershipRecord = {
+	readonly group: string;
+	readonly primaryId: string;
+	/** The primary's term. */
+	readonly term: number;
+	/** Grows by one with each change, also with one that leads back to the same primary. */
+	readonly epoch: number;
+	readonly phase: LeadPhase;
+	/** End of the primary's log when it was first seen to lead: what a promotion kept of older terms lies at or below. */
+	readonly start: LogPosition;
+	/** Host that wrote it. */
+	readonly changedBy: string;
+};
+
+/** Who may have primaries replaced. */
+export type DutyRecord = {
+	readonly holder: string;
+	/** Marks one life of the holder: one that was restarted is another holder, whose last orders may still be under way. */
+	readonly incarnation: string;
+	/** Fencing token: grows with each taking of the duty. */
+	readonly token: number;
+	/** Grows with each renewal, so that a renewal changes the record. */
+	readonly renewals: number;
+};
+
+/** A proxy as it registered itself. */
+export type HostRecord = {
+	readonly name: string;
+	/** `ip:port` for other proxies. */
+	readonly peerAddress: string;
+	readonly availabilityZone: string;
+	/** It did not answer when a primary was replaced. It may live and hold evidence; it gets none any more before it registers anew. */
+	readonly gone?: boolean;
+};
+
+/** Name of the record of the duty; the groups' records have their group's name behind a prefix. */
+export const DUTY_NAME = 'duty';
+
+const GROUP_PREFIX = 'group.';
+
+/** Names the record of a group. */
+export function getLeadershipName(group: string): string {
+	return GROUP_PREFIX + group;
+}
+
+const positionSchema = z.object({term: z.int(), position: z.int()});
+
+const leadershipSchema: z.ZodType<LeadershipRecord> = z.object({
+	group: z.string(),
+	primaryId: z.string(),
+	term: z.int(),
+	epoch: z.int(),
+	phase: z.enum(LeadPhase),
+	start: positionSchema,
+	changedBy: z.string(),
+});
+
+const dutySchema: z.ZodType<DutyRecord> = z.object({
+	holder: z.string(), incarnation: z.string(), token: z.int(), renewals: z.int(),
+});
+
+const hostSchema: z.ZodType<HostRecord> = z.object({
+	name: z.string(), peerAddress: z.string(), availabilityZone: z.string(), gone: z.boolean().optional(),
+});
+
+/** Reads a group's record; throws where a field is missing. */
+export function parseLeadership(value: unknown): LeadershipRecord {
+	return leadershipSchema.parse(value);
+}
+
+/** Reads the record of the duty; throws where a field is missing. */
+export function parseDuty(value: unknown): DutyRecord {
+	return dutySchema.parse(value);
+}
+
+/** Reads a host's record; throws where a field is missing. */
+export function parseHost(value: unknown): HostRecord {
+	return hostSchema.parse(value);
+}
--- /dev/null
+++ b/src/leadership/replace-primary.ts
@@ -0,0 +1,418 @@
+import type {EndpointDirectory, KnownEndpoint} from '../links/endpoint-directory.js';
+import {EndpointRole, type EndpointCommand, type EndpointStatus} from '../links/endpoint-link.js';
+import {LinkError} from '../links/link-errors.js';
+import type {Log} from '../log/log.js';
+import {RecordKind, type MetadataStore} from '../mirror/metadata-store.js';
+import type {Versioned} from '../mirror/mirror-state.js';
+import type {StoreMirror} from '../mirror/store-mirror.js';
+import {PlatformConflictError, PlatformError} from '../object-store/platform-errors.js';
+import type {Peers} from '../peers/peers.js';
+import {isPeerError} from '../peers/peer-errors.js';
+import {holdsLogPosition} from '../terms/log-position.js';
+import {withinMs} from '../time/deadline.js';
+import type {Clock} from '../time/clock.js';
+import type {ElapsedClock} from '../time/elapsed-clock.js';
+import {rankSuccessors, type SuccessorCandidate} from './choose-successor.js';
+import type {DutyLease} from './duty-lease.js';
+import type {GoneHosts} from './gone-hosts.js';
+import {LEAD_CALL_TIMEOUT_MS} from './lead-calls.js';
+import {EVIDENCE_MS, type LeadEvidences} from './lead-evidence.js';
+import {
+	getLeadershipName, LeadPhase, type HostRecord, type LeadershipRecord,
+} from './leadership-record.js';
+import type {PrimaryWork} from './primary-work.js';
+import {OrderOutcome, type PromotionOrders} from './promotion-orders.js';
+
+/** What replacing a primary needs. */
+export type ReplacePrimaryParts = {
+	readonly store: MetadataStore;
+	readonly mirror: StoreMirror;
+	readonly directory: EndpointDirectory;
+	readonly evidences: LeadEvidences;
+	readonly primaryWork: PrimaryWork;
+	readonly duty: DutyLease;
+	readonly gone: GoneHosts;
+	readonly orders: PromotionOrders;
+	readonly peers: Peers;
+	readonly clock: Clock;
+	readonly elapsedClock: ElapsedClock;
+	readonly log: Log;
+	readonly hostName: string;
+	readonly ownPeerAddress: string;
+	/** Told how long each part took, in milliseconds. */
+	onReplaced(group: string, parts: ReplacementTimes): void;
+};
+
+/** Parts of a replacement, in milliseconds. */
+export type ReplacementTimes = {
+	readonly markMs: number;
+	readonly revokeMs: number;
+	readonly chooseMs: number;
+	readonly promoteMs: number;
+	readonly settleMs: number;
+};
+
+/** Why a primary is replaced. */
+export type Replacement = {
+	readonly group: string;
+	readonly reason: string;
+	/** The primary still serves: work under way may end, and its log must be whole at the successor. */
+	readonly planned: boolean;
+};
+
+/** Beyond the time that evidence lasts, in milliseconds: the clocks differ in rate. */
+const EVIDENCE_MARGIN_MS = 150;
+
+/** In a planned change transactions under way get this long to end, in milliseconds, while new work waits. */
+const PLANNED_SETTLE_MS = 600;
+
+/** Longest question to an endpoint, in milliseconds: a status waits for a slot behind statements of 60 ms at most. */
+const STATUS_TIMEOUT_MS = 500;
+
+/** Longest order to promote, in milliseconds; usually answered after 13. */
+const ORDER_TIMEOUT_MS = 600;
+
+/** How often a promoted endpoint is asked whether it leads by now, in milliseconds; it takes 600 to 1,000. */
+const PROMOTED_POLL_MS = 40;
+
+/** A promotion that shows no effect for so long is ordered anew, in milliseconds: three times the longest seen. */
+const PROMOTED_WITHIN_MS = 3000;
+
+/**
+ * An order that another host gave before it died shows its effect within this time, in milliseconds. Before that, the
+ * former primary may say that it leads while another is about to.
+ */
+const FORMER_ORDER_MS = 1500;
+
+/** Longest wait for a successor to hold all of a primary that still serves, in milliseconds. */
+const CATCH_UP_MS = 1500;
+
+/** Pause before something that brought no answer is tried again, in milliseconds. */
+const RETRY_MS = 100;
+
+/** The whole is given up after so long, in milliseconds; the record then says that the group is changing, and the next host goes on. */
+const GIVE_UP_MS = 12_000;
+
+const STORE_TIMEOUT_MS = 900;
+
+/**
+ * Replaces the primary of a group; true once the store shows a steady primary again.
+ *
+ * The order of steps is what keeps acknowledged commits and fresh reads safe: first the record says that the group is
+ * changing, so that no host can get evidence of the old primary any more; then every host gives its evidence up, or
+ * the time that evidence lasts passes; only then is anything promoted.
+ */
+export async function replacePrimary(parts: ReplacePrimaryParts, replacement: Replacement): Promise<boolean> {
+	const {clock, duty, elapsedClock, mirror} = parts;
+	const log = parts.log.part('replace: ');
+	const {group, planned, reason} = replacement;
+	const giveUpAt = clock.now() + GIVE_UP_MS;
+	const marks: number[] = [clock.now()];
+	const mark = () => {
+		marks.push(clock.now());
+	};
+
+	if (!await duty.take()) {
+		return false;
+	}
+
+	const before = mirror.state.leadership.get(group);
+	if (!before) {
+		return false;
+	}
+
+	log.info('a primary is replaced', {
+		group, reason, planned, primary: before.primaryId, epoch: before.epoch, term: before.term, version: before.version,
+	});
+	const changing = await updateRecord(parts, {
+		...before, epoch: before.epoch + 1, phase: LeadPhase.Changing, changedBy: parts.hostName,
+	}, before.version, giveUpAt);
+	if (!changing) {
+		log.info('another host changed the record first', {group, epoch: before.epoch});
+		return false;
+	}
+
+	// Evidence read before the record was updated is at most as old as the answer to the update.
+	const evidenceEndsAt = elapsedClock.elapsed() + EVIDENCE_MS + EVIDENCE_MARGIN_MS;
+	mark();
+	const fencing = planned ? undefined : gatherCandidates(parts, group, {kind: 'fence', term: before.term + 1});
+	const silentHosts = await revokeEverywhere(parts, changing, planned ? PLANNED_SETTLE_MS : 0, evidenceEndsAt);
+	mark();
+	if (before.phase === LeadPhase.Changing) {
+		await clock.sleep(FORMER_ORDER_MS);
+	}
+
+	const all = planned ? await waitForCatchUp(parts, before) : await fencing!;
+	const former = planned ? all.filter(({endpointId}) => endpointId === before.primaryId) : [];
+	const candidates = all.filter(candidate => !former.includes(candidate));
+	mark();
+	// Where nothing else can lead, a primary that still serves goes on.
+	const leading = await promoteBest(parts, candidates, before, giveUpAt) ?? await promoteBest(parts, former, before, giveUpAt);
+	mark();
+	if (!leading) {
+		log.warn('no endpoint could be promoted', {group, epoch: changing.epoch, candidates: candidates.map(({endpointId, status}) => ({endpointId, ...status}))});
+		return false;
+	}
+
+	const steady = await updateRecord(parts, {
+		...changing,
+		primaryId: leading.endpointId,
+		term: leading.status.term,
+		phase: LeadPhase.Steady,
+		start: leading.endpointId === before.primaryId && leading.status.term === before.term ? before.start : leading.status.received,
+	}, changing.version, giveUpAt);
+	mark();
+	cleanUp(parts, candidates, leading, before);
+	if (!steady) {
+		return false;
+	}
+
+	await tellEverywhere(parts, group);
+	await Promise.all(silentHosts.map(async host => parts.gone.markGone(host)));
+	const [markMs, revokeMs, chooseMs, promoteMs, settleMs] = marks.slice(1).map((at, i) => Math.round(at - marks[i]!)) as [number, number, number, number, number];
+	const times = {
+		markMs, revokeMs, chooseMs, promoteMs, settleMs,
+	};
+	log.info('a group has a primary again', {
+		group, primary: leading.endpointId, term: leading.status.term, epoch: steady.epoch, start: leading.status.received, ...times,
+	});
+	parts.onReplaced(group, times);
+	return true;
+}
+
+/** Writes a group's record under its condition, again and again until it is known whether that took effect; undefined where it did not. */
+async function updateRecord({store, mirror, clock, log}: ReplacePrimaryParts, record: LeadershipRecord, version: number, until: number): Promise<Versioned<LeadershipRecord> | undefined> {
+	const {version: _, ...value} = record as Versioned<LeadershipRecord>;
+	while (clock.now() < until) {
+		try {
+			const stored = await store.putRecord(RecordKind.Leadership, {name: getLeadershipName(record.group), version, value}, STORE_TIMEOUT_MS);
+			await mirror.confirm();
+			return {...value, version: stored.version};
+		} catch (err) {
+			if (err instanceof PlatformConflictError) {
+				return findOwnUpdate(mirror, record);
+			}
+
+			if (!(err instanceof PlatformError)) {
+				throw err;
+			}
+
+			log.info('an update of a record brought no answer and is repeated', {group: record.group, epoch: record.epoch, reason: err.message});
+			await clock.sleep(RETRY_MS);
+		}
+	}
+
+	return undefined;
+}
+
+/** A conflict may be with this host's own update, the answer to which was lost. */
+async function findOwnUpdate(mirror: StoreMirror, record: LeadershipRecord) {
+	await mirror.confirm();
+	const found = mirror.state.leadership.get(record.group);
+	const isOwn = found?.changedBy === record.changedBy && found.epoch === record.epoch && found.phase === record.phase && found.primaryId === record.primaryId;
+	return isOwn ? found : undefined;
+}
+
+/**
+ * Has every host give up its evidence below the record's epoch. A host that does not answer may be dead, or cut off
+ * and still serving: its evidence is over at `evidenceEndsAt`, and until then it is asked again.
+ */
+async function revokeEverywhere(parts: ReplacePrimaryParts, changing: Versioned<LeadershipRecord>, settleMs: number, evidenceEndsAt: number): Promise<ReadonlyArray<Versioned<HostRecord>>> {
+	const {clock, elapsedClock, evidences, primaryWork, log} = parts;
+	const {group, epoch} = changing;
+	const req = {group, epoch, settleMs};
+	const own = (async () => {
+		evidences.pause(group, epoch);
+		await primaryWork.settle(group, settleMs);
+		evidences.revoke(group, epoch);
+	})();
+
+	const hosts = await listOtherHosts(parts, evidenceEndsAt);
+	let missing = hosts?.filter(host => !host.gone) ?? [];
+	const ask = async (host: Versioned<HostRecord>) => {
+		try {
+			await parts.peers.call(host.peerAddress, 'lead-revoke', req, settleMs + LEAD_CALL_TIMEOUT_MS);
+			return undefined;
+		} catch (err) {
+			if (!isPeerError(err)) {
+				throw err;
+			}
+
+			return host;
+		}
+	};
+
+	while (missing.length > 0 && elapsedClock.elapsed() < evidenceEndsAt) {
+		const answers = await Promise.all(missing.map(async host => ask(host)));
+		missing = answers.filter(host => host !== undefined);
+		if (missing.length > 0) {
+			await clock.sleep(RETRY_MS);
+		}
+	}
+
+	// A host taken out of the list may hold evidence that it got just before.
+	const lastEnd = hosts ? parts.gone.getEvidenceEnd(hosts) : evidenceEndsAt;
+	while (elapsedClock.elapsed() < Math.min(lastEnd, evidenceEndsAt)) {
+		await clock.sleep(RETRY_MS);
+	}
+
+	await own;
+	if (!hosts || missing.length > 0) {
+		log.warn('evidence ended by its time, since not every host answered', {
+			group, epoch, missing: missing.map(({name}) => name), listed: hosts !== undefined,
+		});
+	}
+
+	return missing;
+}
+
+/** The other hosts as registered after the record was updated; undefined where the store does not say. */
+async function listOtherHosts({mirror, clock, elapsedClock, ownPeerAddress}: ReplacePrimaryParts, until: number) {
+	while (elapsedClock.elapsed() < until) {
+		if (await mirror.confirm()) {
+			return mirror.state.hosts.filter(host => host.peerAddress !== ownPeerAddress);
+		}
+
+		await clock.sleep(RETRY_MS);
+	}
+
+	return undefined;
+}
+
+/** Asks every endpoint of a group; those that do not answer are left out. */
+async function gatherCandidates(parts: ReplacePrimaryParts, group: string, command: EndpointCommand): Promise<readonly SuccessorCandidate[]> {
+	const answers = await Promise.all(parts.directory.list(group).map(async endpoint => {
+		const status = await askStatus(parts, endpoint, command);
+		return status && {endpointId: endpoint.entry.id, leaving: endpoint.entry.leaving, status};
+	}));
+	return answers.filter(candidate => candidate !== undefined);
+}
+
+async function askStatus({clock}: ReplacePrimaryParts, {pool}: KnownEndpoint, command: EndpointCommand): Promise<EndpointStatus | undefined> {
+	try {
+		const bounded = await withinMs(clock, STATUS_TIMEOUT_MS, pool.ask(command, STATUS_TIMEOUT_MS));
+		return bounded.timedOut ? undefined : bounded.value;
+	} catch (err) {
+		if (!(err instanceof LinkError)) {
+			throw err;
+		}
+
+		return undefined;
+	}
+}
+
+/** Waits until an endpoint other than the primary holds all of its log, which no longer grows. */
+async function waitForCatchUp(parts: ReplacePrimaryParts, before: LeadershipRecord): Promise<readonly SuccessorCandidate[]> {
+	const until = parts.clock.now() + CATCH_UP_MS;
+	for (;;) {
+		const all = await gatherCandidates(parts, before.group, {kind: 'status'});
+		const primary = all.find(({endpointId}) => endpointId === before.primaryId);
+		const others = all.filter(({endpointId}) => endpointId !== before.primaryId);
+		const caughtUp = others.some(({leaving, status}) => !leaving && (!primary || holdsLogPosition(status.received, primary.status.received)));
+		if (caughtUp || parts.clock.now() >= until) {
+			return all;
+		}
+
+		await parts.clock.sleep(PROMOTED_POLL_MS);
+	}
+}
+
+/** Promotes the best candidate that runs, and waits until it leads. */
+async function promoteBest(parts: ReplacePrimaryParts, candidates: readonly SuccessorCandidate[], before: LeadershipRecord, until: number): Promise<SuccessorCandidate | undefined> {
+	const ranked = [...rankSuccessors(candidates)];
+	while (ranked.length > 0 && parts.clock.now() < until) {
+		const best = ranked[0]!;
+		const outcome = await orderPromotion(parts, before.group, best.endpointId);
+		if (outcome === OrderOutcome.NotRunning) {
+			ranked.shift();
+			continue;
+		}
+
+		if (outcome === undefined || outcome === OrderOutcome.Refused) {
+			await parts.clock.sleep(RETRY_MS);
+			continue;
+		}
+
+		const status = await waitUntilLeads(parts, best, before);
+		if (status) {
+			return {...best, status};
+		}
+
+		// It may have stopped after the order: the next one is tried before it is tried again.
+		ranked.push(ranked.shift()!);
+	}
+
+	return undefined;
+}
+
+/**
+ * Gives the order while the duty outlasts it; undefined where the duty could not be kept.
+ *
+ * Guards against an order of a former holder that arrives after its successor's: the order is given up, and its
+ * connection with it, before the duty can be another's.
+ */
+async function orderPromotion({duty, orders, log, hostName}: ReplacePrimaryParts, group: string, endpointId: string): Promise<OrderOutcome | undefined> {
+	if (duty.getToken(ORDER_TIMEOUT_MS) === undefined && !await duty.take()) {
+		return undefined;
+	}
+
+	const token = duty.getToken(ORDER_TIMEOUT_MS);
+	if (token === undefined) {
+		return undefined;
+	}
+
+	const outcome = await orders.promote({
+		group, endpointId, holder: hostName, token,
+	}, ORDER_TIMEOUT_MS);
+	log.info('an endpoint was ordered to lead', {
+		group, endpoint: endpointId, fence: token, outcome,
+	});
+	return outcome;
+}
+
+/** Waits until the endpoint says that it leads a later term, or the same one where it had led all along. */
+async function waitUntilLeads(parts: ReplacePrimaryParts, candidate: SuccessorCandidate, before: LeadershipRecord): Promise<EndpointStatus | undefined> {
+	const until = parts.clock.now() + PROMOTED_WITHIN_MS;
+	const ledBefore = candidate.status.role === EndpointRole.Primary;
+	// A superseded primary calls itself one as well; only a term that was not there before shows that the order took effect.
+	const leastTerm = ledBefore ? candidate.status.term : Math.max(before.term, candidate.status.term) + 1;
+	while (parts.clock.now() < until) {
+		const endpoint = parts.directory.get(candidate.endpointId);
+		const status = endpoint && await askStatus(parts, endpoint, {kind: 'status'});
+		if (status?.role === EndpointRole.Primary && status.term >= leastTerm) {
+			return status;
+		}
+
+		await parts.clock.sleep(PROMOTED_POLL_MS);
+	}
+
+	return undefined;
+}
+
+/** Lets the other replicas receive again and makes the former primary one; nothing waits for it. */
+function cleanUp(parts: ReplacePrimaryParts, candidates: readonly SuccessorCandidate[], leading: SuccessorCandidate, before: LeadershipRecord) {
+	for (const {endpointId} of candidates) {
+		const endpoint = parts.directory.get(endpointId);
+		if (endpoint && endpointId !== leading.endpointId && endpointId !== before.primaryId) {
+			void askStatus(parts, endpoint, {kind: 'unfence'});
+		}
+	}
+
+	const former = parts.directory.get(before.primaryId);
+	if (former && before.primaryId !== leading.endpointId) {
+		void askStatus(parts, former, {kind: 'step-down', term: leading.status.term});
+	}
+}
+
+/** Tells the other hosts that there is something new to ask for. */
+async function tellEverywhere({mirror, peers, ownPeerAddress}: ReplacePrimaryParts, group: string) {
+	for (const host of mirror.state.hosts) {
+		if (host.peerAddress !== ownPeerAddress) {
+			peers.call(host.peerAddress, 'lead-changed', {group}, LEAD_CALL_TIMEOUT_MS).catch(ignoreUnheard);
+		}
+	}
+}
+
+/** A host that does not hear of a change finds it with its next confirmation. */
+function ignoreUnheard(): void {} // eslint-disable-line @typescript-eslint/no-empty-function
+
--- /dev/null
+++ b/src/links/endpoint-directory.ts
@@ -0,0 +1,110 @@
+import type {Log} from '../log/log.js';
+import type {StoreMirror} from '../mirror/store-mirror.js';
+import type {RegisteredEndpoint} from '../routes/routing.js';
+import type {Clock} from '../time/clock.js';
+import {createEndpointPool, type EndpointPool} from './endpoint-pool.js';
+import type {LinkOpener} from './endpoint-link.js';
+
+/** An endpoint that may be connected to. */
+export type KnownEndpoint = {
+	readonly entry: RegisteredEndpoint;
+	readonly pool: EndpointPool;
+};
+
+/** The endpoints that are registered, each with its connections. */
+export type EndpointDirectory = {
+	get(endpointId: string): KnownEndpoint | undefined;
+	list(group: string): readonly KnownEndpoint[];
+	/** Takes over what the mirror holds at the steady time `now`. */
+	update(now: number): void;
+	/** Closes all connections. */
+	close(): void;
+};
+
+/** What the directory needs. */
+export type EndpointDirectoryOptions = {
+	readonly mirror: StoreMirror;
+	readonly opener: LinkOpener;
+	readonly clock: Clock;
+	readonly log: Log;
+};
+
+/**
+ * An endpoint whose entry is missing for longer is gone, in milliseconds. Entries that lapsed while the platform's store was away are back
+ * within two seconds of its return.
+ */
+export const MISSING_AFTER_MS = 2500;
+
+/** Used where a group's configuration is not known yet. */
+const DEFAULT_MAX_CONNECTIONS = 8;
+
+type Kept = KnownEndpoint & {missingSince?: number};
+
+/** Creates an empty directory. */
+export function createEndpointDirectory({mirror, opener, clock, log: parentLog}: EndpointDirectoryOptions): EndpointDirectory {
+	const log = parentLog.part('endpoints: ');
+	const kept = new Map<string, Kept>();
+
+	const add = (entry: RegisteredEndpoint) => {
+		const pool = createEndpointPool({
+			target: {address: entry.address, group: entry.group, endpointId: entry.id},
+			opener,
+			clock,
+			log,
+			getLimits: () => ({
+				maxConnections: mirror.state.routing?.groups.get(entry.group)?.maxConnections ?? DEFAULT_MAX_CONNECTIONS,
+				hosts: mirror.state.hosts.length,
+			}),
+		});
+		kept.set(entry.id, {entry, pool});
+		log.info('an endpoint is registered', {
+			endpoint: entry.id, group: entry.group, zone: entry.availabilityZone, leaving: entry.leaving,
+		});
+	};
+
+	const noteEntry = (entry: RegisteredEndpoint) => {
+		const known = kept.get(entry.id);
+		if (!known) {
+			add(entry);
+			return;
+		}
+
+		if (entry.leaving && !known.entry.leaving) {
+			log.info('an endpoint is leaving', {endpoint: entry.id, group: entry.group, revision: mirror.state.revision});
+		}
+
+		kept.set(entry.id, {entry, pool: known.pool});
+	};
+
+	const noteMissing = (known: Kept, now: number) => {
+		known.missingSince ??= now;
+		if (now - known.missingSince > MISSING_AFTER_MS) {
+			known.pool.retire();
+			kept.delete(known.entry.id);
+			log.info('an endpoint is gone', {endpoint: known.entry.id, group: known.entry.group, missingMs: Math.round(now - known.missingSince)});
+		}
+	};
+
+	return {
+		get: endpointId => kept.get(endpointId),
+		list: group => [...kept.values()].filter(({entry}) => entry.group === group),
+		update(now) {
+			const listed = new Set<string>();
+			for (const entry of mirror.state.endpoints) {
+				listed.add(entry.id);
+				noteEntry(entry);
+			}
+
+			for (const known of kept.values()) {
+				if (!listed.has(known.entry.id)) {
+					noteMissing(known, now);
+				}
+			}
+		},
+		close() {
+			for (const {pool} of kept.values()) {
+				pool.retire();
+			}
+		},
+	};
+}
--- /dev/null
+++ b/src/links/endpoint-pool.ts
@@ -0,0 +1,286 @@
+import type {Log} from '../log/log.js';
+import {AnswerCode} from '../statements/statement-answer.js';
+import type {Clock} from '../time/clock.js';
+import {createEndpointHealth, type EndpointHealth} from './endpoint-health.js';
+import type {
+	EndpointRequest, EndpointStatus, LinkListener, LinkOpener, LinkTarget,
+} from './endpoint-link.js';
+import {createLinkBudget} from './link-budget.js';
+import {isLinkRefused} from './link-errors.js';
+import {createSessionLink, type SessionLink} from './link-session.js';
+
+/** Whoever asks for a connection. */
+export type LinkWish = {
+	/** 0 goes first. */
+	readonly priority: number;
+	/** Steady time until which it waits. */
+	readonly until: number;
+	/** Session values; a connection that has them set is preferred. */
+	readonly values: ReadonlyMap<string, string>;
+};
+
+/** The connections of this host to one endpoint. */
+export type EndpointPool = {
+	readonly target: LinkTarget;
+	readonly health: EndpointHealth;
+	/** Connections that are lent. */
+	readonly lent: number;
+	/** Requests that wait for one. */
+	readonly waiting: number;
+	/** Connections that are open. */
+	readonly open: number;
+	/** Lends a connection; undefined where none came free in time or the endpoint takes no sessions. */
+	acquire(wish: LinkWish): Promise<SessionLink | undefined>;
+	/** Takes a connection back: in no transaction, with nothing under way. A closed one is dropped. */
+	release(sessionLink: SessionLink): void;
+	/** Asks on the host's own behalf; on any open connection, or a new one. */
+	ask(command: EndpointRequest['command'], timeoutMs: number): Promise<EndpointStatus>;
+	/** Opens none any more and closes those that are idle. */
+	retire(): void;
+};
+
+/** What a pool needs. */
+export type EndpointPoolOptions = {
+	readonly target: LinkTarget;
+	readonly opener: LinkOpener;
+	readonly clock: Clock;
+	readonly log: Log;
+	getLimits(): {readonly maxConnections: number; readonly hosts: number};
+};
+
+/**
+ * Longest opening of a connection, in milliseconds. It takes 12 ms and a slot of the endpoint, so it queues behind
+ * statements; a caller's own statement is bounded at some 1,000.
+ */
+const OPEN_TIMEOUT_MS = 1500;
+
+/** An idle connection beyond the host's share is closed after so long, in milliseconds, so that other hosts can have it. */
+const SPARE_IDLE_MS = 1500;
+
+type Waiter = LinkWish & {
+	readonly order: number;
+	give(sessionLink: SessionLink | undefined): void;
+};
+
+type Idle = {
+	readonly sessionLink: SessionLink;
+	readonly since: number;
+};
+
+/** Creates a pool without connections. */
+export function createEndpointPool({target, opener, clock, log, getLimits}: EndpointPoolOptions): EndpointPool {
+	const health = createEndpointHealth();
+	const budget = createLinkBudget(getLimits);
+	const all = new Set<SessionLink>();
+	let idle: Idle[] = [];
+	let waiters: Waiter[] = [];
+	let opening = 0;
+	let order = 0;
+	let retired = false;
+	let refusedSince: number | undefined;
+
+	const noteWhetherOpen = () => {
+		if (opening === 0 && ![...all].some(({link}) => link.pending > 0)) {
+			health.noteNothingOpen();
+		}
+	};
+
+	const listener: LinkListener = {
+		onAsked() {
+			health.noteAsked(clock.now());
+		},
+		onHeard() {
+			health.noteHeard(clock.now());
+			noteWhetherOpen();
+		},
+	};
+
+	/** Opens a connection and keeps it in the pool until it closes. */
+	const openLink = async (timeoutMs: number) => {
+		opening++;
+		listener.onAsked();
+		try {
+			const link = await opener.open(target, timeoutMs, listener);
+			const sessionLink = createSessionLink(link);
+			all.add(sessionLink);
+			link.onClose(() => {
+				all.delete(sessionLink);
+				openForWaiters();
+			});
+			return sessionLink;
+		} catch (err) {
+			noteOpenFailed(err);
+			throw err;
+		} finally {
+			opening--;
+		}
+	};
+
+	const takeIdle = (values: ReadonlyMap<string, string>) => {
+		idle = idle.filter(({sessionLink}) => !sessionLink.link.closed);
+		const matching = idle.findLastIndex(({sessionLink}) => sessionLink.matches(values));
+		const at = matching === -1 ? idle.length - 1 : matching;
+		return at === -1 ? undefined : idle.splice(at, 1)[0]!.sessionLink;
+	};
+
+	const giveAway = (sessionLink: SessionLink) => {
+		const waiter = waiters.shift();
+		if (waiter) {
+			waiter.give(sessionLink);
+			return;
+		}
+
+		idle.push({sessionLink, since: clock.now()});
+	};
+
+	const failWaiters = () => {
+		for (const waiter of waiters.splice(0)) {
+			waiter.give(undefined);
+		}
+	};
+
+	const noteOpenFailed = (err: unknown) => {
+		const now = clock.now();
+		if (isLinkRefused(err) && err.code === AnswerCode.TooManyConnections) {
+			health.noteHeard(now);
+			budget.noteTurnedAway(now);
+			return;
+		}
+
+		if (!isLinkRefused(err) || err.code === AnswerCode.WrongEndpoint) {
+			health.noteRefused(now);
+		}
+
+		if (refusedSince === undefined) {
+			refusedSince = now;
+			log.warn('an endpoint takes no session', {
+				endpoint: target.endpointId, group: target.group, reason: (err as Error).message, open: all.size,
+			});
+		}
+
+		// Whoever waits is told at once, since it may be served elsewhere.
+		if (all.size === 0) {
+			failWaiters();
+		}
+	};
+
+	const openOne = async () => {
+		try {
+			const sessionLink = await openLink(OPEN_TIMEOUT_MS);
+			noteOpened();
+			if (retired) {
+				sessionLink.link.close();
+				return;
+			}
+
+			giveAway(sessionLink);
+		} catch (err) {
+			log.debug('a connection was not opened', {endpoint: target.endpointId, reason: (err as Error).message});
+		}
+	};
+
+	const noteOpened = () => {
+		if (refusedSince !== undefined) {
+			log.info('an endpoint takes sessions again', {endpoint: target.endpointId, group: target.group, afterMs: Math.round(clock.now() - refusedSince)});
+			refusedSince = undefined;
+		}
+	};
+
+	const openForWaiters = () => {
+		while (!retired && opening < waiters.length && budget.mayOpen(clock.now(), all.size + opening)) {
+			void openOne();
+		}
+	};
+
+	const closeSpare = () => {
+		const now = clock.now();
+		while (all.size > budget.share && idle[0] && now - idle[0].since > SPARE_IDLE_MS) {
+			idle.shift()!.sessionLink.link.close();
+		}
+	};
+
+	/** Waits, trying again to open while the endpoint turns connections away. */
+	const wait = async (wish: LinkWish): Promise<SessionLink | undefined> => {
+		const abort = new AbortController();
+		let given: SessionLink | undefined;
+		let done = false;
+		const waiter: Waiter = {
+			...wish,
+			order: order++,
+			give(sessionLink) {
+				given = sessionLink;
+				done = true;
+				abort.abort();
+			},
+		};
+		waiters.push(waiter);
+		waiters.sort((left, right) => left.priority - right.priority || left.order - right.order);
+		while (!done && clock.now() < wish.until && !retired) {
+			openForWaiters();
+			await clock.sleep(Math.min(RECHECK_MS, wish.until - clock.now()), abort.signal);
+		}
+
+		if (!done) {
+			waiters = waiters.filter(other => other !== waiter);
+		}
+
+		return given;
+	};
+
+	return {
+		target,
+		health,
+		get lent() {
+			return all.size - idle.length;
+		},
+		get waiting() {
+			return waiters.length;
+		},
+		get open() {
+			return all.size;
+		},
+		async acquire(wish) {
+			if (retired) {
+				return undefined;
+			}
+
+			return takeIdle(wish.values) ?? wait(wish);
+		},
+		release(sessionLink) {
+			if (sessionLink.link.closed) {
+				openForWaiters();
+				return;
+			}
+
+			if (retired) {
+				sessionLink.link.close();
+				return;
+			}
+
+			giveAway(sessionLink);
+			closeSpare();
+		},
+		async ask(command, timeoutMs) {
+			const free = idle.findLast(({sessionLink}) => !sessionLink.link.closed)?.sessionLink;
+			const open = free ?? [...all].find(({link}) => !link.closed);
+			if (open) {
+				return open.link.readStatus({command});
+			}
+
+			const sessionLink = await openLink(timeoutMs);
+			const status = await sessionLink.link.readStatus({command});
+			giveAway(sessionLink);
+			return status;
+		},
+		retire() {
+			retired = true;
+			failWaiters();
+			for (const {sessionLink} of idle.splice(0)) {
+				sessionLink.link.close();
+			}
+		},
+	};
+}
+
+/** Whoever waits for a connection looks this often whether one may be opened by now, in milliseconds. */
+const RECHECK_MS = 30;
--- /dev/null
+++ b/src/links/link-budget.ts
@@ -0,0 +1,44 @@
+/**
+ * How many connections to one endpoint this host may open. Every host draws on the endpoint's one limit: each has a
+ * share that is its own, and may go beyond it while the endpoint turns nobody away.
+ */
+export type LinkBudget = {
+	/** Whether one more may be opened, `open` being open or on their way. */
+	mayOpen(now: number, open: number): boolean;
+	/** The endpoint turned a connection away. */
+	noteTurnedAway(now: number): void;
+	/** Connections that stay open while idle. */
+	readonly share: number;
+};
+
+/** Connections that are left to orders on the way to a promotion, which open one where they find none free. */
+const RESERVE = 2;
+
+/** After being turned away nothing beyond the share is opened for so long, in milliseconds: about the length of a transaction. */
+const BACK_OFF_MS = 500;
+
+/** Within the share a host that was turned away tries again after so long, in milliseconds; a try costs the endpoint nothing. */
+const RETRY_MS = 60;
+
+/** Creates the budget for one endpoint. */
+export function createLinkBudget(getLimits: () => {readonly maxConnections: number; readonly hosts: number}): LinkBudget {
+	let turnedAwayAt: number | undefined;
+
+	const getShare = () => {
+		const {maxConnections, hosts} = getLimits();
+		return Math.max(1, Math.floor((maxConnections - RESERVE) / Math.max(1, hosts)));
+	};
+
+	return {
+		get share() {
+			return getShare();
+		},
+		mayOpen(now, open) {
+			const since = turnedAwayAt === undefined ? Number.POSITIVE_INFINITY : now - turnedAwayAt;
+			return open < getShare() ? since >= RETRY_MS : since >= BACK_OFF_MS && open < getLimits().maxConnections - RESERVE;
+		},
+		noteTurnedAway(now) {
+			turnedAwayAt = now;
+		},
+	};
+}
--- /dev/null
+++ b/src/mirror/mirror-state.ts
@@ -0,0 +1,84 @@
+import {
+	DUTY_NAME, parseDuty, parseHost, parseLeadership, type DutyRecord, type HostRecord, type LeadershipRecord,
+} from '../leadership/leadership-record.js';
+import type {RegisteredEndpoint, Routing} from '../routes/routing.js';
+import type {StoredRecord} from './metadata-store.js';
+
+/** A record with the version that a conditional update has to name. */
+export type Versioned<T> = T & {readonly version: number};
+
+/** All that a proxy holds of the store, complete up to one revision. */
+export type MirrorState = {
+	/** 0 before the first reading. */
+	readonly revision: number;
+	readonly routing?: Routing;
+	readonly endpoints: readonly RegisteredEndpoint[];
+	readonly leadership: ReadonlyMap<string, Versioned<LeadershipRecord>>;
+	readonly duty?: Versioned<DutyRecord>;
+	readonly hosts: ReadonlyArray<Versioned<HostRecord>>;
+};
+
+/** What is known before anything was read. */
+export const EMPTY_STATE: MirrorState = {
+	revision: 0, endpoints: [], leadership: new Map(), hosts: [],
+};
+
+/** A state as it goes from proxy to proxy: maps as lists. */
+export type StateSnapshot = Omit<MirrorState, 'routing' | 'leadership'> & {
+	readonly routing?: Omit<Routing, 'routes' | 'groups'> & {
+		readonly routes: ReadonlyArray<readonly [string, unknown]>;
+		readonly groups: ReadonlyArray<readonly [string, unknown]>;
+	};
+	readonly leadership: ReadonlyArray<Versioned<LeadershipRecord>>;
+};
+
+/** Writes a state for the way to another proxy. */
+export function toSnapshot({routing, leadership, ...rest}: MirrorState): StateSnapshot {
+	return {
+		...rest,
+		...(routing && {routing: {...routing, routes: [...routing.routes], groups: [...routing.groups]}}),
+		leadership: [...leadership.values()],
+	};
+}
+
+/** Reads a state that another proxy sent. */
+export function fromSnapshot({routing, leadership, ...rest}: StateSnapshot): MirrorState {
+	return {
+		...rest,
+		...(routing && {
+			routing: {
+				...routing,
+				routes: new Map(routing.routes as Iterable<[string, never]>),
+				groups: new Map(routing.groups as Iterable<[string, never]>),
+			},
+		}),
+		leadership: new Map(leadership.map(record => [record.group, record])),
+	};
+}
+
+/** Decodes the records of leadership and of the duty. */
+export function decodeLeadership(records: readonly StoredRecord[]): Pick<MirrorState, 'leadership' | 'duty'> {
+	const leadership = new Map<string, Versioned<LeadershipRecord>>();
+	let duty: Versioned<DutyRecord> | undefined;
+	for (const {name, version, value} of records) {
+		if (name === DUTY_NAME) {
+			duty = {...parseDuty(value), version};
+			continue;
+		}
+
+		const record = parseLeadership(value);
+		leadership.set(record.group, {...record, version});
+	}
+
+	return {leadership, duty};
+}
+
+/** Decodes the hosts' records. */
+export function decodeHosts(records: readonly StoredRecord[]): MirrorState['hosts'] {
+	return records.map(({version, value}) => ({...parseHost(value), version}));
+}
+
+/** The later of two versions of the configuration: what was once in force is never replaced by what came before it. */
+export function getLaterRouting(held: Routing | undefined, read: Routing | undefined): Routing | undefined {
+	return held && (!read || read.version < held.version) ? held : read;
+}
--- /dev/null
+++ b/src/mirror/store-mirror.ts
@@ -0,0 +1,318 @@
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import type {Log} from '../log/log.js';
+import {PlatformError} from '../object-store/platform-errors.js';
+import {isPeerError} from '../peers/peer-errors.js';
+import type {Peers} from '../peers/peers.js';
+import {withinMs, type Bounded} from '../time/deadline.js';
+import type {Clock} from '../time/clock.js';
+import type {ElapsedClock} from '../time/elapsed-clock.js';
+import {RecordKind, type MetadataStore} from './metadata-store.js';
+import {
+	decodeHosts, decodeLeadership, EMPTY_STATE, fromSnapshot, getLaterRouting, toSnapshot, type MirrorState, type StateSnapshot,
+} from './mirror-state.js';
+
+/** Answer to a peer that asks whether its copy is still complete. */
+export type ConfirmAnswer = {
+	/** The store itself was read for this answer, after the question came. */
+	readonly confirmed: boolean;
+	readonly revision: number;
+	/** What the answering host holds, where that is more than the asking one does. */
+	readonly snapshot?: StateSnapshot;
+	/** Groups that the answering host is changing, or whose change it asked for without hearing how that ended. */
+	readonly changing: readonly string[];
+};
+
+declare module '../peers/peer-calls.js' {
+	interface PeerCalls {
+		'mirror-confirm': {req: {readonly revision: number}; res: ConfirmAnswer};
+	}
+}
+
+/** A copy of the store's contents that knows until when it was complete. */
+export type StoreMirror = {
+	readonly state: MirrorState;
+	/** Elapsed time at which the last confirmation that the copy was complete had been asked for; undefined before the first. */
+	readonly confirmedAt: number | undefined;
+	/** Reads the store, or asks peers; true where the copy was found complete at a time after the call. */
+	confirm(): Promise<boolean>;
+	/** Has the copy confirmed soon, without waiting. */
+	confirmSoon(): void;
+	/** Confirms by one peer alone, as it told of a change. */
+	confirmBy(peerAddress: string): Promise<boolean>;
+	/** Called after each change of the copy and after each confirmation. */
+	onChange(listener: () => void): void;
+	/** Confirms at an interval until stopped. */
+	start(): Promise<void>;
+	stop(): Promise<void>;
+};
+
+/** What the mirror needs. */
+export type StoreMirrorOptions = {
+	readonly store: MetadataStore;
+	readonly peers: Peers;
+	readonly clock: Clock;
+	readonly elapsedClock: ElapsedClock;
+	readonly log: Log;
+	readonly ownPeerAddress: string;
+	/** Peers to ask before any host is known. */
+	readonly seeds: readonly string[];
+	/** Groups that this host is changing, or may have changed without knowing. */
+	getChanging(): readonly string[];
+};
+
+/**
+ * Pause between confirmations, in milliseconds. A confirmation costs one call to the store, which is priced, and how
+ * old evidence may get bounds it from above: four tries fit into that bound.
+ */
+export const CONFIRM_INTERVAL_MS = 700;
+
+/** Longest call to the store, in milliseconds: the store at a hundred times its usual 4 ms still answers in time. */
+const STORE_TIMEOUT_MS = 900;
+
+/** The store is given this long before peers are asked too, in milliseconds; some forty times its usual answer. */
+const PEER_HELP_AFTER_MS = 250;
+
+/** Longest question to a peer, in milliseconds: it reads the store for its answer. */
+const PEER_TIMEOUT_MS = 700;
+
+/** A peer that has not read the store within this time answers without, in milliseconds. */
+const HELPING_READ_MS = 400;
+
+/** Creates a mirror. */
+export function createStoreMirror(options: StoreMirrorOptions): StoreMirror {
+	const {store, peers, clock, elapsedClock} = options;
+	const log = options.log.part('mirror: ');
+	const stopping = new AbortController();
+	const listeners: Array<() => void> = [];
+	let state = EMPTY_STATE;
+	let confirmedAt: number | undefined;
+	let running: Promise<boolean> | undefined;
+	let queued: Promise<boolean> | undefined;
+	let reading: Promise<boolean> | undefined;
+	let queuedReading: Promise<boolean> | undefined;
+	let storeReached: boolean | undefined;
+	let wake = new AbortController();
+
+	const tell = () => {
+		for (const listener of listeners) {
+			listener();
+		}
+	};
+
+	const adopt = (read: MirrorState) => {
+		if (read.revision < state.revision) {
+			return;
+		}
+
+		const before = state;
+		state = {...read, routing: getLaterRouting(state.routing, read.routing)};
+		if (state.routing?.version !== before.routing?.version) {
+			log.info('a configuration is in force', {version: state.routing?.version, before: before.routing?.version, revision: state.revision});
+		}
+	};
+
+	const noteConfirmed = (askedAt: number) => {
+		confirmedAt = Math.max(confirmedAt ?? askedAt, askedAt);
+		tell();
+	};
+
+	const noteStore = (reached: boolean, err?: unknown) => {
+		if (reached !== storeReached) {
+			storeReached = reached;
+			log[reached ? 'info' : 'warn'](reached ? 'the store answers' : 'the store does not answer', {reason: (err as Error | undefined)?.message, revision: state.revision});
+		}
+	};
+
+	const readAll = async () => {
+		const [routing, endpoints, leadership, hosts] = await Promise.all([
+			store.readRouting(STORE_TIMEOUT_MS),
+			store.listEndpoints(STORE_TIMEOUT_MS),
+			store.listRecords(RecordKind.Leadership, STORE_TIMEOUT_MS),
+			store.listRecords(RecordKind.Hosts, STORE_TIMEOUT_MS),
+		]);
+		adopt({
+			revision: Math.min(routing.revision, endpoints.revision, leadership.revision, hosts.revision),
+			routing: routing.content,
+			endpoints: endpoints.content,
+			...decodeLeadership(leadership.content),
+			hosts: decodeHosts(hosts.content),
+		});
+	};
+
+	const readStore = async () => {
+		const askedAt = elapsedClock.elapsed();
+		try {
+			// A revision not above the copy's proves the copy complete at the time of asking: each change of anything raises it.
+			if (state.revision === 0 || await store.getRevision(STORE_TIMEOUT_MS) > state.revision) {
+				await readAll();
+			}
+
+			noteStore(true);
+			noteConfirmed(askedAt);
+			return true;
+		} catch (err) {
+			noteStore(false, err);
+			return false;
+		}
+	};
+
+	/** One reading at a time; whoever asks meanwhile shares the next one, which begins after the question. */
+	const readStoreAfterNow = async (): Promise<boolean> => {
+		if (!reading) {
+			reading = readStore().finally(() => {
+				reading = undefined;
+			});
+			return reading;
+		}
+
+		queuedReading ??= reading.then(async () => {
+			queuedReading = undefined;
+			return readStoreAfterNow();
+		});
+		return queuedReading;
+	};
+
+	const askPeer = async (address: string): Promise<ConfirmAnswer | undefined> => {
+		try {
+			const answer = await peers.call(address, 'mirror-confirm', {revision: state.revision}, PEER_TIMEOUT_MS);
+			if (answer.snapshot) {
+				adopt(fromSnapshot(answer.snapshot));
+			}
+
+			return answer;
+		} catch (err) {
+			if (!isPeerError(err)) {
+				throw err;
+			}
+
+			log.debug('a peer did not confirm', {peer: address, reason: err.message});
+			return undefined;
+		}
+	};
+
+	/** Takes a peer's confirmation: it counts from the question, and only for what this copy holds by now. */
+	const noteAnswer = (answer: ConfirmAnswer | undefined, askedAt: number) => {
+		if (!answer?.confirmed || answer.revision > state.revision) {
+			return false;
+		}
+
+		noteConfirmed(askedAt);
+		return true;
+	};
+
+	const confirmBy = async (address: string) => {
+		const askedAt = elapsedClock.elapsed();
+		return noteAnswer(await askPeer(address), askedAt);
+	};
+
+	const getOthers = () => {
+		const living = state.hosts.filter(host => !host.gone);
+		const addresses = living.length > 0 ? living.map(host => host.peerAddress) : options.seeds;
+		return addresses.filter(address => address !== options.ownPeerAddress);
+	};
+
+	/**
+	 * Guards calm traffic in an outage of the store. A change of primary begins with an update of the store by a
+	 * registered host. Where every registered host answered, after the question, that it has no such update under way
+	 * and holds nothing newer, none had begun at the time of asking; and any that begins later waits for this host's
+	 * acknowledgement, or for the end of what this confirmation is good for.
+	 */
+	const isUnanimous = (answers: ReadonlyArray<ConfirmAnswer | undefined>, revision: number) =>
+		state.hosts.length > 0
+		&& state.revision === revision
+		&& options.getChanging().length === 0
+		&& answers.every(answer => answer?.revision === revision && answer.changing.length === 0);
+
+	const askPeers = async () => {
+		const others = getOthers();
+		const askedAt = elapsedClock.elapsed();
+		const {revision} = state;
+		const questions = others.map(async address => askPeer(address));
+		const firstConfirmed = Promise.any(questions.map(async question => noteAnswer(await question, askedAt) || throwNotConfirmed()));
+		if (await firstConfirmed.catch(() => false)) {
+			return true;
+		}
+
+		const answers = await Promise.all(questions);
+		if (others.length > 0 && isUnanimous(answers, revision)) {
+			log.info('every host confirms that no primary is being changed', {revision, hosts: others.length + 1});
+			noteConfirmed(askedAt);
+			return true;
+		}
+
+		return false;
+	};
+
+	const confirmOnce = async () => {
+		const own = readStoreAfterNow();
+		const first: Bounded<boolean> = await withinMs(clock, PEER_HELP_AFTER_MS, own);
+		if (!first.timedOut && first.value) {
+			return true;
+		}
+
+		const helped = askPeers();
+		const either = await Promise.race([helped, own.then(async confirmed => confirmed || helped)]);
+		return either || own;
+	};
+
+	const confirm = async (): Promise<boolean> => {
+		if (!running) {
+			running = confirmOnce().finally(() => {
+				running = undefined;
+			});
+			return running;
+		}
+
+		queued ??= running.then(async () => {
+			queued = undefined;
+			return confirm();
+		});
+		return queued;
+	};
+
+	peers.handle('mirror-confirm', async ({revision}) => {
+		const read = await withinMs(clock, HELPING_READ_MS, readStoreAfterNow());
+		return {
+			confirmed: !read.timedOut && read.value,
+			revision: state.revision,
+			changing: options.getChanging(),
+			...(state.revision > revision && {snapshot: toSnapshot(state)}),
+		};
+	});
+
+	const run = async () => {
+		while (!stopping.signal.aborted) {
+			wake = new AbortController();
+			await confirm();
+			await nextTurn();
+			await clock.sleep(CONFIRM_INTERVAL_MS, AbortSignal.any([wake.signal, stopping.signal]));
+		}
+	};
+
+	return {
+		get state() {
+			return state;
+		},
+		get confirmedAt() {
+			return confirmedAt;
+		},
+		confirm,
+		confirmSoon() {
+			wake.abort();
+		},
+		confirmBy,
+		onChange(listener) {
+			listeners.push(listener);
+		},
+		async start() {
+			void run();
+		},
+		async stop() {
+			stopping.abort();
+		},
+	};
+}
+
+function throwNotConfirmed(): never {
+	throw new PlatformError('a peer did not confirm');
+}
--- a/src/object-store/http-exchange.ts
+++ b/src/object-store/http-exchange.ts
@@ -13,7 +13,7 @@
 export type HttpExchange = {
 	/** Names the call in an error. */
 	readonly what: string;
-	readonly method: 'GET' | 'PUT' | 'DELETE';
+	readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
 	/** Path and query below the base URL. */
 	readonly path: string;
 	/** Sent as JSON. */
--- /dev/null
+++ b/src/placement/position-samples.ts
@@ -0,0 +1,66 @@
+import {compareLogPositions, type LogPosition} from '../terms/log-position.js';
+
+/** Positions seen at a group's primary, with the times at which they were asked for. */
+export type PositionSamples = {
+	/**
+	 * Notes a position that a primary answered with. The question went out at elapsed time `askedAt`, under evidence that held then, so the
+	 * position covers every commit acknowledged before.
+	 */
+	note(askedAt: number, position: LogPosition): void;
+	/** The oldest sample asked for at or after `since`: the lowest floor that still covers all that was acknowledged before `since`. */
+	getFloor(since: number): LogPosition | undefined;
+	/**
+	 * Takes in that a primary of a later term began at `start`. What a superseded term had beyond it was rolled back, and no log will ever hold it.
+	 */
+	noteStart(start: LogPosition): void;
+};
+
+/** A sample older than this serves no route's staleness, in milliseconds; the routes seen allow 2,500 at most. */
+const KEEP_MS = 10_000;
+
+/** Samples this close together count as one, in milliseconds: the floor loses no more than that of its age. */
+const SPACING_MS = 40;
+
+type Sample = {
+	readonly askedAt: number;
+	position: LogPosition;
+};
+
+/** Creates the samples of one group. */
+export function createPositionSamples(): PositionSamples {
+	let samples: Sample[] = [];
+
+	return {
+		note(askedAt, position) {
+			const last = samples.at(-1);
+			if (last && askedAt - last.askedAt < SPACING_MS) {
+				return;
+			}
+
+			samples = samples.filter(sample => sample.askedAt > askedAt - KEEP_MS);
+			samples.push({askedAt, position});
+		},
+		getFloor(since) {
+			return samples.find(sample => sample.askedAt >= since)?.position;
+		},
+		noteStart(start) {
+			for (const sample of samples) {
+				sample.position = limitToStart(sample.position, start);
+			}
+		},
+	};
+}
+
+/** Brings a position of a superseded term down to where the later term began; others stay as they are. */
+export function limitToStart(position: LogPosition, start: LogPosition): LogPosition {
+	return position.term < start.term && position.position > start.position ? start : position;
+}
+
+/** The later of two floors; an absent one binds nothing. */
+export function getHigherFloor(left: LogPosition | undefined, right: LogPosition | undefined): LogPosition | undefined {
+	if (!left || !right) {
+		return left ?? right;
+	}
+
+	return compareLogPositions(left, right) >= 0 ? left : right;
+}
--- /dev/null
+++ b/src/platform/boot-errors.ts
@@ -0,0 +1,14 @@
+import ModernError from 'modern-errors';
+
+/** The settings file cannot be used; the program ends with its message. */
+export const BootSettingsError = ModernError.subclass('BootSettingsError');
+
+/** @internal */
+export function throwSettingWrong(field: string, message: string): never {
+	throw new BootSettingsError(`the setting ${field} is wrong: ${message}`);
+}
+
+/** @internal */
+export function throwSettingsUnreadable(why: string, cause?: unknown): never {
+	throw new BootSettingsError(`the settings cannot be read: ${why}`, {cause});
+}
--- /dev/null
+++ b/src/platform/caller-lines.ts
@@ -0,0 +1,125 @@
+import {
+	Access, type IdentifiedStatement, type SessionState, type Statement,
+} from '../statements/statement.js';
+import type {AnswerEnd} from '../statements/statement-answer.js';
+import type {LogPosition} from '../terms/log-position.js';
+import {formatCode, formatState} from './platform-words.js';
+import {formatPosition, NO_POSITION} from './position-text.js';
+
+/** A message of a caller. */
+export type CallerMessage =
+	/** The first of a session: names the database, which is a route's host, and the caller. */
+	| {readonly kind: 'open'; readonly database: string; readonly caller: string}
+	| ({readonly kind: 'statement'} & IdentifiedStatement)
+	| {readonly kind: 'end'}
+	| {readonly kind: 'malformed'};
+
+const MALFORMED: Statement = {kind: 'malformed'};
+
+/** Reads one line of a caller. */
+export function parseCallerLine(line: string): CallerMessage {
+	const [word, rest] = cutWord(line);
+	switch (word) {
+		case 'STARTUP': {
+			const [database, caller] = cutWord(rest);
+			return database === '' ? {kind: 'malformed'} : {kind: 'open', database, caller};
+		}
+
+		case 'QUERY': {
+			const [id, text] = cutWord(rest);
+			return id === '' ? {kind: 'malformed'} : {kind: 'statement', id, statement: parseStatement(text)};
+		}
+
+		case 'TERMINATE': {
+			return {kind: 'end'};
+		}
+
+		default: {
+			return {kind: 'malformed'};
+		}
+	}
+}
+
+/** Reads a statement's text. */
+export function parseStatement(text: string): Statement {
+	const [word, rest] = cutWord(text);
+	switch (word) {
+		case 'BEGIN': {
+			return rest === '' || rest === 'READ' ? {kind: 'begin', readOnly: rest === 'READ'} : MALFORMED;
+		}
+
+		case 'COMMIT': {
+			return rest === '' ? {kind: 'commit'} : MALFORMED;
+		}
+
+		case 'ROLLBACK': {
+			return rest === '' ? {kind: 'rollback'} : MALFORMED;
+		}
+
+		case 'READ': {
+			return rest === '' ? MALFORMED : {kind: 'run', access: Access.Read, text};
+		}
+
+		case 'WRITE': {
+			return rest === '' ? MALFORMED : {kind: 'run', access: Access.Write, text};
+		}
+
+		case 'SET': {
+			const [name, value] = cutWord(rest);
+			return name === '' ? MALFORMED : {kind: 'set', name, value};
+		}
+
+		case 'PARSE': {
+			return parsePrepare(rest);
+		}
+
+		case 'EXECUTE': {
+			const [name, args] = cutWord(rest);
+			return name === '' ? MALFORMED : {kind: 'execute', name, args};
+		}
+
+		case 'CLOSE': {
+			return rest === '' ? MALFORMED : {kind: 'forget', name: rest};
+		}
+
+		default: {
+			return MALFORMED;
+		}
+	}
+}
+
+function parsePrepare(rest: string): Statement {
+	const [name, definition] = cutWord(rest);
+	const [access, shape] = cutWord(definition);
+	if (name === '' || shape === '' || (access !== 'READ' && access !== 'WRITE')) {
+		return MALFORMED;
+	}
+
+	return {kind: 'prepare', name, shape: {access: access === 'READ' ? Access.Read : Access.Write, shape}};
+}
+
+/** Writes the answer to a statement. */
+export function formatCallerAnswer(rows: readonly string[], end: AnswerEnd, state: SessionState, position?: LogPosition): string {
+	let text = '';
+	for (const row of rows) {
+		text += `DATAROW ${row}\r\n`;
+	}
+
+	text += formatEnd(end);
+	return text + formatReady(state, position);
+}
+
+/** Writes that a session is open, or that a statement's answer is over. */
+export function formatReady(state: SessionState, position?: LogPosition): string {
+	return `READY ${formatState(state)} ${position ? formatPosition(position) : NO_POSITION}\r\n`;
+}
+
+/** Writes how an answer ends, without what follows each answer. */
+export function formatEnd(end: AnswerEnd): string {
+	return end.kind === 'complete' ? `COMPLETE ${end.signature ?? '-'}\r\n` : `ERROR ${formatCode(end.code)} ${end.text}\r\n`;
+}
+
+function cutWord(text: string): [string, string] {
+	const blank = text.indexOf(' ');
+	return blank === -1 ? [text, ''] : [text.slice(0, blank), text.slice(blank + 1)];
+}
--- /dev/null
+++ b/src/platform/endpoint-lines.ts
@@ -0,0 +1,86 @@
+import {
+	EndpointRole, type EndpointCommand, type EndpointRequest, type EndpointStatus,
+} from '../links/endpoint-link.js';
+import {Access} from '../statements/statement.js';
+import {formatPosition, parsePosition} from './position-text.js';
+
+/** The id that marks what the proxy asks on its own behalf. */
+const OWN_ID = '-';
+
+/** Writes the first message to an endpoint: the group stands where callers name a database. */
+export function formatStartup(group: string, hostName: string, endpointId: string): string {
+	return `STARTUP ${group} ${hostName} ${endpointId}\r\n`;
+}
+
+/** Writes a request to an endpoint. */
+export function formatRequest({id = OWN_ID, command, floor}: EndpointRequest): string {
+	const prefix = floor ? `AFTER ${formatPosition(floor)} ` : '';
+	return `QUERY ${id} ${prefix}${formatCommand(command)}\r\n`;
+}
+
+function formatCommand(command: EndpointCommand): string {
+	switch (command.kind) {
+		case 'run': {
+			return command.text;
+		}
+
+		case 'execute': {
+			return command.args === '' ? `EXECUTE ${command.name}` : `EXECUTE ${command.name} ${command.args}`;
+		}
+
+		case 'begin': {
+			return command.readOnly ? 'BEGIN READ' : 'BEGIN';
+		}
+
+		case 'set': {
+			return `SET ${command.name} ${command.value}`;
+		}
+
+		case 'prepare': {
+			return `PARSE ${command.name} ${command.shape.access === Access.Read ? 'READ' : 'WRITE'} ${command.shape.shape}`;
+		}
+
+		case 'fence': {
+			return `PAUSE ${command.term}`;
+		}
+
+		case 'step-down': {
+			return `STEPDOWN ${command.term}`;
+		}
+
+		case 'commit':
+		case 'rollback':
+		case 'reset':
+		case 'status':
+		case 'unfence': {
+			return PLAIN_COMMANDS[command.kind];
+		}
+	}
+}
+
+const PLAIN_COMMANDS = {
+	commit: 'COMMIT',
+	rollback: 'ROLLBACK',
+	reset: 'RESET',
+	status: 'STATUS',
+	unfence: 'RESUME',
+} as const;
+
+/** Reads the row that answers a status: role, term, position received, term of the fence, lag, busy, connections. */
+export function parseStatusRow(row: string): EndpointStatus | undefined {
+	const [role, term, received, fencedTerm, lag, busy, connections] = row.split(' ');
+	const position = parsePosition(received ?? '');
+	if ((role !== 'primary' && role !== 'replica') || !position) {
+		return undefined;
+	}
+
+	return {
+		role: role === 'primary' ? EndpointRole.Primary : EndpointRole.Replica,
+		term: Number(term),
+		received: position,
+		fencedTerm: Number(fencedTerm),
+		lagMs: Number(lag),
+		busy: Number(busy),
+		connections: Number(connections),
+	};
+}
--- /dev/null
+++ b/src/platform/http-metadata-store.ts
@@ -0,0 +1,155 @@
+import type {z} from 'zod';
+import {
+	RecordKind, type MetadataStore, type StoredRecord,
+} from '../mirror/metadata-store.js';
+import {createHttpExchanger, type HttpAnswer, type HttpExchange} from '../object-store/http-exchange.js';
+import {throwPlatformRefused, throwPlatformSilent, throwVersionConflict} from '../object-store/platform-errors.js';
+import type {Clock} from '../time/clock.js';
+import {
+	decodeEndpoint, decodeRouting, storeListSchema, storeObjectSchema, type StoreObject,
+} from './store-schemas.js';
+
+/** What the client needs. */
+export type HttpMetadataStoreOptions = {
+	/** `ip:port` of the store. */
+	readonly address: string;
+	readonly clock: Clock;
+	/** Told of each call and how it ended, for the metrics. */
+	onCall(call: string, result: string): void;
+};
+
+/** The platform's names for the kinds; no operator writes under the first two. */
+const KIND_NAMES: Readonly<Record<RecordKind, string>> = {
+	[RecordKind.Leadership]: 'aldercroft-leadership',
+	[RecordKind.Hosts]: 'aldercroft-hosts',
+};
+
+const CONFIGURATION_KIND = 'config';
+const CONFIGURATION_NAME = 'main';
+const ENDPOINT_KIND = 'servers';
+
+/**
+ * A kind without objects: listing it is the cheapest linearizable answer that carries the store's revision, 46 bytes
+ * against 2,500 of the list of nine servers.
+ */
+const EMPTY_KIND = 'aldercroft-nothing';
+
+const Status = {
+	Ok: 200,
+	NotFound: 404,
+	Conflict: 409,
+	TooMany: 429,
+	ServerError: 500,
+} as const;
+
+/** Creates a client of the platform's store. */
+export function createHttpMetadataStore({address, clock, onCall}: HttpMetadataStoreOptions): MetadataStore {
+	const exchanger = createHttpExchanger({baseUrl: `http://${address}`, clock});
+
+	const exchange = async (call: string, req: HttpExchange): Promise<HttpAnswer> => {
+		try {
+			const res = await exchanger.exchange(req);
+			onCall(call, String(res.status));
+			if (res.status === Status.TooMany || res.status >= Status.ServerError) {
+				throwPlatformSilent(req.what, new Error(`HTTP status ${res.status}`));
+			}
+
+			return res;
+		} catch (err) {
+			onCall(call, 'no answer');
+			throw err;
+		}
+	};
+
+	const list = async (kind: string, timeoutMs: number): Promise<{revision: number; objects: StoreObject[]}> => {
+		const objects: StoreObject[] = [];
+		const what = `list ${kind}`;
+		let revision: number | undefined;
+		for (let after = ''; ;) {
+			const path = after === '' ? `/objects/${kind}` : `/objects/${kind}?after=${encodeURIComponent(after)}`;
+			const res = await exchange('list', {
+				what, method: 'GET', path, timeoutMs,
+			});
+			const page = parse(what, res, storeListSchema);
+			// Later pages may show more; the first one's revision is what the whole is complete up to.
+			revision ??= page.storeRevision;
+			objects.push(...page.items);
+			if (!page.hasMore || page.items.length === 0) {
+				return {revision, objects};
+			}
+
+			after = page.items.at(-1)!.meta.name;
+		}
+	};
+
+	return {
+		async getRevision(timeoutMs) {
+			const {revision} = await list(EMPTY_KIND, timeoutMs);
+			return revision;
+		},
+		async readRouting(timeoutMs) {
+			const {revision, objects} = await list(CONFIGURATION_KIND, timeoutMs);
+			const main = objects.find(object => object.meta.name === CONFIGURATION_NAME);
+			return {revision, content: main ? decodeOrThrow('configuration', () => decodeRouting(main.spec)) : undefined};
+		},
+		async listEndpoints(timeoutMs) {
+			const {revision, objects} = await list(ENDPOINT_KIND, timeoutMs);
+			return {revision, content: decodeOrThrow('endpoints', () => objects.map(object => decodeEndpoint(object)))};
+		},
+		async listRecords(kind, timeoutMs) {
+			const {revision, objects} = await list(KIND_NAMES[kind], timeoutMs);
+			return {revision, content: objects.map(object => toRecord(object))};
+		},
+		async putRecord(kind, {name, version, value}, timeoutMs) {
+			const what = `put ${kind} ${name}`;
+			const path = `/objects/${KIND_NAMES[kind]}`;
+			const res = await exchange('put', version === 0
+				? {
+					what, method: 'POST', path, body: {meta: {name}, spec: value}, timeoutMs,
+				}
+				: {
+					what, method: 'PUT', path: `${path}/${encodeURIComponent(name)}`, body: {meta: {name, modRevision: version}, spec: value}, timeoutMs,
+				});
+			return isChangedMeanwhile(res) ? throwVersionConflict(kind, name, version) : toRecord(parse(what, res, storeObjectSchema));
+		},
+		async deleteRecord(kind, name, expectedVersion, timeoutMs) {
+			const what = `delete ${kind} ${name}`;
+			const path = `/objects/${KIND_NAMES[kind]}/${encodeURIComponent(name)}?modRevision=${expectedVersion}`;
+			const res = await exchange('delete', {
+				what, method: 'DELETE', path, timeoutMs,
+			});
+			if (isChangedMeanwhile(res)) {
+				throwVersionConflict(kind, name, expectedVersion);
+			}
+
+			if (res.status !== Status.Ok) {
+				throwPlatformRefused(what, `HTTP status ${res.status}`);
+			}
+		},
+	};
+}
+
+/** A record that is gone is as good as one at another version: the condition no longer holds. */
+function isChangedMeanwhile(res: HttpAnswer) {
+	return res.status === Status.Conflict || res.status === Status.NotFound;
+}
+
+function toRecord({meta, spec}: StoreObject): StoredRecord {
+	return {name: meta.name, version: meta.modRevision, value: spec};
+}
+
+function parse<T>(what: string, res: HttpAnswer, schema: z.ZodType<T>): T {
+	if (res.status !== Status.Ok) {
+		throwPlatformRefused(what, `HTTP status ${res.status}`);
+	}
+
+	return decodeOrThrow(what, () => schema.parse(JSON.parse(res.text)));
+}
+
+function decodeOrThrow<T>(what: string, decode: () => T): T {
+	try {
+		return decode();
+	} catch (err) {
+		return throwPlatformSilent(what, err);
+	}
+}
--- /dev/null
+++ b/src/platform/tcp-caller-channel.ts
@@ -0,0 +1,111 @@
+import {once} from 'node:events';
+import type {Socket} from 'node:net';
+import type {CallerChannel, CallerRequest} from '../gateway/caller-channel.js';
+import {
+	formatCallerAnswer, formatEnd, formatReady, parseCallerLine,
+} from './caller-lines.js';
+import {createLineReader} from './line-reader.js';
+
+/** A caller that sends ahead is read no further with so many requests waiting. */
+const MOST_WAITING = 16;
+
+/** How long a connection that was ended may stay half open, in milliseconds; the balancer's own clients close at once. */
+const LINGER_MS = 2000;
+
+/** Creates the channel of one connection. */
+export function createTcpCallerChannel(socket: Socket): CallerChannel {
+	const reader = createLineReader();
+	const requests: CallerRequest[] = [];
+	const leftListeners: Array<() => void> = [];
+	let left = false;
+	let wake: (() => void) | undefined;
+
+	const wakeReader = () => {
+		wake?.();
+		wake = undefined;
+	};
+
+	const waitForMore = async () => new Promise<void>(resolve => {
+		wake = resolve;
+	});
+
+	const noteLeft = () => {
+		if (left) {
+			return;
+		}
+
+		left = true;
+		wakeReader();
+		for (const listener of leftListeners) {
+			listener();
+		}
+	};
+
+	socket.setEncoding('latin1');
+	socket.setNoDelay(true);
+	socket.on('data', (chunk: string) => {
+		const lines = reader.push(chunk);
+		requests.push(...(lines ? lines.map(line => parseCallerLine(line)) : [{kind: 'too-large'} as const]));
+		if (requests.length >= MOST_WAITING) {
+			socket.pause();
+		}
+
+		wakeReader();
+	});
+	socket.on('end', noteLeft);
+	// A broken connection says no more than a closed one: the caller has left.
+	socket.on('error', noteLeft);
+	socket.on('close', noteLeft);
+
+	const write = async (text: string) => {
+		if (!socket.writable || socket.write(text, 'latin1')) {
+			return;
+		}
+
+		const abort = new AbortController();
+		leftListeners.push(() => {
+			abort.abort();
+		});
+		await once(socket, 'drain', {signal: abort.signal}).catch(() => undefined);
+	};
+
+	return {
+		name: `${socket.remoteAddress}:${socket.remotePort}`,
+		get left() {
+			return left;
+		},
+		get waiting() {
+			return requests.length > 0;
+		},
+		async next() {
+			while (requests.length === 0 && !left) {
+				await waitForMore();
+			}
+
+			const req = requests.shift();
+			if (requests.length === 0 && socket.isPaused()) {
+				socket.resume();
+			}
+
+			return req;
+		},
+		greet() {
+			void write(formatReady('idle'));
+		},
+		async answer({rows, end, position}, state) {
+			await write(formatCallerAnswer(rows, end, state, position));
+		},
+		refuse(code, reason) {
+			void write(formatEnd({kind: 'error', code, text: reason}));
+		},
+		close() {
+			socket.end();
+			// Reading on keeps a late request of the caller from turning the end into a reset, which could overtake the last answer.
+			socket.resume();
+			socket.setTimeout(LINGER_MS, () => socket.destroy());
+		},
+		onLeft(listener) {
+			leftListeners.push(listener);
+		},
+	};
+}
--- /dev/null
+++ b/src/platform/tcp-link-opener.ts
@@ -0,0 +1,205 @@
+import {connect, type Socket} from 'node:net';
+import type {
+	EndpointLink, EndpointRequest, LinkListener, LinkOpener, LinkTarget,
+} from '../links/endpoint-link.js';
+import {createLinkLost, createLinkRefused, throwUnexpectedAnswer} from '../links/link-errors.js';
+import type {AnswerEnd, EndpointAnswer} from '../statements/statement-answer.js';
+import type {LogPosition} from '../terms/log-position.js';
+import {withinMs} from '../time/deadline.js';
+import type {Clock} from '../time/clock.js';
+import {formatRequest, formatStartup, parseStatusRow} from './endpoint-lines.js';
+import {createLineReader} from './line-reader.js';
+import {parseCode, parseState} from './platform-words.js';
+import {parsePosition} from './position-text.js';
+
+/** What the opener needs. */
+export type TcpLinkOpenerOptions = {
+	readonly clock: Clock;
+	/** Tells endpoints who connects. */
+	readonly hostName: string;
+};
+
+type Waiter = {
+	resolve(answer: EndpointAnswer): void;
+	reject(err: unknown): void;
+};
+
+/** Opens links to endpoints over TCP. */
+export function createTcpLinkOpener({clock, hostName}: TcpLinkOpenerOptions): LinkOpener {
+	return {
+		async open(target, timeoutMs, listener) {
+			const [host, port] = splitAddress(target.address);
+			const socket = connect({host, port, noDelay: true});
+			const opening = createTcpLink(socket, target, listener);
+			socket.write(formatStartup(target.group, hostName, target.endpointId), 'latin1');
+			const bounded = await withinMs(clock, timeoutMs, opening);
+			if (bounded.timedOut) {
+				socket.resetAndDestroy();
+				throw createLinkLost(target.address, `not open within ${timeoutMs} ms`);
+			}
+
+			return bounded.value;
+		},
+	};
+}
+
+/** Cuts `ip:port` in two. */
+export function splitAddress(address: string): [string, number] {
+	const colon = address.lastIndexOf(':');
+	return [address.slice(0, colon), Number(address.slice(colon + 1))];
+}
+
+async function createTcpLink(socket: Socket, target: LinkTarget, listener: LinkListener): Promise<EndpointLink> {
+	const {address} = target;
+	const reader = createLineReader();
+	const waiters: Waiter[] = [];
+	const closeListeners: Array<() => void> = [];
+	let closed = false;
+	let firstPosition: LogPosition | undefined;
+	let rows: string[] = [];
+	let end: AnswerEnd | undefined;
+
+	const fail = (why: string, cause?: unknown) => {
+		if (closed) {
+			return;
+		}
+
+		closed = true;
+		for (const waiter of waiters.splice(0)) {
+			waiter.reject(createLinkLost(address, why, cause));
+		}
+
+		for (const listener of closeListeners) {
+			listener();
+		}
+	};
+
+	/** Guards against an answer that belongs to no request, or is cut off: the link ends rather than giving a row to the wrong caller. */
+	const abandon = (why: string) => {
+		fail(why);
+		socket.resetAndDestroy();
+	};
+
+	const finishAnswer = (line: string) => {
+		const [, letter = '', positionText = ''] = line.split(' ');
+		const state = parseState(letter);
+		const waiter = waiters.shift();
+		if (!waiter || !end || !state) {
+			waiter?.reject(createLinkLost(address, 'an answer out of turn'));
+			abandon('an answer out of turn');
+			return;
+		}
+
+		const answer = {
+			rows, end, state, position: parsePosition(positionText),
+		};
+		rows = [];
+		end = undefined;
+		waiter.resolve(answer);
+	};
+
+	const takeLine = (line: string) => {
+		if (line.startsWith('DATAROW ')) {
+			rows.push(line.slice('DATAROW '.length));
+		} else if (line.startsWith('COMPLETE ')) {
+			end = {kind: 'complete', signature: line.slice('COMPLETE '.length)};
+		} else if (line.startsWith('ERROR ')) {
+			end = parseError(line);
+		} else if (line.startsWith('READY ')) {
+			finishAnswer(line);
+		} else {
+			abandon('a line that is not understood');
+		}
+	};
+
+	const link: EndpointLink = {
+		get firstPosition() {
+			return firstPosition;
+		},
+		get pending() {
+			return waiters.length;
+		},
+		get closed() {
+			return closed;
+		},
+		async exchange(req) {
+			if (closed) {
+				throw createLinkLost(address, 'it had ended before');
+			}
+
+			listener.onAsked();
+			return new Promise((resolve, reject) => {
+				waiters.push({resolve, reject});
+				socket.write(formatRequest(req), 'latin1');
+			});
+		},
+		async readStatus(req: EndpointRequest) {
+			const answer = await link.exchange(req);
+			return parseStatusRow(answer.rows[0] ?? '') ?? throwUnexpectedAnswer(address, req.command.kind);
+		},
+		cut() {
+			abandon('cut by this host');
+		},
+		close() {
+			fail('closed by this host');
+			socket.end('TERMINATE\r\n');
+			// An endpoint that never answers the end must not keep the descriptor.
+			socket.setTimeout(CLOSE_TIMEOUT_MS, () => socket.resetAndDestroy());
+		},
+		onClose(listener) {
+			closeListeners.push(listener);
+		},
+	};
+
+	return new Promise((resolve, reject) => {
+		let opened = false;
+		const open = (line: string) => {
+			const [word, detail = '', positionText = ''] = line.split(' ');
+			if (word === 'READY') {
+				opened = true;
+				firstPosition = parsePosition(positionText);
+				resolve(link);
+				return;
+			}
+
+			reject(word === 'ERROR' ? createLinkRefused(address, parseCode(detail)) : createLinkLost(address, 'a greeting that is not understood'));
+			socket.destroy();
+		};
+
+		socket.setEncoding('latin1');
+		socket.on('data', (chunk: string) => {
+			const lines = reader.push(chunk);
+			if (!lines) {
+				abandon('a line over the limit');
+				return;
+			}
+
+			for (const line of lines) {
+				if (opened) {
+					takeLine(line);
+				} else {
+					open(line);
+				}
+			}
+
+			listener.onHeard();
+		});
+		socket.on('error', err => {
+			reject(createLinkLost(address, err.message, err));
+			fail(err.message, err);
+		});
+		socket.on('close', () => {
+			reject(createLinkLost(address, 'it was closed'));
+			fail('the endpoint closed it');
+		});
+	});
+}
+
+/** How long a closed link may take to end, in milliseconds; as long as endpoints themselves wait for a silent end. */
+const CLOSE_TIMEOUT_MS = 3000;
+
+function parseError(line: string): AnswerEnd {
+	const [, word = '', ...text] = line.split(' ');
+	return {kind: 'error', code: parseCode(word), text: text.join(' ')};
+}
+
--- /dev/null
+++ b/src/proxy/create-proxy.ts
@@ -0,0 +1,150 @@
+import {createGateway, type Gateway} from '../gateway/gateway.js';
+import type {ProxyMetrics} from '../gateway/prom-gateway-metrics.js';
+import {createKernel, type Kernel} from '../kernel/kernel.js';
+import {createDutyLease, type DutyLease} from '../leadership/duty-lease.js';
+import {createGoneHosts} from '../leadership/gone-hosts.js';
+import {createLeadEvidences, type LeadEvidences} from '../leadership/lead-evidence.js';
+import {createLeadWatch, type LeadWatch} from '../leadership/lead-watch.js';
+import {createPrimaryWork} from '../leadership/primary-work.js';
+import type {PromotionOrders} from '../leadership/promotion-orders.js';
+import {createHostRegistration, type HostRegistration} from '../leadership/register-host.js';
+import {replacePrimary} from '../leadership/replace-primary.js';
+import {createEndpointDirectory, type EndpointDirectory} from '../links/endpoint-directory.js';
+import type {LinkOpener} from '../links/endpoint-link.js';
+import type {Log} from '../log/log.js';
+import type {MetadataStore} from '../mirror/metadata-store.js';
+import {createStoreMirror, type StoreMirror} from '../mirror/store-mirror.js';
+import type {LivePeers} from '../peers/create-peers.js';
+import {createPlacementKnowledge} from '../placement/placement-knowledge.js';
+import type {Random} from '../random/random.js';
+import type {Clock} from '../time/clock.js';
+import type {ElapsedClock} from '../time/elapsed-clock.js';
+
+declare module '../kernel/service-map.js' {
+	interface ServiceMap {
+		storeMirror: StoreMirror;
+		leadEvidences: LeadEvidences;
+		dutyLease: DutyLease;
+		leadWatch: LeadWatch;
+		hostRegistration: HostRegistration;
+		endpointDirectory: EndpointDirectory;
+		proxyMetrics: ProxyMetrics;
+		gateway: Gateway;
+		elapsedClock: ElapsedClock;
+	}
+}
+
+/** The outside of a proxy, and who it is. */
+export type ProxyParts = {
+	readonly clock: Clock;
+	readonly elapsedClock: ElapsedClock;
+	readonly random: Random;
+	readonly log: Log;
+	readonly metrics: ProxyMetrics;
+	readonly store: MetadataStore;
+	readonly orders: PromotionOrders;
+	readonly opener: LinkOpener;
+	readonly peers: LivePeers;
+	readonly hostName: string;
+	readonly availabilityZone: string;
+	/** `ip:port` under which other proxies reach this one. */
+	readonly peerAddress: string;
+	readonly seeds: readonly string[];
+	/** Marks this life of the process. */
+	readonly incarnation: string;
+};
+
+/** Assembles the inside of a proxy on a kernel; nothing runs before the kernel is started. */
+export function createProxy(parts: ProxyParts): Kernel {
+	const {clock, elapsedClock, random, log, metrics, store, orders, opener, peers, hostName, peerAddress, incarnation} = parts;
+	const kernel = createKernel();
+	const mirror = createStoreMirror({
+		store,
+		peers,
+		clock,
+		elapsedClock,
+		log,
+		ownPeerAddress: peerAddress,
+		seeds: parts.seeds,
+		getChanging: () => leadWatch.getChanging(),
+	});
+	const evidences = createLeadEvidences({mirror, elapsedClock, ownPeerAddress: peerAddress});
+	const knowledge = createPlacementKnowledge();
+	const primaryWork = createPrimaryWork(clock);
+	const directory = createEndpointDirectory({
+		mirror, opener, clock, log,
+	});
+	const duty = createDutyLease({
+		store, mirror, elapsedClock, log, hostName, incarnation,
+	});
+	const gone = createGoneHosts({
+		store, mirror, elapsedClock, log,
+	});
+	const registration = createHostRegistration({
+		store, mirror, log, host: {name: hostName, peerAddress, availabilityZone: parts.availabilityZone},
+	});
+	const leadWatch: LeadWatch = createLeadWatch({
+		store,
+		mirror,
+		directory,
+		evidences,
+		primaryWork,
+		duty,
+		peers,
+		clock,
+		elapsedClock,
+		random,
+		log,
+		hostName,
+		ownPeerAddress: peerAddress,
+		replace: async replacement => replacePrimary({
+			store,
+			mirror,
+			directory,
+			evidences,
+			primaryWork,
+			duty,
+			gone,
+			orders,
+			peers,
+			clock,
+			elapsedClock,
+			log,
+			hostName,
+			ownPeerAddress: peerAddress,
+			onReplaced(_group, times) {
+				for (const [part, ms] of Object.entries(times)) {
+					metrics.observeReplacement(part, ms / 1000);
+				}
+			},
+		}, replacement),
+	});
+	const gateway = createGateway({
+		clock, elapsedClock, log: log.part('callers: '), metrics, mirror, evidences, directory, knowledge, primaryWork, availabilityZone: parts.availabilityZone,
+	});
+
+	mirror.onChange(() => {
+		directory.update(clock.now());
+		for (const record of mirror.state.leadership.values()) {
+			knowledge.getSamples(record.group).noteStart(record.start);
+		}
+
+		knowledge.keepOnly(new Set(mirror.state.endpoints.map(({id}) => id)));
+		void registration.keep();
+	});
+
+	kernel.register('clock', clock);
+	kernel.register('elapsedClock', elapsedClock);
+	kernel.register('random', random);
+	kernel.register('log', log);
+	kernel.register('proxyMetrics', metrics);
+	kernel.register('peers', peers);
+	kernel.register('endpointDirectory', directory);
+	kernel.register('leadEvidences', evidences);
+	kernel.register('dutyLease', duty);
+	kernel.register('hostRegistration', registration);
+	kernel.register('leadWatch', leadWatch);
+	kernel.register('gateway', gateway);
+	kernel.register('storeMirror', mirror);
+	return kernel;
+}
--- /dev/null
+++ b/src/proxy/leave.ts
@@ -0,0 +1,44 @@
+import type {Gateway} from '../gateway/gateway.js';
+import type {Log} from '../log/log.js';
+import type {Clock} from '../time/clock.js';
+
+/** What leaving needs. */
+export type LeaveOptions = {
+	readonly gateway: Gateway;
+	readonly clock: Clock;
+	readonly log: Log;
+	/** Time from the order to stop to the end by force, in milliseconds. */
+	readonly graceMs: number;
+};
+
+/**
+ * The balancer asks once a second and takes a host out after two refusals: until then new callers still come, so all
+ * are served for so long, in milliseconds.
+ */
+const OUT_OF_ROTATION_MS = 2300;
+
+/** Share of the grace that open transactions get to end. */
+const TRANSACTION_SHARE = 0.5;
+
+/** Share of the grace after which the process ends whatever is still under way, so that it is never ended by force. */
+const END_SHARE = 0.83;
+
+/** How often it is looked whether all sessions have ended, in milliseconds. */
+const RECHECK_MS = 50;
+
+/** Serves on until the balancer sends nobody any more, then lets sessions end; resolves when the process may end. */
+export async function leave({gateway, clock, log, graceMs}: LeaveOptions): Promise<void> {
+	const startedAt = clock.now();
+	const until = async (ms: number) => {
+		while (gateway.sessions > 0 && clock.now() < startedAt + ms) {
+			await clock.sleep(RECHECK_MS);
+		}
+	};
+
+	await clock.sleep(Math.min(OUT_OF_ROTATION_MS, graceMs * TRANSACTION_SHARE));
+	gateway.leave();
+	await until(graceMs * TRANSACTION_SHARE);
+	gateway.abortTransactions('the host is stopping');
+	await until(graceMs * END_SHARE);
+	log.info('sessions have ended', {left: gateway.sessions, tookMs: Math.round(clock.now() - startedAt)});
+}
--- /dev/null
+++ b/src/proxy/main.ts
@@ -0,0 +1,66 @@
+#!/usr/bin/env node
+import process from 'node:process';
+import {createPromGatewayMetrics} from '../gateway/prom-gateway-metrics.js';
+import {openAsyncOutput} from '../log/async-output.js';
+import {createBoundedLog} from '../log/bounded-log.js';
+import {createBunyanLog} from '../log/bunyan-log.js';
+import {createWsPeers} from '../peers/ws-peers.js';
+import {SETTINGS_VARIABLE, type BootSettings} from '../platform/boot-settings.js';
+import {createHttpMetadataStore} from '../platform/http-metadata-store.js';
+import {createHttpPromotionOrders} from '../platform/http-promotion-orders.js';
+import {createTcpLinkOpener} from '../platform/tcp-link-opener.js';
+import {createRequestId} from '../random/request-id.js';
+import {createSystemRandom} from '../random/system-random.js';
+import {createElapsedClock} from '../time/elapsed-clock.js';
+import {createSystemClock} from '../time/system-clock.js';
+import type {ProxyParts} from './create-proxy.js';
+import {runProxy} from './run-proxy.js';
+
+/** The proxy on the users' platform, with its real outside. */
+
+const KEYS_VARIABLE = 'ALDERCROFT_PEER_KEYS';
+
+const METRICS_FLAG = '--metrics-port=';
+
+function createParts(settings: BootSettings): ProxyParts {
+	const clock = createSystemClock();
+	const random = createSystemRandom();
+	const output = openAsyncOutput();
+	const log = createBoundedLog(createBunyanLog({
+		clock, name: 'aldercroft-proxy', hostName: settings.hostName, level: 'info', stream: output.stream,
+	}), {clock, isBacklogged: output.isBacklogged});
+	const metrics = createPromGatewayMetrics();
+	const onCall = (call: string, result: string) => {
+		metrics.countPlatformCall(call, result);
+	};
+
+	const [peerHost = '', peerPort] = settings.peerAddress.split(':');
+	return {
+		clock,
+		elapsedClock: createElapsedClock(),
+		random,
+		log,
+		metrics,
+		store: createHttpMetadataStore({address: settings.storeAddress, clock, onCall}),
+		orders: createHttpPromotionOrders({address: settings.ordersAddress, clock, onCall}),
+		opener: createTcpLinkOpener({clock, hostName: settings.hostName}),
+		peers: createWsPeers({
+			hostAddress: peerHost, peerPort: Number(peerPort), peerKeys: (process.env[KEYS_VARIABLE] ?? '').split(','), clock, random, log,
+		}),
+		hostName: settings.hostName,
+		availabilityZone: settings.availabilityZone,
+		peerAddress: settings.peerAddress,
+		seeds: settings.seeds,
+		incarnation: createRequestId(clock.wall(), random),
+	};
+}
+
+const metricsArgument = process.argv.slice(2).find(argument => argument.startsWith(METRICS_FLAG));
+const exitCode = await runProxy({
+	settingsPath: process.env[SETTINGS_VARIABLE],
+	metricsPort: metricsArgument === undefined ? undefined : Number(metricsArgument.slice(METRICS_FLAG.length)),
+	errors: process.stderr,
+	events: process,
+	createParts,
+});
+process.exit(exitCode);
--- /dev/null
+++ b/src/proxy/metrics-port.ts
@@ -0,0 +1,18 @@
+import {createServer, type Server} from 'node:http';
+import type {ProxyMetrics} from '../gateway/prom-gateway-metrics.js';
+
+/** Serves the metrics as text on every path; a port that cannot be had costs the metrics and nothing else. */
+export function openMetricsPort(host: string, port: number, metrics: ProxyMetrics, refresh: () => void, onError: (err: Error) => void): Server {
+	const server = createServer((_req, res) => {
+		refresh();
+		metrics.render().then(text => {
+			res.writeHead(200, {'content-type': metrics.contentType}).end(text);
+		}, (err: unknown) => {
+			onError(err as Error);
+			res.writeHead(500).end();
+		});
+	});
+	server.on('error', onError);
+	server.listen(port, host);
+	return server;
+}
--- /dev/null
+++ b/src/proxy/run-proxy.ts
@@ -0,0 +1,156 @@
+import {readFileSync} from 'node:fs';
+import type {ProxyMetrics} from '../gateway/prom-gateway-metrics.js';
+import type {Kernel} from '../kernel/kernel.js';
+import type {Log} from '../log/log.js';
+import {BootSettingsError, throwSettingsUnreadable} from '../platform/boot-errors.js';
+import {parseBootSettings, type BootSettings} from '../platform/boot-settings.js';
+import {openCallerPort} from '../platform/caller-port.js';
+import {openReadinessPort} from '../platform/readiness-port.js';
+import {createProxy, type ProxyParts} from './create-proxy.js';
+import {leave} from './leave.js';
+import {openMetricsPort} from './metrics-port.js';
+
+/** Exit codes of the proxy. */
+export const ProxyExitCode = {
+	/** It was asked to stop, and did. */
+	Ok: 0,
+	/** It could not start, or met an error that nothing caught. */
+	Failed: 1,
+	/** A setting is wrong. */
+	BadSettings: 2,
+} as const;
+
+/** One of the codes in {@link ProxyExitCode}. */
+export type ProxyExitCode = typeof ProxyExitCode[keyof typeof ProxyExitCode];
+
+/** What running the proxy needs of its process. */
+export type RunProxyOptions = {
+	/** Path of the settings file; undefined where the process was not told. */
+	readonly settingsPath: string | undefined;
+	/** Port for metrics on the host's address; undefined for none. */
+	readonly metricsPort: number | undefined;
+	readonly errors: NodeJS.WritableStream;
+	/** Emits signals, as the process does. */
+	readonly events: {on(event: string, listener: (detail: unknown) => void): unknown};
+	readonly createParts: (settings: BootSettings) => ProxyParts;
+};
+
+/** Runs the proxy until it is asked to stop or fails; resolves with its exit code, upon which the process is to end. */
+export async function runProxy(options: RunProxyOptions): Promise<ProxyExitCode> {
+	const {settingsPath, errors, events, createParts} = options;
+	let settings: BootSettings;
+	try {
+		settings = readSettings(settingsPath);
+	} catch (err) {
+		if (err instanceof BootSettingsError) {
+			errors.write(`aldercroft-proxy: ${err.message}\n`);
+			return ProxyExitCode.BadSettings;
+		}
+
+		throw err;
+	}
+
+	const parts = createParts(settings);
+	const {log} = parts;
+	const stopped = new Promise<string>(resolve => {
+		for (const signal of ['SIGTERM', 'SIGINT']) {
+			events.on(signal, () => {
+				resolve(signal);
+			});
+		}
+	});
+	events.on('SIGHUP', () => {
+		noteReload(settingsPath, settings, log);
+	});
+	const uncaught = new Promise<ProxyExitCode>(resolve => {
+		events.on('uncaughtException', err => {
+			log.error('an error was not caught', {err});
+			resolve(ProxyExitCode.Failed);
+		});
+	});
+	return Promise.race([uncaught, serve(parts, settings, options.metricsPort, stopped)]);
+}
+
+async function serve(parts: ProxyParts, settings: BootSettings, metricsPort: number | undefined, stopped: Promise<string>): Promise<ProxyExitCode> {
+	const {log, clock} = parts;
+	const kernel = createProxy(parts);
+	const gateway = kernel.getOrThrow('gateway');
+	const mirror = kernel.getOrThrow('storeMirror');
+	let leaving = false;
+	// What serves callers is a configuration and some endpoint; who leads is found out while reads are served.
+	const isReady = () => !leaving && mirror.state.routing !== undefined && mirror.state.endpoints.length > 0;
+	try {
+		await openReadinessPort(settings.readinessAddress, isReady);
+		await openCallerPort(settings.callerAddress, async channel => gateway.serve(channel));
+		await kernel.start();
+		if (metricsPort !== undefined) {
+			openMetrics(kernel, settings, metricsPort);
+		}
+	} catch (err) {
+		log.error('could not start', {err});
+		return ProxyExitCode.Failed;
+	}
+
+	log.info('serving', {callers: settings.callerAddress, peers: settings.peerAddress, zone: settings.availabilityZone});
+	const signal = await stopped;
+	leaving = true;
+	log.info('leaving', {signal, sessions: gateway.sessions});
+	await leave({
+		gateway, clock, log, graceMs: settings.graceMs,
+	});
+	await kernel.getOrThrow('hostRegistration').end();
+	log.info('left');
+	return ProxyExitCode.Ok;
+}
+
+function openMetrics(kernel: Kernel, settings: BootSettings, port: number) {
+	const metrics = kernel.getOrThrow('proxyMetrics');
+	const [host = ''] = settings.callerAddress.split(':');
+	const log = kernel.getOrThrow('log');
+	openMetricsPort(host, port, metrics, () => {
+		refreshMetrics(kernel, metrics);
+	}, err => {
+		log.warn('metrics: the port cannot be used', {port, reason: err.message});
+	});
+}
+
+function refreshMetrics(kernel: Kernel, metrics: ProxyMetrics) {
+	const mirror = kernel.getOrThrow('storeMirror');
+	const directory = kernel.getOrThrow('endpointDirectory');
+	const {elapsed} = kernel.getOrThrow('elapsedClock');
+	metrics.setState({
+		evidenceAgeSeconds: mirror.confirmedAt === undefined ? -1 : (elapsed() - mirror.confirmedAt) / 1000,
+		routingVersion: mirror.state.routing?.version ?? 0,
+		hosts: mirror.state.hosts.length,
+	});
+	for (const {entry, pool} of mirror.state.endpoints.map(({id}) => directory.get(id)).filter(endpoint => endpoint !== undefined)) {
+		metrics.setPool(entry.id, pool.open, pool.lent, pool.waiting);
+	}
+}
+
+function readSettings(path: string | undefined): BootSettings {
+	if (path === undefined) {
+		throwSettingsUnreadable('no settings file was named');
+	}
+
+	let text: string;
+	try {
+		text = readFileSync(path, 'utf8');
+	} catch (err) {
+		return throwSettingsUnreadable((err as Error).message, err);
+	}
+
+	return parseBootSettings(text);
+}
+
+/** What a running proxy uses does not change without a restart; a file that cannot be used is said, and changes nothing. */
+function noteReload(path: string | undefined, settings: BootSettings, log: Log) {
+	try {
+		const read = readSettings(path);
+		const changed = Object.entries(read).filter(([name, value]) => JSON.stringify(value) !== JSON.stringify(settings[name as keyof BootSettings])).map(([name]) => name);
+		log.info('the settings were read again', {changed});
+	} catch (err) {
+		log.warn('the settings cannot be used and stay as they were', {reason: (err as Error).message});
+	}
+}
+
--- /dev/null
+++ b/src/routes/routing.ts
@@ -0,0 +1,62 @@
+/** How fresh the data must be that a route's reads see. */
+export const ReadPolicy = {
+	/** Every commit acknowledged before the read. */
+	Primary: 'primary',
+	/** Every commit acknowledged longer ago than the route's staleness. */
+	Bounded: 'bounded',
+	/** The same, and every commit of the session itself. */
+	OwnWrites: 'own-writes',
+} as const;
+
+/** One of the policies in {@link ReadPolicy}. */
+export type ReadPolicy = typeof ReadPolicy[keyof typeof ReadPolicy];
+
+/** Where the statements of one database name go, and how they are treated. */
+export type Route = {
+	readonly name: string;
+	/** The database that callers name. */
+	readonly database: string;
+	readonly group: string;
+	readonly policy: ReadPolicy;
+	/** Oldest data that a read may see, in milliseconds; 0 for the primary policy. */
+	readonly maxStalenessMs: number;
+	/** Bound for a single statement, in milliseconds. */
+	readonly statementTimeoutMs: number;
+	/** Time in which a whole operation is wanted, in milliseconds. */
+	readonly targetLatencyMs: number;
+	/** 0 goes first. */
+	readonly priority: number;
+};
+
+/** A database group as it is configured. */
+export type RoutedGroup = {
+	readonly name: string;
+	/** Connections that each of its endpoints takes, from all hosts together. */
+	readonly maxConnections: number;
+};
+
+/** One version of the configuration in full. */
+export type Routing = {
+	readonly version: number;
+	/** By database. */
+	readonly routes: ReadonlyMap<string, Route>;
+	/** By name. */
+	readonly groups: ReadonlyMap<string, RoutedGroup>;
+	/** A transaction idle for so long may be ended, in milliseconds. */
+	readonly idleTransactionMs: number;
+};
+
+/** An endpoint as it registered itself. */
+export type RegisteredEndpoint = {
+	readonly id: string;
+	readonly group: string;
+	/** `ip:port`; used again by others once the endpoint is gone. */
+	readonly address: string;
+	readonly availabilityZone: string;
+	/** Statements that it runs at once. */
+	readonly slots: number;
+	/** It is about to end and must get no new work. */
+	readonly leaving: boolean;
+	/** It says of itself that it leads its group; a superseded primary says so too. */
+	readonly claimsLead: boolean;
+};
