--- a/src/gateway/caller-channel.ts
+++ b/src/gateway/caller-channel.ts
@@ -26,7 +26,7 @@
 	answer(result: StatementResult, state: SessionState): Promise<void>;
 	/** Says why the session ends, without a session state behind it. */
 	refuse(code: AnswerCode, reason: string): void;
-	/** Ends the connection after what was sent has gone out. */
+	/** Ends the connection after what was sent has gone out; requests that were not taken by then are never given out. */
 	close(): void;
 	/** Called once, when the caller has left. */
 	onLeft(listener: () => void): void;
--- a/src/gateway/caller-session.ts
+++ b/src/gateway/caller-session.ts
@@ -36,6 +36,12 @@
 /** Bound of a statement whose route has gone, in milliseconds: only what ends a transaction is still answered. */
 const ENDING_TIMEOUT_MS = 1000;
 
+/** Longest wait for the first configuration, in milliseconds: callers give up on a session that is not open after 2,000. */
+const ROUTING_WAIT_MS = 1800;
+
+/** How often a host that starts looks whether it has a configuration, in milliseconds. */
+const ROUTING_RECHECK_MS = 20;
+
 /** Longest second look for a route, in milliseconds: callers give up on a session that is not open after 2,000. */
 const SECOND_LOOK_MS = 1000;
 
@@ -206,6 +212,14 @@
 		}
 	};
 
+	/** A host that has just started knows no route yet, which must not be taken for a route that is not there. */
+	const waitForRouting = async () => {
+		const until = clock.now() + ROUTING_WAIT_MS;
+		while (!mirror.state.routing && isWanted() && clock.now() < until) {
+			await clock.sleep(ROUTING_RECHECK_MS);
+		}
+	};
+
 	const open = async (): Promise<boolean> => {
 		const req = await channel.next();
 		if (req?.kind !== 'open') {
@@ -216,12 +230,19 @@
 			return false;
 		}
 
+		await waitForRouting();
 		if (!mirror.state.routing?.routes.has(req.database)) {
 			// The copy may lack a route that was just added; a second look costs a call and spares a false refusal.
 			await withinMs(clock, SECOND_LOOK_MS, mirror.confirm());
 		}
 
-		if (!mirror.state.routing?.routes.has(req.database)) {
+		if (!mirror.state.routing) {
+			log.info('a session was refused: no configuration is known yet', {database: req.database});
+			channel.refuse(AnswerCode.Overloaded, 'this host is starting');
+			return false;
+		}
+
+		if (!mirror.state.routing.routes.has(req.database)) {
 			log.info('a session was refused: no route has its name', {database: req.database, routing: mirror.state.routing?.version});
 			channel.refuse(AnswerCode.UnknownDatabase, 'no route has this name');
 			return false;
--- a/src/gateway/caller-transaction.ts
+++ b/src/gateway/caller-transaction.ts
@@ -1,4 +1,4 @@
-import {Access} from '../statements/statement.js';
+import {Access, SessionState} from '../statements/statement.js';
 import {AnswerCode, type EndpointAnswer} from '../statements/statement-answer.js';
 import {
 	exchangeStatement, exchangeWithin, getShape, type EndpointStatement,
@@ -66,8 +66,8 @@
 		}
 
 		void exchangeWithin(parts, ending, {id: undefined, command: {kind: 'rollback'}}, ROLLBACK_TIMEOUT_MS).then(answer => {
-			if (answer?.state !== 'idle') {
-				ending.sessionLink.link.cut();
+			if (!answer) {
+				log.debug('a rollback was not answered; its connection is cut', {id: beginId, group});
 			}
 
 			ending.release();
@@ -128,6 +128,20 @@
 		return undefined;
 	};
 
+	/** A commit that the endpoint turned away has not run, and the transaction is still open there. */
+	const commitAtEndpoint = async (ending: LentLink, id: string, until: number) => {
+		for (;;) {
+			const answer = await exchangeWithin(parts, ending, {id, command: {kind: 'commit'}}, until - clock.now());
+			const turnedAway = answer?.end.kind === 'error' && answer.end.code === AnswerCode.Overloaded && answer.state === SessionState.Open;
+			if (!turnedAway || clock.now() + BEGIN_PAUSE_MS >= until) {
+				return answer;
+			}
+
+			metrics.countRetry(AnswerCode.Overloaded);
+			await clock.sleep(BEGIN_PAUSE_MS);
+		}
+	};
+
 	const judge = (answer: EndpointAnswer): StatementResult => {
 		if (answer.end.kind === 'error') {
 			failure = answer;
@@ -190,7 +204,7 @@
 			}
 
 			lent = undefined;
-			const answer = await exchangeWithin(parts, ending, {id, command: {kind: 'commit'}}, until - clock.now());
+			const answer = await commitAtEndpoint(ending, id, until);
 			ending.release();
 			if (!answer) {
 				log.warn('no whole answer to a commit came', {
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -60,6 +60,7 @@
 		return undefined;
 	}
 
+	lent.state = answer.state;
 	noteAnswer(answer);
 	return answer;
 
--- a/src/gateway/lend-link.ts
+++ b/src/gateway/lend-link.ts
@@ -5,6 +5,7 @@
 import {chooseEndpoint, type ReadCandidate} from '../placement/choose-endpoint.js';
 import {getHigherFloor, limitToStart} from '../placement/position-samples.js';
 import {ReadPolicy, type Route} from '../routes/routing.js';
+import {SessionState} from '../statements/statement.js';
 import type {LogPosition} from '../terms/log-position.js';
 import type {GatewayParts} from './gateway-parts.js';
 import type {SessionMemory} from './session-memory.js';
@@ -17,6 +18,8 @@
 	readonly evidence?: LeadEvidence;
 	/** What a replica's log must hold. */
 	readonly floor?: LogPosition;
+	/** State of the connection after the last answer on it. */
+	state: SessionState;
 	/** Gives the connection back, or drops it where it ended. */
 	release(): void;
 };
@@ -112,8 +115,7 @@
 	const candidates: ReadCandidate[] = [];
 	for (const {entry, pool} of parts.directory.list(req.route.group)) {
 		const isPrimary = entry.id === evidence?.primaryId;
-		const asReplica = floor !== undefined && !entry.leaving;
-		const usable = isPrimary ? true : asReplica;
+		const usable = isPrimary ? true : (floor !== undefined && !entry.leaving);
 		if (!usable || req.excluded?.has(entry.id) || pool.health.getSuspicion(now)) {
 			continue;
 		}
@@ -151,16 +153,23 @@
 	}
 
 	const endWork = evidence ? parts.primaryWork.begin(evidence.group) : undefined;
-	return {
+	const lent: LentLink = {
 		endpoint,
 		sessionLink,
 		evidence,
 		floor,
+		state: SessionState.Idle,
 		release() {
 			endWork?.();
+			// Guards against the next caller's statement inside this transaction, should the endpoint have kept it open.
+			if (lent.state !== SessionState.Idle) {
+				sessionLink.link.cut();
+			}
+
 			pool.release(sessionLink);
 		},
 	};
+	return lent;
 }
 
 async function waitForChange({evidences, clock}: GatewayParts, {until}: LinkRequest) {
--- a/src/leadership/lead-watch.ts
+++ b/src/leadership/lead-watch.ts
@@ -56,8 +56,8 @@
 /** Hosts wait a random part of this before they act on what several of them see, in milliseconds; most of them then find it done. */
 const SPREAD_MS = 60;
 
-/** Without any other host's opinion a primary counts as lost only after so long, in milliseconds. */
-const ALONE_AFTER_MS = 2500;
+/** Without the opinion of most hosts a primary counts as lost only after so long, in milliseconds: longer than hosts take to be back, or a cut usually lasts. */
+const ALONE_AFTER_MS = 8000;
 
 /** Each host gives the one before it this long to write a group's first record, in milliseconds: a status, an update and a confirmation. */
 const FIRST_RECORD_STEP_MS = 300;
@@ -133,7 +133,8 @@
 
 	/**
 	 * Guards against deposing a healthy primary for the sake of one host that is cut off from it: of the hosts that
-	 * answer, at least half must not reach it either.
+	 * answer, at least half must not reach it either, and most hosts must answer: a part of the hosts that is cut off
+	 * from the rest would else take the primary from those who use it.
 	 */
 	const isLostToMost = async (group: string, endpointId: string, suspectedMs: number) => {
 		const others = mirror.state.hosts.filter(host => host.peerAddress !== options.ownPeerAddress && !host.gone);
@@ -141,7 +142,7 @@
 		const known = opinions.filter(opinion => opinion !== undefined);
 		const against = 1 + known.filter(opinion => !opinion).length;
 		const asked = known.length + 1;
-		const enough = asked > 1 || others.length === 0 || suspectedMs > ALONE_AFTER_MS;
+		const enough = asked * 2 > others.length + 1 || suspectedMs > ALONE_AFTER_MS;
 		log.info('hosts were asked about a primary', {
 			group, endpoint: endpointId, against, answered: asked, hosts: others.length + 1, suspectedMs: Math.round(suspectedMs),
 		});
--- a/src/leadership/replace-primary.ts
+++ b/src/leadership/replace-primary.ts
@@ -72,6 +72,9 @@
 /** Longest order to promote, in milliseconds; usually answered after 13. */
 const ORDER_TIMEOUT_MS = 600;
 
+/** How often the duty is renewed while a primary is replaced, in milliseconds: three tries within the lease. */
+const RENEW_MS = 1000;
+
 /** How often a promoted endpoint is asked whether it leads by now, in milliseconds; it takes 600 to 1,000. */
 const PROMOTED_POLL_MS = 40;
 
@@ -102,9 +105,33 @@
  * changing, so that no host can get evidence of the old primary any more; then every host gives its evidence up, or
  * the time that evidence lasts passes; only then is anything promoted.
  */
-export async function replacePrimary(parts: ReplacePrimaryParts, replacement: Replacement): Promise<boolean> {
-	const {clock, duty, elapsedClock, mirror} = parts;
-	const log = parts.log.part('replace: ');
+export async function replacePrimary(outerParts: ReplacePrimaryParts, replacement: Replacement): Promise<boolean> {
+	const parts = {...outerParts, log: outerParts.log.part('replace: ')};
+	if (!await parts.duty.take()) {
+		return false;
+	}
+
+	const ended = new AbortController();
+	void keepDuty(parts, ended.signal);
+	try {
+		return await replaceUnderDuty(parts, replacement);
+	} finally {
+		ended.abort();
+	}
+}
+
+/** Renews the duty: the wait for the end of evidence is as long as the duty lasts. */
+async function keepDuty({duty, clock}: ReplacePrimaryParts, ended: AbortSignal) {
+	for (;;) {
+		await clock.sleep(RENEW_MS, ended);
+		if (ended.aborted || !await duty.take()) {
+			return;
+		}
+	}
+}
+
+async function replaceUnderDuty(parts: ReplacePrimaryParts, replacement: Replacement): Promise<boolean> {
+	const {clock, elapsedClock, log, mirror} = parts;
 	const {group, planned, reason} = replacement;
 	const giveUpAt = clock.now() + GIVE_UP_MS;
 	const marks: number[] = [clock.now()];
@@ -112,10 +139,6 @@
 		marks.push(clock.now());
 	};
 
-	if (!await duty.take()) {
-		return false;
-	}
-
 	const before = mirror.state.leadership.get(group);
 	if (!before) {
 		return false;
@@ -143,6 +166,7 @@
 	}
 
 	const all = planned ? await waitForCatchUp(parts, before) : await fencing!;
+	log.info('endpoints were asked for a successor', {group, candidates: all.map(({endpointId, leaving, status}) => ({endpointId, leaving, ...status}))});
 	const former = planned ? all.filter(({endpointId}) => endpointId === before.primaryId) : [];
 	const candidates = all.filter(candidate => !former.includes(candidate));
 	mark();
@@ -257,6 +281,9 @@
 	}
 
 	await own;
+	log.info('evidence is over on every host', {
+		group, epoch, hosts: hosts?.length, silent: missing.length,
+	});
 	if (!hosts || missing.length > 0) {
 		log.warn('evidence ended by its time, since not every host answered', {
 			group, epoch, missing: missing.map(({name}) => name), listed: hosts !== undefined,
@@ -319,6 +346,7 @@
 
 /** Promotes the best candidate that runs, and waits until it leads. */
 async function promoteBest(parts: ReplacePrimaryParts, candidates: readonly SuccessorCandidate[], before: LeadershipRecord, until: number): Promise<SuccessorCandidate | undefined> {
+	const {log} = parts;
 	const ranked = [...rankSuccessors(candidates)];
 	while (ranked.length > 0 && parts.clock.now() < until) {
 		const best = ranked[0]!;
@@ -328,7 +356,12 @@
 			continue;
 		}
 
-		if (outcome === undefined || outcome === OrderOutcome.Refused) {
+		if (outcome === undefined) {
+			log.info('the duty was lost', {group: before.group});
+			return undefined;
+		}
+
+		if (outcome === OrderOutcome.Refused) {
 			await parts.clock.sleep(RETRY_MS);
 			continue;
 		}
--- a/src/platform/tcp-caller-channel.ts
+++ b/src/platform/tcp-caller-channel.ts
@@ -18,6 +18,7 @@
 	const requests: CallerRequest[] = [];
 	const leftListeners: Array<() => void> = [];
 	let left = false;
+	let closed = false;
 	let wake: (() => void) | undefined;
 
 	const wakeReader = () => {
@@ -44,6 +45,11 @@
 	socket.setEncoding('latin1');
 	socket.setNoDelay(true);
 	socket.on('data', (chunk: string) => {
+		// A request that crosses the end of the connection can get no answer any more, so it must not be run either.
+		if (closed) {
+			return;
+		}
+
 		const lines = reader.push(chunk);
 		requests.push(...(lines ? lines.map(line => parseCallerLine(line)) : [{kind: 'too-large'} as const]));
 		if (requests.length >= MOST_WAITING) {
@@ -78,7 +84,7 @@
 			return requests.length > 0;
 		},
 		async next() {
-			while (requests.length === 0 && !left) {
+			while (requests.length === 0 && !left && !closed) {
 				await waitForMore();
 			}
 
@@ -99,6 +105,9 @@
 			void write(formatEnd({kind: 'error', code, text: reason}));
 		},
 		close() {
+			closed = true;
+			requests.length = 0;
+			wakeReader();
 			socket.end();
 			// Reading on keeps a late request of the caller from turning the end into a reset, which could overtake the last answer.
 			socket.resume();
