Let one host read the store for all; check decisions by random schedules on a virtual clock

One host, the first by name that has not failed lately, reads at its interval; the others' questions wait for its next reading, and evidence still counts from their own asking. Evidence of a planned change now lasts until the host acknowledges: before, work under way was told its outcome was unknown as soon as the record said changing (found by tests/proxy/failures-tests.ts). Also: a caller's rollback goes out under its own id.

--- a/src/gateway/caller-session.ts
+++ b/src/gateway/caller-session.ts
@@ -122,8 +122,8 @@
 		return failed ? refuse(AnswerCode.Aborted, 'the transaction had failed and was rolled back') : result;
 	};
 
-	const rollback = (): StatementResult => {
-		transaction?.rollback();
+	const rollback = (id: string): StatementResult => {
+		transaction?.rollback(id);
 		endTransaction();
 		return DONE;
 	};
@@ -143,7 +143,7 @@
 			}
 
 			case 'rollback': {
-				return rollback();
+				return rollback(id);
 			}
 
 			case 'run':
--- a/src/gateway/caller-transaction.ts
+++ b/src/gateway/caller-transaction.ts
@@ -16,8 +16,8 @@
 	readonly failed: boolean;
 	run(id: string, statement: EndpointStatement, until: number): Promise<StatementResult>;
 	commit(id: string, until: number): Promise<StatementResult>;
-	/** Rolls back; the caller need not wait for the endpoint. */
-	rollback(): void;
+	/** Rolls back, under the caller's id where it asked for it; it need not wait for the endpoint. */
+	rollback(id?: string): void;
 	/** Rolls back on the host's own account: the caller is told with its next statement. */
 	abort(reason: string): void;
 };
@@ -41,7 +41,7 @@
 
 /** Creates a transaction; nothing is sent to an endpoint before its first statement. */
 export function createCallerTransaction({parts, beginId, readOnly, req}: CallerTransactionOptions): CallerTransaction {
-	const {clock, evidences, log, metrics, mirror} = parts;
+	const {clock, elapsedClock, evidences, log, metrics, mirror} = parts;
 	const {group} = req.route;
 	let lent: LentLink | undefined;
 	let failure: StatementResult | undefined;
@@ -53,7 +53,7 @@
 	};
 
 	/** Ends the transaction at the endpoint, where it was begun there. */
-	const endAtEndpoint = () => {
+	const endAtEndpoint = (id?: string) => {
 		const ending = lent;
 		lent = undefined;
 		if (!ending) {
@@ -65,7 +65,7 @@
 			return;
 		}
 
-		void exchangeWithin(parts, ending, {id: undefined, command: {kind: 'rollback'}}, ROLLBACK_TIMEOUT_MS).then(answer => {
+		void exchangeWithin(parts, ending, {id, command: {kind: 'rollback'}}, ROLLBACK_TIMEOUT_MS).then(answer => {
 			if (!answer) {
 				log.debug('a rollback was not answered; its connection is cut', {id: beginId, group});
 			}
@@ -198,7 +198,7 @@
 			}
 
 			// A replaced primary may still commit; as long as no commit was sent, the transaction can be rolled back for certain.
-			if (wrote && ending.evidence && evidences.isSuperseded(ending.evidence)) {
+			if (wrote && ending.evidence && evidences.isSuperseded(ending.evidence) && !evidences.holds(ending.evidence, elapsedClock.elapsed())) {
 				abort('the primary was replaced before the commit');
 				return failure!;
 			}
@@ -229,8 +229,8 @@
 
 			return answer;
 		},
-		rollback() {
-			endAtEndpoint();
+		rollback(id) {
+			endAtEndpoint(id);
 		},
 		abort,
 	};
--- a/src/gateway/lend-link.ts
+++ b/src/gateway/lend-link.ts
@@ -116,7 +116,7 @@
 	for (const {entry, pool} of parts.directory.list(req.route.group)) {
 		const isPrimary = entry.id === evidence?.primaryId;
 		const usable = isPrimary ? true : (floor !== undefined && !entry.leaving);
-		if (!usable || req.excluded?.has(entry.id) || pool.health.getSuspicion(now)) {
+		if (!usable || (req.excluded?.has(entry.id) ?? false) || pool.health.getSuspicion(now)) {
 			continue;
 		}
 
--- a/src/leadership/lead-evidence.ts
+++ b/src/leadership/lead-evidence.ts
@@ -52,7 +52,18 @@
 		}
 	};
 
-	mirror.onChange(tell);
+	/** By group, the last time at which the store was asked and showed a steady primary, and its epoch. */
+	const lastSteady = new Map<string, {readonly epoch: number; readonly askedAt: number}>();
+
+	mirror.onChange(() => {
+		for (const record of mirror.state.leadership.values()) {
+			if (record.phase === LeadPhase.Steady && mirror.confirmedAt !== undefined) {
+				lastSteady.set(record.group, {epoch: record.epoch, askedAt: mirror.confirmedAt});
+			}
+		}
+
+		tell();
+	});
 
 	const isConfirmed = (now: number) => mirror.confirmedAt !== undefined && now < mirror.confirmedAt + EVIDENCE_MS;
 
@@ -73,8 +84,11 @@
 			const record = getSteady(group, now);
 			return record && record.epoch >= (pausedBelow.get(group) ?? 0) ? record : undefined;
 		},
-		holds(evidence, now) {
-			return getSteady(evidence.group, now)?.epoch === evidence.epoch;
+		holds({group, epoch}, now) {
+			// A record that says the group is changing does not end evidence yet: whoever changes it waits for this host, or for the end of its time.
+			const steady = lastSteady.get(group);
+			const isRevoked = epoch < (revokedBelow.get(group) ?? 0);
+			return steady?.epoch === epoch && !isRevoked && now < steady.askedAt + EVIDENCE_MS && isRegistered();
 		},
 		isSuperseded(evidence) {
 			const record = mirror.state.leadership.get(evidence.group);
--- a/src/mirror/store-mirror.ts
+++ b/src/mirror/store-mirror.ts
@@ -24,7 +24,8 @@
 
 declare module '../peers/peer-calls.js' {
 	interface PeerCalls {
-		'mirror-confirm': {req: {readonly revision: number}; res: ConfirmAnswer};
+		/** `urgent`: the store is read at once for the answer, else with the next reading at its interval. */
+		'mirror-confirm': {req: {readonly revision: number; readonly urgent: boolean}; res: ConfirmAnswer};
 	}
 }
 
@@ -41,7 +42,10 @@
 	confirmBy(peerAddress: string): Promise<boolean>;
 	/** Called after each change of the copy and after each confirmation. */
 	onChange(listener: () => void): void;
-	/** Confirms at an interval until stopped. */
+	/**
+	 * Confirms at an interval until stopped. One host reads the store and the others ask it, each question waiting for the
+	 * next reading: nine hosts make 1.4 calls a second in place of 13, measured on a calm day.
+	 */
 	start(): Promise<void>;
 	stop(): Promise<void>;
 };
@@ -66,6 +70,12 @@
  */
 export const CONFIRM_INTERVAL_MS = 700;
 
+/** Longest wait for the host that reads for all, in milliseconds: one interval and a reading. */
+const READER_TIMEOUT_MS = CONFIRM_INTERVAL_MS + 300;
+
+/** A host that did not read for others is left alone for so long, in milliseconds; the next one by name is asked. */
+const AVOID_READER_MS = 5000;
+
 /** Longest call to the store, in milliseconds: the store at a hundred times its usual 4 ms still answers in time. */
 const STORE_TIMEOUT_MS = 900;
 
@@ -92,6 +102,10 @@
 	let queuedReading: Promise<boolean> | undefined;
 	let storeReached: boolean | undefined;
 	let wake = new AbortController();
+	/** By address of a host that did not read the store for others, until when it is not asked to, in steady time. */
+	const avoidedUntil = new Map<string, number>();
+	/** Peers whose questions wait for the next reading. */
+	const inTurn: Array<(confirmed: boolean) => void> = [];
 
 	const tell = () => {
 		for (const listener of listeners) {
@@ -172,9 +186,9 @@
 		return queuedReading;
 	};
 
-	const askPeer = async (address: string): Promise<ConfirmAnswer | undefined> => {
+	const askPeer = async (address: string, urgent: boolean): Promise<ConfirmAnswer | undefined> => {
 		try {
-			const answer = await peers.call(address, 'mirror-confirm', {revision: state.revision}, PEER_TIMEOUT_MS);
+			const answer = await peers.call(address, 'mirror-confirm', {revision: state.revision, urgent}, urgent ? PEER_TIMEOUT_MS : READER_TIMEOUT_MS);
 			if (answer.snapshot) {
 				adopt(fromSnapshot(answer.snapshot));
 			}
@@ -202,7 +216,35 @@
 
 	const confirmBy = async (address: string) => {
 		const askedAt = elapsedClock.elapsed();
-		return noteAnswer(await askPeer(address), askedAt);
+		return noteAnswer(await askPeer(address, true), askedAt);
+	};
+
+	/** The host that reads the store for all: the first by name that has not failed lately. */
+	const getReader = (now: number) => {
+		const names = state.hosts.filter(host => !host.gone && now >= (avoidedUntil.get(host.peerAddress) ?? 0));
+		return names.toSorted((left, right) => left.name < right.name ? -1 : 1)[0]?.peerAddress;
+	};
+
+	const isReader = () => {
+		const reader = getReader(clock.now());
+		return reader === undefined || reader === options.ownPeerAddress;
+	};
+
+	/** Asks the reader, which answers with its next reading; false where this host has to see for itself. */
+	const confirmByReader = async () => {
+		const reader = getReader(clock.now());
+		if (reader === undefined || reader === options.ownPeerAddress) {
+			return false;
+		}
+
+		const askedAt = elapsedClock.elapsed();
+		if (noteAnswer(await askPeer(reader, false), askedAt)) {
+			return true;
+		}
+
+		log.info('the host that reads the store for all does not confirm', {reader, revision: state.revision});
+		avoidedUntil.set(reader, clock.now() + AVOID_READER_MS);
+		return false;
 	};
 
 	const getOthers = () => {
@@ -227,7 +269,7 @@
 		const others = getOthers();
 		const askedAt = elapsedClock.elapsed();
 		const {revision} = state;
-		const questions = others.map(async address => askPeer(address));
+		const questions = others.map(async address => askPeer(address, true));
 		const firstConfirmed = Promise.any(questions.map(async question => noteAnswer(await question, askedAt) || throwNotConfirmed()));
 		if (await firstConfirmed.catch(() => false)) {
 			return true;
@@ -270,8 +312,15 @@
 		return queued;
 	};
 
-	peers.handle('mirror-confirm', async ({revision}) => {
-		const read = await withinMs(clock, HELPING_READ_MS, readStoreAfterNow());
+	/** The next reading at this host's own interval; at once where it does not read at an interval. */
+	const readStoreInTurn = async () => isReader()
+		? new Promise<boolean>(resolve => {
+			inTurn.push(resolve);
+		})
+		: readStoreAfterNow();
+
+	peers.handle('mirror-confirm', async ({revision, urgent}) => {
+		const read = await withinMs(clock, urgent ? HELPING_READ_MS : READER_TIMEOUT_MS, urgent ? readStoreAfterNow() : readStoreInTurn());
 		return {
 			confirmed: !read.timedOut && read.value,
 			revision: state.revision,
@@ -283,9 +332,17 @@
 	const run = async () => {
 		while (!stopping.signal.aborted) {
 			wake = new AbortController();
-			await confirm();
+			if (!await confirmByReader()) {
+				const waiting = inTurn.splice(0);
+				const confirmed = await confirm();
+				for (const resolve of waiting) {
+					resolve(confirmed);
+				}
+
+				await clock.sleep(CONFIRM_INTERVAL_MS, AbortSignal.any([wake.signal, stopping.signal]));
+			}
+
 			await nextTurn();
-			await clock.sleep(CONFIRM_INTERVAL_MS, AbortSignal.any([wake.signal, stopping.signal]));
 		}
 	};
 
@@ -299,6 +356,9 @@
 		confirm,
 		confirmSoon() {
 			wake.abort();
+			if (!isReader()) {
+				void confirm();
+			}
 		},
 		confirmBy,
 		onChange(listener) {
--- /dev/null
+++ b/src/stand-ins/proxies/scripted-caller.ts
@@ -0,0 +1,116 @@
+import type {CallerChannel, CallerRequest} from '../../gateway/caller-channel.js';
+import type {StatementResult} from '../../gateway/statement-result.js';
+import type {SessionState, Statement} from '../../statements/statement.js';
+import type {AnswerCode} from '../../statements/statement-answer.js';
+
+/** An answer with the session's state behind it. */
+export type ScriptedAnswer = StatementResult & {readonly state: SessionState};
+
+/** A caller whose requests a test or a schedule makes. */
+export type ScriptedCaller = {
+	readonly channel: CallerChannel;
+	/** Opens the session; false where it was refused. */
+	open(database: string): Promise<boolean>;
+	/** Sends a statement and resolves with its answer, undefined where the session ended before. */
+	ask(id: string, statement: Statement): Promise<ScriptedAnswer | undefined>;
+	/** Leaves at once. */
+	leave(): void;
+	/** Why the session was refused or ended, as it was told. */
+	readonly refusal: AnswerCode | undefined;
+	readonly closed: boolean;
+};
+
+/** Creates a caller. */
+export function createScriptedCaller(name = 'caller'): ScriptedCaller {
+	const requests: CallerRequest[] = [];
+	const leftListeners: Array<() => void> = [];
+	let left = false;
+	let closed = false;
+	let refusal: AnswerCode | undefined;
+	let wake: (() => void) | undefined;
+	let takeGreeting: ((greeted: boolean) => void) | undefined;
+	let takeAnswer: ((answer: ScriptedAnswer | undefined) => void) | undefined;
+
+	const send = (req: CallerRequest) => {
+		requests.push(req);
+		wake?.();
+	};
+
+	const end = () => {
+		takeGreeting?.(false);
+		takeAnswer?.(undefined);
+		wake?.();
+	};
+
+	const channel: CallerChannel = {
+		name,
+		get left() {
+			return left;
+		},
+		get waiting() {
+			return requests.length > 0;
+		},
+		async next() {
+			const waitForMore = async () => new Promise<void>(resolve => {
+				wake = resolve;
+			});
+			while (requests.length === 0 && !left && !closed) {
+				await waitForMore();
+			}
+
+			return requests.shift();
+		},
+		greet() {
+			takeGreeting?.(true);
+		},
+		async answer(result, state) {
+			takeAnswer?.({...result, state});
+		},
+		refuse(code) {
+			refusal = code;
+		},
+		close() {
+			closed = true;
+			requests.length = 0;
+			end();
+		},
+		onLeft(listener) {
+			leftListeners.push(listener);
+		},
+	};
+
+	return {
+		channel,
+		get refusal() {
+			return refusal;
+		},
+		get closed() {
+			return closed;
+		},
+		async open(database) {
+			const greeted = new Promise<boolean>(resolve => {
+				takeGreeting = resolve;
+			});
+			send({kind: 'open', database, caller: name});
+			return greeted;
+		},
+		async ask(id, statement) {
+			if (closed) {
+				return undefined;
+			}
+
+			const answered = new Promise<ScriptedAnswer | undefined>(resolve => {
+				takeAnswer = resolve;
+			});
+			send({kind: 'statement', id, statement});
+			return answered;
+		},
+		leave() {
+			left = true;
+			end();
+			for (const listener of leftListeners) {
+				listener();
+			}
+		},
+	};
+}
--- /dev/null
+++ b/src/stand-ins/proxies/simulated-proxies.ts
@@ -0,0 +1,227 @@
+import type {EndpointLink, LinkOpener} from '../../links/endpoint-link.js';
+import {createLinkLost} from '../../links/link-errors.js';
+import type {Log} from '../../log/log.js';
+import {createSilentLog} from '../../log/silent-log.js';
+import type {MetadataStore} from '../../mirror/metadata-store.js';
+import type {Kernel} from '../../kernel/kernel.js';
+import {createPromGatewayMetrics} from '../../gateway/prom-gateway-metrics.js';
+import {OrderOutcome, type PromotionOrder} from '../../leadership/promotion-orders.js';
+import {createProxy} from '../../proxy/create-proxy.js';
+import {createSeededRandom} from '../../random/seeded-random.js';
+import type {RegisteredEndpoint, Route, Routing} from '../../routes/routing.js';
+import {createInMemoryMetadataStore, type InMemoryMetadataStore} from '../metadata-store/in-memory-metadata-store.js';
+import {createPeerNetwork, type PeerNetwork} from '../peers/in-memory-peers.js';
+import {withinMs} from '../../time/deadline.js';
+import {createPlainGroup, type PlainGroup, type PlainGroupOptions} from '../plain-group/plain-group.js';
+import type {VirtualClock} from '../time/virtual-clock.js';
+import {createHostClock, type HostClock} from './host-clock.js';
+
+/** One simulated proxy. */
+export type SimulatedProxy = {
+	readonly name: string;
+	readonly peerAddress: string;
+	readonly kernel: Kernel;
+	readonly clock: HostClock;
+	/** Ids of servers that it cannot reach. */
+	readonly cutFrom: Set<string>;
+	killed: boolean;
+};
+
+/** Proxies, database groups and the platform, all on one virtual clock. */
+export type SimulatedProxies = {
+	readonly clock: VirtualClock;
+	readonly store: InMemoryMetadataStore;
+	readonly network: PeerNetwork;
+	readonly groups: readonly PlainGroup[];
+	readonly proxies: readonly SimulatedProxy[];
+	/** Orders in the order of their arrival. */
+	readonly orders: readonly PromotionOrder[];
+	/** Starts a proxy, or starts it anew after it was killed. */
+	startProxy(name: string): Promise<SimulatedProxy>;
+	/** Ends a proxy's process at once: nothing of it reaches anything any more. */
+	kill(proxy: SimulatedProxy): void;
+	suspend(proxy: SimulatedProxy): void;
+	resume(proxy: SimulatedProxy): void;
+	/** Registers the groups' servers as they are. */
+	registerEndpoints(): void;
+	stop(): void;
+};
+
+/** What a simulated system is made of. */
+export type SimulatedProxiesOptions = {
+	readonly clock: VirtualClock;
+	readonly seed: number;
+	readonly groups: ReadonlyArray<Omit<PlainGroupOptions, 'clock'>>;
+	readonly routes: readonly Route[];
+	readonly log?: Log;
+	/** Longest way of an order to the platform, in milliseconds. */
+	readonly orderMs?: number;
+};
+
+const DEFAULT_ORDER_MS = 10;
+
+/** What a killed host awaits. */
+const NEVER = new Promise<never>(() => {}); // eslint-disable-line @typescript-eslint/no-empty-function
+
+/** Creates a system without proxies. */
+export function createSimulatedProxies(options: SimulatedProxiesOptions): SimulatedProxies {
+	const {clock} = options;
+	const random = createSeededRandom(options.seed);
+	const store = createInMemoryMetadataStore(clock, random);
+	const network = createPeerNetwork(clock);
+	const groups = options.groups.map(group => createPlainGroup({...group, clock}));
+	const proxies: SimulatedProxy[] = [];
+	const orders: PromotionOrder[] = [];
+
+	/** By address, what a kill of the host closes. */
+	const links = new Map<string, Set<EndpointLink>>();
+
+	const routing: Routing = {
+		version: 1,
+		routes: new Map(options.routes.map(route => [route.database, route])),
+		groups: new Map(options.groups.map(group => [group.name, {name: group.name, maxConnections: group.maxConnections ?? 22}])),
+		idleTransactionMs: 3000,
+	};
+
+	const registerEndpoints = () => {
+		store.setEndpoints(groups.flatMap(group => group.servers.filter(({running}) => running).map((server): RegisteredEndpoint => ({
+			id: server.id,
+			group: group.name,
+			address: server.address,
+			availabilityZone: server.availabilityZone,
+			slots: 3,
+			leaving: server.leaving,
+			claimsLead: server.role === 'primary',
+		}))));
+	};
+
+	store.setRouting(routing);
+	registerEndpoints();
+	for (const group of groups) {
+		group.start();
+	}
+
+	/** What reaches a host while it is suspended waits; what a killed host awaits never comes. */
+	const deliver = async <T>(proxy: SimulatedProxy, promise: Promise<T>): Promise<T> => {
+		try {
+			return await promise;
+		} finally {
+			await proxy.clock.whenRunning();
+			if (proxy.killed) {
+				await NEVER;
+			}
+		}
+	};
+
+	const createOpener = (proxy: SimulatedProxy): LinkOpener => ({
+		async open(target, timeoutMs, listener) {
+			const group = groups.find(({name}) => name === target.group)!;
+			const isCut = () => proxy.killed || proxy.cutFrom.has(target.endpointId);
+			const opened = await withinMs(proxy.clock, timeoutMs, deliver(proxy, group.open(target, listener, isCut)));
+			if (opened.timedOut) {
+				throw createLinkLost(target.address, `not open within ${timeoutMs} ms`);
+			}
+
+			const link = opened.value;
+			links.get(proxy.peerAddress)!.add(link);
+			return {
+				...link,
+				get pending() {
+					return link.pending;
+				},
+				get closed() {
+					return link.closed;
+				},
+				exchange: async req => deliver(proxy, link.exchange(req)),
+				readStatus: async req => deliver(proxy, link.readStatus(req)),
+			};
+		},
+	});
+
+	const createClient = (proxy: SimulatedProxy): MetadataStore => {
+		const client = store.getClient(proxy.name);
+		return {
+			getRevision: async timeoutMs => deliver(proxy, client.getRevision(timeoutMs)),
+			readRouting: async timeoutMs => deliver(proxy, client.readRouting(timeoutMs)),
+			listEndpoints: async timeoutMs => deliver(proxy, client.listEndpoints(timeoutMs)),
+			listRecords: async (kind, timeoutMs) => deliver(proxy, client.listRecords(kind, timeoutMs)),
+			putRecord: async (kind, record, timeoutMs) => deliver(proxy, client.putRecord(kind, record, timeoutMs)),
+			deleteRecord: async (kind, name, version, timeoutMs) => deliver(proxy, client.deleteRecord(kind, name, version, timeoutMs)),
+		};
+	};
+
+	const takeOrder = async (proxy: SimulatedProxy, order: PromotionOrder) => {
+		await clock.sleep(random.fraction() * (options.orderMs ?? DEFAULT_ORDER_MS));
+		if (proxy.killed) {
+			return NEVER;
+		}
+
+		orders.push(order);
+		return groups.find(({name}) => name === order.group)?.promote(order.endpointId) ?? OrderOutcome.Refused;
+	};
+
+	return {
+		clock,
+		store,
+		network,
+		groups,
+		proxies,
+		orders,
+		registerEndpoints,
+		async startProxy(name) {
+			const peerAddress = `${name}:7000`;
+			const peers = network.addHost(peerAddress);
+			links.set(peerAddress, new Set());
+			const hostClock = createHostClock(clock);
+			const proxy: {-readonly [K in keyof SimulatedProxy]: SimulatedProxy[K]} = {
+				name, peerAddress, clock: hostClock, cutFrom: new Set(), killed: false, kernel: undefined!,
+			};
+			const life = proxies.filter(other => other.name === name).length;
+			proxy.kernel = createProxy({
+				clock: hostClock,
+				elapsedClock: hostClock,
+				random: createSeededRandom(options.seed + proxies.length),
+				log: options.log?.part(`${name} `) ?? createSilentLog(),
+				metrics: createPromGatewayMetrics(),
+				store: createClient(proxy),
+				orders: {promote: async order => deliver(proxy, takeOrder(proxy, order))},
+				opener: createOpener(proxy),
+				peers,
+				hostName: name,
+				availabilityZone: `zone-${proxies.length % 3}`,
+				peerAddress,
+				seeds: [],
+				incarnation: `${name}/${life}`,
+			});
+			proxies.push(proxy);
+			await proxy.kernel.start();
+			return proxy;
+		},
+		kill(proxy) {
+			(proxy as {killed: boolean}).killed = true;
+			for (const link of links.get(proxy.peerAddress)!) {
+				link.cut();
+			}
+
+			network.kill(proxy.peerAddress);
+			void proxy.kernel.stop();
+		},
+		suspend(proxy) {
+			proxy.clock.suspend();
+			network.pause(proxy.peerAddress);
+		},
+		resume(proxy) {
+			proxy.clock.resume();
+			network.resume(proxy.peerAddress);
+		},
+		stop() {
+			for (const group of groups) {
+				group.stop();
+			}
+
+			for (const proxy of proxies) {
+				void proxy.kernel.stop();
+			}
+		},
+	};
+}
--- /dev/null
+++ b/tests/lead-check/lead-history.ts
@@ -0,0 +1,143 @@
+import type {PlainCommit} from '../../src/stand-ins/plain-group/plain-log.js';
+import type {PlainGroup} from '../../src/stand-ins/plain-group/plain-group.js';
+import type {PlainObserver, PlainServer} from '../../src/stand-ins/plain-group/plain-server.js';
+import type {PromotionOrder} from '../../src/leadership/promotion-orders.js';
+
+/** What a caller's read must see. */
+export type ReadClaim = {
+	/** Time of its first byte, or of its transaction's. */
+	readonly firstByteAt: number;
+	readonly maxStalenessMs: number;
+	/** Statement ids of the session's own acknowledged commits. */
+	readonly own: readonly string[];
+};
+
+/** What happened in a run, and which of it must never happen. */
+export type LeadHistory = {
+	readonly observer: PlainObserver;
+	readonly violations: readonly string[];
+	readonly figures: {acknowledged: number; reads: number; refused: number; unknown: number};
+	setGroup(group: PlainGroup): void;
+	/** A read goes out with this claim. */
+	claimRead(id: string, claim: ReadClaim): void;
+	/** A caller has its read: what the endpoint ran is judged. */
+	noteRead(id: string): void;
+	/** A caller has its commit, or its single write. */
+	noteAcknowledged(id: string, now: number): void;
+	/** A caller was promised that nothing is kept. */
+	noteRefused(id: string): void;
+	noteUnknown(): void;
+	/** Whether anything took effect under that id. */
+	wroteAnything(id: string): boolean;
+	/** Judges what can only be judged at the end. */
+	finish(orders: readonly PromotionOrder[]): void;
+};
+
+type RunCommit = {
+	readonly commit: PlainCommit;
+	/** The server was no longer the one that was promoted last. */
+	readonly superseded: boolean;
+};
+
+type RunRead = {
+	readonly server: PlainServer;
+	/** Commits acknowledged before the claim's bound, still in the leader's log, that the server did not show. */
+	readonly missing: readonly string[];
+};
+
+/** Creates an empty history. */
+export function createLeadHistory(getNow: () => number): LeadHistory {
+	const commits = new Map<string, RunCommit[]>();
+	const acknowledged = new Map<string, {readonly commit: PlainCommit; readonly at: number}>();
+	const refused = new Set<string>();
+	const claims = new Map<string, ReadClaim>();
+	const reads = new Map<string, RunRead[]>();
+	const violations: string[] = [];
+	const figures = {
+		acknowledged: 0, reads: 0, refused: 0, unknown: 0,
+	};
+	let group: PlainGroup;
+
+	const getLeader = () => group.servers.find(({id}) => id === group.leaderId)!;
+
+	const findMissing = (server: PlainServer, claim: ReadClaim) => {
+		const now = getNow();
+		const leaderLog = new Set(getLeader().log.map(({commit}) => commit));
+		const visible = new Set(server.log.filter(({visibleAt}) => visibleAt <= now).map(({commit}) => commit));
+		const missing: string[] = [];
+		for (const [id, {commit, at}] of acknowledged) {
+			const owed = at < claim.firstByteAt - claim.maxStalenessMs || claim.own.includes(id);
+			if (owed && leaderLog.has(commit) && !visible.has(commit)) {
+				missing.push(id);
+			}
+		}
+
+		return missing;
+	};
+
+	return {
+		violations,
+		figures,
+		setGroup(next) {
+			group = next;
+		},
+		observer: {
+			onRead({id, server}) {
+				const claim = claims.get(id);
+				if (claim) {
+					reads.set(id, [...reads.get(id) ?? [], {server, missing: findMissing(server, claim)}]);
+				}
+			},
+			onCommit(commit, server, id) {
+				commits.set(id, [...commits.get(id) ?? [], {commit, superseded: server.id !== group.leaderId}]);
+			},
+		},
+		claimRead(id, claim) {
+			claims.set(id, claim);
+		},
+		noteRead(id) {
+			figures.reads++;
+			// A read may run twice; the caller has the answer of one of the runs.
+			const runs = reads.get(id) ?? [];
+			if (runs.length > 0 && runs.every(({missing}) => missing.length > 0)) {
+				violations.push(`read ${id} at ${runs[0]!.server.id} missed ${runs[0]!.missing.join(', ')}`);
+			}
+		},
+		noteAcknowledged(id, now) {
+			figures.acknowledged++;
+			const runs = commits.get(id) ?? [];
+			if (runs.length !== 1) {
+				violations.push(`commit ${id} was acknowledged and took effect ${runs.length} times`);
+				return;
+			}
+
+			if (runs[0]!.superseded) {
+				violations.push(`commit ${id} of a superseded primary was acknowledged`);
+			}
+
+			acknowledged.set(id, {commit: runs[0]!.commit, at: now});
+		},
+		noteRefused(id) {
+			figures.refused++;
+			refused.add(id);
+		},
+		noteUnknown() {
+			figures.unknown++;
+		},
+		wroteAnything: id => commits.has(id),
+		finish(orders) {
+			for (const id of refused) {
+				if (commits.has(id)) {
+					violations.push(`commit ${id} took effect though its caller was told that nothing is kept`);
+				}
+			}
+
+			for (const [i, order] of orders.entries()) {
+				const before = orders[i - 1];
+				if (before && (order.token < before.token || (order.token === before.token && order.holder !== before.holder))) {
+					violations.push(`the order of ${order.holder} with token ${order.token} came after that of ${before.holder} with ${before.token}`);
+				}
+			}
+		},
+	};
+}
--- /dev/null
+++ b/tests/platform/boot-settings-tests.ts
@@ -0,0 +1,48 @@
+import {expect} from 'chai';
+import {parseBootSettings} from '../../src/platform/boot-settings.js';
+
+const GOOD = `nodeName=front-a-1
+zone=hall-a
+ip=10.1.0.8
+listen.front=10.1.0.8:8784
+listen.readiness=10.1.0.8:8785
+listen.control=10.1.0.8:8782
+portRange=7440,7455
+seeds=10.1.0.8:8782,10.2.0.6:8782
+platform.address=10.200.1.7:8783
+cloud.address=10.200.0.160:8783
+bounds.graceS=6
+something.new=1
+`;
+
+describe('boot settings', () => {
+	it('reads what the platform writes and passes over what it does not know', () => {
+		expect(parseBootSettings(GOOD)).to.deep.equal({
+			hostName: 'front-a-1',
+			availabilityZone: 'hall-a',
+			callerAddress: '10.1.0.8:8784',
+			readinessAddress: '10.1.0.8:8785',
+			peerAddress: '10.1.0.8:8782',
+			seeds: ['10.1.0.8:8782', '10.2.0.6:8782'],
+			storeAddress: '10.200.1.7:8783',
+			ordersAddress: '10.200.0.160:8783',
+			graceMs: 6000,
+		});
+	});
+
+	it('links proxies on the first free port where no control address is given', () => {
+		expect(parseBootSettings(GOOD.replace(/listen\.control=.*\n/v, '')).peerAddress).to.equal('10.1.0.8:7440');
+	});
+
+	function doTest(name: string, change: (text: string) => string, message: RegExp) {
+		it(name, () => {
+			expect(() => parseBootSettings(change(GOOD))).to.throw(message);
+		});
+	}
+
+	doTest('names a field that is missing', text => text.replace(/zone=.*\n/v, ''), /zone is wrong/v);
+	doTest('names an address that is none', text => text.replace('10.1.0.8:8784', 'localhost'), /listen\.front is wrong: must be ip:port/v);
+	doTest('names a figure that is none', text => text.replace('graceS=6', 'graceS=soon'), /bounds\.graceS is wrong/v);
+	doTest('names a line that is none', text => `${text}nonsense\n`, /no name and value: nonsense/v);
+	doTest('refuses an empty file', () => '', /nodeName is wrong/v);
+});
--- /dev/null
+++ b/tests/proxy/failures-tests.ts
@@ -0,0 +1,211 @@
+import {expect} from 'chai';
+import {RecordKind} from '../../src/mirror/metadata-store.js';
+import {createProxyBench, describeAnswer, type ProxyBench} from './proxy-bench.js';
+
+/** Waits until a write at the proxy is acknowledged and tells how long that took, in milliseconds. */
+async function measureGap(bench: ProxyBench, proxyIndex: number): Promise<number> {
+	const startedAt = bench.clock.now();
+	const caller = await bench.open(bench.proxies[proxyIndex]!, 'sync');
+	while (bench.clock.now() < startedAt + 30_000) {
+		if (await bench.ask(caller, 'WRITE gap 1') === 'done idle') {
+			return bench.clock.now() - startedAt;
+		}
+
+		await bench.clock.advance(20);
+	}
+
+	return Number.POSITIVE_INFINITY;
+}
+
+describe('a primary that is lost', () => {
+	/**
+	 * Attorneys file while the primary crashes. Nobody but the proxies has it replaced: their connections break, they
+	 * agree that it is gone, give up their evidence and promote the furthest replica. Promoting takes 1,000 ms here.
+	 */
+	it('is replaced within its promotion and half a second', async () => {
+		const bench = await createProxyBench();
+		bench.group.crash(bench.getPrimary());
+		expect(await measureGap(bench, 0)).to.be.lessThan(1500);
+		expect(bench.group.leaderId).to.not.equal('nights-1');
+	});
+
+	/**
+	 * A primary is dark: it takes no connection and answers nothing. Silence has to be told from a long statement first.
+	 */
+	it('is replaced after its silence where it is dark', async () => {
+		const bench = await createProxyBench();
+		await measureGap(bench, 0);
+		for (const proxy of bench.proxies) {
+			proxy.cutFrom.add('nights-1');
+		}
+
+		bench.getPrimary().cutFromGroup = true;
+		expect(await measureGap(bench, 0)).to.be.lessThan(3500);
+		expect(bench.group.leaderId).to.not.equal('nights-1');
+	});
+
+	/**
+	 * One proxy of three is cut off from the primary. Its callers are refused, but the primary stays: the other two
+	 * proxies reach it, and deposing it would cost every caller a second and perhaps some commits.
+	 */
+	it('stays where only one proxy cannot reach it', async () => {
+		const bench = await createProxyBench();
+		bench.proxies[0]!.cutFrom.add('nights-1');
+		const caller = await bench.open(bench.proxies[0]!, 'sync');
+		void bench.send(caller, 'WRITE a 1');
+		await bench.clock.advance(6000);
+		expect(bench.group.leaderId).to.equal('nights-1');
+		expect(await measureGap(bench, 1)).to.be.lessThan(100);
+	});
+
+	/**
+	 * Two of five proxies are cut off from the other three and from the primary. They agree that it is lost, but they are
+	 * not most of the proxies: replacing it would take it from the three that use it.
+	 */
+	it('stays where the proxies that cannot reach it are the smaller part of a split', async () => {
+		const bench = await createProxyBench({proxies: 5});
+		for (const left of bench.proxies.slice(0, 2)) {
+			left.cutFrom.add('nights-1');
+			for (const right of bench.proxies.slice(2)) {
+				bench.system.network.setFaultsBetween(left.peerAddress, right.peerAddress, {cut: true});
+			}
+		}
+
+		const caller = await bench.open(bench.proxies[0]!, 'sync');
+		void bench.send(caller, 'WRITE a 1');
+		await bench.clock.advance(6000);
+		expect(bench.group.leaderId).to.equal('nights-1');
+		expect(await measureGap(bench, 3)).to.be.lessThan(100);
+	});
+
+	/**
+	 * A primary crashes while one proxy is cut off from the others, which get no acknowledgement from it. They wait until its
+	 * evidence has ended, longer than the duty lasts: unless the duty is renewed meanwhile, another proxy takes it and
+	 * both start over, and the group stays without a primary for many seconds.
+	 */
+	it('is replaced once evidence has ended where a proxy does not answer', async () => {
+		const bench = await createProxyBench({proxies: 5});
+		for (const other of bench.proxies.slice(1)) {
+			bench.system.network.setFaultsBetween(bench.proxies[0]!.peerAddress, other.peerAddress, {cut: true});
+		}
+
+		bench.group.crash(bench.getPrimary());
+		const gap = await measureGap(bench, 1);
+		expect(gap).to.be.greaterThan(3000);
+		expect(gap).to.be.lessThan(6000);
+	});
+
+	/**
+	 * The proxy that replaces a primary dies half way. The record says that the group is changing, so nobody writes; another
+	 * proxy goes on once the duty of the dead one has ended.
+	 */
+	it('is replaced by another proxy where the one that began dies', async () => {
+		const bench = await createProxyBench();
+		bench.group.crash(bench.getPrimary());
+		const isChanging = () => (bench.system.store.getRecord(RecordKind.Leadership, 'group.nights')!.value as {phase: string}).phase === 'changing';
+		while (!isChanging()) {
+			await bench.clock.advance(5);
+		}
+
+		const {changedBy} = bench.system.store.getRecord(RecordKind.Leadership, 'group.nights')!.value as {changedBy: string};
+		const dying = bench.proxies.findIndex(({name}) => name === changedBy);
+		bench.system.kill(bench.proxies[dying]!);
+		expect(await measureGap(bench, (dying + 1) % 3)).to.be.lessThan(12_000);
+	});
+
+	/**
+	 * A primary is to be replaced while members sync: it says that it is leaving and serves on. Its successor must hold all
+	 * that was acknowledged, and no write may be refused.
+	 */
+	it('is replaced without a lost or refused write where it is leaving', async () => {
+		const bench = await createProxyBench({lagMs: 200});
+		const caller = await bench.open(bench.proxies[0]!, 'roster');
+		await bench.ask(caller, 'WRITE a 1');
+		bench.getPrimary().leaving = true;
+		bench.system.registerEndpoints();
+		const answers = new Set<string>();
+		for (let i = 0; i < 40; i++) {
+			answers.add(await bench.ask(caller, `WRITE a ${i}`));
+			await bench.clock.advance(20);
+		}
+
+		expect(bench.group.leaderId).to.not.equal('nights-1');
+		expect([...answers].filter(answer => answer === 'outcome-unknown idle')).to.deep.equal([]);
+		expect(await bench.ask(caller, 'READ a')).to.equal('done 39 idle');
+	});
+});
+
+describe('a commit whose primary may have been replaced', () => {
+	/**
+	 * A proxy is suspended while its commit's answer is on the way. Meanwhile the primary, cut off from its group, is
+	 * replaced, but goes on committing. Awake again, the proxy must not acknowledge what only the old primary has.
+	 */
+	it('is not acknowledged after a suspension', async () => {
+		const bench = await createProxyBench();
+		const frozen = bench.proxies[0]!;
+		const caller = await bench.open(frozen, 'sync');
+		await bench.ask(caller, 'WRITE warm 1');
+		const old = bench.getPrimary();
+		bench.system.suspend(frozen);
+		old.cutFromGroup = true;
+		for (const proxy of bench.proxies.slice(1)) {
+			proxy.cutFrom.add(old.id);
+		}
+
+		const other = await bench.open(bench.proxies[1]!, 'sync');
+		void bench.send(other, 'WRITE x 1');
+		await bench.clock.advance(15_000);
+		expect(bench.group.leaderId).to.not.equal(old.id);
+		const answer = bench.send(caller, 'WRITE a 1', 'late');
+		bench.system.resume(frozen);
+		const text = describeAnswer(await bench.clock.runUntil(answer));
+		const took = bench.ran.filter(line => line.endsWith(' late'));
+		expect([text, ...took]).to.not.deep.equal(['done idle', `${old.id} commit late`]);
+	});
+});
+
+describe('an outage of the store', () => {
+	/**
+	 * The store is down for everyone, for longer than evidence lasts. Nobody can replace a primary then, and all proxies
+	 * tell each other so; calm traffic goes on.
+	 */
+	it('stops no calm traffic', async () => {
+		const bench = await createProxyBench();
+		const caller = await bench.open(bench.proxies[0]!, 'sync');
+		bench.system.store.setTrouble(undefined, {refused: true});
+		const answers = new Set<string>();
+		for (let i = 0; i < 80; i++) {
+			answers.add(await bench.ask(caller, 'WRITE a 1'));
+			answers.add(await bench.ask(caller, 'READ a'));
+			await bench.clock.advance(100);
+		}
+
+		expect([...answers]).to.deep.equal(['done idle', 'done 1 idle']);
+	});
+
+	/** The store turns one proxy away and serves the others, through which that one confirms what it holds. */
+	it('of one proxy alone stops nothing', async () => {
+		const bench = await createProxyBench();
+		bench.system.store.setTrouble('entry-1', {silent: true});
+		const caller = await bench.open(bench.proxies[0]!, 'sync');
+		const answers = new Set<string>();
+		for (let i = 0; i < 60; i++) {
+			answers.add(await bench.ask(caller, 'WRITE a 1'));
+			await bench.clock.advance(100);
+		}
+
+		expect([...answers]).to.deep.equal(['done idle']);
+	});
+
+	/**
+	 * A proxy starts while the store is down for it. A caller whose route it cannot know yet must not be told that
+	 * there is no such route.
+	 */
+	it('does not make a proxy that starts deny routes', async () => {
+		const bench = await createProxyBench();
+		bench.system.store.setTrouble('entry-9', {silent: true});
+		const starting = await bench.clock.runUntil(bench.system.startProxy('entry-9'));
+		const caller = await bench.open(starting, 'sync');
+		expect(caller.refusal).to.equal('overloaded');
+	});
+});
--- /dev/null
+++ b/tests/proxy/proxy-bench.ts
@@ -0,0 +1,103 @@
+import {ReadPolicy, type Route} from '../../src/routes/routing.js';
+import {createScriptedCaller, type ScriptedAnswer, type ScriptedCaller} from '../../src/stand-ins/proxies/scripted-caller.js';
+import {createSimulatedProxies, type SimulatedProxies, type SimulatedProxy} from '../../src/stand-ins/proxies/simulated-proxies.js';
+import type {PlainGroup} from '../../src/stand-ins/plain-group/plain-group.js';
+import type {PlainServer} from '../../src/stand-ins/plain-group/plain-server.js';
+import {createVirtualClock, type VirtualClock} from '../../src/stand-ins/time/virtual-clock.js';
+import {parseStatement} from '../../src/platform/caller-lines.js';
+
+/** A simulated system of one group and some proxies, and the ways to ask it and to fail it. */
+export type ProxyBench = {
+	readonly clock: VirtualClock;
+	readonly system: SimulatedProxies;
+	readonly group: PlainGroup;
+	readonly proxies: readonly SimulatedProxy[];
+	/** What endpoints ran, in order: `server id statement`. */
+	readonly ran: string[];
+	getPrimary(): PlainServer;
+	/** Opens a session at a proxy. */
+	open(proxy: SimulatedProxy, database: string): Promise<ScriptedCaller>;
+	/** Sends a statement and lets time pass until it is answered. */
+	ask(caller: ScriptedCaller, text: string, id?: string): Promise<string>;
+	/** Sends a statement without letting time pass. */
+	send(caller: ScriptedCaller, text: string, id?: string): Promise<ScriptedAnswer | undefined>;
+};
+
+/** Route names are the databases that callers name. */
+export const ROUTES: readonly Route[] = [
+	{name: 'sync', policy: ReadPolicy.Primary, maxStalenessMs: 0},
+	{name: 'review', policy: ReadPolicy.Bounded, maxStalenessMs: 1500},
+	{name: 'roster', policy: ReadPolicy.OwnWrites, maxStalenessMs: 2500},
+].map(route => ({
+	...route, database: route.name, group: 'nights', statementTimeoutMs: 1000, targetLatencyMs: 200, priority: 1,
+}));
+
+/** What a bench is made of. */
+export type ProxyBenchOptions = {
+	readonly proxies?: number;
+	readonly lagMs?: number;
+	readonly maxConnections?: number;
+};
+
+/** Creates a bench whose proxies know the group's primary. */
+export async function createProxyBench({proxies: count = 3, lagMs, maxConnections}: ProxyBenchOptions = {}): Promise<ProxyBench> {
+	const clock = createVirtualClock();
+	const ran: string[] = [];
+	const system = createSimulatedProxies({
+		clock,
+		seed: 1,
+		groups: [{
+			name: 'nights',
+			zones: ['zone-0', 'zone-1', 'zone-2'],
+			lagMs,
+			maxConnections,
+			observer: {
+				onRead({id, server}) {
+					ran.push(`${server.id} read ${id}`);
+				},
+				onCommit(_commit, server, id) {
+					ran.push(`${server.id} commit ${id}`);
+				},
+			},
+		}],
+		routes: ROUTES,
+	});
+	for (let i = 1; i <= count; i++) {
+		await clock.runUntil(system.startProxy(`entry-${i}`));
+	}
+
+	await clock.advance(2000);
+	const group = system.groups[0]!;
+	let lastId = 0;
+
+	const send = async (caller: ScriptedCaller, text: string, id = `s${++lastId}`) => caller.ask(id, parseStatement(text));
+
+	return {
+		clock,
+		system,
+		group,
+		proxies: system.proxies,
+		ran,
+		getPrimary: () => group.servers.find(({id}) => id === group.leaderId)!,
+		async open(proxy, database) {
+			const caller = createScriptedCaller();
+			void proxy.kernel.getOrThrow('gateway').serve(caller.channel);
+			await clock.runUntil(caller.open(database));
+			return caller;
+		},
+		send,
+		async ask(caller, text, id) {
+			return describeAnswer(await clock.runUntil(send(caller, text, id)));
+		},
+	};
+}
+
+/** Writes an answer in one line: `done rows state` or `code state`. */
+export function describeAnswer(answer: ScriptedAnswer | undefined): string {
+	if (!answer) {
+		return 'the session ended';
+	}
+
+	const what = answer.end.kind === 'complete' ? ['done', ...answer.rows] : [answer.end.code];
+	return [...what, answer.state].join(' ');
+}
