--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -66,13 +66,16 @@
 
 	function noteAnswer({end, position, state}: EndpointAnswer) {
 		const figures = knowledge.getFigures(endpoint.entry.id);
-		if (end.kind === 'error' && end.code === AnswerCode.Lagging) {
-			figures.noteLagging(clock.now(), position);
-		} else if (req.command.kind === 'run' || req.command.kind === 'execute') {
-			figures.noteAnswer(clock.now() - sentAt, position);
+		const isLagging = end.kind === 'error' && end.code === AnswerCode.Lagging;
+		if (!isLagging && (req.command.kind === 'run' || req.command.kind === 'execute')) {
+			figures.noteAnswer(clock.now() - sentAt);
+		}
+
+		// Inside a transaction the position may be that of its begin.
+		if (position && state === SessionState.Idle) {
+			figures.noteHeld(elapsedClock.elapsed(), position);
 		}
 
-		// Inside a transaction the position may be that of its begin, from before the question.
 		if (isSample && position && state === SessionState.Idle) {
 			knowledge.getSamples(evidence.group).note(sampledAt, position);
 		}
--- a/src/gateway/lend-link.ts
+++ b/src/gateway/lend-link.ts
@@ -3,6 +3,7 @@
 import type {SessionLink} from '../links/link-session.js';
 import type {LeadEvidence} from '../leadership/lead-evidence.js';
 import {chooseEndpoint, type ReadCandidate} from '../placement/choose-endpoint.js';
+import {predictCatchUp} from '../placement/catch-up.js';
 import {getHigherFloor, limitToStart} from '../placement/position-samples.js';
 import {ReadPolicy, type Route} from '../routes/routing.js';
 import {SessionState} from '../statements/statement.js';
@@ -44,6 +45,9 @@
  */
 const FLOOR_MARGIN_MS = 5;
 
+/** A read that waits for a replica to catch up gives it this much longer than predicted, in milliseconds. */
+const CATCH_UP_MARGIN_MS = 5;
+
 /** Longest wait before the circumstances are looked at again, in milliseconds. */
 const RECHECK_MS = 50;
 
@@ -78,7 +82,7 @@
 	while (req.isWanted() && parts.clock.now() < req.until) {
 		const evidence = parts.evidences.get(req.route.group, parts.elapsedClock.elapsed());
 		const floor = getFloor(parts, req);
-		const chosen = chooseEndpoint(getCandidates(parts, req, evidence, floor), floor, parts.clock.now());
+		const chosen = chooseEndpoint(getCandidates(parts, req, evidence, floor));
 		const endpoint = chosen && parts.directory.get(chosen.endpointId);
 		if (!endpoint) {
 			if (req.excluded?.size) {
@@ -89,6 +93,11 @@
 			continue;
 		}
 
+		if (chosen.catchUpMs > 0) {
+			// Asked now it would refuse for lack of the floor, and the read would have come all the way for nothing.
+			await parts.clock.sleep(Math.min(chosen.catchUpMs + CATCH_UP_MARGIN_MS, req.until - parts.clock.now()));
+		}
+
 		const lent = await acquire(parts, req, endpoint, chosen.isPrimary ? evidence : undefined, chosen.isPrimary ? undefined : floor);
 		if (lent) {
 			return lent;
@@ -120,16 +129,15 @@
 			continue;
 		}
 
-		const {serviceMs, held, laggingUntil} = parts.knowledge.getFigures(entry.id);
+		const figures = parts.knowledge.getFigures(entry.id);
 		candidates.push({
 			endpointId: entry.id,
 			isPrimary,
 			sameZone: entry.availabilityZone === parts.availabilityZone,
 			load: pool.lent + pool.waiting,
 			slots: entry.slots,
-			serviceMs,
-			held,
-			laggingUntil,
+			serviceMs: figures.serviceMs,
+			catchUpMs: isPrimary || !floor ? 0 : predictCatchUp(parts.knowledge.getSamples(entry.group), figures, floor, parts.elapsedClock.elapsed()),
 		});
 	}
 
--- a/src/links/endpoint-directory.ts
+++ b/src/links/endpoint-directory.ts
@@ -96,6 +96,7 @@
 			}
 
 			for (const known of kept.values()) {
+				known.pool.trim();
 				if (!listed.has(known.entry.id)) {
 					noteMissing(known, now);
 				}
--- a/src/links/endpoint-pool.ts
+++ b/src/links/endpoint-pool.ts
@@ -35,6 +35,8 @@
 	release(sessionLink: SessionLink): void;
 	/** Asks on the host's own behalf; on any open connection, or a new one. */
 	ask(command: EndpointRequest['command'], timeoutMs: number): Promise<EndpointStatus>;
+	/** Closes connections beyond the host's share that have been idle, so that other hosts can have them. */
+	trim(): void;
 	/** Opens none any more and closes those that are idle. */
 	retire(): void;
 };
@@ -55,7 +57,7 @@
 const OPEN_TIMEOUT_MS = 1500;
 
 /** An idle connection beyond the host's share is closed after so long, in milliseconds, so that other hosts can have it. */
-const SPARE_IDLE_MS = 1500;
+const SPARE_IDLE_MS = 1000;
 
 type Waiter = LinkWish & {
 	readonly order: number;
@@ -187,12 +189,14 @@
 	};
 
 	const openForWaiters = () => {
-		while (!retired && opening < waiters.length && budget.mayOpen(clock.now(), all.size + opening)) {
+		// Beyond the share one is opened at a time: hosts that press on together would all be turned away.
+		const mayOpen = () => budget.mayOpen(clock.now(), all.size + opening) && (opening === 0 || all.size + opening < budget.share);
+		while (!retired && opening < waiters.length && mayOpen()) {
 			void openOne();
 		}
 	};
 
-	const closeSpare = () => {
+	const trim = () => {
 		const now = clock.now();
 		while (all.size > budget.share && idle[0] && now - idle[0].since > SPARE_IDLE_MS) {
 			idle.shift()!.sessionLink.link.close();
@@ -258,7 +262,7 @@
 			}
 
 			giveAway(sessionLink);
-			closeSpare();
+			trim();
 		},
 		async ask(command, timeoutMs) {
 			const free = idle.findLast(({sessionLink}) => !sessionLink.link.closed)?.sessionLink;
@@ -272,6 +276,7 @@
 			giveAway(sessionLink);
 			return status;
 		},
+		trim,
 		retire() {
 			retired = true;
 			failWaiters();
--- a/src/placement/choose-endpoint.ts
+++ b/src/placement/choose-endpoint.ts
@@ -1,5 +1,3 @@
-import {holdsLogPosition, type LogPosition} from '../terms/log-position.js';
-
 /** What a placement knows of an endpoint. */
 export type ReadCandidate = {
 	readonly endpointId: string;
@@ -11,17 +9,15 @@
 	readonly slots: number;
 	/** Usual time of a statement there, in milliseconds. */
 	readonly serviceMs: number;
-	/** Position that it was last seen to hold. */
-	readonly held?: LogPosition;
-	/** Steady time until which it is expected to lack the floors that it lacked last. */
-	readonly laggingUntil: number;
+	/** Predicted time until it holds what the read has to see, in milliseconds. */
+	readonly catchUpMs: number;
 };
 
 /**
  * Advantage of an endpoint in the host's own zone, in milliseconds. Another zone is 1 to 3 ms away; the rest is what
- * bytes between zones are worth, so that a read goes to another zone where it saves more time than a short statement takes.
+ * bytes between zones are worth, so that a read goes to another zone where it saves more time than a statement takes.
  */
-export const OTHER_ZONE_MS = 12;
+export const OTHER_ZONE_MS = 25;
 
 /**
  * Handicap of the primary, in milliseconds: writes and the reads that need every commit can run nowhere else, so other
@@ -29,12 +25,18 @@
  */
 export const PRIMARY_MS = 30;
 
-/** Chooses where a read runs at the steady time `now`; undefined where there is no candidate. */
-export function chooseEndpoint(candidates: readonly ReadCandidate[], floor: LogPosition | undefined, now: number): ReadCandidate | undefined {
+/**
+ * A replica that is further behind than this is no candidate, in milliseconds: the reads wait no longer in hope of a prediction, which is
+ * best for short times. Reads are wanted within 300 to 600 ms.
+ */
+export const LONGEST_CATCH_UP_MS = 250;
+
+/** Chooses where a read runs; undefined where there is no candidate. */
+export function chooseEndpoint(candidates: readonly ReadCandidate[]): ReadCandidate | undefined {
 	let best: ReadCandidate | undefined;
 	let bestCost = Number.POSITIVE_INFINITY;
 	for (const candidate of candidates) {
-		const cost = getCost(candidate, floor, now);
+		const cost = getCost(candidate);
 		if (cost < bestCost) {
 			best = candidate;
 			bestCost = cost;
@@ -44,15 +46,11 @@
 	return best;
 }
 
-function getCost(candidate: ReadCandidate, floor: LogPosition | undefined, now: number) {
-	if (!candidate.isPrimary && isTooFarBehind(candidate, floor, now)) {
+function getCost({isPrimary, sameZone, load, slots, serviceMs, catchUpMs}: ReadCandidate) {
+	if (catchUpMs > LONGEST_CATCH_UP_MS) {
 		return Number.POSITIVE_INFINITY;
 	}
 
-	const waitMs = ((candidate.load + 1) / candidate.slots) * candidate.serviceMs;
-	return waitMs + (candidate.sameZone ? 0 : OTHER_ZONE_MS) + (candidate.isPrimary ? PRIMARY_MS : 0);
-}
-
-function isTooFarBehind({held, laggingUntil}: ReadCandidate, floor: LogPosition | undefined, now: number) {
-	return floor !== undefined && now < laggingUntil && !(held && holdsLogPosition(held, floor));
+	const waitMs = ((load + 1) / slots) * serviceMs;
+	return waitMs + catchUpMs + (sameZone ? 0 : OTHER_ZONE_MS) + (isPrimary ? PRIMARY_MS : 0);
 }
--- a/src/placement/endpoint-figures.ts
+++ b/src/placement/endpoint-figures.ts
@@ -1,4 +1,4 @@
-import {holdsLogPosition, type LogPosition} from '../terms/log-position.js';
+import type {LogPosition} from '../terms/log-position.js';
 
 /** What this host measured of an endpoint's answers. */
 export type EndpointFigures = {
@@ -6,12 +6,12 @@
 	readonly serviceMs: number;
 	/** Latest position that it was seen to hold. */
 	readonly held: LogPosition | undefined;
-	/** Steady time until which it is expected to lack the floors that it lacked last. */
-	readonly laggingUntil: number;
+	/** Elapsed time at which it answered with `held`. */
+	readonly heldAt: number;
 	/** Notes a statement that it answered after `tookMs`. */
-	noteAnswer(tookMs: number, held: LogPosition | undefined): void;
-	/** Notes that it lacked a floor at the steady time `now`. */
-	noteLagging(now: number, held: LogPosition | undefined): void;
+	noteAnswer(tookMs: number): void;
+	/** Notes the position that it answered with at the elapsed time `now`. */
+	noteHeld(now: number, held: LogPosition): void;
 };
 
 /** Time of a statement before any was measured, in milliseconds: between the users' lightest of 3 and heaviest of 40. */
@@ -20,23 +20,11 @@
 /** Weight of the newest answer. */
 const NEWEST_WEIGHT = 0.1;
 
-/**
- * An endpoint that lacked a floor is passed over for so long, in milliseconds. Being told so costs one exchange of 1 to 3 ms, and
- * floors are seconds old, so one that lacks them is far behind and catches up slowly.
- */
-const LAGGING_FOR_MS = 150;
-
 /** Creates the figures of one endpoint. */
 export function createEndpointFigures(): EndpointFigures {
 	let serviceMs = FIRST_SERVICE_MS;
 	let held: LogPosition | undefined;
-	let laggingUntil = 0;
-
-	const noteHeld = (position: LogPosition | undefined) => {
-		if (position && !(held && holdsLogPosition(held, position))) {
-			held = position;
-		}
-	};
+	let heldAt = 0;
 
 	return {
 		get serviceMs() {
@@ -45,16 +33,20 @@
 		get held() {
 			return held;
 		},
-		get laggingUntil() {
-			return laggingUntil;
+		get heldAt() {
+			return heldAt;
 		},
-		noteAnswer(tookMs, position) {
+		noteAnswer(tookMs) {
 			serviceMs += NEWEST_WEIGHT * (tookMs - serviceMs);
-			noteHeld(position);
 		},
-		noteLagging(now, position) {
-			laggingUntil = now + LAGGING_FOR_MS;
-			noteHeld(position);
+		noteHeld(now, position) {
+			// Answers on several connections may cross.
+			if (held && now < heldAt) {
+				return;
+			}
+
+			held = position;
+			heldAt = now;
 		},
 	};
 }
--- a/src/placement/position-samples.ts
+++ b/src/placement/position-samples.ts
@@ -9,6 +9,8 @@
 	note(askedAt: number, position: LogPosition): void;
 	/** The oldest sample asked for at or after `since`: the lowest floor that still covers all that was acknowledged before `since`. */
 	getFloor(since: number): LogPosition | undefined;
+	/** Elapsed time at which the primary's log is known to have been no further than `position`; undefined where all samples are further. */
+	getTimeOf(position: LogPosition): number | undefined;
 	/**
 	 * Takes in that a primary of a later term began at `start`. What a superseded term had beyond it was rolled back, and no log will ever hold it.
 	 */
@@ -43,6 +45,9 @@
 		getFloor(since) {
 			return samples.find(sample => sample.askedAt >= since)?.position;
 		},
+		getTimeOf(position) {
+			return samples.findLast(sample => compareLogPositions(sample.position, position) <= 0)?.askedAt;
+		},
 		noteStart(start) {
 			for (const sample of samples) {
 				sample.position = limitToStart(sample.position, start);
