Go on without the store where the endpoints show no fence

Whoever promotes without a host's word now fences first and waits from the fence on; a host that nobody confirms asks the endpoints, and none fenced means that no such wait had begun. A replacement with a host marked as gone waits in full, so the finer count of the marked hosts' evidence went. Test that failed first: an outage of the store stops no calm traffic where a host is dead as well.

--- a/src/leadership/gone-hosts.ts
+++ b/src/leadership/gone-hosts.ts
@@ -3,21 +3,19 @@
 import type {Versioned} from '../mirror/mirror-state.js';
 import type {StoreMirror} from '../mirror/store-mirror.js';
 import type {ElapsedClock} from '../time/elapsed-clock.js';
-import {EVIDENCE_MS} from './lead-evidence.js';
+import {EVIDENCE_MS, LONGEST_WITHOUT_STORE_MS} from './lead-evidence.js';
 import type {HostRecord} from './leadership-record.js';
 
 /**
  * Hosts that did not answer when a primary was replaced.
  *
  * Guards against a host that lives, cut off from its peers, and holds evidence of other groups: once it is asked no more, the next replacement
- * could begin while that evidence lasts. So its record stays, marked, and whoever sees the mark waits for the end of evidence from then on;
- * the host itself gets no more evidence until it has registered anew.
+ * could begin while that evidence lasts. So its record stays, marked, for longer than a host goes on without the store, and as long
+ * as it stays each replacement waits for the time that evidence lasts. The host registers anew once it reads the store.
  */
 export type GoneHosts = {
 	/** Marks a host that did not answer, so that the next replacement does not wait for it. */
 	markGone(host: Versioned<HostRecord>): Promise<void>;
-	/** Elapsed time at which the evidence of all marked hosts among these is over; 0 where none is marked. */
-	getEvidenceEnd(hosts: ReadonlyArray<Versioned<HostRecord>>): number;
 	/** Deletes the records of hosts that have been marked for long. */
 	sweep(): Promise<void>;
 };
@@ -30,11 +28,8 @@
 	readonly log: Log;
 };
 
-/** A marked record is deleted after so long, in milliseconds: ten times as long as evidence lasts. */
-const KEEP_MS = 10 * EVIDENCE_MS;
-
-/** Beyond the time that evidence lasts, in milliseconds: the clocks differ in rate. */
-const MARGIN_MS = 150;
+/** A marked record is deleted after so long, in milliseconds: longer than a host goes on without the store, with the time that evidence lasts. */
+const KEEP_MS = LONGEST_WITHOUT_STORE_MS + (2 * EVIDENCE_MS);
 
 const STORE_TIMEOUT_MS = 900;
 
@@ -72,11 +67,6 @@
 			const {version, ...record} = host;
 			await attempt('a host that does not answer was marked', host, async () => store.putRecord(RecordKind.Hosts, {name: host.name, version, value: {...record, gone: true}}, STORE_TIMEOUT_MS));
 		},
-		getEvidenceEnd(hosts) {
-			observe();
-			const ends = hosts.filter(host => host.gone).map(({name}) => (seenAt.get(name) ?? elapsedClock.elapsed()) + EVIDENCE_MS + MARGIN_MS);
-			return Math.max(0, ...ends);
-		},
 		async sweep() {
 			const now = elapsedClock.elapsed();
 			for (const host of mirror.state.hosts) {
--- a/src/leadership/lead-evidence.ts
+++ b/src/leadership/lead-evidence.ts
@@ -1,5 +1,4 @@
 import type {StoreMirror} from '../mirror/store-mirror.js';
-import type {ElapsedClock} from '../time/elapsed-clock.js';
 import {LeadPhase, type LeadershipRecord} from './leadership-record.js';
 
 /** What a proxy may rely on when it uses a primary. */
@@ -13,6 +12,10 @@
 	holds(evidence: LeadEvidence, now: number): boolean;
 	/** Whether the primary of the evidence has been replaced for good, so that no later confirmation can help. */
 	isSuperseded(evidence: LeadEvidence): boolean;
+	/** Notes that no endpoint of the group that could be promoted showed a fence, as asked at the elapsed time `askedAt`. */
+	noteUnfenced(group: string, epoch: number, askedAt: number): void;
+	/** Elapsed time from which evidence of the group's steady primary counts; undefined where there is none. */
+	getAskedAt(group: string): number | undefined;
 	/** Gives no evidence below `epoch` for new work any more; what was begun may still end under its own. */
 	pause(group: string, epoch: number): void;
 	/** Gives up all evidence below `epoch`, for good. */
@@ -24,7 +27,6 @@
 /** What the evidences need. */
 export type LeadEvidencesOptions = {
 	readonly mirror: StoreMirror;
-	readonly elapsedClock: ElapsedClock;
 	/** Own address as registered: a host that is not registered is not asked before a primary is replaced. */
 	readonly ownPeerAddress: string;
 };
@@ -38,8 +40,14 @@
  */
 export const EVIDENCE_MS = 3000;
 
+/**
+ * A host that the store has not confirmed for so long goes on no further by what the endpoints themselves show, in milliseconds: by then its
+ * own record may have been deleted as that of a host that is gone, and nobody would wait for it.
+ */
+export const LONGEST_WITHOUT_STORE_MS = 25_000;
+
 /** Creates the evidences. */
-export function createLeadEvidences({mirror, elapsedClock, ownPeerAddress}: LeadEvidencesOptions): LeadEvidences {
+export function createLeadEvidences({mirror, ownPeerAddress}: LeadEvidencesOptions): LeadEvidences {
 	const pausedBelow = new Map<string, number>();
 	const revokedBelow = new Map<string, number>();
 	let waiting: Array<() => void> = [];
@@ -55,24 +63,34 @@
 	/** By group, the last time at which the store was asked and showed a steady primary, and its epoch. */
 	const lastSteady = new Map<string, {readonly epoch: number; readonly askedAt: number}>();
 
+	const noteSteady = ({group, epoch}: LeadershipRecord, askedAt: number) => {
+		const known = lastSteady.get(group);
+		if (!known || epoch > known.epoch || askedAt > known.askedAt) {
+			lastSteady.set(group, {epoch, askedAt});
+		}
+	};
+
 	mirror.onChange(() => {
 		for (const record of mirror.state.leadership.values()) {
 			if (record.phase === LeadPhase.Steady && mirror.confirmedAt !== undefined) {
-				lastSteady.set(record.group, {epoch: record.epoch, askedAt: mirror.confirmedAt});
+				noteSteady(record, mirror.confirmedAt);
 			}
 		}
 
 		tell();
 	});
 
-	const isConfirmed = (now: number) => mirror.confirmedAt !== undefined && now < mirror.confirmedAt + EVIDENCE_MS;
-
 	const isRegistered = () => mirror.state.hosts.some(host => host.peerAddress === ownPeerAddress && !host.gone);
 
+	const isYoung = (group: string, epoch: number, now: number) => {
+		const steady = lastSteady.get(group);
+		return steady?.epoch === epoch && now < steady.askedAt + EVIDENCE_MS;
+	};
+
 	const getSteady = (group: string, now: number) => {
 		const record = mirror.state.leadership.get(group);
 		const usable = record?.phase === LeadPhase.Steady && record.epoch >= (revokedBelow.get(group) ?? 0);
-		return usable && isConfirmed(now) && isRegistered() ? record : undefined;
+		return usable && isYoung(group, record.epoch, now) && isRegistered() ? record : undefined;
 	};
 
 	const raise = (floors: Map<string, number>, group: string, epoch: number) => {
@@ -86,14 +104,22 @@
 		},
 		holds({group, epoch}, now) {
 			// A record that says the group is changing does not end evidence yet: whoever changes it waits for this host, or for the end of its time.
-			const steady = lastSteady.get(group);
 			const isRevoked = epoch < (revokedBelow.get(group) ?? 0);
-			return steady?.epoch === epoch && !isRevoked && now < steady.askedAt + EVIDENCE_MS && isRegistered();
+			return !isRevoked && isYoung(group, epoch, now) && isRegistered();
 		},
 		isSuperseded(evidence) {
 			const record = mirror.state.leadership.get(evidence.group);
 			return (record !== undefined && record.epoch > evidence.epoch) || evidence.epoch < (revokedBelow.get(evidence.group) ?? 0);
 		},
+		noteUnfenced(group, epoch, askedAt) {
+			const steady = lastSteady.get(group);
+			const withoutStoreMs = askedAt - (mirror.confirmedAt ?? Number.NEGATIVE_INFINITY);
+			if (steady?.epoch === epoch && askedAt > steady.askedAt && withoutStoreMs < LONGEST_WITHOUT_STORE_MS) {
+				lastSteady.set(group, {epoch, askedAt});
+				tell();
+			}
+		},
+		getAskedAt: group => lastSteady.get(group)?.askedAt,
 		pause(group, epoch) {
 			raise(pausedBelow, group, epoch);
 		},
--- a/src/leadership/lead-watch.ts
+++ b/src/leadership/lead-watch.ts
@@ -1,5 +1,7 @@
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import type {EndpointDirectory} from '../links/endpoint-directory.js';
+import {EndpointRole} from '../links/endpoint-link.js';
+import type {EndpointPool} from '../links/endpoint-pool.js';
 import {LinkError} from '../links/link-errors.js';
 import type {Log} from '../log/log.js';
 import {RecordKind, type MetadataStore} from '../mirror/metadata-store.js';
@@ -68,12 +70,23 @@
 /** A change that makes no progress for so long has lost the host that made it, in milliseconds. */
 const STALLED_AFTER_MS = DUTY_LEASE_MS + 400;
 
+/** Endpoints are asked for fences once evidence is so old, in milliseconds: two confirmations that did not come. */
+const FENCES_AFTER_MS = 1600;
+
+/** Pause between such questions, in milliseconds: three fit into what is left of the evidence. */
+const FENCES_INTERVAL_MS = 400;
+
+/** Longest such question, in milliseconds: a status waits for a slot behind other statements. */
+const FENCES_TIMEOUT_MS = 800;
+
 const STORE_TIMEOUT_MS = 900;
 
 type GroupWatch = {
 	busy: boolean;
 	suspectedSince?: number;
 	notBefore: number;
+	/** Steady time before which endpoints are not asked for fences again. */
+	fencesNotBefore: number;
 	seenVersion: number;
 	seenSince: number;
 };
@@ -97,7 +110,7 @@
 		}
 
 		const watch: GroupWatch = {
-			busy: false, notBefore: 0, seenVersion: 0, seenSince: 0,
+			busy: false, notBefore: 0, fencesNotBefore: 0, seenVersion: 0, seenSince: 0,
 		};
 		watches.set(group, watch);
 		return watch;
@@ -304,6 +317,44 @@
 		}
 	};
 
+	/**
+	 * Guards calm traffic where neither the store nor a peer confirms, as in an outage of the store with a host that is dead. Whoever
+	 * promotes an endpoint without this host's word has fenced it first, and has waited from then on for as long as evidence lasts.
+	 * So where every endpoint that could be promoted shows no fence, nobody's wait had begun at the time of asking.
+	 */
+	const lookForFences = async (record: LeadershipRecord, watch: GroupWatch) => {
+		const askedAt = elapsedClock.elapsed();
+		const age = askedAt - (evidences.getAskedAt(record.group) ?? askedAt);
+		if (age < FENCES_AFTER_MS || clock.now() < watch.fencesNotBefore) {
+			return;
+		}
+
+		watch.fencesNotBefore = clock.now() + FENCES_INTERVAL_MS;
+		const others = directory.list(record.group).filter(({entry}) => entry.id !== record.primaryId);
+		const answers = await Promise.all(others.map(async ({pool}) => isUnfenced(pool, record.term)));
+		const unfenced = others.length > 0 && answers.every(Boolean);
+		if (unfenced) {
+			evidences.noteUnfenced(record.group, record.epoch, askedAt);
+		}
+
+		log.info('endpoints were asked for fences, since the store does not confirm', {
+			group: record.group, epoch: record.epoch, asked: others.length, unfenced, ageMs: Math.round(age),
+		});
+	};
+
+	const isUnfenced = async (pool: EndpointPool, term: number) => {
+		try {
+			const bounded = await withinMs(clock, FENCES_TIMEOUT_MS, pool.ask({kind: 'status'}, FENCES_TIMEOUT_MS));
+			return !bounded.timedOut && bounded.value.role === EndpointRole.Replica && bounded.value.fencedTerm <= term && bounded.value.term <= term;
+		} catch (err) {
+			if (!(err instanceof LinkError)) {
+				throw err;
+			}
+
+			return false;
+		}
+	};
+
 	const look = async (group: string, watch: GroupWatch) => {
 		const record = mirror.state.leadership.get(group);
 		if (!record) {
@@ -311,7 +362,7 @@
 		} else if (record.phase === LeadPhase.Changing) {
 			await lookAtChanging(record, watch);
 		} else {
-			await lookAtSteady(record, watch);
+			await Promise.all([lookAtSteady(record, watch), lookForFences(record, watch)]);
 		}
 	};
 
--- a/src/leadership/replace-primary.ts
+++ b/src/leadership/replace-primary.ts
@@ -96,6 +96,10 @@
 /** The whole is given up after so long, in milliseconds; the record then says that the group is changing, and the next host goes on. */
 const GIVE_UP_MS = 12_000;
 
+/** An endpoint is let go at least so often, with a pause in milliseconds between: one that is cut off for 5 s is still reached. */
+const UNFENCE_TRIES = 8;
+const UNFENCE_PAUSE_MS = 700;
+
 const STORE_TIMEOUT_MS = 900;
 
 /**
@@ -156,19 +160,27 @@
 	}
 
 	// Evidence read before the record was updated is at most as old as the answer to the update.
-	const evidenceEndsAt = elapsedClock.elapsed() + EVIDENCE_MS + EVIDENCE_MARGIN_MS;
+	const markedAt = elapsedClock.elapsed();
 	mark();
-	const fencing = planned ? undefined : gatherCandidates(parts, group, {kind: 'fence', term: before.term + 1});
-	const silentHosts = await revokeEverywhere(parts, changing, planned ? PLANNED_SETTLE_MS : 0, evidenceEndsAt);
+	const evidence = createEvidenceEnd(parts, changing, planned ? PLANNED_SETTLE_MS : 0);
+	if (planned) {
+		await evidence.ask();
+		await waitForCatchUp(parts, before);
+	}
+
+	const fencing = gatherCandidates(parts, group, {kind: 'fence', term: before.term + 1});
+	await Promise.all([fencing, evidence.ask()]);
+	const all = await fencing;
+	const byTime = await evidence.wait(Math.max(markedAt, elapsedClock.elapsed()) + EVIDENCE_MS + EVIDENCE_MARGIN_MS);
 	mark();
 	if (before.phase === LeadPhase.Changing) {
 		await clock.sleep(FORMER_ORDER_MS);
 	}
 
-	const all = planned ? await waitForCatchUp(parts, before) : await fencing!;
-	log.info('endpoints were asked for a successor', {group, candidates: all.map(({endpointId, leaving, status}) => ({endpointId, leaving, ...status}))});
+	log.info('endpoints were asked for a successor', {group, byTime, candidates: all.map(({endpointId, leaving, status}) => ({endpointId, leaving, ...status}))});
 	const former = planned ? all.filter(({endpointId}) => endpointId === before.primaryId) : [];
-	const candidates = all.filter(candidate => !former.includes(candidate));
+	const others = all.filter(candidate => !former.includes(candidate));
+	const candidates = byTime ? await keepFenced(parts, others, before) : others;
 	mark();
 	// Where nothing else can lead, a primary that still serves goes on.
 	const leading = await promoteBest(parts, candidates, before, giveUpAt) ?? await promoteBest(parts, former, before, giveUpAt);
@@ -186,13 +198,13 @@
 		start: leading.endpointId === before.primaryId && leading.status.term === before.term ? before.start : leading.status.received,
 	}, changing.version, giveUpAt);
 	mark();
-	cleanUp(parts, candidates, leading, before);
+	cleanUp(parts, leading, before);
 	if (!steady) {
 		return false;
 	}
 
 	await tellEverywhere(parts, group);
-	await Promise.all(silentHosts.map(async host => parts.gone.markGone(host)));
+	await Promise.all(evidence.silent.map(async host => parts.gone.markGone(host)));
 	const [markMs, revokeMs, chooseMs, promoteMs, settleMs] = marks.slice(1).map((at, i) => Math.round(at - marks[i]!)) as [number, number, number, number, number];
 	const times = {
 		markMs, revokeMs, chooseMs, promoteMs, settleMs,
@@ -237,25 +249,37 @@
 	return isOwn ? found : undefined;
 }
 
+/** The end of all evidence below a record's epoch. */
+type EvidenceEnd = {
+	/** Hosts that did not answer yet. */
+	readonly silent: ReadonlyArray<Versioned<HostRecord>>;
+	/** Asks the hosts that did not answer yet to give up their evidence, this one among them. */
+	ask(): Promise<void>;
+	/** Asks until all have answered, at the latest until the elapsed time `endsAt`; true where evidence may have ended by its time alone. */
+	wait(endsAt: number): Promise<boolean>;
+};
+
 /**
  * Has every host give up its evidence below the record's epoch. A host that does not answer may be dead, or cut off
- * and still serving: its evidence is over at `evidenceEndsAt`, and until then it is asked again.
+ * and still serving: its evidence ends by its time, and until then it is asked again.
  */
-async function revokeEverywhere(parts: ReplacePrimaryParts, changing: Versioned<LeadershipRecord>, settleMs: number, evidenceEndsAt: number): Promise<ReadonlyArray<Versioned<HostRecord>>> {
+function createEvidenceEnd(parts: ReplacePrimaryParts, changing: Versioned<LeadershipRecord>, settleMs: number): EvidenceEnd {
 	const {clock, elapsedClock, evidences, primaryWork, log} = parts;
 	const {group, epoch} = changing;
-	const req = {group, epoch, settleMs};
-	const own = (async () => {
+	let hosts: ReadonlyArray<Versioned<HostRecord>> | undefined;
+	let silent: ReadonlyArray<Versioned<HostRecord>> = [];
+	let ownGivenUp = false;
+
+	const giveUpOwn = async () => {
 		evidences.pause(group, epoch);
 		await primaryWork.settle(group, settleMs);
 		evidences.revoke(group, epoch);
-	})();
+		ownGivenUp = true;
+	};
 
-	const hosts = await listOtherHosts(parts, evidenceEndsAt);
-	let missing = hosts?.filter(host => !host.gone) ?? [];
-	const ask = async (host: Versioned<HostRecord>) => {
+	const askOne = async (host: Versioned<HostRecord>) => {
 		try {
-			await parts.peers.call(host.peerAddress, 'lead-revoke', req, settleMs + LEAD_CALL_TIMEOUT_MS);
+			await parts.peers.call(host.peerAddress, 'lead-revoke', {group, epoch, settleMs}, settleMs + LEAD_CALL_TIMEOUT_MS);
 			return undefined;
 		} catch (err) {
 			if (!isPeerError(err)) {
@@ -266,44 +290,62 @@
 		}
 	};
 
-	while (missing.length > 0 && elapsedClock.elapsed() < evidenceEndsAt) {
-		const answers = await Promise.all(missing.map(async host => ask(host)));
-		missing = answers.filter(host => host !== undefined);
-		if (missing.length > 0) {
-			await clock.sleep(RETRY_MS);
+	const askOthers = async () => {
+		if (!hosts) {
+			hosts = await listOtherHosts(parts);
+			silent = hosts?.filter(host => !host.gone) ?? [];
 		}
-	}
 
-	// A host taken out of the list may hold evidence that it got just before.
-	const lastEnd = hosts ? parts.gone.getEvidenceEnd(hosts) : evidenceEndsAt;
-	while (elapsedClock.elapsed() < Math.min(lastEnd, evidenceEndsAt)) {
-		await clock.sleep(RETRY_MS);
-	}
+		const answers = await Promise.all(silent.map(async host => askOne(host)));
+		silent = answers.filter(host => host !== undefined);
+	};
 
-	await own;
-	log.info('evidence is over on every host', {
-		group, epoch, hosts: hosts?.length, silent: missing.length,
-	});
-	if (!hosts || missing.length > 0) {
-		log.warn('evidence ended by its time, since not every host answered', {
-			group, epoch, missing: missing.map(({name}) => name), listed: hosts !== undefined,
-		});
-	}
+	const ask = async () => {
+		await Promise.all([askOthers(), ownGivenUp ? undefined : giveUpOwn()]);
+	};
 
-	return missing;
-}
+	return {
+		get silent() {
+			return silent;
+		},
+		ask,
+		async wait(endsAt) {
+			while ((!hosts || silent.length > 0) && elapsedClock.elapsed() < endsAt) {
+				await clock.sleep(RETRY_MS);
+				await ask();
+			}
 
-/** The other hosts as registered after the record was updated; undefined where the store does not say. */
-async function listOtherHosts({mirror, clock, elapsedClock, ownPeerAddress}: ReplacePrimaryParts, until: number) {
-	while (elapsedClock.elapsed() < until) {
-		if (await mirror.confirm()) {
-			return mirror.state.hosts.filter(host => host.peerAddress !== ownPeerAddress);
-		}
+			// A host that is marked as gone is not asked; it may live and hold evidence.
+			const hasGone = hosts?.some(host => host.gone) ?? true;
+			const byTime = silent.length > 0 || hasGone;
+			while (byTime && elapsedClock.elapsed() < endsAt) {
+				await clock.sleep(Math.min(RETRY_MS, endsAt - elapsedClock.elapsed()));
+			}
 
-		await clock.sleep(RETRY_MS);
-	}
+			log.info('evidence is over on every host', {
+				group, epoch, hosts: hosts?.length, silent: silent.map(({name}) => name), byTime,
+			});
+			return byTime;
+		},
+	};
+}
 
-	return undefined;
+/**
+ * Leaves out candidates whose fence is gone.
+ *
+ * Guards against a host that was not reached and holds evidence from the endpoints themselves, none of which had shown it a
+ * fence: an endpoint that restarted after it was fenced shows none again, so what that host saw there may be younger than
+ * the time that was waited for. Such an endpoint is no candidate in this replacement.
+ */
+async function keepFenced(parts: ReplacePrimaryParts, candidates: readonly SuccessorCandidate[], before: LeadershipRecord): Promise<readonly SuccessorCandidate[]> {
+	const now = await gatherCandidates(parts, before.group, {kind: 'status'});
+	return candidates.filter(({endpointId, status}) => status.role === EndpointRole.Primary
+		|| now.some(other => other.endpointId === endpointId && other.status.fencedTerm > before.term));
+}
+
+/** The other hosts as registered after the record was updated; undefined where the store does not say. */
+async function listOtherHosts({mirror, ownPeerAddress}: ReplacePrimaryParts) {
+	return await mirror.confirm() ? mirror.state.hosts.filter(host => host.peerAddress !== ownPeerAddress) : undefined;
 }
 
 /** Asks every endpoint of a group; those that do not answer are left out. */
@@ -328,16 +370,16 @@
 	}
 }
 
-/** Waits until an endpoint other than the primary holds all of its log, which no longer grows. */
-async function waitForCatchUp(parts: ReplacePrimaryParts, before: LeadershipRecord): Promise<readonly SuccessorCandidate[]> {
+/** Waits until an endpoint other than the primary holds all of its log, which no longer grows; at most for a bounded time. */
+async function waitForCatchUp(parts: ReplacePrimaryParts, before: LeadershipRecord): Promise<void> {
 	const until = parts.clock.now() + CATCH_UP_MS;
 	for (;;) {
 		const all = await gatherCandidates(parts, before.group, {kind: 'status'});
 		const primary = all.find(({endpointId}) => endpointId === before.primaryId);
-		const others = all.filter(({endpointId}) => endpointId !== before.primaryId);
-		const caughtUp = others.some(({leaving, status}) => !leaving && (!primary || holdsLogPosition(status.received, primary.status.received)));
+		const caughtUp = all.some(({endpointId, leaving, status}) => endpointId !== before.primaryId && !leaving
+			&& (!primary || holdsLogPosition(status.received, primary.status.received)));
 		if (caughtUp || parts.clock.now() >= until) {
-			return all;
+			return;
 		}
 
 		await parts.clock.sleep(PROMOTED_POLL_MS);
@@ -423,11 +465,10 @@
 }
 
 /** Lets the other replicas receive again and makes the former primary one; nothing waits for it. */
-function cleanUp(parts: ReplacePrimaryParts, candidates: readonly SuccessorCandidate[], leading: SuccessorCandidate, before: LeadershipRecord) {
-	for (const {endpointId} of candidates) {
-		const endpoint = parts.directory.get(endpointId);
-		if (endpoint && endpointId !== leading.endpointId && endpointId !== before.primaryId) {
-			void askStatus(parts, endpoint, {kind: 'unfence'});
+function cleanUp(parts: ReplacePrimaryParts, leading: SuccessorCandidate, before: LeadershipRecord) {
+	for (const endpoint of parts.directory.list(before.group)) {
+		if (endpoint.entry.id !== leading.endpointId) {
+			void unfence(parts, endpoint);
 		}
 	}
 
@@ -437,6 +478,17 @@
 	}
 }
 
+/** An endpoint left fenced would receive nothing for ever, so it is asked again where no answer came. */
+async function unfence(parts: ReplacePrimaryParts, endpoint: KnownEndpoint) {
+	for (let i = 0; i < UNFENCE_TRIES; i++) {
+		if (await askStatus(parts, endpoint, {kind: 'unfence'})) {
+			return;
+		}
+
+		await parts.clock.sleep(UNFENCE_PAUSE_MS);
+	}
+}
+
 /** Tells the other hosts that there is something new to ask for. */
 async function tellEverywhere({mirror, peers, ownPeerAddress}: ReplacePrimaryParts, group: string) {
 	for (const host of mirror.state.hosts) {
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -68,7 +68,7 @@
 		seeds: parts.seeds,
 		getChanging: () => leadWatch.getChanging(),
 	});
-	const evidences = createLeadEvidences({mirror, elapsedClock, ownPeerAddress: peerAddress});
+	const evidences = createLeadEvidences({mirror, ownPeerAddress: peerAddress});
 	const knowledge = createPlacementKnowledge();
 	const primaryWork = createPrimaryWork(clock);
 	const directory = createEndpointDirectory({
--- a/tests/proxy/failures-tests.ts
+++ b/tests/proxy/failures-tests.ts
@@ -183,6 +183,24 @@
 		expect([...answers]).to.deep.equal(['done idle', 'done 1 idle']);
 	});
 
+	/**
+	 * A host dies for good just as the store goes down for everyone. The dead one cannot say that it replaces no primary;
+	 * the endpoints show no fence, though, and whoever promotes one without asking has to fence it long before.
+	 */
+	it('stops no calm traffic where a host is dead as well', async () => {
+		const bench = await createProxyBench();
+		const caller = await bench.open(bench.proxies[0]!, 'sync');
+		bench.system.kill(bench.proxies[2]!);
+		bench.system.store.setTrouble(undefined, {refused: true});
+		const answers = new Set<string>();
+		for (let i = 0; i < 80; i++) {
+			answers.add(await bench.ask(caller, 'WRITE a 1'));
+			await bench.clock.advance(100);
+		}
+
+		expect([...answers]).to.deep.equal(['done idle']);
+	});
+
 	/** The store turns one proxy away and serves the others, through which that one confirms what it holds. */
 	it('of one proxy alone stops nothing', async () => {
 		const bench = await createProxyBench();
