--- a/src/leadership/replace-primary.ts
+++ b/src/leadership/replace-primary.ts
@@ -12,7 +12,7 @@
 import {withinMs} from '../time/deadline.js';
 import type {Clock} from '../time/clock.js';
 import type {ElapsedClock} from '../time/elapsed-clock.js';
-import {rankSuccessors, type SuccessorCandidate} from './choose-successor.js';
+import {getLeastTerm, rankSuccessors, type SuccessorCandidate} from './choose-successor.js';
 import type {DutyLease} from './duty-lease.js';
 import type {GoneHosts} from './gone-hosts.js';
 import {LEAD_CALL_TIMEOUT_MS} from './lead-calls.js';
@@ -445,12 +445,10 @@
 	return outcome;
 }
 
-/** Waits until the endpoint says that it leads a later term, or the same one where it had led all along. */
+/** Waits until the endpoint says that it leads in a term that shows that the order took effect. */
 async function waitUntilLeads(parts: ReplacePrimaryParts, candidate: SuccessorCandidate, before: LeadershipRecord): Promise<EndpointStatus | undefined> {
 	const until = parts.clock.now() + PROMOTED_WITHIN_MS;
-	const ledBefore = candidate.status.role === EndpointRole.Primary;
-	// A superseded primary calls itself one as well; only a term that was not there before shows that the order took effect.
-	const leastTerm = ledBefore ? candidate.status.term : Math.max(before.term, candidate.status.term) + 1;
+	const leastTerm = getLeastTerm(candidate, before);
 	while (parts.clock.now() < until) {
 		const endpoint = parts.directory.get(candidate.endpointId);
 		const status = endpoint && await askStatus(parts, endpoint, {kind: 'status'});
--- /dev/null
+++ b/src/stand-ins/metadata-store/http-store-front.ts
@@ -0,0 +1,153 @@
+import {once} from 'node:events';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {text} from 'node:stream/consumers';
+
+/** An object as the platform's API spells it. */
+export type ApiObject = {
+	readonly meta: {readonly name: string; readonly modRevision: number; readonly created: number; readonly finalizers: readonly string[]; readonly deleting: boolean};
+	readonly spec: unknown;
+	readonly status: unknown;
+};
+
+/** The platform's store over HTTP, for programs that run as processes; it holds everything in memory. */
+export type HttpStoreFront = {
+	readonly server: Server;
+	/** Writes as the operator or a server of a group does. */
+	put(kind: string, name: string, spec: unknown): void;
+	remove(kind: string, name: string): void;
+	/** While set, every call is refused with this status. */
+	refuseWith: number | undefined;
+	/** Calls so far, by method. */
+	readonly calls: Map<string, number>;
+};
+
+/** Objects to a page of a list. */
+const PAGE_SIZE = 500;
+
+/** Opens an empty store. */
+export async function openHttpStoreFront(host: string, port: number): Promise<HttpStoreFront> {
+	const kinds = new Map<string, Map<string, ApiObject>>();
+	const calls = new Map<string, number>();
+	let revision = 1;
+
+	const getKind = (kind: string) => {
+		const objects = kinds.get(kind) ?? new Map<string, ApiObject>();
+		kinds.set(kind, objects);
+		return objects;
+	};
+
+	const write = (kind: string, name: string, spec: unknown) => {
+		const before = getKind(kind).get(name);
+		if (before && JSON.stringify(before.spec) === JSON.stringify(spec)) {
+			return before;
+		}
+
+		revision++;
+		const object: ApiObject = {
+			meta: {
+				name, modRevision: revision, created: before?.meta.created ?? revision, finalizers: [], deleting: false,
+			},
+			spec,
+			status: null,
+		};
+		getKind(kind).set(name, object);
+		return object;
+	};
+
+	const list = (kind: string, after: string) => {
+		const names = [...getKind(kind).keys()].toSorted().filter(name => name > after);
+		const items = names.slice(0, PAGE_SIZE).map(name => getKind(kind).get(name));
+		return {items, hasMore: names.length > PAGE_SIZE, storeRevision: revision};
+	};
+
+	const create = (kind: string, {meta, spec}: {meta: {name: string}; spec: unknown}): [number, unknown] => {
+		const known = getKind(kind).get(meta.name);
+		return known ? [409, known] : [200, write(kind, meta.name, spec)];
+	};
+
+	const replace = (kind: string, name: string, {meta, spec}: {meta: {modRevision?: number}; spec: unknown}): [number, unknown] => {
+		const known = getKind(kind).get(name);
+		if (!known) {
+			return [404, {storeRevision: revision}];
+		}
+
+		const isChanged = meta.modRevision !== undefined && meta.modRevision !== known.meta.modRevision;
+		return isChanged ? [409, known] : [200, write(kind, name, spec)];
+	};
+
+	const remove = (kind: string, name: string, expected: string | undefined): [number, unknown] => {
+		const known = getKind(kind).get(name);
+		if (!known) {
+			return [404, {storeRevision: revision}];
+		}
+
+		if (expected !== undefined && Number(expected) !== known.meta.modRevision) {
+			return [409, known];
+		}
+
+		getKind(kind).delete(name);
+		revision++;
+		return [200, {storeRevision: revision}];
+	};
+
+	const answer = async (req: IncomingMessage): Promise<[number, unknown]> => {
+		const url = new URL(req.url ?? '/', 'http://store');
+		const [, root, kind, encodedName] = url.pathname.split('/');
+		if (root !== 'objects' || !kind) {
+			return [404, {}];
+		}
+
+		const name = encodedName && decodeURIComponent(encodedName);
+		const body = req.method === 'POST' || req.method === 'PUT' ? JSON.parse(await text(req)) as never : undefined;
+		switch (req.method) {
+			case 'GET': {
+				const object = name ? getKind(kind).get(name) : list(kind, url.searchParams.get('after') ?? '');
+				return object ? [200, object] : [404, {storeRevision: revision}];
+			}
+
+			case 'POST': {
+				return create(kind, body!);
+			}
+
+			case 'PUT': {
+				return replace(kind, name ?? '', body!);
+			}
+
+			case 'DELETE': {
+				return remove(kind, name ?? '', url.searchParams.get('modRevision') ?? undefined);
+			}
+
+			default: {
+				return [405, {}];
+			}
+		}
+	};
+
+	const serve = async (req: IncomingMessage, res: ServerResponse) => {
+		calls.set(req.method ?? '', (calls.get(req.method ?? '') ?? 0) + 1);
+		const [status, body] = front.refuseWith === undefined ? await answer(req) : [front.refuseWith, {}];
+		res.writeHead(status, {'content-type': 'application/json'}).end(JSON.stringify(body));
+	};
+
+	const server = createServer((req, res) => {
+		serve(req, res).catch(() => {
+			res.writeHead(400).end('{}');
+		});
+	});
+	server.listen(port, host);
+	await once(server, 'listening');
+	const front: HttpStoreFront = {
+		server,
+		calls,
+		refuseWith: undefined,
+		put(kind, name, spec) {
+			write(kind, name, spec);
+		},
+		remove(kind, name) {
+			remove(kind, name, undefined);
+		},
+	};
+	return front;
+}
--- /dev/null
+++ b/src/stand-ins/plain-group/line-front.ts
@@ -0,0 +1,150 @@
+import {once} from 'node:events';
+import {createServer, type Server, type Socket} from 'node:net';
+import type {EndpointCommand, EndpointLink, EndpointRequest} from '../../links/endpoint-link.js';
+import {isLinkRefused} from '../../links/link-errors.js';
+import {formatCallerAnswer, formatReady, parseStatement} from '../../platform/caller-lines.js';
+import {createLineReader} from '../../platform/line-reader.js';
+import {formatCode} from '../../platform/platform-words.js';
+import {parsePosition} from '../../platform/position-text.js';
+import {SessionState, type Statement} from '../../statements/statement.js';
+import type {PlainGroup} from './plain-group.js';
+import type {PlainServer} from './plain-server.js';
+
+/** Serves one server of a group over TCP, as proxies reach it; `address` is where it listens. */
+export async function openLineFront(group: PlainGroup, server: PlainServer, host: string, port: number): Promise<Server> {
+	const front = createServer(socket => {
+		void serve(group, server, socket);
+	});
+	front.listen(port, host);
+	await once(front, 'listening');
+	return front;
+}
+
+async function serve(group: PlainGroup, server: PlainServer, socket: Socket) {
+	const reader = createLineReader();
+	let opening: Promise<EndpointLink | undefined> | undefined;
+	let answers = Promise.resolve();
+	socket.setEncoding('latin1');
+	socket.setNoDelay(true);
+	socket.on('error', () => {
+		socket.destroy();
+	});
+	socket.on('close', () => {
+		void opening?.then(link => {
+			link?.cut();
+		});
+	});
+	socket.on('data', (chunk: string) => {
+		for (const line of reader.push(chunk) ?? []) {
+			if (!opening) {
+				opening = open(group, server, socket, line);
+				continue;
+			}
+
+			const taken = opening;
+			answers = answers.then(async () => answer(await taken, socket, line));
+		}
+	});
+}
+
+async function open(group: PlainGroup, server: PlainServer, socket: Socket, line: string): Promise<EndpointLink | undefined> {
+	const [word, name = '', , endpointId = server.id] = line.split(' ');
+	if (word !== 'STARTUP' || !server.running) {
+		socket.destroy();
+		return undefined;
+	}
+
+	try {
+		const link = await group.open({address: server.address, group: name, endpointId}, {onAsked() {}, onHeard() {}}, () => false); // eslint-disable-line @typescript-eslint/no-empty-function
+		link.onClose(() => socket.destroy());
+		socket.write(formatReady(SessionState.Idle, link.firstPosition), 'latin1');
+		return link;
+	} catch (err) {
+		socket.end(isLinkRefused(err) ? `ERROR ${formatCode(err.code)} ${server.id}\r\n` : '');
+		return undefined;
+	}
+}
+
+async function answer(link: EndpointLink | undefined, socket: Socket, line: string) {
+	const [word, id, ...rest] = line.split(' ');
+	if (!link || word !== 'QUERY' || id === undefined) {
+		socket.end();
+		return;
+	}
+
+	const req = parseRequest(id, rest.join(' '));
+	if (!req) {
+		socket.write('ERROR MALFORMED -\r\nREADY I -\r\n');
+		return;
+	}
+
+	try {
+		const {rows, end, state, position} = await link.exchange(req);
+		socket.write(formatCallerAnswer(rows, end, state, position), 'latin1');
+	} catch {
+		// The server's process has ended; its connections end with it.
+		socket.destroy();
+	}
+}
+
+function parseRequest(id: string, text: string): EndpointRequest | undefined {
+	const [first = '', position = '', ...rest] = text.split(' ');
+	if (first === 'AFTER') {
+		const command = parseCommand(rest.join(' '));
+		return command && {id, command, floor: parsePosition(position)};
+	}
+
+	const command = parseCommand(text);
+	return command && {id, command};
+}
+
+function parseCommand(text: string): EndpointCommand | undefined {
+	const [word = '', term] = text.split(' ');
+	switch (word) {
+		case 'STATUS': {
+			return {kind: 'status'};
+		}
+
+		case 'RESET': {
+			return {kind: 'reset'};
+		}
+
+		case 'RESUME': {
+			return {kind: 'unfence'};
+		}
+
+		case 'PAUSE': {
+			return {kind: 'fence', term: Number(term)};
+		}
+
+		case 'STEPDOWN': {
+			return {kind: 'step-down', term: Number(term)};
+		}
+
+		default: {
+			return toCommand(parseStatement(text));
+		}
+	}
+}
+
+function toCommand(statement: Statement): EndpointCommand | undefined {
+	switch (statement.kind) {
+		case 'run': {
+			return {kind: 'run', text: statement.text};
+		}
+
+		case 'forget':
+		case 'malformed': {
+			return undefined;
+		}
+
+		case 'begin':
+		case 'commit':
+		case 'rollback':
+		case 'execute':
+		case 'set':
+		case 'prepare': {
+			return statement;
+		}
+	}
+}
--- a/src/stand-ins/plain-group/plain-group.ts
+++ b/src/stand-ins/plain-group/plain-group.ts
@@ -131,6 +131,7 @@
 		server.role = EndpointRole.Primary;
 		server.term = term;
 		server.fencedTerm = 0;
+		observer.onLead?.(server);
 		// What was received is applied at once.
 		for (const [i, held] of server.log.entries()) {
 			server.log[i] = {...held, visibleAt: Math.min(held.visibleAt, clock.now())};
--- a/src/stand-ins/plain-group/plain-server.ts
+++ b/src/stand-ins/plain-group/plain-server.ts
@@ -43,6 +43,8 @@
 export type PlainObserver = {
 	onRead(read: {readonly id: string; readonly server: PlainServer; readonly end: LogPosition}): void;
 	onCommit(commit: PlainCommit, server: PlainServer, id: string): void;
+	/** The server leads from now on; what its log lacks of the former leader's is rolled back for good. */
+	onLead?(server: PlainServer): void;
 };
 
 /** Runs requests of sessions. */
--- /dev/null
+++ b/src/stand-ins/plain-platform/local-platform.ts
@@ -0,0 +1,187 @@
+import {once} from 'node:events';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {createServer} from 'node:http';
+import {spawn, type ChildProcess} from 'node:child_process';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {json} from 'node:stream/consumers';
+import {OrderOutcome} from '../../leadership/promotion-orders.js';
+import {createSystemClock} from '../../time/system-clock.js';
+import {openHttpStoreFront, type HttpStoreFront} from '../metadata-store/http-store-front.js';
+import {openLineFront} from '../plain-group/line-front.js';
+import {createPlainGroup, type PlainGroup} from '../plain-group/plain-group.js';
+import type {PlainObserver} from '../plain-group/plain-server.js';
+import {findFreePorts} from '../processes/free-ports.js';
+
+/** A proxy that runs as a process. */
+export type LocalProxy = {
+	readonly name: string;
+	readonly callerPort: number;
+	readonly metricsPort: number;
+	/** Lines that it logged. */
+	readonly lines: string[];
+	/** Ends it with a signal and resolves with its exit code, undefined where the signal ended it. */
+	end(signal: 'SIGTERM' | 'SIGKILL'): Promise<number | undefined>;
+};
+
+/** The platform, one database group and proxies on loopback: the proxies are processes, all else runs here. */
+export type LocalPlatform = {
+	readonly group: PlainGroup;
+	readonly store: HttpStoreFront;
+	/** Starts a proxy from the bundle under `target/` and waits until it is ready. */
+	startProxy(name: string): Promise<LocalProxy>;
+	/** Ends everything that was started. */
+	stop(): Promise<void>;
+};
+
+const HOST = '127.0.0.1';
+const GROUP = 'nights';
+const READY_WITHIN_MS = 10_000;
+const RECHECK_MS = 20;
+
+/** Databases that callers may name, with the policy of their reads. */
+const ROUTES = [
+	{host: 'sync', type: 'primary'},
+	{host: 'review', type: 'bounded', maxStalenessMs: 1500},
+	{host: 'roster', type: 'read_your_writes', maxStalenessMs: 2500},
+];
+
+/** Starts the platform and the group; no proxy yet. */
+export async function startLocalPlatform(observer: PlainObserver): Promise<LocalPlatform> {
+	const clock = createSystemClock();
+	const [storePort, ordersPort, ...serverPorts] = await findFreePorts(5) as [number, number, ...number[]];
+	const store = await openHttpStoreFront(HOST, storePort);
+	const group = createPlainGroup({
+		clock, name: GROUP, zones: ['zone-a', 'zone-b', 'zone-c'], observer,
+	});
+	const fronts = await Promise.all(group.servers.map(async (server, i) => openLineFront(group, server, HOST, serverPorts[i]!)));
+	const orders = await openOrders(group, ordersPort);
+	const folder = mkdtempSync(path.join(tmpdir(), 'aldercroft-local-'));
+	const children: ChildProcess[] = [];
+
+	const register = () => {
+		for (const [i, server] of group.servers.entries()) {
+			if (server.running) {
+				store.put('servers', server.id, {
+					backend: GROUP,
+					address: `${HOST}:${serverPorts[i]}`,
+					zone: server.availabilityZone,
+					revision: 'v1',
+					capacity: 3,
+					state: server.leaving ? 'draining' : 'ready',
+					sequence: 1,
+					coldRemainingMs: 0,
+					dbRole: server.role,
+				});
+			} else {
+				store.remove('servers', server.id);
+			}
+		}
+	};
+
+	store.put('config', 'main', {
+		revision: 1,
+		routes: ROUTES.map(route => ({
+			...route, name: `r-${route.host}`, pathPrefix: '/', timeoutMs: 1000, targetLatencyMs: 200, priority: 1, backend: GROUP, maxAttempts: 2,
+		})),
+		backends: [{name: GROUP, maxConnections: 22, syncReplicas: 0}],
+		limits: {txIdleMs: 3000},
+	});
+	register();
+	const registering = setInterval(register, 200);
+	group.start();
+
+	return {
+		group,
+		store,
+		async startProxy(name) {
+			const [callerPort, readyPort, peerPort, metricsPort] = await findFreePorts(4) as [number, number, number, number];
+			const settings = path.join(folder, `${name}.conf`);
+			writeFileSync(settings, [
+				`nodeName=${name}`,
+				'zone=zone-a',
+				`ip=${HOST}`,
+				`listen.front=${HOST}:${callerPort}`,
+				`listen.readiness=${HOST}:${readyPort}`,
+				`listen.control=${HOST}:${peerPort}`,
+				'portRange=7440,7455',
+				`platform.address=${HOST}:${storePort}`,
+				`cloud.address=${HOST}:${ordersPort}`,
+				'bounds.graceS=6',
+			].join('\n'));
+			const child = spawn(process.execPath, ['target/aldercroft-proxy.mjs', `--metrics-port=${metricsPort}`], {
+				env: {PATH: process.env.PATH, ALDERCROFT_BOOT: settings, ALDERCROFT_PEER_KEYS: 'a key of the local platform alone, 32+'},
+				stdio: ['ignore', 'pipe', 'inherit'],
+			});
+			children.push(child);
+			const lines: string[] = [];
+			child.stdout.setEncoding('utf8').on('data', (chunk: string) => {
+				lines.push(...chunk.split('\n').filter(line => line !== ''));
+			});
+			await waitUntilReady(readyPort, child);
+			return {
+				name,
+				callerPort,
+				metricsPort,
+				lines,
+				async end(signal) {
+					child.kill(signal);
+					if (child.exitCode === null && child.signalCode === null) {
+						await once(child, 'exit');
+					}
+
+					return child.exitCode ?? undefined;
+				},
+			};
+		},
+		async stop() {
+			clearInterval(registering);
+			group.stop();
+			for (const child of children) {
+				child.kill('SIGKILL');
+			}
+
+			for (const server of [store.server, orders]) {
+				server.closeAllConnections();
+				server.close();
+			}
+
+			for (const front of fronts) {
+				front.close();
+			}
+
+			rmSync(folder, {recursive: true});
+		},
+	};
+}
+
+async function openOrders(group: PlainGroup, port: number) {
+	const server = createServer((req, res) => {
+		json(req).then(body => {
+			const outcome = group.promote((body as {id: string}).id);
+			res.writeHead(outcome === OrderOutcome.Accepted ? 200 : 409).end('{}');
+		}, () => {
+			res.writeHead(400).end('{}');
+		});
+	});
+	server.listen(port, HOST);
+	await once(server, 'listening');
+	return server;
+}
+
+async function waitUntilReady(port: number, child: ChildProcess) {
+	const until = performance.now() + READY_WITHIN_MS;
+	while (performance.now() < until && child.exitCode === null) {
+		const res = await fetch(`http://${HOST}:${port}/ready`).catch(() => undefined);
+		if (res?.status === 200) {
+			return;
+		}
+
+		await new Promise(resolve => {
+			setTimeout(resolve, RECHECK_MS);
+		});
+	}
+
+	throw new Error(`the proxy was not ready within ${READY_WITHIN_MS} ms, or ended with ${child.exitCode}`);
+}
--- /dev/null
+++ b/src/stand-ins/plain-platform/wire-caller.ts
@@ -0,0 +1,73 @@
+import {connect} from 'node:net';
+import {createLineReader} from '../../platform/line-reader.js';
+
+/** A caller that speaks the platform's lines to a proxy. */
+export type WireCaller = {
+	/** The lines of the answer to the start of the session, or of its refusal. */
+	readonly greeting: readonly string[];
+	/** Sends a statement and resolves with the lines of its answer; without the last one where the connection ended. */
+	ask(id: string, text: string): Promise<readonly string[]>;
+	/** Sends bytes as they are. */
+	send(text: string): void;
+	leave(): void;
+	readonly closed: boolean;
+};
+
+/** Opens a session. */
+export async function openWireCaller(port: number, database: string): Promise<WireCaller> {
+	const socket = connect({host: '127.0.0.1', port, noDelay: true});
+	const reader = createLineReader();
+	let closed = false;
+	let lines: string[] = [];
+	let take: ((answer: readonly string[]) => void) | undefined;
+
+	const finish = () => {
+		const answer = lines;
+		lines = [];
+		take?.(answer);
+		take = undefined;
+	};
+
+	socket.setEncoding('latin1');
+	socket.on('data', (chunk: string) => {
+		for (const line of reader.push(chunk) ?? []) {
+			lines.push(line);
+			if (line.startsWith('READY ')) {
+				finish();
+			}
+		}
+	});
+	socket.on('error', () => {
+		socket.destroy();
+	});
+	socket.on('close', () => {
+		closed = true;
+		finish();
+	});
+
+	const exchange = async (text: string) => {
+		if (closed) {
+			return [];
+		}
+
+		const answered = new Promise<readonly string[]>(resolve => {
+			take = resolve;
+		});
+		socket.write(text, 'latin1');
+		return answered;
+	};
+
+	return {
+		greeting: await exchange(`STARTUP ${database} caller\r\n`),
+		ask: async (id, text) => exchange(`QUERY ${id} ${text}\r\n`),
+		send(text) {
+			socket.write(text, 'latin1');
+		},
+		leave() {
+			socket.destroy();
+		},
+		get closed() {
+			return closed;
+		},
+	};
+}
