--- a/src/stand-ins/metadata-store/http-store-front.ts
+++ b/src/stand-ins/metadata-store/http-store-front.ts
@@ -101,7 +101,8 @@
 
 		const name = encodedName && decodeURIComponent(encodedName);
 		const body = req.method === 'POST' || req.method === 'PUT' ? JSON.parse(await text(req)) as never : undefined;
-		switch (req.method) {
+		const {method = ''} = req;
+		switch (method) {
 			case 'GET': {
 				const object = name ? getKind(kind).get(name) : list(kind, url.searchParams.get('after') ?? '');
 				return object ? [200, object] : [404, {storeRevision: revision}];
