Test the new parts each by itself, and the built program over real sockets

Found by them: an endpoint asked at time 0 was silent whatever it answered. The product's field for a route's staleness is now maxReadAgeMs, since the platform's own name stood outside its folder.

--- a/src/demo/platform-demo.ts
+++ b/src/demo/platform-demo.ts
@@ -1,7 +1,7 @@
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {startLocalPlatform, type LocalPlatform, type LocalProxy} from '../stand-ins/plain-platform/local-platform.js';
-import {openWireCaller} from '../stand-ins/plain-platform/wire-caller.js';
+import {getFirstRow, getOutcome, openWireCaller} from '../stand-ins/plain-platform/wire-caller.js';
 import {createStory, type Story} from './story.js';
 
 /**
@@ -48,10 +48,10 @@
 }
 
 function noteAnswer(id: string, lines: readonly string[]) {
-	const [first = ''] = lines;
-	if (first.startsWith('COMPLETE ')) {
+	const outcome = getOutcome(lines);
+	if (outcome === 'done') {
 		told.acknowledged.set(id, performance.now());
-	} else if (/^ERROR (?:BUSY|ABORTED|LAGGING|READONLY) /v.test(first)) {
+	} else if (outcome === 'not-run') {
 		told.refused.add(id);
 	} else {
 		told.unknown++;
@@ -65,7 +65,7 @@
 		const caller = await openWireCaller(proxy.callerPort, 'roster');
 		await caller.ask(`own-${proxy.name}`, `WRITE own-${proxy.name} 7`);
 		const lines = await caller.ask(`read-${proxy.name}`, `READ own-${proxy.name}`);
-		if (lines[0] !== 'DATAROW 7') {
+		if (getFirstRow(lines) !== '7') {
 			faults.push(`${proxy.name} answered ${lines.join(' | ')}`);
 		}
 
--- a/src/gateway/lend-link.ts
+++ b/src/gateway/lend-link.ts
@@ -114,7 +114,7 @@
 
 /** What a replica must hold to serve a read; undefined where no position is known that covers what the route asks for. */
 function getFloor({knowledge, mirror}: GatewayParts, {route, memory, arrivedAt}: LinkRequest): LogPosition | undefined {
-	const sampled = knowledge.getSamples(route.group).getFloor(arrivedAt - route.maxStalenessMs + FLOOR_MARGIN_MS);
+	const sampled = knowledge.getSamples(route.group).getFloor(arrivedAt - route.maxReadAgeMs + FLOOR_MARGIN_MS);
 	const own = route.policy === ReadPolicy.OwnWrites ? memory.floors.get(route.group) : undefined;
 	const floor = sampled && getHigherFloor(sampled, own);
 	const start = mirror.state.leadership.get(route.group)?.start;
--- a/src/links/endpoint-health.ts
+++ b/src/links/endpoint-health.ts
@@ -45,7 +45,9 @@
 		noteHeard(now) {
 			heardAt = now;
 			refused = false;
-			askedAt &&= now;
+			if (askedAt !== undefined) {
+				askedAt = now;
+			}
 		},
 		noteAsked(now) {
 			askedAt ??= now;
--- a/src/platform/store-schemas.ts
+++ b/src/platform/store-schemas.ts
@@ -91,7 +91,7 @@
 		group: route.backend,
 		// An unknown policy gets the strictest one, under which nothing can be too old.
 		policy: POLICIES[route.type] ?? ReadPolicy.Primary,
-		maxStalenessMs: route.maxStalenessMs,
+		maxReadAgeMs: route.maxStalenessMs,
 		statementTimeoutMs: route.timeoutMs,
 		targetLatencyMs: route.targetLatencyMs,
 		priority: route.priority,
--- a/src/routes/routing.ts
+++ b/src/routes/routing.ts
@@ -18,8 +18,8 @@
 	readonly database: string;
 	readonly group: string;
 	readonly policy: ReadPolicy;
-	/** Oldest data that a read may see, in milliseconds; 0 for the primary policy. */
-	readonly maxStalenessMs: number;
+	/** Age that data may have which a read sees, in milliseconds; 0 for the primary policy. */
+	readonly maxReadAgeMs: number;
 	/** Bound for a single statement, in milliseconds. */
 	readonly statementTimeoutMs: number;
 	/** Time in which a whole operation is wanted, in milliseconds. */
--- a/src/stand-ins/plain-platform/wire-caller.ts
+++ b/src/stand-ins/plain-platform/wire-caller.ts
@@ -13,6 +13,23 @@
 	readonly closed: boolean;
 };
 
+/** How an answer ended, as a caller takes it. */
+export type WireOutcome = 'done' | 'not-run' | 'unknown';
+
+/** Reads the first row of an answer, undefined where it has none. */
+export function getFirstRow(lines: readonly string[]): string | undefined {
+	return lines[0]?.startsWith('DATAROW ') ? lines[0].slice('DATAROW '.length) : undefined;
+}
+
+/** Reads whether an answer says that a write was done, or promises that nothing of it is kept. */
+export function getOutcome(lines: readonly string[]): WireOutcome {
+	if (lines.some(line => line.startsWith('COMPLETE '))) {
+		return 'done';
+	}
+
+	return lines.some(line => /^ERROR (?:BUSY|ABORTED|LAGGING|READONLY|WRONGNODE|CONNLIMIT) /v.test(line)) ? 'not-run' : 'unknown';
+}
+
 /** Opens a session. */
 export async function openWireCaller(port: number, database: string): Promise<WireCaller> {
 	const socket = connect({host: '127.0.0.1', port, noDelay: true});
--- a/tests/lead-check/lead-history.ts
+++ b/tests/lead-check/lead-history.ts
@@ -7,7 +7,7 @@
 export type ReadClaim = {
 	/** Time of its first byte, or of its transaction's. */
 	readonly firstByteAt: number;
-	readonly maxStalenessMs: number;
+	readonly maxReadAgeMs: number;
 	/** Statement ids of the session's own acknowledged commits. */
 	readonly own: readonly string[];
 };
@@ -73,7 +73,7 @@
 		const visible = new Set(server.log.filter(({visibleAt}) => visibleAt <= now).map(({commit}) => commit));
 		const missing: string[] = [];
 		for (const [id, {commit, at}] of acknowledged) {
-			const owed = at < claim.firstByteAt - claim.maxStalenessMs || claim.own.includes(id);
+			const owed = at < claim.firstByteAt - claim.maxReadAgeMs || claim.own.includes(id);
 			if (owed && leaderLog.has(commit) && !rolledBack.has(commit) && !visible.has(commit)) {
 				missing.push(id);
 			}
--- a/tests/lead-check/run-lead-schedule.ts
+++ b/tests/lead-check/run-lead-schedule.ts
@@ -33,9 +33,9 @@
 const CALLERS_PER_PROXY = 2;
 
 const ROUTES: readonly Route[] = [
-	{name: 'sync', policy: ReadPolicy.Primary, maxStalenessMs: 0},
-	{name: 'review', policy: ReadPolicy.Bounded, maxStalenessMs: 1500},
-	{name: 'roster', policy: ReadPolicy.OwnWrites, maxStalenessMs: 2500},
+	{name: 'sync', policy: ReadPolicy.Primary, maxReadAgeMs: 0},
+	{name: 'review', policy: ReadPolicy.Bounded, maxReadAgeMs: 1500},
+	{name: 'roster', policy: ReadPolicy.OwnWrites, maxReadAgeMs: 2500},
 ].map(route => ({
 	...route, database: route.name, group: GROUP, statementTimeoutMs: 1000, targetLatencyMs: 200, priority: 1,
 }));
@@ -181,7 +181,7 @@
 }
 
 function createClaim({clock}: World, route: Route, own: readonly string[]) {
-	return {firstByteAt: clock.now(), maxStalenessMs: route.maxStalenessMs, own: route.policy === ReadPolicy.OwnWrites ? [...own] : []};
+	return {firstByteAt: clock.now(), maxReadAgeMs: route.maxReadAgeMs, own: route.policy === ReadPolicy.OwnWrites ? [...own] : []};
 }
 
 async function writeOnce(world: World, proxy: SimulatedProxy, caller: ScriptedCaller, own: string[]) {
--- /dev/null
+++ b/tests/leadership/duty-lease-tests.ts
@@ -0,0 +1,95 @@
+import {expect} from 'chai';
+import {createDutyLease, DUTY_LEASE_MS, type DutyLease} from '../../src/leadership/duty-lease.js';
+import {createSilentLog} from '../../src/log/silent-log.js';
+import {createStoreMirror, type StoreMirror} from '../../src/mirror/store-mirror.js';
+import {createSeededRandom} from '../../src/random/seeded-random.js';
+import {createInMemoryMetadataStore, type InMemoryMetadataStore} from '../../src/stand-ins/metadata-store/in-memory-metadata-store.js';
+import {createPeerNetwork} from '../../src/stand-ins/peers/in-memory-peers.js';
+import {createVirtualClock, type VirtualClock} from '../../src/stand-ins/time/virtual-clock.js';
+
+type Bench = {
+	readonly clock: VirtualClock;
+	readonly store: InMemoryMetadataStore;
+	create(hostName: string, incarnation: string): Promise<{readonly duty: DutyLease; readonly mirror: StoreMirror}>;
+	take(duty: DutyLease): Promise<boolean>;
+};
+
+function createBench(): Bench {
+	const clock = createVirtualClock();
+	const store = createInMemoryMetadataStore(clock, createSeededRandom(1));
+	const network = createPeerNetwork(clock);
+	const elapsedClock = {elapsed: () => clock.now()};
+	return {
+		clock,
+		store,
+		async create(hostName, incarnation) {
+			const ownPeerAddress = `${hostName}-${incarnation}:7000`;
+			const mirror = createStoreMirror({
+				store: store.getClient(hostName), peers: network.addHost(ownPeerAddress), clock, elapsedClock, log: createSilentLog(), ownPeerAddress, seeds: [], getChanging: () => [],
+			});
+			await clock.runUntil(mirror.confirm());
+			const duty = createDutyLease({
+				store: store.getClient(hostName), mirror, elapsedClock, log: createSilentLog(), hostName, incarnation,
+			});
+			duty.getOtherHolder();
+			return {duty, mirror};
+		},
+		take: async duty => clock.runUntil(duty.take()),
+	};
+}
+
+describe('the duty to have primaries replaced', () => {
+	it('is taken at once where nobody holds it', async () => {
+		const bench = createBench();
+		const {duty} = await bench.create('a', '1');
+		expect([await bench.take(duty), duty.getToken(100)]).to.deep.equal([true, 1]);
+	});
+
+	it('keeps its token while it is renewed', async () => {
+		const bench = createBench();
+		const {duty} = await bench.create('a', '1');
+		await bench.take(duty);
+		await bench.clock.advance(DUTY_LEASE_MS - 500);
+		await bench.take(duty);
+		await bench.clock.advance(DUTY_LEASE_MS - 500);
+		expect(duty.getToken(100)).to.equal(1);
+	});
+
+	it('gives no token for an order that may outlast it', async () => {
+		const bench = createBench();
+		const {duty} = await bench.create('a', '1');
+		await bench.take(duty);
+		await bench.clock.advance(DUTY_LEASE_MS - 500);
+		expect([duty.getToken(400), duty.getToken(600)]).to.deep.equal([1, undefined]);
+	});
+
+	/** Two hosts that ordered promotions at the same time could each promote another endpoint. */
+	it('is not taken from a holder before it has ended, and then with a higher token', async () => {
+		const bench = createBench();
+		const first = await bench.create('a', '1');
+		const second = await bench.create('b', '1');
+		await bench.take(first.duty);
+		await bench.clock.runUntil(second.mirror.confirm());
+		expect([await bench.take(second.duty), second.duty.getOtherHolder()]).to.deep.equal([false, 'a']);
+		await bench.clock.advance(DUTY_LEASE_MS);
+		expect(await bench.take(second.duty)).to.equal(false);
+		await bench.clock.advance(300);
+		expect([first.duty.getToken(1), await bench.take(second.duty), second.duty.getToken(100)]).to.deep.equal([undefined, true, 2]);
+	});
+
+	/** A process that was killed may have an order under way; the one that is started in its place is another holder. */
+	it('is not taken over by a restarted host before it has ended', async () => {
+		const bench = createBench();
+		const first = await bench.create('a', '1');
+		await bench.take(first.duty);
+		const restarted = await bench.create('a', '2');
+		expect(await bench.take(restarted.duty)).to.equal(false);
+	});
+
+	it('is not held where the update brought no answer', async () => {
+		const bench = createBench();
+		const {duty} = await bench.create('a', '1');
+		bench.store.setTrouble('a', {loseShare: 1});
+		expect([await bench.take(duty), duty.getToken(100)]).to.deep.equal([false, undefined]);
+	});
+});
--- /dev/null
+++ b/tests/links/link-session-tests.ts
@@ -0,0 +1,60 @@
+import {expect} from 'chai';
+import type {EndpointLink, EndpointRequest} from '../../src/links/endpoint-link.js';
+import {createSessionLink} from '../../src/links/link-session.js';
+import {AnswerCode, type EndpointAnswer} from '../../src/statements/statement-answer.js';
+import {formatRequest} from '../../src/platform/endpoint-lines.js';
+
+/** A connection that notes what is sent on it. */
+function createNotedLink(refused?: string) {
+	const sent: string[] = [];
+	const link = {
+		cutDown: false,
+		async exchange(req: EndpointRequest): Promise<EndpointAnswer> {
+			const text = formatRequest(req).trim().replace('QUERY - ', '');
+			sent.push(text);
+			return {rows: [], state: 'idle', end: text === refused ? {kind: 'error', code: AnswerCode.Failed, text: ''} : {kind: 'complete'}};
+		},
+		cut() {
+			this.cutDown = true;
+		},
+	};
+	return {sent, link, sessionLink: createSessionLink(link as unknown as EndpointLink)};
+}
+
+const values = (entries: Record<string, string>) => new Map(Object.entries(entries));
+
+describe('adapting a connection to a session', () => {
+	function doTest(name: string, sessions: ReadonlyArray<Record<string, string>>, expected: readonly string[]) {
+		it(name, () => {
+			const {sent, sessionLink} = createNotedLink();
+			for (const session of sessions) {
+				sessionLink.adapt({values: values(session)});
+			}
+
+			expect(sent).to.deep.equal(expected);
+		});
+	}
+
+	doTest('sends nothing for a session without values', [{}, {}], []);
+	doTest('sets what is missing', [{a: '1'}, {a: '1', b: '2'}], ['SET a 1', 'SET b 2']);
+	doTest('sets what differs', [{a: '1'}, {a: '2'}], ['SET a 1', 'SET a 2']);
+	doTest('clears what another session set', [{a: '1', b: '2'}, {b: '2'}], ['SET a 1', 'SET b 2', 'RESET', 'SET b 2']);
+
+	it('prepares a shape once, under one name for all, and again after a reset', () => {
+		const {sent, sessionLink} = createNotedLink();
+		const prepared = {access: 'read', shape: 'q1'} as const;
+		sessionLink.adapt({values: values({a: '1'}), prepared});
+		sessionLink.adapt({values: values({a: '1'}), prepared});
+		sessionLink.adapt({values: values({}), prepared});
+		expect(sent).to.deep.equal(['SET a 1', 'PARSE r_q1 READ q1', 'RESET', 'PARSE r_q1 READ q1']);
+	});
+
+	/** An endpoint refuses a value. The statement behind it would run without it, and its caller would take the rows for right. */
+	it('cuts a connection that did not take what was sent ahead', async () => {
+		const {link, sessionLink} = createNotedLink('SET a 1');
+		sessionLink.adapt({values: values({a: '1'})});
+		await Promise.resolve();
+		await Promise.resolve();
+		expect(link.cutDown).to.equal(true);
+	});
+});
--- a/tests/proxy/explain-tests.ts
+++ b/tests/proxy/explain-tests.ts
@@ -20,7 +20,8 @@
 }
 
 function describeLines(lines: readonly Line[], keep: (line: Line) => boolean, names: readonly string[]) {
-	return lines.filter(line => keep(line)).map(({sentence, fields}) => [sentence, ...names.filter(name => fields[name] !== undefined).map(name => `${name}=${JSON.stringify(fields[name])}`)].join(' '));
+	const describeFields = (fields: LogFields) => names.filter(name => fields[name] !== undefined).map(name => `${name}=${JSON.stringify(fields[name])}`);
+	return lines.filter(line => keep(line)).map(({sentence, fields}) => [sentence, ...describeFields(fields)].join(' '));
 }
 
 /** The walks of docs/OPERATIONS.md: all that on-call has is the id of a request and the lines. */
@@ -37,7 +38,8 @@
 
 		expect(await bench.ask(caller, 'WRITE a 1', 'r-1')).to.equal('overloaded idle');
 		expect(describeLines(lines, ({fields}) => fields.id === 'r-1', ['code', 'text', 'group', 'tookMs', 'endpoints', 'epoch', 'phase'])).to.deep.equal([
-			'entry-1 callers: a statement was refused code="overloaded" text="retry-after-ms=400 no primary could be used; the write was not run" group="nights" tookMs=1000 endpoints=[] epoch=2 phase="changing"',
+			'entry-1 callers: a statement was refused code="overloaded" text="retry-after-ms=400 no primary could be used; the write was not run"'
+			+ ' group="nights" tookMs=1000 endpoints=[] epoch=2 phase="changing"',
 		]);
 		const causes = describeLines(lines, ({sentence, fields}) => fields.group === 'nights' && sentence.startsWith('entry-1 '), ['reason', 'suspicion', 'endpoint', 'epoch']);
 		expect(causes).to.include('entry-1 leads: a primary seems lost suspicion="refused" endpoint="nights-1" epoch=1');
--- a/tests/proxy/proxy-bench.ts
+++ b/tests/proxy/proxy-bench.ts
@@ -26,9 +26,9 @@
 
 /** Route names are the databases that callers name. */
 export const ROUTES: readonly Route[] = [
-	{name: 'sync', policy: ReadPolicy.Primary, maxStalenessMs: 0},
-	{name: 'review', policy: ReadPolicy.Bounded, maxStalenessMs: 1500},
-	{name: 'roster', policy: ReadPolicy.OwnWrites, maxStalenessMs: 2500},
+	{name: 'sync', policy: ReadPolicy.Primary, maxReadAgeMs: 0},
+	{name: 'review', policy: ReadPolicy.Bounded, maxReadAgeMs: 1500},
+	{name: 'roster', policy: ReadPolicy.OwnWrites, maxReadAgeMs: 2500},
 ].map(route => ({
 	...route, database: route.name, group: 'nights', statementTimeoutMs: 1000, targetLatencyMs: 200, priority: 1,
 }));
