Give each guard a test that goes red without it; repeat no commit in its last moments

Found by the test of a commit that is turned away for as long as the statement may take: the last repeat, with no time left, was cut, and its caller told that the outcome is unknown, though until then it was certain that nothing was kept. Repeats now end 150 ms earlier.

--- a/src/gateway/caller-transaction.ts
+++ b/src/gateway/caller-transaction.ts
@@ -39,6 +39,12 @@
 /** Pause before an endpoint that could not begin is asked again, in milliseconds. */
 const BEGIN_PAUSE_MS = 20;
 
+/**
+ * A commit that was turned away is not repeated with less time than this left, in milliseconds: a repeat that brings no answer
+ * would leave the outcome open, where so far it is certain that nothing is kept.
+ */
+const LEAST_COMMIT_MS = 150;
+
 /** Creates a transaction; nothing is sent to an endpoint before its first statement. */
 export function createCallerTransaction({parts, beginId, readOnly, req}: CallerTransactionOptions): CallerTransaction {
 	const {clock, elapsedClock, evidences, log, metrics, mirror} = parts;
@@ -133,7 +139,7 @@
 		for (;;) {
 			const answer = await exchangeWithin(parts, ending, {id, command: {kind: 'commit'}}, until - clock.now());
 			const turnedAway = answer?.end.kind === 'error' && answer.end.code === AnswerCode.Overloaded && answer.state === SessionState.Open;
-			if (!turnedAway || clock.now() + BEGIN_PAUSE_MS >= until) {
+			if (!turnedAway || clock.now() + LEAST_COMMIT_MS >= until) {
 				return answer;
 			}
 
--- a/src/stand-ins/plain-group/plain-group.ts
+++ b/src/stand-ins/plain-group/plain-group.ts
@@ -79,6 +79,7 @@
 		cutFromGroup: false,
 		lagMs: options.lagMs ?? DEFAULT_LAG_MS,
 		loseAnswers: 0,
+		turnAwayCommits: 0,
 		log: [],
 		sessions: new Set(),
 	}));
--- a/src/stand-ins/plain-group/plain-server.ts
+++ b/src/stand-ins/plain-group/plain-server.ts
@@ -33,6 +33,8 @@
 	lagMs: number;
 	/** Answers to be lost after their statement ran; each counts down. */
 	loseAnswers: number;
+	/** Commits to be turned away for want of a slot, with their transactions left open; each counts down. */
+	turnAwayCommits: number;
 	readonly log: HeldCommit[];
 	readonly sessions: Set<PlainSession>;
 	/** Since when it has been able to reach a primary of a later term. */
@@ -173,6 +175,11 @@
 			}
 
 			case 'commit': {
+				if (server.turnAwayCommits > 0) {
+					server.turnAwayCommits--;
+					return refuse(session, AnswerCode.Overloaded);
+				}
+
 				return end(session, id);
 			}
 
--- /dev/null
+++ b/tests/mirror/store-mirror-tests.ts
@@ -0,0 +1,113 @@
+import {expect} from 'chai';
+import {createSilentLog} from '../../src/log/silent-log.js';
+import {RecordKind} from '../../src/mirror/metadata-store.js';
+import {createStoreMirror} from '../../src/mirror/store-mirror.js';
+import {createSeededRandom} from '../../src/random/seeded-random.js';
+import {createInMemoryMetadataStore} from '../../src/stand-ins/metadata-store/in-memory-metadata-store.js';
+import {createPeerNetwork} from '../../src/stand-ins/peers/in-memory-peers.js';
+import {createVirtualClock} from '../../src/stand-ins/time/virtual-clock.js';
+
+/** Three hosts that mirror one store, all registered; each may be said to change groups. */
+async function createBench() {
+	const clock = createVirtualClock();
+	const startedAt = clock.now();
+	const store = createInMemoryMetadataStore(clock, createSeededRandom(1));
+	const network = createPeerNetwork(clock);
+	const changing = new Map<string, readonly string[]>();
+	const elapsedClock = {elapsed: () => clock.now() - startedAt};
+	const create = (name: string) => createStoreMirror({
+		store: store.getClient(name),
+		peers: network.addHost(`${name}:7000`),
+		clock,
+		elapsedClock,
+		log: createSilentLog(),
+		ownPeerAddress: `${name}:7000`,
+		seeds: ['a:7000', 'b:7000', 'c:7000'],
+		getChanging: () => changing.get(name) ?? [],
+	});
+	const mirrors = {a: create('a'), b: create('b'), c: create('c')};
+	const register = async (name: string) => clock.runUntil(store.getClient(name).putRecord(RecordKind.Hosts, {
+		name, version: 0, value: {name, peerAddress: `${name}:7000`, availabilityZone: 'z'},
+	}, 900));
+	for (const [name, mirror] of Object.entries(mirrors)) {
+		await register(name);
+		await clock.runUntil(mirror.confirm());
+	}
+
+	const confirm = async (name: keyof typeof mirrors) => clock.runUntil(mirrors[name].confirm());
+	await confirm('a');
+	await confirm('b');
+	return {
+		clock, store, network, mirrors, changing, elapsedClock, confirm, register,
+	};
+}
+
+describe('the copy of the store', () => {
+	/**
+	 * The store is slow. Between its reading and the answer's arrival a primary may be replaced: a copy that counted from the answer would be
+	 * relied on for longer than whoever replaces the primary waits.
+	 */
+	it('is confirmed as of the asking, not of the answer', async () => {
+		const {store, confirm, mirrors, elapsedClock} = await createBench();
+		store.setTrouble(undefined, {answerMs: 200});
+		const askedAt = elapsedClock.elapsed();
+		expect(await confirm('a')).to.equal(true);
+		expect([mirrors.a.confirmedAt, elapsedClock.elapsed() >= askedAt + 200]).to.deep.equal([askedAt, true]);
+	});
+
+	it('takes over what has changed', async () => {
+		const {confirm, mirrors, register} = await createBench();
+		await register('d');
+		await confirm('a');
+		expect(mirrors.a.state.hosts.map(({name}) => name)).to.deep.equal(['a', 'b', 'c', 'd']);
+	});
+
+	it('costs one call where nothing has changed', async () => {
+		const {store, confirm} = await createBench();
+		const before = store.calls;
+		await confirm('a');
+		expect(store.calls - before).to.equal(1);
+	});
+
+	it('is confirmed by a peer where the store turns this host away, with what is new', async () => {
+		const {store, confirm, mirrors, register} = await createBench();
+		store.setTrouble('a', {silent: true});
+		await register('d');
+		expect([await confirm('a'), mirrors.a.state.hosts.length]).to.deep.equal([true, 4]);
+	});
+
+	it('is confirmed by all hosts together where the store is down', async () => {
+		const {store, confirm, mirrors, elapsedClock} = await createBench();
+		store.setTrouble(undefined, {refused: true});
+		const askedAt = elapsedClock.elapsed();
+		expect(await confirm('a')).to.equal(true);
+		expect(mirrors.a.confirmedAt).to.be.at.least(askedAt);
+	});
+
+	/** The store goes down while a host replaces a primary: what the others hold may be out of date already. */
+	it('is not confirmed while one of them changes a group', async () => {
+		const {store, confirm, changing} = await createBench();
+		store.setTrouble(undefined, {refused: true});
+		changing.set('b', ['g']);
+		expect(await confirm('a')).to.equal(false);
+	});
+
+	it('is not confirmed where one of them does not answer', async () => {
+		const {store, confirm, network} = await createBench();
+		store.setTrouble(undefined, {refused: true});
+		network.setFaultsBetween('a:7000', 'c:7000', {cut: true});
+		expect(await confirm('a')).to.equal(false);
+	});
+
+	it('never goes back to an earlier configuration', async () => {
+		const {store, confirm, mirrors} = await createBench();
+		const routing = {
+			version: 7, routes: new Map(), groups: new Map(), idleTransactionMs: 1,
+		};
+		store.setRouting(routing);
+		await confirm('a');
+		store.setRouting({...routing, version: 6});
+		await confirm('a');
+		expect(mirrors.a.state.routing?.version).to.equal(7);
+	});
+});
--- a/tests/proxy/failures-tests.ts
+++ b/tests/proxy/failures-tests.ts
@@ -165,6 +165,26 @@
 	});
 });
 
+describe('a read that waits for a connection', () => {
+	/**
+	 * All connections to the primary are taken, and a read waits for one. Meanwhile the primary is replaced, and this host acknowledges that it gives its evidence up. A connection
+	 * that comes free then leads to a log that may lack what the new primary acknowledges.
+	 */
+	it('does not go to a primary whose evidence ended meanwhile', async () => {
+		const bench = await createProxyBench({proxies: 1, maxConnections: 3});
+		const holder = await bench.open(bench.proxies[0]!, 'sync');
+		await bench.ask(holder, 'BEGIN');
+		await bench.ask(holder, 'READ a');
+		const waiting = await bench.open(bench.proxies[0]!, 'sync');
+		const answer = bench.send(waiting, 'READ a', 'waited');
+		await bench.clock.advance(100);
+		bench.proxies[0]!.kernel.getOrThrow('leadEvidences').revoke('nights', 2);
+		await bench.ask(holder, 'COMMIT');
+		expect(describeAnswer(await bench.clock.runUntil(answer))).to.equal('overloaded idle');
+		expect(bench.ran.filter(line => line.endsWith(' waited'))).to.deep.equal([]);
+	});
+});
+
 describe('an outage of the store', () => {
 	/**
 	 * The store is down for everyone, for longer than evidence lasts. Nobody can replace a primary then, and all proxies
@@ -202,6 +222,20 @@
 		expect([...answers]).to.deep.equal(['done idle']);
 	});
 
+	/**
+	 * The store is down and a host is silent, as far as this one can tell. The silent one still reads the store and is about to promote a replica, which
+	 * it has fenced. Going on, this host would acknowledge what only the old primary has.
+	 */
+	it('stops writes once an endpoint shows a fence', async () => {
+		const bench = await createProxyBench();
+		const caller = await bench.open(bench.proxies[0]!, 'sync');
+		bench.system.kill(bench.proxies[2]!);
+		bench.system.store.setTrouble(undefined, {refused: true});
+		bench.group.servers[1]!.fencedTerm = 2;
+		await bench.clock.advance(3500);
+		expect(await bench.ask(caller, 'WRITE a 1')).to.equal('overloaded idle');
+	});
+
 	/** The store turns one proxy away and serves the others, through which that one confirms what it holds. */
 	it('of one proxy alone stops nothing', async () => {
 		const bench = await createProxyBench();
--- a/tests/proxy/sessions-tests.ts
+++ b/tests/proxy/sessions-tests.ts
@@ -110,6 +110,34 @@
 		expect(bench.ran.filter(line => line.includes('commit'))).to.deep.equal(['nights-1 commit kept']);
 	});
 
+	it('repeats a commit that the endpoint turned away', async () => {
+		const bench = await createProxyBench();
+		const caller = await bench.open(bench.proxies[0]!, 'sync');
+		await bench.ask(caller, 'BEGIN');
+		await bench.ask(caller, 'WRITE a 1');
+		bench.getPrimary().turnAwayCommits = 2;
+		expect(await bench.ask(caller, 'COMMIT', 'c')).to.equal('done idle');
+		expect(bench.ran.filter(line => line.includes('commit'))).to.deep.equal(['nights-1 commit c']);
+	});
+
+	/**
+	 * An endpoint turns a commit away for as long as the statement may take. Its caller is told that nothing is kept, but at the endpoint the transaction is
+	 * still open: the next caller's write on that connection would join it, and a commit there would keep both.
+	 */
+	it('lends nobody the connection of a transaction that is still open', async () => {
+		const bench = await createProxyBench({proxies: 1, maxConnections: 3});
+		const left = await bench.open(bench.proxies[0]!, 'sync');
+		await bench.ask(left, 'BEGIN');
+		await bench.ask(left, 'WRITE a 1', 'refused');
+		bench.getPrimary().turnAwayCommits = 1000;
+		expect(await bench.ask(left, 'COMMIT')).to.equal('overloaded idle');
+		bench.getPrimary().turnAwayCommits = 0;
+		const right = await bench.open(bench.proxies[0]!, 'sync');
+		expect(await bench.ask(right, 'WRITE b 2', 'kept')).to.equal('done idle');
+		expect(await bench.ask(right, 'READ a')).to.equal('done - idle');
+		expect(bench.ran.filter(line => line.includes('commit'))).to.deep.equal(['nights-1 commit kept']);
+	});
+
 	it('ends a transaction that stays idle and says so with the next statement', async () => {
 		const bench = await createProxyBench();
 		const caller = await bench.open(bench.proxies[0]!, 'sync');
