Tell of evidence given up ahead of the copy; cut the leadership code into files of one job

Found by reading: a host that had replaced a primary, or given its evidence up for that, and then lost the store before it could read the new record back, told its peers that nothing changes. With the store down for all, one that had not been reached meanwhile would have confirmed the old record with them.

--- a/src/leadership/lead-evidence.ts
+++ b/src/leadership/lead-evidence.ts
@@ -16,6 +16,8 @@
 	noteUnfenced(group: string, epoch: number, askedAt: number): void;
 	/** Elapsed time from which evidence of the group's steady primary counts; undefined where there is none. */
 	getAskedAt(group: string): number | undefined;
+	/** Groups whose evidence was given up for an epoch that the copy of the store does not show yet. */
+	getOutdated(): readonly string[];
 	/** Gives no evidence below `epoch` for new work any more; what was begun may still end under its own. */
 	pause(group: string, epoch: number): void;
 	/** Gives up all evidence below `epoch`, for good. */
@@ -120,6 +122,11 @@
 			}
 		},
 		getAskedAt: group => lastSteady.get(group)?.askedAt,
+		/*
+		 * Guards against hosts that confirm each other's copies in an outage of the store while one of them has already given its evidence up, or even
+		 * replaced the primary, and could not read back what it wrote: a host that was not reached then would go on with the old one.
+		 */
+		getOutdated: () => [...revokedBelow].filter(([group, epoch]) => (mirror.state.leadership.get(group)?.epoch ?? 0) < epoch).map(([group]) => group),
 		pause(group, epoch) {
 			raise(pausedBelow, group, epoch);
 		},
--- a/src/leadership/lead-watch.ts
+++ b/src/leadership/lead-watch.ts
@@ -1,8 +1,5 @@
 import {setImmediate as nextTurn} from 'node:timers/promises';
-import {Suspicion} from '../links/endpoint-health.js';
 import type {EndpointDirectory} from '../links/endpoint-directory.js';
-import {EndpointRole} from '../links/endpoint-link.js';
-import type {EndpointPool} from '../links/endpoint-pool.js';
 import {LinkError} from '../links/link-errors.js';
 import type {Log} from '../log/log.js';
 import {RecordKind, type MetadataStore} from '../mirror/metadata-store.js';
@@ -11,19 +8,20 @@
 import {isPeerError} from '../peers/peer-errors.js';
 import type {Peers} from '../peers/peers.js';
 import type {Random} from '../random/random.js';
-import {withinMs} from '../time/deadline.js';
 import type {Clock} from '../time/clock.js';
 import type {ElapsedClock} from '../time/elapsed-clock.js';
 import {DUTY_LEASE_MS, type DutyLease} from './duty-lease.js';
 import {LEAD_CALL_TIMEOUT_MS} from './lead-calls.js';
+import {createFenceLook} from './fence-look.js';
 import type {LeadEvidences} from './lead-evidence.js';
 import {getLeadershipName, LeadPhase, type LeadershipRecord} from './leadership-record.js';
+import {createPrimaryReach} from './primary-reach.js';
 import type {PrimaryWork} from './primary-work.js';
 import type {Replacement} from './replace-primary.js';
 
 /** Watches the primaries of all groups and has lost or leaving ones replaced. */
 export type LeadWatch = {
-	/** Groups that this host is changing. */
+	/** Groups that this host is changing, or knows to be changed from what its copy of the store says. */
 	getChanging(): readonly string[];
 	start(): Promise<void>;
 	stop(): Promise<void>;
@@ -50,18 +48,12 @@
 /** How often primaries are looked at, in milliseconds: a twentieth of a promotion, for some microseconds each. */
 const LOOK_MS = 50;
 
-/** Longest probe of a primary that seems lost, in milliseconds. */
-const PROBE_TIMEOUT_MS = 250;
-
 /** A primary that was not heard for so long is asked for a sign of life, in milliseconds, so that its loss is noticed before a caller meets it. */
 const QUIET_MS = 1000;
 
 /** Hosts wait a random part of this before they act on what several of them see, in milliseconds; most of them then find it done. */
 const SPREAD_MS = 60;
 
-/** Without the opinion of most hosts a primary counts as lost only after so long, in milliseconds: longer than hosts take to be back, or a cut usually lasts. */
-const ALONE_AFTER_MS = 8000;
-
 /** Each host gives the one before it this long to write a group's first record, in milliseconds: a status, an update and a confirmation. */
 const FIRST_RECORD_STEP_MS = 300;
 
@@ -71,23 +63,12 @@
 /** A change that makes no progress for so long has lost the host that made it, in milliseconds. */
 const STALLED_AFTER_MS = DUTY_LEASE_MS + 400;
 
-/** Endpoints are asked for fences once evidence is so old, in milliseconds: two confirmations that did not come. */
-const FENCES_AFTER_MS = 1600;
-
-/** Pause between such questions, in milliseconds: three fit into what is left of the evidence. */
-const FENCES_INTERVAL_MS = 400;
-
-/** Longest such question, in milliseconds: a status waits for a slot behind other statements. */
-const FENCES_TIMEOUT_MS = 800;
-
 const STORE_TIMEOUT_MS = 900;
 
 type GroupWatch = {
 	busy: boolean;
 	suspectedSince?: number;
 	notBefore: number;
-	/** Steady time before which endpoints are not asked for fences again. */
-	fencesNotBefore: number;
 	seenVersion: number;
 	seenSince: number;
 };
@@ -96,6 +77,12 @@
 export function createLeadWatch(options: LeadWatchOptions): LeadWatch {
 	const {clock, directory, duty, elapsedClock, evidences, mirror, peers, random, store} = options;
 	const log = options.log.part('leads: ');
+	const reach = createPrimaryReach({
+		mirror, directory, peers, clock, log, ownPeerAddress: options.ownPeerAddress,
+	});
+	const fenceLook = createFenceLook({
+		directory, evidences, clock, elapsedClock, log,
+	});
 	const watches = new Map<string, GroupWatch>();
 	const changing = new Set<string>();
 	const stopping = new AbortController();
@@ -111,75 +98,12 @@
 		}
 
 		const watch: GroupWatch = {
-			busy: false, notBefore: 0, fencesNotBefore: 0, seenVersion: 0, seenSince: 0,
+			busy: false, notBefore: 0, seenVersion: 0, seenSince: 0,
 		};
 		watches.set(group, watch);
 		return watch;
 	};
 
-	/** Whether the endpoint answers this host, asked anew. */
-	const probe = async (endpointId: string): Promise<boolean> => {
-		const endpoint = directory.get(endpointId);
-		if (!endpoint) {
-			return false;
-		}
-
-		try {
-			const askedAt = clock.now();
-			await withinMs(clock, PROBE_TIMEOUT_MS, endpoint.pool.ask({kind: 'status'}, PROBE_TIMEOUT_MS));
-			return (endpoint.pool.health.heardAt ?? 0) >= askedAt;
-		} catch (err) {
-			if (!(err instanceof LinkError)) {
-				throw err;
-			}
-
-			// Refused for want of a free connection is a sign of life as well.
-			return endpoint.pool.health.getSuspicion(clock.now()) === undefined;
-		}
-	};
-
-	const isReachable = async (endpointId: string) => {
-		const health = directory.get(endpointId)?.pool.health;
-		if (health?.getSuspicion(clock.now()) === Suspicion.Silent) {
-			// It owes this host an answer for long already; a probe would only add to the gap.
-			return false;
-		}
-
-		const heardLately = health?.heardAt !== undefined && clock.now() - health.heardAt < LOOK_MS;
-		return heardLately || probe(endpointId);
-	};
-
-	/**
-	 * Guards against deposing a healthy primary for the sake of one host that is cut off from it: of the hosts that
-	 * answer, at least half must not reach it either, and most hosts must answer: a part of the hosts that is cut off
-	 * from the rest would else take the primary from those who use it.
-	 */
-	const isLostToMost = async (group: string, endpointId: string, suspectedMs: number) => {
-		const others = mirror.state.hosts.filter(host => host.peerAddress !== options.ownPeerAddress && !host.gone);
-		const opinions = await Promise.all(others.map(async host => askOpinion(host.peerAddress, endpointId)));
-		const known = opinions.filter(opinion => opinion !== undefined);
-		const against = 1 + known.filter(opinion => !opinion).length;
-		const asked = known.length + 1;
-		const enough = asked * 2 > others.length + 1 || suspectedMs > ALONE_AFTER_MS;
-		log.info('hosts were asked about a primary', {
-			group, endpoint: endpointId, against, answered: asked, hosts: others.length + 1, suspectedMs: Math.round(suspectedMs),
-		});
-		return enough && against * 2 >= asked;
-	};
-
-	const askOpinion = async (address: string, endpointId: string) => {
-		try {
-			const {reachable} = await peers.call(address, 'lead-opinion', {endpointId}, LEAD_CALL_TIMEOUT_MS);
-			return reachable;
-		} catch (err) {
-			if (!isPeerError(err)) {
-				throw err;
-			}
-
-			return undefined;
-		}
-	};
-
 	const replace = async (replacement: Replacement): Promise<boolean> => {
 		const {group} = replacement;
 		if (changing.has(group)) {
@@ -269,7 +193,7 @@
 		if (!health.getSuspicion(now)) {
 			watch.suspectedSince = undefined;
 			if (health.heardAt !== undefined && now - health.heardAt > QUIET_MS) {
-				await probe(primaryId);
+				await reach.probe(primaryId);
 			}
 
 			return;
@@ -289,7 +213,7 @@
 			});
 		}
 
-		const [answers, lostToMost] = await Promise.all([probe(primaryId), isLostToMost(group, primaryId, clock.now() - watch.suspectedSince)]);
+		const [answers, lostToMost] = await Promise.all([reach.probe(primaryId), reach.isLostToMost(group, primaryId, clock.now() - watch.suspectedSince)]);
 		if (answers || !lostToMost) {
 			return;
 		}
@@ -323,44 +247,6 @@
 		}
 	};
 
-	/**
-	 * Guards calm traffic where neither the store nor a peer confirms, as in an outage of the store with a host that is dead. Whoever
-	 * promotes an endpoint without this host's word has fenced it first, and has waited from then on for as long as evidence lasts.
-	 * So where every endpoint that could be promoted shows no fence, nobody's wait had begun at the time of asking.
-	 */
-	const lookForFences = async (record: LeadershipRecord, watch: GroupWatch) => {
-		const askedAt = elapsedClock.elapsed();
-		const age = askedAt - (evidences.getAskedAt(record.group) ?? askedAt);
-		if (age < FENCES_AFTER_MS || clock.now() < watch.fencesNotBefore) {
-			return;
-		}
-
-		watch.fencesNotBefore = clock.now() + FENCES_INTERVAL_MS;
-		const others = directory.list(record.group).filter(({entry}) => entry.id !== record.primaryId);
-		const answers = await Promise.all(others.map(async ({pool}) => isUnfenced(pool, record.term)));
-		const unfenced = others.length > 0 && answers.every(Boolean);
-		if (unfenced) {
-			evidences.noteUnfenced(record.group, record.epoch, askedAt);
-		}
-
-		log.info('endpoints were asked for fences, since the store does not confirm', {
-			group: record.group, epoch: record.epoch, asked: others.length, unfenced, ageMs: Math.round(age),
-		});
-	};
-
-	const isUnfenced = async (pool: EndpointPool, term: number) => {
-		try {
-			const bounded = await withinMs(clock, FENCES_TIMEOUT_MS, pool.ask({kind: 'status'}, FENCES_TIMEOUT_MS));
-			return !bounded.timedOut && bounded.value.role === EndpointRole.Replica && bounded.value.fencedTerm <= term && bounded.value.term <= term;
-		} catch (err) {
-			if (!(err instanceof LinkError)) {
-				throw err;
-			}
-
-			return false;
-		}
-	};
-
 	const look = async (group: string, watch: GroupWatch) => {
 		const record = mirror.state.leadership.get(group);
 		if (!record) {
@@ -368,7 +254,7 @@
 		} else if (record.phase === LeadPhase.Changing) {
 			await lookAtChanging(record, watch);
 		} else {
-			await Promise.all([lookAtSteady(record, watch), lookForFences(record, watch)]);
+			await Promise.all([lookAtSteady(record, watch), fenceLook.look(record)]);
 		}
 	};
 
@@ -397,7 +283,6 @@
 		}
 	};
 
-	peers.handle('lead-opinion', async ({endpointId}) => ({reachable: await isReachable(endpointId)}));
 	peers.handle('lead-revoke', async ({group, epoch, settleMs}) => {
 		evidences.pause(group, epoch);
 		await options.primaryWork.settle(group, settleMs);
@@ -417,7 +302,7 @@
 
 		(async () => {
 			// Most hosts cannot reach it. Where this one can, its log is taken over whole.
-			const planned = await isReachable(record.primaryId);
+			const planned = await reach.isReachable(record.primaryId);
 			await replace({group, reason, planned});
 		})().catch(noteBug);
 		return {taken: true};
@@ -435,7 +320,7 @@
 	};
 
 	return {
-		getChanging: () => [...changing],
+		getChanging: () => [...changing, ...evidences.getOutdated()],
 		async start() {
 			void run();
 		},
--- /dev/null
+++ b/src/leadership/primary-reach.ts
@@ -0,0 +1,109 @@
+import type {EndpointDirectory} from '../links/endpoint-directory.js';
+import {Suspicion} from '../links/endpoint-health.js';
+import {LinkError} from '../links/link-errors.js';
+import type {Log} from '../log/log.js';
+import type {StoreMirror} from '../mirror/store-mirror.js';
+import {isPeerError} from '../peers/peer-errors.js';
+import type {Peers} from '../peers/peers.js';
+import {withinMs} from '../time/deadline.js';
+import type {Clock} from '../time/clock.js';
+import {LEAD_CALL_TIMEOUT_MS} from './lead-calls.js';
+
+/** Whether primaries answer, as seen from here and from the other hosts. */
+export type PrimaryReach = {
+	/** Whether the endpoint answers this host, asked anew. */
+	probe(endpointId: string): Promise<boolean>;
+	/** The same, by what was heard lately where that tells. */
+	isReachable(endpointId: string): Promise<boolean>;
+	/** Whether most hosts do not reach it either; `suspectedMs` is how long this one has not. */
+	isLostToMost(group: string, endpointId: string, suspectedMs: number): Promise<boolean>;
+};
+
+/** What this needs. */
+export type PrimaryReachOptions = {
+	readonly mirror: StoreMirror;
+	readonly directory: EndpointDirectory;
+	readonly peers: Peers;
+	readonly clock: Clock;
+	readonly log: Log;
+	readonly ownPeerAddress: string;
+};
+
+/** Longest probe of a primary that seems lost, in milliseconds. */
+const PROBE_TIMEOUT_MS = 250;
+
+/** What came within so long needs no probe, in milliseconds. */
+const HEARD_LATELY_MS = 50;
+
+/** Without the opinion of most hosts a primary counts as lost only after so long, in milliseconds: longer than hosts take to be back, or a cut usually lasts. */
+const ALONE_AFTER_MS = 8000;
+
+/** Creates the knowledge of who reaches whom, and answers the other hosts' questions for it. */
+export function createPrimaryReach({mirror, directory, peers, clock, log, ownPeerAddress}: PrimaryReachOptions): PrimaryReach {
+	/** Whether the endpoint answers this host, asked anew. */
+	const probe = async (endpointId: string): Promise<boolean> => {
+		const endpoint = directory.get(endpointId);
+		if (!endpoint) {
+			return false;
+		}
+
+		try {
+			const askedAt = clock.now();
+			await withinMs(clock, PROBE_TIMEOUT_MS, endpoint.pool.ask({kind: 'status'}, PROBE_TIMEOUT_MS));
+			return (endpoint.pool.health.heardAt ?? 0) >= askedAt;
+		} catch (err) {
+			if (!(err instanceof LinkError)) {
+				throw err;
+			}
+
+			// Refused for want of a free connection is a sign of life as well.
+			return endpoint.pool.health.getSuspicion(clock.now()) === undefined;
+		}
+	};
+
+	const isReachable = async (endpointId: string) => {
+		const health = directory.get(endpointId)?.pool.health;
+		if (health?.getSuspicion(clock.now()) === Suspicion.Silent) {
+			// It owes this host an answer for long already; a probe would only add to the gap.
+			return false;
+		}
+
+		const heardLately = health?.heardAt !== undefined && clock.now() - health.heardAt < HEARD_LATELY_MS;
+		return heardLately || probe(endpointId);
+	};
+
+	/**
+	 * Guards against deposing a healthy primary for the sake of one host that is cut off from it: of the hosts that
+	 * answer, at least half must not reach it either, and most hosts must answer: a part of the hosts that is cut off
+	 * from the rest would else take the primary from those who use it.
+	 */
+	const isLostToMost = async (group: string, endpointId: string, suspectedMs: number) => {
+		const others = mirror.state.hosts.filter(host => host.peerAddress !== ownPeerAddress && !host.gone);
+		const opinions = await Promise.all(others.map(async host => askOpinion(host.peerAddress, endpointId)));
+		const known = opinions.filter(opinion => opinion !== undefined);
+		const against = 1 + known.filter(opinion => !opinion).length;
+		const asked = known.length + 1;
+		const enough = asked * 2 > others.length + 1 || suspectedMs > ALONE_AFTER_MS;
+		log.info('hosts were asked about a primary', {
+			group, endpoint: endpointId, against, answered: asked, hosts: others.length + 1, suspectedMs: Math.round(suspectedMs),
+		});
+		return enough && against * 2 >= asked;
+	};
+
+	const askOpinion = async (address: string, endpointId: string) => {
+		try {
+			const {reachable} = await peers.call(address, 'lead-opinion', {endpointId}, LEAD_CALL_TIMEOUT_MS);
+			return reachable;
+		} catch (err) {
+			if (!isPeerError(err)) {
+				throw err;
+			}
+
+			return undefined;
+		}
+	};
+
+	peers.handle('lead-opinion', async ({endpointId}) => ({reachable: await isReachable(endpointId)}));
+
+	return {probe, isReachable, isLostToMost};
+}
--- /dev/null
+++ b/src/leadership/replace-parts.ts
@@ -0,0 +1,44 @@
+import type {EndpointDirectory} from '../links/endpoint-directory.js';
+import type {Log} from '../log/log.js';
+import type {MetadataStore} from '../mirror/metadata-store.js';
+import type {StoreMirror} from '../mirror/store-mirror.js';
+import type {Peers} from '../peers/peers.js';
+import type {Clock} from '../time/clock.js';
+import type {ElapsedClock} from '../time/elapsed-clock.js';
+import type {DutyLease} from './duty-lease.js';
+import type {GoneHosts} from './gone-hosts.js';
+import type {LeadEvidences} from './lead-evidence.js';
+import type {PrimaryWork} from './primary-work.js';
+import type {PromotionOrders} from './promotion-orders.js';
+
+/** What replacing a primary needs. */
+export type ReplacePrimaryParts = {
+	readonly store: MetadataStore;
+	readonly mirror: StoreMirror;
+	readonly directory: EndpointDirectory;
+	readonly evidences: LeadEvidences;
+	readonly primaryWork: PrimaryWork;
+	readonly duty: DutyLease;
+	readonly gone: GoneHosts;
+	readonly orders: PromotionOrders;
+	readonly peers: Peers;
+	readonly clock: Clock;
+	readonly elapsedClock: ElapsedClock;
+	readonly log: Log;
+	readonly hostName: string;
+	readonly ownPeerAddress: string;
+	/** Told how long each part took, in milliseconds. */
+	onReplaced(group: string, parts: ReplacementTimes): void;
+};
+
+/** Parts of a replacement, in milliseconds. */
+export type ReplacementTimes = {
+	readonly markMs: number;
+	readonly revokeMs: number;
+	readonly chooseMs: number;
+	readonly promoteMs: number;
+	readonly settleMs: number;
+};
+
+/** Pause before something that brought no answer is tried again, in milliseconds. */
+export const RETRY_MS = 100;
--- a/tests/leadership/lead-evidence-tests.ts
+++ b/tests/leadership/lead-evidence-tests.ts
@@ -116,6 +116,17 @@
 		expect(evidences.get('g', 1000 + LONGEST_WITHOUT_STORE_MS)).to.equal(undefined);
 	});
 
+	/** A host gave its evidence up for a change that its copy of the store does not show. Told that nothing changes, others would confirm each other. */
+	it('that was given up for a change which the copy does not show yet is told of', () => {
+		const {set, evidences} = create();
+		set('steady', 1, 1000);
+		expect(evidences.getOutdated()).to.deep.equal([]);
+		evidences.revoke('g', 2);
+		expect(evidences.getOutdated()).to.deep.equal(['g']);
+		set('changing', 2, 1200);
+		expect(evidences.getOutdated()).to.deep.equal([]);
+	});
+
 	it('is not lengthened for another epoch', () => {
 		const {set, evidences} = create();
 		set('steady', 2, 1000);
