--- a/src/mirror/store-mirror.ts
+++ b/src/mirror/store-mirror.ts
@@ -6,10 +6,11 @@
 import {withinMs, type Bounded} from '../time/deadline.js';
 import type {Clock} from '../time/clock.js';
 import type {ElapsedClock} from '../time/elapsed-clock.js';
-import {RecordKind, type MetadataStore} from './metadata-store.js';
+import type {MetadataStore} from './metadata-store.js';
 import {
-	decodeHosts, decodeLeadership, EMPTY_STATE, fromSnapshot, getLaterRouting, toSnapshot, type MirrorState, type StateSnapshot,
+	EMPTY_STATE, fromSnapshot, getLaterRouting, toSnapshot, type MirrorState, type StateSnapshot,
 } from './mirror-state.js';
+import {createStoreReader} from './store-reader.js';
 
 /** Answer to a peer that asks whether its copy is still complete. */
 export type ConfirmAnswer = {
@@ -76,9 +77,6 @@
 /** A host that did not read for others is left alone for so long, in milliseconds; the next one by name is asked. */
 const AVOID_READER_MS = 5000;
 
-/** Longest call to the store, in milliseconds: the store at a hundred times its usual 4 ms still answers in time. */
-const STORE_TIMEOUT_MS = 900;
-
 /** The store is given this long before peers are asked too, in milliseconds; some forty times its usual answer. */
 const PEER_HELP_AFTER_MS = 250;
 
@@ -98,9 +96,6 @@
 	let confirmedAt: number | undefined;
 	let running: Promise<boolean> | undefined;
 	let queued: Promise<boolean> | undefined;
-	let reading: Promise<boolean> | undefined;
-	let queuedReading: Promise<boolean> | undefined;
-	let storeReached: boolean | undefined;
 	let wake = new AbortController();
 	/** By address of a host that did not read the store for others, until when it is not asked to, in steady time. */
 	const avoidedUntil = new Map<string, number>();
@@ -130,61 +125,9 @@
 		tell();
 	};
 
-	const noteStore = (reached: boolean, err?: unknown) => {
-		if (reached !== storeReached) {
-			storeReached = reached;
-			log[reached ? 'info' : 'warn'](reached ? 'the store answers' : 'the store does not answer', {reason: (err as Error | undefined)?.message, revision: state.revision});
-		}
-	};
-
-	const readAll = async () => {
-		const [routing, endpoints, leadership, hosts] = await Promise.all([
-			store.readRouting(STORE_TIMEOUT_MS),
-			store.listEndpoints(STORE_TIMEOUT_MS),
-			store.listRecords(RecordKind.Leadership, STORE_TIMEOUT_MS),
-			store.listRecords(RecordKind.Hosts, STORE_TIMEOUT_MS),
-		]);
-		adopt({
-			revision: Math.min(routing.revision, endpoints.revision, leadership.revision, hosts.revision),
-			routing: routing.content,
-			endpoints: endpoints.content,
-			...decodeLeadership(leadership.content),
-			hosts: decodeHosts(hosts.content),
-		});
-	};
-
-	const readStore = async () => {
-		const askedAt = elapsedClock.elapsed();
-		try {
-			// A revision not above the copy's proves the copy complete at the time of asking: each change of anything raises it.
-			if (state.revision === 0 || await store.getRevision(STORE_TIMEOUT_MS) > state.revision) {
-				await readAll();
-			}
-
-			noteStore(true);
-			noteConfirmed(askedAt);
-			return true;
-		} catch (err) {
-			noteStore(false, err);
-			return false;
-		}
-	};
-
-	/** One reading at a time; whoever asks meanwhile shares the next one, which begins after the question. */
-	const readStoreAfterNow = async (): Promise<boolean> => {
-		if (!reading) {
-			reading = readStore().finally(() => {
-				reading = undefined;
-			});
-			return reading;
-		}
-
-		queuedReading ??= reading.then(async () => {
-			queuedReading = undefined;
-			return readStoreAfterNow();
-		});
-		return queuedReading;
-	};
+	const reader = createStoreReader({
+		store, elapsedClock, log, getRevision: () => state.revision, adopt, onConfirmed: noteConfirmed,
+	});
 
 	const askPeer = async (address: string, urgent: boolean): Promise<ConfirmAnswer | undefined> => {
 		try {
@@ -286,7 +229,7 @@
 	};
 
 	const confirmOnce = async () => {
-		const own = readStoreAfterNow();
+		const own = reader.readAfterNow();
 		const first: Bounded<boolean> = await withinMs(clock, PEER_HELP_AFTER_MS, own);
 		if (!first.timedOut && first.value) {
 			return true;
@@ -317,10 +260,10 @@
 		? new Promise<boolean>(resolve => {
 			inTurn.push(resolve);
 		})
-		: readStoreAfterNow();
+		: reader.readAfterNow();
 
 	peers.handle('mirror-confirm', async ({revision, urgent}) => {
-		const read = await withinMs(clock, urgent ? HELPING_READ_MS : READER_TIMEOUT_MS, urgent ? readStoreAfterNow() : readStoreInTurn());
+		const read = await withinMs(clock, urgent ? HELPING_READ_MS : READER_TIMEOUT_MS, urgent ? reader.readAfterNow() : readStoreInTurn());
 		return {
 			confirmed: !read.timedOut && read.value,
 			revision: state.revision,
--- /dev/null
+++ b/src/mirror/store-reader.ts
@@ -0,0 +1,91 @@
+import type {Log} from '../log/log.js';
+import type {ElapsedClock} from '../time/elapsed-clock.js';
+import {RecordKind, type MetadataStore} from './metadata-store.js';
+import {decodeHosts, decodeLeadership, type MirrorState} from './mirror-state.js';
+
+/** Reads the store for the mirror. */
+export type StoreReader = {
+	/** Reads once more after now, shared by all who ask meanwhile; true where the copy was found complete. */
+	readAfterNow(): Promise<boolean>;
+};
+
+/** What the reader needs. */
+export type StoreReaderOptions = {
+	readonly store: MetadataStore;
+	readonly elapsedClock: ElapsedClock;
+	readonly log: Log;
+	/** Revision that the copy is complete up to. */
+	getRevision(): number;
+	/** Takes over what was read. */
+	adopt(read: MirrorState): void;
+	/** The copy was complete at the elapsed time of asking. */
+	onConfirmed(askedAt: number): void;
+};
+
+/** Longest call to the store, in milliseconds: the store at a hundred times its usual 4 ms still answers in time. */
+const STORE_TIMEOUT_MS = 900;
+
+/** Creates a reader. */
+export function createStoreReader({store, elapsedClock, log, getRevision, adopt, onConfirmed}: StoreReaderOptions): StoreReader {
+	let reading: Promise<boolean> | undefined;
+	let queued: Promise<boolean> | undefined;
+	let reached: boolean | undefined;
+
+	const noteStore = (answers: boolean, err?: unknown) => {
+		if (answers !== reached) {
+			reached = answers;
+			log[answers ? 'info' : 'warn'](answers ? 'the store answers' : 'the store does not answer', {reason: (err as Error | undefined)?.message, revision: getRevision()});
+		}
+	};
+
+	const readAll = async () => {
+		const [routing, endpoints, leadership, hosts] = await Promise.all([
+			store.readRouting(STORE_TIMEOUT_MS),
+			store.listEndpoints(STORE_TIMEOUT_MS),
+			store.listRecords(RecordKind.Leadership, STORE_TIMEOUT_MS),
+			store.listRecords(RecordKind.Hosts, STORE_TIMEOUT_MS),
+		]);
+		adopt({
+			revision: Math.min(routing.revision, endpoints.revision, leadership.revision, hosts.revision),
+			routing: routing.content,
+			endpoints: endpoints.content,
+			...decodeLeadership(leadership.content),
+			hosts: decodeHosts(hosts.content),
+		});
+	};
+
+	const readStore = async () => {
+		const askedAt = elapsedClock.elapsed();
+		try {
+			// A revision not above the copy's proves the copy complete at the time of asking: each change of anything raises it.
+			if (getRevision() === 0 || await store.getRevision(STORE_TIMEOUT_MS) > getRevision()) {
+				await readAll();
+			}
+
+			noteStore(true);
+			onConfirmed(askedAt);
+			return true;
+		} catch (err) {
+			noteStore(false, err);
+			return false;
+		}
+	};
+
+	/** One reading at a time; whoever asks meanwhile shares the next one, which begins after the question. */
+	const readAfterNow = async (): Promise<boolean> => {
+		if (!reading) {
+			reading = readStore().finally(() => {
+				reading = undefined;
+			});
+			return reading;
+		}
+
+		queued ??= reading.then(async () => {
+			queued = undefined;
+			return readAfterNow();
+		});
+		return queued;
+	};
+
+	return {readAfterNow};
+}
--- /dev/null
+++ b/tests/lead-check/lead-troubles.ts
@@ -0,0 +1,182 @@
+import type {SimulatedProxy} from '../../src/stand-ins/proxies/simulated-proxies.js';
+import {pick, PROXIES, type World} from './lead-world.js';
+
+/** Troubles one after the other, some overlapping. */
+export async function runTroubles(world: World, until: number) {
+	const {clock, random} = world;
+	while (clock.now() < until && !world.stopped) {
+		await clock.sleep(100 + (900 * random.fraction()));
+		if (clock.now() < until) {
+			pick(world, ALL_TROUBLES)(world, 300 + (4000 * random.fraction()));
+		}
+	}
+}
+
+/** Begins a trouble that lasts about `ms`. */
+type Trouble = (world: World, ms: number) => void;
+
+function pickLiving(world: World): SimulatedProxy | undefined {
+	const living = world.system.proxies.filter(({killed}) => !killed);
+	return living.length === 0 ? undefined : pick(world, living);
+}
+
+function later({clock}: World, ms: number, action: () => void) {
+	void clock.sleep(ms).then(action);
+}
+
+const TROUBLES: Readonly<Record<string, Trouble>> = {
+	crashServer(world, ms) {
+		const group = world.system.groups[0]!;
+		const server = world.random.fraction() < 0.7 ? group.servers.find(({id}) => id === group.leaderId)! : pick(world, group.servers);
+		if (group.servers.filter(({running}) => running).length < 3) {
+			return;
+		}
+
+		group.crash(server);
+		later(world, ms, () => {
+			group.restart(server);
+		});
+	},
+	cutPrimaryFromProxies(world, ms) {
+		const {leaderId} = world.system.groups[0]!;
+		for (const proxy of world.system.proxies) {
+			if (world.random.fraction() < 0.6) {
+				proxy.cutFrom.add(leaderId);
+				later(world, ms, () => proxy.cutFrom.delete(leaderId));
+			}
+		}
+	},
+	cutPrimaryFromGroup(world, ms) {
+		const group = world.system.groups[0]!;
+		const server = group.servers.find(({id}) => id === group.leaderId)!;
+		server.cutFromGroup = true;
+		later(world, ms, () => {
+			server.cutFromGroup = false;
+		});
+	},
+	lagReplica(world, ms) {
+		const server = pick(world, world.system.groups[0]!.servers);
+		const before = server.lagMs;
+		server.lagMs = 1500 + (2000 * world.random.fraction());
+		later(world, ms, () => {
+			server.lagMs = before;
+		});
+	},
+	loseAnswers(world) {
+		pick(world, world.system.groups[0]!.servers).loseAnswers += 1 + Math.floor(world.random.fraction() * 3);
+	},
+	suspendProxy(world, ms) {
+		const proxy = pickLiving(world);
+		if (proxy) {
+			world.system.suspend(proxy);
+			later(world, ms, () => {
+				world.system.resume(proxy);
+			});
+		}
+	},
+	killProxy(world, ms) {
+		const proxy = pickLiving(world);
+		if (proxy) {
+			world.system.kill(proxy);
+			later(world, ms / 2, () => {
+				void world.system.startProxy(proxy.name);
+			});
+		}
+	},
+	downStore(world, ms) {
+		world.system.store.setTrouble(undefined, world.random.fraction() < 0.5 ? {silent: true} : {refused: true});
+		later(world, ms, () => {
+			world.system.store.heal();
+		});
+	},
+	refuseSome(world, ms) {
+		for (const name of PROXIES) {
+			if (world.random.fraction() < 0.5) {
+				world.system.store.setTrouble(name, {refused: true});
+			}
+		}
+
+		later(world, ms, () => {
+			world.system.store.heal();
+		});
+	},
+	loseStoreAnswers(world, ms) {
+		world.system.store.setTrouble(undefined, {loseShare: 0.4, lateMs: 4000});
+		later(world, ms, () => {
+			world.system.store.heal();
+		});
+	},
+	slowStore(world, ms) {
+		world.system.store.setTrouble(undefined, {answerMs: 350});
+		later(world, ms, () => {
+			world.system.store.heal();
+		});
+	},
+	cutProxiesApart(world, ms) {
+		const [left, right] = [pick(world, PROXIES), pick(world, PROXIES)];
+		if (left !== right) {
+			world.system.network.setFaultsBetween(`${left}:7000`, `${right}:7000`, {cut: true});
+			later(world, ms, () => {
+				world.system.network.heal();
+			});
+		}
+	},
+	/** One proxy is alone with the primary, cut off from everything else, while the others replace it. */
+	isolateWithPrimary(world, ms) {
+		const group = world.system.groups[0]!;
+		const server = group.servers.find(({id}) => id === group.leaderId)!;
+		const alone = pickLiving(world);
+		if (!alone) {
+			return;
+		}
+
+		server.cutFromGroup = true;
+		world.system.store.setTrouble(alone.name, {silent: true});
+		for (const proxy of world.system.proxies.filter(other => other !== alone)) {
+			proxy.cutFrom.add(server.id);
+			world.system.network.setFaultsBetween(alone.peerAddress, proxy.peerAddress, {cut: true});
+		}
+
+		later(world, 2000 + (2 * ms), () => {
+			server.cutFromGroup = false;
+			world.system.store.heal();
+			world.system.network.heal();
+			for (const proxy of world.system.proxies) {
+				proxy.cutFrom.delete(server.id);
+			}
+		});
+	},
+	drainPrimary(world, ms) {
+		const group = world.system.groups[0]!;
+		const server = group.servers.find(({id}) => id === group.leaderId)!;
+		server.leaving = true;
+		world.system.registerEndpoints();
+		later(world, ms, () => {
+			server.leaving = false;
+			world.system.registerEndpoints();
+		});
+	},
+};
+
+const ALL_TROUBLES = Object.values(TROUBLES);
+
+/** Ends all troubles. */
+export function healAll({system}: World) {
+	system.store.heal();
+	system.network.heal();
+	for (const server of system.groups[0]!.servers) {
+		server.cutFromGroup = false;
+		server.leaving = false;
+		server.lagMs = 20;
+		server.loseAnswers = 0;
+		if (!server.running) {
+			system.groups[0]!.restart(server);
+		}
+	}
+
+	system.registerEndpoints();
+	for (const proxy of system.proxies) {
+		proxy.cutFrom.clear();
+		system.resume(proxy);
+	}
+}
