Ask the store for missing routes at most five times a second

Callers that guess names would have used up what the store takes. A caller that sends ahead is read four requests far.

--- a/src/gateway/caller-session.ts
+++ b/src/gateway/caller-session.ts
@@ -32,6 +32,8 @@
 	readonly parts: GatewayParts;
 	readonly channel: CallerChannel;
 	getBudget(group: string): RetryBudget;
+	/** Has the copy of the store confirmed, for a route that it lacks. */
+	lookAgain(): Promise<unknown>;
 };
 
 /** Bound of a statement whose route has gone, in milliseconds: only what ends a transaction is still answered. */
@@ -47,7 +49,7 @@
 const SECOND_LOOK_MS = 1000;
 
 /** Creates a session. */
-export function createCallerSession({parts, channel, getBudget}: CallerSessionOptions): CallerSession {
+export function createCallerSession({parts, channel, getBudget, lookAgain}: CallerSessionOptions): CallerSession {
 	const {clock, elapsedClock, log, metrics, mirror} = parts;
 	let memory = createSessionMemory('');
 	let transaction: CallerTransaction | undefined;
@@ -253,7 +255,7 @@
 		await waitForRouting();
 		if (!mirror.state.routing?.routes.has(req.database)) {
 			// The copy may lack a route that was just added; a second look costs a call and spares a false refusal.
-			await withinMs(clock, SECOND_LOOK_MS, mirror.confirm());
+			await withinMs(clock, SECOND_LOOK_MS, lookAgain());
 		}
 
 		if (!mirror.state.routing) {
--- a/src/platform/tcp-caller-channel.ts
+++ b/src/platform/tcp-caller-channel.ts
@@ -7,7 +7,7 @@
 import {createLineReader} from './line-reader.js';
 
 /** A caller that sends ahead is read no further with so many requests waiting. */
-const MOST_WAITING = 16;
+const MOST_WAITING = 4;
 
 /** How long a connection that was ended may stay half open, in milliseconds; the balancer's own clients close at once. */
 const LINGER_MS = 2000;
--- a/tests/proxy/sessions-tests.ts
+++ b/tests/proxy/sessions-tests.ts
@@ -76,6 +76,21 @@
 		expect(caller.closed).to.equal(true);
 	});
 
+	/** Callers ask for one name after the other that no route has. The store would be asked for each, and turn away what matters. */
+	it('asks the store no more often than five times a second for names that no route has', async () => {
+		const bench = await createProxyBench({proxies: 1});
+		const before = bench.system.store.calls;
+		const startedAt = bench.clock.now();
+		for (let i = 0; i < 200; i++) {
+			const caller = await bench.open(bench.proxies[0]!, `nowhere-${i}`);
+			expect(caller.refusal).to.equal('unknown-database');
+			await bench.clock.advance(5);
+		}
+
+		const seconds = (bench.clock.now() - startedAt) / 1000;
+		expect(bench.system.store.calls - before).to.be.lessThan((7 * seconds) + 2);
+	});
+
 	/**
 	 * Two callers name their prepared statements alike, and set the same session value differently. On connections that
 	 * both are lent in turn, the second would run the first one's statement, under the first one's value.
