Refuse at once what only other hosts can serve, and let nobody wait at a silent endpoint

Cause: a host that is cut off from a primary which others reach held statements for their whole second and refused them then; a caller's next try reaches another host. And whoever waited for a connection to an endpoint that had gone silent waited on while its successor led already. Test, red before: told within 20 ms, served again after the cut ends.

--- a/src/gateway/gateway-parts.ts
+++ b/src/gateway/gateway-parts.ts
@@ -1,4 +1,5 @@
 import type {EndpointDirectory} from '../links/endpoint-directory.js';
+import type {CutOffs} from '../leadership/cut-offs.js';
 import type {LeadEvidences} from '../leadership/lead-evidence.js';
 import type {PrimaryWork} from '../leadership/primary-work.js';
 import type {Log} from '../log/log.js';
@@ -19,5 +20,6 @@
 	readonly directory: EndpointDirectory;
 	readonly knowledge: PlacementKnowledge;
 	readonly primaryWork: PrimaryWork;
+	readonly cutOffs: CutOffs;
 	readonly availabilityZone: string;
 };
--- a/src/gateway/lend-link.ts
+++ b/src/gateway/lend-link.ts
@@ -53,12 +53,17 @@
 /** Longest wait before the circumstances are looked at again, in milliseconds. */
 const RECHECK_MS = 50;
 
-/** Lends a connection to the primary, once there is evidence of one; undefined where none was to be had in time. */
+/** Lends a connection to the primary, once there is evidence of one that answers; undefined where none was to be had in time, or only other hosts reach it. */
 export async function lendPrimary(parts: GatewayParts, req: LinkRequest): Promise<LentLink | undefined> {
 	while (req.isWanted() && parts.clock.now() < req.until) {
+		if (parts.cutOffs.isCutOff(req.route.group, parts.clock.now())) {
+			// The caller's next try reaches another host, which can serve it; here it would wait for nothing.
+			return undefined;
+		}
+
 		const evidence = parts.evidences.get(req.route.group, parts.elapsedClock.elapsed());
 		const endpoint = evidence && parts.directory.get(evidence.primaryId);
-		if (!evidence || !endpoint) {
+		if (!evidence || !endpoint || endpoint.pool.health.getSuspicion(parts.clock.now())) {
 			await waitForChange(parts, req);
 			continue;
 		}
--- a/src/leadership/lead-watch.ts
+++ b/src/leadership/lead-watch.ts
@@ -10,12 +10,13 @@
 import type {Random} from '../random/random.js';
 import type {Clock} from '../time/clock.js';
 import type {ElapsedClock} from '../time/elapsed-clock.js';
+import type {CutOffs} from './cut-offs.js';
 import {DUTY_LEASE_MS, type DutyLease} from './duty-lease.js';
 import {LEAD_CALL_TIMEOUT_MS} from './lead-calls.js';
 import {createFenceLook} from './fence-look.js';
 import type {LeadEvidences} from './lead-evidence.js';
 import {getLeadershipName, LeadPhase, type LeadershipRecord} from './leadership-record.js';
-import {createPrimaryReach} from './primary-reach.js';
+import {createPrimaryReach, ReachVerdict} from './primary-reach.js';
 import type {PrimaryWork} from './primary-work.js';
 import type {Replacement} from './replace-primary.js';
 
@@ -34,6 +35,7 @@
 	readonly directory: EndpointDirectory;
 	readonly evidences: LeadEvidences;
 	readonly primaryWork: PrimaryWork;
+	readonly cutOffs: CutOffs;
 	readonly duty: DutyLease;
 	readonly peers: Peers;
 	readonly clock: Clock;
@@ -192,6 +194,7 @@
 
 		if (!health.getSuspicion(now)) {
 			watch.suspectedSince = undefined;
+			options.cutOffs.clear(group);
 			if (health.heardAt !== undefined && now - health.heardAt > QUIET_MS) {
 				await reach.probe(primaryId);
 			}
@@ -213,8 +216,12 @@
 			});
 		}
 
-		const [answers, lostToMost] = await Promise.all([reach.probe(primaryId), reach.isLostToMost(group, primaryId, clock.now() - watch.suspectedSince)]);
-		if (answers || !lostToMost) {
+		const [answers, verdict] = await Promise.all([reach.probe(primaryId), reach.judge(group, primaryId, clock.now() - watch.suspectedSince)]);
+		if (!answers && verdict === ReachVerdict.ReachedByOthers) {
+			options.cutOffs.note(group, clock.now());
+		}
+
+		if (answers || verdict !== ReachVerdict.Lost) {
 			return;
 		}
 
--- a/src/leadership/primary-reach.ts
+++ b/src/leadership/primary-reach.ts
@@ -15,10 +15,23 @@
 	probe(endpointId: string): Promise<boolean>;
 	/** The same, by what was heard lately where that tells. */
 	isReachable(endpointId: string): Promise<boolean>;
-	/** Whether most hosts do not reach it either; `suspectedMs` is how long this one has not. */
-	isLostToMost(group: string, endpointId: string, suspectedMs: number): Promise<boolean>;
+	/** What the hosts together say of a primary that this one has not reached for `suspectedMs`. */
+	judge(group: string, endpointId: string, suspectedMs: number): Promise<ReachVerdict>;
 };
 
+/** What hosts together say of a primary that one of them cannot reach. */
+export const ReachVerdict = {
+	/** Most do not reach it. */
+	Lost: 'lost',
+	/** Most answered, and most of those reach it. */
+	ReachedByOthers: 'reached-by-others',
+	/** Too few answered. */
+	Open: 'open',
+} as const;
+
+/** One of the verdicts in {@link ReachVerdict}. */
+export type ReachVerdict = typeof ReachVerdict[keyof typeof ReachVerdict];
+
 /** What this needs. */
 export type PrimaryReachOptions = {
 	readonly mirror: StoreMirror;
@@ -77,7 +90,7 @@
 	 * answer, at least half must not reach it either, and most hosts must answer: a part of the hosts that is cut off
 	 * from the rest would else take the primary from those who use it.
 	 */
-	const isLostToMost = async (group: string, endpointId: string, suspectedMs: number) => {
+	const judge = async (group: string, endpointId: string, suspectedMs: number): Promise<ReachVerdict> => {
 		const others = mirror.state.hosts.filter(host => host.peerAddress !== ownPeerAddress && !host.gone);
 		const opinions = await Promise.all(others.map(async host => askOpinion(host.peerAddress, endpointId)));
 		const known = opinions.filter(opinion => opinion !== undefined);
@@ -87,7 +100,11 @@
 		log.info('hosts were asked about a primary', {
 			group, endpoint: endpointId, against, answered: asked, hosts: others.length + 1, suspectedMs: Math.round(suspectedMs),
 		});
-		return enough && against * 2 >= asked;
+		if (!enough) {
+			return ReachVerdict.Open;
+		}
+
+		return against * 2 >= asked ? ReachVerdict.Lost : ReachVerdict.ReachedByOthers;
 	};
 
 	const askOpinion = async (address: string, endpointId: string) => {
@@ -105,5 +122,5 @@
 
 	peers.handle('lead-opinion', async ({endpointId}) => ({reachable: await isReachable(endpointId)}));
 
-	return {probe, isReachable, isLostToMost};
+	return {probe, isReachable, judge};
 }
--- a/src/links/endpoint-pool.ts
+++ b/src/links/endpoint-pool.ts
@@ -219,7 +219,8 @@
 		};
 		waiters.push(waiter);
 		waiters.sort((left, right) => left.priority - right.priority || left.order - right.order);
-		while (!done && clock.now() < wish.until && !retired) {
+		// Whoever waits at an endpoint that has gone silent may be served elsewhere, by its successor for one.
+		while (!done && clock.now() < wish.until && !retired && !health.getSuspicion(clock.now())) {
 			openForWaiters();
 			await clock.sleep(Math.min(RECHECK_MS, wish.until - clock.now()), abort.signal);
 		}
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -1,6 +1,7 @@
 import {createGateway, type Gateway} from '../gateway/gateway.js';
 import type {ProxyMetrics} from '../gateway/prom-gateway-metrics.js';
 import {createKernel, type Kernel} from '../kernel/kernel.js';
+import {createCutOffs} from '../leadership/cut-offs.js';
 import {createDutyLease, type DutyLease} from '../leadership/duty-lease.js';
 import {createGoneHosts} from '../leadership/gone-hosts.js';
 import {createLeadEvidences, type LeadEvidences} from '../leadership/lead-evidence.js';
@@ -71,6 +72,7 @@
 	const evidences = createLeadEvidences({mirror, ownPeerAddress: peerAddress});
 	const knowledge = createPlacementKnowledge();
 	const primaryWork = createPrimaryWork(clock);
+	const cutOffs = createCutOffs();
 	const directory = createEndpointDirectory({
 		mirror, opener, clock, log,
 	});
@@ -89,6 +91,7 @@
 		directory,
 		evidences,
 		primaryWork,
+		cutOffs,
 		duty,
 		peers,
 		clock,
@@ -120,7 +123,7 @@
 		}, replacement),
 	});
 	const gateway = createGateway({
-		clock, elapsedClock, log: log.part('callers: '), metrics, mirror, evidences, directory, knowledge, primaryWork, availabilityZone: parts.availabilityZone,
+		clock, elapsedClock, log: log.part('callers: '), metrics, mirror, evidences, directory, knowledge, primaryWork, cutOffs, availabilityZone: parts.availabilityZone,
 	});
 
 	mirror.onChange(() => {
--- a/tests/proxy/failures-tests.ts
+++ b/tests/proxy/failures-tests.ts
@@ -59,6 +59,27 @@
 		expect(await measureGap(bench, 1)).to.be.lessThan(100);
 	});
 
+	/**
+	 * The same, seen by the callers of the proxy that is cut off. A refusal sends them to another proxy, which can serve them; held for as
+	 * long as their statement may take, they would come there with no time left.
+	 */
+	it('is told at once to callers of a proxy that alone cannot reach it, until it can', async () => {
+		const bench = await createProxyBench();
+		bench.proxies[0]!.cutFrom.add('nights-1');
+		const first = await bench.open(bench.proxies[0]!, 'sync');
+		void bench.send(first, 'WRITE a 1');
+		await bench.clock.advance(2000);
+		const second = await bench.open(bench.proxies[0]!, 'sync');
+		const askedAt = bench.clock.now();
+		expect(await bench.ask(second, 'WRITE a 2')).to.equal('overloaded idle');
+		expect(bench.clock.now() - askedAt).to.be.lessThan(20);
+		const reader = await bench.open(bench.proxies[0]!, 'review');
+		bench.proxies[0]!.cutFrom.clear();
+		await bench.clock.advance(2500);
+		expect(await bench.ask(second, 'WRITE a 3')).to.equal('done idle');
+		expect(await bench.ask(reader, 'READ a')).to.match(/^done/v);
+	});
+
 	/**
 	 * Two of five proxies are cut off from the other three and from the primary. They agree that it is lost, but they are
 	 * not most of the proxies: replacing it would take it from the three that use it.
