Let no host be unknown to those that confirm without the store

Cause, found by reading the argument against the code: in an outage of the store hosts confirm each other's copies. One that they do not ask, since it is marked as gone and has come back, or registered meanwhile, could replace a primary under them. Now nobody may be marked, the store must have confirmed within 9 s, and a host that registered anew replaces nothing for as long. A stopping host keeps its record, so that a restart is no new host. Tests of the mirror, red before.

--- a/src/leadership/lead-evidence.ts
+++ b/src/leadership/lead-evidence.ts
@@ -1,4 +1,4 @@
-import type {StoreMirror} from '../mirror/store-mirror.js';
+import {LONGEST_WITHOUT_STORE_MS, type StoreMirror} from '../mirror/store-mirror.js';
 import {LeadPhase, type LeadershipRecord} from './leadership-record.js';
 
 /** What a proxy may rely on when it uses a primary. */
@@ -42,13 +42,6 @@
  */
 export const EVIDENCE_MS = 3000;
 
-/**
- * A host that the store has not confirmed for so long goes on no further by what the endpoints themselves show, in milliseconds: later its
- * own record may be deleted as that of a host that is gone, and nobody would wait for it. Outages of 3 to 9 s are ordinary; and as long as a
- * dead host's record stays, each replacement waits for it.
- */
-export const LONGEST_WITHOUT_STORE_MS = 9000;
-
 /** Creates the evidences. */
 export function createLeadEvidences({mirror, ownPeerAddress}: LeadEvidencesOptions): LeadEvidences {
 	const pausedBelow = new Map<string, number>();
@@ -116,7 +109,7 @@
 		},
 		noteUnfenced(group, epoch, askedAt) {
 			const steady = lastSteady.get(group);
-			const withoutStoreMs = askedAt - (mirror.confirmedAt ?? Number.NEGATIVE_INFINITY);
+			const withoutStoreMs = askedAt - (mirror.storeConfirmedAt ?? Number.NEGATIVE_INFINITY);
 			if (steady?.epoch === epoch && askedAt > steady.askedAt && withoutStoreMs < LONGEST_WITHOUT_STORE_MS) {
 				lastSteady.set(group, {epoch, askedAt});
 				tell();
--- a/src/leadership/lead-watch.ts
+++ b/src/leadership/lead-watch.ts
@@ -48,6 +48,8 @@
 	readonly log: Log;
 	readonly hostName: string;
 	readonly ownPeerAddress: string;
+	/** Whether this host may begin a replacement, being known to all hosts that it has to wait for. */
+	mayReplace(): boolean;
 	replace(replacement: Replacement): Promise<boolean>;
 };
 
@@ -121,6 +123,10 @@
 			return false;
 		}
 
+		if (!options.mayReplace()) {
+			return false;
+		}
+
 		changing.add(group);
 		try {
 			return await options.replace(replacement);
@@ -312,7 +318,7 @@
 	});
 	peers.handle('lead-replace', async ({group, epoch, reason}) => {
 		const record = mirror.state.leadership.get(group);
-		if (retiring || record?.epoch !== epoch || record.phase !== LeadPhase.Steady) {
+		if (retiring || !options.mayReplace() || record?.epoch !== epoch || record.phase !== LeadPhase.Steady) {
 			return {taken: false};
 		}
 
--- a/src/leadership/register-host.ts
+++ b/src/leadership/register-host.ts
@@ -1,15 +1,19 @@
 import type {Log} from '../log/log.js';
 import {RecordKind, type MetadataStore} from '../mirror/metadata-store.js';
-import type {StoreMirror} from '../mirror/store-mirror.js';
+import {LONGEST_WITHOUT_STORE_MS, type StoreMirror} from '../mirror/store-mirror.js';
 import {PlatformConflictError, PlatformError} from '../object-store/platform-errors.js';
+import type {ElapsedClock} from '../time/elapsed-clock.js';
 import type {HostRecord} from './leadership-record.js';
 
-/** Keeps this host in the list of hosts that are asked before a primary is replaced. */
+/**
+ * Keeps this host in the list of hosts that are asked before a primary is replaced. Its record outlasts the process: one that is
+ * started again under the same address answers for both, and one that never is gets marked by the others.
+ */
 export type HostRegistration = {
 	/** Registers where the list does not have this host as it is. */
 	keep(): Promise<void>;
-	/** Takes this host out of the list; it must use no evidence any more. */
-	end(): Promise<void>;
+	/** Whether every host that still goes on without the store knows this one, at the elapsed time `now`. */
+	isKnownToAll(now: number): boolean;
 };
 
 /** What the registration needs. */
@@ -18,14 +22,18 @@
 	readonly mirror: StoreMirror;
 	readonly log: Log;
 	readonly host: HostRecord;
+	readonly elapsedClock: ElapsedClock;
 };
 
 const STORE_TIMEOUT_MS = 900;
 
 /** Creates the registration. */
-export function createHostRegistration({store, mirror, log: parentLog, host}: HostRegistrationOptions): HostRegistration {
+export function createHostRegistration({store, mirror, log: parentLog, host, elapsedClock}: HostRegistrationOptions): HostRegistration {
 	const log = parentLog.part('hosts: ');
 	let busy = false;
+	/** Elapsed time at which this process registered the host; undefined where it found it registered. */
+	let registeredAt: number | undefined;
+	let found = false;
 
 	const find = () => mirror.state.hosts.find(({name}) => name === host.name);
 
@@ -45,21 +53,24 @@
 
 	return {
 		async keep() {
-			const found = find();
-			const isRight = found !== undefined && !found.gone && found.peerAddress === host.peerAddress;
+			const record = find();
+			const isRight = record !== undefined && !record.gone && record.peerAddress === host.peerAddress;
+			found ||= isRight;
 			if (busy || isRight || mirror.state.revision === 0) {
 				return;
 			}
 
 			busy = true;
-			await attempt('this host is registered', async () => store.putRecord(RecordKind.Hosts, {name: host.name, version: found?.version ?? 0, value: host}, STORE_TIMEOUT_MS));
+			await attempt('this host is registered', async () => {
+				await store.putRecord(RecordKind.Hosts, {name: host.name, version: record?.version ?? 0, value: host}, STORE_TIMEOUT_MS);
+				registeredAt = elapsedClock.elapsed();
+			});
 			busy = false;
 		},
-		async end() {
-			const found = find();
-			if (found) {
-				await attempt('this host is no longer registered', async () => store.deleteRecord(RecordKind.Hosts, host.name, found.version, STORE_TIMEOUT_MS));
-			}
-		},
+		/*
+		 * Guards against a host that registered while others are without the store: they confirm each other's copies and do not know
+		 * that it should be asked. One that found itself registered was known before.
+		 */
+		isKnownToAll: now => registeredAt === undefined ? found : now - registeredAt > LONGEST_WITHOUT_STORE_MS,
 	};
 }
--- a/src/mirror/store-mirror.ts
+++ b/src/mirror/store-mirror.ts
@@ -14,8 +14,10 @@
 
 /** Answer to a peer that asks whether its copy is still complete. */
 export type ConfirmAnswer = {
-	/** The store itself was read for this answer, after the question came. */
+	/** The store was read for this answer, after the question came, or all hosts confirmed it then. */
 	readonly confirmed: boolean;
+	/** How long ago the store itself confirmed the answering host's copy, in milliseconds. */
+	readonly withoutStoreMs: number;
 	readonly revision: number;
 	/** What the answering host holds, where that is more than the asking one does. */
 	readonly snapshot?: StateSnapshot;
@@ -35,6 +37,8 @@
 	readonly state: MirrorState;
 	/** Elapsed time at which the last confirmation that the copy was complete had been asked for; undefined before the first. */
 	readonly confirmedAt: number | undefined;
+	/** The same, of the last confirmation by the store itself, at this host or a peer. */
+	readonly storeConfirmedAt: number | undefined;
 	/** Reads the store, or asks peers; true where the copy was found complete at a time after the call. */
 	confirm(): Promise<boolean>;
 	/** Has the copy confirmed soon, without waiting. */
@@ -75,6 +79,13 @@
  */
 export const CONFIRM_INTERVAL_MS = 700;
 
+/**
+ * A host that the store has not confirmed for so long goes on no further by the word of the other hosts, or of the endpoints, in milliseconds:
+ * later its own record may be deleted as that of a host that is gone, and hosts that it does not know may replace primaries. Outages of 3 to
+ * 9 s are ordinary; and as long as a dead host's record stays, each replacement waits for it.
+ */
+export const LONGEST_WITHOUT_STORE_MS = 9000;
+
 /** Longest wait for the host that reads for all, in milliseconds: one interval and a reading. */
 const READER_TIMEOUT_MS = CONFIRM_INTERVAL_MS + 300;
 
@@ -98,6 +109,7 @@
 	const listeners: Array<() => void> = [];
 	let state = EMPTY_STATE;
 	let confirmedAt: number | undefined;
+	let storeConfirmedAt: number | undefined;
 	let running: Promise<boolean> | undefined;
 	let queued: Promise<boolean> | undefined;
 	let wake = new AbortController();
@@ -131,8 +143,14 @@
 		tell();
 	};
 
+	/** Notes a confirmation by the store itself. */
+	const noteStoreConfirmed = (askedAt: number) => {
+		storeConfirmedAt = Math.max(storeConfirmedAt ?? askedAt, askedAt);
+		noteConfirmed(askedAt);
+	};
+
 	const reader = createStoreReader({
-		store, elapsedClock, log, getRevision: () => state.revision, adopt, onConfirmed: noteConfirmed,
+		store, elapsedClock, log, getRevision: () => state.revision, adopt, onConfirmed: noteStoreConfirmed,
 	});
 
 	const askPeer = async (address: string, urgent: boolean): Promise<ConfirmAnswer | undefined> => {
@@ -159,6 +177,8 @@
 			return false;
 		}
 
+		// A peer may have been confirmed by all hosts together; how long it has been without the store goes on counting here.
+		storeConfirmedAt = Math.max(storeConfirmedAt ?? 0, askedAt - answer.withoutStoreMs);
 		noteConfirmed(askedAt);
 		return true;
 	};
@@ -207,9 +227,14 @@
 	 * registered host. Where every registered host answered, after the question, that it has no such update under way
 	 * and holds nothing newer, none had begun at the time of asking; and any that begins later waits for this host's
 	 * acknowledgement, or for the end of what this confirmation is good for.
+	 *
+	 * A host that is not asked could begin one: one that is marked as gone and has come back, or one that registered since this host
+	 * read the store. So nobody may be marked, and the store must have been read lately: a new host waits for longer before it replaces anything.
 	 */
 	const isUnanimous = (answers: ReadonlyArray<ConfirmAnswer | undefined>, revision: number) =>
 		state.hosts.length > 0
+		&& state.hosts.every(host => !host.gone)
+		&& elapsedClock.elapsed() - (storeConfirmedAt ?? Number.NEGATIVE_INFINITY) < LONGEST_WITHOUT_STORE_MS
 		&& state.revision === revision
 		&& options.getChanging().length === 0
 		&& answers.every(answer => answer?.revision === revision && answer.changing.length === 0);
@@ -273,6 +298,7 @@
 		const read = await withinMs(clock, urgent ? HELPING_READ_MS : READER_TIMEOUT_MS, urgent ? reader.readAfterNow() : readStoreInTurn());
 		return {
 			confirmed: !read.timedOut && read.value,
+			withoutStoreMs: storeConfirmedAt === undefined ? Number.MAX_SAFE_INTEGER : Math.max(0, elapsedClock.elapsed() - storeConfirmedAt),
 			revision: state.revision,
 			changing: options.getChanging(),
 			...(state.revision > revision && {snapshot: toSnapshot(state)}),
@@ -303,6 +329,9 @@
 		get confirmedAt() {
 			return confirmedAt;
 		},
+		get storeConfirmedAt() {
+			return storeConfirmedAt;
+		},
 		confirm,
 		confirmSoon() {
 			wake.abort();
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -85,7 +85,7 @@
 		store, mirror, elapsedClock, log,
 	});
 	const registration = createHostRegistration({
-		store, mirror, log, host: {name: hostName, peerAddress, availabilityZone: parts.availabilityZone},
+		store, mirror, log, elapsedClock, host: {name: hostName, peerAddress, availabilityZone: parts.availabilityZone},
 	});
 	const leadWatch: LeadWatch = createLeadWatch({
 		store,
@@ -102,6 +102,7 @@
 		log,
 		hostName,
 		ownPeerAddress: peerAddress,
+		mayReplace: () => registration.isKnownToAll(elapsedClock.elapsed()),
 		replace: async replacement => replacePrimary({
 			store,
 			mirror,
--- a/src/proxy/run-proxy.ts
+++ b/src/proxy/run-proxy.ts
@@ -98,7 +98,6 @@
 	await leave({
 		gateway, leadWatch: kernel.getOrThrow('leadWatch'), clock, log, graceMs: settings.graceMs,
 	});
-	await kernel.getOrThrow('hostRegistration').end();
 	log.info('left');
 	return ProxyExitCode.Ok;
 }
--- a/tests/mirror/store-mirror-tests.ts
+++ b/tests/mirror/store-mirror-tests.ts
@@ -92,6 +92,28 @@
 		expect(await confirm('a')).to.equal(false);
 	});
 
+	/** A host that is marked as gone may live and read the store; nobody asks it, so it could be replacing a primary. */
+	it('is not confirmed by all together while one is marked as gone', async () => {
+		const {store, confirm, clock} = await createBench();
+		const {version, value} = store.getRecord(RecordKind.Hosts, 'c')!;
+		await clock.runUntil(store.getClient('a').putRecord(RecordKind.Hosts, {name: 'c', version, value: {...value as Record<string, unknown>, gone: true}}, 900));
+		await confirm('a');
+		await confirm('b');
+		await confirm('c');
+		store.setTrouble(undefined, {refused: true});
+		expect(await confirm('a')).to.equal(false);
+	});
+
+	/** Without the store for long, hosts may have registered that this one does not know and cannot ask. */
+	it('is not confirmed by all together for longer than a new host waits', async () => {
+		const {store, confirm, clock} = await createBench();
+		store.setTrouble(undefined, {refused: true});
+		await clock.advance(8000);
+		expect(await confirm('a')).to.equal(true);
+		await clock.advance(1500);
+		expect(await confirm('a')).to.equal(false);
+	});
+
 	it('is not confirmed where one of them does not answer', async () => {
 		const {store, confirm, network} = await createBench();
 		store.setTrouble(undefined, {refused: true});
