Write the last lines out before the process ends

Lines are written in the background, and the process ended right after its last one; before, a call to the store at the end had given them time, by chance.

--- a/src/proxy/main.ts
+++ b/src/proxy/main.ts
@@ -22,10 +22,11 @@
 
 const METRICS_FLAG = '--metrics-port=';
 
+const output = openAsyncOutput();
+
 function createParts(settings: BootSettings): ProxyParts {
 	const clock = createSystemClock();
 	const random = createSystemRandom();
-	const output = openAsyncOutput();
 	const log = createBoundedLog(createBunyanLog({
 		clock, name: 'aldercroft-proxy', hostName: settings.hostName, level: 'info', stream: output.stream,
 	}), {clock, isBacklogged: output.isBacklogged});
@@ -63,4 +64,5 @@
 	events: process,
 	createParts,
 });
+await output.flush();
 process.exit(exitCode);
