Use the one EndpointRole, and drop a listener that nobody registered

Cause, found by reading the whole change: src/links defined the endpoint's role a second time beside src/endpoints, and CallerChannel offered onLeft, which only its own writer used. Now the existing type serves both paths and the interface has no dead member.

--- a/src/gateway/caller-channel.ts
+++ b/src/gateway/caller-channel.ts
@@ -28,6 +28,4 @@
 	refuse(code: AnswerCode, reason: string): void;
 	/** Ends the connection after what was sent has gone out; requests that were not taken by then are never given out. */
 	close(): void;
-	/** Called once, when the caller has left. */
-	onLeft(listener: () => void): void;
 };
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -1,4 +1,4 @@
-import type {EndpointRole} from '../links/endpoint-link.js';
+import type {EndpointRole} from '../endpoints/endpoint.js';
 import type {AnswerCode} from '../statements/statement-answer.js';
 
 /** Counts what callers get. No label holds a caller's value, so that their number stays bounded. */
--- a/src/gateway/run-read.ts
+++ b/src/gateway/run-read.ts
@@ -1,6 +1,6 @@
 import type {RetryBudget} from '../retries/retry-budget.js';
 import {AnswerCode, type EndpointAnswer} from '../statements/statement-answer.js';
-import {EndpointRole} from '../links/endpoint-link.js';
+import {EndpointRole} from '../endpoints/endpoint.js';
 import {exchangeStatement, type EndpointStatement} from './exchange.js';
 import type {GatewayParts} from './gateway-parts.js';
 import {lendForRead, type LentLink, type LinkRequest} from './lend-link.js';
--- a/src/leadership/ask-endpoints.ts
+++ b/src/leadership/ask-endpoints.ts
@@ -1,5 +1,6 @@
 import type {KnownEndpoint} from '../links/endpoint-directory.js';
-import {EndpointRole, type EndpointCommand, type EndpointStatus} from '../links/endpoint-link.js';
+import {EndpointRole} from '../endpoints/endpoint.js';
+import type {EndpointCommand, EndpointStatus} from '../links/endpoint-link.js';
 import {LinkError} from '../links/link-errors.js';
 import {holdsLogPosition} from '../terms/log-position.js';
 import {withinMs} from '../time/deadline.js';
--- a/src/leadership/choose-successor.ts
+++ b/src/leadership/choose-successor.ts
@@ -1,4 +1,5 @@
-import {type EndpointStatus, EndpointRole} from '../links/endpoint-link.js';
+import {EndpointRole} from '../endpoints/endpoint.js';
+import type {EndpointStatus} from '../links/endpoint-link.js';
 import {compareLogPositions} from '../terms/log-position.js';
 import {LeadPhase, type LeadershipRecord} from './leadership-record.js';
 
--- a/src/leadership/fence-look.ts
+++ b/src/leadership/fence-look.ts
@@ -1,5 +1,5 @@
 import type {EndpointDirectory} from '../links/endpoint-directory.js';
-import {EndpointRole} from '../links/endpoint-link.js';
+import {EndpointRole} from '../endpoints/endpoint.js';
 import type {EndpointPool} from '../links/endpoint-pool.js';
 import {LinkError} from '../links/link-errors.js';
 import type {Log} from '../log/log.js';
--- a/src/leadership/promote-best.ts
+++ b/src/leadership/promote-best.ts
@@ -1,4 +1,5 @@
-import {EndpointRole, type EndpointStatus} from '../links/endpoint-link.js';
+import {EndpointRole} from '../endpoints/endpoint.js';
+import type {EndpointStatus} from '../links/endpoint-link.js';
 import {askStatus} from './ask-endpoints.js';
 import {
 	getLeastTerm, isNeverReplaced, rankSuccessors, type SuccessorCandidate,
--- a/src/links/endpoint-link.ts
+++ b/src/links/endpoint-link.ts
@@ -1,16 +1,8 @@
+import type {EndpointRole} from '../endpoints/endpoint.js';
 import type {PreparedShape} from '../statements/statement.js';
 import type {EndpointAnswer} from '../statements/statement-answer.js';
 import type {LogPosition} from '../terms/log-position.js';
 
-/** Whether an endpoint says that it leads its group. */
-export const EndpointRole = {
-	Primary: 'primary',
-	Replica: 'replica',
-} as const;
-
-/** One of the roles in {@link EndpointRole}. */
-export type EndpointRole = typeof EndpointRole[keyof typeof EndpointRole];
-
 /** What an endpoint says of itself. */
 export type EndpointStatus = {
 	readonly role: EndpointRole;
--- a/src/platform/endpoint-lines.ts
+++ b/src/platform/endpoint-lines.ts
@@ -1,6 +1,5 @@
-import {
-	EndpointRole, type EndpointCommand, type EndpointRequest, type EndpointStatus,
-} from '../links/endpoint-link.js';
+import {EndpointRole} from '../endpoints/endpoint.js';
+import type {EndpointCommand, EndpointRequest, EndpointStatus} from '../links/endpoint-link.js';
 import {Access} from '../statements/statement.js';
 import {formatPosition, parsePosition} from './position-text.js';
 
--- a/src/platform/tcp-caller-channel.ts
+++ b/src/platform/tcp-caller-channel.ts
@@ -113,8 +113,5 @@
 			socket.resume();
 			socket.setTimeout(LINGER_MS, () => socket.destroy());
 		},
-		onLeft(listener) {
-			leftListeners.push(listener);
-		},
 	};
 }
--- a/src/stand-ins/plain-group/plain-group.ts
+++ b/src/stand-ins/plain-group/plain-group.ts
@@ -1,6 +1,5 @@
-import {
-	EndpointRole, type EndpointLink, type LinkListener, type LinkTarget,
-} from '../../links/endpoint-link.js';
+import {EndpointRole} from '../../endpoints/endpoint.js';
+import type {EndpointLink, LinkListener, LinkTarget} from '../../links/endpoint-link.js';
 import {createLinkLost, createLinkRefused, throwUnexpectedAnswer} from '../../links/link-errors.js';
 import {OrderOutcome} from '../../leadership/promotion-orders.js';
 import {parseStatusRow} from '../../platform/endpoint-lines.js';
--- a/src/stand-ins/plain-group/plain-server.ts
+++ b/src/stand-ins/plain-group/plain-server.ts
@@ -1,4 +1,5 @@
-import {EndpointRole, type EndpointRequest, type EndpointStatus} from '../../links/endpoint-link.js';
+import {EndpointRole} from '../../endpoints/endpoint.js';
+import type {EndpointRequest, EndpointStatus} from '../../links/endpoint-link.js';
 import {SessionState, type PreparedShape} from '../../statements/statement.js';
 import {AnswerCode, type AnswerEnd, type EndpointAnswer} from '../../statements/statement-answer.js';
 import {holdsLogPosition, type LogPosition} from '../../terms/log-position.js';
--- a/src/stand-ins/proxies/scripted-caller.ts
+++ b/src/stand-ins/proxies/scripted-caller.ts
@@ -23,7 +23,6 @@
 /** Creates a caller. */
 export function createScriptedCaller(name = 'caller'): ScriptedCaller {
 	const requests: CallerRequest[] = [];
-	const leftListeners: Array<() => void> = [];
 	let left = false;
 	let closed = false;
 	let refusal: AnswerCode | undefined;
@@ -74,9 +73,6 @@
 			requests.length = 0;
 			end();
 		},
-		onLeft(listener) {
-			leftListeners.push(listener);
-		},
 	};
 
 	return {
@@ -108,9 +104,6 @@
 		leave() {
 			left = true;
 			end();
-			for (const listener of leftListeners) {
-				listener();
-			}
 		},
 	};
 }
