Mark no host on one unanswered question, and let marked ones replace at once

Change: the census marks a host that two looks in a row, 1 s apart, did not find; and a host that registers over its own mark, known for 9 s before, stays known: whoever is without the store holds its record unmarked, and asks it, or marked, and goes on by nobody's word (argument at its place). Ruled out: a shorter wait for new hosts (it guards what is unanimous).

--- a/src/leadership/host-census.ts
+++ b/src/leadership/host-census.ts
@@ -46,6 +46,8 @@
 	const log = parentLog.part('hosts: ');
 	const stopping = new AbortController();
 	let readingSince: number | undefined;
+	/** Addresses that did not answer at the last look. */
+	let unanswered: ReadonlySet<string> = new Set();
 
 	peers.handle('host-alive', async () => ({alive: true as const}));
 
@@ -73,12 +75,24 @@
 		const since = readingSince;
 		const quiet = mirror.state.hosts.filter(({peerAddress, gone: isGone}) => !isGone && peerAddress !== ownPeerAddress
 			&& now - Math.max(since, mirror.getHeardAt(peerAddress) ?? 0) > QUIET_MS);
+		const before = unanswered;
+		const silent = new Set<string>();
 		await Promise.all(quiet.map(async host => {
-			if (!await isAlive(host.peerAddress)) {
+			if (await isAlive(host.peerAddress)) {
+				return;
+			}
+
+			silent.add(host.peerAddress);
+			/*
+			 * Guards against a host that was cut off itself, and asks over links that were opened while the cut lasted: they take 1 s to
+			 * fail, within which it would mark everybody who went on without it. At the next look they have been opened anew.
+			 */
+			if (before.has(host.peerAddress)) {
 				log.info('a host is silent', {host: host.name, heardAgoMs: Math.round(now - (mirror.getHeardAt(host.peerAddress) ?? since))});
 				await gone.markGone(host);
 			}
 		}));
+		unanswered = silent;
 		await gone.sweep();
 	};
 
--- a/src/leadership/register-host.ts
+++ b/src/leadership/register-host.ts
@@ -51,6 +51,14 @@
 		}
 	};
 
+	/*
+	 * Guards against a host that registered while others are without the store: they confirm each other's copies and do not know
+	 * that it should be asked. One that found itself registered was known before. One that was marked and registers anew over its
+	 * mark was known all the time: a host without the store either holds its record as it was, and asks it, or holds the mark, and
+	 * goes on by nobody's word. Without this a group stays without a primary for 9 s after hosts were marked by mistake.
+	 */
+	const isKnownToAll = (now: number) => registeredAt === undefined ? found : now - registeredAt > LONGEST_WITHOUT_STORE_MS;
+
 	return {
 		async keep() {
 			const record = find();
@@ -61,16 +69,13 @@
 			}
 
 			busy = true;
+			const staysKnown = record?.gone === true && record.peerAddress === host.peerAddress && isKnownToAll(elapsedClock.elapsed());
 			await attempt('this host is registered', async () => {
 				await store.putRecord(RecordKind.Hosts, {name: host.name, version: record?.version ?? 0, value: host}, STORE_TIMEOUT_MS);
-				registeredAt = elapsedClock.elapsed();
+				registeredAt = staysKnown ? registeredAt : elapsedClock.elapsed();
 			});
 			busy = false;
 		},
-		/*
-		 * Guards against a host that registered while others are without the store: they confirm each other's copies and do not know
-		 * that it should be asked. One that found itself registered was known before.
-		 */
-		isKnownToAll: now => registeredAt === undefined ? found : now - registeredAt > LONGEST_WITHOUT_STORE_MS,
+		isKnownToAll,
 	};
 }
--- a/src/stand-ins/plain-group/plain-group.ts
+++ b/src/stand-ins/plain-group/plain-group.ts
@@ -7,7 +7,7 @@
 import type {Clock} from '../../time/clock.js';
 import {follow, getVisibleEnd} from './plain-log.js';
 import {
-	createPlainExecutor, whenThawed, type PlainObserver, type PlainServer, type PlainSession,
+	createPlainExecutor, type PlainObserver, type PlainServer, type PlainSession,
 } from './plain-server.js';
 
 /** A database group in memory: asynchronous replication, and nothing that binds a superseded primary but an order or its meeting the successor. */
@@ -126,11 +126,12 @@
 
 	const takeLead = async (server: PlainServer) => {
 		await clock.sleep(options.promoteMs ?? DEFAULT_PROMOTE_MS);
-		await whenThawed(clock, server);
 		if (!server.running || server === leader) {
 			return;
 		}
 
+		// A server that stands still leads all the same, and answers nobody: it was designated.
+
 		term++;
 		leader = server;
 		server.role = EndpointRole.Primary;
@@ -269,7 +270,10 @@
 				return OrderOutcome.NotRunning;
 			}
 
-			void takeLead(server);
+			if (server !== leader) {
+				void takeLead(server);
+			}
+
 			return OrderOutcome.Accepted;
 		},
 		crash(server) {
--- a/src/stand-ins/plain-group/plain-server.ts
+++ b/src/stand-ins/plain-group/plain-server.ts
@@ -70,7 +70,7 @@
 };
 
 /** Waits for a server that stands still. */
-export async function whenThawed(clock: Clock, server: PlainServer): Promise<void> {
+async function whenThawed(clock: Clock, server: PlainServer): Promise<void> {
 	while (clock.now() < server.frozenUntil) {
 		await clock.sleep(server.frozenUntil - clock.now());
 	}
--- /dev/null
+++ b/tests/proxy/hosts-tests.ts
@@ -0,0 +1,73 @@
+import {expect} from 'chai';
+import type {HostRecord} from '../../src/leadership/leadership-record.js';
+import {RecordKind} from '../../src/mirror/metadata-store.js';
+import {createProxyBench, type ProxyBench} from './proxy-bench.js';
+
+function isMarked({system}: ProxyBench, name: string): boolean {
+	return (system.store.getRecord(RecordKind.Hosts, name)!.value as HostRecord).gone === true;
+}
+
+describe('the list of hosts', () => {
+	/**
+	 * A proxy is cut off from the others and from the store for 8 s. When it is back it takes itself for the one that reads the store for
+	 * all, and has not heard the others for seconds. They are well: were they marked, each replacement would wait for their evidence.
+	 */
+	it('keeps unmarked those that a proxy did not hear while it was cut off itself', async () => {
+		const bench = await createProxyBench();
+		const [alone, ...others] = bench.proxies;
+		for (const other of others) {
+			bench.system.network.setFaultsBetween(alone!.peerAddress, other.peerAddress, {cut: true});
+		}
+
+		bench.system.store.setTrouble(alone!.name, {silent: true});
+		await bench.clock.advance(8000);
+		bench.system.network.heal();
+		bench.system.store.heal();
+		const marked = new Set<string>();
+		for (let waitedMs = 0; waitedMs < 4000; waitedMs += 10) {
+			await bench.clock.advance(10);
+			for (const {name} of others) {
+				if (isMarked(bench, name)) {
+					marked.add(name);
+				}
+			}
+		}
+
+		expect([...marked]).to.deep.equal([]);
+	});
+
+	/**
+	 * Every proxy was marked though it lives, as by one that was cut off. Each registers anew, and the primary crashes just then: the
+	 * proxies were known to everybody all the time, so the attorneys must not wait out the time in which a new proxy replaces nothing.
+	 */
+	it('lets proxies that were marked by mistake replace a primary at once', async () => {
+		const bench = await createProxyBench();
+		await bench.clock.advance(10_000);
+		const client = bench.system.store.getClient('a host that was cut off');
+		for (const {name} of bench.proxies) {
+			const {version, value} = bench.system.store.getRecord(RecordKind.Hosts, name)!;
+			await bench.clock.runUntil(client.putRecord(RecordKind.Hosts, {name, version, value: {...value as HostRecord, gone: true}}, 900));
+		}
+
+		await bench.clock.advance(1500);
+		expect(bench.proxies.map(({name}) => isMarked(bench, name))).to.deep.equal([false, false, false]);
+		bench.group.crash(bench.getPrimary());
+		const crashedAt = bench.clock.now();
+		while (bench.group.leaderId === 'nights-1' && bench.clock.now() < crashedAt + 20_000) {
+			await bench.clock.advance(20);
+		}
+
+		// Silence has to be told, 700 ms, and a promotion takes 1,000.
+		expect(bench.clock.now() - crashedAt).to.be.lessThan(2300);
+	});
+
+	/** A proxy that nobody knew before registers. Hosts that go on without the store may not know it for a while, so it replaces nothing yet. */
+	it('lets a new proxy replace nothing for 9 s', async () => {
+		const bench = await createProxyBench({proxies: 1});
+		bench.system.kill(bench.proxies[0]!);
+		await bench.clock.runUntil(bench.system.startProxy('a new host'));
+		bench.group.crash(bench.getPrimary());
+		await bench.clock.advance(6000);
+		expect(bench.group.leaderId).to.equal('nights-1');
+	});
+});
