Take guards out of the real sources by name, and play schedules until one breaks

The issue asks for the number of schedules each one takes. The player runs from a bundle made at the start, so that sources may change beside a long run.

--- /dev/null
+++ b/tests/lead-check/bundle-player.ts
@@ -0,0 +1,42 @@
+import {readFile} from 'node:fs/promises';
+import path from 'node:path';
+import process from 'node:process';
+import {build, type Plugin} from 'esbuild';
+import type {MissingGuard} from './missing-guards.js';
+
+/** Takes a guard out of the sources on their way into the bundle. */
+function createRemoval({changes}: MissingGuard): Plugin {
+	return {
+		name: 'missing-guard',
+		setup(bundler) {
+			// The filter is a Go expression, which knows no flags of JavaScript's.
+			bundler.onLoad({filter: /\.ts$/}, async ({path: file}) => {
+				const fileChanges = changes.filter(change => path.resolve(change.file) === file);
+				if (fileChanges.length === 0) {
+					return undefined;
+				}
+
+				const source = await readFile(file, 'utf8');
+				// eslint-disable-next-line unicorn/no-array-reduce
+				return {loader: 'ts', contents: fileChanges.reduce((text, {from, to}) => text.replace(from, () => to), source)};
+			});
+		},
+	};
+}
+
+/** Bundles what plays schedules, perhaps without a guard, and returns the path of the file. */
+export async function bundlePlayer(guard?: MissingGuard): Promise<string> {
+	const outfile = `target/lead-player-${guard?.name ?? 'whole'}-${process.pid}.mjs`;
+	await build({
+		entryPoints: ['tests/lead-check/play.ts'],
+		outfile,
+		bundle: true,
+		platform: 'node',
+		format: 'esm',
+		target: 'node20',
+		external: ['koffi', 'bunyan', 'msgpackr', 'prom-client', 'ws', 'modern-errors'],
+		plugins: guard ? [createRemoval(guard)] : [],
+		logLevel: 'error',
+	});
+	return outfile;
+}
--- a/tests/lead-check/main.ts
+++ b/tests/lead-check/main.ts
@@ -1,15 +1,20 @@
 /**
  * Plays random schedules by hand: `npm run check:leads -- --first SEED --count N --jobs N`.
  *
- * `--trouble-ms MS` shortens the time of trouble, `--callers N` sets how many each proxy has, `--swarms` gives each
- * schedule a few kinds of trouble only; `--log` prints the proxies' lines behind their virtual time.
+ * `--trouble-ms MS` sets the time of trouble, `--callers N` how many each proxy has; `--swarms` gives each schedule a few
+ * kinds of trouble only; `--log` prints the proxies' lines behind their virtual time. `--without NAME` takes a guard out
+ * first and ends with the first broken schedule; `--without all` does so with each in turn.
  */
-import {spawn} from 'node:child_process';
+import {spawn, type ChildProcess} from 'node:child_process';
+import {rm} from 'node:fs/promises';
 import process from 'node:process';
 import {createInterface} from 'node:readline';
 import {parseArgs} from 'node:util';
-import type {Log, LogFields} from '../../src/log/log.js';
-import {runLeadSchedule, type LeadScheduleOptions} from './run-lead-schedule.js';
+import {bundlePlayer} from './bundle-player.js';
+import {getMissingGuardOrThrow, MISSING_GUARDS, type MissingGuard} from './missing-guards.js';
+import {
+	createTotals, TOTALS_PREFIX, type PlayOptions, type PlayTotals,
+} from './play-options.js';
 
 const {values} = parseArgs({
 	options: {
@@ -20,105 +25,92 @@
 		callers: {type: 'string', default: '2'},
 		swarms: {type: 'boolean', default: false},
 		log: {type: 'boolean', default: false},
+		without: {type: 'string'},
 	},
 });
 
 /** Schedules that a process plays before another takes its place: its counters and histograms grow with each. */
-const SCHEDULES_A_PROCESS = 250;
+const MOST_IN_A_PROCESS = 250;
 
-const TOTALS_PREFIX = 'totals ';
+/** The same where the first broken one ends the whole. */
+const MOST_UNTIL_BROKEN = 20;
 
-/** What the schedules came to, together. */
-type Totals = Record<'schedules' | 'broken' | 'notServed' | 'acknowledged' | 'reads' | 'refused' | 'unknown' | 'promotions', number>;
-
-function createTotals(): Totals {
-	return {
-		schedules: 0, broken: 0, notServed: 0, acknowledged: 0, reads: 0, refused: 0, unknown: 0, promotions: 0,
-	};
-}
-
-/** Prints lines behind their virtual time in milliseconds. */
-function createPrintedLog(getNow: () => number, prefix = ''): Log {
-	const print = (sentence: string, fields: LogFields = {}) => {
-		console.log(Math.round(getNow()), prefix + sentence, JSON.stringify(fields));
-	};
-
-	return {
-		debug() {}, // eslint-disable-line @typescript-eslint/no-empty-function
-		info: print,
-		warn: print,
-		error: print,
-		part: inner => createPrintedLog(getNow, prefix + inner),
-	};
-}
+const [first, count, jobs] = [Number(values.first), Number(values.count), Number(values.jobs)];
 
-async function playHere(first: number, count: number): Promise<Totals> {
-	const options: LeadScheduleOptions = {
-		lengthMs: Number(values['trouble-ms']), callersPerProxy: Number(values.callers), swarms: values.swarms, ...(values.log ? {createLog: createPrintedLog} : {}),
+type Search = {
+	readonly player: string;
+	readonly untilBroken: boolean;
+	readonly children: Set<ChildProcess>;
+	readonly totals: PlayTotals;
+	/** Lowest seed that was broken. */
+	firstBroken?: number;
+};
+
+/** Plays some schedules in a process of their own; its lines are printed as they come. */
+async function playApart(search: Search, from: number, size: number): Promise<void> {
+	const options: PlayOptions = {
+		first: from, count: size, troubleMs: Number(values['trouble-ms']), callersPerProxy: Number(values.callers), swarms: values.swarms, log: values.log,
 	};
-	const totals = createTotals();
-	for (let seed = first; seed < first + count; seed++) {
-		const {violations, servedAfterwards, figures, promotions} = await runLeadSchedule(seed, options);
-		totals.schedules++;
-		totals.broken += violations.length > 0 ? 1 : 0;
-		totals.notServed += servedAfterwards ? 0 : 1;
-		totals.acknowledged += figures.acknowledged;
-		totals.reads += figures.reads;
-		totals.refused += figures.refused;
-		totals.unknown += figures.unknown;
-		totals.promotions += promotions;
-		if (violations.length > 0 || !servedAfterwards) {
-			console.log(`seed ${seed}:`, violations.slice(0, 3), 'served afterwards:', servedAfterwards);
-		}
-	}
-
-	return totals;
-}
-
-/** Plays some schedules in a process of their own; its findings are printed as they come. */
-async function playApart(first: number, count: number): Promise<Totals> {
-	const kind = ['--trouble-ms', values['trouble-ms'], '--callers', values.callers, ...(values.swarms ? ['--swarms'] : [])];
-	const args = [...process.execArgv, process.argv[1]!, '--first', String(first), '--count', String(count), ...kind];
-	const child = spawn(process.execPath, args, {stdio: ['ignore', 'pipe', 'inherit']});
-	let totals: Totals | undefined;
+	const child = spawn(process.execPath, [search.player, JSON.stringify(options)], {stdio: ['ignore', 'pipe', 'inherit']});
+	search.children.add(child);
+	let ended = false;
 	for await (const line of createInterface({input: child.stdout})) {
 		if (line.startsWith(TOTALS_PREFIX)) {
-			totals = JSON.parse(line.slice(TOTALS_PREFIX.length)) as Totals;
+			ended = true;
+			const part = JSON.parse(line.slice(TOTALS_PREFIX.length)) as PlayTotals;
+			for (const key of Object.keys(part) as Array<keyof PlayTotals>) {
+				search.totals[key] += part[key];
+			}
+		} else if (line.startsWith('seed ') && search.untilBroken) {
+			search.firstBroken ??= Number(/\d+/v.exec(line)![0]);
+			console.log(line.slice(0, 240));
+			for (const other of search.children) {
+				other.kill();
+			}
 		} else {
 			console.log(line);
 		}
 	}
 
-	if (!totals) {
-		throw new Error(`the process for seeds ${first} to ${first + count - 1} ended without its totals`);
+	search.children.delete(child);
+	if (!ended && search.firstBroken === undefined) {
+		throw new Error(`the process for seeds ${from} to ${from + size - 1} ended without its totals`);
 	}
-
-	return totals;
 }
 
-async function playInJobs(first: number, count: number, jobs: number): Promise<Totals> {
-	const totals = createTotals();
+async function playAll(guard?: MissingGuard): Promise<Search> {
+	const search: Search = {
+		player: await bundlePlayer(guard), untilBroken: guard !== undefined, children: new Set(), totals: createTotals(),
+	};
 	let next = first;
 	const work = async () => {
-		while (next < first + count) {
-			const begin = next;
-			const size = Math.min(SCHEDULES_A_PROCESS, first + count - begin);
-			next += size;
-			const part = await playApart(begin, size);
-			for (const key of Object.keys(totals) as Array<keyof Totals>) {
-				totals[key] += part[key];
+		while (next < first + count && search.firstBroken === undefined) {
+			const from = next;
+			next += Math.min(search.untilBroken ? MOST_UNTIL_BROKEN : MOST_IN_A_PROCESS, Math.ceil(count / jobs));
+			await playApart(search, from, Math.min(next, first + count) - from);
+			if (!search.untilBroken) {
+				console.log(`so far ${JSON.stringify(search.totals)}`);
 			}
-
-			console.log(`so far ${JSON.stringify(totals)}`);
 		}
 	};
 
-	await Promise.all(Array.from({length: jobs}, work));
-	return totals;
+	try {
+		await Promise.all(Array.from({length: jobs}, work));
+	} finally {
+		await rm(search.player);
+	}
+
+	return search;
 }
 
-const [first, count, jobs] = [Number(values.first), Number(values.count), Number(values.jobs)];
-const play = jobs > 1 ? playInJobs : playHere;
-const all = await play(first, count, jobs);
-console.log(TOTALS_PREFIX + JSON.stringify(all));
-process.exitCode = all.broken + all.notServed > 0 ? 1 : 0;
+if (values.without) {
+	const guards = values.without === 'all' ? MISSING_GUARDS : [getMissingGuardOrThrow(values.without)];
+	for (const guard of guards) {
+		const {firstBroken} = await playAll(guard);
+		console.log(`without ${guard.without}: ${firstBroken === undefined ? `none broken in ${count}` : `broken by schedule ${firstBroken - first + 1}`}`);
+	}
+} else {
+	const {totals} = await playAll();
+	console.log(TOTALS_PREFIX + JSON.stringify(totals));
+	process.exitCode = totals.broken + totals.notServed > 0 ? 1 : 0;
+}
--- /dev/null
+++ b/tests/lead-check/missing-guards.ts
@@ -0,0 +1,172 @@
+/** A piece of source that holds a guard, and what stands in its place without it. */
+export type SourceChange = {
+	/** Path from the root. */
+	readonly file: string;
+	/** Stands exactly once in the file. */
+	readonly from: string;
+	readonly to: string;
+};
+
+/** One guard taken out of the real sources. */
+export type MissingGuard = {
+	readonly name: string;
+	/** What is no longer done. */
+	readonly without: string;
+	readonly changes: readonly SourceChange[];
+};
+
+const inLeadership = (file: string, from: string, to: string): SourceChange => ({file: `src/leadership/${file}`, from, to});
+const inGateway = (file: string, from: string, to: string): SourceChange => ({file: `src/gateway/${file}`, from, to});
+
+/** The guards of leadership and of the gateway, one at a time. */
+export const MISSING_GUARDS: readonly MissingGuard[] = [
+	{
+		name: 'elapsed-clock',
+		without: 'a clock that counts suspensions',
+		changes: [{file: 'src/stand-ins/proxies/host-clock.ts', from: 'elapsed: () => world.now(),', to: 'elapsed: now,'}],
+	},
+	{
+		name: 'second-judgement',
+		without: 'the judgement of evidence when a commit\'s answer is here',
+		changes: [inGateway('judge-commit.ts', 'const until = clock.now() + WAIT_MS;', 'const until = clock.now() + WAIT_MS; if (until > 0) return true;')],
+	},
+	{
+		name: 'wait-for-silent',
+		without: 'the wait for hosts that do not acknowledge',
+		changes: [
+			inLeadership('evidence-end.ts', 'while ((!hosts || silent.length > 0) && elapsedClock', 'while (!hosts && elapsedClock'),
+			inLeadership('evidence-end.ts', 'while (byTime && elapsedClock', 'while (!hosts && elapsedClock'),
+		],
+	},
+	{
+		name: 'wait-for-marked',
+		without: 'the wait for hosts that are marked as gone',
+		changes: [inLeadership('evidence-end.ts', 'const hasGone = hosts?.some(host => host.gone) ?? true;', 'const hasGone = !hosts;')],
+	},
+	{
+		name: 'from-asking',
+		without: 'evidence counted from the asking: it counts from the answer',
+		changes: [{file: 'src/mirror/store-reader.ts', from: 'onConfirmed(askedAt);', to: 'onConfirmed(elapsedClock.elapsed());'}],
+	},
+	{
+		name: 'condition',
+		without: 'the condition of an update',
+		changes: [{
+			file: 'src/stand-ins/metadata-store/in-memory-metadata-store.ts',
+			from: 'if ((records.get(kind)!.get(name)?.version ?? 0) !== expectedVersion) {',
+			to: 'if (expectedVersion < 0) {',
+		}],
+	},
+	{
+		name: 'duty-end',
+		without: 'the end of the duty before an order',
+		changes: [inLeadership('duty-lease.ts', 'return held && elapsedClock.elapsed() + ms < held.until ? held.token : undefined;', 'return held && ms > 0 ? held.token : undefined;')],
+	},
+	{
+		name: 'duty-of-another',
+		without: 'the wait for the end of another\'s duty',
+		changes: [inLeadership('duty-lease.ts', 'now - seenSince >= DUTY_LEASE_MS + MARGIN_MS;', 'now >= seenSince;')],
+	},
+	{
+		name: 'shown-term',
+		without: 'the term that an order must show',
+		changes: [inLeadership('promote-best.ts', '&& status.term >= leastTerm', '&& leastTerm > 0')],
+	},
+	{
+		name: 'furthest-log',
+		without: 'the furthest log in the choice of a successor',
+		changes: [inLeadership('choose-successor.ts', 'compareLogPositions(right.status.received, left.status.received)', '0')],
+	},
+	{
+		name: 'own-floor',
+		without: 'a session\'s own floor',
+		changes: [inGateway('lend-link.ts', 'memory.floors.get(route.group) : undefined;', 'undefined : undefined;')],
+	},
+	{
+		name: 'floor-age',
+		without: 'the age of a floor: twice the route\'s',
+		changes: [inGateway('lend-link.ts', 'arrivedAt - route.maxReadAgeMs', 'arrivedAt - (2 * route.maxReadAgeMs)')],
+	},
+	{
+		name: 'no-second-send',
+		without: 'the care not to send a write again',
+		changes: [inGateway('run-write.ts', 'return refuse(AnswerCode.OutcomeUnknown, \'the write was sent and no answer came\');', 'continue;')],
+	},
+	{
+		name: 'true-unknown',
+		without: 'the truth of an unknown outcome: it is told as not run',
+		changes: [inGateway('run-write.ts', 'refuse(AnswerCode.OutcomeUnknown, \'the write was sent', 'refuse(AnswerCode.Overloaded, \'the write was sent')],
+	},
+	{
+		name: 'seen-fence',
+		without: 'the look at fences: endpoints that answer suffice',
+		changes: [inLeadership('fence-look.ts', 'bounded.value.fencedTerm <= term && ', '')],
+	},
+	{
+		name: 'kept-fence',
+		without: 'the second look at a candidate\'s fence',
+		changes: [inLeadership('replace-primary.ts', 'byTime ? await keepFenced(parts, others, before) : others', 'others')],
+	},
+	{
+		name: 'registered',
+		without: 'registration as a condition of evidence',
+		changes: [
+			inLeadership('lead-evidence.ts', 'isYoung(group, record.epoch, now) && isRegistered() ?', 'isYoung(group, record.epoch, now) ?'),
+			inLeadership('lead-evidence.ts', '!isRevoked && isYoung(group, epoch, now) && isRegistered()', '!isRevoked && isYoung(group, epoch, now)'),
+		],
+	},
+	{
+		name: 'steady',
+		without: 'the phase of a record: one that is changing gives evidence too',
+		changes: [
+			inLeadership('lead-evidence.ts', 'if (record.phase === LeadPhase.Steady && mirror', 'if (mirror'),
+			inLeadership('lead-evidence.ts', 'const usable = record?.phase === LeadPhase.Steady && record.epoch', 'const usable = record !== undefined && record.epoch'),
+		],
+	},
+	{
+		name: 'give-up',
+		without: 'the giving up of evidence when asked',
+		changes: [
+			inLeadership('lead-watch.ts', 'evidences.pause(group, epoch);', ''),
+			inLeadership('lead-watch.ts', 'evidences.revoke(group, epoch);', ''),
+		],
+	},
+	{
+		name: 'own-give-up',
+		without: 'the giving up of its own evidence by the host that replaces',
+		changes: [
+			inLeadership('evidence-end.ts', 'evidences.pause(group, epoch);', ''),
+			inLeadership('evidence-end.ts', 'evidences.revoke(group, epoch);', ''),
+		],
+	},
+	{
+		name: 'tell-changing',
+		without: 'a change under way told to others',
+		changes: [{file: 'src/mirror/store-mirror.ts', from: 'changing: options.getChanging(),', to: 'changing: [],'}],
+	},
+	{
+		name: 'all-hosts',
+		without: 'the word of every host: a few suffice where the store does not confirm',
+		changes: [{file: 'src/mirror/store-mirror.ts', from: '&& answers.every(answer => answer?.revision === revision', to: '&& answers.some(answer => answer?.revision === revision'}],
+	},
+	{
+		name: 'after-wait',
+		without: 'evidence judged again after the wait for a connection',
+		changes: [inGateway('lend-link.ts', 'const stillHolds = !evidence ||', 'const stillHolds = evidence !== null ||')],
+	},
+	{
+		name: 'cut-open',
+		without: 'the cut of a connection with an open transaction',
+		changes: [inGateway('lend-link.ts', 'if (lent.state !== SessionState.Idle) {', 'if (lent === null) {')],
+	},
+];
+
+/** Finds a guard by its name. */
+export function getMissingGuardOrThrow(name: string): MissingGuard {
+	const found = MISSING_GUARDS.find(guard => guard.name === name);
+	if (!found) {
+		throw new Error(`there is no guard "${name}": ${MISSING_GUARDS.map(each => each.name).join(', ')}`);
+	}
+
+	return found;
+}
--- /dev/null
+++ b/tests/lead-check/play.ts
@@ -0,0 +1,41 @@
+import process from 'node:process';
+import type {Log, LogFields} from '../../src/log/log.js';
+import {createTotals, TOTALS_PREFIX, type PlayOptions} from './play-options.js';
+import {runLeadSchedule} from './run-lead-schedule.js';
+
+/** Prints lines behind their virtual time in milliseconds. */
+function createPrintedLog(getNow: () => number, prefix = ''): Log {
+	const print = (sentence: string, fields: LogFields = {}) => {
+		console.log(Math.round(getNow()), prefix + sentence, JSON.stringify(fields));
+	};
+
+	return {
+		debug() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+		info: print,
+		warn: print,
+		error: print,
+		part: inner => createPrintedLog(getNow, prefix + inner),
+	};
+}
+
+/** Plays the schedules that its argument names; a broken one is printed as it comes, the totals at the end. */
+const {first, count, troubleMs, callersPerProxy, swarms, log} = JSON.parse(process.argv[2]!) as PlayOptions;
+const totals = createTotals();
+for (let seed = first; seed < first + count; seed++) {
+	const {violations, servedAfterwards, figures, promotions} = await runLeadSchedule(seed, {
+		lengthMs: troubleMs, callersPerProxy, swarms, ...(log ? {createLog: createPrintedLog} : {}),
+	});
+	totals.schedules++;
+	totals.broken += violations.length > 0 ? 1 : 0;
+	totals.notServed += servedAfterwards ? 0 : 1;
+	totals.acknowledged += figures.acknowledged;
+	totals.reads += figures.reads;
+	totals.refused += figures.refused;
+	totals.unknown += figures.unknown;
+	totals.promotions += promotions;
+	if (violations.length > 0 || !servedAfterwards) {
+		console.log(`seed ${seed}: ${servedAfterwards ? '' : 'nothing was served afterwards; '}${violations.slice(0, 3).join('; ')}`);
+	}
+}
+
+console.log(TOTALS_PREFIX + JSON.stringify(totals));
