Play orders that arrive late or lose their answer in the random schedules

Change: a trouble of orders (way up to 1.5 s, answer lost in 3 of 10) in swarms; an order that is not there at its timeout is not taken, and its outcome unknown.

--- a/src/stand-ins/proxies/simulated-proxies.ts
+++ b/src/stand-ins/proxies/simulated-proxies.ts
@@ -47,9 +47,19 @@
 	resume(proxy: SimulatedProxy): void;
 	/** Registers the groups' servers as they are. */
 	registerEndpoints(): void;
+	/** Sets what goes wrong with orders to promote from now on; nothing without it. */
+	setOrderTrouble(trouble?: OrderTrouble): void;
 	stop(): void;
 };
 
+/** What goes wrong with orders to promote. */
+export type OrderTrouble = {
+	/** Longest way to the platform, in milliseconds. */
+	readonly delayMs: number;
+	/** Share of orders that are taken without an answer. */
+	readonly loseShare: number;
+};
+
 /** What a simulated system is made of. */
 export type SimulatedProxiesOptions = {
 	readonly clock: VirtualClock;
@@ -159,14 +169,29 @@
 		};
 	};
 
-	const takeOrder = async (proxy: SimulatedProxy, order: PromotionOrder) => {
-		await clock.sleep(random.fraction() * (options.orderMs ?? DEFAULT_ORDER_MS));
+	let orderTrouble: OrderTrouble | undefined;
+
+	/** An order that is not there when its sender gives it up comes no more: the sender ends the connection. */
+	const takeOrder = async (proxy: SimulatedProxy, order: PromotionOrder, timeoutMs: number) => {
+		const wayMs = random.fraction() * (orderTrouble?.delayMs ?? options.orderMs ?? DEFAULT_ORDER_MS);
+		const isLost = orderTrouble !== undefined && random.fraction() < orderTrouble.loseShare;
+		await clock.sleep(Math.min(wayMs, timeoutMs));
 		if (proxy.killed) {
 			return NEVER;
 		}
 
+		if (wayMs >= timeoutMs) {
+			return OrderOutcome.Unknown;
+		}
+
 		orders.push(order);
-		return groups.find(({name}) => name === order.group)?.promote(order.endpointId) ?? OrderOutcome.Refused;
+		const outcome = groups.find(({name}) => name === order.group)?.promote(order.endpointId) ?? OrderOutcome.Refused;
+		if (isLost) {
+			await clock.sleep(timeoutMs - wayMs);
+			return OrderOutcome.Unknown;
+		}
+
+		return outcome;
 	};
 
 	return {
@@ -177,6 +202,9 @@
 		proxies,
 		orders,
 		registerEndpoints,
+		setOrderTrouble(trouble) {
+			orderTrouble = trouble;
+		},
 		async startProxy(name) {
 			const peerAddress = `${name}:7000`;
 			const own = network.addHost(peerAddress);
@@ -199,7 +227,7 @@
 				log: options.log?.part(`${name} `) ?? createSilentLog(),
 				metrics: createPromGatewayMetrics(),
 				store: options.wrapStore?.(createClient(proxy), proxy) ?? createClient(proxy),
-				orders: {promote: async order => deliver(proxy, takeOrder(proxy, order))},
+				orders: {promote: async (order, timeoutMs) => deliver(proxy, takeOrder(proxy, order, timeoutMs))},
 				opener: createOpener(proxy),
 				peers,
 				hostName: name,
--- a/tests/lead-check/lead-troubles.ts
+++ b/tests/lead-check/lead-troubles.ts
@@ -172,7 +172,7 @@
 const USUAL_TROUBLES = Object.values(TROUBLES);
 
 /** What delays statements that are under way, so that they run under what has been superseded meanwhile. */
-const SLOWNESS: readonly Trouble[] = [freezeServer, slowServer];
+const SLOWNESS: readonly Trouble[] = [freezeServer, slowServer, slowOrders];
 
 function pickServer(world: World) {
 	const group = world.system.groups[0]!;
@@ -183,6 +183,13 @@
 	pickServer(world).frozenUntil = world.clock.now() + (2 * ms);
 }
 
+function slowOrders(world: World, ms: number) {
+	world.system.setOrderTrouble({delayMs: 1500 * world.random.fraction(), loseShare: 0.3});
+	later(world, 2 * ms, () => {
+		world.system.setOrderTrouble();
+	});
+}
+
 function slowServer(world: World, ms: number) {
 	const server = pickServer(world);
 	server.slowMs = 3000 * world.random.fraction();
@@ -195,6 +202,7 @@
 export function healAll({system}: World) {
 	system.store.heal();
 	system.network.heal();
+	system.setOrderTrouble();
 	for (const server of system.groups[0]!.servers) {
 		server.cutFromGroup = false;
 		server.leaving = false;
