--- /dev/null
+++ b/src/leadership/first-record.ts
@@ -0,0 +1,59 @@
+import type {EndpointDirectory} from '../links/endpoint-directory.js';
+import type {Log} from '../log/log.js';
+import {RecordKind, type MetadataStore} from '../mirror/metadata-store.js';
+import type {StoreMirror} from '../mirror/store-mirror.js';
+import type {Clock} from '../time/clock.js';
+import {getLeadershipName, LeadPhase, type LeadershipRecord} from './leadership-record.js';
+
+/** Writes the record of a group that has none. */
+export type FirstRecord = {
+	/** Records the endpoint that claims to lead, where just one does. */
+	create(group: string): Promise<void>;
+};
+
+/** What this needs. */
+export type FirstRecordOptions = {
+	readonly store: MetadataStore;
+	readonly mirror: StoreMirror;
+	readonly directory: EndpointDirectory;
+	readonly clock: Clock;
+	readonly log: Log;
+	readonly hostName: string;
+};
+
+/** Each host gives the one before it this long to write a group's first record, in milliseconds: a status, an update and a confirmation. */
+const STEP_MS = 300;
+
+const STORE_TIMEOUT_MS = 900;
+
+/** Creates the writer. Hosts go in the order of their names, so that a first record costs one update and not one of each host. */
+export function createFirstRecord({store, mirror, directory, clock, log, hostName}: FirstRecordOptions): FirstRecord {
+	return {
+		async create(group) {
+			const names = mirror.state.hosts.map(({name}) => name).toSorted();
+			const rank = names.indexOf(hostName);
+			if (rank === -1) {
+				return;
+			}
+
+			await clock.sleep(rank * STEP_MS);
+			if (mirror.state.leadership.has(group)) {
+				return;
+			}
+
+			const leaders = directory.list(group).filter(({entry}) => entry.claimsLead && !entry.leaving);
+			const leader = leaders[0];
+			if (!leader || leaders.length > 1) {
+				return;
+			}
+
+			const status = await leader.pool.ask({kind: 'status'}, STORE_TIMEOUT_MS);
+			const record: LeadershipRecord = {
+				group, primaryId: leader.entry.id, term: status.term, epoch: 1, phase: LeadPhase.Steady, start: status.received, changedBy: hostName,
+			};
+			await store.putRecord(RecordKind.Leadership, {name: getLeadershipName(group), version: 0, value: record}, STORE_TIMEOUT_MS);
+			log.info('a group is led for the first time', {group, primary: record.primaryId, term: record.term});
+			await mirror.confirm();
+		},
+	};
+}
--- a/src/leadership/lead-watch.ts
+++ b/src/leadership/lead-watch.ts
@@ -2,7 +2,7 @@
 import type {EndpointDirectory} from '../links/endpoint-directory.js';
 import {LinkError} from '../links/link-errors.js';
 import type {Log} from '../log/log.js';
-import {RecordKind, type MetadataStore} from '../mirror/metadata-store.js';
+import type {MetadataStore} from '../mirror/metadata-store.js';
 import type {StoreMirror} from '../mirror/store-mirror.js';
 import {PlatformConflictError, PlatformError} from '../object-store/platform-errors.js';
 import {isPeerError} from '../peers/peer-errors.js';
@@ -15,7 +15,8 @@
 import {LEAD_CALL_TIMEOUT_MS} from './lead-calls.js';
 import {createFenceLook} from './fence-look.js';
 import type {LeadEvidences} from './lead-evidence.js';
-import {getLeadershipName, LeadPhase, type LeadershipRecord} from './leadership-record.js';
+import {createFirstRecord} from './first-record.js';
+import {LeadPhase, type LeadershipRecord} from './leadership-record.js';
 import {createPrimaryReach, ReachVerdict} from './primary-reach.js';
 import type {PrimaryWork} from './primary-work.js';
 import type {Replacement} from './replace-primary.js';
@@ -62,17 +63,12 @@
 /** Hosts wait a random part of this before they act on what several of them see, in milliseconds; most of them then find it done. */
 const SPREAD_MS = 60;
 
-/** Each host gives the one before it this long to write a group's first record, in milliseconds: a status, an update and a confirmation. */
-const FIRST_RECORD_STEP_MS = 300;
-
 /** After a replacement that came to nothing the group is left alone for so long, in milliseconds. */
 const PAUSE_MS = 400;
 
 /** A change that makes no progress for so long has lost the host that made it, in milliseconds. */
 const STALLED_AFTER_MS = DUTY_LEASE_MS + 400;
 
-const STORE_TIMEOUT_MS = 900;
-
 type GroupWatch = {
 	busy: boolean;
 	suspectedSince?: number;
@@ -88,6 +84,9 @@
 	const reach = createPrimaryReach({
 		mirror, directory, peers, clock, log, ownPeerAddress: options.ownPeerAddress,
 	});
+	const firstRecord = createFirstRecord({
+		store, mirror, directory, clock, log, hostName: options.hostName,
+	});
 	const fenceLook = createFenceLook({
 		directory, evidences, clock, elapsedClock, log,
 	});
@@ -158,34 +157,6 @@
 		await replace(replacement);
 	};
 
-	/** Hosts go in the order of their names, so that the first record of a group costs one update and not one of each host. */
-	const createFirstRecord = async (group: string) => {
-		const names = mirror.state.hosts.map(({name}) => name).toSorted();
-		const rank = names.indexOf(options.hostName);
-		if (rank === -1) {
-			return;
-		}
-
-		await clock.sleep(rank * FIRST_RECORD_STEP_MS);
-		if (mirror.state.leadership.has(group)) {
-			return;
-		}
-
-		const leaders = directory.list(group).filter(({entry}) => entry.claimsLead && !entry.leaving);
-		const leader = leaders[0];
-		if (!leader || leaders.length > 1) {
-			return;
-		}
-
-		const status = await leader.pool.ask({kind: 'status'}, STORE_TIMEOUT_MS);
-		const record: LeadershipRecord = {
-			group, primaryId: leader.entry.id, term: status.term, epoch: 1, phase: LeadPhase.Steady, start: status.received, changedBy: options.hostName,
-		};
-		await store.putRecord(RecordKind.Leadership, {name: getLeadershipName(group), version: 0, value: record}, STORE_TIMEOUT_MS);
-		log.info('a group is led for the first time', {group, primary: record.primaryId, term: record.term});
-		await mirror.confirm();
-	};
-
 	const lookAtSteady = async (record: LeadershipRecord, watch: GroupWatch) => {
 		const {group, primaryId, epoch} = record;
 		const endpoint = directory.get(primaryId);
@@ -273,7 +244,7 @@
 	const look = async (group: string, watch: GroupWatch) => {
 		const record = mirror.state.leadership.get(group);
 		if (!record) {
-			await createFirstRecord(group);
+			await firstRecord.create(group);
 		} else if (record.phase === LeadPhase.Changing) {
 			await lookAtChanging(record, watch);
 		} else {
--- a/src/mirror/store-mirror.ts
+++ b/src/mirror/store-mirror.ts
@@ -6,32 +6,13 @@
 import {withinMs, type Bounded} from '../time/deadline.js';
 import type {Clock} from '../time/clock.js';
 import type {ElapsedClock} from '../time/elapsed-clock.js';
+import type {ConfirmAnswer} from './confirm-answer.js';
 import type {MetadataStore} from './metadata-store.js';
 import {
-	EMPTY_STATE, fromSnapshot, getLaterRouting, toSnapshot, type MirrorState, type StateSnapshot,
+	EMPTY_STATE, fromSnapshot, getLaterRouting, toSnapshot, type MirrorState,
 } from './mirror-state.js';
 import {createStoreReader} from './store-reader.js';
 
-/** Answer to a peer that asks whether its copy is still complete. */
-export type ConfirmAnswer = {
-	/** The store was read for this answer, after the question came, or all hosts confirmed it then. */
-	readonly confirmed: boolean;
-	/** How long ago the store itself confirmed the answering host's copy, in milliseconds. */
-	readonly withoutStoreMs: number;
-	readonly revision: number;
-	/** What the answering host holds, where that is more than the asking one does. */
-	readonly snapshot?: StateSnapshot;
-	/** Groups that the answering host is changing, or whose change it asked for without hearing how that ended. */
-	readonly changing: readonly string[];
-};
-
-declare module '../peers/peer-calls.js' {
-	interface PeerCalls {
-		/** `urgent`: the store is read at once for the answer, else with the next reading at its interval. */
-		'mirror-confirm': {req: {readonly revision: number; readonly urgent: boolean}; res: ConfirmAnswer};
-	}
-}
-
 /** A copy of the store's contents that knows until when it was complete. */
 export type StoreMirror = {
 	readonly state: MirrorState;
