Keep half of the share of connections open while idle, so that a loss of power leaves some

Change: what is idle beyond half of the share is closed after 3 s (one of two, one of three); opening anew costs 12 ms of a slot.

--- a/src/links/endpoint-pool.ts
+++ b/src/links/endpoint-pool.ts
@@ -60,6 +60,9 @@
 /** An idle connection beyond the host's share is closed after so long, in milliseconds, so that other hosts can have it. */
 const SPARE_IDLE_MS = 1000;
 
+/** One within the share, beyond what is kept, after so long, in milliseconds: opening it anew costs 12 ms of a slot. */
+const SHARE_IDLE_MS = 3000;
+
 type Waiter = LinkWish & {
 	readonly order: number;
 	give(sessionLink: SessionLink | undefined): void;
@@ -199,8 +202,11 @@
 
 	const trim = () => {
 		const now = clock.now();
-		while (all.size > budget.share && idle[0] && now - idle[0].since > SPARE_IDLE_MS) {
+		let open = all.size;
+		const getLongestIdle = () => open > budget.share ? SPARE_IDLE_MS : SHARE_IDLE_MS;
+		while (open > budget.kept && idle[0] && now - idle[0].since > getLongestIdle()) {
 			idle.shift()!.sessionLink.link.close();
+			open--;
 		}
 	};
 
--- a/src/links/link-budget.ts
+++ b/src/links/link-budget.ts
@@ -7,13 +7,21 @@
 	mayOpen(now: number, open: number): boolean;
 	/** The endpoint turned a connection away. */
 	noteTurnedAway(now: number): void;
-	/** Connections that stay open while idle. */
+	/** Connections that this host may open whatever others do. */
 	readonly share: number;
+	/** Connections that stay open while idle. */
+	readonly kept: number;
 };
 
 /** Connections that are left to orders on the way to a promotion, which open one where they find none free. */
 const RESERVE = 2;
 
+/**
+ * Part of the share that stays open while idle. After a loss of power of all hosts the endpoint keeps the connections of the dead for 3 s: with
+ * the whole share open the limit was used up, and the hosts that came up were turned away for as long.
+ */
+const KEPT_PART = 0.5;
+
 /** After being turned away nothing beyond the share is opened for so long, in milliseconds: about the length of a transaction. */
 const BACK_OFF_MS = 500;
 
@@ -33,6 +41,9 @@
 		get share() {
 			return getShare();
 		},
+		get kept() {
+			return Math.max(1, Math.floor(getShare() * KEPT_PART));
+		},
 		mayOpen(now, open) {
 			const since = turnedAwayAt === undefined ? Number.POSITIVE_INFINITY : now - turnedAwayAt;
 			return open < getShare() ? since >= RETRY_MS : since >= BACK_OFF_MS && open < getLimits().maxConnections - RESERVE;
--- a/src/stand-ins/proxies/simulated-proxies.ts
+++ b/src/stand-ins/proxies/simulated-proxies.ts
@@ -45,6 +45,8 @@
 	startProxy(name: string): Promise<SimulatedProxy>;
 	/** Ends a proxy's process at once: nothing of it reaches anything any more. */
 	kill(proxy: SimulatedProxy): void;
+	/** Takes a proxy's host its power: it is gone like a killed one, but servers keep its connections for 3 s, since nobody told them. */
+	powerOff(proxy: SimulatedProxy): void;
 	suspend(proxy: SimulatedProxy): void;
 	resume(proxy: SimulatedProxy): void;
 	/** Registers the groups' servers as they are. */
@@ -83,6 +85,9 @@
 
 const DEFAULT_ORDER_MS = 10;
 
+/** A server drops a connection whose remote end is gone after so long, in milliseconds. */
+const KEEP_DEAD_MS = 3000;
+
 const DEFAULT_ZONES = 3;
 
 /** What a killed host awaits. */
@@ -100,8 +105,8 @@
 
 	const deaths = new Map<SimulatedProxy, () => void>();
 
-	/** By address, what a kill of the host closes. */
-	const links = new Map<string, Set<EndpointLink>>();
+	/** What the end of a host closes. */
+	const links = new Map<SimulatedProxy, Set<EndpointLink>>();
 
 	const routing: Routing = {
 		version: 1,
@@ -150,7 +155,7 @@
 			}
 
 			const link = opened.value;
-			links.get(proxy.peerAddress)!.add(link);
+			links.get(proxy)!.add(link);
 			return {
 				...link,
 				get pending() {
@@ -202,6 +207,19 @@
 		return outcome;
 	};
 
+	const end = (proxy: SimulatedProxy) => {
+		(proxy as {killed: boolean}).killed = true;
+		deaths.get(proxy)!();
+		network.kill(proxy.peerAddress);
+		void proxy.kernel.stop();
+	};
+
+	const cutLinks = (proxy: SimulatedProxy) => {
+		for (const link of links.get(proxy)!) {
+			link.cut();
+		}
+	};
+
 	return {
 		clock,
 		store,
@@ -217,7 +235,6 @@
 			const peerAddress = `${name}:7000`;
 			const own = network.addHost(peerAddress);
 			const peers = options.wrapPeers?.(own) ?? own;
-			links.set(peerAddress, new Set());
 			const hostClock = createHostClock(clock);
 			let die!: () => void;
 			const death = new Promise<void>(resolve => {
@@ -226,6 +243,7 @@
 			const proxy: {-readonly [K in keyof SimulatedProxy]: SimulatedProxy[K]} = {
 				name, peerAddress, availabilityZone: `zone-${proxies.length % zoneCount}`, clock: hostClock, cutFrom: new Set(), killed: false, death, kernel: undefined!,
 			};
+			links.set(proxy, new Set());
 			deaths.set(proxy, die);
 			const life = proxies.filter(other => other.name === name).length;
 			proxy.kernel = createProxy({
@@ -250,14 +268,14 @@
 			return proxy;
 		},
 		kill(proxy) {
-			(proxy as {killed: boolean}).killed = true;
-			deaths.get(proxy)!();
-			for (const link of links.get(proxy.peerAddress)!) {
-				link.cut();
-			}
-
-			network.kill(proxy.peerAddress);
-			void proxy.kernel.stop();
+			cutLinks(proxy);
+			end(proxy);
+		},
+		powerOff(proxy) {
+			end(proxy);
+			void clock.sleep(KEEP_DEAD_MS).then(() => {
+				cutLinks(proxy);
+			});
 		},
 		suspend(proxy) {
 			proxy.clock.suspend();
--- a/tests/links/link-budget-tests.ts
+++ b/tests/links/link-budget-tests.ts
@@ -10,6 +10,7 @@
 			}
 
 			expect(budget.share).to.equal(2);
+			expect(budget.kept).to.equal(1);
 			expect(budget.mayOpen(10_000, open)).to.equal(expected);
 		});
 	}
