Judge the last resort by the orders given before it

Cause: read in the diff as a newcomer: the former primary was asked to lead on by a second call that began as if nobody had been ordered. Had a candidate been ordered, led unseen and crashed, the former primary would have counted as leading in its superseded term at once. Change: one call ranks the candidates and takes the former primary where none of them runs, with the same memory of orders. Ruled out: taking it earlier in the turn (it still serves, and is leaving). Test, red without that memory: tests/leadership/promote-best-tests.ts (former primary; effect of the order after 800 ms).

--- a/src/leadership/promote-best.ts
+++ b/src/leadership/promote-best.ts
@@ -17,14 +17,30 @@
 /** A promotion that shows no effect for so long is ordered anew, in milliseconds: three times the longest seen. */
 const PROMOTED_WITHIN_MS = 3000;
 
+/** Who may lead next. */
+export type Successors = {
+	readonly candidates: readonly SuccessorCandidate[];
+	/** A primary that still serves, which goes on where nothing else can lead. */
+	readonly former: readonly SuccessorCandidate[];
+};
+
 /** Promotes the best candidate that runs, and waits until it leads. */
-export async function promoteBest(parts: ReplacePrimaryParts, candidates: readonly SuccessorCandidate[], before: LeadershipRecord, until: number): Promise<SuccessorCandidate | undefined> {
+export async function promoteBest(parts: ReplacePrimaryParts, {candidates, former}: Successors, before: LeadershipRecord, until: number): Promise<SuccessorCandidate | undefined> {
 	const {log} = parts;
 	const ranked = [...rankSuccessors(candidates, before)];
+	const lastResort = [...former];
 	// Only then can nobody else have been ordered to lead since the candidates were asked.
 	let isFirst = before.phase === LeadPhase.Steady;
-	while (ranked.length > 0 && parts.clock.now() < until) {
-		const best = ranked[0]!;
+	while (parts.clock.now() < until) {
+		if (ranked.length === 0) {
+			ranked.push(...lastResort.splice(0));
+		}
+
+		const best = ranked[0];
+		if (!best) {
+			return undefined;
+		}
+
 		const proof = isFirst ? getFirstProof(best, before) : await getLaterProof(parts, best);
 		const outcome = await orderPromotion(parts, before.group, best.endpointId);
 		if (outcome === OrderOutcome.NotRunning) {
--- a/src/leadership/replace-primary.ts
+++ b/src/leadership/replace-primary.ts
@@ -115,8 +115,7 @@
 	const others = all.filter(candidate => !former.includes(candidate));
 	const candidates = byTime ? await keepFenced(parts, others, before) : others;
 	mark();
-	// Where nothing else can lead, a primary that still serves goes on.
-	const leading = await promoteBest(parts, candidates, before, giveUpAt) ?? await promoteBest(parts, former, before, giveUpAt);
+	const leading = await promoteBest(parts, {candidates, former}, before, giveUpAt);
 	mark();
 	if (!leading) {
 		log.warn('no endpoint could be promoted', {group, epoch: changing.epoch, candidates: candidates.map(({endpointId, status}) => ({endpointId, ...status}))});
--- a/tests/leadership/promote-best-tests.ts
+++ b/tests/leadership/promote-best-tests.ts
@@ -7,18 +7,25 @@
 import {createSilentLog} from '../../src/log/silent-log.js';
 import {createVirtualClock} from '../../src/stand-ins/time/virtual-clock.js';
 
+/** An accepted order takes effect after that time, in milliseconds. */
+const PROMOTE_MS = 800;
+
 /** What an endpoint shows in answer to a status, or nothing while it stands still. */
 type Shown = {role: 'primary' | 'replica'; term: number; silentUntil: number};
 
 type Stage = {
 	readonly endpoints: Record<string, Shown>;
-	/** What becomes of the order with that number, from 0. */
-	order(number: number, endpointId: string, now: number): OrderOutcome;
+	/** The present primary, which leads on where nobody else can. */
+	readonly former?: string;
+	/** Endpoints that are candidates, the furthest first. */
+	readonly candidates?: readonly string[];
+	/** What becomes of the order with that number, from 0; `later` is the time of a promotion. */
+	order(number: number, endpointId: string, later: (action: () => void) => void): OrderOutcome;
 	readonly phase?: 'steady' | 'changing';
 };
 
 /** Promotes the best of `x` and `y`, of which `x` is further; tells which was taken to lead, in which term, and the orders. */
-async function promote({endpoints, order, phase = 'steady'}: Stage): Promise<{readonly leads: string; readonly orders: readonly string[]; readonly tookMs: number}> {
+async function promote({endpoints, order, phase = 'steady', former, candidates = ['x', 'y']}: Stage): Promise<{readonly leads: string; readonly orders: readonly string[]; readonly tookMs: number}> {
 	const clock = createVirtualClock(0);
 	const orders: string[] = [];
 	const makeStatus = ({role, term}: Shown, position: number): EndpointStatus => ({
@@ -42,26 +49,24 @@
 		orders: {
 			async promote({endpointId}: {readonly endpointId: string}) {
 				await clock.sleep(10);
-				const outcome = order(orders.length, endpointId, clock.now());
+				const outcome = order(orders.length, endpointId, action => {
+					void clock.sleep(PROMOTE_MS).then(action);
+				});
 				orders.push(`${endpointId} ${outcome}`);
 				return outcome;
 			},
 		},
 	} as unknown as ReplacePrimaryParts;
-	const candidates = [
-		{endpointId: 'x', leaving: false, status: makeStatus(endpoints.x!, 9)},
-		{endpointId: 'y', leaving: false, status: makeStatus(endpoints.y!, 8)},
-	];
+	const makeCandidate = (endpointId: string, i: number) => ({endpointId, leaving: false, status: makeStatus(endpoints[endpointId]!, 9 - i)});
 	const before = {
 		group: 'nights', primaryId: 'p', term: 1, epoch: 1, phase, start: {term: 1, position: 0}, changedBy: 'entry-1',
 	};
-	const leading = await clock.runUntil(promoteBest(parts, candidates, before, 12_000));
+	const leading = await clock.runUntil(promoteBest(parts, {
+		candidates: candidates.map((id, i) => makeCandidate(id, i)), former: former === undefined ? [] : [makeCandidate(former, 0)],
+	}, before, 12_000));
 	return {leads: leading ? `${leading.endpointId} ${leading.status.term}` : 'nobody', orders, tookMs: clock.now()};
 }
 
-/** An accepted order takes effect after that time, in milliseconds. */
-const PROMOTE_MS = 800;
-
 const lead = (shown: Shown, term: number) => {
 	shown.role = 'primary';
 	shown.term = term;
@@ -123,6 +128,41 @@
 		expect([leads, orders]).to.deep.equal(['x 4', ['x accepted', 'y accepted', 'x accepted']]);
 	});
 
+	/**
+	 * A primary is to leave. Its successor was ordered to lead, and crashes once it does, unseen. The former primary, asked to lead on, still
+	 * calls itself primary of its old term, in which nothing that it commits will last.
+	 */
+	it('does not take the former primary to lead on in its term once another was ordered', async () => {
+		const p = make('primary', 1);
+		const x = make('replica', 1, 60_000);
+		const {leads, orders} = await promote({
+			endpoints: {p, x},
+			candidates: ['x'],
+			former: 'p',
+			order(number, _endpointId, later) {
+				if (number === 1) {
+					return OrderOutcome.NotRunning;
+				}
+
+				if (number === 2) {
+					later(() => {
+						lead(p, 3);
+					});
+				}
+
+				return OrderOutcome.Accepted;
+			},
+		});
+		expect([leads, orders]).to.deep.equal(['p 3', ['x accepted', 'x not-running', 'p accepted']]);
+	});
+
+	it('lets the former primary lead on at once where nobody else was ordered', async () => {
+		const {leads, tookMs} = await promote({
+			endpoints: {p: make('primary', 1)}, candidates: [], former: 'p', order: () => OrderOutcome.Accepted,
+		});
+		expect([leads, tookMs < 200]).to.deep.equal(['p 1', true]);
+	});
+
 	/** A host died after it had ordered a replica to lead. The next host orders the same, which changes nothing. */
 	it('takes one that led before to lead on once an order has left it in its term', async () => {
 		const x = make('primary', 2);
