Let a stand-in's log that has applied nothing be before every term

The replica was 2.9 s behind and had applied nothing; the end of its empty log took the server's own term, which had just become that of the new primary, and so passed for further than the floor. Ruled out: the product (it sent the right floor; the users' servers refuse where the log lacks the position). Tests, red before: the schedule in tests/lead-check, tests/stand-ins/plain-group.

--- a/src/stand-ins/plain-group/plain-group.ts
+++ b/src/stand-ins/plain-group/plain-group.ts
@@ -202,7 +202,7 @@
 		};
 
 		const link: EndpointLink = {
-			firstPosition: getVisibleEnd(server.log, clock.now(), server.term),
+			firstPosition: getVisibleEnd(server.log, clock.now()),
 			get pending() {
 				return pending;
 			},
--- a/src/stand-ins/plain-group/plain-log.ts
+++ b/src/stand-ins/plain-group/plain-log.ts
@@ -28,10 +28,13 @@
 	return undefined;
 }
 
-/** End of a log, as far as reads see it at `now`; the term is that of the last commit, `term` before the first. */
-export function getVisibleEnd(log: readonly HeldCommit[], now: number, term: number): LogPosition {
+/**
+ * End of a log, as far as reads see it at `now`. Before the first commit the term is 0: a server that followed a new primary without having
+ * applied anything would else pass for one that is further than any position of the term before.
+ */
+export function getVisibleEnd(log: readonly HeldCommit[], now: number): LogPosition {
 	const last = log.findLast(({visibleAt}) => visibleAt <= now);
-	return {term: last?.commit.term ?? term, position: last?.commit.position ?? 0};
+	return {term: last?.commit.term ?? 0, position: last?.commit.position ?? 0};
 }
 
 /** Brings a log in line with its leader's: what the leader lacks is rolled back, what is new becomes visible at `visibleAt`. */
--- a/src/stand-ins/plain-group/plain-server.ts
+++ b/src/stand-ins/plain-group/plain-server.ts
@@ -86,7 +86,7 @@
 	const getState = (session: PlainSession) => session.transaction ? SessionState.Open : SessionState.Idle;
 
 	const answer = (session: PlainSession, end: AnswerEnd, rows: readonly string[] = []): EndpointAnswer => ({
-		rows, end, state: getState(session), position: getVisibleEnd(session.server.log, clock.now(), session.server.term),
+		rows, end, state: getState(session), position: getVisibleEnd(session.server.log, clock.now()),
 	});
 
 	const done = (session: PlainSession, signature?: string, rows?: readonly string[]) => answer(session, {kind: 'complete', signature}, rows);
@@ -94,7 +94,7 @@
 	const refuse = (session: PlainSession, code: AnswerCode) => answer(session, {kind: 'error', code, text: session.server.id});
 
 	const isBehind = ({server}: PlainSession, floor: LogPosition | undefined) =>
-		floor !== undefined && !holdsLogPosition(getVisibleEnd(server.log, clock.now(), server.term), floor);
+		floor !== undefined && !holdsLogPosition(getVisibleEnd(server.log, clock.now()), floor);
 
 	const getStatus = ({server}: PlainSession): EndpointStatus => ({
 		role: server.role,
@@ -119,7 +119,7 @@
 	const read = (session: PlainSession, id: string, item: string) => {
 		const {server} = session;
 		const now = clock.now();
-		observer.onRead({id, server, end: getVisibleEnd(server.log, now, server.term)});
+		observer.onRead({id, server, end: getVisibleEnd(server.log, now)});
 		return done(session, `sign-${id}`, [readItem(server.log, now, item) ?? '-']);
 	};
 
--- a/tests/lead-check/lead-check-tests.ts
+++ b/tests/lead-check/lead-check-tests.ts
@@ -26,5 +26,6 @@
 	doTest(9015, 'a superseded primary that was ordered to lead again counted as promoted at once');
 	doTest(9019, 'the same, and a commit in its old term was acknowledged');
 	doTest(1_002_670, 'the effect of an order was taken for that of a later one, which was lost', {lengthMs: 8000, callersPerProxy: 1, swarms: true});
+	doTest(3_002_602, 'a fault of the stand-in: a replica that had applied nothing passed for one of the new term', {lengthMs: 8000, callersPerProxy: 1, swarms: true});
 	doTest(13_030, 'a server with the divergent end of an early term was promoted before one that was leaving');
 });
