Use one heap, one set of slots and one line log in the stand-ins and checks

Cause: the last reading found twins: a third heap of sleepers beside those of the virtual schedule and of the schedule clock; slots of a server beside stand-ins/database/service-slots.ts; a log that keeps its lines, three times; the search for a group's leader by its id, ten times; the same split twice. Change: src/stand-ins/time/timed-heap.ts, src/log/line-log.ts, the database's slots, PlainGroup.leader and the bench's splitOff serve all; the count of a server's load is derived from its slots. No assertion changed.

--- a/src/bench/lead-changes/stage.ts
+++ b/src/bench/lead-changes/stage.ts
@@ -1,3 +1,5 @@
+import {createLineLog} from '../../log/line-log.js';
+import type {LogFields} from '../../log/log.js';
 import {ReadPolicy} from '../../routes/routing.js';
 import type {PlainGroup} from '../../stand-ins/plain-group/plain-group.js';
 import type {PlainServer} from '../../stand-ins/plain-group/plain-server.js';
@@ -5,9 +7,15 @@
 import {createSimulatedProxies, type SimulatedProxies, type SimulatedProxy} from '../../stand-ins/proxies/simulated-proxies.js';
 import {createVirtualClock, type VirtualClock} from '../../stand-ins/time/virtual-clock.js';
 import {Access} from '../../statements/statement.js';
-import {createCapturedLog, type CapturedLine} from './captured-log.js';
 import type {EvidenceWay} from './ways.js';
 
+/** A line of the proxies' logs. */
+export type CapturedLine = {
+	readonly at: number;
+	readonly sentence: string;
+	readonly fields: LogFields;
+};
+
 /** Nine proxies before one group, with writes going in. */
 export type LeadStage = {
 	readonly clock: VirtualClock;
@@ -51,7 +59,9 @@
 		routes: [{
 			name: 'file', database: 'file', group: GROUP, policy: ReadPolicy.Primary, maxReadAgeMs: 0, statementTimeoutMs: WRITE_TIMEOUT_MS, targetLatencyMs: 200, priority: 1,
 		}],
-		log: createCapturedLog(() => clock.now(), lines),
+		log: createLineLog((sentence, fields) => {
+			lines.push({at: clock.now(), sentence, fields});
+		}),
 		wrapStore: way.wrapStore,
 		wrapPeers: way.wrapPeers,
 	});
@@ -110,7 +120,7 @@
 		lines,
 		acknowledgedAt,
 		failedAt,
-		getPrimary: () => group.servers.find(({id}) => id === group.leaderId)!,
+		getPrimary: () => group.leader,
 		stop() {
 			stopped = true;
 			system.stop();
--- a/src/bench/site-load/placements.ts
+++ b/src/bench/site-load/placements.ts
@@ -46,8 +46,8 @@
 
 	override choose(candidates: readonly ReadCandidate[]): ReadCandidate | undefined {
 		return super.choose(candidates.map(candidate => {
-			const {load, slowMs} = this.findServer(candidate.endpointId);
-			return {...candidate, load, serviceMs: slowMs + candidate.serviceMs};
+			const {slots, slowMs} = this.findServer(candidate.endpointId);
+			return {...candidate, load: slots!.running + slots!.waiting, serviceMs: slowMs + candidate.serviceMs};
 		}));
 	}
 }
--- a/src/bench/site-load/site-troubles.ts
+++ b/src/bench/site-load/site-troubles.ts
@@ -12,9 +12,9 @@
 
 function nothing(): void {} // eslint-disable-line @typescript-eslint/no-empty-function
 
-const getPrimaries = (system: SimulatedProxies) => system.groups.map(group => group.servers.find(({id}) => id === group.leaderId)!);
+const getPrimaries = (system: SimulatedProxies) => system.groups.map(group => group.leader);
 
-const getReplicas = (system: SimulatedProxies) => system.groups.flatMap(group => group.servers.filter(({id}) => id !== group.leaderId));
+const getReplicas = (system: SimulatedProxies) => system.groups.flatMap(group => group.servers.filter(({id}) => id !== group.leader.id));
 
 /** Time that a slow server adds to each statement, in milliseconds: a heavy statement takes some four times as long. */
 const SLOW_MS = 100;
@@ -38,7 +38,7 @@
 		rate: 1,
 		begin(system) {
 			for (const group of system.groups) {
-				group.servers.find(({id}) => id !== group.leaderId)!.slowMs = SLOW_MS;
+				group.servers.find(({id}) => id !== group.leader.id)!.slowMs = SLOW_MS;
 			}
 		},
 		end(system) {
--- a/src/bench/virtual-schedule.ts
+++ b/src/bench/virtual-schedule.ts
@@ -1,4 +1,5 @@
 import {setImmediate} from 'node:timers/promises';
+import {createTimedHeap, type Timed} from '../stand-ins/time/timed-heap.js';
 import type {Clock} from '../time/clock.js';
 
 /** A clock that jumps from event to event, for experiments with millions of them. */
@@ -9,20 +10,18 @@
 	runUntil(time: number): Promise<void>;
 };
 
-type Event = {
-	readonly time: number;
-	readonly order: number;
+type Event = Timed & {
 	callback(): void;
 };
 
 /** Creates a schedule that begins at time 0. */
 export function createVirtualSchedule(): VirtualSchedule {
-	const heap: Event[] = [];
+	const heap = createTimedHeap<Event>();
 	let now = 0;
 	let order = 0;
 
 	const at = (time: number, callback: () => void) => {
-		push(heap, {time: Math.max(time, now), order: order++, callback});
+		heap.add({at: Math.max(time, now), order: order++, callback});
 	};
 
 	return {
@@ -46,9 +45,9 @@
 			});
 		},
 		async runUntil(time) {
-			while (heap[0] && heap[0].time <= time) {
-				const event = pop(heap)!;
-				now = event.time;
+			while (heap.first && heap.first.at <= time) {
+				const event = heap.takeFirst()!;
+				now = event.at;
 				event.callback();
 				await setImmediate();
 			}
@@ -57,49 +56,3 @@
 		},
 	};
 }
-
-function isEarlier(left: Event, right: Event): boolean {
-	return left.time < right.time || (left.time === right.time && left.order < right.order);
-}
-
-function push(heap: Event[], event: Event): void {
-	let place = heap.length;
-	heap.push(event);
-	while (place > 0) {
-		const parent = (place - 1) >>> 1;
-		if (!isEarlier(event, heap[parent]!)) {
-			break;
-		}
-
-		heap[place] = heap[parent]!;
-		place = parent;
-	}
-
-	heap[place] = event;
-}
-
-function pop(heap: Event[]): Event | undefined {
-	const first = heap[0];
-	const last = heap.pop();
-	if (!last || last === first) {
-		return first;
-	}
-
-	let place = 0;
-	while (true) {
-		let child = (2 * place) + 1;
-		if (child + 1 < heap.length && isEarlier(heap[child + 1]!, heap[child]!)) {
-			child++;
-		}
-
-		if (child >= heap.length || !isEarlier(heap[child]!, last)) {
-			break;
-		}
-
-		heap[place] = heap[child]!;
-		place = child;
-	}
-
-	heap[place] = last;
-	return first;
-}
--- a/src/demo/platform-demo.ts
+++ b/src/demo/platform-demo.ts
@@ -77,10 +77,10 @@
 
 async function losePrimary(story: Story, platform: LocalPlatform, proxies: readonly LocalProxy[]) {
 	story.beginChapter('The primary dies while callers write', 'Nobody but the proxies has it replaced; what it acknowledged alone must not be doubled or denied.');
-	const old = platform.group.servers.find(({id}) => id === platform.group.leaderId)!;
+	const old = platform.group.leader;
 	const killedAt = performance.now();
 	platform.group.crash(old);
-	while (performance.now() < killedAt + LONGEST_GAP_MS && platform.group.leaderId === old.id) {
+	while (performance.now() < killedAt + LONGEST_GAP_MS && platform.group.leader.id === old.id) {
 		await sleep(20);
 	}
 
--- a/src/stand-ins/plain-group/plain-group.ts
+++ b/src/stand-ins/plain-group/plain-group.ts
@@ -5,7 +5,7 @@
 import {parseStatusRow} from '../../platform/endpoint-lines.js';
 import {AnswerCode, type EndpointAnswer} from '../../statements/statement-answer.js';
 import type {Clock} from '../../time/clock.js';
-import {createServiceSlots} from './service-slots.js';
+import {createServiceSlots} from '../database/service-slots.js';
 import {follow, getVisibleEnd} from './plain-log.js';
 import {
 	createPlainExecutor, type PlainObserver, type PlainServer, type PlainSession,
@@ -17,8 +17,8 @@
 	/** Slots of each server, as registered. */
 	readonly slots: number;
 	readonly servers: readonly PlainServer[];
-	/** Id of the server that was promoted last. */
-	readonly leaderId: string;
+	/** The server that was promoted last. */
+	readonly leader: PlainServer;
 	/** Opens a connection; `isCut` tells whether the caller's host cannot reach the server at this moment. */
 	open(target: LinkTarget, listener: LinkListener, isCut: () => boolean, hostZone?: string): Promise<EndpointLink>;
 	/** Has a server lead, after the group's time for that. */
@@ -89,7 +89,6 @@
 		cutFromGroup: false,
 		lagMs: options.lagMs ?? DEFAULT_LAG_MS,
 		slowMs: 0,
-		load: 0,
 		slots: options.slots === undefined ? undefined : createServiceSlots(options.slots),
 		frozenUntil: 0,
 		loseAnswers: 0,
@@ -252,8 +251,8 @@
 		name,
 		slots: options.slots ?? DEFAULT_SLOTS,
 		servers,
-		get leaderId() {
-			return leader.id;
+		get leader() {
+			return leader;
 		},
 		async open(target, listener, isCut, hostZone) {
 			await clock.sleep(OPEN_MS);
--- a/src/stand-ins/plain-group/plain-server.ts
+++ b/src/stand-ins/plain-group/plain-server.ts
@@ -4,10 +4,10 @@
 import {AnswerCode, type AnswerEnd, type EndpointAnswer} from '../../statements/statement-answer.js';
 import {holdsLogPosition, type LogPosition} from '../../terms/log-position.js';
 import type {Clock} from '../../time/clock.js';
+import type {ServiceSlots} from '../database/service-slots.js';
 import {
 	getVisibleEnd, readItem, type HeldCommit, type PlainCommit,
 } from './plain-log.js';
-import type {ServiceSlots} from './service-slots.js';
 
 /** A session on a server: one connection. */
 export type PlainSession = {
@@ -37,9 +37,7 @@
 	lagMs: number;
 	/** Time added to each statement, in milliseconds. */
 	slowMs: number;
-	/** Statements that run or wait for a slot. */
-	load: number;
-	/** Served one after the other in each slot; undefined where any number runs at once. */
+	/** Undefined where any number of statements runs at once. */
 	readonly slots?: ServiceSlots;
 	/** Stands still until then, as a suspended process does: what came meanwhile runs afterwards. */
 	frozenUntil: number;
@@ -250,11 +248,9 @@
 			const {command} = req;
 			const text = command.kind === 'run' ? command.text : (command.kind === 'execute' ? command.args : undefined);
 			if (text !== undefined || command.kind === 'commit') {
-				server.load++;
 				await server.slots?.take();
 				await clock.sleep(getServiceMs(text ?? '') + server.slowMs);
-				server.slots?.give();
-				server.load--;
+				server.slots?.release();
 			} else {
 				await clock.sleep(0);
 			}
--- a/src/stand-ins/proxies/simulated-proxies.ts
+++ b/src/stand-ins/proxies/simulated-proxies.ts
@@ -246,13 +246,14 @@
 			links.set(proxy, new Set());
 			deaths.set(proxy, die);
 			const life = proxies.filter(other => other.name === name).length;
+			const client = createClient(proxy);
 			proxy.kernel = createProxy({
 				clock: hostClock,
 				elapsedClock: hostClock,
 				random: createSeededRandom(options.seed + proxies.length),
 				log: options.log?.part(`${name} `) ?? createSilentLog(),
 				metrics: createPromGatewayMetrics(),
-				store: options.wrapStore?.(createClient(proxy), proxy) ?? createClient(proxy),
+				store: options.wrapStore?.(client, proxy) ?? client,
 				orders: {promote: async (order, timeoutMs) => deliver(proxy, takeOrder(proxy, order, timeoutMs))},
 				opener: createOpener(proxy),
 				peers,
--- a/src/stand-ins/time/virtual-clock.ts
+++ b/src/stand-ins/time/virtual-clock.ts
@@ -1,5 +1,6 @@
 import {setImmediate} from 'node:timers/promises';
 import type {Clock} from '../../time/clock.js';
+import {createTimedHeap, type Timed} from './timed-heap.js';
 
 /** A clock that moves only when told to, so that a failure's order of events repeats exactly. */
 export type VirtualClock = Clock & {
@@ -11,9 +12,7 @@
 	jumpWall(ms: number): void;
 };
 
-type Sleeper = {
-	readonly at: number;
-	readonly order: number;
+type Sleeper = Timed & {
 	/** Woken already, perhaps by its signal. */
 	ended: boolean;
 	wake(): void;
@@ -40,7 +39,7 @@
 	let wallOffset = 0;
 	let order = 0;
 	let wakesAtOnce = 0;
-	const sleepers = createSleepers();
+	const sleepers = createTimedHeap<Sleeper>();
 
 	const settle = async () => {
 		for (let round = 0; round < settleRounds; round++) {
@@ -48,8 +47,17 @@
 		}
 	};
 
+	/** The earliest that sleeps no longer than `until`; those that ended are dropped when they come first. */
+	const takeNext = (until: number) => {
+		while (sleepers.first?.ended) {
+			sleepers.takeFirst();
+		}
+
+		return sleepers.first && sleepers.first.at <= until ? sleepers.takeFirst() : undefined;
+	};
+
 	const wakeNext = async (until: number) => {
-		const next = sleepers.takeNext(until);
+		const next = takeNext(until);
 		if (!next) {
 			return false;
 		}
@@ -120,67 +128,3 @@
 		},
 	};
 }
-
-/** Sleepers in a binary heap, the earliest first; those that ended are dropped when they come to the top. */
-type Sleepers = {
-	add(sleeper: Sleeper): void;
-	/** Takes out the earliest that has not ended, if it sleeps no longer than `until`. */
-	takeNext(until: number): Sleeper | undefined;
-};
-
-function isEarlier(left: Sleeper, right: Sleeper): boolean {
-	return left.at < right.at || (left.at === right.at && left.order < right.order);
-}
-
-function createSleepers(): Sleepers {
-	const heap: Sleeper[] = [];
-
-	const takeTop = () => {
-		const top = heap[0]!;
-		const last = heap.pop()!;
-		if (heap.length === 0) {
-			return top;
-		}
-
-		let at = 0;
-		for (let child = 1; child < heap.length; child = (2 * at) + 1) {
-			if (child + 1 < heap.length && isEarlier(heap[child + 1]!, heap[child]!)) {
-				child++;
-			}
-
-			if (!isEarlier(heap[child]!, last)) {
-				break;
-			}
-
-			heap[at] = heap[child]!;
-			at = child;
-		}
-
-		heap[at] = last;
-		return top;
-	};
-
-	return {
-		add(sleeper) {
-			let at = heap.length;
-			while (at > 0) {
-				const parent = (at - 1) >> 1;
-				if (!isEarlier(sleeper, heap[parent]!)) {
-					break;
-				}
-
-				heap[at] = heap[parent]!;
-				at = parent;
-			}
-
-			heap[at] = sleeper;
-		},
-		takeNext(until) {
-			while (heap[0]?.ended) {
-				takeTop();
-			}
-
-			return heap[0] && heap[0].at <= until ? takeTop() : undefined;
-		},
-	};
-}
--- a/tests/lead-check/lead-history.ts
+++ b/tests/lead-check/lead-history.ts
@@ -73,7 +73,7 @@
 	};
 	let group: PlainGroup;
 
-	const getLeader = () => group.servers.find(({id}) => id === group.leaderId)!;
+	const getLeader = () => group.leader;
 
 	const findMissing = (server: PlainServer, claim: ReadClaim) => {
 		const now = getNow();
@@ -111,7 +111,7 @@
 				}
 			},
 			onCommit(commit, server, id) {
-				commits.set(id, [...commits.get(id) ?? [], {commit, superseded: server.id !== group.leaderId}]);
+				commits.set(id, [...commits.get(id) ?? [], {commit, superseded: server.id !== group.leader.id}]);
 			},
 			onLead(server) {
 				const kept = new Set(server.log.map(({commit}) => commit));
--- a/tests/lead-check/lead-troubles.ts
+++ b/tests/lead-check/lead-troubles.ts
@@ -38,7 +38,7 @@
 const TROUBLES: Readonly<Record<string, Trouble>> = {
 	crashServer(world, ms) {
 		const group = world.system.groups[0]!;
-		const server = world.random.fraction() < 0.7 ? group.servers.find(({id}) => id === group.leaderId)! : pick(world, group.servers);
+		const server = world.random.fraction() < 0.7 ? group.leader : pick(world, group.servers);
 		if (group.servers.filter(({running}) => running).length < 3) {
 			return;
 		}
@@ -49,7 +49,7 @@
 		});
 	},
 	cutPrimaryFromProxies(world, ms) {
-		const {leaderId} = world.system.groups[0]!;
+		const leaderId = world.system.groups[0]!.leader.id;
 		for (const proxy of world.system.proxies) {
 			if (world.random.fraction() < 0.6) {
 				proxy.cutFrom.add(leaderId);
@@ -59,7 +59,7 @@
 	},
 	cutPrimaryFromGroup(world, ms) {
 		const group = world.system.groups[0]!;
-		const server = group.servers.find(({id}) => id === group.leaderId)!;
+		const server = group.leader;
 		server.cutFromGroup = true;
 		later(world, ms, () => {
 			server.cutFromGroup = false;
@@ -135,7 +135,7 @@
 	/** One proxy is alone with the primary, cut off from everything else, while the others replace it. */
 	isolateWithPrimary(world, ms) {
 		const group = world.system.groups[0]!;
-		const server = group.servers.find(({id}) => id === group.leaderId)!;
+		const server = group.leader;
 		const alone = pickLiving(world);
 		if (!alone) {
 			return;
@@ -159,7 +159,7 @@
 	},
 	drainPrimary(world, ms) {
 		const group = world.system.groups[0]!;
-		const server = group.servers.find(({id}) => id === group.leaderId)!;
+		const server = group.leader;
 		server.leaving = true;
 		world.system.registerEndpoints();
 		later(world, ms, () => {
@@ -176,7 +176,7 @@
 
 function pickServer(world: World) {
 	const group = world.system.groups[0]!;
-	return world.random.fraction() < 0.7 ? group.servers.find(({id}) => id === group.leaderId)! : pick(world, group.servers);
+	return world.random.fraction() < 0.7 ? group.leader : pick(world, group.servers);
 }
 
 function freezeServer(world: World, ms: number) {
--- a/tests/lead-check/play.ts
+++ b/tests/lead-check/play.ts
@@ -1,22 +1,12 @@
 import process from 'node:process';
-import type {Log, LogFields} from '../../src/log/log.js';
+import {createLineLog} from '../../src/log/line-log.js';
 import {createTotals, TOTALS_PREFIX, type PlayOptions} from './play-options.js';
 import {runLeadSchedule} from './run-lead-schedule.js';
 
 /** Prints lines behind their virtual time in milliseconds. */
-function createPrintedLog(getNow: () => number, prefix = ''): Log {
-	const print = (sentence: string, fields: LogFields = {}) => {
-		console.log(Math.round(getNow()), prefix + sentence, JSON.stringify(fields));
-	};
-
-	return {
-		debug() {}, // eslint-disable-line @typescript-eslint/no-empty-function
-		info: print,
-		warn: print,
-		error: print,
-		part: inner => createPrintedLog(getNow, prefix + inner),
-	};
-}
+const createPrintedLog = (getNow: () => number) => createLineLog((sentence, fields) => {
+	console.log(Math.round(getNow()), sentence, JSON.stringify(fields));
+});
 
 /** Plays the schedules that its argument names; a broken one is printed as it comes, the totals at the end. */
 const {first, count, troubleMs, callersPerProxy, swarms, log} = JSON.parse(process.argv[2]!) as PlayOptions;
--- a/tests/proxy/explain-tests.ts
+++ b/tests/proxy/explain-tests.ts
@@ -1,23 +1,14 @@
 import {expect} from 'chai';
-import type {Log, LogFields} from '../../src/log/log.js';
+import {createLineLog} from '../../src/log/line-log.js';
+import type {LogFields} from '../../src/log/log.js';
 import {createProxyBench} from './proxy-bench.js';
 
 /** A line of the log: who wrote it, what it says and what of its fields stays the same in each run. */
 type Line = {readonly sentence: string; readonly fields: LogFields};
 
-function createCapturedLog(lines: Line[], prefix = ''): Log {
-	const print = (sentence: string, fields: LogFields = {}) => {
-		lines.push({sentence: prefix + sentence, fields});
-	};
-
-	return {
-		debug() {}, // eslint-disable-line @typescript-eslint/no-empty-function
-		info: print,
-		warn: print,
-		error: print,
-		part: inner => createCapturedLog(lines, prefix + inner),
-	};
-}
+const createCapturedLog = (lines: Line[]) => createLineLog((sentence, fields) => {
+	lines.push({sentence, fields});
+});
 
 function describeLines(lines: readonly Line[], keep: (line: Line) => boolean, names: readonly string[]) {
 	const describeFields = (fields: LogFields) => names.filter(name => fields[name] !== undefined).map(name => `${name}=${JSON.stringify(fields[name])}`);
--- a/tests/proxy/failures-tests.ts
+++ b/tests/proxy/failures-tests.ts
@@ -26,7 +26,7 @@
 		const bench = await createProxyBench();
 		bench.group.crash(bench.getPrimary());
 		expect(await measureGap(bench, 0)).to.be.lessThan(1500);
-		expect(bench.group.leaderId).to.not.equal('nights-1');
+		expect(bench.group.leader.id).to.not.equal('nights-1');
 	});
 
 	/**
@@ -42,7 +42,7 @@
 
 		bench.getPrimary().cutFromGroup = true;
 		expect(await measureGap(bench, 0)).to.be.lessThan(2300);
-		expect(bench.group.leaderId).to.not.equal('nights-1');
+		expect(bench.group.leader.id).to.not.equal('nights-1');
 	});
 
 	/**
@@ -55,7 +55,7 @@
 		const caller = await bench.open(bench.proxies[0]!, 'sync');
 		void bench.send(caller, 'WRITE a 1');
 		await bench.clock.advance(6000);
-		expect(bench.group.leaderId).to.equal('nights-1');
+		expect(bench.group.leader.id).to.equal('nights-1');
 		expect(await measureGap(bench, 1)).to.be.lessThan(100);
 	});
 
@@ -86,17 +86,12 @@
 	 */
 	it('stays where the proxies that cannot reach it are the smaller part of a split', async () => {
 		const bench = await createProxyBench({proxies: 5});
-		for (const left of bench.proxies.slice(0, 2)) {
-			left.cutFrom.add('nights-1');
-			for (const right of bench.proxies.slice(2)) {
-				bench.system.network.setFaultsBetween(left.peerAddress, right.peerAddress, {cut: true});
-			}
-		}
+		bench.splitOff(2);
 
 		const caller = await bench.open(bench.proxies[0]!, 'sync');
 		void bench.send(caller, 'WRITE a 1');
 		await bench.clock.advance(6000);
-		expect(bench.group.leaderId).to.equal('nights-1');
+		expect(bench.group.leader.id).to.equal('nights-1');
 		expect(await measureGap(bench, 3)).to.be.lessThan(100);
 	});
 
@@ -163,7 +158,7 @@
 			await bench.clock.advance(20);
 		}
 
-		expect(bench.group.leaderId).to.not.equal('nights-1');
+		expect(bench.group.leader.id).to.not.equal('nights-1');
 		expect([...answers].filter(answer => answer === 'outcome-unknown idle')).to.deep.equal([]);
 		expect(await bench.ask(caller, 'READ a')).to.equal('done 39 idle');
 	});
@@ -189,7 +184,7 @@
 		const other = await bench.open(bench.proxies[1]!, 'sync');
 		void bench.send(other, 'WRITE x 1');
 		await bench.clock.advance(15_000);
-		expect(bench.group.leaderId).to.not.equal(old.id);
+		expect(bench.group.leader.id).to.not.equal(old.id);
 		const answer = bench.send(caller, 'WRITE a 1', 'late');
 		bench.system.resume(frozen);
 		const text = describeAnswer(await bench.clock.runUntil(answer));
--- a/tests/proxy/hosts-tests.ts
+++ b/tests/proxy/hosts-tests.ts
@@ -42,12 +42,7 @@
 	 */
 	it('keeps unmarked the larger part of a split', async () => {
 		const bench = await createProxyBench({proxies: 5});
-		for (const left of bench.proxies.slice(0, 2)) {
-			left.cutFrom.add('nights-1');
-			for (const right of bench.proxies.slice(2)) {
-				bench.system.network.setFaultsBetween(left.peerAddress, right.peerAddress, {cut: true});
-			}
-		}
+		bench.splitOff(2);
 
 		const caller = await bench.open(bench.proxies[0]!, 'sync');
 		void bench.send(caller, 'WRITE a 1');
@@ -56,7 +51,7 @@
 			expect(bench.proxies.slice(2).filter(({name}) => isMarked(bench, name)).map(({name}) => name)).to.deep.equal([]);
 		}
 
-		expect(bench.group.leaderId).to.equal('nights-1');
+		expect(bench.group.leader.id).to.equal('nights-1');
 	});
 
 	/**
@@ -76,7 +71,7 @@
 		expect(bench.proxies.map(({name}) => isMarked(bench, name))).to.deep.equal([false, false, false]);
 		bench.group.crash(bench.getPrimary());
 		const crashedAt = bench.clock.now();
-		while (bench.group.leaderId === 'nights-1' && bench.clock.now() < crashedAt + 20_000) {
+		while (bench.group.leader.id === 'nights-1' && bench.clock.now() < crashedAt + 20_000) {
 			await bench.clock.advance(20);
 		}
 
@@ -91,6 +86,6 @@
 		await bench.clock.runUntil(bench.system.startProxy('a new host'));
 		bench.group.crash(bench.getPrimary());
 		await bench.clock.advance(6000);
-		expect(bench.group.leaderId).to.equal('nights-1');
+		expect(bench.group.leader.id).to.equal('nights-1');
 	});
 });
--- a/tests/proxy/leave-tests.ts
+++ b/tests/proxy/leave-tests.ts
@@ -57,7 +57,7 @@
 
 		const own = watch.replacing;
 		await bench.clock.runUntil(startLeaving());
-		expect([own && watch.replacing, bench.group.leaderId === 'nights-1' && own]).to.deep.equal([false, false]);
+		expect([own && watch.replacing, bench.group.leader.id === 'nights-1' && own]).to.deep.equal([false, false]);
 		bench.group.crash(bench.getPrimary());
 		await bench.clock.advance(5000);
 		expect(watch.replacing).to.equal(false);
--- a/tests/proxy/proxy-bench.ts
+++ b/tests/proxy/proxy-bench.ts
@@ -16,6 +16,8 @@
 	/** What endpoints ran, in order: `server id statement`. */
 	readonly ran: string[];
 	getPrimary(): PlainServer;
+	/** Cuts the first proxies off from the others and from the primary. */
+	splitOff(count: number): void;
 	/** Opens a session at a proxy. */
 	open(proxy: SimulatedProxy, database: string): Promise<ScriptedCaller>;
 	/** Sends a statement and lets time pass until it is answered. */
@@ -84,7 +86,15 @@
 		group,
 		proxies: system.proxies,
 		ran,
-		getPrimary: () => group.servers.find(({id}) => id === group.leaderId)!,
+		getPrimary: () => group.leader,
+		splitOff(smaller) {
+			for (const left of system.proxies.slice(0, smaller)) {
+				left.cutFrom.add(group.leader.id);
+				for (const right of system.proxies.slice(smaller)) {
+					system.network.setFaultsBetween(left.peerAddress, right.peerAddress, {cut: true});
+				}
+			}
+		},
 		async open(proxy, database) {
 			const caller = createScriptedCaller();
 			void proxy.kernel.getOrThrow('gateway').serve(caller.channel);
--- a/tests/random-check/schedule-clock.ts
+++ b/tests/random-check/schedule-clock.ts
@@ -1,3 +1,4 @@
+import {createTimedHeap, type Timed} from '../../src/stand-ins/time/timed-heap.js';
 import type {Clock} from '../../src/time/clock.js';
 
 /** A virtual clock for many thousands of short runs: sleepers in a heap, and one round of the event loop for each moment. */
@@ -8,9 +9,7 @@
 	readonly wakes: number;
 };
 
-type Sleeper = {
-	readonly at: number;
-	readonly order: number;
+type Sleeper = Timed & {
 	asleep: boolean;
 	wake(): void;
 };
@@ -20,7 +19,7 @@
 
 /** Creates a clock that moves only when told to. */
 export function createScheduleClock(): ScheduleClock {
-	const heap: Sleeper[] = [];
+	const heap = createTimedHeap<Sleeper>();
 	let now = START_MS;
 	let order = 0;
 	let wakes = 0;
@@ -31,8 +30,8 @@
 	});
 
 	const takeNext = (until: number) => {
-		while (heap.length > 0 && (!heap[0]!.asleep || heap[0]!.at <= until)) {
-			const next = pop(heap);
+		while (heap.first && (!heap.first.asleep || heap.first.at <= until)) {
+			const next = heap.takeFirst()!;
 			if (next.asleep) {
 				return next;
 			}
@@ -63,7 +62,7 @@
 						resolve();
 					},
 				};
-				push(heap, sleeper);
+				heap.add(sleeper);
 				signal?.addEventListener('abort', sleeper.wake, {once: true});
 			});
 		},
@@ -81,48 +80,3 @@
 		},
 	};
 }
-
-function isBefore(left: Sleeper, right: Sleeper): boolean {
-	return left.at < right.at || (left.at === right.at && left.order < right.order);
-}
-
-function push(heap: Sleeper[], sleeper: Sleeper): void {
-	let place = heap.length;
-	while (place > 0) {
-		const parent = (place - 1) >> 1;
-		if (!isBefore(sleeper, heap[parent]!)) {
-			break;
-		}
-
-		heap[place] = heap[parent]!;
-		place = parent;
-	}
-
-	heap[place] = sleeper;
-}
-
-function pop(heap: Sleeper[]): Sleeper {
-	const first = heap[0]!;
-	const last = heap.pop()!;
-	if (heap.length === 0) {
-		return first;
-	}
-
-	let place = 0;
-	for (;;) {
-		let child = (2 * place) + 1;
-		if (child + 1 < heap.length && isBefore(heap[child + 1]!, heap[child]!)) {
-			child++;
-		}
-
-		if (child >= heap.length || !isBefore(heap[child]!, last)) {
-			break;
-		}
-
-		heap[place] = heap[child]!;
-		place = child;
-	}
-
-	heap[place] = last;
-	return first;
-}
