Hand errors of opinions and early probes on in place of losing them

Cause: the last reading found two promises that nobody waited for: a bug in asking for an opinion, or in a probe begun early, would have ended as an unhandled rejection, where it was logged before opinions ended early. Change: the first rejects the judgement, as before; the second is logged. The check for a probe under way is dropped, since probe() shares one. Checked: types, lint, 92 tests of proxy and leadership.

--- a/src/leadership/primary-reach.ts
+++ b/src/leadership/primary-reach.ts
@@ -149,7 +149,7 @@
 	const gatherOpinions = async (addresses: readonly string[], endpointId: string): Promise<readonly boolean[]> => {
 		const all = addresses.length + 1;
 		const known: boolean[] = [];
-		await new Promise<void>(resolve => {
+		await new Promise<void>((resolve, reject) => {
 			let open = addresses.length;
 			const note = (opinion: boolean | undefined) => {
 				open--;
@@ -170,7 +170,7 @@
 			}
 
 			for (const address of addresses) {
-				void askOpinion(address, endpointId).then(note);
+				askOpinion(address, endpointId).then(note).catch(reject);
 			}
 		});
 		return [...known];
@@ -191,8 +191,10 @@
 
 	const probeEarly = (endpointId: string) => {
 		const owesSince = directory.get(endpointId)?.pool.health.owesSince;
-		if (owesSince !== undefined && clock.now() - owesSince > PROBE_AFTER_MS && !probes.has(endpointId)) {
-			void probe(endpointId);
+		if (owesSince !== undefined && clock.now() - owesSince > PROBE_AFTER_MS) {
+			probe(endpointId).catch((err: unknown) => {
+				log.error('a probe failed', {err});
+			});
 		}
 	};
 
