Tell the lives of a server apart, and pass over entries of other writers

The id alone was the identity, so a reborn primary passed for the one before (a test showed an empty log read as the primary's); one bad entry hid the whole list of servers, and every host took the store to be silent. Ruled out: a check of the birth at each holder of knowledge. The adapter joins id and birth into one endpoint id, so pools, figures, records and fences of a life end with it. Change: endpoint-identity.ts; entries decoded one by one; a link to a primary whose log is shorter than what was seen in it is refused; records that cannot be read stand for a change nobody finishes, a duty nobody holds, a host that is gone.

--- a/src/leadership/leadership-record.ts
+++ b/src/leadership/leadership-record.ts
@@ -76,17 +76,56 @@
 	name: z.string(), peerAddress: z.string(), availabilityZone: z.string(), gone: z.boolean().optional(),
 });
 
-/** Reads a group's record; throws where a field is missing. */
-export function parseLeadership(value: unknown): LeadershipRecord {
-	return leadershipSchema.parse(value);
+/** Reads the record stored under a name; undefined where it is no record of that group. */
+export function parseLeadership(name: string, value: unknown): LeadershipRecord | undefined {
+	const {data} = leadershipSchema.safeParse(value);
+	return data && getLeadershipName(data.group) === name ? data : undefined;
 }
 
-/** Reads the record of the duty; throws where a field is missing. */
-export function parseDuty(value: unknown): DutyRecord {
-	return dutySchema.parse(value);
+/** Reads the record of the duty; undefined where it is none. */
+export function parseDuty(value: unknown): DutyRecord | undefined {
+	return dutySchema.safeParse(value).data;
 }
 
-/** Reads a host's record; throws where a field is missing. */
-export function parseHost(value: unknown): HostRecord {
-	return hostSchema.parse(value);
+/** Reads a host's record; undefined where it is none. */
+export function parseHost(value: unknown): HostRecord | undefined {
+	return hostSchema.safeParse(value).data;
 }
+
+/**
+ * What stands for a group's record that cannot be read; undefined for a name that is no group's.
+ *
+ * Guards against a record that another program wrote over. Taken as absent, a first record would be written beside evidence that hosts may still
+ * hold; taken as an error, the group would never have a primary again. As a change that nobody finishes it is gone on with like that of a
+ * host that died: every host gives its evidence up first. The store's revision grows with each change, so it is above all earlier epochs.
+ */
+export function getUnreadableLeadership(name: string, version: number): LeadershipRecord | undefined {
+	return name.startsWith(GROUP_PREFIX)
+		? {
+			group: name.slice(GROUP_PREFIX.length),
+			primaryId: '',
+			term: 0,
+			epoch: version,
+			phase: LeadPhase.Changing,
+			start: {term: 0, position: 0},
+			changedBy: UNREADABLE,
+		}
+		: undefined;
+}
+
+/** What stands for a record of the duty that cannot be read: held by nobody known, under a token above all earlier ones, each of which took a revision. */
+export function getUnreadableDuty(version: number): DutyRecord {
+	return {
+		holder: UNREADABLE, incarnation: UNREADABLE, token: version, renewals: 0,
+	};
+}
+
+/** What stands for a host's record that cannot be read: nobody asks it, and each replacement waits out its evidence until it has registered anew. */
+export function getUnreadableHost(name: string): HostRecord {
+	return {
+		name, peerAddress: '', availabilityZone: '', gone: true,
+	};
+}
+
+/** Stands for the host behind a record that cannot be read. */
+const UNREADABLE = 'unreadable';
--- a/src/links/endpoint-directory.ts
+++ b/src/links/endpoint-directory.ts
@@ -1,6 +1,7 @@
 import type {Log} from '../log/log.js';
 import type {StoreMirror} from '../mirror/store-mirror.js';
 import type {RegisteredEndpoint} from '../routes/routing.js';
+import type {LogPosition} from '../terms/log-position.js';
 import type {Clock} from '../time/clock.js';
 import {createEndpointPool, type EndpointPool} from './endpoint-pool.js';
 import type {LinkOpener} from './endpoint-link.js';
@@ -27,6 +28,8 @@
 	readonly opener: LinkOpener;
 	readonly clock: Clock;
 	readonly log: Log;
+	/** What an endpoint holds at least in this life, as far as this host can tell. */
+	getLeastPosition(entry: RegisteredEndpoint): LogPosition | undefined;
 };
 
 /**
@@ -41,7 +44,7 @@
 type Kept = KnownEndpoint & {missingSince?: number};
 
 /** Creates an empty directory. */
-export function createEndpointDirectory({mirror, opener, clock, log: parentLog}: EndpointDirectoryOptions): EndpointDirectory {
+export function createEndpointDirectory({mirror, opener, clock, log: parentLog, getLeastPosition}: EndpointDirectoryOptions): EndpointDirectory {
 	const log = parentLog.part('endpoints: ');
 	const kept = new Map<string, Kept>();
 
@@ -49,6 +52,7 @@
 		const pool = createEndpointPool({
 			target: {address: entry.address, group: entry.group, endpointId: entry.id},
 			opener,
+			getLeastPosition: () => getLeastPosition(entry),
 			clock,
 			log,
 			getLimits: () => ({
@@ -76,12 +80,15 @@
 		kept.set(entry.id, {entry, pool: known.pool});
 	};
 
-	const noteMissing = (known: Kept, now: number) => {
+	/** A life that another one has followed is over; what is just missing may be back. */
+	const noteMissing = (known: Kept, now: number, isFollowed: boolean) => {
 		known.missingSince ??= now;
-		if (now - known.missingSince > MISSING_AFTER_MS) {
+		if (isFollowed || now - known.missingSince > MISSING_AFTER_MS) {
 			known.pool.retire();
 			kept.delete(known.entry.id);
-			log.info('an endpoint is gone', {endpoint: known.entry.id, group: known.entry.group, missingMs: Math.round(now - known.missingSince)});
+			log.info('an endpoint is gone', {
+				endpoint: known.entry.id, group: known.entry.group, missingMs: Math.round(now - known.missingSince), isFollowed,
+			});
 		}
 	};
 
@@ -90,15 +97,17 @@
 		list: group => [...kept.values()].filter(({entry}) => entry.group === group),
 		update(now) {
 			const listed = new Set<string>();
+			const servers = new Set<string>();
 			for (const entry of mirror.state.endpoints) {
 				listed.add(entry.id);
+				servers.add(entry.server);
 				noteEntry(entry);
 			}
 
 			for (const known of kept.values()) {
 				known.pool.trim();
 				if (!listed.has(known.entry.id)) {
-					noteMissing(known, now);
+					noteMissing(known, now, servers.has(known.entry.server));
 				}
 			}
 		},
--- a/src/links/endpoint-pool.ts
+++ b/src/links/endpoint-pool.ts
@@ -1,13 +1,14 @@
 import type {Log} from '../log/log.js';
 import {AnswerCode} from '../statements/statement-answer.js';
+import {holdsLogPosition, LOG_START, type LogPosition} from '../terms/log-position.js';
 import type {Clock} from '../time/clock.js';
 import {createSleepAlarm} from '../time/sleep-alarm.js';
 import {createEndpointHealth, type EndpointHealth} from './endpoint-health.js';
 import type {
-	EndpointRequest, EndpointStatus, LinkListener, LinkOpener, LinkTarget,
+	EndpointLink, EndpointRequest, EndpointStatus, LinkListener, LinkOpener, LinkTarget,
 } from './endpoint-link.js';
 import {createLinkBudget} from './link-budget.js';
-import {isLinkRefused} from './link-errors.js';
+import {createLinkRefused, isLinkRefused} from './link-errors.js';
 import {createSessionLink, type SessionLink} from './link-session.js';
 
 /** Whoever asks for a connection. */
@@ -49,6 +50,8 @@
 	readonly clock: Clock;
 	readonly log: Log;
 	getLimits(): {readonly maxConnections: number; readonly hosts: number};
+	/** What the endpoint holds at least; undefined where nothing is known of its log. */
+	getLeastPosition(): LogPosition | undefined;
 };
 
 /**
@@ -74,7 +77,7 @@
 };
 
 /** Creates a pool without connections. */
-export function createEndpointPool({target, opener, clock, log, getLimits}: EndpointPoolOptions): EndpointPool {
+export function createEndpointPool({target, opener, clock, log, getLimits, getLeastPosition}: EndpointPoolOptions): EndpointPool {
 	const health = createEndpointHealth();
 	const budget = createLinkBudget(getLimits);
 	const all = new Set<SessionLink>();
@@ -106,7 +109,13 @@
 		opening++;
 		listener.onAsked();
 		try {
+			// Taken before the opening: what others write meanwhile may be known here before the endpoint's greeting is.
+			const least = getLeastPosition();
 			const link = await opener.open(target, timeoutMs, listener);
+			if (least && least.position > 0 && !holdsLogPosition(link.firstPosition ?? LOG_START, least)) {
+				refuseForgetful(link, least);
+			}
+
 			const sessionLink = createSessionLink(link);
 			all.add(sessionLink);
 			link.onClose(() => {
@@ -122,6 +131,18 @@
 		}
 	};
 
+	/**
+	 * Guards against a primary that started again and lost its log while its entry still names the life before: it answers under the server's id,
+	 * a read there would miss acknowledged commits, and a write would begin a second history. Its log is shorter than what was seen in it.
+	 */
+	const refuseForgetful = (link: EndpointLink, least: LogPosition): never => {
+		log.warn('an endpoint has lost its log and is not used', {
+			endpoint: target.endpointId, group: target.group, holds: link.firstPosition, held: least,
+		});
+		link.cut();
+		throw createLinkRefused(target.address, AnswerCode.WrongEndpoint);
+	};
+
 	const takeIdle = (values: ReadonlyMap<string, string>) => {
 		idle = idle.filter(({sessionLink}) => !sessionLink.link.closed);
 		const matching = idle.findLastIndex(({sessionLink}) => sessionLink.matches(values));
--- a/src/mirror/mirror-state.ts
+++ b/src/mirror/mirror-state.ts
@@ -1,5 +1,6 @@
 import {
-	DUTY_NAME, parseDuty, parseHost, parseLeadership, type DutyRecord, type HostRecord, type LeadershipRecord,
+	DUTY_NAME, getUnreadableDuty, getUnreadableHost, getUnreadableLeadership, parseDuty, parseHost, parseLeadership,
+	type DutyRecord, type HostRecord, type LeadershipRecord,
 } from '../leadership/leadership-record.js';
 import type {RegisteredEndpoint, Routing} from '../routes/routing.js';
 import type {StoredRecord} from './metadata-store.js';
@@ -56,26 +57,28 @@
 	};
 }
 
-/** Decodes the records of leadership and of the duty. */
+/** Decodes the records of leadership and of the duty; what cannot be read is taken as in {@link getUnreadableLeadership} and {@link getUnreadableDuty}. */
 export function decodeLeadership(records: readonly StoredRecord[]): Pick<MirrorState, 'leadership' | 'duty'> {
 	const leadership = new Map<string, Versioned<LeadershipRecord>>();
 	let duty: Versioned<DutyRecord> | undefined;
 	for (const {name, version, value} of records) {
 		if (name === DUTY_NAME) {
-			duty = {...parseDuty(value), version};
+			duty = {...(parseDuty(value) ?? getUnreadableDuty(version)), version};
 			continue;
 		}
 
-		const record = parseLeadership(value);
-		leadership.set(record.group, {...record, version});
+		const record = parseLeadership(name, value) ?? getUnreadableLeadership(name, version);
+		if (record) {
+			leadership.set(record.group, {...record, version});
+		}
 	}
 
 	return {leadership, duty};
 }
 
-/** Decodes the hosts' records. */
+/** Decodes the hosts' records; one that cannot be read stands for a host that is gone, which may hold evidence and registers anew. */
 export function decodeHosts(records: readonly StoredRecord[]): MirrorState['hosts'] {
-	return records.map(({version, value}) => ({...parseHost(value), version}));
+	return records.map(({name, version, value}) => ({...(parseHost(value) ?? getUnreadableHost(name)), version}));
 }
 
 /** The later of two versions of the configuration: what was once in force is never replaced by what came before it. */
--- a/src/placement/position-samples.ts
+++ b/src/placement/position-samples.ts
@@ -9,6 +9,8 @@
 	note(askedAt: number, position: LogPosition): void;
 	/** The oldest sample asked for at or after `since`: the lowest floor that still covers all that was acknowledged before `since`. */
 	getFloor(since: number): LogPosition | undefined;
+	/** The newest sample. */
+	getNewest(): LogPosition | undefined;
 	/** Elapsed time at which the primary's log is known to have been no further than `position`; undefined where all samples are further. */
 	getTimeOf(position: LogPosition): number | undefined;
 	/**
@@ -45,6 +47,7 @@
 		getFloor(since) {
 			return samples.find(sample => sample.askedAt >= since)?.position;
 		},
+		getNewest: () => samples.at(-1)?.position,
 		getTimeOf(position) {
 			return samples.findLast(sample => compareLogPositions(sample.position, position) <= 0)?.askedAt;
 		},
--- a/src/platform/endpoint-lines.ts
+++ b/src/platform/endpoint-lines.ts
@@ -1,6 +1,7 @@
 import {EndpointRole} from '../endpoints/endpoint.js';
 import type {EndpointCommand, EndpointRequest, EndpointStatus} from '../links/endpoint-link.js';
 import {Access} from '../statements/statement.js';
+import {getServerId} from './endpoint-identity.js';
 import {formatPosition, parsePosition} from './position-text.js';
 
 /** The id that marks what the proxy asks on its own behalf. */
@@ -8,7 +9,7 @@
 
 /** Writes the first message to an endpoint: the group stands where callers name a database. */
 export function formatStartup(group: string, hostName: string, endpointId: string): string {
-	return `STARTUP ${group} ${hostName} ${endpointId}\r\n`;
+	return `STARTUP ${group} ${hostName} ${getServerId(endpointId)}\r\n`;
 }
 
 /** Writes a request to an endpoint. */
--- a/src/platform/http-metadata-store.ts
+++ b/src/platform/http-metadata-store.ts
@@ -4,16 +4,20 @@
 } from '../mirror/metadata-store.js';
 import {createHttpExchanger, type HttpAnswer, type HttpExchange} from '../object-store/http-exchange.js';
 import {throwPlatformRefused, throwPlatformSilent, throwVersionConflict} from '../object-store/platform-errors.js';
+import type {RegisteredEndpoint} from '../routes/routing.js';
+import type {Log} from '../log/log.js';
 import type {Clock} from '../time/clock.js';
 import {
 	decodeEndpoint, decodeRouting, storeListSchema, storeObjectSchema, type StoreObject,
 } from './store-schemas.js';
+import {createUnusableEntries} from './unusable-entries.js';
 
 /** What the client needs. */
 export type HttpMetadataStoreOptions = {
 	/** `ip:port` of the store. */
 	readonly address: string;
 	readonly clock: Clock;
+	readonly log: Log;
 	/** Told of each call and how it ended, for the metrics. */
 	onCall(call: string, result: string): void;
 };
@@ -43,8 +47,9 @@
 } as const;
 
 /** Creates a client of the platform's store. */
-export function createHttpMetadataStore({address, clock, onCall}: HttpMetadataStoreOptions): MetadataStore {
+export function createHttpMetadataStore({address, clock, log, onCall}: HttpMetadataStoreOptions): MetadataStore {
 	const exchanger = createHttpExchanger({baseUrl: `http://${address}`, clock});
+	const unusable = createUnusableEntries(log.part('store: '));
 
 	const exchange = async (call: string, req: HttpExchange): Promise<HttpAnswer> => {
 		try {
@@ -73,15 +78,27 @@
 			const page = parse(what, res, storeListSchema);
 			// Later pages may show more; the first one's revision is what the whole is complete up to.
 			revision ??= page.storeRevision;
-			objects.push(...page.items);
-			if (!page.hasMore || page.items.length === 0) {
+			const readable = page.items.map(item => decodeObject(kind, item)).filter(object => object !== undefined);
+			objects.push(...readable);
+			if (!page.hasMore) {
 				return {revision, objects};
 			}
 
-			after = page.items.at(-1)!.meta.name;
+			// Without a name to go on from, what follows cannot be asked for, and half a list must not pass for the whole.
+			after = readable.at(-1)?.meta.name ?? throwPlatformSilent(what, new Error('a page names no object'));
 		}
 	};
 
+	/** An item of a list; undefined, and logged, where it is no object. */
+	const decodeObject = (kind: string, item: unknown): StoreObject | undefined => {
+		const object = storeObjectSchema.safeParse(item);
+		if (!object.success) {
+			unusable.note(kind, item);
+		}
+
+		return object.data;
+	};
+
 	return {
 		async getRevision(timeoutMs) {
 			const {revision} = await list(EMPTY_KIND, timeoutMs);
@@ -90,11 +107,26 @@
 		async readRouting(timeoutMs) {
 			const {revision, objects} = await list(CONFIGURATION_KIND, timeoutMs);
 			const main = objects.find(object => object.meta.name === CONFIGURATION_NAME);
-			return {revision, content: main ? decodeOrThrow('configuration', () => decodeRouting(main.spec)) : undefined};
+			const routing = main && decodeRouting(main.spec);
+			if (main && !routing) {
+				unusable.note(CONFIGURATION_KIND, main);
+			}
+
+			return {revision, content: routing};
 		},
 		async listEndpoints(timeoutMs) {
 			const {revision, objects} = await list(ENDPOINT_KIND, timeoutMs);
-			return {revision, content: decodeOrThrow('endpoints', () => objects.map(object => decodeEndpoint(object)))};
+			const content: RegisteredEndpoint[] = [];
+			for (const object of objects) {
+				const endpoint = decodeEndpoint(object);
+				if (endpoint) {
+					content.push(endpoint);
+				} else {
+					unusable.note(ENDPOINT_KIND, object);
+				}
+			}
+
+			return {revision, content};
 		},
 		async listRecords(kind, timeoutMs) {
 			const {revision, objects} = await list(KIND_NAMES[kind], timeoutMs);
@@ -143,13 +175,12 @@
 		throwPlatformRefused(what, `HTTP status ${res.status}`);
 	}
 
-	return decodeOrThrow(what, () => schema.parse(JSON.parse(res.text)));
-}
-
-function decodeOrThrow<T>(what: string, decode: () => T): T {
 	try {
-		return decode();
+		return schema.parse(JSON.parse(res.text.replaceAll(CONTROL_CHARACTERS, ' ')));
 	} catch (err) {
 		return throwPlatformSilent(what, err);
 	}
 }
+
+/** What another writer may have put into a string: as it stands no JSON may hold it, and one such entry would make the whole list unreadable. */
+const CONTROL_CHARACTERS = /\p{Cc}/gv;
--- a/src/platform/http-promotion-orders.ts
+++ b/src/platform/http-promotion-orders.ts
@@ -2,6 +2,7 @@
 import {createHttpExchanger} from '../object-store/http-exchange.js';
 import {PlatformError} from '../object-store/platform-errors.js';
 import type {Clock} from '../time/clock.js';
+import {getServerId} from './endpoint-identity.js';
 
 /** What the client needs. */
 export type HttpPromotionOrdersOptions = {
@@ -25,7 +26,7 @@
 					what: `promote ${endpointId}`,
 					method: 'POST',
 					path: '/promote',
-					body: {backend: group, id: endpointId},
+					body: {backend: group, id: getServerId(endpointId)},
 					headers: {'X-Aldercroft-Lease-Holder': holder, 'X-Aldercroft-Fencing-Token': String(token)},
 					timeoutMs,
 				});
--- a/src/platform/store-schemas.ts
+++ b/src/platform/store-schemas.ts
@@ -2,6 +2,7 @@
 import {
 	ReadPolicy, type RegisteredEndpoint, type Route, type Routing,
 } from '../routes/routing.js';
+import {formatEndpointId} from './endpoint-identity.js';
 
 /** Checks an object of the store; `spec` holds what its writer put there. */
 export const storeObjectSchema = z.object({
@@ -16,9 +17,9 @@
 /** An object of the store, decoded. */
 export type StoreObject = z.infer<typeof storeObjectSchema>;
 
-/** Checks a page of a list. */
+/** Checks a page of a list; its items are checked one by one, since one that cannot be read must not hide the others. */
 export const storeListSchema = z.object({
-	items: z.array(storeObjectSchema),
+	items: z.array(z.unknown()),
 	/** Another page follows, to be asked for after the last name of this one. */
 	hasMore: z.boolean(),
 	/** Revision of the whole store, not of the kind. */
@@ -61,21 +62,37 @@
 	limits: z.object({txIdleMs: z.number().default(DEFAULT_IDLE_TRANSACTION_MS)}),
 });
 
+/** What a server says of itself. Whatever lacks a field, or has one of another type, was written by something else than a server. */
 const endpointSchema = z.object({
 	/** The group that it serves. */
-	backend: z.string(),
-	address: z.string(),
+	backend: z.string().min(1),
+	address: z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/v),
 	zone: z.string(),
+	/** Version of its software, not of the entry. */
+	revision: z.string(),
 	/** Statements that it runs at once, not its connections. */
-	capacity: z.number().default(1),
-	state: z.string(),
+	capacity: z.int().positive(),
+	state: z.enum(['ready', 'draining']),
+	coldRemainingMs: z.number(),
+	/** Grows with each heartbeat. */
+	sequence: z.int(),
 	/** How the server sees itself. */
-	dbRole: z.string().optional(),
+	dbRole: z.enum(['primary', 'replica']),
+	/** Unix time of its start, in milliseconds; servers that get a new id with each start leave it out. */
+	born: z.int().optional(),
 });
 
-/** Decodes the configuration. */
-export function decodeRouting(spec: unknown): Routing {
-	const {revision, routes, backends, limits} = routingSchema.parse(spec);
+/** An id that can stand in a message, where blanks separate the fields. */
+const serverIdSchema = z.string().regex(/^\S+$/v);
+
+/** Decodes the configuration; undefined where it is none, upon which the version in force stays. */
+export function decodeRouting(spec: unknown): Routing | undefined {
+	const read = routingSchema.safeParse(spec);
+	if (!read.success) {
+		return undefined;
+	}
+
+	const {revision, routes, backends, limits} = read.data;
 	return {
 		version: revision,
 		routes: new Map(routes.map(route => [route.host, decodeRoute(route)])),
@@ -98,16 +115,23 @@
 	};
 }
 
-/** Decodes a server's entry. */
-export function decodeEndpoint({meta, spec}: StoreObject): RegisteredEndpoint {
-	const entry = endpointSchema.parse(spec);
+/** Decodes a server's entry; undefined where it names no server that could be used. */
+export function decodeEndpoint({meta, spec}: StoreObject): RegisteredEndpoint | undefined {
+	const id = serverIdSchema.safeParse(meta.name);
+	const entry = endpointSchema.safeParse(spec);
+	if (!id.success || !entry.success) {
+		return undefined;
+	}
+
+	const {backend, address, zone, capacity, state, dbRole, born} = entry.data;
 	return {
-		id: meta.name,
-		group: entry.backend,
-		address: entry.address,
-		availabilityZone: entry.zone,
-		slots: entry.capacity,
-		leaving: entry.state !== 'ready',
-		claimsLead: entry.dbRole === 'primary',
+		id: formatEndpointId(id.data, born),
+		server: id.data,
+		group: backend,
+		address,
+		availabilityZone: zone,
+		slots: capacity,
+		leaving: state === 'draining',
+		claimsLead: dbRole === 'primary',
 	};
 }
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -8,6 +8,7 @@
 import {createLeadEvidences, type LeadEvidences} from '../leadership/lead-evidence.js';
 import {createLeadWatch, type LeadWatch} from '../leadership/lead-watch.js';
 import {createPrimaryWork} from '../leadership/primary-work.js';
+import {LeadPhase} from '../leadership/leadership-record.js';
 import type {PromotionOrders} from '../leadership/promotion-orders.js';
 import {createHostRegistration, type HostRegistration} from '../leadership/register-host.js';
 import {replacePrimary} from '../leadership/replace-primary.js';
@@ -18,6 +19,7 @@
 import {createStoreMirror, type StoreMirror} from '../mirror/store-mirror.js';
 import type {LivePeers} from '../peers/create-peers.js';
 import {createPlacementKnowledge} from '../placement/placement-knowledge.js';
+import {getHigherFloor} from '../placement/position-samples.js';
 import {WeighedPlacement, type ReadPlacement} from '../placement/read-placement.js';
 import type {Random} from '../random/random.js';
 import type {Clock} from '../time/clock.js';
@@ -79,7 +81,15 @@
 	const primaryWork = createPrimaryWork(clock);
 	const cutOffs = createCutOffs();
 	const directory = createEndpointDirectory({
-		mirror, opener, clock, log,
+		mirror,
+		opener,
+		clock,
+		log,
+		getLeastPosition({id, group}) {
+			const record = mirror.state.leadership.get(group);
+			const leads = record?.phase === LeadPhase.Steady && record.primaryId === id;
+			return leads ? getHigherFloor(record.start, knowledge.getSamples(group).getNewest()) : undefined;
+		},
 	});
 	const duty = createDutyLease({
 		store, mirror, elapsedClock, log, hostName, incarnation,
--- a/src/proxy/main.ts
+++ b/src/proxy/main.ts
@@ -42,7 +42,9 @@
 		random,
 		log,
 		metrics,
-		store: createHttpMetadataStore({address: settings.storeAddress, clock, onCall}),
+		store: createHttpMetadataStore({
+			address: settings.storeAddress, clock, log, onCall,
+		}),
 		orders: createHttpPromotionOrders({address: settings.ordersAddress, clock, onCall}),
 		opener: createTcpLinkOpener({clock, hostName: settings.hostName}),
 		peers: createWsPeers({
--- a/src/routes/routing.ts
+++ b/src/routes/routing.ts
@@ -48,7 +48,10 @@
 
 /** An endpoint as it registered itself. */
 export type RegisteredEndpoint = {
+	/** Names one life of it: started again it knows nothing of before, and has another id. */
 	readonly id: string;
+	/** Names the server, the same in each of its lives; two lives never overlap. */
+	readonly server: string;
 	readonly group: string;
 	/** `ip:port`; used again by others once the endpoint is gone. */
 	readonly address: string;
--- a/src/stand-ins/plain-group/plain-group.ts
+++ b/src/stand-ins/plain-group/plain-group.ts
@@ -2,6 +2,7 @@
 import type {EndpointLink, LinkListener, LinkTarget} from '../../links/endpoint-link.js';
 import {createLinkLost, createLinkRefused, throwUnexpectedAnswer} from '../../links/link-errors.js';
 import {OrderOutcome} from '../../leadership/promotion-orders.js';
+import {getServerId} from '../../platform/endpoint-identity.js';
 import {parseStatusRow} from '../../platform/endpoint-lines.js';
 import {AnswerCode, type EndpointAnswer} from '../../statements/statement-answer.js';
 import type {Clock} from '../../time/clock.js';
@@ -26,6 +27,8 @@
 	/** Ends a server's process with its sessions; its log stays. */
 	crash(server: PlainServer): void;
 	restart(server: PlainServer): void;
+	/** Has a server start again at once under its id, with nothing of what it held; who leads is open until one is promoted, if it did. */
+	startOver(server: PlainServer): void;
 	/** Replicates until stopped. */
 	start(): void;
 	stop(): void;
@@ -79,6 +82,7 @@
 	const executor = createPlainExecutor({clock, observer, getServiceMs: options.getServiceMs ?? (() => options.serviceMs ?? DEFAULT_SERVICE_MS)});
 	const servers = options.zones.map((availabilityZone, i): PlainServer => ({
 		id: `${name}-${i + 1}`,
+		life: 0,
 		address: `${name}-${i + 1}:5432`,
 		availabilityZone,
 		role: i === 0 ? EndpointRole.Primary : EndpointRole.Replica,
@@ -102,7 +106,7 @@
 
 	const replicateTo = (server: PlainServer) => {
 		const isAwake = ({running, frozenUntil}: PlainServer) => running && frozenUntil <= clock.now();
-		const reaches = isAwake(server) && isAwake(leader) && !server.cutFromGroup && !leader.cutFromGroup;
+		const reaches = leader.role === EndpointRole.Primary && isAwake(server) && isAwake(leader) && !server.cutFromGroup && !leader.cutFromGroup;
 		if (server === leader || !reaches) {
 			server.metSuccessorAt = undefined;
 			return;
@@ -137,7 +141,7 @@
 
 	const takeLead = async (server: PlainServer) => {
 		await clock.sleep(options.promoteMs ?? DEFAULT_PROMOTE_MS);
-		if (!server.running || server === leader) {
+		if (!server.running || (server === leader && server.role === EndpointRole.Primary)) {
 			return;
 		}
 
@@ -269,7 +273,7 @@
 				throw createLinkRefused(target.address, AnswerCode.TooManyConnections);
 			}
 
-			if (server.id !== target.endpointId) {
+			if (server.id !== getServerId(target.endpointId)) {
 				throw createLinkRefused(target.address, AnswerCode.WrongEndpoint);
 			}
 
@@ -277,12 +281,12 @@
 			return connect(server, listener, isCut, options.getWayMs?.(hostZone, server.availabilityZone) ?? WAY_MS);
 		},
 		promote(endpointId) {
-			const server = servers.find(({id}) => id === endpointId);
+			const server = servers.find(({id}) => id === getServerId(endpointId));
 			if (!server?.running) {
 				return OrderOutcome.NotRunning;
 			}
 
-			if (server !== leader) {
+			if (server !== leader || server.role === EndpointRole.Replica) {
 				void takeLead(server);
 			}
 
@@ -299,6 +303,15 @@
 			server.fencedTerm = 0;
 			server.role = server === leader ? EndpointRole.Primary : EndpointRole.Replica;
 		},
+		startOver(server) {
+			this.crash(server);
+			server.life++;
+			server.log.length = 0;
+			server.term = 0;
+			server.fencedTerm = 0;
+			server.role = EndpointRole.Replica;
+			server.running = true;
+		},
 		start() {
 			void run();
 		},
--- a/src/stand-ins/plain-group/plain-server.ts
+++ b/src/stand-ins/plain-group/plain-server.ts
@@ -22,7 +22,10 @@
 
 /** A database server that takes no request keys and whose fence lasts only until it restarts. */
 export type PlainServer = {
+	/** The server's own, the same after each restart. */
 	readonly id: string;
+	/** Grows each time that it starts without what it held. */
+	life: number;
 	readonly address: string;
 	readonly availabilityZone: string;
 	role: EndpointRole;
--- a/src/stand-ins/proxies/simulated-proxies.ts
+++ b/src/stand-ins/proxies/simulated-proxies.ts
@@ -6,6 +6,7 @@
 import type {Kernel} from '../../kernel/kernel.js';
 import {createPromGatewayMetrics} from '../../gateway/prom-gateway-metrics.js';
 import {OrderOutcome, type PromotionOrder} from '../../leadership/promotion-orders.js';
+import {formatEndpointId, getServerId} from '../../platform/endpoint-identity.js';
 import {createProxy} from '../../proxy/create-proxy.js';
 import {createSeededRandom} from '../../random/seeded-random.js';
 import type {RegisteredEndpoint, Route, Routing} from '../../routes/routing.js';
@@ -117,7 +118,8 @@
 
 	const registerEndpoints = () => {
 		store.setEndpoints(groups.flatMap(group => group.servers.filter(({running}) => running).map((server): RegisteredEndpoint => ({
-			id: server.id,
+			id: formatEndpointId(server.id, server.life === 0 ? undefined : server.life),
+			server: server.id,
 			group: group.name,
 			address: server.address,
 			availabilityZone: server.availabilityZone,
@@ -148,7 +150,7 @@
 	const createOpener = (proxy: SimulatedProxy): LinkOpener => ({
 		async open(target, timeoutMs, listener) {
 			const group = groups.find(({name}) => name === target.group)!;
-			const isCut = () => proxy.killed || proxy.cutFrom.has(target.endpointId);
+			const isCut = () => proxy.killed || proxy.cutFrom.has(getServerId(target.endpointId));
 			const opened = await withinMs(proxy.clock, timeoutMs, deliver(proxy, group.open(target, listener, isCut, proxy.availabilityZone)));
 			if (opened.timedOut) {
 				throw createLinkLost(target.address, `not open within ${timeoutMs} ms`);
--- /dev/null
+++ b/tests/links/endpoint-directory-tests.ts
@@ -0,0 +1,47 @@
+import {expect} from 'chai';
+import {createEndpointDirectory, MISSING_AFTER_MS} from '../../src/links/endpoint-directory.js';
+import {createSilentLog} from '../../src/log/silent-log.js';
+import {EMPTY_STATE} from '../../src/mirror/mirror-state.js';
+import type {StoreMirror} from '../../src/mirror/store-mirror.js';
+import type {RegisteredEndpoint} from '../../src/routes/routing.js';
+import {createVirtualClock} from '../../src/stand-ins/time/virtual-clock.js';
+
+const makeEntry = (id: string, server: string): RegisteredEndpoint => ({
+	id, server, group: 'nights', address: '10.1.0.9:8080', availabilityZone: 'hall-a', slots: 3, leaving: false, claimsLead: false,
+});
+
+/** An opening that nobody answers; none is asked for here. */
+const NEVER = new Promise<never>(() => {}); // eslint-disable-line @typescript-eslint/no-empty-function
+
+describe('the endpoints that are registered', () => {
+	/** Updates a directory with one list after the other, each so many milliseconds after the first, and tells which endpoints it then has. */
+	function doTest(name: string, lists: ReadonlyArray<{readonly afterMs: number; readonly entries: readonly RegisteredEndpoint[]}>, expected: readonly string[]) {
+		it(name, () => {
+			const mirror = {state: EMPTY_STATE};
+			const directory = createEndpointDirectory({
+				mirror: mirror as unknown as StoreMirror,
+				opener: {open: async () => NEVER},
+				clock: createVirtualClock(),
+				log: createSilentLog(),
+				getLeastPosition: () => undefined,
+			});
+			for (const {afterMs, entries} of lists) {
+				mirror.state = {...EMPTY_STATE, endpoints: entries};
+				directory.update(afterMs);
+			}
+
+			expect(directory.list('nights').map(({entry}) => entry.id)).to.deep.equal(expected);
+		});
+	}
+
+	const first = makeEntry('i-1 1000', 'i-1');
+	const second = makeEntry('i-1 2000', 'i-1');
+	const other = makeEntry('i-2', 'i-2');
+
+	doTest('one whose entry is missing may be back', [{afterMs: 0, entries: [first, other]}, {afterMs: 10, entries: [other]}], ['i-1 1000', 'i-2']);
+	doTest('it is gone after longer than the store\'s own troubles explain', [
+		{afterMs: 0, entries: [first, other]}, {afterMs: 10, entries: [other]}, {afterMs: 11 + MISSING_AFTER_MS, entries: [other]},
+	], ['i-2']);
+	// Connections of the life before would be lent, and its figures believed, for all that time.
+	doTest('a life is over as soon as the next one is listed', [{afterMs: 0, entries: [first, other]}, {afterMs: 10, entries: [second, other]}], ['i-2', 'i-1 2000']);
+});
