--- a/src/lending/link-lender.ts
+++ b/src/lending/link-lender.ts
@@ -8,7 +8,9 @@
 import {SessionState} from '../statements/statement.js';
 import {withinMs} from '../time/deadline.js';
 import type {Clock} from '../time/clock.js';
-import {LoanRefusal, type LoanAnswer, type LoanExchange, type LoanRequest} from './lending-calls.js';
+import {
+	LoanRefusal, type LoanAnswer, type LoanExchange, type LoanRequest,
+} from './lending-calls.js';
 
 /** Lends this host's connections to endpoints to hosts that keep none. */
 export type LinkLender = {
@@ -85,7 +87,13 @@
 		}
 
 		const loan: Loan = {
-			id: createRequestId(clock.wall(), random), borrower, endpoint, sessionLink, state: SessionState.Idle, turn: 0, lastAt: clock.now(),
+			id: createRequestId(clock.wall(), random),
+			borrower,
+			endpoint,
+			sessionLink,
+			state: SessionState.Idle,
+			turn: 0,
+			lastAt: clock.now(),
 		};
 		loans.set(loan.id, loan);
 		return {loan: loan.id};
@@ -93,7 +101,7 @@
 
 	const exchange = async ({loan: id, turn, needed, request}: LoanExchange, borrower: string) => {
 		const loan = loans.get(id);
-		if (!loan || loan.borrower !== borrower) {
+		if (loan?.borrower !== borrower) {
 			return {};
 		}
 
--- a/tests/lending/lenders-tests.ts
+++ b/tests/lending/lenders-tests.ts
@@ -65,7 +65,7 @@
 
 	it('leave a host\'s zone to the others of it once the host is marked', () => {
 		const state = makeState({hosts: 12, zones: 3, maxConnections: 8});
-		const [first] = createAt(state, 0).getKeepers(ENDPOINT).filter(({availabilityZone}) => availabilityZone === 'zone-0');
+		const first = createAt(state, 0).getKeepers(ENDPOINT).find(({availabilityZone}) => availabilityZone === 'zone-0');
 		const marked = {...state, hosts: state.hosts.map(host => host.name === first!.name ? {...host, gone: true} : host)};
 		const left = createAt(marked, 3).getKeepers(ENDPOINT);
 		expect(left.map(({availabilityZone}) => availabilityZone).toSorted()).to.deep.equal(['zone-0', 'zone-1', 'zone-2']);
--- a/tests/proxy/lending-tests.ts
+++ b/tests/proxy/lending-tests.ts
@@ -27,7 +27,8 @@
 		for (let round = 0; round < 5; round++) {
 			const answers = callers.map(async (caller, i) => bench.send(caller, `WRITE night-${i} ${round}`));
 			await bench.clock.advance(500);
-			expect((await Promise.all(answers)).map(answer => describeAnswer(answer))).to.deep.equal(Array.from({length: PROXIES}, () => 'done idle'));
+			const all = await Promise.all(answers);
+			expect(all.map(answer => describeAnswer(answer))).to.deep.equal(Array.from({length: PROXIES}, () => 'done idle'));
 		}
 	});
 
