--- a/src/gateway/caller-session.ts
+++ b/src/gateway/caller-session.ts
@@ -115,7 +115,7 @@
 			id,
 			statement,
 			req: {
-				route, memory, arrivedAt: elapsedClock.elapsed(), until, isWanted, trace: newTrace(),
+				route, memory, arrivedAt: elapsedClock.elapsed(), until, single: true, isWanted, trace: newTrace(),
 			},
 		};
 		return shape.access === Access.Read ? runRead(parts, getBudget(route.group), single) : runWrite(parts, single);
--- a/src/gateway/lend-link.ts
+++ b/src/gateway/lend-link.ts
@@ -35,6 +35,8 @@
 	readonly arrivedAt: number;
 	/** Steady time until which a connection is of use. */
 	readonly until: number;
+	/** Whether the connection is for one statement; else it is for a transaction. */
+	readonly single?: boolean;
 	/** Endpoints that have been tried. */
 	readonly excluded?: ReadonlySet<string>;
 	/** Whether the caller is still there. */
@@ -155,7 +157,9 @@
 async function acquire(parts: GatewayParts, req: LinkRequest, endpoint: KnownEndpoint, evidence?: LeadEvidence, floor?: LogPosition): Promise<LentLink | undefined> {
 	const {pool} = endpoint;
 	const askedAt = parts.clock.now();
-	const sessionLink = await pool.acquire({priority: req.route.priority, until: req.until, values: req.memory.values});
+	const sessionLink = await pool.acquire({
+		priority: req.route.priority, until: req.until, values: req.memory.values, single: req.single ?? false,
+	});
 	if (!sessionLink) {
 		return undefined;
 	}
--- a/src/leadership/lead-watch.ts
+++ b/src/leadership/lead-watch.ts
@@ -59,6 +59,9 @@
 /** How often primaries are looked at, in milliseconds: a twentieth of a promotion, for some microseconds each. */
 const LOOK_MS = 50;
 
+/** How often a host looks at a primary to which it keeps no connections, in milliseconds: only what it acts on after seconds, and old evidence. */
+const BYSTANDER_LOOK_MS = 400;
+
 /** A primary that was not heard for so long is asked for a sign of life, in milliseconds, so that its loss is noticed before a caller meets it. */
 const QUIET_MS = 1000;
 
@@ -278,10 +281,16 @@
 		}
 	};
 
+	const isDue = (group: string) => {
+		const watch = getWatch(group);
+		return !watch.busy && clock.now() >= watch.notBefore && !changing.has(group);
+	};
+
 	const lookSafely = async (group: string) => {
 		const watch = getWatch(group);
-		if (watch.busy || clock.now() < watch.notBefore || changing.has(group)) {
-			return;
+		const primaryId = mirror.state.leadership.get(group)?.primaryId;
+		if (primaryId !== undefined && !options.lenders.keepsOwn({id: primaryId, group})) {
+			watch.notBefore = clock.now() + BYSTANDER_LOOK_MS;
 		}
 
 		watch.busy = true;
@@ -332,7 +341,9 @@
 		while (!stopping.signal.aborted) {
 			directory.update(clock.now());
 			for (const group of mirror.state.routing?.groups.keys() ?? []) {
-				lookSafely(group).catch(noteBug);
+				if (isDue(group)) {
+					lookSafely(group).catch(noteBug);
+				}
 			}
 
 			await clock.sleep(LOOK_MS, stopping.signal);
--- a/src/leadership/register-host.ts
+++ b/src/leadership/register-host.ts
@@ -27,6 +27,12 @@
 
 const STORE_TIMEOUT_MS = 900;
 
+/**
+ * What was written shows in the copy of the store with the ordinary confirmations within so long, in milliseconds. Each host that read the store for
+ * it made five priced calls more: 340 at the start of 68 hosts.
+ */
+const SEEN_WITHIN_MS = 2000;
+
 /** Creates the registration. */
 export function createHostRegistration({store, mirror, log: parentLog, host, elapsedClock}: HostRegistrationOptions): HostRegistration {
 	const log = parentLog.part('hosts: ');
@@ -34,6 +40,7 @@
 	/** Elapsed time at which this process registered the host; undefined where it found it registered. */
 	let registeredAt: number | undefined;
 	let found = false;
+	let writtenAt: number | undefined;
 
 	const find = () => mirror.state.hosts.find(({name}) => name === host.name);
 
@@ -41,7 +48,6 @@
 		try {
 			await change();
 			log.info(what, {host: host.name, address: host.peerAddress});
-			await mirror.confirm();
 		} catch (err) {
 			if (!(err instanceof PlatformError || err instanceof PlatformConflictError)) {
 				throw err;
@@ -64,7 +70,8 @@
 			const record = find();
 			const isRight = record !== undefined && !record.gone && record.peerAddress === host.peerAddress;
 			found ||= isRight;
-			if (busy || isRight || mirror.state.revision === 0) {
+			const isUnderWay = writtenAt !== undefined && elapsedClock.elapsed() - writtenAt < SEEN_WITHIN_MS;
+			if (busy || isRight || isUnderWay || mirror.state.revision === 0) {
 				return;
 			}
 
@@ -72,6 +79,7 @@
 			const staysKnown = record?.gone === true && record.peerAddress === host.peerAddress && isKnownToAll(elapsedClock.elapsed());
 			await attempt('this host is registered', async () => {
 				await store.putRecord(RecordKind.Hosts, {name: host.name, version: record?.version ?? 0, value: host}, STORE_TIMEOUT_MS);
+				writtenAt = elapsedClock.elapsed();
 				registeredAt = staysKnown ? registeredAt : elapsedClock.elapsed();
 			});
 			busy = false;
--- a/src/lending/borrowed-link.ts
+++ b/src/lending/borrowed-link.ts
@@ -17,6 +17,8 @@
 	/** `ip:port` of the lender. */
 	readonly lender: string;
 	readonly loan: string;
+	/** The first answer ends the loan, so that no message of its own has to. */
+	readonly single: boolean;
 	/** Told of each answer of the endpoint. */
 	onHeard(): void;
 };
@@ -31,7 +33,7 @@
  * Creates the borrower's end of a loan. A lender that dies, or is not heard, is a connection that was lost: what was sent on it may
  * have run, and a transaction on it is rolled back, since only the borrower would commit it.
  */
-export function createBorrowedLink({peers, lender, loan, onHeard}: BorrowedLinkOptions): BorrowedLink {
+export function createBorrowedLink({peers, lender, loan, single, onHeard}: BorrowedLinkOptions): BorrowedLink {
 	const closeListeners: Array<() => void> = [];
 	let needed: NeededSession | undefined;
 	let turn = 0;
@@ -64,7 +66,7 @@
 		try {
 			turn++;
 			const {answer} = await peers.call(lender, 'loan-exchange', {
-				loan, turn, needed: takeNeeded(), request,
+				loan, turn, needed: takeNeeded(), request, last: single,
 			}, EXCHANGE_TIMEOUT_MS);
 			return answer;
 		} catch (err) {
@@ -122,7 +124,9 @@
 			needed = wanted;
 		},
 		giveBack() {
-			if (!closed) {
+			if (single && turn > 0) {
+				noteClosed();
+			} else if (!closed) {
 				end(false);
 			}
 		},
--- a/src/lending/lending-calls.ts
+++ b/src/lending/lending-calls.ts
@@ -37,6 +37,8 @@
 	/** What the session needs set and prepared first; undefined for what depends on neither. */
 	readonly needed?: {readonly values: ReadonlyArray<readonly [string, string]>; readonly prepared?: PreparedShape};
 	readonly request: EndpointRequest;
+	/** The loan ends with the answer, where that leaves no transaction open. */
+	readonly last: boolean;
 };
 
 declare module '../peers/peer-calls.js' {
--- a/src/lending/link-lender.ts
+++ b/src/lending/link-lender.ts
@@ -81,7 +81,9 @@
 		}
 
 		const {ownPool} = endpoint;
-		const sessionLink = await ownPool.acquire({priority, until: clock.now() + waitMs, values: new Map(values)});
+		const sessionLink = await ownPool.acquire({
+			priority, until: clock.now() + waitMs, values: new Map(values), single: false,
+		});
 		if (!sessionLink) {
 			return {refused: ownPool.health.getSuspicion(clock.now()) ? LoanRefusal.Unreachable : LoanRefusal.Busy};
 		}
@@ -99,7 +101,7 @@
 		return {loan: loan.id};
 	};
 
-	const exchange = async ({loan: id, turn, needed, request}: LoanExchange, borrower: string) => {
+	const exchange = async ({loan: id, turn, needed, request, last}: LoanExchange, borrower: string) => {
 		const loan = loans.get(id);
 		if (loan?.borrower !== borrower) {
 			return {};
@@ -121,6 +123,10 @@
 			const answer = await loan.sessionLink.link.exchange(request);
 			loan.lastAt = clock.now();
 			loan.state = answer.state;
+			if (last) {
+				end(loan, false);
+			}
+
 			return {answer};
 		} catch (err) {
 			if (!(err instanceof LinkError)) {
--- a/src/lending/shared-pool.ts
+++ b/src/lending/shared-pool.ts
@@ -97,7 +97,7 @@
 			}
 
 			return createBorrowedLink({
-				peers, lender, loan: answer.loan, onHeard: noteHeard,
+				peers, lender, loan: answer.loan, single: wish.single, onHeard: noteHeard,
 			});
 		} catch (err) {
 			if (!isPeerError(err)) {
--- a/src/links/endpoint-directory.ts
+++ b/src/links/endpoint-directory.ts
@@ -46,6 +46,9 @@
  */
 export const MISSING_AFTER_MS = 2500;
 
+/** Without a new list it is looked so often who is missing for too long and what is idle, in milliseconds: a tenth of both times. */
+const UPDATE_EVERY_MS = 250;
+
 /** Used where a group's configuration is not known yet. */
 const DEFAULT_MAX_CONNECTIONS = 8;
 
@@ -55,6 +58,8 @@
 export function createEndpointDirectory({mirror, opener, clock, log: parentLog, getSharing, sharePool, getLeastPosition}: EndpointDirectoryOptions): EndpointDirectory {
 	const log = parentLog.part('endpoints: ');
 	const kept = new Map<string, Kept>();
+	let updatedFrom: readonly RegisteredEndpoint[] | undefined;
+	let updatedAt = Number.NEGATIVE_INFINITY;
 
 	const add = (entry: RegisteredEndpoint) => {
 		const ownPool = createEndpointPool({
@@ -104,6 +109,12 @@
 		get: endpointId => kept.get(endpointId),
 		list: group => [...kept.values()].filter(({entry}) => entry.group === group),
 		update(now) {
+			if (mirror.state.endpoints === updatedFrom && now - updatedAt < UPDATE_EVERY_MS) {
+				return;
+			}
+
+			updatedFrom = mirror.state.endpoints;
+			updatedAt = now;
 			const listed = new Set<string>();
 			const servers = new Set<string>();
 			for (const entry of mirror.state.endpoints) {
--- a/src/links/endpoint-pool.ts
+++ b/src/links/endpoint-pool.ts
@@ -19,6 +19,8 @@
 	readonly until: number;
 	/** Session values; a connection that has them set is preferred. */
 	readonly values: ReadonlyMap<string, string>;
+	/** It serves one statement that leaves nothing open. */
+	readonly single: boolean;
 };
 
 /** The connections of this host to one endpoint. */
@@ -222,6 +224,10 @@
 	};
 
 	const trim = () => {
+		if (!idle[0]) {
+			return;
+		}
+
 		const now = clock.now();
 		let open = all.size;
 		const getLongestIdle = () => open > budget.share ? SPARE_IDLE_MS : SHARE_IDLE_MS;
--- a/src/mirror/store-reader.ts
+++ b/src/mirror/store-reader.ts
@@ -1,4 +1,5 @@
 import type {Log} from '../log/log.js';
+import type {Clock} from '../time/clock.js';
 import type {ElapsedClock} from '../time/elapsed-clock.js';
 import {RecordKind, type MetadataStore} from './metadata-store.js';
 import {decodeHosts, decodeLeadership, type MirrorState} from './mirror-state.js';
@@ -12,6 +13,7 @@
 /** What the reader needs. */
 export type StoreReaderOptions = {
 	readonly store: MetadataStore;
+	readonly clock: Clock;
 	readonly elapsedClock: ElapsedClock;
 	readonly log: Log;
 	/** Revision that the copy is complete up to. */
@@ -25,11 +27,18 @@
 /** Longest call to the store, in milliseconds: the store at a hundred times its usual 4 ms still answers in time. */
 const STORE_TIMEOUT_MS = 900;
 
+/**
+ * A store that did not answer is left alone for so long, in milliseconds. Guards against an outage in which it refuses at once: whoever waits for
+ * evidence asks again and again, and 68 hosts made 2,500 calls a second, each of them priced, where 340 find its return as soon.
+ */
+const PAUSE_AFTER_FAILURE_MS = 200;
+
 /** Creates a reader. */
-export function createStoreReader({store, elapsedClock, log, getRevision, adopt, onConfirmed}: StoreReaderOptions): StoreReader {
+export function createStoreReader({store, clock, elapsedClock, log, getRevision, adopt, onConfirmed}: StoreReaderOptions): StoreReader {
 	let reading: Promise<boolean> | undefined;
 	let queued: Promise<boolean> | undefined;
 	let reached: boolean | undefined;
+	let notBefore = Number.NEGATIVE_INFINITY;
 
 	const noteStore = (answers: boolean, err?: unknown) => {
 		if (answers !== reached) {
@@ -55,6 +64,10 @@
 	};
 
 	const readStore = async () => {
+		if (clock.now() < notBefore) {
+			await clock.sleep(notBefore - clock.now());
+		}
+
 		const askedAt = elapsedClock.elapsed();
 		try {
 			// A revision not above the copy's proves the copy complete at the time of asking: each change of anything raises it.
@@ -67,6 +80,7 @@
 			return true;
 		} catch (err) {
 			noteStore(false, err);
+			notBefore = clock.now() + PAUSE_AFTER_FAILURE_MS;
 			return false;
 		}
 	};
