Refuse soon at an isolated host, and try endpoints again that were taken to be gone

Cause: a host cut off from the store and its peers held callers for their whole statement time (1,000 ms in the test; now under 300). An opening that failed left the endpoint 'silent' for good at a host that asks it nothing more: a replica that was cut off was never read again there (finding; red in tests/proxy/failures-tests.ts).

--- a/src/gateway/lend-link.ts
+++ b/src/gateway/lend-link.ts
@@ -1,7 +1,8 @@
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import type {KnownEndpoint} from '../links/endpoint-directory.js';
 import type {SessionLink} from '../links/link-session.js';
-import type {LeadEvidence} from '../leadership/lead-evidence.js';
+import {EVIDENCE_MS, type LeadEvidence} from '../leadership/lead-evidence.js';
+import {CONFIRM_INTERVAL_MS} from '../mirror/store-mirror.js';
 import type {ReadCandidate} from '../placement/choose-endpoint.js';
 import {predictCatchUp} from '../placement/catch-up.js';
 import {getHigherFloor, limitToStart} from '../placement/position-samples.js';
@@ -62,8 +63,24 @@
 /** Longest wait before the circumstances are looked at again, in milliseconds. */
 const RECHECK_MS = 50;
 
+/** Without a confirmation for so long this host is cut off from the store and from those that reach it, in milliseconds: evidence has ended, and a try since has failed. */
+const ISOLATED_AFTER_MS = EVIDENCE_MS + CONFIRM_INTERVAL_MS;
+
+/** A statement waits so long at an isolated host, in milliseconds: one that was just resumed has its confirmation within that. */
+const ISOLATED_WAIT_MS = 150;
+
+/**
+ * Whether waiting for evidence is hopeless. Guards callers of a host that is cut off: held until their time is up they are refused with none left
+ * for another host, which could serve them.
+ */
+function isHopeless({mirror, clock, elapsedClock}: GatewayParts, waitingSince: number): boolean {
+	const isIsolated = mirror.confirmedAt !== undefined && elapsedClock.elapsed() - mirror.confirmedAt > ISOLATED_AFTER_MS;
+	return isIsolated && clock.now() - waitingSince > ISOLATED_WAIT_MS;
+}
+
 /** Lends a connection to the primary, once there is evidence of one that answers; undefined where none was to be had in time, or only other hosts reach it. */
 export async function lendPrimary(parts: GatewayParts, req: LinkRequest): Promise<LentLink | undefined> {
+	const startedAt = parts.clock.now();
 	while (req.isWanted() && parts.clock.now() < req.until) {
 		if (parts.cutOffs.isCutOff(req.route.group, parts.clock.now())) {
 			// The caller's next try reaches another host, which can serve it; here it would wait for nothing.
@@ -72,6 +89,10 @@
 
 		const evidence = parts.evidences.get(req.route.group, parts.elapsedClock.elapsed());
 		const endpoint = evidence && parts.directory.get(evidence.primaryId);
+		if (!evidence && isHopeless(parts, startedAt)) {
+			return undefined;
+		}
+
 		if (!evidence || !endpoint || endpoint.pool.health.getSuspicion(parts.clock.now())) {
 			await waitForChange(parts, req);
 			continue;
@@ -95,6 +116,7 @@
 		return lendPrimary(parts, req);
 	}
 
+	const startedAt = parts.clock.now();
 	/** Endpoints of which no connection came free in time, since all were last tried. */
 	const passedOver = new Set<string>();
 	while (req.isWanted() && parts.clock.now() < req.until) {
@@ -110,7 +132,7 @@
 				continue;
 			}
 
-			if (req.excluded?.size) {
+			if (req.excluded?.size || isHopeless(parts, startedAt)) {
 				return undefined;
 			}
 
--- a/src/lending/shared-pool.ts
+++ b/src/lending/shared-pool.ts
@@ -217,8 +217,8 @@
 				throw createLinkLost(lender, 'the lender does not answer', err);
 			}
 		},
-		trim() {
-			ownPool.trim();
+		keep() {
+			ownPool.keep();
 		},
 		retire() {
 			ownPool.retire();
--- a/src/links/endpoint-directory.ts
+++ b/src/links/endpoint-directory.ts
@@ -124,7 +124,7 @@
 			}
 
 			for (const known of kept.values()) {
-				known.pool.trim();
+				known.pool.keep();
 				if (!listed.has(known.entry.id)) {
 					noteMissing(known, now, servers.has(known.entry.server));
 				}
--- a/src/links/endpoint-pool.ts
+++ b/src/links/endpoint-pool.ts
@@ -39,8 +39,11 @@
 	release(sessionLink: SessionLink): void;
 	/** Asks on the host's own behalf; on any open connection, or a new one. */
 	ask(command: EndpointRequest['command'], timeoutMs: number): Promise<EndpointStatus>;
-	/** Closes connections beyond the host's share that have been idle, so that other hosts can have them. */
-	trim(): void;
+	/**
+	 * Closes connections beyond the host's share that have been idle, so that other hosts can have them, and has an endpoint that refused
+	 * connections tried again.
+	 */
+	keep(): void;
 	/** Opens none any more and closes those that are idle. */
 	retire(): void;
 };
@@ -89,6 +92,7 @@
 	let order = 0;
 	let retired = false;
 	let refusedSince: number | undefined;
+	let recheckedAt = Number.NEGATIVE_INFINITY;
 
 	const noteWhetherOpen = () => {
 		if (opening === 0 && ![...all].some(({link}) => link.pending > 0)) {
@@ -110,6 +114,7 @@
 	const openLink = async (timeoutMs: number) => {
 		opening++;
 		listener.onAsked();
+		let opened = false;
 		try {
 			// Taken before the opening: what others write meanwhile may be known here before the endpoint's greeting is.
 			const least = getLeastPosition();
@@ -124,12 +129,16 @@
 				all.delete(sessionLink);
 				openForWaiters();
 			});
+			opened = true;
 			return sessionLink;
 		} catch (err) {
 			noteOpenFailed(err);
 			throw err;
 		} finally {
 			opening--;
+			if (opened) {
+				noteWhetherOpen();
+			}
 		}
 	};
 
@@ -223,6 +232,20 @@
 		}
 	};
 
+	/**
+	 * Guards against an endpoint that was cut off for a while and is never asked again: no read is sent to one that refused or was silent, so nothing
+	 * would tell that it answers by now.
+	 */
+	const recheck = () => {
+		const now = clock.now();
+		if (retired || opening > 0 || now - recheckedAt < RECHECK_SUSPECT_MS || !health.getSuspicion(now)) {
+			return;
+		}
+
+		recheckedAt = now;
+		void openOne();
+	};
+
 	const trim = () => {
 		if (!idle[0]) {
 			return;
@@ -311,7 +334,10 @@
 			giveAway(sessionLink);
 			return status;
 		},
-		trim,
+		keep() {
+			trim();
+			recheck();
+		},
 		retire() {
 			retired = true;
 			failWaiters();
@@ -322,5 +348,8 @@
 	};
 }
 
+/** An endpoint that is taken to be gone is tried again so often, in milliseconds: a try costs it nothing, and a cut lasts seconds. */
+const RECHECK_SUSPECT_MS = 1000;
+
 /** Whoever waits for a connection looks this often whether one may be opened by now, in milliseconds. */
 const RECHECK_MS = 30;
--- a/tests/proxy/failures-tests.ts
+++ b/tests/proxy/failures-tests.ts
@@ -289,4 +289,46 @@
 		const caller = await bench.open(starting, 'sync');
 		expect(caller.refusal).to.equal('overloaded');
 	});
+
+	/**
+	 * A host is cut off from the store and from all other hosts. Its evidence ends, and no wait at this host can serve a caller, who would be held until its
+	 * time is up. Refused within a few statements it still has most of its time for another host.
+	 */
+	it('is refused soon at a host that is cut off from everything but its callers', async () => {
+		const bench = await createProxyBench();
+		const [isolated, ...others] = bench.proxies;
+		const caller = await bench.open(isolated!, 'sync');
+		expect(await bench.ask(caller, 'WRITE a 1')).to.equal('done idle');
+		bench.system.store.setTrouble(isolated!.name, {silent: true});
+		for (const other of others) {
+			bench.system.network.setFaultsBetween(isolated!.peerAddress, other.peerAddress, {cut: true});
+		}
+
+		for (const server of bench.group.servers) {
+			isolated!.cutFrom.add(server.id);
+		}
+
+		await bench.clock.advance(6000);
+		const askedAt = bench.clock.now();
+		expect(await bench.ask(caller, 'WRITE a 2')).to.equal('overloaded idle');
+		expect(bench.clock.now() - askedAt).to.be.lessThan(300);
+	});
+
+	/** A replica was down for a while. Nothing is sent to an endpoint that is taken to be gone, so nothing would tell that it is back. */
+	it('leaves a replica that was cut off in use once it is back', async () => {
+		const bench = await createProxyBench();
+		const proxy = bench.proxies[1]!;
+		const replica = bench.group.servers[1]!;
+		bench.group.crash(replica);
+		for (const link of [1, 2, 3]) {
+			const caller = await bench.open(proxy, 'sync');
+			await bench.ask(caller, `WRITE a ${link}`);
+			await bench.ask(await bench.open(proxy, 'review'), 'READ a');
+		}
+
+		bench.group.restart(replica);
+		await bench.clock.advance(2500);
+		const known = proxy.kernel.getOrThrow('endpointDirectory').get(replica.id);
+		expect(known?.pool.health.getSuspicion(bench.clock.now())).to.equal(undefined);
+	});
 });
