--- a/src/lending/lending-calls.ts
+++ b/src/lending/lending-calls.ts
@@ -25,6 +25,8 @@
 	readonly waitMs: number;
 	/** Session values; a connection that has them set is preferred. */
 	readonly values: ReadonlyArray<readonly [string, string]>;
+	/** It serves one statement that leaves nothing open. */
+	readonly single: boolean;
 };
 
 /** A connection that was lent, under an id that is never used twice, or why there is none. */
--- a/src/links/endpoint-pool.ts
+++ b/src/links/endpoint-pool.ts
@@ -86,6 +86,7 @@
 	const health = createEndpointHealth();
 	const budget = createLinkBudget(getLimits);
 	const all = new Set<SessionLink>();
+	const inTransactions = new Set<SessionLink>();
 	let idle: Idle[] = [];
 	let waiters: Waiter[] = [];
 	let opening = 0;
@@ -127,6 +128,7 @@
 			all.add(sessionLink);
 			link.onClose(() => {
 				all.delete(sessionLink);
+				inTransactions.delete(sessionLink);
 				openForWaiters();
 			});
 			opened = true;
@@ -154,23 +156,54 @@
 		throw createLinkRefused(target.address, AnswerCode.WrongEndpoint);
 	};
 
-	const takeIdle = (values: ReadonlyMap<string, string>) => {
+	/**
+	 * Guards single statements against transactions that rest: where no further connection may be opened, a transaction leaves one to them. A hundred
+	 * callers that rested in transactions for 3 s each took every connection of a primary, and reads and writes of 15 ms waited until their time was up.
+	 */
+	const mayTake = ({single}: LinkWish) => {
+		const left = all.size - inTransactions.size - 1;
+		return single || left > 0 || all.size <= 1 || budget.mayOpen(clock.now(), all.size + opening);
+	};
+
+	const lend = (sessionLink: SessionLink, {single}: LinkWish) => {
+		if (!single) {
+			inTransactions.add(sessionLink);
+		}
+
+		return sessionLink;
+	};
+
+	const takeIdle = (wish: LinkWish) => {
 		idle = idle.filter(({sessionLink}) => !sessionLink.link.closed);
+		if (idle.length === 0 || !mayTake(wish)) {
+			return undefined;
+		}
+
+		const {values} = wish;
 		const matching = idle.findLastIndex(({sessionLink}) => sessionLink.matches(values));
 		const at = matching === -1 ? idle.length - 1 : matching;
-		return at === -1 ? undefined : idle.splice(at, 1)[0]!.sessionLink;
+		return lend(idle.splice(at, 1)[0]!.sessionLink, wish);
 	};
 
 	const giveAway = (sessionLink: SessionLink) => {
-		const waiter = waiters.shift();
+		const next = waiters.findIndex(waiter => mayTake(waiter));
+		const [waiter] = next === -1 ? [] : waiters.splice(next, 1);
 		if (waiter) {
-			waiter.give(sessionLink);
+			waiter.give(lend(sessionLink, waiter));
 			return;
 		}
 
 		idle.push({sessionLink, since: clock.now()});
 	};
 
+	/** What was held back from a transaction may be lent to it once another may be opened. */
+	const serveIdle = () => {
+		const free = waiters.length > 0 ? idle.pop() : undefined;
+		if (free) {
+			giveAway(free.sessionLink);
+		}
+	};
+
 	const failWaiters = () => {
 		for (const waiter of waiters.splice(0)) {
 			waiter.give(undefined);
@@ -278,6 +311,7 @@
 		waiters.sort((left, right) => left.priority - right.priority || left.order - right.order);
 		// Whoever waits at an endpoint that has gone silent may be served elsewhere, by its successor for one.
 		while (!done && clock.now() < wish.until && !retired && !health.getSuspicion(clock.now())) {
+			serveIdle();
 			openForWaiters();
 			await clock.sleep(Math.min(RECHECK_MS, wish.until - clock.now()), alarm);
 		}
@@ -306,9 +340,10 @@
 				return undefined;
 			}
 
-			return takeIdle(wish.values) ?? wait(wish);
+			return takeIdle(wish) ?? wait(wish);
 		},
 		release(sessionLink) {
+			inTransactions.delete(sessionLink);
 			if (sessionLink.link.closed) {
 				openForWaiters();
 				return;
