Use no life of an endpoint for another where a primary is replaced

A connection opened to what seemed a replica, a life that had lost its log, was used as that of the recorded primary: reads missed commits. Orders went to lives that were over, 3 s each, and to the empty ones after them. Change: a connection used under evidence was opened to a log that held the record's start; a candidate that is no longer registered, or whose log is empty now, gets no order.

--- a/src/gateway/lend-link.ts
+++ b/src/gateway/lend-link.ts
@@ -210,7 +210,7 @@
 	const {pool} = endpoint;
 	const askedAt = parts.clock.now();
 	const sessionLink = await pool.acquire({
-		priority: req.route.priority, until: req.until, values: req.memory.values, single: req.single ?? false,
+		priority: req.route.priority, until: req.until, values: req.memory.values, single: req.single ?? false, least: evidence?.start,
 	});
 	if (!sessionLink) {
 		return undefined;
--- a/src/leadership/promote-best.ts
+++ b/src/leadership/promote-best.ts
@@ -41,7 +41,15 @@
 			return undefined;
 		}
 
-		const proof = isFirst ? getFirstProof(best, before) : await getLaterProof(parts, best);
+		// The first order follows the question for candidates by milliseconds, or comes after their fences were seen again.
+		const now = isFirst ? best.status : await askAgain(parts, best);
+		if (!isSameLife(parts, best, now)) {
+			log.info('a candidate has started again without what it held', {group: before.group, endpoint: best.endpointId, held: best.status.received});
+			ranked.shift();
+			continue;
+		}
+
+		const proof = isFirst ? getFirstProof(best, before) : getLaterProof(now);
 		const outcome = await orderPromotion(parts, before.group, best.endpointId);
 		if (outcome === OrderOutcome.NotRunning) {
 			ranked.shift();
@@ -71,6 +79,22 @@
 	return undefined;
 }
 
+/**
+ * Whether a candidate is still the one that was asked, as far as can be seen.
+ *
+ * Guards against an order to a server that has started again meanwhile and lost its log: the order names the server alone, and every replica would follow it
+ * into an empty log. It shows as a life that is no longer registered, or as an empty log; a shorter one may have been rolled back by an earlier order.
+ */
+function isSameLife({directory}: ReplacePrimaryParts, {endpointId, status}: SuccessorCandidate, now: EndpointStatus | undefined): boolean {
+	const isEmptied = now?.received.position === 0 && status.received.position > 0;
+	return directory.get(endpointId) !== undefined && !isEmptied;
+}
+
+async function askAgain(parts: ReplacePrimaryParts, {endpointId}: SuccessorCandidate): Promise<EndpointStatus | undefined> {
+	const endpoint = parts.directory.get(endpointId);
+	return endpoint && askStatus(parts, endpoint, {kind: 'status'});
+}
+
 /**
  * Gives the order while the duty outlasts it; undefined where the duty could not be kept.
  *
@@ -121,9 +145,7 @@
  * committed there is lost. So its term must be later than what it showed just before the order, when all earlier orders had
  * taken effect; or the order was accepted and left it as it was, as the platform does with the present primary alone.
  */
-async function getLaterProof(parts: ReplacePrimaryParts, {endpointId}: SuccessorCandidate): Promise<EffectProof> {
-	const endpoint = parts.directory.get(endpointId);
-	const now = endpoint && await askStatus(parts, endpoint, {kind: 'status'});
+function getLaterProof(now: EndpointStatus | undefined): EffectProof {
 	return {leastTerm: now ? now.term + 1 : Number.POSITIVE_INFINITY, showsBy: ORDER_EFFECT_MS, leadsOn: () => true};
 }
 
--- a/src/lending/lending-calls.ts
+++ b/src/lending/lending-calls.ts
@@ -27,6 +27,8 @@
 	readonly values: ReadonlyArray<readonly [string, string]>;
 	/** It serves one statement that leaves nothing open. */
 	readonly single: boolean;
+	/** What the endpoint's log must have held when the connection was opened; undefined where any will do. */
+	readonly least?: LogPosition;
 };
 
 /** A connection that was lent, under an id that is never used twice, or why there is none. */
--- a/src/lending/link-lender.ts
+++ b/src/lending/link-lender.ts
@@ -85,7 +85,7 @@
 		loan.endpoint.ownPool.release(loan.sessionLink);
 	};
 
-	const lend = async ({endpointId, priority, waitMs, values, single}: LoanRequest, borrower: string): Promise<LoanAnswer> => {
+	const lend = async ({endpointId, priority, waitMs, values, single, least}: LoanRequest, borrower: string): Promise<LoanAnswer> => {
 		const endpoint = directory.get(endpointId);
 		if (retired) {
 			return {refused: LoanRefusal.Stopping};
@@ -97,7 +97,7 @@
 
 		const {ownPool} = endpoint;
 		const sessionLink = await ownPool.acquire({
-			priority, until: clock.now() + waitMs, values: new Map(values), single,
+			priority, until: clock.now() + waitMs, values: new Map(values), single, least,
 		});
 		if (!sessionLink) {
 			return {refused: ownPool.health.getSuspicion(clock.now()) ? LoanRefusal.Unreachable : LoanRefusal.Busy};
--- a/src/lending/shared-pool.ts
+++ b/src/lending/shared-pool.ts
@@ -89,7 +89,7 @@
 		const waitMs = Math.min(LENDER_WAIT_MS, wish.until - clock.now());
 		try {
 			const answer = await peers.call(lender, 'loan-open', {
-				endpointId: entry.id, priority: wish.priority, waitMs, values: [...wish.values], single: wish.single,
+				endpointId: entry.id, priority: wish.priority, waitMs, values: [...wish.values], single: wish.single, least: wish.least,
 			}, waitMs + LENDER_WAY_MS);
 			unreachable.delete(lender);
 			if ('refused' in answer) {
--- a/src/links/endpoint-pool.ts
+++ b/src/links/endpoint-pool.ts
@@ -21,6 +21,8 @@
 	readonly values: ReadonlyMap<string, string>;
 	/** It serves one statement that leaves nothing open. */
 	readonly single: boolean;
+	/** What the endpoint's log must have held when the connection was opened; undefined where any will do. */
+	readonly least?: LogPosition;
 };
 
 /** The connections of this host to one endpoint. */
@@ -120,7 +122,7 @@
 			// Taken before the opening: what others write meanwhile may be known here before the endpoint's greeting is.
 			const least = getLeastPosition();
 			const link = await opener.open(target, timeoutMs, listener);
-			if (least && least.position > 0 && !holdsLogPosition(link.firstPosition ?? LOG_START, least)) {
+			if (!isOfLife(link, least)) {
 				refuseForgetful(link, least);
 			}
 
@@ -148,7 +150,7 @@
 	 * Guards against a primary that started again and lost its log while its entry still names the life before: it answers under the server's id,
 	 * a read there would miss acknowledged commits, and a write would begin a second history. Its log is shorter than what was seen in it.
 	 */
-	const refuseForgetful = (link: EndpointLink, least: LogPosition): never => {
+	const refuseForgetful = (link: EndpointLink, least: LogPosition | undefined): never => {
 		log.warn('an endpoint has lost its log and is not used', {
 			endpoint: target.endpointId, group: target.group, holds: link.firstPosition, held: least,
 		});
@@ -165,6 +167,20 @@
 		return single || left > 0 || all.size <= 1 || budget.mayOpen(clock.now(), all.size + opening);
 	};
 
+	/**
+	 * Guards against connections to a life of the endpoint that lost its log, opened before this host knew that the life before is recorded as the primary:
+	 * they were opened to what seemed a replica. A primary's own connections that are older than its promotion are opened anew as well, once.
+	 */
+	const dropOthers = ({least}: LinkWish) => {
+		for (const {sessionLink: {link}} of idle) {
+			if (!link.closed && !isOfLife(link, least)) {
+				link.cut();
+			}
+		}
+
+		idle = idle.filter(({sessionLink}) => !sessionLink.link.closed);
+	};
+
 	const lend = (sessionLink: SessionLink, {single}: LinkWish) => {
 		if (!single) {
 			inTransactions.add(sessionLink);
@@ -174,7 +190,7 @@
 	};
 
 	const takeIdle = (wish: LinkWish) => {
-		idle = idle.filter(({sessionLink}) => !sessionLink.link.closed);
+		dropOthers(wish);
 		if (idle.length === 0 || !mayTake(wish)) {
 			return undefined;
 		}
@@ -188,6 +204,12 @@
 	const giveAway = (sessionLink: SessionLink) => {
 		const next = waiters.findIndex(waiter => mayTake(waiter));
 		const [waiter] = next === -1 ? [] : waiters.splice(next, 1);
+		if (waiter && !isOfLife(sessionLink.link, waiter.least)) {
+			waiters.unshift(waiter);
+			sessionLink.link.cut();
+			return;
+		}
+
 		if (waiter) {
 			waiter.give(lend(sessionLink, waiter));
 			return;
@@ -386,5 +408,10 @@
 /** An endpoint that is taken to be gone is tried again so often, in milliseconds: a try costs it nothing, and a cut lasts seconds. */
 const RECHECK_SUSPECT_MS = 1000;
 
+/** Whether a connection was opened to a log that held `least`. */
+function isOfLife({firstPosition}: EndpointLink, least: LogPosition | undefined): boolean {
+	return !least || least.position === 0 || holdsLogPosition(firstPosition ?? LOG_START, least);
+}
+
 /** Whoever waits for a connection looks this often whether one may be opened by now, in milliseconds. */
 const RECHECK_MS = 30;
--- a/tests/lead-check/lead-check-tests.ts
+++ b/tests/lead-check/lead-check-tests.ts
@@ -1,6 +1,11 @@
 import {expect} from 'chai';
 import {runLeadSchedule, type LeadScheduleOptions} from './run-lead-schedule.js';
 
+/** Six proxies that lend connections to each other, and servers that start over. */
+const REBORN_CROWD: LeadScheduleOptions = {
+	lengthMs: 8000, callersPerProxy: 1, swarms: true, crowded: true, rebirths: true,
+};
+
 /**
  * A member's acknowledged night must not vanish, a coach must not read data older than the route allows, and a caller
  * who was told that nothing is kept must not find it kept, whatever fails: endpoints crash, lag and are cut off, proxies are
@@ -27,5 +32,7 @@
 	doTest(9019, 'the same, and a commit in its old term was acknowledged');
 	doTest(1_002_670, 'the effect of an order was taken for that of a later one, which was lost', {lengthMs: 8000, callersPerProxy: 1, swarms: true});
 	doTest(3_002_602, 'a fault of the stand-in: a replica that had applied nothing passed for one of the new term', {lengthMs: 8000, callersPerProxy: 1, swarms: true});
+	doTest(5_100_075, 'a connection to what seemed a replica, opened to a life that had lost its log, was used as the recorded primary\'s', REBORN_CROWD);
+	doTest(5_100_196, 'orders to lead went to lives that were over, one after the other, and to the empty ones after them', REBORN_CROWD);
 	doTest(13_030, 'a server with the divergent end of an early term was promoted before one that was leaving');
 });
