--- a/tests/mirror/store-mirror-tests.ts
+++ b/tests/mirror/store-mirror-tests.ts
@@ -132,4 +132,42 @@
 		await confirm('a');
 		expect(mirrors.a.state.routing?.version).to.equal(7);
 	});
+
+	/**
+	 * The store refuses every call at once for some seconds, and statements wait for evidence: each asks for a confirmation again. Every call is priced, and all of
+	 * them are refused.
+	 */
+	it('leaves a store that refuses alone for a while', async () => {
+		const {clock, store, mirrors} = await createBench();
+		store.setTrouble(undefined, {refused: true});
+		const before = store.calls;
+		for (let ms = 0; ms < 3000; ms += 10) {
+			void mirrors.a.confirm();
+			await clock.advance(10);
+		}
+
+		// Three hosts, since a host that is refused has its peers look as well.
+		expect(store.calls - before).to.be.lessThan(3 * 20);
+	});
+
+	/**
+	 * Twenty hosts lose the store. If each asked each other one whether all agree, an outage would make 380 calls in each round, and 810,000 among 900 hosts.
+	 */
+	it('is asked of a few peers where there are many', async () => {
+		const {clock, store, network, register} = await createBench();
+		for (let i = 0; i < 17; i++) {
+			await register(`h${i}`);
+		}
+
+		const peers = network.addHost('d:7000');
+		const startedAt = clock.now();
+		const mirror = createStoreMirror({
+			store: store.getClient('d'), peers, clock, elapsedClock: {elapsed: () => clock.now() - startedAt}, log: createSilentLog(), ownPeerAddress: 'd:7000', seeds: [], getChanging: () => [],
+		});
+		await clock.runUntil(mirror.confirm());
+		store.setTrouble(undefined, {refused: true});
+		const before = peers.figures.calls;
+		await clock.runUntil(mirror.confirm());
+		expect(peers.figures.calls - before).to.equal(3);
+	});
 });
