Ask an endpoint by another lender where the first one is dead

Cause: read in the code: one lender was asked for a status, and a dead one left a replica out of the choice of a successor, though it may alone hold what was acknowledged. Change: lenders are asked in turn within the time, then the endpoint itself. Test: tests/proxy/lending-tests.ts.

--- a/src/lending/shared-pool.ts
+++ b/src/lending/shared-pool.ts
@@ -1,6 +1,6 @@
 import {createEndpointHealth, Suspicion, type EndpointHealth} from '../links/endpoint-health.js';
+import type {EndpointCommand, EndpointStatus} from '../links/endpoint-link.js';
 import type {EndpointPool, LinkWish} from '../links/endpoint-pool.js';
-import {createLinkLost} from '../links/link-errors.js';
 import type {SessionLink} from '../links/link-session.js';
 import type {UnreachableHosts} from '../membership/unreachable-hosts.js';
 import {isPeerError} from '../peers/peer-errors.js';
@@ -109,6 +109,25 @@
 		}
 	};
 
+	/**
+	 * Asks an endpoint by way of a lender; undefined where no status came so.
+	 *
+	 * Guards against a replica that is left out of the choice of a successor since the one lender that was asked has died: what it alone holds would be lost.
+	 */
+	const askThrough = async (lender: string, command: EndpointCommand, timeoutMs: number): Promise<EndpointStatus | undefined> => {
+		try {
+			const {status} = await peers.call(lender, 'loan-ask', {endpointId: entry.id, command, timeoutMs}, timeoutMs);
+			return status;
+		} catch (err) {
+			if (!isPeerError(err)) {
+				throw err;
+			}
+
+			unreachable.add(lender, clock.now());
+			return undefined;
+		}
+	};
+
 	/** Asks each lender once; the reason of the last one that answered where none lends. */
 	const askAll = async (wish: LinkWish): Promise<Asked> => {
 		let last: LoanRefusal | undefined;
@@ -195,27 +214,16 @@
 				return ownPool.ask(command, timeoutMs);
 			}
 
-			const [lender] = getOrder();
-			if (lender === undefined) {
-				return ownPool.ask(command, timeoutMs);
-			}
-
-			try {
-				const {status} = await peers.call(lender, 'loan-ask', {endpointId: entry.id, command, timeoutMs}, timeoutMs);
-				if (!status) {
-					throw createLinkLost(lender, 'the endpoint does not answer the lender');
-				}
-
-				noteHeard();
-				return status;
-			} catch (err) {
-				if (!isPeerError(err)) {
-					throw err;
+			const until = clock.now() + timeoutMs;
+			for (const lender of getOrder()) {
+				const status = await askThrough(lender, command, Math.min(LENDER_WAIT_MS + LENDER_WAY_MS, until - clock.now()));
+				if (status) {
+					noteHeard();
+					return status;
 				}
-
-				unreachable.add(lender, clock.now());
-				throw createLinkLost(lender, 'the lender does not answer', err);
 			}
+
+			return ownPool.ask(command, Math.max(1, until - clock.now()));
 		},
 		keep() {
 			ownPool.keep();
--- a/tests/proxy/lending-tests.ts
+++ b/tests/proxy/lending-tests.ts
@@ -116,4 +116,22 @@
 		expect(answer).to.equal('done idle');
 		expect(bench.group.leader.id).to.equal('nights-1');
 	});
+
+	/**
+	 * A host replaces a primary and asks the replicas by way of the hosts that keep connections to them. One of those has just died: the replica behind it
+	 * may be the only one that holds a member's last night, and has to be heard all the same.
+	 */
+	it('bring a status also where the first lender that is asked has died', async () => {
+		const bench = await createCrowd();
+		const replica = bench.group.servers[1]!;
+		const name = {id: replica.id, group: 'nights'};
+		const asker = bench.proxies.find(({kernel}) => !kernel.getOrThrow('lenders').keepsOwn(name))!;
+		for (const lender of bench.proxies.filter(({kernel}) => kernel.getOrThrow('lenders').keepsOwn(name)).slice(1)) {
+			bench.system.kill(lender);
+		}
+
+		const {pool} = asker.kernel.getOrThrow('endpointDirectory').get(replica.id)!;
+		const status = await bench.clock.runUntil(pool.ask({kind: 'status'}, 500));
+		expect(status.role).to.equal('replica');
+	});
 });
