Split the pool of connections and the choice of peers off long files

Change: the pool's types stay, its code is create-endpoint-pool.ts, what is idle is idle-links.ts; which peers are asked is peer-choice.ts. No decision changed. Checked: types, lint, 132 tests of links, mirror and proxy.

--- /dev/null
+++ b/src/links/create-endpoint-pool.ts
@@ -0,0 +1,347 @@
+import {AnswerCode} from '../statements/statement-answer.js';
+import {holdsLogPosition, LOG_START, type LogPosition} from '../terms/log-position.js';
+import {createSleepAlarm} from '../time/sleep-alarm.js';
+import {createEndpointHealth} from './endpoint-health.js';
+import type {EndpointLink, LinkListener} from './endpoint-link.js';
+import type {EndpointPool, EndpointPoolOptions, LinkWish} from './endpoint-pool.js';
+import {createIdleLinks} from './idle-links.js';
+import {createLinkBudget} from './link-budget.js';
+import {createLinkRefused, isLinkRefused} from './link-errors.js';
+import {createSessionLink, type SessionLink} from './link-session.js';
+
+/**
+ * Longest opening of a connection, in milliseconds. It takes 12 ms and a slot of the endpoint, so it queues behind
+ * statements; a caller's own statement is bounded at some 1,000.
+ */
+const OPEN_TIMEOUT_MS = 1500;
+
+/** An idle connection beyond the host's share is closed after so long, in milliseconds, so that other hosts can have it. */
+const SPARE_IDLE_MS = 1000;
+
+/** One within the share, beyond what is kept, after so long, in milliseconds: opening it anew costs 12 ms of a slot. */
+const SHARE_IDLE_MS = 3000;
+
+type Waiter = LinkWish & {
+	readonly order: number;
+	give(sessionLink: SessionLink | undefined): void;
+};
+
+/** Creates a pool without connections. */
+export function createEndpointPool({target, opener, clock, log, getLimits, getLeastPosition}: EndpointPoolOptions): EndpointPool {
+	const health = createEndpointHealth();
+	const budget = createLinkBudget(getLimits);
+	const all = new Set<SessionLink>();
+	const inTransactions = new Set<SessionLink>();
+	const idle = createIdleLinks();
+	let waiters: Waiter[] = [];
+	let opening = 0;
+	let order = 0;
+	let retired = false;
+	let refusedSince: number | undefined;
+	let recheckedAt = Number.NEGATIVE_INFINITY;
+
+	const noteWhetherOpen = () => {
+		if (opening === 0 && ![...all].some(({link}) => link.pending > 0)) {
+			health.noteNothingOpen();
+		}
+	};
+
+	const listener: LinkListener = {
+		onAsked() {
+			health.noteAsked(clock.now());
+		},
+		onHeard() {
+			health.noteHeard(clock.now());
+			noteWhetherOpen();
+		},
+	};
+
+	/** Opens a connection and keeps it in the pool until it closes. */
+	const openLink = async (timeoutMs: number) => {
+		opening++;
+		listener.onAsked();
+		let opened = false;
+		try {
+			// Taken before the opening: what others write meanwhile may be known here before the endpoint's greeting is.
+			const least = getLeastPosition();
+			const link = await opener.open(target, timeoutMs, listener);
+			if (!isOfLife(link, least)) {
+				refuseForgetful(link, least);
+			}
+
+			const sessionLink = createSessionLink(link);
+			all.add(sessionLink);
+			link.onClose(() => {
+				all.delete(sessionLink);
+				inTransactions.delete(sessionLink);
+				openForWaiters();
+			});
+			opened = true;
+			return sessionLink;
+		} catch (err) {
+			noteOpenFailed(err);
+			throw err;
+		} finally {
+			opening--;
+			if (opened) {
+				noteWhetherOpen();
+			}
+		}
+	};
+
+	/**
+	 * Guards against a primary that started again and lost its log while its entry still names the life before: it answers under the server's id,
+	 * a read there would miss acknowledged commits, and a write would begin a second history. Its log is shorter than what was seen in it.
+	 */
+	const refuseForgetful = (link: EndpointLink, least: LogPosition | undefined): never => {
+		log.warn('an endpoint has lost its log and is not used', {
+			endpoint: target.endpointId, group: target.group, holds: link.firstPosition, held: least,
+		});
+		link.cut();
+		throw createLinkRefused(target.address, AnswerCode.WrongEndpoint);
+	};
+
+	/**
+	 * Guards single statements against transactions that rest: where no further connection may be opened, a transaction leaves one to them. A hundred
+	 * callers that rested in transactions for 3 s each took every connection of a primary, and reads and writes of 15 ms waited until their time was up.
+	 */
+	const mayTake = ({single}: LinkWish) => {
+		const left = all.size - inTransactions.size - 1;
+		return single || left > 0 || all.size <= 1 || budget.mayOpen(clock.now(), all.size + opening);
+	};
+
+	/**
+	 * Guards against connections to a life of the endpoint that lost its log, opened before this host knew that the life before is recorded as the primary:
+	 * they were opened to what seemed a replica. A primary's own connections that are older than its promotion are opened anew as well, once.
+	 */
+	const dropOthers = ({least}: LinkWish) => {
+		idle.cutWhere(({link}) => !isOfLife(link, least));
+	};
+
+	const lend = (sessionLink: SessionLink, {single}: LinkWish) => {
+		if (!single) {
+			inTransactions.add(sessionLink);
+		}
+
+		return sessionLink;
+	};
+
+	const takeIdle = (wish: LinkWish) => {
+		dropOthers(wish);
+		const taken = mayTake(wish) ? idle.take(wish.values) : undefined;
+		return taken && lend(taken, wish);
+	};
+
+	const giveAway = (sessionLink: SessionLink) => {
+		const next = waiters.findIndex(waiter => mayTake(waiter));
+		const [waiter] = next === -1 ? [] : waiters.splice(next, 1);
+		if (waiter && !isOfLife(sessionLink.link, waiter.least)) {
+			waiters.unshift(waiter);
+			sessionLink.link.cut();
+			return;
+		}
+
+		if (waiter) {
+			waiter.give(lend(sessionLink, waiter));
+			return;
+		}
+
+		idle.add(sessionLink, clock.now());
+	};
+
+	/** What was held back from a transaction may be lent to it once another may be opened. */
+	const serveIdle = () => {
+		const free = waiters.length > 0 ? idle.takeNewest() : undefined;
+		if (free) {
+			giveAway(free);
+		}
+	};
+
+	const failWaiters = () => {
+		for (const waiter of waiters.splice(0)) {
+			waiter.give(undefined);
+		}
+	};
+
+	const noteOpenFailed = (err: unknown) => {
+		const now = clock.now();
+		if (isLinkRefused(err) && err.code === AnswerCode.TooManyConnections) {
+			health.noteHeard(now);
+			budget.noteTurnedAway(now);
+			return;
+		}
+
+		if (!isLinkRefused(err) || err.code === AnswerCode.WrongEndpoint) {
+			health.noteRefused(now);
+		}
+
+		if (refusedSince === undefined) {
+			refusedSince = now;
+			log.warn('an endpoint takes no session', {
+				endpoint: target.endpointId, group: target.group, reason: (err as Error).message, open: all.size,
+			});
+		}
+
+		// Whoever waits is told at once, since it may be served elsewhere.
+		if (all.size === 0) {
+			failWaiters();
+		}
+	};
+
+	const openOne = async () => {
+		try {
+			const sessionLink = await openLink(OPEN_TIMEOUT_MS);
+			noteOpened();
+			if (retired) {
+				sessionLink.link.close();
+				return;
+			}
+
+			giveAway(sessionLink);
+		} catch (err) {
+			log.debug('a connection was not opened', {endpoint: target.endpointId, reason: (err as Error).message});
+		}
+	};
+
+	const noteOpened = () => {
+		if (refusedSince !== undefined) {
+			log.info('an endpoint takes sessions again', {endpoint: target.endpointId, group: target.group, afterMs: Math.round(clock.now() - refusedSince)});
+			refusedSince = undefined;
+		}
+	};
+
+	const openForWaiters = () => {
+		// Beyond the share one is opened at a time: hosts that press on together would all be turned away.
+		const mayOpen = () => budget.mayOpen(clock.now(), all.size + opening) && (opening === 0 || all.size + opening < budget.share);
+		while (!retired && opening < waiters.length && mayOpen()) {
+			void openOne();
+		}
+	};
+
+	/**
+	 * Guards against an endpoint that was cut off for a while and is never asked again: no read is sent to one that refused or was silent, so nothing
+	 * would tell that it answers by now.
+	 */
+	const recheck = () => {
+		const now = clock.now();
+		if (retired || opening > 0 || now - recheckedAt < RECHECK_SUSPECT_MS || !health.getSuspicion(now)) {
+			return;
+		}
+
+		recheckedAt = now;
+		void openOne();
+	};
+
+	const trim = () => {
+		const now = clock.now();
+		let open = all.size;
+		while (idle.size > 0 && open > budget.kept) {
+			const oldest = idle.takeOldest(now - (open > budget.share ? SPARE_IDLE_MS : SHARE_IDLE_MS));
+			if (!oldest) {
+				return;
+			}
+
+			oldest.link.close();
+			open--;
+		}
+	};
+
+	/** Waits, trying again to open while the endpoint turns connections away. */
+	const wait = async (wish: LinkWish): Promise<SessionLink | undefined> => {
+		const alarm = createSleepAlarm();
+		let given: SessionLink | undefined;
+		let done = false;
+		const waiter: Waiter = {
+			...wish,
+			order: order++,
+			give(sessionLink) {
+				given = sessionLink;
+				done = true;
+				alarm.abort();
+			},
+		};
+		waiters.push(waiter);
+		waiters.sort((left, right) => left.priority - right.priority || left.order - right.order);
+		// Whoever waits at an endpoint that has gone silent may be served elsewhere, by its successor for one.
+		while (!done && clock.now() < wish.until && !retired && !health.getSuspicion(clock.now())) {
+			serveIdle();
+			openForWaiters();
+			await clock.sleep(Math.min(RECHECK_MS, wish.until - clock.now()), alarm);
+		}
+
+		if (!done) {
+			waiters = waiters.filter(other => other !== waiter);
+		}
+
+		return given;
+	};
+
+	return {
+		target,
+		health,
+		get lent() {
+			return all.size - idle.size;
+		},
+		get waiting() {
+			return waiters.length;
+		},
+		get open() {
+			return all.size;
+		},
+		async acquire(wish) {
+			if (retired) {
+				return undefined;
+			}
+
+			return takeIdle(wish) ?? wait(wish);
+		},
+		release(sessionLink) {
+			inTransactions.delete(sessionLink);
+			if (sessionLink.link.closed) {
+				openForWaiters();
+				return;
+			}
+
+			if (retired) {
+				sessionLink.link.close();
+				return;
+			}
+
+			giveAway(sessionLink);
+			trim();
+		},
+		async ask(command, timeoutMs) {
+			const open = idle.newest ?? [...all].find(({link}) => !link.closed);
+			if (open) {
+				return open.link.readStatus({command});
+			}
+
+			const sessionLink = await openLink(timeoutMs);
+			const status = await sessionLink.link.readStatus({command});
+			giveAway(sessionLink);
+			return status;
+		},
+		keep() {
+			trim();
+			recheck();
+		},
+		retire() {
+			retired = true;
+			failWaiters();
+			for (const {link} of idle.takeAll()) {
+				link.close();
+			}
+		},
+	};
+}
+
+/** An endpoint that is taken to be gone is tried again so often, in milliseconds: a try costs it nothing, and a cut lasts seconds. */
+const RECHECK_SUSPECT_MS = 1000;
+
+/** Whether a connection was opened to a log that held `least`. */
+function isOfLife({firstPosition}: EndpointLink, least: LogPosition | undefined): boolean {
+	return !least || least.position === 0 || holdsLogPosition(firstPosition ?? LOG_START, least);
+}
+
+/** Whoever waits for a connection looks this often whether one may be opened by now, in milliseconds. */
+const RECHECK_MS = 30;
--- a/src/links/endpoint-directory.ts
+++ b/src/links/endpoint-directory.ts
@@ -3,7 +3,8 @@
 import type {RegisteredEndpoint} from '../routes/routing.js';
 import type {LogPosition} from '../terms/log-position.js';
 import type {Clock} from '../time/clock.js';
-import {createEndpointPool, type EndpointPool} from './endpoint-pool.js';
+import {createEndpointPool} from './create-endpoint-pool.js';
+import type {EndpointPool} from './endpoint-pool.js';
 import type {LinkOpener} from './endpoint-link.js';
 import type {LinkLimits} from './link-budget.js';
 
--- a/src/mirror/store-mirror.ts
+++ b/src/mirror/store-mirror.ts
@@ -11,6 +11,7 @@
 import {
 	EMPTY_STATE, fromSnapshot, getLaterRouting, toSnapshot, type MirrorState,
 } from './mirror-state.js';
+import {createPeerChoice} from './peer-choice.js';
 import {createStoreReader} from './store-reader.js';
 
 /** A copy of the store's contents that knows until when it was complete. */
@@ -82,15 +83,6 @@
 /** A peer that has not read the store within this time answers without, in milliseconds. */
 const HELPING_READ_MS = 400;
 
-/**
- * Most hosts that confirm each other's copies by unanimity. Each asks each: 16 make 240 calls in 700 ms of an outage, 68 would make 4,500 and 900
- * would make 810,000, and one dead host spoils it. Larger fleets go by what endpoints show of fences.
- */
-const MOST_UNANIMOUS_HOSTS = 16;
-
-/** Peers that a host of a larger fleet asks at a time whether they reach the store. */
-const SOME_PEERS = 3;
-
 /** Creates a mirror. */
 export function createStoreMirror(options: StoreMirrorOptions): StoreMirror {
 	const {store, peers, clock, elapsedClock} = options;
@@ -105,9 +97,7 @@
 	let wake = new AbortController();
 	/** By address of a host that did not read the store for others, until when it is not asked to, in steady time. */
 	const avoidedUntil = new Map<string, number>();
-	let askedTurns = 0;
-	/** Hosts begin with different peers. */
-	const ownTurn = [...options.ownPeerAddress].reduce((sum, letter) => sum + letter.codePointAt(0)!, 0);
+	const choosePeers = createPeerChoice(options.ownPeerAddress);
 	/** By address, when a peer asked last, in steady time. */
 	const heardAt = new Map<string, number>();
 	/** Peers whose questions wait for the next reading. */
@@ -232,19 +222,8 @@
 		&& options.getChanging().length === 0
 		&& answers.every(answer => answer?.revision === revision && answer.changing.length === 0);
 
-	/** All others where they are few enough to be unanimous; else some, by turns, any of which may reach the store. */
-	const getAsked = (others: readonly string[]) => {
-		if (others.length < MOST_UNANIMOUS_HOSTS) {
-			return others;
-		}
-
-		askedTurns++;
-		const first = (ownTurn + askedTurns) * SOME_PEERS;
-		return Array.from({length: SOME_PEERS}, (_, i) => others[(first + i) % others.length]!);
-	};
-
 	const askPeers = async () => {
-		const others = getAsked(getOthers());
+		const others = choosePeers(getOthers());
 		const askedAt = elapsedClock.elapsed();
 		const {revision} = state;
 		const questions = others.map(async address => askPeer(address, true));
--- a/tests/links/endpoint-pool-tests.ts
+++ b/tests/links/create-endpoint-pool-tests.ts
@@ -1,6 +1,7 @@
 import {expect} from 'chai';
 import type {EndpointLink} from '../../src/links/endpoint-link.js';
-import {createEndpointPool, type EndpointPool, type LinkWish} from '../../src/links/endpoint-pool.js';
+import {createEndpointPool} from '../../src/links/create-endpoint-pool.js';
+import type {EndpointPool, LinkWish} from '../../src/links/endpoint-pool.js';
 import {createSilentLog} from '../../src/log/silent-log.js';
 import {createVirtualClock} from '../../src/stand-ins/time/virtual-clock.js';
 
