--- a/tests/lead-check/bundle-player.ts
+++ b/tests/lead-check/bundle-player.ts
@@ -24,11 +24,11 @@
 	};
 }
 
-/** Bundles what plays schedules, perhaps without a guard, and returns the path of the file. */
-export async function bundlePlayer(guard?: MissingGuard): Promise<string> {
+/** Bundles a program that plays the real decisions, perhaps without a guard, and returns the path of the file. */
+export async function bundlePlayer(guard?: MissingGuard, entry = 'tests/lead-check/play.ts'): Promise<string> {
 	const outfile = `target/lead-player-${guard?.name ?? 'whole'}-${process.pid}.mjs`;
 	await build({
-		entryPoints: ['tests/lead-check/play.ts'],
+		entryPoints: [entry],
 		outfile,
 		bundle: true,
 		platform: 'node',
