Have a lender answer for a silent endpoint before it passes for dead itself

Cause: read in the diff: a lender was given as long for an endpoint's status as its borrower waits for the lender, so one that answered for a dark endpoint came late, and nothing was borrowed from it any more. Test: tests/lending/shared-pool-tests.ts, red before.

--- a/src/lending/shared-pool.ts
+++ b/src/lending/shared-pool.ts
@@ -116,7 +116,9 @@
 	 */
 	const askThrough = async (lender: string, command: EndpointCommand, timeoutMs: number): Promise<EndpointStatus | undefined> => {
 		try {
-			const {status} = await peers.call(lender, 'loan-ask', {endpointId: entry.id, command, timeoutMs}, timeoutMs);
+			// The lender answers before this host stops waiting, also for an endpoint that is silent: else it would itself pass for dead.
+			const endpointMs = Math.min(LENDER_WAIT_MS, timeoutMs / 2);
+			const {status} = await peers.call(lender, 'loan-ask', {endpointId: entry.id, command, timeoutMs: endpointMs}, timeoutMs);
 			return status;
 		} catch (err) {
 			if (!isPeerError(err)) {
