Log what a stopping host ends, and requests that come after their session

A request that crosses the end of its session was dropped without a word, and the last line of a stopping host told only how many sessions were left, so the hypotheses about the lost requests could not be told apart. Now each such request is logged with its id, the idle sessions' end says how late it is, and the last line tells what the sessions left were at.

--- a/src/gateway/caller-session.ts
+++ b/src/gateway/caller-session.ts
@@ -20,6 +20,8 @@
 export type CallerSession = {
 	/** Whether nothing is under way: no statement, no transaction. */
 	readonly idle: boolean;
+	/** What is under way, for log lines. */
+	readonly phase: SessionPhase;
 	/** Serves the caller until it leaves or is sent away. */
 	run(): Promise<void>;
 	/** Ends the session as soon as nothing is under way. */
@@ -28,6 +30,20 @@
 	abort(reason: string): void;
 };
 
+/** What a session is at. */
+export const SessionPhase = {
+	/** Its caller has not named a database yet, or waits for the answer to that. */
+	Opening: 'opening',
+	Idle: 'idle',
+	/** A statement has no answer yet. */
+	Busy: 'busy',
+	/** A transaction is open and rests. */
+	Resting: 'resting',
+} as const;
+
+/** One of the phases in {@link SessionPhase}. */
+export type SessionPhase = typeof SessionPhase[keyof typeof SessionPhase];
+
 /** What a session needs. */
 export type CallerSessionOptions = {
 	readonly parts: GatewayParts;
@@ -59,6 +75,7 @@
 	let trace = createStatementTrace();
 	let busy = false;
 	let leaving = false;
+	let opened = false;
 	let idleTimer: SleepAlarm | undefined;
 
 	const isWanted = () => !channel.left;
@@ -273,6 +290,7 @@
 
 		memory = createSessionMemory(req.database);
 		channel.greet();
+		opened = true;
 		return true;
 	};
 
@@ -298,6 +316,13 @@
 		get idle() {
 			return !busy && !transaction;
 		},
+		get phase() {
+			if (!opened) {
+				return SessionPhase.Opening;
+			}
+
+			return busy ? SessionPhase.Busy : (transaction ? SessionPhase.Resting : SessionPhase.Idle);
+		},
 		async run() {
 			try {
 				if (await open()) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,11 +1,13 @@
 import {createRetryBudget, type RetryBudget} from '../retries/retry-budget.js';
 import type {CallerChannel} from './caller-channel.js';
-import {createCallerSession, type CallerSession} from './caller-session.js';
+import {createCallerSession, type CallerSession, type SessionPhase} from './caller-session.js';
 import type {GatewayParts} from './gateway-parts.js';
 
 /** Serves callers' sessions. */
 export type Gateway = {
 	readonly sessions: number;
+	/** How many sessions are at what. */
+	countPhases(): Partial<Record<SessionPhase, number>>;
 	/** Serves a connection until it ends. */
 	serve(channel: CallerChannel): Promise<void>;
 	/** Ends sessions as they become idle. */
@@ -61,6 +63,14 @@
 		get sessions() {
 			return sessions.size;
 		},
+		countPhases() {
+			const counts: Partial<Record<SessionPhase, number>> = {};
+			for (const {phase} of sessions) {
+				counts[phase] = (counts[phase] ?? 0) + 1;
+			}
+
+			return counts;
+		},
 		async serve(channel) {
 			const session = createCallerSession({
 				parts, channel, getBudget, lookAgain,
--- a/src/platform/tcp-caller-channel.ts
+++ b/src/platform/tcp-caller-channel.ts
@@ -12,9 +12,13 @@
 /** How long a connection that was ended may stay half open, in milliseconds; the balancer's own clients close at once. */
 const LINGER_MS = 2000;
 
+/** Is told of a request that came once its session had ended, and so gets no answer. */
+export type LateRequestListener = (req: CallerRequest, caller: string) => void;
+
 /** Creates the channel of one connection. */
-export function createTcpCallerChannel(socket: Socket): CallerChannel {
+export function createTcpCallerChannel(socket: Socket, onLate: LateRequestListener = () => undefined): CallerChannel {
 	const reader = createLineReader();
+	const name = `${socket.remoteAddress}:${socket.remotePort}`;
 	const requests: CallerRequest[] = [];
 	const leftListeners: Array<() => void> = [];
 	let left = false;
@@ -44,14 +48,20 @@
 
 	socket.setEncoding('latin1');
 	socket.setNoDelay(true);
+	const read = (chunk: string): readonly CallerRequest[] => reader.push(chunk)?.map(line => parseCallerLine(line)) ?? [{kind: 'too-large'}];
+
 	socket.on('data', (chunk: string) => {
+		const came = read(chunk);
 		// A request that crosses the end of the connection can get no answer any more, so it must not be run either.
 		if (closed) {
+			for (const late of came.filter(({kind}) => kind !== 'end')) {
+				onLate(late, name);
+			}
+
 			return;
 		}
 
-		const lines = reader.push(chunk);
-		requests.push(...(lines ? lines.map(line => parseCallerLine(line)) : [{kind: 'too-large'} as const]));
+		requests.push(...came);
 		if (requests.length >= MOST_WAITING) {
 			socket.pause();
 		}
@@ -76,7 +86,7 @@
 	};
 
 	return {
-		name: `${socket.remoteAddress}:${socket.remotePort}`,
+		name,
 		get left() {
 			return left;
 		},
--- a/src/proxy/leave.ts
+++ b/src/proxy/leave.ts
@@ -43,6 +43,8 @@
 	leadWatch.retire();
 	lender.retire();
 	await clock.sleep(Math.min(OUT_OF_ROTATION_MS, graceMs * TRANSACTION_SHARE));
+	// A host that is late has requests in its sockets that it has not read.
+	log.info('idle sessions are ended', {...gateway.countPhases(), lateMs: Math.round(clock.now() - startedAt - Math.min(OUT_OF_ROTATION_MS, graceMs * TRANSACTION_SHARE))});
 	gateway.leave();
 	await until(graceMs * TRANSACTION_SHARE);
 	gateway.abortTransactions('the host is stopping');
@@ -52,5 +54,7 @@
 		await clock.sleep(RECHECK_MS);
 	}
 
-	log.info('sessions have ended', {left: gateway.sessions, tookMs: Math.round(clock.now() - startedAt)});
+	log.info('sessions have ended', {
+		left: gateway.sessions, ...gateway.countPhases(), loans: lender.loans, tookMs: Math.round(clock.now() - startedAt),
+	});
 }
--- a/src/proxy/run-proxy.ts
+++ b/src/proxy/run-proxy.ts
@@ -81,7 +81,11 @@
 	const isReady = () => !leaving && mirror.state.routing !== undefined && mirror.state.endpoints.length > 0;
 	try {
 		await openReadinessPort(settings.readinessAddress, isReady);
-		await openCallerPort(settings.callerAddress, async channel => gateway.serve(channel));
+		await openCallerPort(settings.callerAddress, async channel => gateway.serve(channel), (req, caller) => {
+			log.warn('a request came after the end of its session', {
+				kind: req.kind, id: 'id' in req ? req.id : undefined, caller, leaving,
+			});
+		});
 		await kernel.start();
 		if (metricsPort !== undefined) {
 			openMetrics(kernel, settings, metricsPort);
