Let callers of a stopping host close their sessions, and answer all that it took

Cause: a host that was told to stop closed idle sessions by what it had read. A request on its way, or unread in the socket of a host that is late, met a closed connection: no answer, no refusal, and no way for the caller to know whether it ran. Sessions that began after that were never told to end, and the process ended at 0.83 of the grace whatever was under way. Now a caller is told first and closes itself: an error goes ahead, which a caller with nothing under way takes as the end, and one whose request crosses it as the answer, which is true since nothing of the session runs any more. One plan says until when callers, transactions, reads and writes are taken, when all of it is answered, and when the process ends; what is taken fits in, and what is still under way when answers are due gets the one that is true of anything given up. The port is closed before the last lines are written. A commit that was sent is not said to be rolled back.

Ruled out: reading once more before the close, which leaves the time of that reading open at a host that is late.

--- a/src/gateway/caller-channel.ts
+++ b/src/gateway/caller-channel.ts
@@ -24,8 +24,13 @@
 	greet(): void;
 	/** Answers a statement; resolves once the caller has taken in what was sent, so that one who does not read holds up only itself. */
 	answer(result: StatementResult, state: SessionState): Promise<void>;
-	/** Says why the session ends, without a session state behind it. */
+	/**
+	 * Says why the session ends, without a session state behind it. A caller that has nothing under way leaves upon it; one whose request is on its
+	 * way takes it for the answer to that, and waits for the state behind it.
+	 */
 	refuse(code: AnswerCode, reason: string): void;
+	/** Puts the state behind a refusal that went out before its request was read. */
+	endRefusal(state: SessionState): void;
 	/** Ends the connection after what was sent has gone out; requests that were not taken by then are never given out. */
 	close(): void;
 };
--- a/src/gateway/caller-session.ts
+++ b/src/gateway/caller-session.ts
@@ -6,28 +6,32 @@
 import {AnswerCode} from '../statements/statement-answer.js';
 import {withinMs} from '../time/deadline.js';
 import {createSleepAlarm, type SleepAlarm} from '../time/sleep-alarm.js';
-import type {CallerChannel} from './caller-channel.js';
+import type {CallerChannel, CallerRequest} from './caller-channel.js';
 import {createCallerTransaction, type CallerTransaction} from './caller-transaction.js';
 import {getShape, type EndpointStatement} from './exchange.js';
+import {createFarewell, type Farewell} from './farewell.js';
 import type {GatewayParts} from './gateway-parts.js';
 import {runRead} from './run-read.js';
 import {runWrite} from './run-write.js';
 import {createSessionMemory} from './session-memory.js';
 import {createStatementTrace, describeTrace} from './statement-trace.js';
 import {DONE, refuse, type StatementResult} from './statement-result.js';
+import {
+	isPastLastCall, mayBegin, mayTake, type StopPlan,
+} from './stop-plan.js';
 
 /** A caller's session on its connection. */
 export type CallerSession = {
-	/** Whether nothing is under way: no statement, no transaction. */
-	readonly idle: boolean;
 	/** What is under way, for log lines. */
 	readonly phase: SessionPhase;
 	/** Serves the caller until it leaves or is sent away. */
 	run(): Promise<void>;
 	/** Ends the session as soon as nothing is under way. */
 	leave(): void;
-	/** Rolls an open transaction back and ends the session. */
-	abort(reason: string): void;
+	/** Rolls an open transaction back and ends the session, behind the answer to what is under way. */
+	callLast(): void;
+	/** Gives a statement that is under way its final answer. */
+	giveUp(): void;
 };
 
 /** What a session is at. */
@@ -51,6 +55,8 @@
 	getBudget(group: string): RetryBudget;
 	/** Has the copy of the store confirmed, for a route that it lacks. */
 	lookAgain(): Promise<unknown>;
+	/** Undefined until the host is told to stop. */
+	getStopPlan(): StopPlan | undefined;
 };
 
 /** Bound of a statement whose route has gone, in milliseconds: only what ends a transaction is still answered. */
@@ -65,8 +71,22 @@
 /** Longest second look for a route, in milliseconds: callers give up on a session that is not open after 2,000. */
 const SECOND_LOOK_MS = 1000;
 
+/** Why a host that stops takes nothing more. */
+const STOP_REASON = 'the host is stopping';
+
+/** When to come back after that, in milliseconds: another host can serve the caller at once. */
+const STOPPING_COME_BACK_MS = 50;
+
+const STOPPING = refuse(AnswerCode.Overloaded, `${STOP_REASON}; nothing ran`, STOPPING_COME_BACK_MS);
+
+/** Statements of a stopping host end so long before their final answer is due, in milliseconds, so that what did not run is told apart from what may have. */
+const FINAL_ANSWER_MS = 100;
+
+/** What leaves an operation to come: a session does not end behind it. */
+const PREPARES: ReadonlySet<Statement['kind']> = new Set(['set', 'prepare', 'forget']);
+
 /** Creates a session. */
-export function createCallerSession({parts, channel, getBudget, lookAgain}: CallerSessionOptions): CallerSession {
+export function createCallerSession({parts, channel, getBudget, lookAgain, getStopPlan}: CallerSessionOptions): CallerSession {
 	const {clock, elapsedClock, log, metrics, mirror} = parts;
 	let memory = createSessionMemory('');
 	let transaction: CallerTransaction | undefined;
@@ -75,10 +95,15 @@
 	let trace = createStatementTrace();
 	let busy = false;
 	let leaving = false;
+	let lastCalled = false;
 	let opened = false;
+	let farewell: Farewell | undefined;
+	/** Ends the wait for the answer to the statement under way. */
+	let stopWaiting: (() => void) | undefined;
+	let givenUp = false;
 	let idleTimer: SleepAlarm | undefined;
 
-	const isWanted = () => !channel.left;
+	const isWanted = () => !channel.left && !givenUp;
 
 	const getRoute = () => transactionRoute ?? mirror.state.routing?.routes.get(memory.database);
 
@@ -100,6 +125,10 @@
 			return refuse(AnswerCode.UnknownDatabase, 'no route has this name');
 		}
 
+		if (!mayBegin(getStopPlan(), clock.now())) {
+			return STOPPING;
+		}
+
 		transactionRoute = route;
 		transaction = createCallerTransaction({
 			parts,
@@ -118,7 +147,8 @@
 			return refuse(AnswerCode.UnknownDatabase, 'no route has this name');
 		}
 
-		const until = clock.now() + route.statementTimeoutMs;
+		const plan = getStopPlan();
+		const until = Math.min(clock.now() + route.statementTimeoutMs, (plan?.answerBy ?? Number.POSITIVE_INFINITY) - FINAL_ANSWER_MS);
 		if (transaction) {
 			return transaction.run(id, statement, until);
 		}
@@ -128,6 +158,10 @@
 			return refuse(AnswerCode.UnknownStatement, 'no statement has that name');
 		}
 
+		if (!mayTake(plan, route, shape.access, clock.now())) {
+			return STOPPING;
+		}
+
 		const single = {
 			id,
 			statement,
@@ -191,6 +225,39 @@
 		}
 	};
 
+	/**
+	 * Guards against a statement that is cut off with the process, which its caller would see as a connection that just ends: whatever it waits for, once the
+	 * plan of the stop says so it gets the answer that is true of anything given up.
+	 */
+	const handleInTime = async (req: IdentifiedStatement): Promise<StatementResult> => {
+		const overdue = new Promise<undefined>(resolve => {
+			stopWaiting = () => {
+				resolve(undefined);
+			};
+		});
+		const result = await Promise.race([handle(req), overdue]);
+		stopWaiting = undefined;
+		return result ?? abandon(req.statement);
+	};
+
+	const abandon = (statement: Statement): StatementResult => {
+		givenUp = true;
+		if (statement.kind === 'commit') {
+			endTransaction();
+			return refuse(AnswerCode.OutcomeUnknown, 'the host is stopping and the commit has no answer');
+		}
+
+		if (transaction) {
+			transaction.abort(STOP_REASON);
+			return refuse(AnswerCode.Aborted, STOP_REASON);
+		}
+
+		const shape = statement.kind === 'run' || statement.kind === 'execute' ? getShape(memory, statement) : undefined;
+		return shape?.access === Access.Write
+			? refuse(AnswerCode.OutcomeUnknown, 'the host is stopping and the write has no answer')
+			: refuse(AnswerCode.Overloaded, `${STOP_REASON}; the read left nothing behind`, STOPPING_COME_BACK_MS);
+	};
+
 	const remember = (statement: Extract<Statement, {kind: 'set' | 'prepare' | 'forget'}>): StatementResult => {
 		if (statement.kind === 'set') {
 			memory.values.set(statement.name, statement.value);
@@ -217,7 +284,7 @@
 	const serve = async (req: IdentifiedStatement) => {
 		const askedAt = clock.now();
 		idleTimer?.abort();
-		const result = await handle(req);
+		const result = await handleInTime(req);
 		observe(req, result, clock.now() - askedAt);
 		const state = getState();
 		if (state === SessionState.Open) {
@@ -260,8 +327,29 @@
 		}
 	};
 
+	/** Tells a caller that has nothing under way that the session ends. */
+	const dismiss = () => {
+		const reason = transaction ? refuse(AnswerCode.Aborted, STOP_REASON) : STOPPING;
+		transaction?.abort(STOP_REASON);
+		transaction?.rollback();
+		farewell ??= createFarewell(channel, reason, transaction !== undefined);
+		endTransaction();
+	};
+
 	const open = async (): Promise<boolean> => {
 		const req = await channel.next();
+		if (farewell) {
+			return false;
+		}
+
+		busy = true;
+		const opens = await admit(req);
+		busy = false;
+		return opens;
+	};
+
+	/** Opens the session where its first request is one that may. */
+	const admit = async (req: CallerRequest | undefined): Promise<boolean> => {
 		if (req?.kind !== 'open') {
 			if (req) {
 				channel.refuse(AnswerCode.Malformed, 'a session begins by naming its database');
@@ -288,6 +376,12 @@
 			return false;
 		}
 
+		if (isPastLastCall(getStopPlan(), clock.now())) {
+			log.info('a session was refused: the host is stopping', {database: req.database});
+			channel.refuse(STOPPING.end.code, STOPPING.end.text);
+			return false;
+		}
+
 		memory = createSessionMemory(req.database);
 		channel.greet();
 		opened = true;
@@ -295,7 +389,7 @@
 	};
 
 	const serveAll = async () => {
-		while (!leaving || transaction !== undefined || channel.waiting) {
+		for (;;) {
 			const req = await channel.next();
 			if (!req || req.kind === 'end') {
 				return;
@@ -306,16 +400,31 @@
 				return;
 			}
 
+			if (farewell) {
+				observe(req, farewell.refuse(req.statement), 0);
+				continue;
+			}
+
 			busy = true;
 			await serve(req);
 			busy = false;
+			if (isOver(req.statement)) {
+				dismiss();
+			}
+		}
+	};
+
+	/** Whether a session that is to end may end behind the answer to this statement. */
+	const isOver = ({kind}: Statement) => {
+		if (channel.waiting) {
+			return false;
 		}
+
+		const goesOn = transaction !== undefined || PREPARES.has(kind);
+		return lastCalled || (leaving && !goesOn);
 	};
 
 	return {
-		get idle() {
-			return !busy && !transaction;
-		},
 		get phase() {
 			if (!opened) {
 				return SessionPhase.Opening;
@@ -337,17 +446,21 @@
 		},
 		leave() {
 			leaving = true;
-			if (!busy && !transaction && !channel.waiting) {
-				channel.close();
+			if (opened && !busy && !transaction && !channel.waiting) {
+				dismiss();
 			}
 		},
-		abort(reason) {
+		callLast() {
 			leaving = true;
-			transaction?.abort(reason);
-			if (!busy) {
-				channel.refuse(AnswerCode.Aborted, reason);
-				channel.close();
+			lastCalled = true;
+			if (busy || channel.waiting) {
+				transaction?.abort(STOP_REASON);
+			} else {
+				dismiss();
 			}
 		},
+		giveUp() {
+			stopWaiting?.();
+		},
 	};
 }
--- a/src/gateway/caller-transaction.ts
+++ b/src/gateway/caller-transaction.ts
@@ -52,6 +52,7 @@
 	let lent: LentLink | undefined;
 	let failure: StatementResult | undefined;
 	let wrote = false;
+	let committing = false;
 
 	const fail = (code: AnswerCode, reason: string, comeBackMs?: number) => {
 		failure = refuse(code, reason, comeBackMs);
@@ -81,7 +82,8 @@
 	};
 
 	const abort = (reason: string) => {
-		if (failure) {
+		// A commit that was sent can be rolled back no more; its answer says what became of it.
+		if (failure || committing) {
 			return;
 		}
 
@@ -194,6 +196,8 @@
 		},
 		async commit(id, until) {
 			if (failure) {
+				// It may have been rolled back while it was begun.
+				endAtEndpoint();
 				return failure;
 			}
 
@@ -210,6 +214,7 @@
 			}
 
 			lent = undefined;
+			committing = true;
 			const answer = await commitAtEndpoint(ending, id, until);
 			ending.release();
 			if (!answer) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -2,6 +2,7 @@
 import type {CallerChannel} from './caller-channel.js';
 import {createCallerSession, type CallerSession, type SessionPhase} from './caller-session.js';
 import type {GatewayParts} from './gateway-parts.js';
+import type {StopPlan} from './stop-plan.js';
 
 /** Serves callers' sessions. */
 export type Gateway = {
@@ -10,10 +11,14 @@
 	countPhases(): Partial<Record<SessionPhase, number>>;
 	/** Serves a connection until it ends. */
 	serve(channel: CallerChannel): Promise<void>;
-	/** Ends sessions as they become idle. */
+	/** Takes from now on only what the plan of the host's stop has time for. */
+	stop(plan: StopPlan): void;
+	/** Ends sessions as they become idle, also those that begin later. */
 	leave(): void;
-	/** Rolls open transactions back and ends their sessions. */
-	abortTransactions(reason: string): void;
+	/** Rolls open transactions back and ends all sessions that have nothing under way; none begins any more. */
+	callLast(): void;
+	/** Gives every statement that has none yet its final answer. */
+	giveUp(): void;
 };
 
 /** Reads that may go to a second endpoint, as a share of all: a slow group must not be loaded twice. */
@@ -33,6 +38,8 @@
 	const {clock, log, metrics, mirror} = parts;
 	const sessions = new Set<CallerSession>();
 	const budgets = new Map<string, RetryBudget>();
+	let plan: StopPlan | undefined;
+	let leaving = false;
 	let lookedAt = Number.NEGATIVE_INFINITY;
 
 	const getBudget = (group: string) => {
@@ -73,9 +80,14 @@
 		},
 		async serve(channel) {
 			const session = createCallerSession({
-				parts, channel, getBudget, lookAgain,
+				parts, channel, getBudget, lookAgain, getStopPlan: () => plan,
 			});
 			sessions.add(session);
+			// Guards against a caller that comes once others were told to leave: never told itself, it would be cut off by the end of the process.
+			if (leaving) {
+				session.leave();
+			}
+
 			metrics.setSessions(sessions.size);
 			try {
 				await session.run();
@@ -88,16 +100,23 @@
 				metrics.setSessions(sessions.size);
 			}
 		},
+		stop(stopPlan) {
+			plan = stopPlan;
+		},
 		leave() {
+			leaving = true;
 			for (const session of sessions) {
 				session.leave();
 			}
 		},
-		abortTransactions(reason) {
+		callLast() {
+			for (const session of sessions) {
+				session.callLast();
+			}
+		},
+		giveUp() {
 			for (const session of sessions) {
-				if (!session.idle) {
-					session.abort(reason);
-				}
+				session.giveUp();
 			}
 		},
 	};
--- a/src/gateway/statement-result.ts
+++ b/src/gateway/statement-result.ts
@@ -11,11 +11,14 @@
 /** The proxy's own answer that all went well. */
 export const DONE: StatementResult = {rows: [], end: {kind: 'complete'}};
 
+/** A refusal of the proxy's own. */
+export type RefusalResult = StatementResult & {readonly end: Extract<AnswerEnd, {kind: 'error'}>};
+
 /**
  * Makes a refusal of the proxy's own.
  * @param comeBackMs When to come back, in milliseconds; leads the text where it is given.
  */
-export function refuse(code: AnswerCode, reason: string, comeBackMs?: number): StatementResult {
+export function refuse(code: AnswerCode, reason: string, comeBackMs?: number): RefusalResult {
 	const text = comeBackMs === undefined ? reason : `retry-after-ms=${Math.ceil(comeBackMs)} ${reason}`;
 	return {rows: [], end: {kind: 'error', code, text}};
 }
--- a/src/platform/tcp-caller-channel.ts
+++ b/src/platform/tcp-caller-channel.ts
@@ -114,6 +114,9 @@
 		refuse(code, reason) {
 			void write(formatEnd({kind: 'error', code, text: reason}));
 		},
+		endRefusal(state) {
+			void write(formatReady(state));
+		},
 		close() {
 			closed = true;
 			requests.length = 0;
--- a/src/proxy/leave.ts
+++ b/src/proxy/leave.ts
@@ -1,4 +1,5 @@
 import type {Gateway} from '../gateway/gateway.js';
+import {createStopPlan} from '../gateway/stop-plan.js';
 import type {LeadWatch} from '../leadership/lead-watch.js';
 import type {LinkLender} from '../lending/link-lender.js';
 import type {Log} from '../log/log.js';
@@ -10,50 +11,49 @@
 	readonly leadWatch: Pick<LeadWatch, 'retire' | 'replacing'>;
 	/** Other hosts' requests that use this host's connections. */
 	readonly lender: Pick<LinkLender, 'loans' | 'retire'>;
+	/** Where callers connect. */
+	readonly callerPort: {close(): unknown};
 	readonly clock: Clock;
 	readonly log: Log;
 	/** Time from the order to stop to the end by force, in milliseconds. */
 	readonly graceMs: number;
 };
 
-/**
- * The balancer asks once a second and takes a host out after two refusals: until then new callers still come, so all
- * are served for so long, in milliseconds.
- */
-const OUT_OF_ROTATION_MS = 2300;
-
-/** Share of the grace that open transactions get to end. */
-const TRANSACTION_SHARE = 0.5;
-
-/** Share of the grace after which the process ends whatever is still under way, so that it is never ended by force. */
-const END_SHARE = 0.83;
-
 /** How often it is looked whether all sessions have ended, in milliseconds. */
 const RECHECK_MS = 50;
 
-/** Serves on until the balancer sends nobody any more, then lets sessions end; resolves when the process may end. */
-export async function leave({gateway, leadWatch, lender, clock, log, graceMs}: LeaveOptions): Promise<void> {
+/**
+ * Serves on until the balancer sends nobody any more, then lets sessions end; resolves when the process may end. What is taken when, and by when all of it is
+ * answered, says the plan alone.
+ */
+export async function leave({gateway, leadWatch, lender, callerPort, clock, log, graceMs}: LeaveOptions): Promise<void> {
 	const startedAt = clock.now();
-	const until = async (ms: number) => {
-		while ((gateway.sessions > 0 || lender.loans > 0) && clock.now() < startedAt + ms) {
+	const plan = createStopPlan(startedAt, graceMs);
+	const waitForSessions = async (until: number) => {
+		while ((gateway.sessions > 0 || lender.loans > 0) && clock.now() < until) {
 			await clock.sleep(RECHECK_MS);
 		}
 	};
 
 	leadWatch.retire();
 	lender.retire();
-	await clock.sleep(Math.min(OUT_OF_ROTATION_MS, graceMs * TRANSACTION_SHARE));
+	gateway.stop(plan);
+	await clock.sleep(plan.rotatedOutAt - startedAt);
 	// A host that is late has requests in its sockets that it has not read.
-	log.info('idle sessions are ended', {...gateway.countPhases(), lateMs: Math.round(clock.now() - startedAt - Math.min(OUT_OF_ROTATION_MS, graceMs * TRANSACTION_SHARE))});
+	log.info('idle sessions are ended', {...gateway.countPhases(), lateMs: Math.round(clock.now() - plan.rotatedOutAt)});
 	gateway.leave();
-	await until(graceMs * TRANSACTION_SHARE);
-	gateway.abortTransactions('the host is stopping');
-	await until(graceMs * END_SHARE);
+	await waitForSessions(plan.lastCallAt);
+	gateway.callLast();
+	await waitForSessions(plan.answerBy);
+	gateway.giveUp();
 	// A group whose replacement is left half way has no primary until another host has waited for the end of the duty.
-	while (leadWatch.replacing && clock.now() < startedAt + (graceMs * END_SHARE)) {
+	while (leadWatch.replacing && clock.now() < plan.endBy) {
 		await clock.sleep(RECHECK_MS);
 	}
 
+	// Guards against a caller that comes while the last lines are written: it would be taken, and cut off with the process.
+	callerPort.close();
+	await waitForSessions(plan.endBy);
 	log.info('sessions have ended', {
 		left: gateway.sessions, ...gateway.countPhases(), loans: lender.loans, tookMs: Math.round(clock.now() - startedAt),
 	});
--- a/src/proxy/run-proxy.ts
+++ b/src/proxy/run-proxy.ts
@@ -1,4 +1,5 @@
 import {readFileSync} from 'node:fs';
+import type {Server} from 'node:net';
 import type {ProxyMetrics} from '../gateway/prom-gateway-metrics.js';
 import type {Kernel} from '../kernel/kernel.js';
 import type {Log} from '../log/log.js';
@@ -79,9 +80,10 @@
 	let leaving = false;
 	// What serves callers is a configuration and some endpoint; who leads is found out while reads are served.
 	const isReady = () => !leaving && mirror.state.routing !== undefined && mirror.state.endpoints.length > 0;
+	let callerPort: Server;
 	try {
 		await openReadinessPort(settings.readinessAddress, isReady);
-		await openCallerPort(settings.callerAddress, async channel => gateway.serve(channel), (req, caller) => {
+		callerPort = await openCallerPort(settings.callerAddress, async channel => gateway.serve(channel), (req, caller) => {
 			log.warn('a request came after the end of its session', {
 				kind: req.kind, id: 'id' in req ? req.id : undefined, caller, leaving,
 			});
@@ -100,7 +102,7 @@
 	leaving = true;
 	log.info('leaving', {signal, open: gateway.sessions});
 	await leave({
-		gateway, leadWatch: kernel.getOrThrow('leadWatch'), lender: kernel.getOrThrow('linkLender'), clock, log, graceMs: settings.graceMs,
+		gateway, leadWatch: kernel.getOrThrow('leadWatch'), lender: kernel.getOrThrow('linkLender'), callerPort, clock, log, graceMs: settings.graceMs,
 	});
 	log.info('left');
 	return ProxyExitCode.Ok;
--- a/src/stand-ins/proxies/scripted-caller.ts
+++ b/src/stand-ins/proxies/scripted-caller.ts
@@ -40,6 +40,8 @@
 	let wake: (() => void) | undefined;
 	let takeGreeting: ((greeted: boolean) => void) | undefined;
 	let takeAnswer: ((answer: ScriptedAnswer | undefined) => void) | undefined;
+	/** An error that waits for the session's state behind it. */
+	let refused: StatementResult | undefined;
 
 	const arrive = (req: CallerRequest) => {
 		// What comes after the end of the session reaches nobody.
@@ -60,12 +62,23 @@
 		});
 	};
 
+	const settle = (answer: ScriptedAnswer | undefined) => {
+		takeAnswer?.(answer);
+		takeAnswer = undefined;
+		refused = undefined;
+	};
+
 	const end = () => {
 		takeGreeting?.(false);
-		takeAnswer?.(undefined);
+		settle(undefined);
 		wake?.();
 	};
 
+	const leave = () => {
+		left = true;
+		end();
+	};
+
 	const channel: CallerChannel = {
 		name,
 		get left() {
@@ -86,12 +99,21 @@
 		},
 		greet() {
 			takeGreeting?.(true);
+			takeGreeting = undefined;
 		},
 		async answer(result, state) {
-			takeAnswer?.({...result, state});
+			settle({...result, state});
 		},
-		refuse(code) {
+		refuse(code, text) {
 			refusal = code;
+			if (takeAnswer) {
+				refused = {rows: [], end: {kind: 'error', code, text}};
+			} else if (!takeGreeting) {
+				leave();
+			}
+		},
+		endRefusal(state) {
+			settle(refused && {...refused, state});
 		},
 		close() {
 			closed = true;
@@ -126,9 +148,6 @@
 			send({kind: 'statement', id, statement});
 			return answered;
 		},
-		leave() {
-			left = true;
-			end();
-		},
+		leave,
 	};
 }
--- a/tests/proxy/leave-tests.ts
+++ b/tests/proxy/leave-tests.ts
@@ -14,6 +14,7 @@
 			gateway: kernel.getOrThrow('gateway'),
 			leadWatch: kernel.getOrThrow('leadWatch'),
 			lender: kernel.getOrThrow('linkLender'),
+			callerPort: {close() {}}, // eslint-disable-line @typescript-eslint/no-empty-function
 			clock: bench.clock,
 			log: createSilentLog(),
 			graceMs: GRACE_MS,
