--- a/src/gateway/caller-transaction.ts
+++ b/src/gateway/caller-transaction.ts
@@ -83,7 +83,7 @@
 
 	const abort = (reason: string) => {
 		// A commit that was sent can be rolled back no more; its answer says what became of it.
-		if (failure || committing) {
+		if (committing || failure) {
 			return;
 		}
 
