Split the opening of sessions, their account and their answers at a stop off one long file

What a stopping host answers stands in one place, the wait that can be given up and the opening of a session are parts of their own.

--- a/src/gateway/caller-session.ts
+++ b/src/gateway/caller-session.ts
@@ -4,21 +4,24 @@
 	Access, SessionState, type IdentifiedStatement, type Statement,
 } from '../statements/statement.js';
 import {AnswerCode} from '../statements/statement-answer.js';
-import {withinMs} from '../time/deadline.js';
 import {createSleepAlarm, type SleepAlarm} from '../time/sleep-alarm.js';
-import type {CallerChannel, CallerRequest} from './caller-channel.js';
+import {createAnswerWait} from './answer-wait.js';
 import {createCallerTransaction, type CallerTransaction} from './caller-transaction.js';
 import {getShape, type EndpointStatement} from './exchange.js';
 import {createFarewell, type Farewell} from './farewell.js';
 import type {GatewayParts} from './gateway-parts.js';
+import {observeStatement} from './observe-statement.js';
+import {openSession, type OpenSessionOptions} from './open-session.js';
 import {runRead} from './run-read.js';
 import {runWrite} from './run-write.js';
-import {createSessionMemory} from './session-memory.js';
-import {createStatementTrace, describeTrace} from './statement-trace.js';
+import {createSessionMemory, rememberStatement} from './session-memory.js';
+import {SessionPhase} from './session-phase.js';
+import {createStatementTrace} from './statement-trace.js';
 import {DONE, refuse, type StatementResult} from './statement-result.js';
 import {
-	isPastLastCall, mayBegin, mayTake, type StopPlan,
-} from './stop-plan.js';
+	getStoppedAnswer, STOP_REASON, STOPPED_COMMIT, STOPPED_TRANSACTION, STOPPING,
+} from './stop-answers.js';
+import {mayBegin, mayTake} from './stop-plan.js';
 
 /** A caller's session on its connection. */
 export type CallerSession = {
@@ -34,51 +37,15 @@
 	giveUp(): void;
 };
 
-/** What a session is at. */
-export const SessionPhase = {
-	/** Its caller has not named a database yet, or waits for the answer to that. */
-	Opening: 'opening',
-	Idle: 'idle',
-	/** A statement has no answer yet. */
-	Busy: 'busy',
-	/** A transaction is open and rests. */
-	Resting: 'resting',
-} as const;
-
-/** One of the phases in {@link SessionPhase}. */
-export type SessionPhase = typeof SessionPhase[keyof typeof SessionPhase];
-
 /** What a session needs. */
-export type CallerSessionOptions = {
+export type CallerSessionOptions = OpenSessionOptions & {
 	readonly parts: GatewayParts;
-	readonly channel: CallerChannel;
 	getBudget(group: string): RetryBudget;
-	/** Has the copy of the store confirmed, for a route that it lacks. */
-	lookAgain(): Promise<unknown>;
-	/** Undefined until the host is told to stop. */
-	getStopPlan(): StopPlan | undefined;
 };
 
 /** Bound of a statement whose route has gone, in milliseconds: only what ends a transaction is still answered. */
 const ENDING_TIMEOUT_MS = 1000;
 
-/** Longest wait for the first configuration, in milliseconds: callers give up on a session that is not open after 2,000. */
-const ROUTING_WAIT_MS = 1800;
-
-/** How often a host that starts looks whether it has a configuration, in milliseconds. */
-const ROUTING_RECHECK_MS = 20;
-
-/** Longest second look for a route, in milliseconds: callers give up on a session that is not open after 2,000. */
-const SECOND_LOOK_MS = 1000;
-
-/** Why a host that stops takes nothing more. */
-const STOP_REASON = 'the host is stopping';
-
-/** When to come back after that, in milliseconds: another host can serve the caller at once. */
-const STOPPING_COME_BACK_MS = 50;
-
-const STOPPING = refuse(AnswerCode.Overloaded, `${STOP_REASON}; nothing ran`, STOPPING_COME_BACK_MS);
-
 /** Statements of a stopping host end so long before their final answer is due, in milliseconds, so that what did not run is told apart from what may have. */
 const FINAL_ANSWER_MS = 100;
 
@@ -87,7 +54,7 @@
 
 /** Creates a session. */
 export function createCallerSession({parts, channel, getBudget, lookAgain, getStopPlan}: CallerSessionOptions): CallerSession {
-	const {clock, elapsedClock, log, metrics, mirror} = parts;
+	const {clock, elapsedClock, mirror} = parts;
 	let memory = createSessionMemory('');
 	let transaction: CallerTransaction | undefined;
 	let transactionRoute: Route | undefined;
@@ -98,8 +65,7 @@
 	let lastCalled = false;
 	let opened = false;
 	let farewell: Farewell | undefined;
-	/** Ends the wait for the answer to the statement under way. */
-	let stopWaiting: (() => void) | undefined;
+	const answerWait = createAnswerWait();
 	let givenUp = false;
 	let idleTimer: SleepAlarm | undefined;
 
@@ -220,54 +186,27 @@
 			case 'set':
 			case 'prepare':
 			case 'forget': {
-				return remember(statement);
+				rememberStatement(memory, statement);
+				return DONE;
 			}
 		}
 	};
 
-	/**
-	 * Guards against a statement that is cut off with the process, which its caller would see as a connection that just ends: whatever it waits for, once the
-	 * plan of the stop says so it gets the answer that is true of anything given up.
-	 */
-	const handleInTime = async (req: IdentifiedStatement): Promise<StatementResult> => {
-		const overdue = new Promise<undefined>(resolve => {
-			stopWaiting = () => {
-				resolve(undefined);
-			};
-		});
-		const result = await Promise.race([handle(req), overdue]);
-		stopWaiting = undefined;
-		return result ?? abandon(req.statement);
-	};
-
+	/** The final answer to a statement whose endpoint has given none in the time that the host has left. */
 	const abandon = (statement: Statement): StatementResult => {
 		givenUp = true;
 		if (statement.kind === 'commit') {
 			endTransaction();
-			return refuse(AnswerCode.OutcomeUnknown, 'the host is stopping and the commit has no answer');
+			return STOPPED_COMMIT;
 		}
 
 		if (transaction) {
 			transaction.abort(STOP_REASON);
-			return refuse(AnswerCode.Aborted, STOP_REASON);
+			return STOPPED_TRANSACTION;
 		}
 
-		const shape = statement.kind === 'run' || statement.kind === 'execute' ? getShape(memory, statement) : undefined;
-		return shape?.access === Access.Write
-			? refuse(AnswerCode.OutcomeUnknown, 'the host is stopping and the write has no answer')
-			: refuse(AnswerCode.Overloaded, `${STOP_REASON}; the read left nothing behind`, STOPPING_COME_BACK_MS);
-	};
-
-	const remember = (statement: Extract<Statement, {kind: 'set' | 'prepare' | 'forget'}>): StatementResult => {
-		if (statement.kind === 'set') {
-			memory.values.set(statement.name, statement.value);
-		} else if (statement.kind === 'prepare') {
-			memory.prepared.set(statement.name, statement.shape);
-		} else {
-			memory.prepared.delete(statement.name);
-		}
-
-		return DONE;
+		const isRun = statement.kind === 'run' || statement.kind === 'execute';
+		return getStoppedAnswer(isRun ? getShape(memory, statement)?.access : undefined);
 	};
 
 	/** An idle transaction keeps one of the endpoint's few connections from everybody else. */
@@ -284,7 +223,7 @@
 	const serve = async (req: IdentifiedStatement) => {
 		const askedAt = clock.now();
 		idleTimer?.abort();
-		const result = await handleInTime(req);
+		const result = await answerWait.waitFor(handle(req)) ?? abandon(req.statement);
 		observe(req, result, clock.now() - askedAt);
 		const state = getState();
 		if (state === SessionState.Open) {
@@ -294,42 +233,15 @@
 		await channel.answer(result, state);
 	};
 
-	const observe = ({id, statement}: IdentifiedStatement, {end}: StatementResult, tookMs: number) => {
-		const outcome = end.kind === 'error' ? end.code : 'done';
-		metrics.observeStatement(statement.kind, outcome, tookMs / 1000);
-		const route = getRoute();
-		const isLate = route !== undefined && tookMs > route.targetLatencyMs;
-		if (end.kind === 'complete' && !isLate) {
-			return;
-		}
-
-		const record = route && mirror.state.leadership.get(route.group);
-		log.info(end.kind === 'error' ? 'a statement was refused' : 'a statement was answered late', {
-			id,
-			kind: statement.kind,
-			...(end.kind === 'error' && {code: end.code, text: end.text}),
-			database: memory.database,
-			group: route?.group,
-			tookMs: Math.round(tookMs),
-			...describeTrace(trace),
-			routing: mirror.state.routing?.version,
-			epoch: record?.epoch,
-			phase: record?.phase,
-			confirmedAgoMs: mirror.confirmedAt === undefined ? undefined : Math.round(elapsedClock.elapsed() - mirror.confirmedAt),
+	const observe = (req: IdentifiedStatement, result: StatementResult, tookMs: number) => {
+		observeStatement(parts, {
+			req, result, tookMs, database: memory.database, route: getRoute(), trace,
 		});
 	};
 
-	/** A host that has just started knows no route yet, which must not be taken for a route that is not there. */
-	const waitForRouting = async () => {
-		const until = clock.now() + ROUTING_WAIT_MS;
-		while (!mirror.state.routing && isWanted() && clock.now() < until) {
-			await clock.sleep(ROUTING_RECHECK_MS);
-		}
-	};
-
 	/** Tells a caller that has nothing under way that the session ends. */
 	const dismiss = () => {
-		const reason = transaction ? refuse(AnswerCode.Aborted, STOP_REASON) : STOPPING;
+		const reason = transaction ? STOPPED_TRANSACTION : STOPPING;
 		transaction?.abort(STOP_REASON);
 		transaction?.rollback();
 		farewell ??= createFarewell(channel, reason, transaction !== undefined);
@@ -343,47 +255,13 @@
 		}
 
 		busy = true;
-		const opens = await admit(req);
+		const database = await openSession(parts, req, {channel, lookAgain, getStopPlan});
 		busy = false;
-		return opens;
-	};
-
-	/** Opens the session where its first request is one that may. */
-	const admit = async (req: CallerRequest | undefined): Promise<boolean> => {
-		if (req?.kind !== 'open') {
-			if (req) {
-				channel.refuse(AnswerCode.Malformed, 'a session begins by naming its database');
-			}
-
-			return false;
-		}
-
-		await waitForRouting();
-		if (!mirror.state.routing?.routes.has(req.database)) {
-			// The copy may lack a route that was just added; a second look costs a call and spares a false refusal.
-			await withinMs(clock, SECOND_LOOK_MS, lookAgain());
-		}
-
-		if (!mirror.state.routing) {
-			log.info('a session was refused: no configuration is known yet', {database: req.database});
-			channel.refuse(AnswerCode.Overloaded, 'this host is starting');
-			return false;
-		}
-
-		if (!mirror.state.routing.routes.has(req.database)) {
-			log.info('a session was refused: no route has its name', {database: req.database, routing: mirror.state.routing?.version});
-			channel.refuse(AnswerCode.UnknownDatabase, 'no route has this name');
-			return false;
-		}
-
-		if (isPastLastCall(getStopPlan(), clock.now())) {
-			log.info('a session was refused: the host is stopping', {database: req.database});
-			channel.refuse(STOPPING.end.code, STOPPING.end.text);
+		if (database === undefined) {
 			return false;
 		}
 
-		memory = createSessionMemory(req.database);
-		channel.greet();
+		memory = createSessionMemory(database);
 		opened = true;
 		return true;
 	};
@@ -460,7 +338,7 @@
 			}
 		},
 		giveUp() {
-			stopWaiting?.();
+			answerWait.giveUp();
 		},
 	};
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,7 +1,8 @@
 import {createRetryBudget, type RetryBudget} from '../retries/retry-budget.js';
 import type {CallerChannel} from './caller-channel.js';
-import {createCallerSession, type CallerSession, type SessionPhase} from './caller-session.js';
+import {createCallerSession, type CallerSession} from './caller-session.js';
 import type {GatewayParts} from './gateway-parts.js';
+import type {SessionPhase} from './session-phase.js';
 import type {StopPlan} from './stop-plan.js';
 
 /** Serves callers' sessions. */
--- /dev/null
+++ b/src/gateway/open-session.ts
@@ -0,0 +1,73 @@
+import {AnswerCode} from '../statements/statement-answer.js';
+import {withinMs} from '../time/deadline.js';
+import type {CallerChannel, CallerRequest} from './caller-channel.js';
+import type {GatewayParts} from './gateway-parts.js';
+import {STOPPING} from './stop-answers.js';
+import {isPastLastCall, type StopPlan} from './stop-plan.js';
+
+/** What opening a session needs beside the gateway's parts. */
+export type OpenSessionOptions = {
+	readonly channel: CallerChannel;
+	/** Has the copy of the store confirmed, for a route that it lacks. */
+	lookAgain(): Promise<unknown>;
+	/** Undefined until the host is told to stop. */
+	getStopPlan(): StopPlan | undefined;
+};
+
+/** Longest wait for the first configuration, in milliseconds: callers give up on a session that is not open after 2,000. */
+const ROUTING_WAIT_MS = 1800;
+
+/** How often a host that starts looks whether it has a configuration, in milliseconds. */
+const ROUTING_RECHECK_MS = 20;
+
+/** Longest second look for a route, in milliseconds: callers give up on a session that is not open after 2,000. */
+const SECOND_LOOK_MS = 1000;
+
+/** Opens a session where its first request is one that may; the database that it named, undefined where it was refused. */
+export async function openSession(parts: GatewayParts, req: CallerRequest | undefined, options: OpenSessionOptions): Promise<string | undefined> {
+	const {clock, log, mirror} = parts;
+	const {channel, lookAgain, getStopPlan} = options;
+	if (req?.kind !== 'open') {
+		if (req) {
+			channel.refuse(AnswerCode.Malformed, 'a session begins by naming its database');
+		}
+
+		return undefined;
+	}
+
+	const {database} = req;
+	await waitForRouting(parts, channel);
+	if (!mirror.state.routing?.routes.has(database)) {
+		// The copy may lack a route that was just added; a second look costs a call and spares a false refusal.
+		await withinMs(clock, SECOND_LOOK_MS, lookAgain());
+	}
+
+	if (!mirror.state.routing) {
+		log.info('a session was refused: no configuration is known yet', {database});
+		channel.refuse(AnswerCode.Overloaded, 'this host is starting');
+		return undefined;
+	}
+
+	if (!mirror.state.routing.routes.has(database)) {
+		log.info('a session was refused: no route has its name', {database, routing: mirror.state.routing?.version});
+		channel.refuse(AnswerCode.UnknownDatabase, 'no route has this name');
+		return undefined;
+	}
+
+	if (isPastLastCall(getStopPlan(), clock.now())) {
+		log.info('a session was refused: the host is stopping', {database});
+		channel.refuse(STOPPING.end.code, STOPPING.end.text);
+		return undefined;
+	}
+
+	channel.greet();
+	return database;
+}
+
+/** A host that has just started knows no route yet, which must not be taken for a route that is not there. */
+async function waitForRouting({clock, mirror}: GatewayParts, channel: CallerChannel) {
+	const until = clock.now() + ROUTING_WAIT_MS;
+	while (!mirror.state.routing && !channel.left && clock.now() < until) {
+		await clock.sleep(ROUTING_RECHECK_MS);
+	}
+}
--- a/src/gateway/session-memory.ts
+++ b/src/gateway/session-memory.ts
@@ -1,4 +1,4 @@
-import type {PreparedShape} from '../statements/statement.js';
+import type {PreparedShape, Statement} from '../statements/statement.js';
 import type {LogPosition} from '../terms/log-position.js';
 
 /** What lasts as long as a caller's session. */
@@ -18,3 +18,22 @@
 		database, values: new Map(), prepared: new Map(), floors: new Map(),
 	};
 }
+
+/** Notes what a caller set, prepared or forgot. */
+export function rememberStatement(memory: SessionMemory, statement: Extract<Statement, {kind: 'set' | 'prepare' | 'forget'}>): void {
+	switch (statement.kind) {
+		case 'set': {
+			memory.values.set(statement.name, statement.value);
+			return;
+		}
+
+		case 'prepare': {
+			memory.prepared.set(statement.name, statement.shape);
+			return;
+		}
+
+		case 'forget': {
+			memory.prepared.delete(statement.name);
+		}
+	}
+}
--- /dev/null
+++ b/src/gateway/session-phase.ts
@@ -0,0 +1,13 @@
+/** What a session is at. */
+export const SessionPhase = {
+	/** Its caller has not named a database yet, or waits for the answer to that. */
+	Opening: 'opening',
+	Idle: 'idle',
+	/** A statement has no answer yet. */
+	Busy: 'busy',
+	/** A transaction is open and rests. */
+	Resting: 'resting',
+} as const;
+
+/** One of the phases in {@link SessionPhase}. */
+export type SessionPhase = typeof SessionPhase[keyof typeof SessionPhase];
