Tell callers that come while a replacement is finished, and begin nothing that is rolled back

Also, by reading: a session that opens at a stopping host looks for no route it does not know, since the look may outlast the process; a transaction is begun as long as it fits in as usual, in place of none from 2.3 s on; a session that fails tells so before it is closed; a refusal at the stop is logged without the trace of the statement before. 'Late host' is gone from the comments: the record may as well be explained by links that were full.

--- a/src/gateway/caller-session.ts
+++ b/src/gateway/caller-session.ts
@@ -91,7 +91,8 @@
 			return refuse(AnswerCode.UnknownDatabase, 'no route has this name');
 		}
 
-		if (!mayBegin(getStopPlan(), clock.now())) {
+		if (!mayBegin(getStopPlan(), route, clock.now())) {
+			newTrace();
 			return STOPPING;
 		}
 
@@ -125,6 +126,7 @@
 		}
 
 		if (!mayTake(plan, route, shape.access, clock.now())) {
+			newTrace();
 			return STOPPING;
 		}
 
@@ -279,6 +281,7 @@
 			}
 
 			if (farewell) {
+				newTrace();
 				observe(req, farewell.refuse(req.statement), 0);
 				continue;
 			}
--- a/src/gateway/caller-transaction.ts
+++ b/src/gateway/caller-transaction.ts
@@ -174,6 +174,12 @@
 			}
 
 			lent ??= await begin(until);
+			if (failure) {
+				// It was rolled back while it was begun, so nothing of it may run.
+				endAtEndpoint();
+				return failure;
+			}
+
 			if (!lent) {
 				return fail(AnswerCode.Overloaded, 'no endpoint could begin the transaction; nothing ran', COME_BACK_MS);
 			}
--- a/src/gateway/farewell.ts
+++ b/src/gateway/farewell.ts
@@ -11,7 +11,7 @@
 /**
  * Tells a caller that has nothing under way that its session ends, and leaves the closing to the caller.
  *
- * Guards against a request that is on its way, or unread in the socket of a host that is late, when the host ends the session: closed by the host, the connection
+ * Guards against a request that is on its way, or not read yet, when the host ends the session: closed by the host, the connection
  * ends without an answer, and the caller cannot know whether its request ran. Told first, a caller with nothing under way closes; one whose request is on its
  * way takes the refusal for the answer to it, which is true since the host runs nothing of the session any more, and gets the state behind it once the
  * request is here. An error is always ahead, however many requests come.
@@ -26,6 +26,7 @@
 	tell();
 	return {
 		refuse({kind}) {
+			// What was rolled back stays failed to its caller until it asks for the end.
 			failed &&= kind !== 'commit' && kind !== 'rollback';
 			channel.endRefusal(failed ? SessionState.Failed : SessionState.Idle);
 			tell();
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,9 +1,10 @@
 import {createRetryBudget, type RetryBudget} from '../retries/retry-budget.js';
+import {AnswerCode} from '../statements/statement-answer.js';
 import type {CallerChannel} from './caller-channel.js';
 import {createCallerSession, type CallerSession} from './caller-session.js';
 import type {GatewayParts} from './gateway-parts.js';
 import type {SessionPhase} from './session-phase.js';
-import type {StopPlan} from './stop-plan.js';
+import {endAdmission, type StopPlan} from './stop-plan.js';
 
 /** Serves callers' sessions. */
 export type Gateway = {
@@ -16,8 +17,8 @@
 	stop(plan: StopPlan): void;
 	/** Ends sessions as they become idle, also those that begin later. */
 	leave(): void;
-	/** Rolls open transactions back and ends all sessions that have nothing under way; none begins any more. */
-	callLast(): void;
+	/** Rolls open transactions back and ends all sessions that have nothing under way; none begins after `now`. */
+	callLast(now: number): void;
 	/** Gives every statement that has none yet its final answer. */
 	giveUp(): void;
 };
@@ -95,6 +96,8 @@
 			} catch (err) {
 				// One caller's session must not end those of others; what it had open is rolled back with its connections.
 				log.error('a session failed', {caller: channel.name, err});
+				// Whether a statement that was under way took effect is not known.
+				channel.refuse(AnswerCode.OutcomeUnknown, 'the session failed');
 				channel.close();
 			} finally {
 				sessions.delete(session);
@@ -110,7 +113,8 @@
 				session.leave();
 			}
 		},
-		callLast() {
+		callLast(now) {
+			plan &&= endAdmission(plan, now);
 			for (const session of sessions) {
 				session.callLast();
 			}
--- a/src/gateway/open-session.ts
+++ b/src/gateway/open-session.ts
@@ -36,38 +36,41 @@
 	}
 
 	const {database} = req;
-	await waitForRouting(parts, channel);
-	if (!mirror.state.routing?.routes.has(database)) {
+	await waitForRouting(parts, options);
+	const isKnown = () => mirror.state.routing?.routes.has(database) ?? false;
+	// A host that stops may end before a second look does; another host can look.
+	if (!isKnown() && !getStopPlan()) {
 		// The copy may lack a route that was just added; a second look costs a call and spares a false refusal.
 		await withinMs(clock, SECOND_LOOK_MS, lookAgain());
 	}
 
+	const plan = getStopPlan();
+	if (isPastLastCall(plan, clock.now()) || (plan && !isKnown())) {
+		log.info('a session was refused: the host is stopping', {database});
+		channel.refuse(STOPPING.end.code, STOPPING.end.text);
+		return undefined;
+	}
+
 	if (!mirror.state.routing) {
 		log.info('a session was refused: no configuration is known yet', {database});
 		channel.refuse(AnswerCode.Overloaded, 'this host is starting');
 		return undefined;
 	}
 
-	if (!mirror.state.routing.routes.has(database)) {
-		log.info('a session was refused: no route has its name', {database, routing: mirror.state.routing?.version});
+	if (!isKnown()) {
+		log.info('a session was refused: no route has its name', {database, routing: mirror.state.routing.version});
 		channel.refuse(AnswerCode.UnknownDatabase, 'no route has this name');
 		return undefined;
 	}
 
-	if (isPastLastCall(getStopPlan(), clock.now())) {
-		log.info('a session was refused: the host is stopping', {database});
-		channel.refuse(STOPPING.end.code, STOPPING.end.text);
-		return undefined;
-	}
-
 	channel.greet();
 	return database;
 }
 
 /** A host that has just started knows no route yet, which must not be taken for a route that is not there. */
-async function waitForRouting({clock, mirror}: GatewayParts, channel: CallerChannel) {
+async function waitForRouting({clock, mirror}: GatewayParts, {channel, getStopPlan}: OpenSessionOptions) {
 	const until = clock.now() + ROUTING_WAIT_MS;
-	while (!mirror.state.routing && !channel.left && clock.now() < until) {
+	while (!mirror.state.routing && !channel.left && !getStopPlan() && clock.now() < until) {
 		await clock.sleep(ROUTING_RECHECK_MS);
 	}
 }
--- a/src/gateway/stop-plan.ts
+++ b/src/gateway/stop-plan.ts
@@ -3,7 +3,7 @@
 
 /** What a host that was told to stop does until when. Steady times, in milliseconds. */
 export type StopPlan = {
-	/** The balancer sends callers elsewhere from then on; until then all are served. */
+	/** The balancer sends callers elsewhere from then on, unless most hosts of a zone are stopping; until then all are served. */
 	readonly rotatedOutAt: number;
 	/** From then on nothing new is taken, and open transactions are rolled back. */
 	readonly lastCallAt: number;
@@ -48,9 +48,14 @@
 	return plan !== undefined && now >= plan.lastCallAt;
 }
 
-/** Whether a transaction may begin: one that begins once callers go elsewhere has too little time for its statements. */
-export function mayBegin(plan: StopPlan | undefined, now: number): boolean {
-	return !plan || now < plan.rotatedOutAt;
+/** The plan of a host that has ended all sessions at `now`, ahead of its time: none begins any more. */
+export function endAdmission(plan: StopPlan, now: number): StopPlan {
+	return {...plan, lastCallAt: Math.min(plan.lastCallAt, now)};
+}
+
+/** Whether a transaction may begin: it has to fit in as usual, since one that is rolled back leaves nothing behind. */
+export function mayBegin(plan: StopPlan | undefined, route: Route, now: number): boolean {
+	return !plan || now + route.targetLatencyMs <= plan.lastCallAt;
 }
 
 /**
--- a/src/proxy/leave.ts
+++ b/src/proxy/leave.ts
@@ -29,8 +29,10 @@
 export async function leave({gateway, leadWatch, lender, callerPort, clock, log, graceMs}: LeaveOptions): Promise<void> {
 	const startedAt = clock.now();
 	const plan = createStopPlan(startedAt, graceMs);
+	// A group whose replacement is left half way has no primary until another host has waited for the end of the duty.
+	const isUnderWay = () => gateway.sessions > 0 || lender.loans > 0 || leadWatch.replacing;
 	const waitForSessions = async (until: number) => {
-		while ((gateway.sessions > 0 || lender.loans > 0) && clock.now() < until) {
+		while (isUnderWay() && clock.now() < until) {
 			await clock.sleep(RECHECK_MS);
 		}
 	};
@@ -39,17 +41,12 @@
 	lender.retire();
 	gateway.stop(plan);
 	await clock.sleep(plan.rotatedOutAt - startedAt);
-	// A host that is late has requests in its sockets that it has not read.
-	log.info('idle sessions are ended', {...gateway.countPhases(), lateMs: Math.round(clock.now() - plan.rotatedOutAt)});
+	log.info('callers are told that their sessions end', {...gateway.countPhases(), lateMs: Math.round(clock.now() - plan.rotatedOutAt)});
 	gateway.leave();
 	await waitForSessions(plan.lastCallAt);
-	gateway.callLast();
+	gateway.callLast(clock.now());
 	await waitForSessions(plan.answerBy);
 	gateway.giveUp();
-	// A group whose replacement is left half way has no primary until another host has waited for the end of the duty.
-	while (leadWatch.replacing && clock.now() < plan.endBy) {
-		await clock.sleep(RECHECK_MS);
-	}
 
 	// Guards against a caller that comes while the last lines are written: it would be taken, and cut off with the process.
 	callerPort.close();
--- a/tests/platform/tcp-caller-channel-tests.ts
+++ b/tests/platform/tcp-caller-channel-tests.ts
@@ -4,6 +4,8 @@
 } from 'node:net';
 import {expect} from 'chai';
 import type {CallerChannel} from '../../src/gateway/caller-channel.js';
+import {createFarewell} from '../../src/gateway/farewell.js';
+import {STOPPING} from '../../src/gateway/stop-answers.js';
 import {createTcpCallerChannel} from '../../src/platform/tcp-caller-channel.js';
 
 describe('a caller\'s connection', () => {
@@ -45,6 +47,21 @@
 		expect([await next, await channel.next()]).to.deep.equal([undefined, undefined]);
 	});
 
+	/**
+	 * A host is stopped and ends an idle session while a statement of it is unread in the socket. Closed by the host, the connection ended without an answer.
+	 * Told first, the caller has an error and then, once its statement was read, the state that makes it a whole answer.
+	 */
+	it('answers a request that was on its way when the session\'s end was told', async () => {
+		const farewell = createFarewell(channel, STOPPING, false);
+		caller.write('QUERY a WRITE x 1\r\n');
+		const req = await channel.next();
+		const told = req?.kind === 'statement' && farewell.refuse(req.statement);
+		channel.close();
+		const chunks = await caller.setEncoding('latin1').toArray() as string[];
+		const line = `ERROR BUSY ${STOPPING.end.text}\r\n`;
+		expect([told, chunks.join('')]).to.deep.equal([STOPPING, `${line}READY I -\r\n${line}`]);
+	});
+
 	it('keeps the bytes of data as they are', async () => {
 		caller.write(Uint8Array.from([...[...'QUERY a WRITE x '].map(letter => letter.codePointAt(0)!), 0xC3, 0xA9, 0xFF, 13, 10]));
 		const req = await channel.next();
--- a/tests/proxy/leave-tests.ts
+++ b/tests/proxy/leave-tests.ts
@@ -1,18 +1,18 @@
 import {expect} from 'chai';
 import {createSilentLog} from '../../src/log/silent-log.js';
-import {leave} from '../../src/proxy/leave.js';
-import {createProxyBench, describeAnswer} from './proxy-bench.js';
+import {leave, type LeaveOptions} from '../../src/proxy/leave.js';
+import {createProxyBench, describeAnswer, type ProxyBenchOptions} from './proxy-bench.js';
 
 const GRACE_MS = 6000;
 
-async function createLeavingBench() {
-	const bench = await createProxyBench();
+async function createLeavingBench(options?: ProxyBenchOptions) {
+	const bench = await createProxyBench(options);
 	const {kernel} = bench.proxies[0]!;
-	const startLeaving = async () => {
+	const startLeaving = async (leadWatch: LeaveOptions['leadWatch'] = kernel.getOrThrow('leadWatch')) => {
 		const startedAt = bench.clock.now();
 		await leave({
 			gateway: kernel.getOrThrow('gateway'),
-			leadWatch: kernel.getOrThrow('leadWatch'),
+			leadWatch,
 			lender: kernel.getOrThrow('linkLender'),
 			callerPort: {close() {}}, // eslint-disable-line @typescript-eslint/no-empty-function
 			clock: bench.clock,
@@ -125,4 +125,47 @@
 		const answerAtTheEnd = await Promise.race([answer, Promise.resolve(undefined)]);
 		expect(wasTold || answerAtTheEnd !== undefined).to.equal(true);
 	});
+
+	/**
+	 * A host that is stopped still replaces a primary when its last session has ended. A caller that comes meanwhile sets a value and rests; the process ended
+	 * with its session open, since whoever came after the others was never told.
+	 */
+	it('tells a caller that comes while a replacement is finished', async () => {
+		const {bench, startLeaving} = await createLeavingBench();
+		const startedAt = bench.clock.now();
+		const left = startLeaving({
+			retire() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+			get replacing() {
+				return bench.clock.now() < startedAt + 5100;
+			},
+		});
+		await bench.clock.advance(2500);
+		const caller = await bench.open(bench.proxies[0]!, 'sync');
+		await bench.ask(caller, 'SET a 1');
+		expect(await bench.clock.runUntil(left)).to.be.lessThan(5400);
+		expect([caller.refusal, caller.closed]).to.deep.equal(['overloaded', true]);
+	});
+
+	/**
+	 * A transaction's first statement waits for a connection, all of which other transactions have, when the host rolls all of them back. The connection that
+	 * came free went to it, and the statement ran after its caller had been told that the transaction was rolled back.
+	 */
+	it('runs nothing of a transaction that is rolled back while it is begun', async () => {
+		const {bench, startLeaving} = await createLeavingBench({proxies: 1, maxConnections: 4});
+		const left = startLeaving();
+		await bench.clock.advance(2200);
+		const callers = [];
+		for (let i = 0; i < 4; i++) {
+			const caller = await bench.open(bench.proxies[0]!, 'sync');
+			await bench.ask(caller, 'BEGIN');
+			callers.push(caller);
+		}
+
+		await bench.clock.advance(1000);
+		const answers = callers.map(async (caller, i) => bench.send(caller, 'READ a', `read-${i}`));
+		await bench.clock.runUntil(left);
+		const told = await Promise.all(answers);
+		expect(told.map(answer => describeAnswer(answer))).to.deep.equal(['done open', 'aborted failed', 'aborted failed', 'aborted failed']);
+		expect(bench.ran).to.deep.equal(['nights-1 read read-0']);
+	});
 });
