List one red test: a commit that met a loan which was over is called open

A transaction rests on a borrowed connection, the loan ends, and the commit comes after. It reached no endpoint, and the caller is told 'outcome-unknown'. Seen in three ways, all red: the lender has ended; it runs anew at its address and knows no loan; the endpoint closed the connection that was lent. Cause: the lender answers `{}` for a loan that is over, as for a connection that was lost under a request; and the borrower takes a call that was never sent (PeerError with sent: false) for one without an answer. Ruled out: that something was kept; no server committed in any of the three.

--- a/tests/proxy/lending-tests.ts
+++ b/tests/proxy/lending-tests.ts
@@ -59,6 +59,39 @@
 		expect(await bench.ask(caller, 'WRITE night 42')).to.equal('done idle');
 	});
 
+	/**
+	 * A member saves a night in a transaction over a borrowed connection, and the loan is over when the commit comes: its lender has ended, or runs anew at its
+	 * address, or the primary has closed the connection. The commit reached no endpoint, so the member must be told that nothing is kept, not that nobody knows.
+	 */
+	it('tell a commit for certain that it did not run, whichever way the loan was over', async () => {
+		const ways: ReadonlyArray<(bench: ProxyBench, lender: SimulatedProxy) => Promise<unknown>> = [
+			async ({system}, lender) => {
+				system.kill(lender);
+			},
+			async ({clock, system}, lender) => {
+				system.kill(lender);
+				await clock.runUntil(system.startProxy(lender.name));
+			},
+			async ({group}) => {
+				group.crash(group.leader);
+				group.restart(group.leader);
+			},
+		];
+		const told = [];
+		for (const endLoan of ways) {
+			const bench = await createCrowd();
+			const borrower = getBorrower(bench);
+			const caller = await bench.open(borrower, 'sync');
+			await bench.ask(caller, 'BEGIN');
+			await bench.ask(caller, 'WRITE night 41');
+			await endLoan(bench, getLender(bench, borrower));
+			await bench.clock.advance(20);
+			told.push([await bench.ask(caller, 'COMMIT'), bench.ran.filter(line => line.includes('commit'))]);
+		}
+
+		expect(told).to.deep.equal(ways.map(() => ['aborted idle', []]));
+	});
+
 	/**
 	 * A single write is under way over a borrowed connection and the lender dies before the answer. The write may have run: it is said to be
 	 * open, and not sent again.
