Tell a request that met a loan which was over for certain that it did not run

Cause: 'loan-exchange' was answered `{}` both where the connection was lost under the request and where the loan was over before it, and the borrower threw LinkLost for both, and for calls that were never sent. The gateway takes LinkLost for 'sent, no answer': a commit was called open, a write not retried. Change: the lender answers `over` for a loan that it does not know and for a connection that had closed before the request; PeerError with sent: false counts the same. The borrowed link then answers as an endpoint does that turned the request away: 'overloaded' outside a transaction, which the gateway tries again, 'aborted' inside one. A turn that was passed over is still `{}`.

--- a/src/lending/borrowed-link.ts
+++ b/src/lending/borrowed-link.ts
@@ -2,7 +2,10 @@
 import {createLinkLost, throwUnexpectedAnswer} from '../links/link-errors.js';
 import {getPreparedName, type NeededSession, type SessionLink} from '../links/link-session.js';
 import {isPeerError} from '../peers/peer-errors.js';
+import type {PeerCalls} from '../peers/peer-calls.js';
 import type {Peers} from '../peers/peers.js';
+import {SessionState} from '../statements/statement.js';
+import {AnswerCode, type EndpointAnswer} from '../statements/statement-answer.js';
 import type {LoanExchange} from './lending-calls.js';
 
 /** A connection that another host lends. */
@@ -29,9 +32,14 @@
 /** Longest message that ends a loan, in milliseconds; one that is lost is made up for by the lender's own watch. */
 const END_TIMEOUT_MS = 1000;
 
+/** What an endpoint says to a request that it turned away, for one that never reached it: so it is tried again, or its transaction ends. */
+const DID_NOT_RUN: EndpointAnswer = {rows: [], end: {kind: 'error', code: AnswerCode.Overloaded, text: 'the loan was over; nothing ran'}, state: SessionState.Idle};
+const ROLLED_BACK: EndpointAnswer = {rows: [], end: {kind: 'error', code: AnswerCode.Aborted, text: 'the loan was over; the transaction was rolled back'}, state: SessionState.Idle};
+
 /**
  * Creates the borrower's end of a loan. A lender that dies, or is not heard, is a connection that was lost: what was sent on it may
- * have run, and a transaction on it is rolled back, since only the borrower would commit it.
+ * have run, and a transaction on it is rolled back, since only the borrower would commit it. A request that was never sent, or met a loan
+ * that was over, did not run for certain.
  */
 export function createBorrowedLink({peers, lender, loan, single, onHeard}: BorrowedLinkOptions): BorrowedLink {
 	const closeListeners: Array<() => void> = [];
@@ -39,6 +47,8 @@
 	let turn = 0;
 	let pending = 0;
 	let closed = false;
+	/** State of the connection after its last answer. */
+	let state: SessionState = SessionState.Idle;
 
 	const noteClosed = () => {
 		if (closed) {
@@ -62,19 +72,18 @@
 		return taken && {values: [...taken.values], ...(taken.prepared && {prepared: taken.prepared})};
 	};
 
-	const send = async (request: EndpointRequest) => {
+	const send = async (request: EndpointRequest): Promise<PeerCalls['loan-exchange']['res']> => {
 		try {
 			turn++;
-			const {answer} = await peers.call(lender, 'loan-exchange', {
+			return await peers.call(lender, 'loan-exchange', {
 				loan, turn, needed: takeNeeded(), request, last: single,
 			}, EXCHANGE_TIMEOUT_MS);
-			return answer;
 		} catch (err) {
 			if (!isPeerError(err)) {
 				throw err;
 			}
 
-			return undefined;
+			return err.sent ? {} : {over: true};
 		}
 	};
 
@@ -91,13 +100,20 @@
 			}
 
 			pending++;
-			const answer = await send(request);
+			const {answer, over} = await send(request);
 			pending--;
+			if (over) {
+				// The lender that was not reached may still live, with the transaction open.
+				end(true);
+				return state === SessionState.Idle ? DID_NOT_RUN : ROLLED_BACK;
+			}
+
 			if (!answer) {
 				noteClosed();
 				throw createLinkLost(lender, 'its lender or the endpoint ended it');
 			}
 
+			state = answer.state;
 			onHeard();
 			return answer;
 		},
--- a/src/lending/lending-calls.ts
+++ b/src/lending/lending-calls.ts
@@ -49,8 +49,11 @@
 declare module '../peers/peer-calls.js' {
 	interface PeerCalls {
 		'loan-open': {req: LoanRequest; res: LoanAnswer};
-		/** Answered without an answer of the endpoint where the connection has ended, or the loan is over. */
-		'loan-exchange': {req: LoanExchange; res: {readonly answer?: EndpointAnswer}};
+		/**
+		 * Answered without an answer of the endpoint where the connection ended under the request, which may have run. `over` says that the loan was over
+		 * before: the request was not sent to the endpoint and never will be, and what was open on the connection is rolled back.
+		 */
+		'loan-exchange': {req: LoanExchange; res: {readonly answer?: EndpointAnswer; readonly over?: true}};
 		/** Gives a connection back, or has it cut with all that is under way on it. */
 		'loan-end': {req: {readonly loan: string; readonly cut: boolean}; res: {readonly ended: true}};
 		/** Asks a host that keeps connections to a group's primary for the newest position that it saw there, and how long ago it asked for it. */
--- a/src/lending/link-lender.ts
+++ b/src/lending/link-lender.ts
@@ -51,6 +51,12 @@
  */
 const UNUSED_MS = 400;
 
+/**
+ * Guards against a commit whose outcome is called open although it reached no endpoint: told apart from a connection that is lost under a request, where nobody
+ * knows. It holds since a loan that is over is never used again, nor its id.
+ */
+const OVER = {over: true} as const;
+
 type Loan = {
 	readonly id: string;
 	readonly borrower: string;
@@ -119,7 +125,7 @@
 	const exchange = async ({loan: id, turn, needed, request, last}: LoanExchange, borrower: string) => {
 		const loan = loans.get(id);
 		if (loan?.borrower !== borrower) {
-			return {};
+			return OVER;
 		}
 
 		loan.turn++;
@@ -129,6 +135,11 @@
 			return {};
 		}
 
+		if (loan.sessionLink.link.closed) {
+			end(loan, true);
+			return OVER;
+		}
+
 		loan.lastAt = clock.now();
 		if (needed) {
 			loan.sessionLink.adapt({values: new Map(needed.values), prepared: needed.prepared});
