List one red test: a stopping lender grants loans to whoever was waiting

A borrower waits up to 120 ms for a connection of a lender; the order to stop comes meanwhile and a connection comes free. It is lent, and a transaction begins on a host that is about to end. Cause: `lend` looks at `retired` before the wait, not after it.

--- /dev/null
+++ b/tests/lending/link-lender-tests.ts
@@ -0,0 +1,118 @@
+import {expect} from 'chai';
+import type {EndpointRequest} from '../../src/links/endpoint-link.js';
+import {createLinkLost} from '../../src/links/link-errors.js';
+import type {SessionLink} from '../../src/links/link-session.js';
+import {createLinkLender, type LinkLenderOptions} from '../../src/lending/link-lender.js';
+import type {LoanAnswer, LoanRequest} from '../../src/lending/lending-calls.js';
+import type {PeerCalls} from '../../src/peers/peer-calls.js';
+import {createSeededRandom} from '../../src/random/seeded-random.js';
+import {createSilentLog} from '../../src/log/silent-log.js';
+import {createVirtualClock} from '../../src/stand-ins/time/virtual-clock.js';
+import {SessionState} from '../../src/statements/statement.js';
+import type {EndpointAnswer} from '../../src/statements/statement-answer.js';
+
+const BORROWER = {address: 'borrower:7000'};
+
+const WISH: LoanRequest = {
+	endpointId: 'i-1', priority: 1, waitMs: 120, values: [], single: false,
+};
+
+const ANSWERED: EndpointAnswer = {rows: [], end: {kind: 'complete'}, state: SessionState.Open};
+
+/** A promise that is settled from outside. */
+function createPromise<T>() {
+	let resolve!: (value: T) => void;
+	let reject!: (err: unknown) => void;
+	const promise = new Promise<T>((_resolve, _reject) => {
+		resolve = _resolve;
+		reject = _reject;
+	});
+	return {promise, resolve, reject};
+}
+
+/** A lender with one connection, which is given and answers when the test says so. */
+function createLenderBench() {
+	const handlers = new Map<string, (req: unknown, from: unknown) => Promise<unknown>>();
+	const clock = createVirtualClock(0);
+	const sent: string[] = [];
+	const given = createPromise<SessionLink | undefined>();
+	let waiting: ReturnType<typeof createPromise<EndpointAnswer>> | undefined;
+	let released = 0;
+	let closed = false;
+	const link = {
+		get pending() {
+			return waiting ? 1 : 0;
+		},
+		get closed() {
+			return closed;
+		},
+		async exchange({command}: EndpointRequest) {
+			sent.push(command.kind);
+			waiting = createPromise();
+			return waiting.promise;
+		},
+		cut() {
+			closed = true;
+			waiting?.reject(createLinkLost('i-1:5432', 'cut by this host'));
+		},
+	};
+	const ownPool = {
+		health: {getSuspicion: () => undefined},
+		acquire: async () => given.promise,
+		release() {
+			released++;
+		},
+	};
+	const lender = createLinkLender({
+		peers: {
+			handle(kind: string, handler: (req: unknown, from: unknown) => Promise<unknown>) {
+				handlers.set(kind, handler);
+			},
+		},
+		directory: {get: () => ({entry: {id: 'i-1', group: 'nights'}, ownPool})},
+		evidences: {get: () => undefined},
+		clock,
+		elapsedClock: {elapsed: () => clock.now()},
+		random: createSeededRandom(1),
+		log: createSilentLog(),
+		getLongestRestMs: () => 3000,
+	} as unknown as LinkLenderOptions);
+
+	return {
+		lender,
+		sent,
+		get released() {
+			return released;
+		},
+		get closed() {
+			return closed;
+		},
+		give() {
+			given.resolve({link, adapt() {}} as unknown as SessionLink); // eslint-disable-line @typescript-eslint/no-empty-function
+		},
+		open: async () => handlers.get('loan-open')!(WISH, BORROWER) as Promise<LoanAnswer>,
+		exchange: async (loan: string, turn: number, kind: 'begin' | 'commit') =>
+			handlers.get('loan-exchange')!({
+				loan, turn, request: {command: {kind}}, last: false,
+			}, BORROWER) as Promise<PeerCalls['loan-exchange']['res']>,
+		answer(answer: EndpointAnswer) {
+			const answering = waiting!;
+			waiting = undefined;
+			answering.resolve(answer);
+		},
+	};
+}
+
+describe('a lender', () => {
+	/**
+	 * A host is told to stop while another waits there for a connection, which comes free just after. Lent all the same, a transaction would begin on a host that
+	 * is about to end; refused, it begins at the next lender at once.
+	 */
+	it('that is told to stop grants nothing to whoever was waiting', async () => {
+		const bench = createLenderBench();
+		const asked = bench.open();
+		bench.lender.retire();
+		bench.give();
+		expect([await asked, bench.lender.loans, bench.released]).to.deep.equal([{refused: 'stopping'}, 0, 1]);
+	});
+});
