Grant no loan to whoever was waiting when the lender was told to stop

Cause: the order to stop was looked for before the wait for a connection only. Change: looked for again after it; the connection goes back to the pool and the borrower is refused as by any stopping lender, so it asks the next at once. Ruled out: that such a loan went uncounted; it was in `loans`, but could be a transaction that lasted until the lender's end.

--- a/src/lending/link-lender.ts
+++ b/src/lending/link-lender.ts
@@ -105,6 +105,15 @@
 		const sessionLink = await ownPool.acquire({
 			priority, until: clock.now() + waitMs, values: new Map(values), single, least,
 		});
+		if (retired) {
+			// The order to stop came during the wait: a transaction would begin on a host that is about to end.
+			if (sessionLink) {
+				ownPool.release(sessionLink);
+			}
+
+			return {refused: LoanRefusal.Stopping};
+		}
+
 		if (!sessionLink) {
 			return {refused: ownPool.health.getSuspicion(clock.now()) ? LoanRefusal.Unreachable : LoanRefusal.Busy};
 		}
