Ask the lender that is left where those that were asked are stopping

Cause: a borrower that got a loan from none of the lenders in its turn waited at its own pool for the whole of its caller's time, also where the endpoint had no connection left, and asked no lender again. Change: it waits there for 120 ms, as long as it gives a lender, and then asks again; lenders that refused as stopping are passed over for 250 ms, so the one that is left has its turn. A pool that gives up early (the endpoint is taken to be gone) ends the wait as before, so the loop always takes time.

--- a/src/lending/shared-pool.ts
+++ b/src/lending/shared-pool.ts
@@ -33,6 +33,12 @@
 /** Beyond that wait, in milliseconds, for the way there and back: some hundred times the way within a zone. */
 const LENDER_WAY_MS = 130;
 
+/**
+ * Longest wait for an own connection where no lender that was asked lends, in milliseconds: as long as one of them would be given. Guards against a statement that waits at
+ * a full endpoint until its time is up while a lender that was not asked has connections: those that refused are passed over in the next round, so it has its turn.
+ */
+const OWN_WAIT_MS = LENDER_WAIT_MS;
+
 /** An endpoint that no lender reaches is taken to be gone for so long, in milliseconds; then lenders are asked again. */
 const UNREACHABLE_FOR_MS = 250;
 
@@ -163,7 +169,14 @@
 			}
 
 			if (asked === undefined) {
-				return ownPool.acquire(wish);
+				const until = Math.min(wish.until, clock.now() + OWN_WAIT_MS);
+				const own = await ownPool.acquire({...wish, until});
+				// One that gave up before its time takes the endpoint to be gone.
+				if (own !== undefined || clock.now() < until) {
+					return own;
+				}
+
+				continue;
 			}
 
 			if (asked === LoanRefusal.Unreachable) {
