List one red test: a transaction on a loan goes on to its lender's end

A lender is told to stop with a transaction of another host's caller on its connection. Cause: the host's own transactions are rolled back at half of the grace, those of other hosts' callers on its connections are not. The end of the process is played by a kill 3 ms after `leave` is done, which a commit reaches before it has run.

--- a/tests/proxy/lending-tests.ts
+++ b/tests/proxy/lending-tests.ts
@@ -1,9 +1,14 @@
 import {expect} from 'chai';
+import {createSilentLog} from '../../src/log/silent-log.js';
+import {leave} from '../../src/proxy/leave.js';
 import type {SimulatedProxy} from '../../src/stand-ins/proxies/simulated-proxies.js';
 import {createProxyBench, describeAnswer, type ProxyBench} from './proxy-bench.js';
 
 const PROXIES = 12;
 
+/** Time that a host has from the order to stop to its end by force, in milliseconds, as the platform gives it. */
+const GRACE_MS = 6000;
+
 /** Twelve proxies before endpoints of 8 connections: three of them keep some to each endpoint and lend them to the others. */
 const createCrowd = async () => createProxyBench({proxies: PROXIES, maxConnections: 8});
 
@@ -16,6 +21,16 @@
 const getLender = (bench: ProxyBench, {availabilityZone}: SimulatedProxy) =>
 	bench.proxies.find(proxy => proxy.availabilityZone === availabilityZone && keepsPrimary(bench, proxy))!;
 
+/** Tells a host to stop; resolves when its process would end. */
+const startLeaving = async ({clock}: ProxyBench, {kernel}: SimulatedProxy) => leave({
+	gateway: kernel.getOrThrow('gateway'),
+	leadWatch: kernel.getOrThrow('leadWatch'),
+	lender: kernel.getOrThrow('linkLender'),
+	clock,
+	log: createSilentLog(),
+	graceMs: GRACE_MS,
+});
+
 describe('connections that hosts lend to each other', () => {
 	/**
 	 * Sixty hosts before an endpoint of thirty connections: each opens one, half are turned away, and their callers wait for a connection until their time is
@@ -133,6 +148,32 @@
 		expect(await bench.ask(caller, 'WRITE night 42')).to.equal('done idle');
 	});
 
+	/**
+	 * A lender is told to stop while a transaction of another host's caller goes on over its connection. It goes on to the lender's
+	 * end, which cuts the commit: the caller is told that nobody knows. Ended in good time, the transaction is rolled back for certain, and the caller told so.
+	 */
+	it('end with the transactions on them before their lender does', async () => {
+		const bench = await createCrowd();
+		const borrower = getBorrower(bench);
+		const lender = getLender(bench, borrower);
+		const caller = await bench.open(borrower, 'sync');
+		await bench.ask(caller, 'BEGIN');
+		await bench.ask(caller, 'WRITE night 41');
+		let left = false;
+		void startLeaving(bench, lender).then(() => {
+			left = true;
+		});
+		while (!left) {
+			await bench.ask(caller, 'WRITE night 41');
+			await bench.clock.advance(100);
+		}
+
+		const answer = bench.send(caller, 'COMMIT');
+		await bench.clock.advance(3);
+		bench.system.kill(lender);
+		expect([describeAnswer(await bench.clock.runUntil(answer)), bench.ran.filter(line => line.includes('commit'))]).to.deep.equal(['aborted idle', []]);
+	});
+
 	/** All lenders of a zone are cut off from the primary while others reach it: one farther away lends. */
 	it('come from another zone where those of the own one are cut off', async () => {
 		const bench = await createCrowd();
