Let a lender end the loans that rest before its process ends

Change: LinkLender.endResting(reason) ends loans on which nothing is under way, rolling back what is open on them; a request that is under way is answered, and its loan ends with the answer. Later requests meet a loan that is over, and are told so for certain. One call is enough; a second one does no harm. Ruled out: to cut all loans at once, which makes an outcome open that the answer under way would settle; to tell borrowers by a call of its own, since they learn it by their next request, as callers do of their own host.

--- a/src/lending/link-lender.ts
+++ b/src/lending/link-lender.ts
@@ -21,6 +21,8 @@
 	readonly loans: number;
 	/** Lends none any more; those that are lent may be used to their end. */
 	retire(): void;
+	/** Ends loans on which no request is under way, rolling back what is open on them, and each other one with its answer; borrowers learn it by their next request. */
+	endResting(reason: string): void;
 	start(): Promise<void>;
 	stop(): Promise<void>;
 };
@@ -77,6 +79,8 @@
 	const loans = new Map<string, Loan>();
 	const stopping = new AbortController();
 	let retired = false;
+	/** Why no loan outlasts the request under way on it; undefined while they may. */
+	let endingWhy: string | undefined;
 
 	const end = (loan: Loan, cut: boolean) => {
 		if (!loans.delete(loan.id)) {
@@ -91,6 +95,23 @@
 		loan.endpoint.ownPool.release(loan.sessionLink);
 	};
 
+	const endUnasked = (loan: Loan, why: string, cut: boolean) => {
+		log.info(`a loan is ended: ${why}`, {
+			loan: loan.id, borrower: loan.borrower, endpoint: loan.endpoint.entry.id, state: loan.state, restMs: Math.round(clock.now() - loan.lastAt),
+		});
+		end(loan, cut);
+	};
+
+	/**
+	 * Guards against a commit that is cut by the end of this host, so that nobody knows whether it ran. A request that is under way gets its answer; every
+	 * later one is told for certain that it did not run.
+	 */
+	const endIfResting = (loan: Loan) => {
+		if (endingWhy !== undefined && loan.sessionLink.link.pending === 0) {
+			endUnasked(loan, endingWhy, false);
+		}
+	};
+
 	const lend = async ({endpointId, priority, waitMs, values, single, least}: LoanRequest, borrower: string): Promise<LoanAnswer> => {
 		const endpoint = directory.get(endpointId);
 		if (retired) {
@@ -167,6 +188,8 @@
 
 			if (last) {
 				end(loan, false);
+			} else {
+				endIfResting(loan);
 			}
 
 			return {answer};
@@ -218,10 +241,7 @@
 		const longestMs = getLongestRestMs() + REST_MARGIN_MS;
 		for (const loan of loans.values()) {
 			if (clock.now() - loan.lastAt > (loan.turn === 0 ? UNUSED_MS : longestMs)) {
-				log.info('a loan is ended: its borrower has not been heard', {
-					loan: loan.id, borrower: loan.borrower, endpoint: loan.endpoint.entry.id, state: loan.state, restMs: Math.round(clock.now() - loan.lastAt),
-				});
-				end(loan, true);
+				endUnasked(loan, 'its borrower has not been heard', true);
 			}
 		}
 	};
@@ -240,6 +260,13 @@
 		retire() {
 			retired = true;
 		},
+		endResting(reason) {
+			retired = true;
+			endingWhy = reason;
+			for (const loan of loans.values()) {
+				endIfResting(loan);
+			}
+		},
 		async start() {
 			void run();
 		},
--- a/tests/lending/link-lender-tests.ts
+++ b/tests/lending/link-lender-tests.ts
@@ -91,7 +91,7 @@
 			given.resolve({link, adapt() {}} as unknown as SessionLink); // eslint-disable-line @typescript-eslint/no-empty-function
 		},
 		open: async () => handlers.get('loan-open')!(WISH, BORROWER) as Promise<LoanAnswer>,
-		exchange: async (loan: string, turn: number, kind: 'begin' | 'commit') =>
+		exchange: async (loan: string, turn: number, kind: 'begin' | 'run' | 'commit') =>
 			handlers.get('loan-exchange')!({
 				loan, turn, request: {command: {kind}}, last: false,
 			}, BORROWER) as Promise<PeerCalls['loan-exchange']['res']>,
@@ -103,6 +103,16 @@
 	};
 }
 
+/** Lends the connection and begins a transaction on it; gives the loan. */
+async function openTransaction(bench: ReturnType<typeof createLenderBench>) {
+	bench.give();
+	const {loan} = await bench.open() as {readonly loan: string};
+	const answered = bench.exchange(loan, 1, 'begin');
+	bench.answer(ANSWERED);
+	await answered;
+	return loan;
+}
+
 describe('a lender', () => {
 	/**
 	 * A host is told to stop while another waits there for a connection, which comes free just after. Lent all the same, a transaction would begin on a host that
@@ -115,4 +125,38 @@
 		bench.give();
 		expect([await asked, bench.lender.loans, bench.released]).to.deep.equal([{refused: 'stopping'}, 0, 1]);
 	});
+
+	/**
+	 * A lender is about to end, and another host's caller rests in a transaction on its connection. The commit comes after: sent on, it would be cut by the
+	 * end of the process, and nobody would know whether it ran.
+	 */
+	it('ends a loan that rests with its transaction, and says of a later commit that it was not sent', async () => {
+		const bench = createLenderBench();
+		const loan = await openTransaction(bench);
+		bench.lender.endResting('the host is stopping');
+		expect([bench.lender.loans, bench.closed, bench.released]).to.deep.equal([0, true, 1]);
+		expect([await bench.exchange(loan, 2, 'commit'), bench.sent]).to.deep.equal([{over: true}, ['begin']]);
+	});
+
+	/** The same with a commit under way in that moment: cut, its caller would be told that nobody knows. It is answered, and the loan ends with the answer. */
+	it('lets a commit that is under way have its answer before the loan ends', async () => {
+		const bench = createLenderBench();
+		const loan = await openTransaction(bench);
+		const answered = bench.exchange(loan, 2, 'commit');
+		bench.lender.endResting('the host is stopping');
+		expect([bench.lender.loans, bench.closed]).to.deep.equal([1, false]);
+		bench.answer({...ANSWERED, state: SessionState.Idle});
+		expect([await answered, bench.lender.loans, bench.closed]).to.deep.equal([{answer: {...ANSWERED, state: SessionState.Idle}}, 0, false]);
+	});
+
+	/** The same with another statement under way: its answer is passed on, and the transaction, which would go on, is rolled back. */
+	it('rolls a transaction back after the answer to the statement that was under way', async () => {
+		const bench = createLenderBench();
+		const loan = await openTransaction(bench);
+		const answered = bench.exchange(loan, 2, 'run');
+		bench.lender.endResting('the host is stopping');
+		bench.answer(ANSWERED);
+		expect([await answered, bench.lender.loans, bench.closed]).to.deep.equal([{answer: ANSWERED}, 0, true]);
+		expect([await bench.exchange(loan, 3, 'commit'), bench.sent]).to.deep.equal([{over: true}, ['begin', 'run']]);
+	});
 });
