--- a/tests/proxy/lending-tests.ts
+++ b/tests/proxy/lending-tests.ts
@@ -174,6 +174,27 @@
 		expect([describeAnswer(await bench.clock.runUntil(answer)), bench.ran.filter(line => line.includes('commit'))]).to.deep.equal(['aborted idle', []]);
 	});
 
+	/**
+	 * A lender ends its loans while a single write is on its way to it over one. The write reached no endpoint: it is run over another lender, once, and its caller
+	 * is not left in doubt.
+	 */
+	it('have a write run elsewhere, once, that comes after their end', async () => {
+		const bench = await createCrowd();
+		const borrower = getBorrower(bench);
+		const lender = getLender(bench, borrower).kernel.getOrThrow('linkLender');
+		const caller = await bench.open(borrower, 'sync');
+		await bench.ask(caller, 'WRITE night 41');
+		const answer = bench.send(caller, 'WRITE night 42', 'late');
+		while (lender.loans === 0) {
+			await bench.clock.advance(1);
+		}
+
+		lender.endResting('the host is stopping');
+		expect(lender.loans).to.equal(0);
+		expect(describeAnswer(await bench.clock.runUntil(answer))).to.equal('done idle');
+		expect(bench.ran.filter(line => line.endsWith('commit late')).length).to.equal(1);
+	});
+
 	/** All lenders of a zone are cut off from the primary while others reach it: one farther away lends. */
 	it('come from another zone where those of the own one are cut off', async () => {
 		const bench = await createCrowd();
