--- a/tests/proxy/lending-tests.ts
+++ b/tests/proxy/lending-tests.ts
@@ -1,9 +1,14 @@
 import {expect} from 'chai';
+import {createSilentLog} from '../../src/log/silent-log.js';
+import {leave} from '../../src/proxy/leave.js';
 import type {SimulatedProxy} from '../../src/stand-ins/proxies/simulated-proxies.js';
 import {createProxyBench, describeAnswer, type ProxyBench} from './proxy-bench.js';
 
 const PROXIES = 12;
 
+/** Time that a host has from the order to stop to its end by force, in milliseconds, as the platform gives it. */
+const GRACE_MS = 6000;
+
 /** Twelve proxies before endpoints of 8 connections: three of them keep some to each endpoint and lend them to the others. */
 const createCrowd = async () => createProxyBench({proxies: PROXIES, maxConnections: 8});
 
@@ -16,6 +21,16 @@
 const getLender = (bench: ProxyBench, {availabilityZone}: SimulatedProxy) =>
 	bench.proxies.find(proxy => proxy.availabilityZone === availabilityZone && keepsPrimary(bench, proxy))!;
 
+/** Tells a host to stop; resolves when its process would end. */
+const startLeaving = async ({clock}: ProxyBench, {kernel}: SimulatedProxy) => leave({
+	gateway: kernel.getOrThrow('gateway'),
+	leadWatch: kernel.getOrThrow('leadWatch'),
+	lender: kernel.getOrThrow('linkLender'),
+	clock,
+	log: createSilentLog(),
+	graceMs: GRACE_MS,
+});
+
 describe('connections that hosts lend to each other', () => {
 	/**
 	 * Sixty hosts before an endpoint of thirty connections: each opens one, half are turned away, and their callers wait for a connection until their time is
@@ -59,6 +74,39 @@
 		expect(await bench.ask(caller, 'WRITE night 42')).to.equal('done idle');
 	});
 
+	/**
+	 * A member saves a night in a transaction over a borrowed connection, and the loan is over when the commit comes: its lender has ended, or runs anew at its
+	 * address, or the primary has closed the connection. The commit reached no endpoint, so the member must be told that nothing is kept, not that nobody knows.
+	 */
+	it('tell a commit for certain that it did not run, whichever way the loan was over', async () => {
+		const ways: ReadonlyArray<(bench: ProxyBench, lender: SimulatedProxy) => Promise<unknown>> = [
+			async ({system}, lender) => {
+				system.kill(lender);
+			},
+			async ({clock, system}, lender) => {
+				system.kill(lender);
+				await clock.runUntil(system.startProxy(lender.name));
+			},
+			async ({group}) => {
+				group.crash(group.leader);
+				group.restart(group.leader);
+			},
+		];
+		const told = [];
+		for (const endLoan of ways) {
+			const bench = await createCrowd();
+			const borrower = getBorrower(bench);
+			const caller = await bench.open(borrower, 'sync');
+			await bench.ask(caller, 'BEGIN');
+			await bench.ask(caller, 'WRITE night 41');
+			await endLoan(bench, getLender(bench, borrower));
+			await bench.clock.advance(20);
+			told.push([await bench.ask(caller, 'COMMIT'), bench.ran.filter(line => line.includes('commit'))]);
+		}
+
+		expect(told).to.deep.equal(ways.map(() => ['aborted idle', []]));
+	});
+
 	/**
 	 * A single write is under way over a borrowed connection and the lender dies before the answer. The write may have run: it is said to be
 	 * open, and not sent again.
@@ -100,6 +148,53 @@
 		expect(await bench.ask(caller, 'WRITE night 42')).to.equal('done idle');
 	});
 
+	/**
+	 * A lender is told to stop while a transaction of another host's caller goes on over its connection. It goes on to the lender's
+	 * end, which cuts the commit: the caller is told that nobody knows. Ended in good time, the transaction is rolled back for certain, and the caller told so.
+	 */
+	it('end with the transactions on them before their lender does', async () => {
+		const bench = await createCrowd();
+		const borrower = getBorrower(bench);
+		const lender = getLender(bench, borrower);
+		const caller = await bench.open(borrower, 'sync');
+		await bench.ask(caller, 'BEGIN');
+		await bench.ask(caller, 'WRITE night 41');
+		let left = false;
+		void startLeaving(bench, lender).then(() => {
+			left = true;
+		});
+		while (!left) {
+			await bench.ask(caller, 'WRITE night 41');
+			await bench.clock.advance(100);
+		}
+
+		const answer = bench.send(caller, 'COMMIT');
+		await bench.clock.advance(3);
+		bench.system.kill(lender);
+		expect([describeAnswer(await bench.clock.runUntil(answer)), bench.ran.filter(line => line.includes('commit'))]).to.deep.equal(['aborted idle', []]);
+	});
+
+	/**
+	 * A lender ends its loans while a single write is on its way to it over one. The write reached no endpoint: it is run over another lender, once, and its caller
+	 * is not left in doubt.
+	 */
+	it('have a write run elsewhere, once, that comes after their end', async () => {
+		const bench = await createCrowd();
+		const borrower = getBorrower(bench);
+		const lender = getLender(bench, borrower).kernel.getOrThrow('linkLender');
+		const caller = await bench.open(borrower, 'sync');
+		await bench.ask(caller, 'WRITE night 41');
+		const answer = bench.send(caller, 'WRITE night 42', 'late');
+		while (lender.loans === 0) {
+			await bench.clock.advance(1);
+		}
+
+		lender.endResting('the host is stopping');
+		expect(lender.loans).to.equal(0);
+		expect(describeAnswer(await bench.clock.runUntil(answer))).to.equal('done idle');
+		expect(bench.ran.filter(line => line.endsWith('commit late')).length).to.equal(1);
+	});
+
 	/** All lenders of a zone are cut off from the primary while others reach it: one farther away lends. */
 	it('come from another zone where those of the own one are cut off', async () => {
 		const bench = await createCrowd();
