Keep nothing of a transaction in the stand-in whose connection ended under it

Cause: the stand-in server forgot a session's transaction when its connection ended. A write of that transaction that was still running then found none, and was committed by itself. Ruled out: the hosts. They had sent begin and write on one connection, cut it, and sent no commit. Left as it was: a commit that runs while its connection ends is not kept, where a server might keep it.

--- a/src/stand-ins/plain-group/plain-server.ts
+++ b/src/stand-ins/plain-group/plain-server.ts
@@ -247,7 +247,7 @@
 
 	return {
 		async execute(session, req) {
-			const {server} = session;
+			const {server, transaction} = session;
 			const {command} = req;
 			const text = command.kind === 'run' ? command.text : (command.kind === 'execute' ? command.args : undefined);
 			if (text !== undefined || command.kind === 'commit') {
@@ -259,6 +259,11 @@
 			}
 
 			await whenThawed(clock, server);
+			if (transaction && session.closed) {
+				// Guards against a write that is kept by itself, though its transaction was rolled back with the connection while it ran.
+				return refuse(session, AnswerCode.Aborted);
+			}
+
 			return isBehind(session, req.floor) ? refuse(session, AnswerCode.Lagging) : perform(session, req);
 		},
 	};
