Show that a caller is told nothing who comes while only a replacement holds up the stop

Cause: leave() passes through the last call and the final answers as soon as no session and no loan is left, from 2.3 s on, to nobody. Where a replacement of a primary is under way it then goes on for as long as that takes, with its port open. Who comes then is greeted (the plan's last call is not reached yet) and told nothing: the process ends with the session open, and a request that is on its way gets neither an answer nor a refusal.

--- a/tests/proxy/stop-schedules-tests.ts
+++ b/tests/proxy/stop-schedules-tests.ts
@@ -35,4 +35,23 @@
 		}), {seed: SEED, numRuns: SCHEDULES});
 		expect(REACHED.filter(what => !tally[what])).to.deep.equal([]);
 	});
+
+	/**
+	 * A host without callers is told to stop while it replaces a primary, and has to go on until that is done. Callers still come, since most hosts are
+	 * stopping. One that comes then is greeted and told nothing more: the last call and the final answers were given out before it came, to nobody.
+	 * Its request is on its way when the process ends, and it gets neither an answer nor a refusal.
+	 */
+	it('tell also a caller that comes while only a replacement holds up their end', async () => {
+		expect(await playStopSchedule({
+			size: {proxies: 3, maxConnections: 22},
+			stops: [{host: 0, atMs: 1000}],
+			callers: [{
+				host: 0, database: 'sync', requestMs: 900, opensAtMs: 3400, firstRestMs: 1600, steps: [{kind: 'read', restMs: 2000}],
+			}],
+			slowness: [],
+			replaceAtMs: 500,
+			promoteMs: 4000,
+			lastLinesMs: 0,
+		})).to.deep.equal([]);
+	});
 });
