--- a/src/gateway/caller-session.ts
+++ b/src/gateway/caller-session.ts
@@ -8,7 +8,7 @@
 import {createAnswerWait} from './answer-wait.js';
 import {createCallerTransaction, type CallerTransaction} from './caller-transaction.js';
 import {getShape, type EndpointStatement} from './exchange.js';
-import {createFarewell, type Farewell} from './farewell.js';
+import {createGracefulClose, type GracefulClose} from './graceful-close.js';
 import type {GatewayParts} from './gateway-parts.js';
 import {observeStatement} from './observe-statement.js';
 import {openSession, type OpenSessionOptions} from './open-session.js';
@@ -32,7 +32,7 @@
 	/** Ends the session as soon as nothing is under way. */
 	leave(): void;
 	/** Rolls an open transaction back and ends the session, behind the answer to what is under way. */
-	callLast(): void;
+	end(): void;
 	/** Gives a statement that is under way its final answer. */
 	giveUp(): void;
 };
@@ -62,9 +62,9 @@
 	let trace = createStatementTrace();
 	let busy = false;
 	let leaving = false;
-	let lastCalled = false;
+	let ending = false;
 	let opened = false;
-	let farewell: Farewell | undefined;
+	let closing: GracefulClose | undefined;
 	const answerWait = createAnswerWait();
 	let givenUp = false;
 	let idleTimer: SleepAlarm | undefined;
@@ -242,17 +242,17 @@
 	};
 
 	/** Tells a caller that has nothing under way that the session ends. */
-	const dismiss = () => {
+	const beginClose = () => {
 		const reason = transaction ? STOPPED_TRANSACTION : STOPPING;
 		transaction?.abort(STOP_REASON);
 		transaction?.rollback();
-		farewell ??= createFarewell(channel, reason, transaction !== undefined);
+		closing ??= createGracefulClose(channel, reason, transaction !== undefined);
 		endTransaction();
 	};
 
 	const open = async (): Promise<boolean> => {
 		const req = await channel.next();
-		if (farewell) {
+		if (closing) {
 			return false;
 		}
 
@@ -280,9 +280,9 @@
 				return;
 			}
 
-			if (farewell) {
+			if (closing) {
 				newTrace();
-				observe(req, farewell.refuse(req.statement), 0);
+				observe(req, closing.refuse(req.statement), 0);
 				continue;
 			}
 
@@ -290,7 +290,7 @@
 			await serve(req);
 			busy = false;
 			if (isOver(req.statement)) {
-				dismiss();
+				beginClose();
 			}
 		}
 	};
@@ -302,7 +302,7 @@
 		}
 
 		const goesOn = transaction !== undefined || PREPARES.has(kind);
-		return lastCalled || (leaving && !goesOn);
+		return ending || (leaving && !goesOn);
 	};
 
 	return {
@@ -328,16 +328,16 @@
 		leave() {
 			leaving = true;
 			if (opened && !busy && !transaction && !channel.waiting) {
-				dismiss();
+				beginClose();
 			}
 		},
-		callLast() {
+		end() {
 			leaving = true;
-			lastCalled = true;
+			ending = true;
 			if (busy || channel.waiting) {
 				transaction?.abort(STOP_REASON);
 			} else {
-				dismiss();
+				beginClose();
 			}
 		},
 		giveUp() {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,7 +4,7 @@
 import {createCallerSession, type CallerSession} from './caller-session.js';
 import type {GatewayParts} from './gateway-parts.js';
 import type {SessionPhase} from './session-phase.js';
-import {endAdmission, type StopPlan} from './stop-plan.js';
+import {closeAdmissionAt, type StopPlan} from './stop-plan.js';
 
 /** Serves callers' sessions. */
 export type Gateway = {
@@ -18,7 +18,7 @@
 	/** Ends sessions as they become idle, also those that begin later. */
 	leave(): void;
 	/** Rolls open transactions back and ends all sessions that have nothing under way; none begins after `now`. */
-	callLast(now: number): void;
+	closeAdmission(now: number): void;
 	/** Gives every statement that has none yet its final answer. */
 	giveUp(): void;
 };
@@ -113,10 +113,10 @@
 				session.leave();
 			}
 		},
-		callLast(now) {
-			plan &&= endAdmission(plan, now);
+		closeAdmission(now) {
+			plan &&= closeAdmissionAt(plan, now);
 			for (const session of sessions) {
-				session.callLast();
+				session.end();
 			}
 		},
 		giveUp() {
--- a/src/gateway/farewell.ts
+++ b/src/gateway/graceful-close.ts
@@ -3,7 +3,7 @@
 import type {RefusalResult} from './statement-result.js';
 
 /** The end of a session that its host began. */
-export type Farewell = {
+export type GracefulClose = {
 	/** Refuses a statement that was on its way when the session's end was told; returns what its caller is told. */
 	refuse(statement: Statement): RefusalResult;
 };
@@ -17,7 +17,7 @@
  * request is here. An error is always ahead, however many requests come.
  * @param inTransaction Whether an open transaction was rolled back for it.
  */
-export function createFarewell(channel: CallerChannel, reason: RefusalResult, inTransaction: boolean): Farewell {
+export function createGracefulClose(channel: CallerChannel, reason: RefusalResult, inTransaction: boolean): GracefulClose {
 	let failed = inTransaction;
 	const tell = () => {
 		channel.refuse(reason.end.code, reason.end.text);
--- a/src/gateway/open-session.ts
+++ b/src/gateway/open-session.ts
@@ -3,7 +3,7 @@
 import type {CallerChannel, CallerRequest} from './caller-channel.js';
 import type {GatewayParts} from './gateway-parts.js';
 import {STOPPING} from './stop-answers.js';
-import {isPastLastCall, type StopPlan} from './stop-plan.js';
+import {isPastAdmission, type StopPlan} from './stop-plan.js';
 
 /** What opening a session needs beside the gateway's parts. */
 export type OpenSessionOptions = {
@@ -45,7 +45,7 @@
 	}
 
 	const plan = getStopPlan();
-	if (isPastLastCall(plan, clock.now()) || (plan && !isKnown())) {
+	if (isPastAdmission(plan, clock.now()) || (plan && !isKnown())) {
 		log.info('a session was refused: the host is stopping', {database});
 		channel.refuse(STOPPING.end.code, STOPPING.end.text);
 		return undefined;
--- a/src/gateway/stop-plan.ts
+++ b/src/gateway/stop-plan.ts
@@ -6,7 +6,7 @@
 	/** The balancer sends callers elsewhere from then on, unless most hosts of a zone are stopping; until then all are served. */
 	readonly rotatedOutAt: number;
 	/** From then on nothing new is taken, and open transactions are rolled back. */
-	readonly lastCallAt: number;
+	readonly admitUntil: number;
 	/** Whatever was taken has its final answer by then. */
 	readonly answerBy: number;
 	/** The process ends then at the latest. */
@@ -34,28 +34,28 @@
 /** Makes the plan of a host that was told at `now` that it is ended by force after `graceMs`. */
 export function createStopPlan(now: number, graceMs: number): StopPlan {
 	const answerBy = now + (graceMs * ANSWER_SHARE);
-	const lastCallAt = Math.max(now + (graceMs * TRANSACTION_SHARE), answerBy - LAST_ANSWERS_MS);
+	const admitUntil = Math.max(now + (graceMs * TRANSACTION_SHARE), answerBy - LAST_ANSWERS_MS);
 	return {
-		rotatedOutAt: Math.min(now + OUT_OF_ROTATION_MS, lastCallAt),
-		lastCallAt,
+		rotatedOutAt: Math.min(now + OUT_OF_ROTATION_MS, admitUntil),
+		admitUntil,
 		answerBy,
 		endBy: Math.max(answerBy, now + graceMs - END_MARGIN_MS),
 	};
 }
 
 /** Whether no session begins any more. */
-export function isPastLastCall(plan: StopPlan | undefined, now: number): boolean {
-	return plan !== undefined && now >= plan.lastCallAt;
+export function isPastAdmission(plan: StopPlan | undefined, now: number): boolean {
+	return plan !== undefined && now >= plan.admitUntil;
 }
 
 /** The plan of a host that has ended all sessions at `now`, ahead of its time: none begins any more. */
-export function endAdmission(plan: StopPlan, now: number): StopPlan {
-	return {...plan, lastCallAt: Math.min(plan.lastCallAt, now)};
+export function closeAdmissionAt(plan: StopPlan, now: number): StopPlan {
+	return {...plan, admitUntil: Math.min(plan.admitUntil, now)};
 }
 
 /** Whether a transaction may begin: it has to fit in as usual, since one that is rolled back leaves nothing behind. */
 export function mayBegin(plan: StopPlan | undefined, route: Route, now: number): boolean {
-	return !plan || now + route.targetLatencyMs <= plan.lastCallAt;
+	return !plan || now + route.targetLatencyMs <= plan.admitUntil;
 }
 
 /**
@@ -68,5 +68,5 @@
 	}
 
 	const neededMs = access === Access.Read ? route.targetLatencyMs : route.statementTimeoutMs;
-	return now < plan.lastCallAt && now + neededMs <= plan.answerBy;
+	return now < plan.admitUntil && now + neededMs <= plan.answerBy;
 }
--- a/src/proxy/leave.ts
+++ b/src/proxy/leave.ts
@@ -44,8 +44,8 @@
 	await clock.sleep(plan.rotatedOutAt - startedAt);
 	log.info('callers are told that their sessions end', {...gateway.countPhases(), lateMs: Math.round(clock.now() - plan.rotatedOutAt)});
 	gateway.leave();
-	await waitForSessions(plan.lastCallAt);
-	gateway.callLast(clock.now());
+	await waitForSessions(plan.admitUntil);
+	gateway.closeAdmission(clock.now());
 	lender.endResting(STOP_REASON);
 	await waitForSessions(plan.answerBy);
 	gateway.giveUp();
--- a/tests/platform/tcp-caller-channel-tests.ts
+++ b/tests/platform/tcp-caller-channel-tests.ts
@@ -4,7 +4,7 @@
 } from 'node:net';
 import {expect} from 'chai';
 import type {CallerChannel} from '../../src/gateway/caller-channel.js';
-import {createFarewell} from '../../src/gateway/farewell.js';
+import {createGracefulClose} from '../../src/gateway/graceful-close.js';
 import {STOPPING} from '../../src/gateway/stop-answers.js';
 import {createTcpCallerChannel} from '../../src/platform/tcp-caller-channel.js';
 
@@ -52,10 +52,10 @@
 	 * Told first, the caller has an error and then, once its statement was read, the state that makes it a whole answer.
 	 */
 	it('answers a request that was on its way when the session\'s end was told', async () => {
-		const farewell = createFarewell(channel, STOPPING, false);
+		const closing = createGracefulClose(channel, STOPPING, false);
 		caller.write('QUERY a WRITE x 1\r\n');
 		const req = await channel.next();
-		const told = req?.kind === 'statement' && farewell.refuse(req.statement);
+		const told = req?.kind === 'statement' && closing.refuse(req.statement);
 		channel.close();
 		const chunks = await caller.setEncoding('latin1').toArray() as string[];
 		const line = `ERROR BUSY ${STOPPING.end.text}\r\n`;
--- a/tests/proxy/stop-schedules-tests.ts
+++ b/tests/proxy/stop-schedules-tests.ts
@@ -38,7 +38,7 @@
 
 	/**
 	 * A host without callers is told to stop while it replaces a primary, and has to go on until that is done. Callers still come, since most hosts are
-	 * stopping. One that comes then is greeted and told nothing more: the last call and the final answers were given out before it came, to nobody.
+	 * stopping. One that comes then is greeted and told nothing more: all had been told, and final answers given, before it came.
 	 * Its request is on its way when the process ends, and it gets neither an answer nor a refusal.
 	 */
 	it('tell also a caller that comes while only a replacement holds up their end', async () => {
