Show that the caller port drops requests which wait unread when it stops

Cause looked for: a port that ends its connections by what it has read. The port's stop closes every connection in the turn in which the drain ends, so a request that is in the socket by then brings its caller the end of the connection, neither an answer nor a refusal. Ruled out: that the request was taken; the entry is asked nothing.

--- /dev/null
+++ b/tests/callers/http-stop-tests.ts
@@ -0,0 +1,197 @@
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {connect, type Socket} from 'node:net';
+import {Worker} from 'node:worker_threads';
+import {expect} from 'chai';
+import type {CallerAnswer} from '../../src/callers/caller-answer.js';
+import type {Callers} from '../../src/callers/callers.js';
+import type {Entry} from '../../src/callers/entry.js';
+import {createHttpCallers} from '../../src/callers/http-callers.js';
+import {createSilentLog} from '../../src/log/silent-log.js';
+import {createPromMetrics} from '../../src/metrics/prom-metrics.js';
+import {createSeededRandom} from '../../src/random/seeded-random.js';
+import {createVirtualClock} from '../../src/stand-ins/time/virtual-clock.js';
+
+const READ = '{"kind":"read","statement":"select 1"}';
+const REQUESTS = '/v1/groups/sleep/requests';
+const COMMIT = '/v1/transactions/t-1/commit';
+
+/** What a caller received on its connection, and what it can say of each answer. */
+type Received = {status: number; outcome: string; requestId: string; code: string | undefined; close: boolean};
+
+/** A caller on a connection of its own, on a thread of its own: it can send while the host does not run. */
+const CALLER_ON_A_THREAD = `
+	const {connect} = require('node:net');
+	const {parentPort, workerData: {port, text, state}} = require('node:worker_threads');
+	const flags = new Int32Array(state);
+	parentPort.postMessage('ready');
+	Atomics.wait(flags, 0, 0);
+	const socket = connect(port, '127.0.0.1', () => {
+		socket.write(text, () => {
+			Atomics.store(flags, 0, 2);
+			Atomics.notify(flags, 0);
+		});
+	});
+	const parts = [];
+	socket.on('data', part => parts.push(part));
+	socket.on('error', () => undefined);
+	socket.on('close', () => parentPort.postMessage(Buffer.concat(parts).toString()));
+`;
+
+function toHttp(path: string, body: string, sentBytes = body.length): string {
+	return `POST ${path} HTTP/1.1\r\nhost: a\r\ncontent-type: application/json\r\ncontent-length: ${body.length}\r\n\r\n${body.slice(0, sentBytes)}`;
+}
+
+function parseAnswers(text: string): Received[] {
+	return text.split(/(?=HTTP\/1\.1 )/v).filter(part => part !== '').map(part => {
+		const [head, body] = part.split('\r\n\r\n');
+		const {outcome, requestId, refusal} = JSON.parse(body!) as CallerAnswer;
+		return {
+			status: Number(head!.slice(9, 12)), outcome, requestId, code: refusal?.code, close: /^connection: close$/imv.test(head!),
+		};
+	});
+}
+
+async function readToEnd(socket: Socket): Promise<Received[]> {
+	const parts: Uint8Array[] = [];
+	socket.on('data', part => {
+		parts.push(part);
+	});
+	// A connection that is broken off ends too; what counts is what came before.
+	socket.on('error', () => undefined);
+	await new Promise(resolve => {
+		socket.once('close', resolve);
+	});
+	return parseAnswers(Buffer.concat(parts).toString());
+}
+
+describe('http callers at a stop', () => {
+	const clock = createVirtualClock();
+	const random = createSeededRandom(1);
+	let callers: Callers;
+	let calls: string[];
+	let finish: Array<(answer: CallerAnswer) => void>;
+	let isHeld: boolean;
+
+	beforeEach(async () => {
+		calls = [];
+		finish = [];
+		isHeld = false;
+		const answer = (name: string) => async () => {
+			calls.push(name);
+			if (!isHeld) {
+				return {outcome: 'done', requestId: name} as const;
+			}
+
+			return new Promise<CallerAnswer>(resolve => {
+				finish.push(resolve);
+			});
+		};
+
+		const entry: Entry = {
+			execute: answer('execute'),
+			resolveOutcome: answer('resolveOutcome'),
+			begin: answer('begin'),
+			run: answer('run'),
+			commit: answer('commit'),
+			rollback: answer('rollback'),
+		};
+		callers = createHttpCallers({
+			entry,
+			clock,
+			random,
+			log: createSilentLog(),
+			metrics: createPromMetrics(),
+			hostName: 'host-1',
+			explanations: {record: () => 'ticket'},
+			address: '127.0.0.1',
+			port: 0,
+			drainMs: 0,
+		});
+		await callers.start();
+	});
+
+	afterEach(async () => {
+		await clock.runUntil(callers.stop());
+	});
+
+	const until = async (isReached: () => boolean) => {
+		while (!isReached()) {
+			await clock.advance(0);
+		}
+	};
+
+	const open = async () => {
+		const socket = connect(callers.port, '127.0.0.1');
+		await once(socket, 'connect');
+		return socket;
+	};
+
+	/** A connection that has had its first answer and is kept. */
+	const openIdle = async () => {
+		const socket = await open();
+		socket.write(toHttp(REQUESTS, READ));
+		await once(socket, 'data');
+		await until(() => callers.inFlight === 0);
+		calls = [];
+		return socket;
+	};
+
+	/** Both in one turn of the event loop: what is sent is in the host's socket, and the host has not read it. */
+	const sendAndStop = async (socket: Socket, text: string) => {
+		socket.write(text);
+		return callers.stop();
+	};
+
+	const REFUSED = {
+		status: 503, outcome: 'not-run', code: 'host-leaving', close: true,
+	};
+
+	describe('what waits unread', () => {
+		// A host is late when the time comes to end its connections: a coach's read has been waiting in the socket of a kept
+		// connection for half a second. Ended by what the host has read, the connection counts as idle, and the coach gets
+		// neither rows nor a refusal.
+		it('is refused on a kept connection', async () => {
+			const socket = await openIdle();
+			const received = readToEnd(socket);
+			await clock.runUntil(sendAndStop(socket, toHttp(REQUESTS, READ)));
+			const answers = await received;
+			expect(answers).to.have.length(1);
+			expect(answers[0]).to.include(REFUSED);
+			expect(calls).to.deep.equal([]);
+		});
+
+		// The balancer has opened a connection and sent a request on it while the host was late; the host has not even
+		// taken the connection when it closes its port.
+		it('is refused on a connection that was not taken yet', async () => {
+			const state = new SharedArrayBuffer(4);
+			const flags = new Int32Array(state);
+			const caller = new Worker(CALLER_ON_A_THREAD, {eval: true, execArgv: [], workerData: {port: callers.port, text: toHttp(REQUESTS, READ), state}});
+			await once(caller, 'message');
+			Atomics.store(flags, 0, 1);
+			Atomics.notify(flags, 0);
+			Atomics.wait(flags, 0, 1);
+			const received = once(caller, 'message');
+			await clock.runUntil(callers.stop());
+			const [text] = await received as [string];
+			const answers = parseAnswers(text);
+			expect(answers).to.have.length(1);
+			expect(answers[0]).to.include(REFUSED);
+			await caller.terminate();
+		});
+
+		// A filing's commit has been waiting in the socket when its host ends. Begun now, it would be cut in the middle; the
+		// commit was not taken, but an earlier try of it may have been.
+		it('is not begun, though it belongs to a transaction', async () => {
+			const socket = await openIdle();
+			const received = readToEnd(socket);
+			await clock.runUntil(sendAndStop(socket, toHttp(COMMIT, '{}')));
+			const answers = await received;
+			expect(answers).to.have.length(1);
+			expect(answers[0]).to.include({
+				status: 504, outcome: 'unknown', code: 'host-leaving', close: true,
+			});
+			expect(calls).to.deep.equal([]);
+		});
+	});
+});
