Read what callers have sent before the caller port ends their connections

Cause: the stop closed connections by what the host had read of them; a late host has more in its sockets, also in those of connections that it has not taken. Ruled out: closing idle connections first and waiting for the rest, which is the same judgement; the HTTP server's own `close` does so. Now the port is closed alone, then the host looks until a whole turn of reading brings nothing and nothing is under way; what comes is refused, a transaction's statements too, and a commit as unknown, since an earlier try of it may have been taken.

Each guard taken out again: without the refusal at the end the commit's test is red, with the HTTP server's `close` the one on the last look (new here), without the look before the port closes that one and the one of the connection not taken.

Left: a request that leaves its caller after the last look began and comes after it; HTTP/1.1 has no word for it.

--- a/src/callers/http-answers.ts
+++ b/src/callers/http-answers.ts
@@ -25,14 +25,17 @@
 	readonly refuse: HttpRefusals;
 	/** Counts what the entry is asked. */
 	readonly working: InFlight;
+	/** Nothing new is taken any more. */
 	readonly isLeaving: () => boolean;
+	/** Nothing at all is taken any more. */
+	readonly isEnding: () => boolean;
 };
 
 /** A request that passed its checks, on its way to the entry. */
 export type ServedRequest = AskedRequest & {
 	readonly asked: AskedKind;
 	readonly class?: WorkClass;
-	/** Belongs to work under way, which a leaving host still ends. */
+	/** Belongs to work under way, which a leaving host still takes until its last reading. */
 	readonly continues?: boolean;
 };
 
@@ -46,7 +49,9 @@
 
 /** Creates the answering side of the caller port. */
 export function createHttpAnswers(options: HttpAnswersOptions): HttpAnswers {
-	const {clock, log, metrics, refuse, working, isLeaving} = options;
+	const {
+		clock, log, metrics, refuse, working, isLeaving, isEnding,
+	} = options;
 
 	const prepare = (reply: FastifyReply, answer: CallerAnswer, status = getHttpStatus(answer)) => {
 		const {refusal, session} = answer;
@@ -71,7 +76,8 @@
 	};
 
 	const askOrRefuse = async (req: ServedRequest, ask: () => Promise<CallerAnswer>) => {
-		if (isLeaving() && !req.continues) {
+		// Guards against work that begins when its connection is about to be ended: it would run and its caller not be told.
+		if (isEnding() || (isLeaving() && !req.continues)) {
 			return refuse(req, getUntakenOutcome(req), LEAVING_REFUSAL);
 		}
 
@@ -111,9 +117,12 @@
 	};
 }
 
-/** A question about another request that was not taken says nothing of that one: `not-run` would be untrue. */
+/**
+ * A question about another request that was not taken says nothing of that one, and a commit may have been sent before:
+ * `not-run` would be untrue.
+ */
 function getUntakenOutcome(req: AskedRequest): Outcome {
-	return req.asked === AskedKind.Outcome ? Outcome.Unknown : Outcome.NotRun;
+	return req.asked === AskedKind.Outcome || req.asked === AskedKind.Commit ? Outcome.Unknown : Outcome.NotRun;
 }
 
 /** A row may hold what JSON has no form for; failing then would lose the answer to a write that ran. */
--- a/src/callers/http-callers.ts
+++ b/src/callers/http-callers.ts
@@ -14,6 +14,7 @@
 import {createHttpRefusals, type HttpRefusals, type HttpRefusalsOptions} from './http-refusals.js';
 import {addHttpRoutes, getAskedRequest} from './http-routes.js';
 import {createInFlight} from './in-flight.js';
+import {createLastReading} from './last-reading.js';
 
 /** How long a caller may take to send one request, in milliseconds. */
 const REQUEST_ARRIVAL_MS = 30_000;
@@ -47,11 +48,13 @@
 	const working = createInFlight();
 	const countInFlight = () => Math.max(arrived.count, working.count);
 	let leaving = false;
+	let ending = false;
 	const refuse = createHttpRefusals(options);
 	const answers = createHttpAnswers({
-		...options, refuse, working, isLeaving: () => leaving,
+		...options, refuse, working, isLeaving: () => leaving, isEnding: () => ending,
 	});
 	const app = createApp(refuse);
+	const lastReading = createLastReading({server: app.server, clock, isAnswering: () => arrived.count > 0});
 
 	app.addHook('onRequest', (_req, reply, done) => {
 		reply.raw.once('close', arrived.enter());
@@ -88,6 +91,8 @@
 		},
 		async stop() {
 			await drain(options.drainMs);
+			ending = true;
+			await lastReading.read();
 			app.server.closeAllConnections();
 			await app.close();
 		},
--- a/tests/callers/http-stop-tests.ts
+++ b/tests/callers/http-stop-tests.ts
@@ -180,6 +180,20 @@
 			await caller.terminate();
 		});
 
+		// The host has closed its port and looks once more. A request that comes in just then is on a connection that counts
+		// as idle, and closing a server in the usual way ends those first.
+		it('is refused on a kept connection while the host looks for the last time', async () => {
+			const socket = await openIdle();
+			const received = readToEnd(socket);
+			const stopping = callers.stop();
+			await clock.advance(5);
+			socket.write(toHttp(REQUESTS, READ));
+			await clock.runUntil(stopping);
+			const answers = await received;
+			expect(answers).to.have.length(1);
+			expect(answers[0]).to.include(REFUSED);
+		});
+
 		// A filing's commit has been waiting in the socket when its host ends. Begun now, it would be cut in the middle; the
 		// commit was not taken, but an earlier try of it may have been.
 		it('is not begun, though it belongs to a transaction', async () => {
