Show that a leaving host says "not run" of a request that may have run before

Cause looked for: whether the `not-run` of a leaving host is true. docs/CALLERS.md has a refusal of an id that may have been submitted before say `unknown`; the entry does (`getRefusedOutcome`), the caller port's own refusal does not. A caller whose write got no answer at one host that stops and who sends it again to another one is told `not-run`, upon which it may send it under a new id: the write could run twice. Three tests are red with 503 for 504; that a fresh id and a read are still refused as not run is held by two more, which pass.

--- a/tests/callers/http-stop-tests.ts
+++ b/tests/callers/http-stop-tests.ts
@@ -9,6 +9,7 @@
 import {createHttpCallers} from '../../src/callers/http-callers.js';
 import {createSilentLog} from '../../src/log/silent-log.js';
 import {createPromMetrics} from '../../src/metrics/prom-metrics.js';
+import {createRequestId} from '../../src/random/request-id.js';
 import {createSeededRandom} from '../../src/random/seeded-random.js';
 import {createVirtualClock} from '../../src/stand-ins/time/virtual-clock.js';
 
@@ -208,4 +209,33 @@
 			expect(calls).to.deep.equal([]);
 		});
 	});
+
+	describe('a leaving host', () => {
+		// Two hosts are replaced one after the other. A caller's write got no answer at the first and comes to the second
+		// under the same id, as it was told to. This try is not taken, but the first one may have run: "not run" would have
+		// the caller write again under a new id.
+		const doTestRepeat = (title: string, path: string, body: () => Record<string, unknown>, outcome: string) => {
+			it(title, async () => {
+				const socket = await open();
+				const received = readToEnd(socket);
+				const drained = callers.drain(5000);
+				socket.write(toHttp(path, JSON.stringify(body())));
+				const answers = await received;
+				expect(answers).to.have.length(1);
+				expect(answers[0]).to.include({
+					status: outcome === 'unknown' ? 504 : 503, outcome, code: 'host-leaving', close: true,
+				});
+				await clock.runUntil(drained);
+				expect(calls).to.deep.equal([]);
+			});
+		};
+
+		const write = {kind: 'write', statement: 'x'};
+		const makeId = (agoMs: number) => createRequestId(clock.wall() - agoMs, random);
+		doTestRepeat('says unknown of a write that is sent again', REQUESTS, () => ({...write, requestId: makeId(0), attempt: 2}), 'unknown');
+		doTestRepeat('says unknown of a write whose id is old', REQUESTS, () => ({...write, requestId: makeId(251)}), 'unknown');
+		doTestRepeat('says unknown of a transaction whose id is old', '/v1/groups/sleep/transactions', () => ({requestId: makeId(251)}), 'unknown');
+		doTestRepeat('says not run of a write whose id is fresh', REQUESTS, () => ({...write, requestId: makeId(250)}), 'not-run');
+		doTestRepeat('says not run of a read that is sent again', REQUESTS, () => ({kind: 'read', statement: 'x', requestId: makeId(251), attempt: 2}), 'not-run');
+	});
 });
