Have a leaving host say "unknown" of a request that may have run before

Cause: the caller port refuses by itself while it leaves and said `not-run` of any request, also of one whose earlier submission got no answer. Now it asks the same question as the entry, `mayBeRepeat`, which moves from src/routing to a file of its own beside the caller port; a commit, which has no key of its own, always counts as a possible repeat, as it does at the entry. Ruled out: `unknown` for all, which would have callers ask for outcomes that are known: a fresh id and a read stay `not-run` (two tests).

Before: three tests red, 503 `not-run` for 504 `unknown`.

--- a/src/callers/http-answers.ts
+++ b/src/callers/http-answers.ts
@@ -35,6 +35,8 @@
 export type ServedRequest = AskedRequest & {
 	readonly asked: AskedKind;
 	readonly class?: WorkClass;
+	/** An earlier submission of it may have been taken. */
+	readonly mayBeRepeat?: boolean;
 	/** Belongs to work under way, which a leaving host still takes until its last reading. */
 	readonly continues?: boolean;
 };
@@ -78,7 +80,7 @@
 	const askOrRefuse = async (req: ServedRequest, ask: () => Promise<CallerAnswer>) => {
 		// Guards against work that begins when its connection is about to be ended: it would run and its caller not be told.
 		if (isEnding() || (isLeaving() && !req.continues)) {
-			return refuse(req, getUntakenOutcome(req), LEAVING_REFUSAL);
+			return refuse(req, req.mayBeRepeat ? Outcome.Unknown : getUntakenOutcome(req), LEAVING_REFUSAL);
 		}
 
 		try {
@@ -117,12 +119,9 @@
 	};
 }
 
-/**
- * A question about another request that was not taken says nothing of that one, and a commit may have been sent before:
- * `not-run` would be untrue.
- */
+/** A question about another request that was not taken says nothing of that one: `not-run` would be untrue. */
 function getUntakenOutcome(req: AskedRequest): Outcome {
-	return req.asked === AskedKind.Outcome || req.asked === AskedKind.Commit ? Outcome.Unknown : Outcome.NotRun;
+	return req.asked === AskedKind.Outcome ? Outcome.Unknown : Outcome.NotRun;
 }
 
 /** A row may hold what JSON has no form for; failing then would lose the answer to a write that ran. */
--- a/src/callers/http-routes.ts
+++ b/src/callers/http-routes.ts
@@ -9,6 +9,7 @@
 import type {Entry} from './entry.js';
 import {SESSION_HEADER, type HttpAnswers} from './http-answers.js';
 import type {AskedRequest} from './http-refusals.js';
+import {mayBeRepeat} from './possible-repeat.js';
 
 /** What the routes need. */
 export type HttpRoutesOptions = {
@@ -53,9 +54,9 @@
 		const {group} = req.params;
 		const body = withRequestId(checkCallerRequest(req.body));
 		const session = getSessionToken(req);
-		const {requestId, class: workClass, kind: asked} = body;
+		const {requestId, class: workClass, kind: asked, attempt} = body;
 		return answers.serve(reply, {
-			asked, group, requestId, class: workClass,
+			asked, group, requestId, class: workClass, mayBeRepeat: mayBeRepeat({asked, requestId, attempt}, clock.wall()),
 		}, async () => entry.execute(group, body, session));
 	});
 
@@ -64,8 +65,9 @@
 		const body = withRequestId(checkBeginRequest(req.body));
 		const session = getSessionToken(req);
 		const {requestId, class: workClass} = body;
+		const asked = AskedKind.Begin;
 		return answers.serve(reply, {
-			asked: AskedKind.Begin, group, requestId, class: workClass,
+			asked, group, requestId, class: workClass, mayBeRepeat: mayBeRepeat({asked, requestId}, clock.wall()),
 		}, async () => entry.begin(group, body, session));
 	});
 
@@ -82,7 +84,10 @@
 		const {transactionId} = req.params;
 		checkEmptyBody(req.body);
 		const session = getSessionToken(req);
-		return answers.serve(reply, {asked: AskedKind.Commit, requestId: transactionId, continues: true}, async () => entry.commit(transactionId, session));
+		// A commit has no key of its own that says whether it was sent before.
+		return answers.serve(reply, {
+			asked: AskedKind.Commit, requestId: transactionId, mayBeRepeat: true, continues: true,
+		}, async () => entry.commit(transactionId, session));
 	});
 
 	addRoute<TransactionRoute>('POST', '/v1/transactions/:transactionId/rollback', async (req, reply) => {
--- a/src/routing/asked-request.ts
+++ b/src/routing/asked-request.ts
@@ -1,6 +1,7 @@
-import {RequestKind, type CallerRequest} from '../callers/caller-request.js';
+import type {CallerRequest} from '../callers/caller-request.js';
+import {mayBeRepeat, ONCE_ONLY} from '../callers/possible-repeat.js';
 import type {Configuration, VersionedGroup} from '../configuration/configuration.js';
-import {createRequestId, getRequestIdTime} from '../random/request-id.js';
+import {createRequestId} from '../random/request-id.js';
 import type {Random} from '../random/random.js';
 import type {Refusal} from '../refusals/refusal.js';
 import type {Session, Sessions} from '../sessions/session.js';
@@ -53,21 +54,12 @@
 	readonly sessions: Sessions;
 };
 
-/** What is asked without a request key of its own, so that no other submission can be meant. */
-const ONCE_ONLY: ReadonlySet<string> = new Set([RequestKind.Read, 'statement', 'rollback']);
-
-/** A caller's id whose time is further than this from now may have been submitted before, in milliseconds. */
-const FRESH_ID_MS = 250;
-
 /** Creates what takes requests in. */
 export function createAsker(options: AskerOptions): Asker {
 	const {
 		clock, random, configuration, sessions,
 	} = options;
 
-	const isFresh = (requestId: string | undefined, wallMs: number) =>
-		requestId === undefined || Math.abs((getRequestIdTime(requestId) ?? 0) - wallMs) <= FRESH_ID_MS;
-
 	return {
 		ask(name, header, parts) {
 			const wallMs = clock.wall();
@@ -84,7 +76,7 @@
 				configVersion: group?.version ?? 0,
 				startedAt,
 				deadlineAt: startedAt + parts.deadlineMs,
-				mayBeRepeat: !ONCE_ONLY.has(parts.asked) && (parts.attempt > 1 || !isFresh(parts.requestId, wallMs)),
+				mayBeRepeat: mayBeRepeat(parts, wallMs),
 			};
 			return {asked, group, bad: read.kind === 'bad'};
 		},
--- a/tests/callers/http-stop-tests.ts
+++ b/tests/callers/http-stop-tests.ts
@@ -236,6 +236,8 @@
 		doTestRepeat('says unknown of a write whose id is old', REQUESTS, () => ({...write, requestId: makeId(251)}), 'unknown');
 		doTestRepeat('says unknown of a transaction whose id is old', '/v1/groups/sleep/transactions', () => ({requestId: makeId(251)}), 'unknown');
 		doTestRepeat('says not run of a write whose id is fresh', REQUESTS, () => ({...write, requestId: makeId(250)}), 'not-run');
-		doTestRepeat('says not run of a read that is sent again', REQUESTS, () => ({kind: 'read', statement: 'x', requestId: makeId(251), attempt: 2}), 'not-run');
+		doTestRepeat('says not run of a read that is sent again', REQUESTS, () => ({
+			kind: 'read', statement: 'x', requestId: makeId(251), attempt: 2,
+		}), 'not-run');
 	});
 });
