Show what the end of a stop's bound and a closing answer cut off

Cause looked for: what happens to requests that are taken late in the bound. Whatever is under way when the drain's bound has passed is cut with its connection: a write at work gets no word though the host is there to say `unknown`, and a request that is half arrived none though no handler has it. Further, a leaving host marks every answer with `connection: close`, also where a later request of the same connection is at work: its answer is never sent.

--- a/tests/callers/http-stop-tests.ts
+++ b/tests/callers/http-stop-tests.ts
@@ -210,6 +210,37 @@
 		});
 	});
 
+	describe('what has not ended', () => {
+		// A read takes longer than the host may go on. Ended with its connection, its caller would learn nothing; the host
+		// is still there to say that the work may have run.
+		it('is answered as unknown under its own id', async () => {
+			isHeld = true;
+			const requestId = createRequestId(clock.wall(), random);
+			const socket = await open();
+			const received = readToEnd(socket);
+			socket.write(toHttp(REQUESTS, JSON.stringify({kind: 'write', statement: 'x', requestId})));
+			await until(() => calls.length > 0);
+			await clock.runUntil(callers.stop());
+			const answers = await received;
+			expect(answers).to.deep.equal([{
+				status: 504, outcome: 'unknown', requestId, code: 'host-leaving', close: true,
+			}]);
+		});
+
+		// A tablet on a bad link has sent half a request when the host's time is up. No handler has it, so it will not run.
+		it('is refused as not run where it has not arrived whole', async () => {
+			const socket = await open();
+			const received = readToEnd(socket);
+			socket.write(toHttp(REQUESTS, READ, 5));
+			await until(() => callers.inFlight > 0);
+			await clock.runUntil(callers.stop());
+			const answers = await received;
+			expect(answers).to.have.length(1);
+			expect(answers[0]).to.include(REFUSED);
+			expect(calls).to.deep.equal([]);
+		});
+	});
+
 	describe('a leaving host', () => {
 		// Two hosts are replaced one after the other. A caller's write got no answer at the first and comes to the second
 		// under the same id, as it was told to. This try is not taken, but the first one may have run: "not run" would have
@@ -239,5 +270,22 @@
 		doTestRepeat('says not run of a read that is sent again', REQUESTS, () => ({
 			kind: 'read', statement: 'x', requestId: makeId(251), attempt: 2,
 		}), 'not-run');
+
+		// A caller sends two requests on one connection without waiting for the first answer. Both run when the host is told
+		// to stop; a first answer that closes the connection takes the second one's with it.
+		it('answers all that runs on one connection', async () => {
+			isHeld = true;
+			const socket = await open();
+			const received = readToEnd(socket);
+			socket.write(toHttp(REQUESTS, READ) + toHttp(REQUESTS, READ));
+			await until(() => calls.length === 2);
+			const drained = callers.drain(5000);
+			finish[0]!({outcome: 'done', requestId: 'first'});
+			await clock.advance(0);
+			finish[1]!({outcome: 'done', requestId: 'second'});
+			const answers = await received;
+			expect(answers.map(({requestId, close}) => `${requestId} ${close}`)).to.deep.equal(['first false', 'second true']);
+			await clock.runUntil(drained);
+		});
 	});
 });
