Answer what outlasts a stop's bound, and all that runs on one connection

Cause: when the drain's bound had passed, the caller port ended the connections of requests at work and of those half arrived; and every answer of a leaving host closed its connection, also before the answers to later requests on it. Now work that outlasts the bound is answered `unknown` with `host-leaving` under its id, from which its caller can ask another host at once; a request that no handler has is refused as not run; and only the answer to the last request of a connection closes it.

Each guard taken out turns its test red: the cut, the refusal of the half arrived, the note of what has arrived whole, the look at what came later on the connection.

--- a/src/callers/http-answers.ts
+++ b/src/callers/http-answers.ts
@@ -6,7 +6,7 @@
 import {Outcome, type CallerAnswer} from './caller-answer.js';
 import {toCallerError} from './caller-errors.js';
 import {
-	HOST_FAULT_REFUSAL, LEAVING_REFUSAL, type AskedRequest, type HttpRefusals,
+	CUT_REFUSAL, HOST_FAULT_REFUSAL, LEAVING_REFUSAL, type AskedRequest, type HttpRefusals,
 } from './http-refusals.js';
 import {getHttpStatus, getRetryAfterSeconds} from './http-status.js';
 import type {InFlight} from './in-flight.js';
@@ -29,6 +29,8 @@
 	readonly isLeaving: () => boolean;
 	/** Nothing at all is taken any more. */
 	readonly isEnding: () => boolean;
+	/** Nothing else has come on the connection since. */
+	readonly isLastOnConnection: (reply: FastifyReply) => boolean;
 };
 
 /** A request that passed its checks, on its way to the entry. */
@@ -47,17 +49,23 @@
 	serve(reply: FastifyReply, req: ServedRequest, ask: () => Promise<CallerAnswer>): Promise<string>;
 	/** Answers what failed before the entry was asked; sets status and headers and returns the body. */
 	fail(reply: FastifyReply, req: AskedRequest, err: unknown): string;
+	/** Refuses what no handler has taken, since this host leaves; sets status and headers and returns the body. */
+	refuseUntaken(reply: FastifyReply, req: AskedRequest): string;
+	/** Answers every request at work as unknown, now; what the entry says of it afterwards is dropped. */
+	cut(): void;
 };
 
 /** Creates the answering side of the caller port. */
 export function createHttpAnswers(options: HttpAnswersOptions): HttpAnswers {
 	const {
-		clock, log, metrics, refuse, working, isLeaving, isEnding,
+		clock, log, metrics, refuse, working, isLeaving, isEnding, isLastOnConnection,
 	} = options;
+	const cuts = new Set<() => void>();
 
 	const prepare = (reply: FastifyReply, answer: CallerAnswer, status = getHttpStatus(answer)) => {
 		const {refusal, session} = answer;
-		if (isLeaving()) {
+		// An answer that closes its connection would take with it those to later requests on it, which may be at work.
+		if (isLeaving() && isLastOnConnection(reply)) {
 			void reply.header('connection', 'close');
 		}
 
@@ -77,6 +85,22 @@
 		return toJson(answer);
 	};
 
+	/**
+	 * Guards against work whose caller learns nothing, since it outlasts the host: its connection would be ended without an
+	 * answer. A caller that reads `unknown` knows that it may ask another host for the outcome at once.
+	 */
+	const askUntilCut = async (req: ServedRequest, ask: () => Promise<CallerAnswer>) => new Promise<CallerAnswer>((resolve, reject) => {
+		const cut = () => {
+			resolve(refuse(req, Outcome.Unknown, CUT_REFUSAL));
+		};
+
+		cuts.add(cut);
+		const forget = () => cuts.delete(cut);
+		const answered = ask();
+		answered.then(resolve, reject);
+		answered.then(forget, forget);
+	});
+
 	const askOrRefuse = async (req: ServedRequest, ask: () => Promise<CallerAnswer>) => {
 		// Guards against work that begins when its connection is about to be ended: it would run and its caller not be told.
 		if (isEnding() || (isLeaving() && !req.continues)) {
@@ -84,7 +108,7 @@
 		}
 
 		try {
-			return await ask();
+			return await askUntilCut(req, ask);
 		} catch (err) {
 			log.error('the entry failed to answer', {err, requestId: req.requestId});
 			return refuse(req, Outcome.Unknown, HOST_FAULT_REFUSAL);
@@ -116,6 +140,12 @@
 			const {code, message: reason, status} = callerError;
 			return prepare(reply, refuse(req, getUntakenOutcome(req), {code, reason, facts: {}}), status);
 		},
+		refuseUntaken: (reply, req) => prepare(reply, refuse(req, getUntakenOutcome(req), LEAVING_REFUSAL)),
+		cut() {
+			for (const cut of cuts) {
+				cut();
+			}
+		},
 	};
 }
 
--- a/src/callers/http-callers.ts
+++ b/src/callers/http-callers.ts
@@ -1,5 +1,6 @@
+import type {IncomingMessage} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
-import {fastify, type FastifyInstance} from 'fastify';
+import {fastify, type FastifyInstance, type FastifyReply} from 'fastify';
 import type {Log} from '../log/log.js';
 import type {Metrics} from '../metrics/metrics.js';
 import {RefusalCode} from '../refusals/refusal.js';
@@ -46,18 +47,32 @@
 	// From a request's first byte to the last one of its answer; and its work, which outlives a caller that hangs up.
 	const arrived = createInFlight();
 	const working = createInFlight();
+	/** Requests that have not arrived whole. */
+	const arriving = new Set<FastifyReply>();
+	const latest = new WeakMap<Socket, IncomingMessage>();
 	const countInFlight = () => Math.max(arrived.count, working.count);
 	let leaving = false;
 	let ending = false;
 	const refuse = createHttpRefusals(options);
 	const answers = createHttpAnswers({
 		...options, refuse, working, isLeaving: () => leaving, isEnding: () => ending,
+		isLastOnConnection: ({request: {raw}}) => latest.get(raw.socket) === raw,
 	});
 	const app = createApp(refuse);
 	const lastReading = createLastReading({server: app.server, clock, isAnswering: () => arrived.count > 0});
 
-	app.addHook('onRequest', (_req, reply, done) => {
-		reply.raw.once('close', arrived.enter());
+	app.addHook('onRequest', ({raw}, reply, done) => {
+		latest.set(raw.socket, raw);
+		arriving.add(reply);
+		const leave = arrived.enter();
+		reply.raw.once('close', () => {
+			arriving.delete(reply);
+			leave();
+		});
+		done();
+	});
+	app.addHook('preValidation', (_req, reply, done) => {
+		arriving.delete(reply);
 		done();
 	});
 	app.setErrorHandler(async (err, req, reply) => answers.fail(reply, getAskedRequest(req), err));
@@ -85,14 +100,30 @@
 		}
 	};
 
+	const refuseArriving = () => {
+		for (const reply of arriving) {
+			void reply.send(answers.refuseUntaken(reply, getAskedRequest(reply.request)));
+		}
+	};
+
+	/** Has every caller told before its connection ends: those whose work outlasts the bound, and those yet unread. */
+	const end = async () => {
+		ending = true;
+		answers.cut();
+		await lastReading.read();
+		if (arriving.size > 0) {
+			refuseArriving();
+			await lastReading.read();
+		}
+	};
+
 	return {
 		async start() {
 			await app.listen({host: options.address, port: options.port});
 		},
 		async stop() {
 			await drain(options.drainMs);
-			ending = true;
-			await lastReading.read();
+			await end();
 			app.server.closeAllConnections();
 			await app.close();
 		},
--- a/src/callers/http-refusals.ts
+++ b/src/callers/http-refusals.ts
@@ -60,6 +60,14 @@
 	facts: {},
 };
 
+/** A host that can wait no longer for work that it took: what was asked may have run, or may still. */
+export const CUT_REFUSAL: Refusal = {
+	code: RefusalCode.HostLeaving,
+	reason: 'this host stops before the request has ended, which may have run; the outcome route tells',
+	retryAfterMs: 0,
+	facts: {},
+};
+
 /** A fault of this host's own: what was asked may have run. */
 export const HOST_FAULT_REFUSAL: Refusal = {
 	code: RefusalCode.HostFault,
--- a/src/explanations/refusal-explanations.ts
+++ b/src/explanations/refusal-explanations.ts
@@ -40,9 +40,9 @@
 		advice: 'Look up in the data whether the request took effect; where it did not, send it under a new id.',
 	},
 	[RefusalCode.HostLeaving]: {
-		rule: 'a host that is about to stop takes nothing new',
+		rule: 'a host that is about to stop takes nothing new, and waits only so long for what it has taken',
 		notRun: NOTHING_SENT,
-		advice: 'Send it again at once; the balancer leads to another host.',
+		advice: 'Send it again at once, after an unknown outcome under the same request id; the balancer leads to another host.',
 	},
 	[RefusalCode.HostFault]: {
 		rule: 'a host that failed in the middle of a request says so and does not guess',
--- a/tests/callers/http-stop-tests.ts
+++ b/tests/callers/http-stop-tests.ts
@@ -239,6 +239,19 @@
 			expect(answers[0]).to.include(REFUSED);
 			expect(calls).to.deep.equal([]);
 		});
+
+		// The same tablet begins to send when its host looks for the last time.
+		it('is refused as not run where it began to arrive at the very end', async () => {
+			const socket = await openIdle();
+			const received = readToEnd(socket);
+			const stopping = callers.stop();
+			await clock.advance(5);
+			socket.write(toHttp(REQUESTS, READ, 5));
+			await clock.runUntil(stopping);
+			const answers = await received;
+			expect(answers).to.have.length(1);
+			expect(answers[0]).to.include(REFUSED);
+		});
 	});
 
 	describe('a leaving host', () => {
--- a/tests/daemon/create-daemon-tests.ts
+++ b/tests/daemon/create-daemon-tests.ts
@@ -112,6 +112,28 @@
 		expect(stub.events).to.deep.equal(['inside starts', 'handed on within 8000 ms', 'inside stops', 'platform stops']);
 	});
 
+	// A read takes longer than the host may go on. Its caller is told so before the services end, and the process with them.
+	it('answers what has not ended within its share of the bound', async () => {
+		await daemon.start();
+		stub.behaviour.execute = async () => new Promise(() => {
+			stub.events.push('reading');
+		});
+		const inFlight = read();
+		while (!stub.events.includes('reading')) {
+			await stub.clock.advance(0);
+		}
+
+		const stopping = daemon.stop();
+		await stub.clock.advance(7999);
+		expect(stub.events).to.deep.equal(['inside starts', 'reading']);
+		await stub.clock.runUntil(stopping);
+		const [status, answer] = await inFlight;
+		expect([status, answer.outcome, (answer.refusal as CallerRefusal).code]).to.deep.equal([504, 'unknown', 'host-leaving']);
+		expect(stub.events.slice(2)).to.deep.equal([
+			'work did not end within the bound', 'work did not end within the bound', 'inside stops', 'platform stops',
+		]);
+	});
+
 	it('ends within its bound when a service does not', async () => {
 		await daemon.start();
 		stub.behaviour.stop = async () => new Promise(() => {}); // eslint-disable-line @typescript-eslint/no-empty-function
