Show that a stopping host leaves a peer's call on its way unsure

Cause looked for: what becomes of a peer's call that is on its way when its answerer stops. The answering link refuses calls while it drains, but ends its channel as soon as nothing runs; a call that is unread by then is reported to its caller as sent, though nobody read it. Red over both transports, `sent true` for `sent false`: for a write that is `unknown` where `not-run` would be true. No rule is broken by it, since `unknown` is true as well.

--- a/tests/peers/peers-tests.ts
+++ b/tests/peers/peers-tests.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import {expect} from 'chai';
 import {
 	createGatedHandler, createMemoryBench, createWsBench, describeOutcome, PEER_KEY, type CreatePeerBench, type PeerBench,
@@ -122,6 +123,25 @@
 			return [await bench.settle(call)];
 		});
 
+		// A host stops while a call to it is on its way. It was read by nobody, so it did not run; were it taken for sent, a
+		// write's caller would be left unsure for nothing.
+		doTestAnswers('tells that a call was not taken which is on its way when the host stops', [
+			'"answer to first"',
+			'sent false: gave no answer to echo: the host ends its links',
+		], async ({host, other}, gated) => {
+			const first = describeOutcome(host.call(other.address, 'echo', 'first', 5000));
+			await bench.settle(gated.entered('first'));
+			gated.answer('first');
+			const outcomes = [await bench.settle(first)];
+			const onItsWay = describeOutcome(host.call(other.address, 'echo', 'second', 5000));
+			// Written at the end of this turn, and read in the next one at the earliest.
+			await nextTurn();
+			const stopping = other.stop();
+			outcomes.push(await bench.settle(onItsWay));
+			await bench.settle(stopping);
+			return outcomes;
+		});
+
 		// The caller's host stops with one call on its way and one not yet written: only the first may have run.
 		doTestAnswers('tells written calls from unwritten ones when a link ends', [
 			'sent true: gave no answer to echo: this host ends its links',
