Have the calling end close a link to a host that stops

Cause: the answering end closed its channel once nothing ran on it, and took for heard all that had been sent to it. Now it says that it takes no more calls, refuses what still comes, and leaves the end of the link to its caller, which alone knows when all it sent has its answer; `farewellMs` bounds the wait. A link whose handshake ends after the stop began is drained as well: its calls used to be handed to handlers of services that had stopped. Ruled out: one more turn of reading before the close, since a call between hosts is on its way for longer than a turn; a link kept for further calls, since under steady calls it is never empty (test). Hosts before this change count the new frame as a doubled answer and drop it; by reading only, no such host was run.

--- a/src/peers/answering-link.ts
+++ b/src/peers/answering-link.ts
@@ -13,7 +13,10 @@
 
 /** A link on which a peer calls this host. */
 export type AnsweringLink = {
-	/** Takes no more calls, lets those being answered end for `drainMs` at most, then ends the link. */
+	/**
+	 * Takes no more calls, lets those being answered end for `drainMs` at most, then waits `farewellMs` at most for the caller
+	 * to close the link, and ends it.
+	 */
 	drain(): Promise<void>;
 };
 
@@ -117,9 +120,16 @@
 	writer.open();
 	void watchIdle();
 
+	/**
+	 * Guards against a call that is on its way when the link ends: its caller would take it for sent, and be left unsure of
+	 * a write that nobody read. Only the calling end knows when all it sent has its answer, so it ends the link.
+	 */
+	const waitForCaller = async () => clock.sleep(limits.farewellMs, closed.signal);
+
 	return {
 		async drain() {
 			draining = true;
+			write({type: FrameType.Leaving, id: 0});
 			if (running > 0) {
 				const quiet = new Promise<void>(resolve => {
 					onQuiet = resolve;
@@ -127,6 +137,8 @@
 				await withinMs(clock, limits.drainMs, quiet);
 			}
 
+			writer.flush();
+			await waitForCaller();
 			writer.flush();
 			channel.close();
 		},
--- a/src/peers/create-peers.ts
+++ b/src/peers/create-peers.ts
@@ -43,7 +43,9 @@
 	const log = options.log.part('peers: ');
 	const figures = createPeerFigures();
 	const handlers = createPeerHandlers();
+	/** The link for the next call to a peer; one whose peer is leaving is none. */
 	const links = new Map<string, PeerLink>();
+	const openLinks = new Set<PeerLink>();
 	const answering = new Set<AnsweringLink>();
 	let handshakes = 0;
 	let accepting = true;
@@ -52,6 +54,12 @@
 	const getCredentials = (): PeerCredentials => ({address: transport.address, peerKeys: options.peerKeys, random: options.random});
 
 	const openLink = (peerAddress: string) => {
+		const forget = () => {
+			if (links.get(peerAddress) === link) {
+				links.delete(peerAddress);
+			}
+		};
+
 		const link = openPeerLink({
 			address: peerAddress,
 			channel: transport.connect(peerAddress),
@@ -59,12 +67,15 @@
 			limits,
 			clock,
 			figures,
+			onLeaving: forget,
 			onClose(reason) {
-				links.delete(peerAddress);
+				forget();
+				openLinks.delete(link);
 				log.debug('a link was closed', {peer: peerAddress, reason});
 			},
 		});
 		figures.linksOpened++;
+		openLinks.add(link);
 		links.set(peerAddress, link);
 		return link;
 	};
@@ -100,6 +111,10 @@
 			},
 		});
 		answering.add(link);
+		// A link whose handshake ended after the stop began: its calls are refused, and it is waited for by the transport.
+		if (!accepting) {
+			await link.drain();
+		}
 	};
 
 	return {
@@ -131,7 +146,7 @@
 			accepting = false;
 			await Promise.all([...answering].map(async link => link.drain()));
 			calling = false;
-			for (const link of links.values()) {
+			for (const link of openLinks) {
 				link.close('this host ends its links');
 			}
 
--- a/src/peers/peer-frame.ts
+++ b/src/peers/peer-frame.ts
@@ -11,6 +11,8 @@
 	Failure: 3,
 	/** The call was not handed to any handler. */
 	Refusal: 4,
+	/** The answering end takes no more calls; it waits for the calling end to close the link. */
+	Leaving: 5,
 } as const;
 
 /** One of the types in {@link FrameType}. */
@@ -38,8 +40,14 @@
 	readonly reason: string;
 };
 
+/** Belongs to no call: its id is 0, which none has. */
+export type LeavingFrame = {
+	readonly type: typeof FrameType.Leaving;
+	readonly id: 0;
+};
+
 /** A frame on an authenticated link. */
-export type PeerFrame = CallFrame | AnswerFrame | FailureFrame;
+export type PeerFrame = CallFrame | AnswerFrame | FailureFrame | LeavingFrame;
 
 // Records that a whole link shares would save a fifth of a call's time, but a frame that was packed and not sent would
 // take the definitions of later ones with it.
--- a/src/peers/peer-link.ts
+++ b/src/peers/peer-link.ts
@@ -5,7 +5,7 @@
 import {createCallError, throwPeerBusy} from './peer-errors.js';
 import type {PeerFigures} from './peer-figures.js';
 import {
-	decodeFrames, encodeFrame, FrameType, type PeerFrame,
+	decodeFrames, encodeFrame, FrameType, type AnswerFrame, type FailureFrame, type PeerFrame,
 } from './peer-frame.js';
 import type {PeerLimits} from './peer-limits.js';
 import type {PeerChannel} from './peer-transport.js';
@@ -28,13 +28,17 @@
 	readonly limits: PeerLimits;
 	readonly clock: Clock;
 	readonly figures: PeerFigures;
-	/** Called once when the link takes no more calls. */
+	/** Called when the peer takes no more calls: those in flight go on, others are for another link. */
+	onLeaving(): void;
+	/** Called once when the link has ended. */
 	onClose(reason: string): void;
 };
 
 const LinkState = {
 	Opening: 'opening',
 	Open: 'open',
+	/** Lasts until all in flight has its answer. */
+	Leaving: 'leaving',
 	Closed: 'closed',
 } as const;
 
@@ -106,29 +110,44 @@
 		owedSince = awaited.size > 0 ? heardAt : Infinity;
 	};
 
+	const isOpen = () => state === LinkState.Open || state === LinkState.Leaving;
+
+	const closeIfLeft = () => {
+		if (state === LinkState.Leaving && awaited.size === 0) {
+			closeInOrder('the peer takes no more calls');
+		}
+	};
+
 	const onMessage = (message: Uint8Array) => {
 		// A link that was given up may still hand over what it had received: its calls have had their last word.
-		if (state !== LinkState.Open) {
+		if (!isOpen()) {
 			return;
 		}
 
 		try {
 			for (const frame of decodeFrames(message)) {
-				onAnswer(frame);
+				onFrame(frame);
 			}
 
 			onHeard();
+			closeIfLeft();
 		} catch (err) {
 			breakOff((err as Error).message);
 		}
 	};
 
-	const onAnswer = (frame: PeerFrame) => {
+	const onFrame = (frame: PeerFrame) => {
 		if (frame.type === FrameType.Call) {
 			breakOff('the answering end made a call');
-			return;
+		} else if (frame.type === FrameType.Leaving) {
+			state = LinkState.Leaving;
+			options.onLeaving();
+		} else {
+			onAnswer(frame);
 		}
+	};
 
+	const onAnswer = (frame: AnswerFrame | FailureFrame) => {
 		const call = awaited.take(frame.id);
 		if (frame.type === FrameType.Answer) {
 			call?.resolve(frame.res);
@@ -141,6 +160,8 @@
 		for (const call of awaited.takeExpired(now)) {
 			rejectCall(call, 'the timeout passed');
 		}
+
+		closeIfLeft();
 	};
 
 	const checkOpening = (now: number) => {
--- a/tests/peers/peer-links-tests.ts
+++ b/tests/peers/peer-links-tests.ts
@@ -146,6 +146,52 @@
 		return [outcome, gated.hasEntered('filing') ? 'ran' : 'stayed behind'];
 	});
 
+	// A host stops while another one opens a link to it for a write. At some step of the opening the link is taken after the
+	// stop began; the write must then be refused, neither run by what has stopped nor left unsure.
+	doTest('neither takes nor leaves unsure what comes on a link that opens during a stop', ['7 refused, 2 answered, 2 taken'], async () => {
+		const taken: unknown[] = [];
+		const outcomes: string[] = [];
+		const handle = async (req: unknown) => {
+			taken.push(req);
+			return req;
+		};
+
+		for (let stopAfterMs = 0; stopAfterMs <= 8; stopAfterMs++) {
+			const stopped = network.addHost(`10.0.1.${stopAfterMs}:7000`);
+			stopped.handle('echo', handle);
+			const write = describeOutcome(host.call(stopped.address, 'echo', 'write', 1000));
+			await clock.advance(stopAfterMs);
+			const stopping = stopped.stop();
+			outcomes.push(await clock.runUntil(write));
+			await clock.runUntil(stopping);
+		}
+
+		const refused = outcomes.filter(outcome => outcome.startsWith('sent false'));
+		const answered = outcomes.filter(outcome => outcome === '"write"');
+		return [`${refused.length} refused, ${answered.length} answered, ${taken.length} taken`];
+	});
+
+	// A host stops while another one calls it every millisecond, so that some call is always on its way. Were the link kept
+	// for them, it would never be empty, and its end would leave the last ones unsure.
+	doTest('ends a link to a stopping host though calls go on', ['"0"', 'none unsure', 'stopped within 5 ms'], async () => {
+		const calls: Array<Promise<string>> = [];
+		const goOn = async (ms: number) => {
+			for (let passed = 0; passed < ms; passed++) {
+				calls.push(call(String(calls.length)));
+				await clock.advance(1);
+			}
+		};
+
+		await goOn(5);
+		const startedAt = clock.now();
+		const stopping = other.stop().then(() => clock.now() - startedAt);
+		await goOn(600);
+		const outcomes = await clock.runUntil(Promise.all(calls));
+		const unsure = outcomes.filter(outcome => outcome.startsWith('sent true')).length;
+		const stopMs = await clock.runUntil(stopping);
+		return [outcomes[0], unsure === 0 ? 'none unsure' : `${unsure} unsure`, `stopped within ${Math.max(5, stopMs)} ms`];
+	});
+
 	doTest('fails calls at once when the peer is killed, and cannot reach it then', [
 		'sent true: gave no answer to echo: connection reset within 2 ms',
 		'sent false: gave no answer to echo: connection refused within 2 ms',
