Show that a stop does not wait for a commit in confirmation

Cause looked for: what the waits of a stop do not see. A commit that came through another host counts neither as a request of this host's callers, nor as work of its owners, nor, once the primary has taken it, as an open transaction. The host leaves 10 ms after the order with a commit unconfirmed for 0.9 s more. Its caller is told `done` all the same, by its own proxy's question to the next owner (`settleCommit`); so nothing is lost and no untruth told, but the detour takes retries and has only half of the commit's time. Red: `the host has left` before `done`.

--- a/tests/proofs/planned-stops-tests.ts
+++ b/tests/proofs/planned-stops-tests.ts
@@ -1,3 +1,4 @@
+import {callerRequestSchema} from '../../src/callers/caller-request.js';
 import {BOOTSTRAP_OPERATOR} from '../../src/operators/create-operator-access.js';
 import {
 	doProof, GROUP, pull, sync, type Proof, type ProofOptions,
@@ -102,5 +103,27 @@
 			const answers = await proof.clock.runUntil(Promise.all(asked));
 			return answers.map(({outcome}) => outcome);
 		}, ['done', 'done', 'done', 'done', 'done', 'done'], {config: {owners: 1}, sizes: {serviceMs: 200}});
+
+		// A filing's commit came through another host and is in the primary's log; the replicas that must confirm it are late.
+		// The transaction is no longer open and no single request is at work, so the host could take itself for idle: the
+		// commit would be left unsure, and have to be found out once more through the next owner.
+		doProof('with a commit that waits for its confirmation', async proof => {
+			const [owner = ''] = proof.owners;
+			const entry = proof.getEntry(proof.outsider);
+			const {requestId} = await proof.clock.runUntil(proof.getEntry(owner).begin(GROUP, {class: 'interactive', deadlineMs: 4000}, 'new'));
+			const statement = callerRequestSchema.parse(sync(1));
+			await proof.clock.runUntil(entry.run(requestId, statement, 'new'));
+			const committed = entry.commit(requestId, 'new');
+			await proof.clock.advance(100);
+			const scores = proof.getScores();
+			const leaving = proof.system.leave(owner);
+			const first = await proof.clock.runUntil(Promise.race([
+				committed.then(({outcome}) => outcome),
+				leaving.then(() => 'the host has left'),
+			]));
+			await proof.clock.runUntil(leaving);
+			const {outcome} = await proof.clock.runUntil(committed);
+			return [scores, first, outcome];
+		}, ['stands: 1', 'done', 'done'], {config: {owners: 1}, sizes: {replicationLagMs: 1000}});
 	});
 });
