Have a stop wait for commits in confirmation

Cause: a transaction that the primary has committed was taken off the list of the open ones before its commit was settled. It is counted on until then. Ruled out: keeping it on the list, since its connection must go back to the pool before the confirmation. Before: red, the host left 10 ms after its order. After: the commit is `done` before the host has left; with the proofs of planned stops and of transactions 24 passed.

--- a/src/transactions/create-transactions.ts
+++ b/src/transactions/create-transactions.ts
@@ -17,7 +17,7 @@
 	run(call: RunCall): Promise<OwnerAnswer>;
 	commit(call: EndCall): Promise<OwnerAnswer>;
 	rollback(call: EndCall): Promise<OwnerAnswer>;
-	/** How many are open. */
+	/** How many are open, or committed and not yet settled. */
 	getOpenCount(): number;
 };
 
@@ -51,6 +51,11 @@
 	const {clock, owners, peers} = options;
 	const open = createOpenTransactions();
 	const stopping = new AbortController();
+	/**
+	 * Commits that the primary has taken and no majority has confirmed. Guards against a stop that takes the host for idle:
+	 * the confirmation would break off, and the caller's host have to find the commit out through another owner.
+	 */
+	let settling = 0;
 
 	const openAt = async (owner: GroupOwner, call: BeginCall, deadlineAt: number): Promise<OwnerAnswer> => {
 		// From here the transaction is inside the gate, and leaves it where it ends.
@@ -189,11 +194,18 @@
 		open.end(transaction, true);
 		const {primary, term} = transaction;
 		const owner = owners.getOwner(transaction.group.getGroup().cfg.name);
-		return owner
-			? owner.writes.settle({
+		if (!owner) {
+			return refuseLost(transaction, new Error('the group is no longer looked after here'));
+		}
+
+		settling++;
+		try {
+			return await owner.writes.settle({
 				primary, term, answer, sentAt,
-			}, deadlineAt)
-			: refuseLost(transaction, new Error('the group is no longer looked after here'));
+			}, deadlineAt);
+		} finally {
+			settling--;
+		}
 	};
 
 	const rollBackOn = async (transaction: OpenTransaction, deadlineAt: number): Promise<OwnerAnswer> => {
@@ -226,7 +238,7 @@
 		run: async call => use(call.requestId, async transaction => runOn(transaction, call, clock.now() + call.remainingMs)),
 		commit: async call => use(call.requestId, async transaction => commitOn(transaction, clock.now() + call.remainingMs)),
 		rollback: async call => use(call.requestId, async transaction => rollBackOn(transaction, clock.now() + call.remainingMs)),
-		getOpenCount: () => open.getAll().length,
+		getOpenCount: () => open.getAll().length + settling,
 		async start() {
 			peers.handle('begin', transactions.begin);
 			peers.handle('run', transactions.run);
