Show that a start goes on while its daemon stops

Cause looked for: connections that are accepted after a stop began. A signal that comes while a service starts stops those that had started; when that service gets there during the stop, the kernel goes on with the next ones, up to the port for callers, at a host whose process is about to end. Neither that service nor the port is stopped. Red: the port is open after the stop. Ruled out as the way in: the balancer, which is told `leaving`; callers that know the address remain.

--- a/tests/daemon/create-daemon-tests.ts
+++ b/tests/daemon/create-daemon-tests.ts
@@ -134,6 +134,26 @@
 		]);
 	});
 
+	// A host is told to stop while a service still starts, and that service gets there in the middle of the stop. Were the
+	// start to go on, the port for callers would open at a host whose process is about to end, which cuts whoever comes.
+	it('opens no port to callers once it was told to stop', async () => {
+		let go: (() => void) | undefined;
+		stub.behaviour.start = async () => new Promise(resolve => {
+			go = resolve;
+		});
+		const starting = daemon.start();
+		while (!go) {
+			await stub.clock.advance(0);
+		}
+
+		const stopping = daemon.stop();
+		go();
+		await starting;
+		await stub.clock.runUntil(stopping);
+		expect(() => daemon.kernel.getOrThrow('callers').port).to.throw(TypeError);
+		expect(stub.events).to.deep.equal(['inside stops', 'platform stops']);
+	});
+
 	it('ends within its bound when a service does not', async () => {
 		await daemon.start();
 		stub.behaviour.stop = async () => new Promise(() => {}); // eslint-disable-line @typescript-eslint/no-empty-function
