Start nothing more once the kernel is stopped

Cause: the kernel's start did not know of a stop meanwhile. Now a service that gets there during the stop is stopped at once, and none after it starts. Ruled out: to wait for the start before the stop, since a start that hangs must not outlast the order (test of the daemon's program). Before: red, the port for callers open after the stop. After: green, 98 passed with the tests of the daemon, the kernel and the caller port. The other program that has a kernel, src/proxy, never stops it.

--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -10,7 +10,7 @@
 	get<N extends ServiceName>(name: N): ServiceMap[N] | undefined;
 	/** Finds a service that must be there. */
 	getOrThrow<N extends ServiceName>(name: N): ServiceMap[N];
-	/** Starts every service that has a life cycle. */
+	/** Starts every service that has a life cycle; where it is stopped meanwhile, no further one. */
 	start(): Promise<void>;
 	/** Stops the started services in reverse order. */
 	stop(): Promise<void>;
@@ -20,6 +20,7 @@
 export function createKernel(): Kernel {
 	const services = new Map<ServiceName, unknown>();
 	const started: Service[] = [];
+	let stopping = false;
 
 	return {
 		register(name, service) {
@@ -36,12 +37,21 @@
 			return (services.get(name) ?? throwServiceMissing(name)) as ServiceMap[N];
 		},
 		async start() {
+			stopping = false;
 			for (const service of services.values() as Iterable<Service>) {
 				await service.start?.();
+				// Guards against a service that gets there during the stop: it would never be stopped, and those after it, the
+				// port for callers last, would open at a process that is about to end.
+				if (stopping) {
+					await service.stop?.();
+					return;
+				}
+
 				started.push(service);
 			}
 		},
 		async stop() {
+			stopping = true;
 			while (started.length > 0) {
 				await started.pop()?.stop?.();
 			}
