Show that a request whose head has come in part is dropped at the end

Cause looked for: what else counts as idle. A head of several packets (session headers take up to 16 KB) of which only the first have come is no request yet, so its connection is ended as an idle one. Red: 0 answers for 1 request. A second test holds that a connection which has sent nothing is told nothing; green.

--- a/tests/callers/http-stop-tests.ts
+++ b/tests/callers/http-stop-tests.ts
@@ -240,6 +240,25 @@
 			expect(calls).to.deep.equal([]);
 		});
 
+		// The tablet's link has let through only the first lines of its request. The host cannot know what is asked, and that
+		// nothing has it.
+		it('is refused as not run where not even its head has arrived', async () => {
+			const socket = await openIdle();
+			const received = readToEnd(socket);
+			socket.write(toHttp(REQUESTS, READ).slice(0, 40));
+			await clock.runUntil(callers.stop());
+			const answers = await received;
+			expect(answers).to.have.length(1);
+			expect(answers[0]).to.include(REFUSED);
+		});
+
+		// A connection that has sent nothing is owed nothing: an answer to no request would be taken for the next one's.
+		it('says nothing on an idle connection', async () => {
+			const received = [await openIdle(), await open()].map(async socket => readToEnd(socket));
+			await clock.runUntil(callers.stop());
+			expect(await Promise.all(received)).to.deep.equal([[], []]);
+		});
+
 		// The same tablet begins to send when its host looks for the last time.
 		it('is refused as not run where it began to arrive at the very end', async () => {
 			const socket = await openIdle();
