Refuse requests whose head has come in part when the port ends

Cause: to the HTTP server a connection is idle until a whole head has come. Now bytes read since the connection's last answer tell that a request has begun; it is refused on its socket as not run, and the port looks once more. Ruled out: to wait for the head during the drain, since a caller that sends nothing more would hold every stop to its bound. Before: red, 0 answers for 1 request. Guards taken out, each red: the note of a whole head (2 tests), of an answer (idle connections would be told something), of which request was the last (new test; told twice), the second look at half heads.

--- a/src/callers/http-callers.ts
+++ b/src/callers/http-callers.ts
@@ -12,7 +12,10 @@
 import type {Callers} from './callers.js';
 import type {Entry} from './entry.js';
 import {createHttpAnswers, JSON_TYPE} from './http-answers.js';
-import {createHttpRefusals, type HttpRefusals, type HttpRefusalsOptions} from './http-refusals.js';
+import {createHalfHeads} from './half-heads.js';
+import {
+	createHttpRefusals, LEAVING_REFUSAL, type HttpRefusals, type HttpRefusalsOptions,
+} from './http-refusals.js';
 import {addHttpRoutes, getAskedRequest} from './http-routes.js';
 import {createInFlight} from './in-flight.js';
 import {createLastReading} from './last-reading.js';
@@ -59,14 +62,21 @@
 		isLastOnConnection: ({request: {raw}}) => latest.get(raw.socket) === raw,
 	});
 	const app = createApp(refuse);
+	const halfHeads = createHalfHeads(app.server);
 	const lastReading = createLastReading({server: app.server, clock, isAnswering: () => arrived.count > 0});
 
 	app.addHook('onRequest', ({raw}, reply, done) => {
 		latest.set(raw.socket, raw);
 		arriving.add(reply);
 		const leave = arrived.enter();
+		const {socket} = raw;
+		halfHeads.noteHead(socket);
 		reply.raw.once('close', () => {
 			arriving.delete(reply);
+			if (latest.get(socket) === raw) {
+				halfHeads.noteAnswered(socket);
+			}
+
 			leave();
 		});
 		done();
@@ -104,6 +114,10 @@
 		for (const reply of arriving) {
 			void reply.send(answers.refuseUntaken(reply, getAskedRequest(reply.request)));
 		}
+
+		for (const socket of halfHeads.getSockets()) {
+			answerOnSocket(socket, '503 Service Unavailable', JSON.stringify(refuse({asked: 'unclear'}, Outcome.NotRun, LEAVING_REFUSAL)));
+		}
 	};
 
 	/** Has every caller told before its connection ends: those whose work outlasts the bound, and those yet unread. */
@@ -111,7 +125,7 @@
 		ending = true;
 		answers.cut();
 		await lastReading.read();
-		if (arriving.size > 0) {
+		if (arriving.size > 0 || halfHeads.getSockets().length > 0) {
 			refuseArriving();
 			await lastReading.read();
 		}
@@ -178,9 +192,12 @@
 		return;
 	}
 
-	const body = createMalformedJson(refuse, 'not HTTP/1.1, or not sent in time');
+	answerOnSocket(socket, '400 Bad Request', createMalformedJson(refuse, 'not HTTP/1.1, or not sent in time'));
+}
+
+function answerOnSocket(socket: Socket, status: string, body: string): void {
 	const head = [
-		'HTTP/1.1 400 Bad Request',
+		`HTTP/1.1 ${status}`,
 		`content-type: ${JSON_TYPE}`,
 		`content-length: ${body.length}`,
 		'connection: close',
--- a/tests/callers/http-stop-tests.ts
+++ b/tests/callers/http-stop-tests.ts
@@ -252,6 +252,20 @@
 			expect(answers[0]).to.include(REFUSED);
 		});
 
+		// The tablet sends its second request behind the first one, which is answered while the second comes in pieces. Told
+		// twice, it would take the second refusal for the answer to its next request.
+		it('is refused once where it came behind another one', async () => {
+			const socket = await open();
+			const received = readToEnd(socket);
+			const second = toHttp(REQUESTS, READ);
+			socket.write(toHttp(REQUESTS, READ) + second.slice(0, -9));
+			await until(() => calls.length === 1 && callers.inFlight === 1);
+			socket.write(second.slice(-9, -5));
+			await clock.runUntil(callers.stop());
+			const answers = await received;
+			expect(answers.map(({status}) => status)).to.deep.equal([200, 503]);
+		});
+
 		// A connection that has sent nothing is owed nothing: an answer to no request would be taken for the next one's.
 		it('says nothing on an idle connection', async () => {
 			const received = [await openIdle(), await open()].map(async socket => readToEnd(socket));
