Take every connection that waits before the caller port closes

Cause: closing the port resets the connections that wait to be taken, and the event loop takes one a turn. Now turns go on until one takes none, 511 at most.

--- a/src/callers/http-answers.ts
+++ b/src/callers/http-answers.ts
@@ -29,6 +29,8 @@
 	readonly isLeaving: () => boolean;
 	/** Nothing at all is taken any more. */
 	readonly isEnding: () => boolean;
+	/** Resolves when the port is closed to further connections. */
+	readonly whenPortClosed: () => Promise<void>;
 	/** Nothing else has come on the connection since. */
 	readonly isLastOnConnection: (reply: FastifyReply) => boolean;
 };
@@ -58,7 +60,7 @@
 /** Creates the answering side of the caller port. */
 export function createHttpAnswers(options: HttpAnswersOptions): HttpAnswers {
 	const {
-		clock, log, metrics, refuse, working, isLeaving, isEnding, isLastOnConnection,
+		clock, log, metrics, refuse, working, isLeaving, isEnding, isLastOnConnection, whenPortClosed,
 	} = options;
 	const cuts = new Set<() => void>();
 
@@ -104,6 +106,9 @@
 	const askOrRefuse = async (req: ServedRequest, ask: () => Promise<CallerAnswer>) => {
 		// Guards against work that begins when its connection is about to be ended: it would run and its caller not be told.
 		if (isEnding() || (isLeaving() && !req.continues)) {
+			// Guards against callers that come back at once: while each refusal brings a new connection, the port never finds
+			// none waiting, and closing it resets those that do. So what comes at the very end is refused after that.
+			await (isEnding() ? whenPortClosed() : undefined);
 			return refuse(req, req.mayBeRepeat ? Outcome.Unknown : getUntakenOutcome(req), LEAVING_REFUSAL);
 		}
 
--- a/src/callers/http-callers.ts
+++ b/src/callers/http-callers.ts
@@ -60,6 +60,7 @@
 	const answers = createHttpAnswers({
 		...options, refuse, working, isLeaving: () => leaving, isEnding: () => ending,
 		isLastOnConnection: ({request: {raw}}) => latest.get(raw.socket) === raw,
+		whenPortClosed: async () => lastReading.portClosed,
 	});
 	const app = createApp(refuse);
 	const halfHeads = createHalfHeads(app.server);
--- a/src/callers/last-reading.ts
+++ b/src/callers/last-reading.ts
@@ -9,6 +9,8 @@
 	 * is under way, or the looks are used up. Resolves in the turn of the last look, so that what is closed in it has been read.
 	 */
 	read(): Promise<void>;
+	/** Resolves when the port is closed to further connections. */
+	readonly portClosed: Promise<void>;
 };
 
 /** What the last reading needs. */
@@ -30,6 +32,15 @@
  */
 const MOST_LOOKS = 40;
 
+/** Turns at most in which waiting connections are taken: the length of the queue that the runtime has the system keep by default. */
+const MOST_WAITING = 511;
+
+/** One whole turn of the event loop, with its reading: the first part may belong to the turn that is under way. */
+async function takeTurn(): Promise<void> {
+	await nextTurn();
+	await nextTurn();
+}
+
 /**
  * Creates the last reading of a server; from then on it counts what comes.
  *
@@ -40,6 +51,10 @@
 export function createLastReading({server, clock, isAnswering}: LastReadingOptions): LastReading {
 	const sockets = new Set<Socket>();
 	let taken = 0;
+	let notePortClosed!: () => void;
+	const portClosed = new Promise<void>(resolve => {
+		notePortClosed = resolve;
+	});
 	let endedBytes = 0;
 
 	server.on('connection', (socket: Socket) => {
@@ -63,16 +78,33 @@
 
 	const look = async () => {
 		await clock.sleep(LOOK_MS);
-		// The first of them may belong to the turn that is under way, whose reading is over.
-		await nextTurn();
-		await nextTurn();
+		await takeTurn();
+	};
+
+	/**
+	 * Guards against connections that are reset though a request was sent on them: closing the port drops those that wait to be
+	 * taken, and the event loop takes but one a turn. A turn that takes none has found none.
+	 */
+	const takeWaiting = async () => {
+		for (let turns = 0; turns < MOST_WAITING; turns++) {
+			const before = taken;
+			// Also where time is virtual, a turn must be due to something that sleeps.
+			await clock.sleep(0);
+			await takeTurn();
+			if (taken === before) {
+				return;
+			}
+		}
 	};
 
 	return {
+		portClosed,
 		async read() {
 			await look();
+			await takeWaiting();
 			// Not the HTTP server's own `close`, which ends idle connections at once.
 			NetServer.prototype.close.call(server);
+			notePortClosed();
 			for (let looks = 1; looks < MOST_LOOKS; looks++) {
 				const before = countReceived();
 				await look();
--- a/tests/callers/http-stop-tests.ts
+++ b/tests/callers/http-stop-tests.ts
@@ -20,34 +20,55 @@
 /** What a caller received on its connection, and what it can say of each answer. */
 type Received = {status: number; outcome: string; requestId: string; code: string | undefined; close: boolean};
 
-/** Callers on connections of their own, on a thread of their own: they can send while the host does not run. */
+/**
+ * Callers on connections of their own, on a thread of their own: they can send while the host does not run. Each comes back
+ * as soon as it has an answer, until the port is closed to it, or it gets none.
+ */
 const CALLERS_ON_A_THREAD = `
 	const {connect} = require('node:net');
 	const {parentPort, workerData: {port, text, count, state}} = require('node:worker_threads');
 	const flags = new Int32Array(state);
-	parentPort.postMessage('ready');
-	Atomics.wait(flags, 0, 0);
 	const texts = [];
 	let sent = 0;
-	for (let caller = 0; caller < count; caller++) {
+	let gone = 0;
+	const noteSent = () => {
+		sent++;
+		if (sent === count) {
+			Atomics.store(flags, 0, 2);
+			Atomics.notify(flags, 0);
+		}
+	};
+	const noteGone = () => {
+		gone++;
+		if (gone === count) {
+			parentPort.postMessage(texts);
+		}
+	};
+	const come = () => {
+		const parts = [];
+		let connected = false;
 		const socket = connect(port, '127.0.0.1', () => {
-			socket.write(text, () => {
-				sent++;
-				if (sent === count) {
-					Atomics.store(flags, 0, 2);
-					Atomics.notify(flags, 0);
-				}
-			});
+			connected = true;
+			socket.write(text, noteSent);
 		});
-		const parts = [];
 		socket.on('data', part => parts.push(part));
 		socket.on('error', () => undefined);
 		socket.on('close', () => {
-			texts.push(Buffer.concat(parts).toString());
-			if (texts.length === count) {
-				parentPort.postMessage(texts);
+			if (connected) {
+				texts.push(Buffer.concat(parts).toString());
+			}
+
+			if (parts.length > 0) {
+				come();
+			} else {
+				noteGone();
 			}
 		});
+	};
+	parentPort.postMessage('ready');
+	Atomics.wait(flags, 0, 0);
+	for (let caller = 0; caller < count; caller++) {
+		come();
 	}
 `;
 
@@ -175,7 +196,8 @@
 		});
 
 		// The balancer has opened connections and sent a request on each while the host was late; the host has not even taken
-		// the connections when it closes its port. The event loop takes one of them a turn.
+		// the connections when it closes its port. The event loop takes one of them a turn, and
+		// whoever is refused comes back at once.
 		const doTestNotTaken = (title: string, count: number) => {
 			it(title, async () => {
 				const state = new SharedArrayBuffer(4);
