--- a/src/callers/http-callers.ts
+++ b/src/callers/http-callers.ts
@@ -1,5 +1,6 @@
+import type {IncomingMessage} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
-import {fastify, type FastifyInstance} from 'fastify';
+import {fastify, type FastifyInstance, type FastifyReply} from 'fastify';
 import type {Log} from '../log/log.js';
 import type {Metrics} from '../metrics/metrics.js';
 import {RefusalCode} from '../refusals/refusal.js';
@@ -11,9 +12,13 @@
 import type {Callers} from './callers.js';
 import type {Entry} from './entry.js';
 import {createHttpAnswers, JSON_TYPE} from './http-answers.js';
-import {createHttpRefusals, type HttpRefusals, type HttpRefusalsOptions} from './http-refusals.js';
+import {createHalfHeads} from './half-heads.js';
+import {
+	createHttpRefusals, LEAVING_REFUSAL, type HttpRefusals, type HttpRefusalsOptions,
+} from './http-refusals.js';
 import {addHttpRoutes, getAskedRequest} from './http-routes.js';
 import {createInFlight} from './in-flight.js';
+import {createLastReading} from './last-reading.js';
 
 /** How long a caller may take to send one request, in milliseconds. */
 const REQUEST_ARRIVAL_MS = 30_000;
@@ -45,16 +50,40 @@
 	// From a request's first byte to the last one of its answer; and its work, which outlives a caller that hangs up.
 	const arrived = createInFlight();
 	const working = createInFlight();
+	/** Requests that have not arrived whole. */
+	const arriving = new Set<FastifyReply>();
+	const latest = new WeakMap<Socket, IncomingMessage>();
 	const countInFlight = () => Math.max(arrived.count, working.count);
 	let leaving = false;
+	let ending = false;
 	const refuse = createHttpRefusals(options);
 	const answers = createHttpAnswers({
-		...options, refuse, working, isLeaving: () => leaving,
+		...options, refuse, working, isLeaving: () => leaving, isEnding: () => ending,
+		isLastOnConnection: ({request: {raw}}) => latest.get(raw.socket) === raw,
+		whenPortClosed: async () => lastReading.portClosed,
 	});
 	const app = createApp(refuse);
+	const halfHeads = createHalfHeads(app.server);
+	const lastReading = createLastReading({server: app.server, clock, isAnswering: () => arrived.count > 0});
 
-	app.addHook('onRequest', (_req, reply, done) => {
-		reply.raw.once('close', arrived.enter());
+	app.addHook('onRequest', ({raw}, reply, done) => {
+		latest.set(raw.socket, raw);
+		arriving.add(reply);
+		const leave = arrived.enter();
+		const {socket} = raw;
+		halfHeads.noteHead(socket);
+		reply.raw.once('close', () => {
+			arriving.delete(reply);
+			if (latest.get(socket) === raw) {
+				halfHeads.noteAnswered(socket);
+			}
+
+			leave();
+		});
+		done();
+	});
+	app.addHook('preValidation', (_req, reply, done) => {
+		arriving.delete(reply);
 		done();
 	});
 	app.setErrorHandler(async (err, req, reply) => answers.fail(reply, getAskedRequest(req), err));
@@ -82,12 +111,34 @@
 		}
 	};
 
+	const refuseArriving = () => {
+		for (const reply of arriving) {
+			void reply.send(answers.refuseUntaken(reply, getAskedRequest(reply.request)));
+		}
+
+		for (const socket of halfHeads.getSockets()) {
+			answerOnSocket(socket, '503 Service Unavailable', JSON.stringify(refuse({asked: 'unclear'}, Outcome.NotRun, LEAVING_REFUSAL)));
+		}
+	};
+
+	/** Has every caller told before its connection ends: those whose work outlasts the bound, and those yet unread. */
+	const end = async () => {
+		ending = true;
+		answers.cut();
+		await lastReading.read();
+		if (arriving.size > 0 || halfHeads.getSockets().length > 0) {
+			refuseArriving();
+			await lastReading.read();
+		}
+	};
+
 	return {
 		async start() {
 			await app.listen({host: options.address, port: options.port});
 		},
 		async stop() {
 			await drain(options.drainMs);
+			await end();
 			app.server.closeAllConnections();
 			await app.close();
 		},
@@ -142,9 +193,12 @@
 		return;
 	}
 
-	const body = createMalformedJson(refuse, 'not HTTP/1.1, or not sent in time');
+	answerOnSocket(socket, '400 Bad Request', createMalformedJson(refuse, 'not HTTP/1.1, or not sent in time'));
+}
+
+function answerOnSocket(socket: Socket, status: string, body: string): void {
 	const head = [
-		'HTTP/1.1 400 Bad Request',
+		`HTTP/1.1 ${status}`,
 		`content-type: ${JSON_TYPE}`,
 		`content-length: ${body.length}`,
 		'connection: close',
