--- a/src/peers/answering-link.ts
+++ b/src/peers/answering-link.ts
@@ -14,7 +14,7 @@
 /** A link on which a peer calls this host. */
 export type AnsweringLink = {
 	/**
-	 * Takes no more calls, lets those being answered end for `drainMs` at most, then waits `farewellMs` at most for the caller
+	 * Takes no more calls, lets those being answered end for `drainMs` at most, then waits `callerCloseMs` at most for the caller
 	 * to close the link, and ends it.
 	 */
 	drain(): Promise<void>;
@@ -124,7 +124,7 @@
 	 * Guards against a call that is on its way when the link ends: its caller would take it for sent, and be left unsure of
 	 * a write that nobody read. Only the calling end knows when all it sent has its answer, so it ends the link.
 	 */
-	const waitForCaller = async () => clock.sleep(limits.farewellMs, closed.signal);
+	const waitForCaller = async () => clock.sleep(limits.callerCloseMs, closed.signal);
 
 	return {
 		async drain() {
--- a/src/peers/peer-limits.ts
+++ b/src/peers/peer-limits.ts
@@ -14,7 +14,7 @@
 	 * Time for the callers' ends to close their links when this host stops, in milliseconds. It takes them a round trip; the
 	 * rest is for one that is late, by what `peer-link.ts` takes for a stall.
 	 */
-	readonly farewellMs: number;
+	readonly callerCloseMs: number;
 	/** Largest frame, in bytes. */
 	readonly maxFrameBytes: number;
 	/** Bytes that may wait to be sent on one link. */
@@ -30,7 +30,7 @@
 	pingAfterMs: 1000,
 	silentAfterMs: 2500,
 	drainMs: 2000,
-	farewellMs: 500,
+	callerCloseMs: 500,
 	maxFrameBytes: 4 * 1024 * 1024,
 	maxBufferedBytes: 16 * 1024 * 1024,
 	maxHandshakes: 256,
