--- /dev/null
+++ b/tests/proxy/stop-observations.ts
@@ -0,0 +1,207 @@
+import type {CallerChannel, CallerRequest} from '../../src/gateway/caller-channel.js';
+import type {EndpointLink} from '../../src/links/endpoint-link.js';
+import type {ScriptedAnswer, ScriptedCaller} from '../../src/stand-ins/proxies/scripted-caller.js';
+import type {SimulatedProxy} from '../../src/stand-ins/proxies/simulated-proxies.js';
+import {AnswerCode} from '../../src/statements/statement-answer.js';
+import type {ProxyBench} from './proxy-bench.js';
+import type {CallerPlan} from './stop-schedule.js';
+
+/** What a host read of a caller. */
+export type Taken = {
+	readonly what: string;
+	readonly atMs: number;
+	/** It has an answer or a refusal. */
+	settled: boolean;
+};
+
+export type Ask = {
+	readonly id: string;
+	readonly text: string;
+	answer?: ScriptedAnswer;
+	/** The wait for an answer is over. */
+	ended: boolean;
+};
+
+/** A caller with all that passed between it and its host. */
+export type Played = {
+	readonly name: string;
+	readonly plan: CallerPlan;
+	readonly caller: ScriptedCaller;
+	readonly taken: Taken[];
+	readonly asks: Ask[];
+	/** Ids under which something of it must not be committed, with the reason. */
+	readonly promises: Map<string, string>;
+	/** Ids under which something was acknowledged. */
+	readonly acknowledged: Set<string>;
+	greeted: boolean;
+};
+
+/** What says that nothing is kept. */
+export const NOTHING_KEPT: ReadonlySet<AnswerCode> = new Set([
+	AnswerCode.Overloaded, AnswerCode.Aborted, AnswerCode.Malformed, AnswerCode.ReadOnly, AnswerCode.Lagging, AnswerCode.UnknownStatement,
+]);
+
+/** Commands that begin something at an endpoint. */
+const BEGINNERS: ReadonlySet<string> = new Set(['run', 'execute', 'begin', 'commit']);
+
+/** Passes a channel on and notes what its host reads and settles. */
+export function watchChannel(channel: CallerChannel, taken: Taken[], since: () => number): CallerChannel {
+	let told = false;
+	const settle = () => {
+		const last = taken.at(-1);
+		if (last) {
+			last.settled = true;
+		}
+	};
+
+	const describe = (req: CallerRequest) => req.kind === 'statement' ? req.id : req.kind;
+
+	return {
+		name: channel.name,
+		get left() {
+			return channel.left;
+		},
+		get waiting() {
+			return channel.waiting;
+		},
+		async next() {
+			const req = await channel.next();
+			if (req) {
+				// Told before it was read, a caller has its refusal; only a statement still lacks the state behind it.
+				taken.push({what: describe(req), atMs: since(), settled: told && req.kind === 'open'});
+			}
+
+			return req;
+		},
+		greet() {
+			settle();
+			channel.greet();
+		},
+		async answer(result, state) {
+			settle();
+			await channel.answer(result, state);
+		},
+		refuse(code, text) {
+			told = true;
+			if (taken.length === 1) {
+				settle();
+			}
+
+			channel.refuse(code, text);
+		},
+		endRefusal(state) {
+			settle();
+			channel.endRefusal(state);
+		},
+		close() {
+			channel.close();
+		},
+	};
+}
+
+/** Notes under which ids something is begun at endpoints. */
+export function watchBegun({group}: ProxyBench, since: () => number) {
+	const begun: Array<{readonly id: string; readonly at: number}> = [];
+	const watch = (link: EndpointLink): EndpointLink => ({
+		...link,
+		get pending() {
+			return link.pending;
+		},
+		get closed() {
+			return link.closed;
+		},
+		async exchange(req) {
+			if (req.id !== undefined && BEGINNERS.has(req.command.kind)) {
+				begun.push({id: req.id, at: since()});
+			}
+
+			return link.exchange(req);
+		},
+	});
+	const {open} = group;
+	(group as {open: typeof open}).open = async (...args) => watch(await open(...args));
+	return begun;
+}
+
+/** Notes what a host is at when it is told to stop. */
+export function noteStates(bench: ProxyBench, {kernel}: SimulatedProxy, count: (what: string, times?: number) => void) {
+	for (const [phase, sessions] of Object.entries(kernel.getOrThrow('gateway').countPhases())) {
+		count(`told while ${phase}`, sessions);
+	}
+
+	const known = kernel.getOrThrow('endpointDirectory').list(bench.group.name);
+	const lenders = kernel.getOrThrow('lenders');
+	count('told while it lends', kernel.getOrThrow('linkLender').loans);
+	count('told while it borrows', known.filter(({entry, pool}) => !lenders.keepsOwn(entry) && pool.lent > 0).length);
+	count('told while requests wait for a connection', known.filter(({pool, ownPool}) => pool.waiting > 0 || ownPool.waiting > 0).length);
+	count('told while it replaces a primary', kernel.getOrThrow('leadWatch').replacing ? 1 : 0);
+}
+
+/** What is against the rules at the moment that a host has left. */
+export function judgeAtEnd({name, caller, taken, asks, greeted}: Played, orderedAt: number): string[] {
+	const faults: string[] = [];
+	for (const {what, atMs} of taken.filter(({settled}) => !settled)) {
+		faults.push(`${what} of ${name}, read at ${atMs}, has neither answer nor refusal when its host has left, ordered at ${orderedAt}`);
+	}
+
+	const isUnderWay = asks.some(({id, ended}) => !ended && !taken.some(({what}) => what === id));
+	const mayBeOpen = greeted ? caller.refusal !== undefined && isUnderWay : taken.length === 0;
+	if (!caller.closed && !mayBeOpen) {
+		faults.push(`the session of ${name} is open when its host has left, ordered at ${orderedAt}; told: ${caller.refusal ?? 'nothing'}`);
+	}
+
+	return faults;
+}
+
+/** Notes what an answer promises of a statement; returns whether it says that nothing is kept. */
+export function getPromise({promises}: Played, {id, answer}: Ask): boolean {
+	const isPromise = answer?.end.kind === 'error' && NOTHING_KEPT.has(answer.end.code);
+	if (isPromise) {
+		promises.set(id, `it was told ${answer.end.kind === 'error' ? answer.end.code : ''}`);
+	}
+
+	return isPromise;
+}
+
+/** Notes what the end of a write or of a transaction was said to be. */
+export function judge(player: Played, ask: Ask, wrote: boolean, broken = false) {
+	getPromise(player, ask);
+	if (broken) {
+		player.promises.set(ask.id, 'a statement of its transaction was told so');
+	}
+
+	if (wrote && ask.answer?.end.kind === 'complete') {
+		player.acknowledged.add(ask.id);
+	}
+}
+
+/** Holds what endpoints committed against what callers were told. */
+export function judgeCommits({ran}: ProxyBench, players: readonly Played[]): string[] {
+	const commits = new Map<string, number>();
+	for (const [, what, id = ''] of ran.map(line => line.split(' '))) {
+		if (what === 'commit') {
+			commits.set(id, (commits.get(id) ?? 0) + 1);
+		}
+	}
+
+	const faults: string[] = [];
+	for (const {promises, acknowledged, asks} of players) {
+		for (const {id, text} of asks) {
+			const times = commits.get(id) ?? 0;
+			const promise = promises.get(id);
+			if (promise !== undefined && times > 0) {
+				faults.push(`${id} (${text}) was committed though ${promise}`);
+			}
+
+			if (times > 1) {
+				faults.push(`${id} (${text}) was committed ${times} times`);
+			}
+
+			if (acknowledged.has(id) && times === 0) {
+				faults.push(`${id} (${text}) was acknowledged and never committed`);
+			}
+		}
+	}
+
+	return faults;
+}
--- a/tests/proxy/stop-schedules-tests.ts
+++ b/tests/proxy/stop-schedules-tests.ts
@@ -1,6 +1,7 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
-import {playStopSchedule, stopSchedules, type StopTally} from './stop-schedule.js';
+import {playStopSchedule} from './play-stop-schedule.js';
+import {stopSchedules, type StopTally} from './stop-schedule.js';
 
 /** Schedules that are played; raised by hand for longer hunts. */
 const SCHEDULES = 70;
