--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -85,7 +85,7 @@
 				parts, channel, getBudget, lookAgain, getStopPlan: () => plan,
 			});
 			sessions.add(session);
-			// Guards against a caller that comes once others were told to leave: never told itself, it would be cut off by the end of the process.
+			// Guards against a caller that comes once others were told, and rests here until nothing more is taken, though another host could serve it.
 			if (leaving) {
 				session.leave();
 			}
--- a/src/gateway/stop-plan.ts
+++ b/src/gateway/stop-plan.ts
@@ -50,7 +50,7 @@
 
 /** The plan of a host that has ended all sessions at `now`, ahead of its time: none begins any more. */
 export function closeAdmissionAt(plan: StopPlan, now: number): StopPlan {
-	return {...plan, admitUntil: Math.min(plan.admitUntil, now)};
+	return {...plan, rotatedOutAt: Math.min(plan.rotatedOutAt, now), admitUntil: Math.min(plan.admitUntil, now)};
 }
 
 /** Whether a transaction may begin: it has to fit in as usual, since one that is rolled back leaves nothing behind. */
