Have the stand-in's caller close its session when it is told, as callers of the platform do

Traced: the stand-in's caller did not close upon an error while nothing was under way, so the program waited for it to its last moment (5.4 s), and the process's end and its connection's came in either order; before, the host closed 50 ms ahead. The caller closes now, the test waits for the close and asks besides what the caller was told, which it did not.

--- a/src/stand-ins/plain-platform/wire-caller.ts
+++ b/src/stand-ins/plain-platform/wire-caller.ts
@@ -11,6 +11,10 @@
 	send(text: string): void;
 	leave(): void;
 	readonly closed: boolean;
+	/** What the host sent while nothing was under way, upon which the caller closes its session; undefined where it sent nothing. */
+	readonly unasked: string | undefined;
+	/** Resolves once the connection has ended. */
+	whenClosed(): Promise<void>;
 };
 
 /** How an answer ended, as a caller takes it. */
@@ -37,6 +41,7 @@
 	let closed = false;
 	let lines: string[] = [];
 	let take: ((answer: readonly string[]) => void) | undefined;
+	let unasked: string | undefined;
 
 	const finish = () => {
 		const answer = lines;
@@ -48,6 +53,12 @@
 	socket.setEncoding('latin1');
 	socket.on('data', (chunk: string) => {
 		for (const line of reader.push(chunk) ?? []) {
+			if (!take) {
+				unasked ??= line;
+				socket.end('TERMINATE\r\n');
+				continue;
+			}
+
 			lines.push(line);
 			if (line.startsWith('READY ')) {
 				finish();
@@ -57,9 +68,12 @@
 	socket.on('error', () => {
 		socket.destroy();
 	});
-	socket.on('close', () => {
-		closed = true;
-		finish();
+	const ended = new Promise<void>(resolve => {
+		socket.on('close', () => {
+			closed = true;
+			finish();
+			resolve();
+		});
 	});
 
 	const exchange = async (text: string) => {
@@ -86,5 +100,9 @@
 		get closed() {
 			return closed;
 		},
+		get unasked() {
+			return unasked;
+		},
+		whenClosed: async () => ended,
 	};
 }
--- a/tests/platform/programs-tests.ts
+++ b/tests/platform/programs-tests.ts
@@ -47,7 +47,9 @@
 
 		const code = await proxy.end('SIGTERM');
 		expect(code).to.equal(0);
-		expect(caller.closed).to.equal(true);
+		// The end of a process and that of its connections come in either order.
+		await caller.whenClosed();
+		expect(caller.unasked).to.equal('ERROR BUSY retry-after-ms=50 the host is stopping; nothing ran');
 		expect(ran.filter(id => id === 'w1')).to.deep.equal(['w1']);
 		expect(proxy.lines.map(line => (JSON.parse(line) as {msg: string}).msg)).to.include.members(['serving', 'leaving', 'left']);
 	});
