Limit positions of superseded terms by the primary's term

Ruled out: a fault of the stand-in (the log of the successor is whole), and the judgement of hosts about a primary, which is left as it is.

--- a/src/gateway/lend-link.ts
+++ b/src/gateway/lend-link.ts
@@ -177,8 +177,8 @@
 	const sampled = knowledge.getSamples(route.group).getFloor(arrivedAt - route.maxReadAgeMs + FLOOR_MARGIN_MS);
 	const own = route.policy === ReadPolicy.OwnWrites ? memory.floors.get(route.group) : undefined;
 	const floor = sampled && getHigherFloor(sampled, own);
-	const start = mirror.state.leadership.get(route.group)?.start;
-	return floor && start ? limitToStart(floor, start) : floor;
+	const record = mirror.state.leadership.get(route.group);
+	return floor && record ? limitToStart(floor, record) : floor;
 }
 
 function getCandidates(parts: GatewayParts, req: LinkRequest, evidence: LeadEvidence | undefined, floor: LogPosition | undefined): ReadCandidate[] {
--- a/src/placement/position-samples.ts
+++ b/src/placement/position-samples.ts
@@ -13,10 +13,16 @@
 	getNewest(): PositionSample | undefined;
 	/** Elapsed time at which the primary's log is known to have been no further than `position`; undefined where all samples are further. */
 	getTimeOf(position: LogPosition): number | undefined;
-	/**
-	 * Takes in that a primary of a later term began at `start`. What a superseded term had beyond it was rolled back, and no log will ever hold it.
-	 */
-	noteStart(start: LogPosition): void;
+	/** Takes in where the present primary began. */
+	noteStart(start: TermStart): void;
+};
+
+/** Where a primary's term began. */
+export type TermStart = {
+	/** The primary's term. */
+	readonly term: number;
+	/** End of its log when it was first seen to lead; its last entry may be of an earlier term. */
+	readonly start: LogPosition;
 };
 
 /** A position of a primary, with the elapsed time at which it was asked for. */
@@ -58,9 +64,15 @@
 	};
 }
 
-/** Brings a position of a superseded term down to where the later term began; others stay as they are. */
-export function limitToStart(position: LogPosition, start: LogPosition): LogPosition {
-	return position.term < start.term && position.position > start.position ? start : position;
+/**
+ * Brings a position of a superseded term down to where the later term began; others stay as they are. What lay beyond was rolled back, and no log will ever hold it.
+ *
+ * Judged by the term of the primary and not by that of its first log end: a primary that has written nothing yet ends its log with an entry of an earlier term, and a position
+ * of that term beyond it, or of a term between that nobody kept, would have every host turn the primary away as one that has lost its log.
+ */
+export function limitToStart(position: LogPosition, {term, start}: TermStart): LogPosition {
+	const isBeyond = position.position > start.position || compareLogPositions(position, start) > 0;
+	return position.term < term && isBeyond ? start : position;
 }
 
 /** The later of two floors; an absent one binds nothing. */
--- a/tests/lead-check/lead-check-tests.ts
+++ b/tests/lead-check/lead-check-tests.ts
@@ -34,5 +34,7 @@
 	doTest(3_002_602, 'a fault of the stand-in: a replica that had applied nothing passed for one of the new term', {lengthMs: 8000, callersPerProxy: 1, swarms: true});
 	doTest(5_100_075, 'a connection to what seemed a replica, opened to a life that had lost its log, was used as the recorded primary\'s', REBORN_CROWD);
 	doTest(5_100_196, 'orders to lead went to lives that were over, one after the other, and to the empty ones after them', REBORN_CROWD);
+	doTest(7_100_104, 'a new primary that had written nothing was turned away for a position of the term before', {swarms: true});
+	doTest(9_000_016, 'the same for a position of a term between, of which no successor had anything', {swarms: true});
 	doTest(13_030, 'a server with the divergent end of an early term was promoted before one that was leaving');
 });
