Spread news of the store along a tree, as differences with ages

In an outage of the store fleets above 16 hosts refused, since nobody could ask all others.

Now: hosts ask along a tree by zone (host-tree), each question waits for the next news. Answers carry ages of the moment at which they were sent, and count from the question and the time for which it was held, so never from later than was true. Contents go as differences against parts that both ends name by digest (contents-id, state-difference), in pieces of 32 kB; what does not lead to the named contents is dropped and the whole asked for. A host whose news is overdue looks for itself, twenty readings a second for the whole fleet (read-permit). The host that reads the store asks endpoints for fences first and what it finds goes along the tree, so a fleet of any size goes on through an outage. Hosts that were not heard are told upwards. Names that no route has wait for the next confirmation in place of a call each.

--- a/src/gateway/caller-session.ts
+++ b/src/gateway/caller-session.ts
@@ -53,7 +53,7 @@
 const PREPARES: ReadonlySet<Statement['kind']> = new Set(['set', 'prepare', 'forget']);
 
 /** Creates a session. */
-export function createCallerSession({parts, channel, getBudget, lookAgain, getStopPlan}: CallerSessionOptions): CallerSession {
+export function createCallerSession({parts, channel, getBudget, getStopPlan}: CallerSessionOptions): CallerSession {
 	const {clock, elapsedClock, mirror} = parts;
 	let memory = createSessionMemory('');
 	let transaction: CallerTransaction | undefined;
@@ -257,7 +257,7 @@
 		}
 
 		busy = true;
-		const database = await openSession(parts, req, {channel, lookAgain, getStopPlan});
+		const database = await openSession(parts, req, {channel, getStopPlan});
 		busy = false;
 		if (database === undefined) {
 			return false;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -29,20 +29,13 @@
 /** Second tries that a quiet group always has, a second. */
 const SECOND_TRIES_PER_SECOND = 2;
 
-/**
- * The store is asked for a missing route at most so often, in milliseconds: nine hosts then make 45 calls a second at worst, of 2,000 that it
- * takes, and a name refused in between is one that was looked for at most this long ago.
- */
-const LOOK_AGAIN_EVERY_MS = 200;
-
 /** Creates the gateway. */
 export function createGateway(parts: GatewayParts): Gateway {
-	const {clock, log, metrics, mirror} = parts;
+	const {clock, log, metrics} = parts;
 	const sessions = new Set<CallerSession>();
 	const budgets = new Map<string, RetryBudget>();
 	let plan: StopPlan | undefined;
 	let leaving = false;
-	let lookedAt = Number.NEGATIVE_INFINITY;
 
 	const getBudget = (group: string) => {
 		const known = budgets.get(group);
@@ -55,19 +48,6 @@
 		return budget;
 	};
 
-	/**
-	 * Guards the store against callers that ask for names which no route has, one after the other: each look costs a priced call, and
-	 * all hosts together may make some thousands a second.
-	 */
-	const lookAgain = async () => {
-		if (clock.now() < lookedAt + LOOK_AGAIN_EVERY_MS) {
-			return;
-		}
-
-		lookedAt = clock.now();
-		await mirror.confirm();
-	};
-
 	return {
 		get sessions() {
 			return sessions.size;
@@ -82,7 +62,7 @@
 		},
 		async serve(channel) {
 			const session = createCallerSession({
-				parts, channel, getBudget, lookAgain, getStopPlan: () => plan,
+				parts, channel, getBudget, getStopPlan: () => plan,
 			});
 			sessions.add(session);
 			// Guards against a caller that comes once others were told, and rests here until nothing more is taken, though another host could serve it.
--- a/src/gateway/open-session.ts
+++ b/src/gateway/open-session.ts
@@ -8,8 +8,6 @@
 /** What opening a session needs beside the gateway's parts. */
 export type OpenSessionOptions = {
 	readonly channel: CallerChannel;
-	/** Has the copy of the store confirmed, for a route that it lacks. */
-	lookAgain(): Promise<unknown>;
 	/** Undefined until the host is told to stop. */
 	getStopPlan(): StopPlan | undefined;
 };
@@ -20,13 +18,13 @@
 /** How often a host that starts looks whether it has a configuration, in milliseconds. */
 const ROUTING_RECHECK_MS = 20;
 
-/** Longest second look for a route, in milliseconds: callers give up on a session that is not open after 2,000. */
+/** Longest wait for a route that may have just been added, in milliseconds: callers give up on a session that is not open after 2,000. */
 const SECOND_LOOK_MS = 1000;
 
 /** Opens a session where its first request is one that may; the database that it named, undefined where it was refused. */
 export async function openSession(parts: GatewayParts, req: CallerRequest | undefined, options: OpenSessionOptions): Promise<string | undefined> {
 	const {clock, log, mirror} = parts;
-	const {channel, lookAgain, getStopPlan} = options;
+	const {channel, getStopPlan} = options;
 	if (req?.kind !== 'open') {
 		if (req) {
 			channel.refuse(AnswerCode.Malformed, 'a session begins by naming its database');
@@ -40,8 +38,8 @@
 	const isKnown = () => mirror.state.routing?.routes.has(database) ?? false;
 	// A host that stops may end before a second look does; another host can look.
 	if (!isKnown() && !getStopPlan()) {
-		// The copy may lack a route that was just added; a second look costs a call and spares a false refusal.
-		await withinMs(clock, SECOND_LOOK_MS, lookAgain());
+		// The copy may lack a route that was just added. Its next confirmation comes by itself; a look for each such name would be a priced call of each host.
+		await withinMs(clock, SECOND_LOOK_MS, mirror.nextConfirmation());
 	}
 
 	const plan = getStopPlan();
--- a/src/leadership/fence-look.ts
+++ b/src/leadership/fence-look.ts
@@ -22,19 +22,31 @@
 	readonly clock: Clock;
 	readonly elapsedClock: ElapsedClock;
 	readonly log: Log;
+	/** Whether this host reads the store for all, and so is the first to know that it does not answer. */
+	readsForAll(): boolean;
+	countHosts(): number;
 };
 
-/** Endpoints are asked for fences once evidence is so old, in milliseconds: two confirmations that did not come: where all is well it is up to 1,600 old on a busy host. */
-const FENCES_AFTER_MS = 2100;
+/** The host that reads the store for all asks endpoints for fences once evidence is so old, in milliseconds: two confirmations that did not come. */
+const FENCES_AFTER_MS = 1500;
+
+/** All others ask once their evidence is so old, in milliseconds: what the first one found has then had time to come along the tree. */
+const FENCES_AFTER_OTHERS_MS = 2100;
 
 /** Pause between such questions, in milliseconds: two fit into what is left of the evidence. */
 const FENCES_INTERVAL_MS = 400;
 
+/**
+ * Hosts of which each may ask once in that pause; in a larger fleet the pause is longer by as much. Guards endpoints, of whose slots each question takes one, against hundreds
+ * of hosts that ask where the first one found a fence, or nobody.
+ */
+const HOSTS_ASKING_FREELY = 16;
+
 /** Longest such question, in milliseconds: a status waits for a slot behind other statements. */
 const FENCES_TIMEOUT_MS = 800;
 
 /** Creates the look at fences. */
-export function createFenceLook({directory, evidences, clock, elapsedClock, log}: FenceLookOptions): FenceLook {
+export function createFenceLook({directory, evidences, clock, elapsedClock, log, readsForAll, countHosts}: FenceLookOptions): FenceLook {
 	/** By group, the steady time before which its endpoints are not asked again. */
 	const notBefore = new Map<string, number>();
 
@@ -46,11 +58,12 @@
 	const look = async (record: LeadershipRecord) => {
 		const askedAt = elapsedClock.elapsed();
 		const age = askedAt - (evidences.getAskedAt(record.group) ?? askedAt);
-		if (age < FENCES_AFTER_MS || clock.now() < (notBefore.get(record.group) ?? 0)) {
+		const isFirst = readsForAll();
+		if (age < (isFirst ? FENCES_AFTER_MS : FENCES_AFTER_OTHERS_MS) || clock.now() < (notBefore.get(record.group) ?? 0)) {
 			return;
 		}
 
-		notBefore.set(record.group, clock.now() + FENCES_INTERVAL_MS);
+		notBefore.set(record.group, clock.now() + (isFirst ? FENCES_INTERVAL_MS : getPause(countHosts())));
 		const others = directory.list(record.group).filter(({entry}) => entry.id !== record.primaryId);
 		const answers = await Promise.all(others.map(async ({pool}) => isUnfenced(pool, record.term)));
 		const unfenced = others.length > 0 && answers.every(Boolean);
@@ -78,3 +91,8 @@
 
 	return {look};
 }
+
+/** Pause of a host that is not the first to ask, in milliseconds. */
+function getPause(hosts: number): number {
+	return FENCES_INTERVAL_MS * Math.max(1, hosts / HOSTS_ASKING_FREELY);
+}
--- a/src/leadership/gone-hosts.ts
+++ b/src/leadership/gone-hosts.ts
@@ -1,7 +1,8 @@
 import type {Log} from '../log/log.js';
 import {RecordKind, type MetadataStore} from '../mirror/metadata-store.js';
 import type {Versioned} from '../mirror/mirror-state.js';
-import {LONGEST_WITHOUT_STORE_MS, type StoreMirror} from '../mirror/store-mirror.js';
+import {LONGEST_WITHOUT_STORE_MS} from '../mirror/peer-help.js';
+import type {StoreMirror} from '../mirror/store-mirror.js';
 import type {ElapsedClock} from '../time/elapsed-clock.js';
 import {EVIDENCE_MS} from './lead-evidence.js';
 import type {HostRecord} from './leadership-record.js';
--- a/src/leadership/host-census.ts
+++ b/src/leadership/host-census.ts
@@ -17,8 +17,8 @@
  * Marks hosts that have ended without a word, in calm times.
  *
  * Guards against a dead host in the list, which would not acknowledge when a primary is replaced, so that every replacement would take longer by
- * the time that evidence lasts: a planned one was seen to hold writes for 5.4 s. The host that reads the store for all hears the
- * others' questions, and asks those it does not hear.
+ * the time that evidence lasts. Hosts hear the questions of those below them in the tree and tell upwards whom they do not hear; the host that
+ * reads the store for all asks those itself.
  */
 export type HostCensus = {
 	start(): Promise<void>;
@@ -73,8 +73,8 @@
 
 		readingSince ??= now;
 		const since = readingSince;
-		const quiet = mirror.state.hosts.filter(({peerAddress, gone: isGone}) => !isGone && peerAddress !== ownPeerAddress
-			&& now - Math.max(since, mirror.getHeardAt(peerAddress) ?? 0) > QUIET_MS);
+		const unheard = new Set(mirror.getUnheard(QUIET_MS));
+		const quiet = mirror.state.hosts.filter(({peerAddress, gone: isGone}) => !isGone && peerAddress !== ownPeerAddress && unheard.has(peerAddress));
 		const before = unanswered;
 		const silent = new Set<string>();
 		await Promise.all(quiet.map(async host => {
--- a/src/leadership/lead-evidence.ts
+++ b/src/leadership/lead-evidence.ts
@@ -1,5 +1,7 @@
 import type {SleepSignal} from '../time/sleep-alarm.js';
-import {LONGEST_WITHOUT_STORE_MS, type StoreMirror} from '../mirror/store-mirror.js';
+import {LONGEST_WITHOUT_STORE_MS} from '../mirror/peer-help.js';
+import type {UnfencedGroup} from '../mirror/mirror-calls.js';
+import type {StoreMirror} from '../mirror/store-mirror.js';
 import {LeadPhase, type LeadershipRecord} from './leadership-record.js';
 
 /** What a proxy may rely on when it uses a primary. */
@@ -15,6 +17,8 @@
 	isSuperseded(evidence: LeadEvidence): boolean;
 	/** Notes that no endpoint of the group that could be promoted showed a fence, as asked at the elapsed time `askedAt`. */
 	noteUnfenced(group: string, epoch: number, askedAt: number): void;
+	/** Groups whose evidence is younger than the last confirmation, by what their endpoints showed; ages at the elapsed time `now`. */
+	getUnfenced(now: number): readonly UnfencedGroup[];
 	/** Elapsed time from which evidence of the group's steady primary counts; undefined where there is none. */
 	getAskedAt(group: string): number | undefined;
 	/** Groups whose evidence was given up for an epoch that the copy of the store does not show yet. */
@@ -114,8 +118,15 @@
 			if (steady?.epoch === epoch && askedAt > steady.askedAt && withoutStoreMs < LONGEST_WITHOUT_STORE_MS) {
 				lastSteady.set(group, {epoch, askedAt});
 				tell();
+				mirror.tellUnfenced();
 			}
 		},
+		getUnfenced(now) {
+			const confirmedAt = mirror.confirmedAt ?? Number.POSITIVE_INFINITY;
+			return [...lastSteady]
+				.filter(([, {askedAt}]) => askedAt > confirmedAt)
+				.map(([group, {epoch, askedAt}]) => ({group, epoch, ageMs: Math.max(0, now - askedAt)}));
+		},
 		getAskedAt: group => lastSteady.get(group)?.askedAt,
 		/*
 		 * Guards against hosts that confirm each other's copies in an outage of the store while one of them has already given its evidence up, or even
--- a/src/leadership/lead-watch.ts
+++ b/src/leadership/lead-watch.ts
@@ -96,7 +96,7 @@
 		store, mirror, directory, clock, log, hostName: options.hostName,
 	});
 	const fenceLook = createFenceLook({
-		directory, evidences, clock, elapsedClock, log,
+		directory, evidences, clock, elapsedClock, log, readsForAll: () => mirror.readsForAll, countHosts: () => mirror.state.hosts.length,
 	});
 	const watches = new Map<string, GroupWatch>();
 	const changing = new Set<string>();
--- a/src/leadership/register-host.ts
+++ b/src/leadership/register-host.ts
@@ -1,6 +1,7 @@
 import type {Log} from '../log/log.js';
 import {RecordKind, type MetadataStore} from '../mirror/metadata-store.js';
-import {LONGEST_WITHOUT_STORE_MS, type StoreMirror} from '../mirror/store-mirror.js';
+import {LONGEST_WITHOUT_STORE_MS} from '../mirror/peer-help.js';
+import type {StoreMirror} from '../mirror/store-mirror.js';
 import {PlatformConflictError, PlatformError} from '../object-store/platform-errors.js';
 import type {ElapsedClock} from '../time/elapsed-clock.js';
 import type {HostRecord} from './leadership-record.js';
--- /dev/null
+++ b/src/mirror/contents-receiver.ts
@@ -0,0 +1,52 @@
+import {Buffer} from 'node:buffer';
+import {Unpackr} from 'msgpackr';
+import type {Log} from '../log/log.js';
+import type {Peers} from '../peers/peers.js';
+import type {ContentsPiece} from './contents-sender.js';
+import type {StateDifference} from './state-difference.js';
+
+/** Puts together what other hosts send of their contents. */
+export type ContentsReceiver = {
+	/** Fetches what is left of an update whose first piece has come; undefined where the sender has newer contents, or what came cannot be read. Rejects with PeerError. */
+	receive(address: string, first: ContentsPiece): Promise<StateDifference | undefined>;
+};
+
+/** Longest wait for a piece, in milliseconds: some ten times its way over a slow link that is in use. */
+const PIECE_TIMEOUT_MS = 500;
+
+const unpackr = new Unpackr({useRecords: true});
+
+/** Creates a receiver. */
+export function createContentsReceiver(peers: Peers, log: Log): ContentsReceiver {
+	const fetchRest = async (address: string, {key, size, bytes: first}: ContentsPiece) => {
+		const pieces = [first];
+		let {length} = first;
+		while (length < size) {
+			const {bytes} = await peers.call(address, 'mirror-piece', {key, offset: length}, PIECE_TIMEOUT_MS);
+			if (!bytes || bytes.length === 0) {
+				return undefined;
+			}
+
+			pieces.push(bytes);
+			length += bytes.length;
+		}
+
+		return Buffer.concat(pieces);
+	};
+
+	return {
+		async receive(address, first) {
+			const whole = await fetchRest(address, first);
+			if (!whole) {
+				return undefined;
+			}
+
+			try {
+				return unpackr.unpack(whole) as StateDifference;
+			} catch (err) {
+				log.warn('an update of a peer cannot be read', {peer: address, size: first.size, reason: (err as Error).message});
+				return undefined;
+			}
+		},
+	};
+}
--- /dev/null
+++ b/src/mirror/mirror-copy.ts
@@ -0,0 +1,104 @@
+import type {Log} from '../log/log.js';
+import {
+	EMPTY_ID, getContentsId, isSameContents, type ContentsId,
+} from './contents-id.js';
+import {EMPTY_STATE, getLaterRouting, type MirrorState} from './mirror-state.js';
+import {applyStateDifference, getStateDifference, type StateDifference} from './state-difference.js';
+
+/** What a host holds of the store, and until when that was complete. */
+export type MirrorCopy = {
+	readonly state: MirrorState;
+	readonly contentsId: ContentsId;
+	/** Elapsed time at which the last confirmation that the copy was complete had been asked for; undefined before the first. */
+	readonly confirmedAt: number | undefined;
+	/** The same, of the last confirmation by the store itself, at this host or a peer. */
+	readonly storeConfirmedAt: number | undefined;
+	/** Takes over what was read, unless that is older. */
+	adopt(read: MirrorState): void;
+	/** Takes over what a peer sent, complete up to `revision`; false where that does not fit to what is held. */
+	adoptDifference(difference: StateDifference, revision: number): boolean;
+	/** Notes that the copy was complete at the elapsed time `at`, and that the store itself had confirmed it at `storeAt`. */
+	noteConfirmed(at: number, storeAt?: number): void;
+	/** Called after each change of the contents. */
+	onContents(listener: (state: MirrorState, id: ContentsId) => void): void;
+	/** Called after each confirmation, with what was taken over before. */
+	onChange(listener: () => void): void;
+};
+
+/** Creates an empty copy. */
+export function createMirrorCopy(log: Log): MirrorCopy {
+	const contentsListeners: Array<(state: MirrorState, id: ContentsId) => void> = [];
+	const listeners: Array<() => void> = [];
+	let state = EMPTY_STATE;
+	let contentsId = EMPTY_ID;
+	let confirmedAt: number | undefined;
+	let storeConfirmedAt: number | undefined;
+
+	const take = (read: MirrorState) => {
+		const before = state;
+		state = {...read, routing: getLaterRouting(before.routing, read.routing)};
+		if (state.routing?.version !== before.routing?.version) {
+			log.info('a configuration is in force', {version: state.routing?.version, before: before.routing?.version, revision: state.revision});
+		}
+
+		const id = getContentsId(state);
+		if (!isSameContents(id, contentsId)) {
+			contentsId = id;
+			for (const listener of contentsListeners) {
+				listener(state, id);
+			}
+		}
+	};
+
+	return {
+		get state() {
+			return state;
+		},
+		get contentsId() {
+			return contentsId;
+		},
+		get confirmedAt() {
+			return confirmedAt;
+		},
+		get storeConfirmedAt() {
+			return storeConfirmedAt;
+		},
+		adopt(read) {
+			if (read.revision < state.revision) {
+				return;
+			}
+
+			// By way of the difference, so that what has not changed stays the same object: others look only at what is another one.
+			const difference = getStateDifference(state, contentsId, read, getContentsId(read));
+			take(applyStateDifference(state, contentsId, difference, read.revision) ?? read);
+		},
+		adoptDifference(difference, revision) {
+			if (revision < state.revision) {
+				return false;
+			}
+
+			const next = applyStateDifference(state, contentsId, difference, revision);
+			if (next) {
+				take(next);
+			}
+
+			return next !== undefined;
+		},
+		noteConfirmed(at, storeAt) {
+			if (storeAt !== undefined) {
+				storeConfirmedAt = Math.max(storeConfirmedAt ?? storeAt, storeAt);
+			}
+
+			confirmedAt = Math.max(confirmedAt ?? at, at);
+			for (const listener of listeners) {
+				listener();
+			}
+		},
+		onContents(listener) {
+			contentsListeners.push(listener);
+		},
+		onChange(listener) {
+			listeners.push(listener);
+		},
+	};
+}
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -8,7 +8,7 @@
 import {createLeadEvidences, type LeadEvidences} from '../leadership/lead-evidence.js';
 import {createLeadWatch, type LeadWatch} from '../leadership/lead-watch.js';
 import {createPrimaryWork} from '../leadership/primary-work.js';
-import {LeadPhase} from '../leadership/leadership-record.js';
+import {LeadPhase, type HostRecord} from '../leadership/leadership-record.js';
 import type {PromotionOrders} from '../leadership/promotion-orders.js';
 import {createHostRegistration, type HostRegistration} from '../leadership/register-host.js';
 import {replacePrimary} from '../leadership/replace-primary.js';
@@ -24,7 +24,7 @@
 import {createStoreMirror, type StoreMirror} from '../mirror/store-mirror.js';
 import type {LivePeers} from '../peers/create-peers.js';
 import {createPlacementKnowledge} from '../placement/placement-knowledge.js';
-import {getHigherFloor} from '../placement/position-samples.js';
+import {getHigherFloor, limitToStart} from '../placement/position-samples.js';
 import {WeighedPlacement, type ReadPlacement} from '../placement/read-placement.js';
 import type {Random} from '../random/random.js';
 import {getLongestRestMs} from '../routes/routing.js';
@@ -74,17 +74,22 @@
 export function createProxy(parts: ProxyParts): Kernel {
 	const {clock, elapsedClock, random, log, metrics, store, orders, opener, peers, hostName, peerAddress, incarnation} = parts;
 	const kernel = createKernel();
+	const host: HostRecord = {name: hostName, peerAddress, availabilityZone: parts.availabilityZone};
 	const mirror = createStoreMirror({
 		store,
 		peers,
 		clock,
 		elapsedClock,
 		log,
-		ownPeerAddress: peerAddress,
+		host,
 		seeds: parts.seeds,
 		getChanging: () => leadWatch.getChanging(),
+		getUnfenced: now => evidences.getUnfenced(now),
+		noteUnfenced(group, epoch, askedAt) {
+			evidences.noteUnfenced(group, epoch, askedAt);
+		},
 	});
-	const evidences = createLeadEvidences({mirror, ownPeerAddress: peerAddress});
+	const evidences: LeadEvidences = createLeadEvidences({mirror, ownPeerAddress: peerAddress});
 	const knowledge = createPlacementKnowledge();
 	const primaryWork = createPrimaryWork(clock);
 	const cutOffs = createCutOffs();
@@ -102,7 +107,8 @@
 		getLeastPosition({id, group}) {
 			const record = mirror.state.leadership.get(group);
 			const leads = record?.phase === LeadPhase.Steady && record.primaryId === id;
-			return leads ? getHigherFloor(record.start, knowledge.getSamples(group).getNewest()?.position) : undefined;
+			const seen = knowledge.getSamples(group).getNewest()?.position;
+			return leads ? getHigherFloor(record.start, seen && limitToStart(seen, record)) : undefined;
 		},
 	});
 	const lender = createLinkLender({
@@ -126,7 +132,7 @@
 		store, mirror, elapsedClock, log,
 	});
 	const registration = createHostRegistration({
-		store, mirror, log, elapsedClock, host: {name: hostName, peerAddress, availabilityZone: parts.availabilityZone},
+		store, mirror, log, elapsedClock, host,
 	});
 	const leadWatch: LeadWatch = createLeadWatch({
 		store,
@@ -186,7 +192,7 @@
 	mirror.onChange(() => {
 		directory.update(clock.now());
 		for (const record of mirror.state.leadership.values()) {
-			knowledge.getSamples(record.group).noteStart(record.start);
+			knowledge.getSamples(record.group).noteStart(record);
 		}
 
 		knowledge.keepOnly(new Set(mirror.state.endpoints.map(({id}) => id)));
--- a/tests/leadership/duty-lease-tests.ts
+++ b/tests/leadership/duty-lease-tests.ts
@@ -25,7 +25,16 @@
 		async create(hostName, incarnation) {
 			const ownPeerAddress = `${hostName}-${incarnation}:7000`;
 			const mirror = createStoreMirror({
-				store: store.getClient(hostName), peers: network.addHost(ownPeerAddress), clock, elapsedClock, log: createSilentLog(), ownPeerAddress, seeds: [], getChanging: () => [],
+				store: store.getClient(hostName),
+				peers: network.addHost(ownPeerAddress),
+				clock,
+				elapsedClock,
+				log: createSilentLog(),
+				host: {name: hostName, peerAddress: ownPeerAddress, availabilityZone: 'z'},
+				seeds: [],
+				getChanging: () => [],
+				getUnfenced: () => [],
+				noteUnfenced() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 			});
 			await clock.runUntil(mirror.confirm());
 			const duty = createDutyLease({
--- a/tests/leadership/lead-evidence-tests.ts
+++ b/tests/leadership/lead-evidence-tests.ts
@@ -4,7 +4,8 @@
 } from '../../src/leadership/lead-evidence.js';
 import type {LeadPhase} from '../../src/leadership/leadership-record.js';
 import {EMPTY_STATE, type MirrorState} from '../../src/mirror/mirror-state.js';
-import {LONGEST_WITHOUT_STORE_MS, type StoreMirror} from '../../src/mirror/store-mirror.js';
+import {LONGEST_WITHOUT_STORE_MS} from '../../src/mirror/peer-help.js';
+import type {StoreMirror} from '../../src/mirror/store-mirror.js';
 
 const SELF = 'entry-1:7000';
 
@@ -25,6 +26,7 @@
 		onChange(listener: () => void) {
 			listeners.push(listener);
 		},
+		tellUnfenced() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 	} as unknown as StoreMirror;
 
 	return {
--- a/tests/mirror/store-mirror-tests.ts
+++ b/tests/mirror/store-mirror-tests.ts
@@ -21,9 +21,11 @@
 		clock,
 		elapsedClock,
 		log: createSilentLog(),
-		ownPeerAddress: `${name}:7000`,
+		host: {name, peerAddress: `${name}:7000`, availabilityZone: 'z'},
 		seeds: ['a:7000', 'b:7000', 'c:7000'],
 		getChanging: () => changing.get(name) ?? [],
+		getUnfenced: () => [],
+		noteUnfenced() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 	});
 	const mirrors = {a: create('a'), b: create('b'), c: create('c')};
 	const register = async (name: string) => clock.runUntil(store.getClient(name).putRecord(RecordKind.Hosts, {
@@ -162,7 +164,16 @@
 		const peers = network.addHost('d:7000');
 		const startedAt = clock.now();
 		const mirror = createStoreMirror({
-			store: store.getClient('d'), peers, clock, elapsedClock: {elapsed: () => clock.now() - startedAt}, log: createSilentLog(), ownPeerAddress: 'd:7000', seeds: [], getChanging: () => [],
+			store: store.getClient('d'),
+			peers,
+			clock,
+			elapsedClock: {elapsed: () => clock.now() - startedAt},
+			log: createSilentLog(),
+			host: {name: 'd', peerAddress: 'd:7000', availabilityZone: 'z'},
+			seeds: [],
+			getChanging: () => [],
+			getUnfenced: () => [],
+			noteUnfenced() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 		});
 		await clock.runUntil(mirror.confirm());
 		store.setTrouble(undefined, {refused: true});
