--- a/tests/lending/link-lender-tests.ts
+++ b/tests/lending/link-lender-tests.ts
@@ -1,4 +1,5 @@
 import {expect} from 'chai';
+import type {LeadEvidence} from '../../src/leadership/lead-evidence.js';
 import type {EndpointRequest} from '../../src/links/endpoint-link.js';
 import {createLinkLost} from '../../src/links/link-errors.js';
 import type {SessionLink} from '../../src/links/link-session.js';
@@ -39,6 +40,7 @@
 	let waiting: ReturnType<typeof createPromise<EndpointAnswer>> | undefined;
 	let released = 0;
 	let closed = false;
+	let evidence: Pick<LeadEvidence, 'epoch' | 'primaryId'> | undefined;
 	const link = {
 		get pending() {
 			return waiting ? 1 : 0;
@@ -70,7 +72,7 @@
 			},
 		},
 		directory: {get: () => ({entry: {id: 'i-1', group: 'nights'}, ownPool})},
-		evidences: {get: () => undefined},
+		evidences: {get: () => evidence},
 		clock,
 		elapsedClock: {elapsed: () => clock.now()},
 		random: createSeededRandom(1),
@@ -90,6 +92,12 @@
 		give() {
 			given.resolve({link, adapt() {}} as unknown as SessionLink); // eslint-disable-line @typescript-eslint/no-empty-function
 		},
+		setEvidence(epoch: number) {
+			evidence = {epoch, primaryId: 'i-1'};
+		},
+		run: async (epoch?: number) => handlers.get('loan-run')!({
+			...WISH, single: true, epoch, request: {command: {kind: 'run'}},
+		}, BORROWER) as Promise<PeerCalls['loan-run']['res']>,
 		open: async () => handlers.get('loan-open')!(WISH, BORROWER) as Promise<LoanAnswer>,
 		exchange: async (loan: string, turn: number, kind: 'begin' | 'run' | 'commit') =>
 			handlers.get('loan-exchange')!({
@@ -159,4 +167,27 @@
 		expect([await answered, bench.lender.loans, bench.closed]).to.deep.equal([{answer: ANSWERED}, 0, true]);
 		expect([await bench.exchange(loan, 3, 'commit'), bench.sent]).to.deep.equal([{over: true}, ['begin', 'run']]);
 	});
+
+	it('runs a read that comes with the wish, and has its connection back with the answer', async () => {
+		const bench = createLenderBench();
+		bench.give();
+		const run = bench.run();
+		await Promise.resolve();
+		await new Promise(setImmediate);
+		bench.answer({...ANSWERED, state: SessionState.Idle});
+		expect(await run).to.have.nested.property('answer.end.kind', 'complete');
+		expect([bench.lender.loans, bench.released, bench.closed]).to.deep.equal([0, 1, false]);
+	});
+
+	/**
+	 * A read waits here for a connection to the primary while that is replaced. Its borrower's evidence held when it was sent and does not when it runs, so it would miss what
+	 * the new primary has acknowledged.
+	 */
+	it('does not run a read at a primary that it has no evidence of in that epoch', async () => {
+		const bench = createLenderBench();
+		bench.setEvidence(5);
+		bench.give();
+		expect(await bench.run(4)).to.deep.equal({refused: 'busy'});
+		expect([bench.sent, bench.lender.loans, bench.released]).to.deep.equal([[], 0, 1]);
+	});
 });
--- /dev/null
+++ b/tests/mirror/contents-tests.ts
@@ -0,0 +1,113 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {createSilentLog} from '../../src/log/silent-log.js';
+import {EMPTY_ID, getContentsId} from '../../src/mirror/contents-id.js';
+import {createContentsReceiver} from '../../src/mirror/contents-receiver.js';
+import {createContentsSender} from '../../src/mirror/contents-sender.js';
+import {createMirrorCopy} from '../../src/mirror/mirror-copy.js';
+import {EMPTY_STATE, type MirrorState} from '../../src/mirror/mirror-state.js';
+import {applyStateDifference, getStateDifference} from '../../src/mirror/state-difference.js';
+import type {Peers} from '../../src/peers/peers.js';
+import {createRouting} from './spread-bench.js';
+
+/** A state of some hosts, records and routes, each by a number that its version or contents come from. */
+function createState(revision: number, hosts: Readonly<Record<string, number>>, routeCount = 3): MirrorState {
+	return {
+		revision,
+		routing: createRouting(routeCount, routeCount),
+		endpoints: Object.entries(hosts).map(([name, slots]) => ({
+			id: `i-${name}`, server: `i-${name}`, group: 'g0', address: '10.0.0.1:5432', availabilityZone: 'a', slots, leaving: false, claimsLead: slots % 2 === 0,
+		})),
+		leadership: new Map(),
+		hosts: Object.entries(hosts).map(([name, version]) => ({
+			name, peerAddress: `${name}:7000`, availabilityZone: 'a', version,
+		})),
+	};
+}
+
+const stateArbitrary = fc.tuple(fc.dictionary(fc.constantFrom('a', 'b', 'c', 'd'), fc.integer({min: 1, max: 4})), fc.integer({min: 1, max: 4}))
+	.map(([hosts, routes]) => createState(1, hosts, routes));
+
+/** Peers that answer for the pieces of one sender, as the test changes them. */
+function createPiecePeers(getPiece: (key: string, offset: number) => Uint8Array | undefined): Peers {
+	return {call: async (_address: string, _kind: string, {key, offset}: {readonly key: string; readonly offset: number}) => ({bytes: getPiece(key, offset)})} as unknown as Peers;
+}
+
+describe('contents as differences', () => {
+	it('come to the same, whatever both ends hold', () => {
+		fc.assert(fc.property(stateArbitrary, stateArbitrary, (base, next) => {
+			const difference = getStateDifference(base, getContentsId(base), next, getContentsId(next));
+			const applied = applyStateDifference(base, getContentsId(base), difference, 9);
+			expect(applied && getContentsId(applied)).to.deep.equal(getContentsId(next));
+		}), {seed: 3});
+	});
+
+	/** A host that puts a difference onto other contents than it was taken from holds what no host ever held. */
+	it('are not applied to other contents than they were taken from', () => {
+		const base = createState(1, {a: 1, b: 1});
+		const next = createState(2, {a: 1, b: 2});
+		const other = createState(1, {a: 3, b: 1});
+		const difference = getStateDifference(base, getContentsId(base), next, getContentsId(next));
+		expect(applyStateDifference(other, getContentsId(other), difference, 2)).to.equal(undefined);
+	});
+
+	it('are not applied where they do not lead to what they name', () => {
+		const base = createState(1, {a: 1});
+		const next = createState(2, {a: 2, b: 1});
+		const difference = getStateDifference(base, getContentsId(base), next, getContentsId(next));
+		const cut = {...difference, hosts: {...difference.hosts!, changed: []}};
+		expect(applyStateDifference(base, getContentsId(base), cut, 2)).to.equal(undefined);
+	});
+
+	it('leave what has not changed the same object', () => {
+		const copy = createMirrorCopy(createSilentLog());
+		copy.adopt(createState(1, {a: 1, b: 1}));
+		const before = copy.state;
+		copy.adopt(createState(2, {a: 1, b: 1}));
+		expect([copy.state.hosts === before.hosts, copy.state.endpoints === before.endpoints, copy.state.revision]).to.deep.equal([true, true, 2]);
+	});
+});
+
+describe('contents on their way', () => {
+	/** A sender that holds a large configuration, and what it first answers to a host that holds nothing. */
+	function createLarge() {
+		const sender = createContentsSender();
+		const state = createState(5, {a: 1}, 1852);
+		sender.note(state, getContentsId(state));
+		return {sender, state, first: sender.getFirstPiece(EMPTY_ID)};
+	}
+
+	it('come in pieces that leave a link free between them', async () => {
+		const {sender, state, first} = createLarge();
+		expect(first.bytes.length).to.be.lessThan(40_000);
+		const difference = await createContentsReceiver(createPiecePeers(sender.getPiece), createSilentLog()).receive('a:7000', first);
+		const applied = applyStateDifference(EMPTY_STATE, EMPTY_ID, difference!, 5);
+		expect(applied?.routing?.routes.size).to.equal(state.routing!.routes.size);
+	});
+
+	it('are small where only a little has changed', () => {
+		const {sender, state} = createLarge();
+		const next = {...state, revision: 6, hosts: createState(6, {a: 2}).hosts};
+		sender.note(next, getContentsId(next));
+		expect(sender.getFirstPiece(getContentsId(state)).size).to.be.lessThan(500);
+	});
+
+	it('are whole only in the part that the other host holds differently', () => {
+		const {sender, state} = createLarge();
+		expect(sender.getFirstPiece({...getContentsId(state), hosts: 'unknown'}).size).to.be.lessThan(500);
+	});
+
+	function doTest(what: string, spoil: (bytes: Uint8Array | undefined, offset: number) => Uint8Array | undefined) {
+		it(`are dropped where a piece is ${what}`, async () => {
+			const {sender, first} = createLarge();
+			const receiver = createContentsReceiver(createPiecePeers((key, offset) => spoil(sender.getPiece(key, offset), offset)), createSilentLog());
+			const difference = await receiver.receive('a:7000', first);
+			expect(difference && applyStateDifference(EMPTY_STATE, EMPTY_ID, difference, 5)).to.equal(undefined);
+		});
+	}
+
+	doTest('not at hand any more', () => undefined);
+	doTest('empty', () => new Uint8Array(0));
+	doTest('damaged', bytes => bytes?.map(byte => byte ^ 0x55));
+	doTest('the first one once more', () => createLarge().first.bytes);
+});
