--- a/src/bench/experiments.ts
+++ b/src/bench/experiments.ts
@@ -3,6 +3,7 @@
 import {failoverGap} from './failover-gap.js';
 import {hop} from './hop.js';
 import {leadChanges} from './lead-changes.js';
+import {newsSpread} from './news-spread.js';
 import {overload} from './overload.js';
 import {replicaShare} from './replica-share.js';
 import {siteLoad} from './site-load.js';
@@ -14,6 +15,7 @@
 	[failoverGap.name]: failoverGap,
 	[hop.name]: hop,
 	[leadChanges.name]: leadChanges,
+	[newsSpread.name]: newsSpread,
 	[overload.name]: overload,
 	[replicaShare.name]: replicaShare,
 	[siteLoad.name]: siteLoad,
--- /dev/null
+++ b/src/bench/news-spread.ts
@@ -0,0 +1,88 @@
+import type {
+	Experiment, ExperimentOptions, ExperimentResult, Measure, Variant,
+} from './experiment.js';
+import {createNewsFleet, createRouting, type NewsFleet} from './news-spread/news-fleet.js';
+import {createMeasure} from './statistics.js';
+
+/** Spreads news of the store over fleets of several sizes, in virtual time. */
+export const newsSpread: Experiment = {
+	name: 'news-spread',
+	description: 'Bytes and calls to the store that news of it costs, and the time until the last host has it, by the size of the fleet',
+	run,
+};
+
+/** Hosts and availability zones: those of the users' deployments, and of the size that the design is for. */
+const SIZES = [[9, 4], [68, 3], [195, 6], [900, 7]] as const;
+
+const CALM_MS = 7000;
+
+const ROUTES = 34;
+const MANY_ROUTES = 1852;
+
+async function run({seeds, report}: ExperimentOptions): Promise<ExperimentResult> {
+	const variants: Variant[] = [];
+	for (const [hostCount, zoneCount] of SIZES) {
+		report(`${hostCount} hosts`);
+		variants.push({name: `${hostCount} hosts in ${zoneCount} zones`, measures: await measureFleet(hostCount, zoneCount)});
+	}
+
+	return {
+		name: newsSpread.name,
+		description: newsSpread.description,
+		seeds,
+		setting: {routes: ROUTES, 'many routes': MANY_ROUTES},
+		measures: variants[0]!.measures,
+		baselines: variants.slice(1),
+		plots: [],
+	};
+}
+
+async function measureFleet(hostCount: number, zoneCount: number): Promise<readonly Measure[]> {
+	const fleet = createNewsFleet({hostCount, zoneCount});
+	fleet.store.setRouting(createRouting(1, ROUTES));
+	await fleet.settle();
+	const {calls} = fleet.store;
+	await fleet.clock.advance(CALM_MS);
+	const measures = [
+		createMeasure('calm: calls to the store', 'calls/s', [(fleet.store.calls - calls) * 1000 / CALM_MS]),
+		createMeasure('calm: sent by a host, mean', 'B/s', [getMeanSent(fleet) * 1000 / CALM_MS]),
+		createMeasure('calm: sent by a host, most', 'B/s', [getMostSent(fleet) * 1000 / CALM_MS]),
+		createMeasure('calm: between zones', 'B/s', [fleet.crossBytes * 1000 / CALM_MS]),
+		...await measureChange(fleet, 'one setting', createRouting(2, ROUTES, 900)),
+		...await measureChange(fleet, 'many routes', createRouting(3, MANY_ROUTES)),
+		...await measureLoss(fleet),
+	];
+	fleet.stop();
+	return measures;
+}
+
+async function measureChange(fleet: NewsFleet, what: string, routing: ReturnType<typeof createRouting>): Promise<readonly Measure[]> {
+	fleet.resetFigures();
+	fleet.store.setRouting(routing);
+	const ms = await fleet.awaitVersion(fleet.hosts, routing.version);
+	return [
+		createMeasure(`${what}: everywhere after`, 'ms', [ms ?? Number.NaN]),
+		createMeasure(`${what}: sent by a host, most`, 'B', [getMostSent(fleet)]),
+		createMeasure(`${what}: between zones`, 'B', [fleet.crossBytes]),
+	];
+}
+
+/** The host that reads for all stops answering; what the others need until a change is everywhere again. */
+async function measureLoss(fleet: NewsFleet): Promise<readonly Measure[]> {
+	const {calls} = fleet.store;
+	fleet.network.pause(fleet.hosts[0]!.address);
+	fleet.store.setRouting(createRouting(4, ROUTES));
+	const ms = await fleet.awaitVersion(fleet.hosts.slice(1), 4);
+	return [
+		createMeasure('the reading host frozen: a change everywhere after', 'ms', [ms ?? Number.NaN]),
+		createMeasure('the reading host frozen: calls to the store', 'calls', [fleet.store.calls - calls]),
+	];
+}
+
+function getMeanSent({hosts}: NewsFleet): number {
+	return hosts.reduce((sum, {sentBytes}) => sum + sentBytes, 0) / hosts.length;
+}
+
+function getMostSent({hosts}: NewsFleet): number {
+	return Math.max(...hosts.map(({sentBytes}) => sentBytes));
+}
--- a/tests/mirror/spread-bench.ts
+++ b/src/bench/news-spread/news-fleet.ts
@@ -1,16 +1,16 @@
 import {pack} from 'msgpackr';
-import {createSilentLog} from '../../src/log/silent-log.js';
-import {RecordKind} from '../../src/mirror/metadata-store.js';
-import {createStoreMirror, type StoreMirror} from '../../src/mirror/store-mirror.js';
-import type {LivePeers} from '../../src/peers/create-peers.js';
-import {createSeededRandom} from '../../src/random/seeded-random.js';
-import {ReadPolicy, type Route, type Routing} from '../../src/routes/routing.js';
-import {createInMemoryMetadataStore, type InMemoryMetadataStore} from '../../src/stand-ins/metadata-store/in-memory-metadata-store.js';
-import {createPeerNetwork, type PeerNetwork} from '../../src/stand-ins/peers/in-memory-peers.js';
-import {createVirtualClock, type VirtualClock} from '../../src/stand-ins/time/virtual-clock.js';
+import {createSilentLog} from '../../log/silent-log.js';
+import {RecordKind} from '../../mirror/metadata-store.js';
+import {createStoreMirror, type StoreMirror} from '../../mirror/store-mirror.js';
+import type {LivePeers} from '../../peers/create-peers.js';
+import {createSeededRandom} from '../../random/seeded-random.js';
+import {ReadPolicy, type Route, type Routing} from '../../routes/routing.js';
+import {createInMemoryMetadataStore, type InMemoryMetadataStore} from '../../stand-ins/metadata-store/in-memory-metadata-store.js';
+import {createPeerNetwork, type PeerNetwork} from '../../stand-ins/peers/in-memory-peers.js';
+import {createVirtualClock, type VirtualClock} from '../../stand-ins/time/virtual-clock.js';
 
 /** One host of a fleet, with what it sent. */
-export type SpreadHost = {
+export type NewsHost = {
 	readonly name: string;
 	readonly address: string;
 	readonly zone: string;
@@ -20,27 +20,37 @@
 };
 
 /** Mirrors of a whole fleet on one virtual clock. */
-export type SpreadBench = {
+export type NewsFleet = {
 	readonly clock: VirtualClock;
 	readonly store: InMemoryMetadataStore;
 	readonly network: PeerNetwork;
-	readonly hosts: readonly SpreadHost[];
+	readonly hosts: readonly NewsHost[];
 	/** Bytes that crossed from zone to zone. */
 	readonly crossBytes: number;
 	/** Begins to count anew. */
 	resetFigures(): void;
 	/** Registers a host in the store. */
-	register(host: SpreadHost): Promise<void>;
+	register(host: NewsHost): Promise<void>;
+	/** Registers and starts all hosts, and waits until they have news. */
+	settle(): Promise<void>;
+	/** Milliseconds until each of the hosts has a version of the configuration; undefined where some has not within 10 s. */
+	awaitVersion(hosts: readonly NewsHost[], version: number): Promise<number | undefined>;
 	stop(): void;
 };
 
 /** What a fleet is made of. */
-export type SpreadOptions = {
+export type NewsFleetOptions = {
 	readonly hostCount: number;
 	readonly zoneCount: number;
 	readonly seeds?: number;
 };
 
+/** Time that hosts are given after their start, in milliseconds. */
+const SETTLE_MS = 4000;
+
+const LONGEST_WAIT_MS = 10_000;
+const STEP_MS = 20;
+
 /** A configuration of some routes. */
 export function createRouting(version: number, routeCount: number, statementTimeoutMs = 1000): Routing {
 	const routes = Array.from({length: routeCount}, (_, i): Route => ({
@@ -55,16 +65,16 @@
 }
 
 /** Creates a fleet that is not started. */
-export function createSpreadBench({hostCount, zoneCount, seeds: seedCount = 0}: SpreadOptions): SpreadBench {
+export function createNewsFleet({hostCount, zoneCount, seeds: seedCount = 0}: NewsFleetOptions): NewsFleet {
 	const clock = createVirtualClock(undefined, {settleRounds: 2});
 	const startedAt = clock.now();
 	const store = createInMemoryMetadataStore(clock, createSeededRandom(1));
 	const network = createPeerNetwork(clock);
-	const hosts: SpreadHost[] = [];
-	const byAddress = new Map<string, SpreadHost>();
+	const hosts: NewsHost[] = [];
+	const byAddress = new Map<string, NewsHost>();
 	let crossBytes = 0;
 
-	const noteSent = (from: SpreadHost, to: string, content: unknown) => {
+	const noteSent = (from: NewsHost, to: string, content: unknown) => {
 		const bytes = pack(content).length;
 		from.sentBytes += bytes;
 		crossBytes += byAddress.get(to)?.zone === from.zone ? 0 : bytes;
@@ -73,7 +83,7 @@
 	const names = Array.from({length: hostCount}, (_, i) => ({name: `entry-${i}`, address: `entry-${i}:7000`, zone: `zone-${i % zoneCount}`}));
 	const seeds = names.slice(0, seedCount).map(({address}) => address);
 
-	const countBytes = (peers: LivePeers, getHost: () => SpreadHost): LivePeers => ({
+	const countBytes = (peers: LivePeers, getHost: () => NewsHost): LivePeers => ({
 		...peers,
 		async call(address, kind, req, timeoutMs) {
 			noteSent(getHost(), address, req);
@@ -101,13 +111,24 @@
 			getUnfenced: () => [],
 			noteUnfenced() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 		});
-		const host: SpreadHost = {
+		const host: NewsHost = {
 			name, address, zone, mirror, sentBytes: 0,
 		};
 		hosts.push(host);
 		byAddress.set(address, host);
 	}
 
+	const register = async ({name, address, zone}: NewsHost) => {
+		await store.getClient(name).putRecord(RecordKind.Hosts, {name, version: 0, value: {name, peerAddress: address, availabilityZone: zone}}, 900);
+	};
+
+	const resetFigures = () => {
+		crossBytes = 0;
+		for (const host of hosts) {
+			host.sentBytes = 0;
+		}
+	};
+
 	return {
 		clock,
 		store,
@@ -116,14 +137,28 @@
 		get crossBytes() {
 			return crossBytes;
 		},
-		resetFigures() {
-			crossBytes = 0;
-			for (const host of hosts) {
-				host.sentBytes = 0;
+		resetFigures,
+		register,
+		async settle() {
+			await clock.runUntil(Promise.all(hosts.map(async host => register(host))));
+			for (const {mirror} of hosts) {
+				void mirror.start();
 			}
+
+			await clock.advance(SETTLE_MS);
+			resetFigures();
 		},
-		async register({name, address, zone}) {
-			await store.getClient(name).putRecord(RecordKind.Hosts, {name, version: 0, value: {name, peerAddress: address, availabilityZone: zone}}, 900);
+		async awaitVersion(asked, version) {
+			const since = clock.now();
+			while (asked.some(({mirror}) => mirror.state.routing?.version !== version)) {
+				if (clock.now() - since > LONGEST_WAIT_MS) {
+					return undefined;
+				}
+
+				await clock.advance(STEP_MS);
+			}
+
+			return clock.now() - since;
 		},
 		stop() {
 			for (const {mirror} of hosts) {
--- a/tests/mirror/contents-tests.ts
+++ b/tests/mirror/contents-tests.ts
@@ -8,7 +8,7 @@
 import {EMPTY_STATE, type MirrorState} from '../../src/mirror/mirror-state.js';
 import {applyStateDifference, getStateDifference} from '../../src/mirror/state-difference.js';
 import type {Peers} from '../../src/peers/peers.js';
-import {createRouting} from './spread-bench.js';
+import {createRouting} from '../../src/bench/news-spread/news-fleet.js';
 
 /** A state of some hosts, records and routes, each by a number that its version or contents come from. */
 function createState(revision: number, hosts: Readonly<Record<string, number>>, routeCount = 3): MirrorState {
--- a/tests/mirror/spread-tests.ts
+++ b/tests/mirror/news-spread-tests.ts
@@ -1,42 +1,20 @@
 import {expect} from 'chai';
 import {
-	createRouting, createSpreadBench, type SpreadBench, type SpreadHost,
-} from './spread-bench.js';
+	createNewsFleet, createRouting, type NewsFleet,
+} from '../../src/bench/news-spread/news-fleet.js';
 
 const HOSTS = 195;
 const ZONES = 6;
 
 /** A fleet in which every host is registered and has news of the store. */
-async function createCalmFleet(hostCount = HOSTS): Promise<SpreadBench> {
-	const bench = createSpreadBench({hostCount, zoneCount: ZONES});
+async function createCalmFleet(hostCount = HOSTS): Promise<NewsFleet> {
+	const bench = createNewsFleet({hostCount, zoneCount: ZONES});
 	bench.store.setRouting(createRouting(1, 34));
-	await bench.clock.runUntil(Promise.all(bench.hosts.map(async host => bench.register(host))));
-	for (const {mirror} of bench.hosts) {
-		void mirror.start();
-	}
-
-	await bench.clock.advance(4000);
-	bench.resetFigures();
+	await bench.settle();
 	return bench;
 }
 
-const getVersions = (hosts: readonly SpreadHost[]) => new Set(hosts.map(({mirror}) => mirror.state.routing?.version));
-
-/** Milliseconds until every host has a version of the configuration. */
-async function awaitVersion({clock}: SpreadBench, hosts: readonly SpreadHost[], version: number): Promise<number> {
-	const since = clock.now();
-	while (hosts.some(({mirror}) => mirror.state.routing?.version !== version)) {
-		if (clock.now() - since > 10_000) {
-			throw new Error(`not everywhere after 10 s: ${[...getVersions(hosts)].join(', ')}`);
-		}
-
-		await clock.advance(20);
-	}
-
-	return clock.now() - since;
-}
-
-const getMostSent = ({hosts}: SpreadBench) => Math.max(...hosts.map(({sentBytes}) => sentBytes));
+const getMostSent = ({hosts}: NewsFleet) => Math.max(...hosts.map(({sentBytes}) => sentBytes));
 
 describe('news of the store among hundreds of hosts', () => {
 	/**
@@ -46,7 +24,7 @@
 	it('brings a change of one setting everywhere within a second, and no host sends much for it', async () => {
 		const bench = await createCalmFleet();
 		bench.store.setRouting(createRouting(2, 34, 900));
-		expect(await awaitVersion(bench, bench.hosts, 2)).to.be.lessThan(1000);
+		expect(await bench.awaitVersion(bench.hosts, 2)).to.be.lessThan(1000);
 		expect(getMostSent(bench)).to.be.lessThan(200_000);
 		bench.stop();
 	});
@@ -54,7 +32,7 @@
 	it('brings many new routes everywhere within the same time, piece by piece', async () => {
 		const bench = await createCalmFleet();
 		bench.store.setRouting(createRouting(2, 1852));
-		expect(await awaitVersion(bench, bench.hosts, 2)).to.be.lessThan(2000);
+		expect(await bench.awaitVersion(bench.hosts, 2)).to.be.lessThan(2000);
 		expect(bench.hosts.every(({mirror}) => mirror.state.routing!.routes.size === 1852)).to.equal(true);
 		bench.stop();
 	});
@@ -90,7 +68,7 @@
 		const now = bench.clock.now();
 		bench.store.setRouting(createRouting(2, 34));
 		const others = bench.hosts.slice(1);
-		expect(await awaitVersion(bench, others, 2)).to.be.lessThan(1500);
+		expect(await bench.awaitVersion(others, 2)).to.be.lessThan(1500);
 		expect(bench.clock.now() - now).to.be.lessThan(1500);
 		expect(bench.store.calls - before).to.be.lessThan(120);
 		bench.stop();
@@ -105,13 +83,13 @@
 		}
 
 		bench.store.setRouting(createRouting(2, 34));
-		expect(await awaitVersion(bench, bench.hosts, 2)).to.be.lessThan(3000);
+		expect(await bench.awaitVersion(bench.hosts, 2)).to.be.lessThan(3000);
 		bench.stop();
 	});
 
 	/** Hosts that start know nobody. If each reads the store until it sees the others, a start of 195 hosts costs a thousand calls. */
 	it('is found by hosts that all start at once, by way of seeds', async () => {
-		const bench = createSpreadBench({hostCount: HOSTS, zoneCount: ZONES, seeds: 3});
+		const bench = createNewsFleet({hostCount: HOSTS, zoneCount: ZONES, seeds: 3});
 		bench.store.setRouting(createRouting(1, 34));
 		for (const {mirror} of bench.hosts) {
 			void mirror.start();
