Tell endpoints that come at once in one line; list them by group

Each host of a fleet wrote a line for every endpoint at its start: 8,190 lines in the first 14 s of 195 hosts; one a host now. Each read looked through all endpoints of the fleet for those of its group; they are kept by group between changes.

--- a/src/links/endpoint-directory.ts
+++ b/src/links/endpoint-directory.ts
@@ -50,6 +50,9 @@
 /** Without a new list it is looked so often who is missing for too long and what is idle, in milliseconds: a tenth of both times. */
 const UPDATE_EVERY_MS = 250;
 
+/** Endpoints that come at once and are still told one by one. */
+const MOST_TOLD_APART = 3;
+
 /** Used where a group's configuration is not known yet. */
 const DEFAULT_MAX_CONNECTIONS = 8;
 
@@ -59,6 +62,8 @@
 export function createEndpointDirectory({mirror, opener, clock, log: parentLog, getSharing, sharePool, getLeastPosition}: EndpointDirectoryOptions): EndpointDirectory {
 	const log = parentLog.part('endpoints: ');
 	const kept = new Map<string, Kept>();
+	/** Endpoints by group, as far as they were asked for since the last change: each read asks, and a fleet has thousands of endpoints. */
+	let byGroup = new Map<string, readonly KnownEndpoint[]>();
 	let updatedFrom: readonly RegisteredEndpoint[] | undefined;
 	let updatedAt = Number.NEGATIVE_INFINITY;
 
@@ -75,16 +80,30 @@
 			}),
 		});
 		kept.set(entry.id, {entry, ownPool, pool: sharePool(entry, ownPool)});
-		log.info('an endpoint is registered', {
-			endpoint: entry.id, group: entry.group, zone: entry.availabilityZone, leaving: entry.leaving,
-		});
 	};
 
+	/** Says what was added: in one line where it was many at once, since each host of a fleet says it. */
+	const tellAdded = (added: readonly RegisteredEndpoint[]) => {
+		if (added.length > MOST_TOLD_APART) {
+			log.info('endpoints are registered', {
+				endpoints: added.length, groups: new Set(added.map(({group}) => group)).size, leaving: added.filter(({leaving}) => leaving).length, revision: mirror.state.revision,
+			});
+			return;
+		}
+
+		for (const entry of added) {
+			log.info('an endpoint is registered', {
+				endpoint: entry.id, group: entry.group, zone: entry.availabilityZone, leaving: entry.leaving,
+			});
+		}
+	};
+
+	/** Takes an entry over; true where it is new. */
 	const noteEntry = (entry: RegisteredEndpoint) => {
 		const known = kept.get(entry.id);
 		if (!known) {
 			add(entry);
-			return;
+			return true;
 		}
 
 		if (entry.leaving && !known.entry.leaving) {
@@ -92,6 +111,7 @@
 		}
 
 		kept.set(entry.id, {entry, ownPool: known.ownPool, pool: known.pool});
+		return false;
 	};
 
 	/** A life that another one has followed is over; what is just missing may be back. */
@@ -108,7 +128,11 @@
 
 	return {
 		get: endpointId => kept.get(endpointId),
-		list: group => [...kept.values()].filter(({entry}) => entry.group === group),
+		list(group) {
+			const listed = byGroup.get(group) ?? [...kept.values()].filter(({entry}) => entry.group === group);
+			byGroup.set(group, listed);
+			return listed;
+		},
 		update(now) {
 			if (mirror.state.endpoints === updatedFrom && now - updatedAt < UPDATE_EVERY_MS) {
 				return;
@@ -116,14 +140,20 @@
 
 			updatedFrom = mirror.state.endpoints;
 			updatedAt = now;
+			byGroup = new Map();
 			const listed = new Set<string>();
 			const servers = new Set<string>();
+			const added: RegisteredEndpoint[] = [];
 			for (const entry of mirror.state.endpoints) {
 				listed.add(entry.id);
 				servers.add(entry.server);
-				noteEntry(entry);
+				if (noteEntry(entry)) {
+					added.push(entry);
+				}
 			}
 
+			tellAdded(added);
+
 			for (const known of kept.values()) {
 				known.pool.keep();
 				if (!listed.has(known.entry.id)) {
--- a/tests/links/endpoint-directory-tests.ts
+++ b/tests/links/endpoint-directory-tests.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import {createEndpointDirectory, MISSING_AFTER_MS} from '../../src/links/endpoint-directory.js';
+import type {Log} from '../../src/log/log.js';
 import {createSilentLog} from '../../src/log/silent-log.js';
 import {EMPTY_STATE} from '../../src/mirror/mirror-state.js';
 import type {StoreMirror} from '../../src/mirror/store-mirror.js';
@@ -36,6 +37,37 @@
 		});
 	}
 
+	/** A host that starts finds all endpoints of the fleet at once; hundreds of hosts that each say every one of them fill the logs with what is the same on all. */
+	it('are told in one line where they come at once, and one by one later', () => {
+		const lines: string[] = [];
+		const silent = createSilentLog();
+		const log: Log = {
+			...silent,
+			info(sentence) {
+				lines.push(sentence);
+			},
+			part: () => log,
+		};
+		const mirror = {state: EMPTY_STATE};
+		const directory = createEndpointDirectory({
+			mirror: mirror as unknown as StoreMirror,
+			opener: {open: async () => NEVER},
+			clock: createVirtualClock(),
+			log,
+			getSharing: () => ({hosts: 1, keepsOwn: true}),
+			sharePool: (_entry, ownPool) => ownPool,
+			getLeastPosition: () => undefined,
+		});
+		const entries = Array.from({length: 42}, (_, i) => makeEntry(`i-${i}`, `i-${i}`));
+		for (const [at, count] of [41, 42].entries()) {
+			mirror.state = {...EMPTY_STATE, endpoints: entries.slice(0, count)};
+			directory.update(at);
+		}
+
+		expect(lines).to.deep.equal(['endpoints are registered', 'an endpoint is registered']);
+		expect(directory.list('nights')).to.have.lengthOf(42);
+	});
+
 	const first = makeEntry('i-1 1000', 'i-1');
 	const second = makeEntry('i-1 2000', 'i-1');
 	const other = makeEntry('i-2', 'i-2');
