--- a/src/leadership/lead-watch.ts
+++ b/src/leadership/lead-watch.ts
@@ -6,14 +6,12 @@
 import type {MetadataStore} from '../mirror/metadata-store.js';
 import type {StoreMirror} from '../mirror/store-mirror.js';
 import {PlatformConflictError, PlatformError} from '../object-store/platform-errors.js';
-import {isPeerError} from '../peers/peer-errors.js';
 import type {Peers} from '../peers/peers.js';
 import type {Random} from '../random/random.js';
 import type {Clock} from '../time/clock.js';
 import type {ElapsedClock} from '../time/elapsed-clock.js';
 import type {CutOffs} from './cut-offs.js';
 import {DUTY_LEASE_MS, type DutyLease} from './duty-lease.js';
-import {LEAD_CALL_TIMEOUT_MS} from './lead-calls.js';
 import {createFenceLook} from './fence-look.js';
 import type {LeadEvidences} from './lead-evidence.js';
 import {createFirstRecord} from './first-record.js';
@@ -21,6 +19,7 @@
 import {createPrimaryReach, ReachVerdict} from './primary-reach.js';
 import type {PrimaryWork} from './primary-work.js';
 import type {Replacement} from './replace-primary.js';
+import {createReplacements} from './replacements.js';
 
 /** Watches the primaries of all groups and has lost or leaving ones replaced. */
 export type LeadWatch = {
@@ -99,9 +98,7 @@
 		directory, evidences, clock, elapsedClock, log, readsForAll: () => mirror.readsForAll, countHosts: () => mirror.state.hosts.length,
 	});
 	const watches = new Map<string, GroupWatch>();
-	const changing = new Set<string>();
 	const stopping = new AbortController();
-	let retiring = false;
 
 	const noteBug = (err: unknown) => {
 		log.error('a task failed', {err});
@@ -120,49 +117,14 @@
 		return watch;
 	};
 
-	const replace = async (replacement: Replacement): Promise<boolean> => {
-		const {group} = replacement;
-		if (changing.has(group)) {
-			return true;
-		}
-
-		if (retiring && mirror.state.hosts.some(host => !host.gone && host.peerAddress !== options.ownPeerAddress)) {
-			return false;
-		}
-
-		if (!options.mayReplace()) {
-			return false;
-		}
-
-		changing.add(group);
-		try {
-			return await options.replace(replacement);
-		} finally {
-			changing.delete(group);
-		}
-	};
+	const replacements = createReplacements({
+		duty, mirror, peers, log, ownPeerAddress: options.ownPeerAddress, mayReplace: options.mayReplace, replace: options.replace,
+	});
 
-	/** Replaces, or has the holder of the duty do it. */
+	/** Replaces, or has the holder of the duty do it; then the group is left alone for a moment. */
 	const replaceOrAsk = async (replacement: Replacement, epoch: number) => {
-		const holder = duty.getOtherHolder();
 		getWatch(replacement.group).notBefore = clock.now() + PAUSE_MS;
-		const host = holder === undefined ? undefined : mirror.state.hosts.find(({name}) => name === holder);
-		if (host && host.peerAddress !== options.ownPeerAddress) {
-			try {
-				const {taken} = await peers.call(host.peerAddress, 'lead-replace', {group: replacement.group, epoch, reason: replacement.reason}, LEAD_CALL_TIMEOUT_MS);
-				log.info('the holder of the duty was asked to replace a primary', {group: replacement.group, holder, taken});
-				return;
-			} catch (err) {
-				if (!isPeerError(err)) {
-					throw err;
-				}
-
-				log.info('the holder of the duty does not answer', {group: replacement.group, holder, reason: err.message});
-				return;
-			}
-		}
-
-		await replace(replacement);
+		await replacements.beginOrAsk(replacement, epoch);
 	};
 
 	const lookAtSteady = async (record: LeadershipRecord, watch: GroupWatch) => {
@@ -266,7 +228,7 @@
 		const waitMs = isOwn ? PAUSE_MS : STALLED_AFTER_MS;
 		if (now - watch.seenSince > waitMs && duty.getOtherHolder() === undefined) {
 			await spread();
-			await replace({group: record.group, reason: 'an earlier change was not finished', planned: false});
+			await replacements.begin({group: record.group, reason: 'an earlier change was not finished', planned: false});
 		}
 	};
 
@@ -283,7 +245,7 @@
 
 	const isDue = (group: string) => {
 		const watch = getWatch(group);
-		return !watch.busy && clock.now() >= watch.notBefore && !changing.has(group);
+		return !watch.busy && clock.now() >= watch.notBefore && !replacements.changing.has(group);
 	};
 
 	const lookSafely = async (group: string) => {
@@ -325,14 +287,14 @@
 	});
 	peers.handle('lead-replace', async ({group, epoch, reason}) => {
 		const record = mirror.state.leadership.get(group);
-		if (retiring || !options.mayReplace() || record?.epoch !== epoch || record.phase !== LeadPhase.Steady) {
+		if (replacements.retired || !options.mayReplace() || record?.epoch !== epoch || record.phase !== LeadPhase.Steady) {
 			return {taken: false};
 		}
 
 		(async () => {
 			// Most hosts cannot reach it. Where this one can, its log is taken over whole.
 			const planned = await reach.isReachable(record.primaryId);
-			await replace({group, reason, planned});
+			await replacements.begin({group, reason, planned});
 		})().catch(noteBug);
 		return {taken: true};
 	});
@@ -351,13 +313,11 @@
 	};
 
 	return {
-		retire() {
-			retiring = true;
-		},
+		retire: replacements.retire,
 		get replacing() {
-			return changing.size > 0;
+			return replacements.changing.size > 0;
 		},
-		getChanging: () => [...changing, ...evidences.getOutdated()],
+		getChanging: () => [...replacements.changing, ...evidences.getOutdated()],
 		async start() {
 			void run();
 		},
