Pause a read that is tried again where it was tried before

Cause, by random schedule 9300016 (crowded; it came to no end and ran out of memory): a read that only the primary may serve was turned away at once for want of lenders, tried again at the same endpoint, and so on without any time passing. Now the second try at one endpoint waits as long as a round of all does, and a lender without evidence of the primary says so apart from one that has no connection free, so that it isn't asked again at once.

The schedule is kept as a test.

--- a/src/gateway/run-read.ts
+++ b/src/gateway/run-read.ts
@@ -38,6 +38,22 @@
 	let lastReason = 'no endpoint could be used';
 	budget.noteFresh(clock.now());
 
+	/**
+	 * Guards against a read that is tried at the same endpoint over and over, as where only the primary may serve it: turned away at once each time, it would
+	 * keep this host busy until its time is up.
+	 */
+	const noteTried = async (endpointId: string | undefined) => {
+		if (endpointId === undefined) {
+			return;
+		}
+
+		if (excluded.has(endpointId)) {
+			await clock.sleep(Math.min(ROUND_PAUSE_MS, until - clock.now()));
+		}
+
+		excluded.add(endpointId);
+	};
+
 	while (clock.now() < until && single.req.isWanted()) {
 		const lent = await lendForRead(parts, {
 			...single.req, reads: true, excluded, until: underWay.size > 0 ? clock.now() : until,
@@ -62,10 +78,7 @@
 		}
 
 		lastReason = outcome?.reason ?? 'an endpoint took long';
-		if (lent) {
-			excluded.add(lent.endpoint.entry.id);
-		}
-
+		await noteTried(lent?.endpoint.entry.id);
 		log.info('a read is tried again', {
 			id: single.id, group: route.group, endpoint: lent?.endpoint.entry.id, reason: lastReason, floor: lent?.floor, leftMs: Math.round(until - clock.now()),
 		});
--- a/src/lending/lending-calls.ts
+++ b/src/lending/lending-calls.ts
@@ -9,6 +9,8 @@
 	Busy: 'busy',
 	/** The endpoint does not answer the lender, which should be asked again only later. */
 	Unreachable: 'unreachable',
+	/** The lender has no evidence of the primary in the borrower's epoch. */
+	Unproven: 'unproven',
 	/** The lender is stopping. */
 	Stopping: 'stopping',
 } as const;
--- a/src/lending/link-lender.ts
+++ b/src/lending/link-lender.ts
@@ -219,7 +219,7 @@
 
 		if (!holdsEvidence(req)) {
 			end(loans.get(granted.loan)!, false);
-			return {refused: LoanRefusal.Busy};
+			return {refused: LoanRefusal.Unproven};
 		}
 
 		return exchange({
--- a/src/lending/read-through.ts
+++ b/src/lending/read-through.ts
@@ -100,7 +100,7 @@
 				if (run.refused === LoanRefusal.Stopping) {
 					unreachable.add(lender, clock.now());
 				} else {
-					last = run.refused === LoanRefusal.Busy ? run.refused : last ?? run.refused;
+					last = getMoreHopeful(last, run.refused);
 				}
 			} else if (run?.answer) {
 				return run.answer;
@@ -126,6 +126,9 @@
 
 			if (run === LoanRefusal.Unreachable) {
 				options.onUnreachable();
+			}
+
+			if (run === LoanRefusal.Unreachable || run === LoanRefusal.Unproven) {
 				return DID_NOT_RUN;
 			}
 
@@ -186,3 +189,9 @@
 		adapt: needed.set,
 	};
 }
+
+/** Of two reasons the one that asking again may mend soonest. */
+function getMoreHopeful(left: LoanRefusal | undefined, right: LoanRefusal): LoanRefusal {
+	const order = [LoanRefusal.Busy, LoanRefusal.Unproven, LoanRefusal.Unreachable] as readonly LoanRefusal[];
+	return left !== undefined && order.indexOf(left) <= order.indexOf(right) ? left : right;
+}
--- a/tests/lead-check/lead-check-tests.ts
+++ b/tests/lead-check/lead-check-tests.ts
@@ -36,5 +36,6 @@
 	doTest(5_100_196, 'orders to lead went to lives that were over, one after the other, and to the empty ones after them', REBORN_CROWD);
 	doTest(7_100_104, 'a new primary that had written nothing was turned away for a position of the term before', {swarms: true});
 	doTest(9_000_016, 'the same for a position of a term between, of which no successor had anything', {swarms: true});
+	doTest(9_300_016, 'a read that only the primary may serve was turned away at once for want of lenders, over and over, and its host did nothing else', {swarms: true, crowded: true});
 	doTest(13_030, 'a server with the divergent end of an early term was promoted before one that was leaving');
 });
--- a/tests/lending/read-through-tests.ts
+++ b/tests/lending/read-through-tests.ts
@@ -95,6 +95,11 @@
 		expect([outcome, unreachable, ms < 20]).to.deep.equal(['not run', 1, true]);
 	});
 
+	it('is told at once where no lender has evidence of the primary', async () => {
+		const {outcome, asked} = await runRead({a: {run: {refused: LoanRefusal.Unproven}}, b: {run: {refused: LoanRefusal.Unproven}}});
+		expect([outcome, asked]).to.deep.equal(['not run', ['loan-run a', 'loan-run b']]);
+	});
+
 	it('runs on an own connection where no lender answers', async () => {
 		const {outcome} = await runRead({a: {run: {refused: LoanRefusal.Stopping}}}, {own: DONE});
 		expect(outcome).to.equal('7');
