Give the proxy a command line, and name every wrong setting at once

The proxy knew one flag, took any other for none and read a port that is no number as a port. The settings name all wrong fields at once.

--- a/src/platform/boot-errors.ts
+++ b/src/platform/boot-errors.ts
@@ -4,8 +4,8 @@
 export const BootSettingsError = ModernError.subclass('BootSettingsError');
 
 /** @internal */
-export function throwSettingWrong(field: string, message: string): never {
-	throw new BootSettingsError(`the setting ${field} is wrong: ${message}`);
+export function throwSettingsWrong(faults: readonly string[]): never {
+	throw new BootSettingsError(`the settings cannot be used: ${faults.join('; ')}`);
 }
 
 /** @internal */
--- a/src/platform/boot-settings.ts
+++ b/src/platform/boot-settings.ts
@@ -1,5 +1,5 @@
 import * as z from 'zod';
-import {throwSettingWrong, throwSettingsUnreadable} from './boot-errors.js';
+import {throwSettingsWrong, throwSettingsUnreadable} from './boot-errors.js';
 
 /** What a proxy learns of itself and its surroundings when it starts. */
 export type BootSettings = {
@@ -46,12 +46,11 @@
 	'bounds.graceS': z.coerce.number().positive(),
 });
 
-/** Reads the text of the settings file; throws BootSettingsError, which names the field that is wrong. */
+/** Reads the text of the settings file; throws BootSettingsError, which names each field that is wrong. */
 export function parseBootSettings(text: string): BootSettings {
 	const parsed = schema.safeParse(parseLines(text));
 	if (!parsed.success) {
-		const [issue] = parsed.error.issues;
-		return throwSettingWrong(String(issue?.path[0] ?? 'settings'), issue?.message ?? 'is wrong');
+		return throwSettingsWrong(parsed.error.issues.map(({path, message}) => `${String(path[0] ?? 'settings')} is wrong: ${message}`));
 	}
 
 	const fields = parsed.data;
--- a/src/proxy/main.ts
+++ b/src/proxy/main.ts
@@ -20,8 +20,6 @@
 
 const KEYS_VARIABLE = 'ALDERCROFT_PEER_KEYS';
 
-const METRICS_FLAG = '--metrics-port=';
-
 const output = openAsyncOutput();
 
 function createParts(settings: BootSettings): ProxyParts {
@@ -58,10 +56,10 @@
 	};
 }
 
-const metricsArgument = process.argv.slice(2).find(argument => argument.startsWith(METRICS_FLAG));
 const exitCode = await runProxy({
 	settingsPath: process.env[SETTINGS_VARIABLE],
-	metricsPort: metricsArgument === undefined ? undefined : Number(metricsArgument.slice(METRICS_FLAG.length)),
+	args: process.argv.slice(2),
+	output: process.stdout,
 	errors: process.stderr,
 	events: process,
 	createParts,
--- a/src/proxy/run-proxy.ts
+++ b/src/proxy/run-proxy.ts
@@ -10,6 +10,10 @@
 import {createProxy, type ProxyParts} from './create-proxy.js';
 import {leave} from './leave.js';
 import {openMetricsPort} from './metrics-port.js';
+import {ProxyUsageError} from './proxy-errors.js';
+import {
+	getProxyUsage, PROXY_VERSION, readProxyCommandLine, type ProxyCommandLine,
+} from './read-proxy-command-line.js';
 
 /** Exit codes of the proxy. */
 export const ProxyExitCode = {
@@ -28,8 +32,9 @@
 export type RunProxyOptions = {
 	/** Path of the settings file; undefined where the process was not told. */
 	readonly settingsPath: string | undefined;
-	/** Port for metrics on the host's address; undefined for none. */
-	readonly metricsPort: number | undefined;
+	/** The command line without the program. */
+	readonly args: readonly string[];
+	readonly output: NodeJS.WritableStream;
 	readonly errors: NodeJS.WritableStream;
 	/** Emits signals, as the process does. */
 	readonly events: {on(event: string, listener: (detail: unknown) => void): unknown};
@@ -38,12 +43,19 @@
 
 /** Runs the proxy until it is asked to stop or fails; resolves with its exit code, upon which the process is to end. */
 export async function runProxy(options: RunProxyOptions): Promise<ProxyExitCode> {
-	const {settingsPath, errors, events, createParts} = options;
+	const {settingsPath, output, errors, events, createParts} = options;
+	let commandLine: ProxyCommandLine;
 	let settings: BootSettings;
 	try {
+		commandLine = readProxyCommandLine(options.args);
+		if (commandLine.help || commandLine.version) {
+			output.write(commandLine.help ? `${await getProxyUsage()}\n` : `${PROXY_VERSION}\n`);
+			return ProxyExitCode.Ok;
+		}
+
 		settings = readSettings(settingsPath);
 	} catch (err) {
-		if (err instanceof BootSettingsError) {
+		if (err instanceof BootSettingsError || err instanceof ProxyUsageError) {
 			errors.write(`aldercroft-proxy: ${err.message}\n`);
 			return ProxyExitCode.BadSettings;
 		}
@@ -51,6 +63,11 @@
 		throw err;
 	}
 
+	if (commandLine.checkSettings) {
+		output.write(`the settings of ${settings.hostName} in ${settings.availabilityZone} can be used\n`);
+		return ProxyExitCode.Ok;
+	}
+
 	const parts = createParts(settings);
 	const {log} = parts;
 	const stopped = new Promise<string>(resolve => {
@@ -69,7 +86,7 @@
 			resolve(ProxyExitCode.Failed);
 		});
 	});
-	return Promise.race([uncaught, serve(parts, settings, options.metricsPort, stopped)]);
+	return Promise.race([uncaught, serve(parts, settings, commandLine.metricsPort, stopped)]);
 }
 
 async function serve(parts: ProxyParts, settings: BootSettings, metricsPort: number | undefined, stopped: Promise<string>): Promise<ProxyExitCode> {
--- a/tests/platform/boot-settings-tests.ts
+++ b/tests/platform/boot-settings-tests.ts
@@ -44,5 +44,6 @@
 	doTest('names an address that is none', text => text.replace('10.1.0.8:8784', 'localhost'), /listen\.front is wrong: must be ip:port/v);
 	doTest('names a figure that is none', text => text.replace('graceS=6', 'graceS=soon'), /bounds\.graceS is wrong/v);
 	doTest('names a line that is none', text => `${text}nonsense\n`, /no name and value: nonsense/v);
+	doTest('names every field that is wrong at once', text => text.replace(/zone=.*\n/v, '').replace('graceS=6', 'graceS=0'), /zone is wrong.*; bounds\.graceS is wrong/v);
 	doTest('refuses an empty file', () => '', /nodeName is wrong/v);
 });
--- /dev/null
+++ b/tests/proxy/read-proxy-command-line-tests.ts
@@ -0,0 +1,61 @@
+import {Writable} from 'node:stream';
+import {expect} from 'chai';
+import {readProxyCommandLine} from '../../src/proxy/read-proxy-command-line.js';
+import {ProxyExitCode, runProxy} from '../../src/proxy/run-proxy.js';
+
+describe('the command line of the proxy', () => {
+	function doTest(args: readonly string[], expected: Record<string, unknown> | RegExp) {
+		it(`${args.join(' ') || '(nothing)'}`, () => {
+			if (expected instanceof RegExp) {
+				expect(() => readProxyCommandLine(args)).to.throw(expected);
+			} else {
+				expect(readProxyCommandLine(args)).to.deep.include(expected);
+			}
+		});
+	}
+
+	doTest([], {
+		metricsPort: undefined, checkSettings: false, help: false, version: false,
+	});
+	doTest(['--metrics-port=9464'], {metricsPort: 9464});
+	doTest(['--metrics-port', '9464', '--check-settings'], {metricsPort: 9464, checkSettings: true});
+	doTest(['--help'], {help: true});
+	doTest(['--version'], {version: true});
+	doTest(['--metrics-port=none'], /--metrics-port must be a port, not none/v);
+	doTest(['--metrics-port=70000'], /--metrics-port must be a port, not 70000/v);
+	doTest(['--metric-port=9464'], /unknown option --metric/v);
+	doTest(['start'], /unexpected argument start/v);
+});
+
+describe('the proxy that only tells', () => {
+	/** Runs the proxy and gives its exit code with what it wrote. */
+	async function run(args: readonly string[], settingsPath?: string) {
+		const written: string[] = [];
+		const stream = new Writable({
+			write(chunk, _encoding, done) {
+				written.push(String(chunk));
+				done();
+			},
+		});
+		const code = await runProxy({
+			args, settingsPath, output: stream, errors: stream, events: {on() {}}, // eslint-disable-line @typescript-eslint/no-empty-function
+			createParts() {
+				throw new Error('nothing is to be started');
+			},
+		});
+		return {code, text: written.join('')};
+	}
+
+	it('prints its options', async () => {
+		const {code, text} = await run(['--help']);
+		expect([code, text.includes('--check-settings')]).to.deep.equal([ProxyExitCode.Ok, true]);
+	});
+
+	it('says in one line which option it does not know', async () => {
+		expect(await run(['--speed'])).to.deep.equal({code: ProxyExitCode.BadSettings, text: 'aldercroft-proxy: unknown option --speed\n'});
+	});
+
+	it('says that it was not told of its settings', async () => {
+		expect(await run(['--check-settings'])).to.deep.equal({code: ProxyExitCode.BadSettings, text: 'aldercroft-proxy: the settings cannot be read: no settings file was named\n'});
+	});
+});
