--- a/src/lending/borrowed-link.ts
+++ b/src/lending/borrowed-link.ts
@@ -6,6 +6,7 @@
 import type {Peers} from '../peers/peers.js';
 import {SessionState} from '../statements/statement.js';
 import {AnswerCode, type EndpointAnswer} from '../statements/statement-answer.js';
+import {createLoanEnd} from './loan-end.js';
 import {createNeededOnce} from './needed-session.js';
 
 /** A connection that another host lends. */
@@ -42,27 +43,15 @@
  * that was over, did not run for certain.
  */
 export function createBorrowedLink({peers, lender, loan, single, onHeard}: BorrowedLinkOptions): BorrowedLink {
-	const closeListeners: Array<() => void> = [];
+	const loanEnd = createLoanEnd();
 	const needed = createNeededOnce();
 	let turn = 0;
 	let pending = 0;
-	let closed = false;
 	/** State of the connection after its last answer. */
 	let state: SessionState = SessionState.Idle;
 
-	const noteClosed = () => {
-		if (closed) {
-			return;
-		}
-
-		closed = true;
-		for (const listener of closeListeners) {
-			listener();
-		}
-	};
-
 	const end = (cut: boolean) => {
-		noteClosed();
+		loanEnd.close();
 		peers.call(lender, 'loan-end', {loan, cut}, END_TIMEOUT_MS).catch(ignoreUnheard);
 	};
 
@@ -86,10 +75,10 @@
 			return pending;
 		},
 		get closed() {
-			return closed;
+			return loanEnd.closed;
 		},
 		async exchange(request) {
-			if (closed) {
+			if (loanEnd.closed) {
 				throw createLinkLost(lender, 'the loan had ended before');
 			}
 
@@ -103,7 +92,7 @@
 			}
 
 			if (!answer) {
-				noteClosed();
+				loanEnd.close();
 				throw createLinkLost(lender, 'its lender or the endpoint ended it');
 			}
 
@@ -120,9 +109,7 @@
 		close() {
 			end(true);
 		},
-		onClose(listener) {
-			closeListeners.push(listener);
-		},
+		onClose: loanEnd.onClose,
 	};
 
 	return {
@@ -133,8 +120,8 @@
 		adapt: needed.set,
 		giveBack() {
 			if (single && turn > 0) {
-				noteClosed();
-			} else if (!closed) {
+				loanEnd.close();
+			} else if (!loanEnd.closed) {
 				end(false);
 			}
 		},
--- a/src/lending/read-through.ts
+++ b/src/lending/read-through.ts
@@ -12,6 +12,7 @@
 import type {Clock} from '../time/clock.js';
 import {LENDER_WAIT_MS, LENDER_WAY_MS} from './lender-waits.js';
 import {LoanRefusal, type LoanExchange} from './lending-calls.js';
+import {createLoanEnd} from './loan-end.js';
 import {createNeededOnce} from './needed-session.js';
 
 /** A read that runs on a connection of whichever lender has one. */
@@ -47,10 +48,9 @@
  */
 export function createReadThrough(options: ReadThroughOptions): SessionLink {
 	const {endpointId, wish, peers, unreachable, clock} = options;
-	const closeListeners: Array<() => void> = [];
+	const loanEnd = createLoanEnd();
 	const needed = createNeededOnce();
 	let pending = 0;
-	let closed = false;
 
 	const isAlive = async (lender: string) => {
 		try {
@@ -108,7 +108,7 @@
 				throw createLinkLost(lender, 'the endpoint ended the connection under the read');
 			}
 
-			if (closed || clock.now() >= wish.until) {
+			if (loanEnd.closed || clock.now() >= wish.until) {
 				break;
 			}
 		}
@@ -135,28 +135,17 @@
 			if (run === undefined) {
 				return await options.runOnOwn(neededNow, request) ?? DID_NOT_RUN;
 			}
-		} while (!closed && clock.now() < wish.until);
+		} while (!loanEnd.closed && clock.now() < wish.until);
 
 		return DID_NOT_RUN;
 	};
 
-	const end = () => {
-		if (closed) {
-			return;
-		}
-
-		closed = true;
-		for (const listener of closeListeners) {
-			listener();
-		}
-	};
-
 	const link: EndpointLink = {
 		get pending() {
 			return pending;
 		},
 		get closed() {
-			return closed;
+			return loanEnd.closed;
 		},
 		async exchange(request) {
 			pending++;
@@ -174,11 +163,9 @@
 		async readStatus(request) {
 			return throwUnexpectedAnswer(endpointId, request.command.kind);
 		},
-		cut: end,
-		close: end,
-		onClose(listener) {
-			closeListeners.push(listener);
-		},
+		cut: loanEnd.close,
+		close: loanEnd.close,
+		onClose: loanEnd.onClose,
 	};
 
 	return {
