Have nobody read the store for a host that reads it out of turn

A host whose news is overdue read the store and, after 250 ms, had three others read it too; in an outage that is four calls for each of twenty readings a second. The host that reads for all has that done for everyone. By reading, not measured.

--- a/src/mirror/store-mirror.ts
+++ b/src/mirror/store-mirror.ts
@@ -187,10 +187,10 @@
 		return queued;
 	};
 
-	/** Reads the store out of turn, as far as all hosts together may. */
+	/** Reads the store out of turn, as far as all hosts together may; has nobody read for this host, since the one that reads for all has that done. */
 	const readOutOfTurn = () => {
 		if (permit.take(source.getOthers().length + 1, clock.now())) {
-			void confirm();
+			void reader.readAfterNow();
 		}
 	};
 
