--- a/scripts/bundle-proxy.js
+++ b/scripts/bundle-proxy.js
@@ -2,7 +2,7 @@
 /** Bundles the proxy into one file under target/: a restart loads one file in place of some hundred. */
 import {build} from 'esbuild';
 
-/** Bunyan's optional parts, which the proxy does without: found in node_modules, one of them loads a fifth of all that the proxy's start does. */
+/** Bunyan's optional parts, which the proxy does without: found in node_modules, one of them loads much that each start would wait for. */
 const LEFT_OUT = ['dtrace-provider', 'mv', 'source-map-support', 'safe-json-stringify', 'moment'];
 
 const REQUIRE = `
--- a/src/leadership/ask-endpoints.ts
+++ b/src/leadership/ask-endpoints.ts
@@ -26,7 +26,7 @@
 
 /**
  * Asks every endpoint of a group; those that do not answer are left out. A primary that is being replaced for its silence would hold up
- * the others for the whole timeout, 500 ms of a gap of 2,600 as measured: it gets little longer than they took.
+ * the others for the whole timeout, which callers wait for: it gets little longer than they took.
  */
 export async function gatherCandidates(parts: ReplacePrimaryParts, group: string, command: EndpointCommand, silentId?: string): Promise<readonly SuccessorCandidate[]> {
 	const ask = async (endpoint: KnownEndpoint): Promise<SuccessorCandidate | undefined> => {
--- a/src/leadership/primary-reach.ts
+++ b/src/leadership/primary-reach.ts
@@ -51,7 +51,7 @@
 
 /**
  * An endpoint that owes an answer for so long is probed, in milliseconds, so that the probe has failed by the time that its silence
- * counts. Probed only then, a dark primary was replaced 250 ms later, of 1,730 (nine hosts, virtual clock, promotion of 600 ms).
+ * counts. Probed only then, a dark primary would be replaced later by the whole probe.
  */
 const PROBE_AFTER_MS = SILENT_AFTER_MS - PROBE_TIMEOUT_MS;
 
--- a/src/leadership/register-host.ts
+++ b/src/leadership/register-host.ts
@@ -29,8 +29,8 @@
 const STORE_TIMEOUT_MS = 900;
 
 /**
- * What was written shows in the copy of the store with the ordinary confirmations within so long, in milliseconds. Each host that read the store for
- * it made five priced calls more: 340 at the start of 68 hosts.
+ * What was written shows in the copy of the store with the ordinary confirmations within so long, in milliseconds. A host that read the store for
+ * it would make five priced calls more, and all hosts do that when all start.
  */
 const SEEN_WITHIN_MS = 2000;
 
--- a/src/lending/lenders.ts
+++ b/src/lending/lenders.ts
@@ -30,9 +30,8 @@
 };
 
 /**
- * Fewest connections to an endpoint that are worth a host's own share: a host with one is blocked by a single transaction. With less than one each, 68 hosts
- * before endpoints of 34 connections were turned away all day: a mean worth of 0.43 with trouble. With one each, eight hosts before 16 get 0.858, and 0.868 by
- * three lenders (valve tests, one play of five days each, within the noise of 0.03).
+ * Fewest connections to an endpoint that are worth a host's own share: a host with one is blocked by a single transaction, and with less than one each, hosts turn each other
+ * away.
  */
 const LEAST_SHARE = 2;
 
--- a/src/lending/link-lender.ts
+++ b/src/lending/link-lender.ts
@@ -49,7 +49,7 @@
 
 /**
  * A loan that is not used within so long was granted to a borrower that had given up waiting, in milliseconds: a borrower sends its statement as soon as
- * it hears of the connection. Waiting for a whole rest, 17 such loans kept connections for 5 s each on a day of 68 hosts.
+ * it hears of the connection. Kept for a whole rest, such loans would block an endpoint's few connections for seconds each.
  */
 const UNUSED_MS = 400;
 
--- a/src/links/link-budget.ts
+++ b/src/links/link-budget.ts
@@ -18,8 +18,8 @@
 
 /**
  * Part of the share that stays open while idle. After a loss of power of all hosts the endpoint keeps the connections of the dead for 3 s: with
- * the whole share open the limit was used up, and the hosts that came up were turned away for as long. With half of it, 32% of the worth is served in
- * the two seconds after the loss in place of 23, and 89% in the next two in place of 78 (the sleep logs' day with such a loss, one play each).
+ * the whole share open the limit was used up, and the hosts that came up were turned away for as long. With half of it, each of
+ * them finds some connections free.
  */
 const KEPT_PART = 0.5;
 
--- a/src/log/bounded-log.ts
+++ b/src/log/bounded-log.ts
@@ -11,8 +11,7 @@
 };
 
 /**
- * Lines a second that are written on average. A line costs some 30 µs, so this is at most 0.3% of a core; a host sees some 40
- * statements a second, of which few need a line.
+ * Lines a second that are written on average. Writing them takes a small part of a core, also on a day on which every statement needs a line.
  */
 export const LINES_PER_SECOND = 100;
 
--- a/src/mirror/contents-sender.ts
+++ b/src/mirror/contents-sender.ts
@@ -30,10 +30,10 @@
 /** Differences that are kept encoded, for hosts that ask for the same one and for those that fetch its pieces. */
 const KEPT_DIFFERENCES = 16;
 
-/** Largest piece, in bytes. The next one is sent when it is asked for, so that requests on a link of 14 Mbit/s wait for 20 ms at the most. */
+/** Largest piece, in bytes. The next one is sent when it is asked for, so that requests on a slow link wait for no more than one. */
 const PIECE_BYTES = 32_768;
 
-/** Encodes with the names of fields once a message, which is a third of the size where there are many routes. */
+/** Encodes the names of fields once a message and not once an item, of which there may be thousands. */
 const packr = new Packr({useRecords: true});
 
 /** Creates a sender that holds nothing. */
--- a/src/mirror/store-reader.ts
+++ b/src/mirror/store-reader.ts
@@ -29,7 +29,7 @@
 
 /**
  * A store that did not answer is left alone for so long, in milliseconds. Guards against an outage in which it refuses at once: whoever waits for
- * evidence asks again and again, and 68 hosts made 2,500 calls a second, each of them priced, where 340 find its return as soon.
+ * evidence asks again and again, each time a priced call, which finds the store's return no sooner.
  */
 const PAUSE_AFTER_FAILURE_MS = 200;
 
--- a/src/time/elapsed-clock.ts
+++ b/src/time/elapsed-clock.ts
@@ -18,7 +18,7 @@
  * Creates the elapsed clock of the host.
  *
  * Node offers no such clock: `os.uptime()` reads a file of the kernel in steps of 10 ms, which in a container may tell
- * another machine's time. The C library's call takes 0.3 µs, measured over 100,000 calls.
+ * another machine's time.
  */
 export function createElapsedClock(): ElapsedClock {
 	const timespec = koffi.struct({tv_sec: 'long', tv_nsec: 'long'});
--- a/src/time/sleep-alarm.ts
+++ b/src/time/sleep-alarm.ts
@@ -13,8 +13,8 @@
 /**
  * Creates an alarm for the waits that every request makes.
  *
- * An `AbortController` in its place costs an `Event` and a `DOMException` at each end: 16 µs a wait against 1.5 µs
- * (300,000 waits in a loop), and a served read makes two waits.
+ * An `AbortController` in its place costs an `Event` and a `DOMException` at each end, ten times as much, and a served read makes
+ * two waits.
  */
 export function createSleepAlarm(): SleepAlarm {
 	const listeners = new Set<() => void>();
