--- a/src/mirror/mirror-state.ts
+++ b/src/mirror/mirror-state.ts
@@ -24,39 +24,6 @@
 	revision: 0, endpoints: [], leadership: new Map(), hosts: [],
 };
 
-/** A state as it goes from proxy to proxy: maps as lists. */
-export type StateSnapshot = Omit<MirrorState, 'routing' | 'leadership'> & {
-	readonly routing?: Omit<Routing, 'routes' | 'groups'> & {
-		readonly routes: ReadonlyArray<readonly [string, unknown]>;
-		readonly groups: ReadonlyArray<readonly [string, unknown]>;
-	};
-	readonly leadership: ReadonlyArray<Versioned<LeadershipRecord>>;
-};
-
-/** Writes a state for the way to another proxy. */
-export function toSnapshot({routing, leadership, ...rest}: MirrorState): StateSnapshot {
-	return {
-		...rest,
-		...(routing && {routing: {...routing, routes: [...routing.routes], groups: [...routing.groups]}}),
-		leadership: [...leadership.values()],
-	};
-}
-
-/** Reads a state that another proxy sent. */
-export function fromSnapshot({routing, leadership, ...rest}: StateSnapshot): MirrorState {
-	return {
-		...rest,
-		...(routing && {
-			routing: {
-				...routing,
-				routes: new Map(routing.routes as Iterable<[string, never]>),
-				groups: new Map(routing.groups as Iterable<[string, never]>),
-			},
-		}),
-		leadership: new Map(leadership.map(record => [record.group, record])),
-	};
-}
-
 /** Decodes the records of leadership and of the duty; what cannot be read is taken as in {@link getUnreadableLeadership} and {@link getUnreadableDuty}. */
 export function decodeLeadership(records: readonly StoredRecord[]): Pick<MirrorState, 'leadership' | 'duty'> {
 	const leadership = new Map<string, Versioned<LeadershipRecord>>();
