Report what the logs of a fleet tell

aldercroft report LOG… reads logs of any number of hosts line by line, in memory that does not grow with them: refusals, retries, unknown outcomes and late answers by cause, changes of primary with their parts, the spread of each configuration, stops; as text or JSON. Cut and foreign lines are counted.

Not built: the page with a timeline, why ID LOG…, metrics.

--- a/src/cli/read-command-line.ts
+++ b/src/cli/read-command-line.ts
@@ -14,7 +14,11 @@
 	url: {type: 'string', valueHint: 'URL', description: 'Operator port of a host, as in http://10.0.0.1:7402; several parted by commas (or ALDERCROFT_OPERATOR_URL)'},
 	token: {type: 'string', valueHint: 'TOKEN', description: 'Operator\'s token (better in ALDERCROFT_OPERATOR_TOKEN: flags show in the list of processes)'},
 	json: {type: 'boolean', description: 'Print each answer as one line of JSON'},
-	command: {type: 'positional', required: false, description: 'What to run, as in "show groups"; the word "run" may stand before it; none: a prompt'},
+	command: {
+		type: 'positional',
+		required: false,
+		description: 'What to run, as in "show groups"; the word "run" may stand before it; none: a prompt. "report LOG…" reads logs and asks no host',
+	},
 } as const;
 
 /** The tool as citty describes it in `--help`. */
--- a/src/cli/run-cli.ts
+++ b/src/cli/run-cli.ts
@@ -4,6 +4,7 @@
 import {UnreachableError, UsageError} from './cli-errors.js';
 import {COMMAND_EXIT_CODES, ExitCode} from './exit-code.js';
 import {createOperatorClient, type OperatorClient, type SentAnswer} from './operator-client.js';
+import {runReport} from './run-report.js';
 import {aldercroftCommand, getUsage, readCommandLine} from './read-command-line.js';
 
 /** What the tool needs of its process. */
@@ -37,6 +38,10 @@
 	}
 
 	try {
+		if (args[0] === 'report') {
+			return await runReport({...options, args: args.slice(1)});
+		}
+
 		const {command, json, ...connection} = readCommandLine(args, env);
 		const client = createOperatorClient({...options, ...connection});
 		const runCommand = createCommandRunner(options, client, json);
--- /dev/null
+++ b/src/reports/format-report.ts
@@ -0,0 +1,47 @@
+import type {Counts, FleetReport} from './fleet-report.js';
+
+/** Most causes of one kind that the text shows; JSON has them all. */
+const MOST_SHOWN = 12;
+
+/** Writes a report as text. */
+export function formatReport(report: FleetReport): string {
+	return [
+		`${report.lines} lines of ${report.hosts} hosts${formatSpan(report)}; ${report.unreadLines} lines were not read, ${report.droppedLines} were dropped by hosts`,
+		...formatCounts('refusals by code', report.refusalsByCode),
+		...formatCounts('refusals by what was told', report.refusalsByText),
+		...formatCounts('refusals by database', report.refusalsByDatabase),
+		...formatCounts('tried again', report.retries),
+		...formatCounts('outcome unknown', report.unknownOutcomes),
+		`answered late: ${report.lateAnswers}`,
+		`stops begun: ${report.stopsBegun}, ended: ${report.stopsEnded}`,
+		...formatList('changes of primary', report.primaryChanges.map(change => formatChange(change))),
+		...formatList('configurations', report.configurations.map(({version, hosts, firstAt, lastAt}) => `version ${version}: ${hosts} hosts within ${Math.round(lastAt - firstAt)} ms`)),
+		...formatCounts('left out, as there was too much of it', report.leftOut),
+	].join('\n');
+}
+
+function formatSpan({from, to}: FleetReport): string {
+	return from === undefined || to === undefined ? '' : `, ${formatTime(from)} to ${formatTime(to)}`;
+}
+
+function formatTime(at: number): string {
+	return new Date(at).toISOString();
+}
+
+function formatChange({at, host, group, primary, reason = 'its beginning is not in these logs', partsMs}: FleetReport['primaryChanges'][number]): string {
+	const parts = Object.entries(partsMs).map(([name, ms]) => `${name.replace(/Ms$/v, '')} ${ms}`).join(', ');
+	return `${formatTime(at)} ${group}: ${primary}, by ${host}, since ${reason}${parts === '' ? '' : ` (ms: ${parts})`}`;
+}
+
+function formatCounts(title: string, counts: Counts): readonly string[] {
+	return formatList(title, Object.entries(counts).map(([cause, count]) => `${String(count).padStart(7)}  ${cause}`));
+}
+
+function formatList(title: string, lines: readonly string[]): readonly string[] {
+	if (lines.length === 0) {
+		return [];
+	}
+
+	const more = lines.length - MOST_SHOWN;
+	return [`${title}:`, ...lines.slice(0, MOST_SHOWN).map(line => `  ${line}`), ...(more > 0 ? [`  … ${more} more, shown with --json`] : [])];
+}
--- /dev/null
+++ b/tests/reports/fleet-report-tests.ts
@@ -0,0 +1,83 @@
+import {expect} from 'chai';
+import {createFleetReporter} from '../../src/reports/fleet-report.js';
+import {formatReport} from '../../src/reports/format-report.js';
+
+const START = Date.parse('2026-01-19T08:00:00.000Z');
+
+/** A line as a proxy writes it. */
+const line = (host: string, ms: number, msg: string, fields: Record<string, unknown> = {}) => JSON.stringify({
+	name: 'aldercroft-proxy', hostname: host, level: 30, ...fields, time: new Date(START + ms).toISOString(), msg,
+});
+
+const FAULTED: readonly string[] = [
+	line('entry-1', 0, 'mirror: a configuration is in force', {version: 6}),
+	`  0.0300 entry-2 ${line('entry-2', 30, 'mirror: a configuration is in force', {version: 6})}`,
+	line('entry-1', 100, 'callers: a statement was refused', {
+		id: 's1', code: 'overloaded', text: 'come back in 300 ms: no endpoint', database: 'sync',
+	}),
+	line('entry-2', 110, 'callers: a statement was refused', {
+		id: 's2', code: 'overloaded', text: 'come back in 250 ms: no endpoint', database: 'review',
+	}),
+	line('entry-1', 120, 'callers: a read is tried again', {id: 's3', reason: 'lagging'}),
+	line('entry-1', 130, 'callers: a statement was answered late', {id: 's3'}),
+	line('entry-1', 140, 'callers: the outcome of a write is unknown: it was sent and no whole answer came', {id: 's4'}),
+	line('entry-2', 200, 'replace: a primary is replaced', {group: 'nights', reason: 'the primary is silent'}),
+	line('entry-2', 900, 'replace: a group has a primary again', {
+		group: 'nights', primary: 'i-2', term: 3, markMs: 12, promoteMs: 600,
+	}),
+	line('entry-1', 1000, 'leaving', {signal: 'SIGTERM', open: 3}),
+	line('entry-1', 2000, 'left'),
+	line('entry-2', 2100, 'log: lines were dropped', {dropped: 7}),
+	'not a line of a proxy',
+	line('entry-2', 2200, 'serving').slice(0, 40),
+	'',
+];
+
+function report(lines: readonly string[]) {
+	const reporter = createFleetReporter();
+	for (const each of lines) {
+		reporter.note(each);
+	}
+
+	return reporter.getReport();
+}
+
+describe('a report of logs', () => {
+	it('tells what a faulted morning came to', () => {
+		expect(formatReport(report(FAULTED)).split('\n')).to.deep.equal([
+			'14 lines of 2 hosts, 2026-01-19T08:00:00.000Z to 2026-01-19T08:00:02.100Z; 2 lines were not read, 7 were dropped by hosts',
+			'refusals by code:',
+			'        2  overloaded',
+			'refusals by what was told:',
+			'        2  come back in N ms: no endpoint',
+			'refusals by database:',
+			'        1  sync',
+			'        1  review',
+			'tried again:',
+			'        1  read: lagging',
+			'outcome unknown:',
+			'        1  write, no whole answer came',
+			'answered late: 1',
+			'stops begun: 1, ended: 1',
+			'changes of primary:',
+			'  2026-01-19T08:00:00.900Z nights: i-2, by entry-2, since the primary is silent (ms: mark 12, promote 600)',
+			'configurations:',
+			'  version 6: 2 hosts within 30 ms',
+		]);
+	});
+
+	it('tells of no lines that there were none', () => {
+		expect(formatReport(report([])).split('\n')[0]).to.equal('0 lines of 0 hosts; 0 lines were not read, 0 were dropped by hosts');
+	});
+
+	/** A caller that asks for a new name each time must not fill the memory of whoever reads the logs. */
+	it('keeps no more causes apart than it says, and counts the others', () => {
+		const lines = Array.from({length: 1500}, (_, i) => line('entry-1', i, 'callers: a statement was refused', {code: 'unknown-database', text: 'no', database: `db-${i}`}));
+		const {refusalsByDatabase, leftOut} = report(lines);
+		expect([Object.keys(refusalsByDatabase).length, leftOut.causes]).to.deep.equal([1000, 500]);
+	});
+
+	it('takes no sentence for one of its own words', () => {
+		expect(report([line('entry-1', 0, 'toString'), line('entry-1', 0, 'constructor: toString')]).unreadLines).to.equal(0);
+	});
+});
