--- a/src/bench/experiments.ts
+++ b/src/bench/experiments.ts
@@ -5,6 +5,7 @@
 import {leadChanges} from './lead-changes.js';
 import {newsSpread} from './news-spread.js';
 import {overload} from './overload.js';
+import {rateLimits} from './rate-limits.js';
 import {replicaShare} from './replica-share.js';
 import {siteLoad} from './site-load.js';
 import {pooling} from './pooling.js';
@@ -17,6 +18,7 @@
 	[leadChanges.name]: leadChanges,
 	[newsSpread.name]: newsSpread,
 	[overload.name]: overload,
+	[rateLimits.name]: rateLimits,
 	[replicaShare.name]: replicaShare,
 	[siteLoad.name]: siteLoad,
 	[pooling.name]: pooling,
--- a/src/bench/news-spread/news-fleet.ts
+++ b/src/bench/news-spread/news-fleet.ts
@@ -60,6 +60,7 @@
 		version,
 		routes: new Map(routes.map(route => [route.database, route])),
 		groups: new Map(Array.from({length: 14}, (_, i) => [`g${i}`, {name: `g${i}`, maxConnections: 117}])),
+		workspaces: new Map(),
 		idleTransactionMs: 3000,
 	};
 }
--- /dev/null
+++ b/src/bench/rate-limits/counting-host.ts
@@ -0,0 +1,58 @@
+import {createUnreachableHosts} from '../../membership/unreachable-hosts.js';
+import type {Peers} from '../../peers/peers.js';
+import {createPeerNetwork} from '../../stand-ins/peers/in-memory-peers.js';
+import {createRateLimiter} from '../../workspaces/rate-limiter.js';
+import {createTokenIssuer} from '../../workspaces/token-issuer.js';
+import {WAY_MS, type FleetLimit, type FleetLimitOptions} from './fleet-limit.js';
+
+/** The product's way: one host counts and issues tokens, and others stand by. */
+export function createCountingHost({clock, hosts: hostCount, limit: firstLimit}: FleetLimitOptions): FleetLimit {
+	const network = createPeerNetwork(clock, {latencyMs: WAY_MS});
+	const hosts = Array.from({length: hostCount}, (_, i) => ({name: `entry-${i}`, peerAddress: `entry-${i}:7000`, availabilityZone: `zone-${i % 4}`}));
+	const dead = new Set<number>();
+	let limit = firstLimit;
+	let messages = 0;
+	let lastAsked = hosts[0]!.peerAddress;
+
+	const count = (peers: Peers): Peers => ({
+		async call(address, kind, req, timeoutMs) {
+			messages += 2;
+			lastAsked = address;
+			return peers.call(address, kind, req, timeoutMs);
+		},
+		handle: peers.handle,
+	});
+
+	const limiters = hosts.map(({peerAddress}) => {
+		const peers = network.addHost(peerAddress);
+		peers.handle('host-alive', async () => ({alive: true as const}));
+		return createRateLimiter({
+			peers: count(peers),
+			unreachable: createUnreachableHosts(),
+			clock,
+			ownPeerAddress: peerAddress,
+			issuer: createTokenIssuer({getLimit: () => limit}),
+			getHosts: () => hosts,
+		});
+	});
+
+	return {
+		get messages() {
+			return messages;
+		},
+		dead,
+		async take(host) {
+			const {allowed} = await limiters[host]!.take({
+				name: 'north', keys: [], priority: 0, limit,
+			});
+			return allowed;
+		},
+		setLimit(changed) {
+			limit = changed;
+		},
+		killCoordinator() {
+			network.kill(lastAsked);
+			dead.add(hosts.findIndex(({peerAddress}) => peerAddress === lastAsked));
+		},
+	};
+}
--- /dev/null
+++ b/src/bench/rate-limits/static-shares.ts
@@ -0,0 +1,23 @@
+import {createTokenBucket} from '../../workspaces/token-bucket.js';
+import type {FleetLimit, FleetLimitOptions} from './fleet-limit.js';
+
+/** Each host grants an equal part of the limit by itself. */
+export function createStaticShares({clock, hosts, limit}: FleetLimitOptions): FleetLimit {
+	const getShare = ({ratePerSecond, burst}: typeof limit) => ({ratePerSecond: ratePerSecond / hosts, burst: burst / hosts});
+	const buckets = Array.from({length: hosts}, () => createTokenBucket(getShare(limit), limit.burst / hosts, clock.now()));
+	const dead = new Set<number>();
+
+	return {
+		messages: 0,
+		dead,
+		take: async host => buckets[host]!.take(1, clock.now()) === 1,
+		setLimit(changed) {
+			for (const bucket of buckets) {
+				bucket.setLimit(getShare(changed), clock.now());
+			}
+		},
+		killCoordinator() {
+			dead.add(0);
+		},
+	};
+}
--- /dev/null
+++ b/src/gateway/admit-operation.ts
@@ -0,0 +1,41 @@
+import type {Route} from '../routes/routing.js';
+import {AnswerCode} from '../statements/statement-answer.js';
+import {AccessDenial} from '../workspaces/caller-access.js';
+import type {KeyFingerprint} from '../workspaces/key-index.js';
+import type {Workspace} from '../workspaces/workspace.js';
+import type {GatewayParts} from './gateway-parts.js';
+import {refuse, type RefusalResult} from './statement-result.js';
+
+/** Whether a caller's request is let in, and on whose behalf it runs. */
+export type Admission =
+	| {readonly admitted: true; readonly workspace?: Workspace}
+	| {readonly admitted: false; readonly refusal: RefusalResult};
+
+/** When to come back to a host that cannot verify keys, in milliseconds: another host can at once. */
+const UNVERIFIABLE_COME_BACK_MS = 50;
+
+const UNKNOWN_KEY = refuse(AnswerCode.Unauthenticated, 'no workspace has this key; nothing is kept');
+const UNVERIFIABLE = refuse(AnswerCode.Overloaded, 'this host cannot tell whether the key was revoked; nothing is kept', UNVERIFIABLE_COME_BACK_MS);
+
+/** Lets a request in where its caller's key is good. */
+export function admitCaller({access, elapsedClock}: GatewayParts, fingerprint: KeyFingerprint, route: Route): Admission {
+	const verdict = access.judge(fingerprint, route, elapsedClock.elapsed());
+	if (verdict.allowed) {
+		return {admitted: true, workspace: verdict.workspace};
+	}
+
+	return {admitted: false, refusal: verdict.denial === AccessDenial.UnknownKey ? UNKNOWN_KEY : UNVERIFIABLE};
+}
+
+/** Lets an operation in where its caller's key is good and its workspace is within its rate limit. */
+export async function admitOperation(parts: GatewayParts, fingerprint: KeyFingerprint, route: Route): Promise<Admission> {
+	const admission = admitCaller(parts, fingerprint, route);
+	if (!admission.admitted || !admission.workspace) {
+		return admission;
+	}
+
+	const verdict = await parts.rateLimiter.take(admission.workspace);
+	return verdict.allowed
+		? admission
+		: {admitted: false, refusal: refuse(AnswerCode.RateLimited, 'the workspace is over its rate limit; nothing ran', verdict.retryAfterMs)};
+}
--- a/src/gateway/caller-channel.ts
+++ b/src/gateway/caller-channel.ts
@@ -4,7 +4,7 @@
 
 /** What a caller sends on its connection. */
 export type CallerRequest =
-	| {readonly kind: 'open'; readonly database: string; readonly caller: string}
+	| {readonly kind: 'open'; readonly database: string; readonly key: string}
 	| {readonly kind: 'statement'; readonly id: string; readonly statement: Statement}
 	| {readonly kind: 'end'}
 	| {readonly kind: 'malformed'}
--- a/src/gateway/caller-session.ts
+++ b/src/gateway/caller-session.ts
@@ -5,6 +5,9 @@
 } from '../statements/statement.js';
 import {AnswerCode} from '../statements/statement-answer.js';
 import {createSleepAlarm, type SleepAlarm} from '../time/sleep-alarm.js';
+import {getFingerprint} from '../workspaces/key-index.js';
+import type {Workspace} from '../workspaces/workspace.js';
+import {admitCaller, admitOperation} from './admit-operation.js';
 import {createAnswerWait} from './answer-wait.js';
 import {createCallerTransaction, type CallerTransaction} from './caller-transaction.js';
 import {getShape, type EndpointStatement} from './exchange.js';
@@ -49,15 +52,20 @@
 /** Statements of a stopping host end so long before their final answer is due, in milliseconds, so that what did not run is told apart from what may have. */
 const FINAL_ANSWER_MS = 100;
 
+/** Answers a statement whose caller's key has come to another workspace since its transaction began. */
+const REVOKED = refuse(AnswerCode.Unauthenticated, 'the key is of another workspace now; the transaction was rolled back');
+
 /** What leaves an operation to come: a session does not end behind it. */
 const PREPARES: ReadonlySet<Statement['kind']> = new Set(['set', 'prepare', 'forget']);
 
 /** Creates a session. */
 export function createCallerSession({parts, channel, getBudget, getStopPlan}: CallerSessionOptions): CallerSession {
 	const {clock, elapsedClock, mirror} = parts;
-	let memory = createSessionMemory('');
+	let memory = createSessionMemory('', getFingerprint(''));
 	let transaction: CallerTransaction | undefined;
 	let transactionRoute: Route | undefined;
+	/** On whose behalf the open transaction was begun. */
+	let transactionWorkspace: Workspace | undefined;
 	/** Of the statement under way, or of the transaction that it belongs to. */
 	let trace = createStatementTrace();
 	let busy = false;
@@ -81,11 +89,12 @@
 	const endTransaction = () => {
 		transaction = undefined;
 		transactionRoute = undefined;
+		transactionWorkspace = undefined;
 	};
 
 	const getState = (): SessionState => transaction ? (transaction.failed ? SessionState.Failed : SessionState.Open) : SessionState.Idle;
 
-	const begin = (id: string, readOnly: boolean): StatementResult => {
+	const begin = async (id: string, readOnly: boolean): Promise<StatementResult> => {
 		const route = getRoute();
 		if (!route) {
 			return refuse(AnswerCode.UnknownDatabase, 'no route has this name');
@@ -96,28 +105,49 @@
 			return STOPPING;
 		}
 
+		const arrivedAt = elapsedClock.elapsed();
+		const admission = await admitOperation(parts, memory.fingerprint, route);
+		if (!admission.admitted) {
+			newTrace();
+			return admission.refusal;
+		}
+
+		const {workspace} = admission;
 		transactionRoute = route;
+		transactionWorkspace = workspace;
 		transaction = createCallerTransaction({
 			parts,
 			beginId: id,
 			readOnly,
 			req: {
-				route, memory, arrivedAt: elapsedClock.elapsed(), isWanted, trace: newTrace(),
+				route, memory, workspace, arrivedAt, isWanted, trace: newTrace(),
 			},
 		});
 		return DONE;
 	};
 
+	/** The refusal to a statement of an open transaction whose caller's key has been revoked, or cannot be verified; the transaction is rolled back. */
+	const admitToTransaction = (open: CallerTransaction, route: Route): StatementResult | undefined => {
+		const admission = admitCaller(parts, memory.fingerprint, route);
+		if (admission.admitted && admission.workspace?.name === transactionWorkspace?.name) {
+			return undefined;
+		}
+
+		open.abort('the key of its caller is not good any more');
+		return admission.admitted ? REVOKED : admission.refusal;
+	};
+
 	const runStatement = async (id: string, statement: EndpointStatement): Promise<StatementResult> => {
 		const route = getRoute();
 		if (!route) {
 			return refuse(AnswerCode.UnknownDatabase, 'no route has this name');
 		}
 
+		const arrivedAt = elapsedClock.elapsed();
 		const plan = getStopPlan();
 		const until = Math.min(clock.now() + route.statementTimeoutMs, (plan?.answerBy ?? Number.POSITIVE_INFINITY) - FINAL_ANSWER_MS);
 		if (transaction) {
-			return transaction.run(id, statement, until);
+			return admitToTransaction(transaction, route) ?? transaction.run(id, statement, until);
 		}
 
 		const shape = getShape(memory, statement);
@@ -130,11 +160,17 @@
 			return STOPPING;
 		}
 
+		const admission = await admitOperation(parts, memory.fingerprint, route);
+		if (!admission.admitted) {
+			newTrace();
+			return admission.refusal;
+		}
+
 		const single = {
 			id,
 			statement,
 			req: {
-				route, memory, arrivedAt: elapsedClock.elapsed(), until, single: true, isWanted, trace: newTrace(),
+				route, memory, workspace: admission.workspace, arrivedAt, until, single: true, isWanted, trace: newTrace(),
 			},
 		};
 		return shape.access === Access.Read ? runRead(parts, getBudget(route.group), single) : runWrite(parts, single);
@@ -145,7 +181,14 @@
 			return refuse(AnswerCode.Malformed, 'no transaction is open');
 		}
 
-		const timeoutMs = getRoute()?.statementTimeoutMs ?? ENDING_TIMEOUT_MS;
+		const route = getRoute();
+		const denied = transactionRoute && admitToTransaction(transaction, transactionRoute);
+		if (denied) {
+			endTransaction();
+			return denied;
+		}
+
+		const timeoutMs = route?.statementTimeoutMs ?? ENDING_TIMEOUT_MS;
 		const {failed} = transaction;
 		const result = await transaction.commit(id, clock.now() + timeoutMs);
 		endTransaction();
@@ -257,13 +300,13 @@
 		}
 
 		busy = true;
-		const database = await openSession(parts, req, {channel, getStopPlan});
+		const openedMemory = await openSession(parts, req, {channel, getStopPlan});
 		busy = false;
-		if (database === undefined) {
+		if (!openedMemory) {
 			return false;
 		}
 
-		memory = createSessionMemory(database);
+		memory = openedMemory;
 		opened = true;
 		return true;
 	};
--- a/src/gateway/gateway-parts.ts
+++ b/src/gateway/gateway-parts.ts
@@ -9,6 +9,8 @@
 import type {ReadPlacement} from '../placement/read-placement.js';
 import type {Clock} from '../time/clock.js';
 import type {ElapsedClock} from '../time/elapsed-clock.js';
+import type {CallerAccess} from '../workspaces/caller-access.js';
+import type {RateLimiter} from '../workspaces/rate-limiter.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 
 /** What serving callers needs of the rest of the proxy. */
@@ -24,6 +26,8 @@
 	readonly primaryWork: PrimaryWork;
 	readonly cutOffs: CutOffs;
 	readonly sampleBorrowing: SampleBorrowing;
+	readonly access: CallerAccess;
+	readonly rateLimiter: RateLimiter;
 	readonly availabilityZone: string;
 	readonly placement: ReadPlacement;
 };
--- a/src/gateway/lend-link.ts
+++ b/src/gateway/lend-link.ts
@@ -10,6 +10,7 @@
 import {SessionState} from '../statements/statement.js';
 import type {LogPosition} from '../terms/log-position.js';
 import {createSleepAlarm} from '../time/sleep-alarm.js';
+import type {Workspace} from '../workspaces/workspace.js';
 import type {GatewayParts} from './gateway-parts.js';
 import type {SessionMemory} from './session-memory.js';
 import type {StatementTrace} from './statement-trace.js';
@@ -32,6 +33,8 @@
 export type LinkRequest = {
 	readonly route: Route;
 	readonly memory: SessionMemory;
+	/** Workspace on whose behalf it runs; undefined where the caller has none. */
+	readonly workspace?: Workspace;
 	/** Elapsed time at or after which the first byte of the statement, or of its transaction, had come. */
 	readonly arrivedAt: number;
 	/** Steady time until which a connection is of use. */
@@ -215,6 +218,7 @@
 		priority: req.route.priority,
 		until: req.until,
 		values: req.memory.values,
+		workspace: req.workspace?.name,
 		single: req.single ?? false,
 		read: req.reads ? {epoch: evidence?.epoch} : undefined,
 		least: evidence?.start,
--- a/src/gateway/open-session.ts
+++ b/src/gateway/open-session.ts
@@ -1,7 +1,10 @@
 import {AnswerCode} from '../statements/statement-answer.js';
 import {withinMs} from '../time/deadline.js';
+import {getFingerprint} from '../workspaces/key-index.js';
+import {admitCaller} from './admit-operation.js';
 import type {CallerChannel, CallerRequest} from './caller-channel.js';
 import type {GatewayParts} from './gateway-parts.js';
+import {createSessionMemory, type SessionMemory} from './session-memory.js';
 import {STOPPING} from './stop-answers.js';
 import {isPastAdmission, type StopPlan} from './stop-plan.js';
 
@@ -21,8 +24,8 @@
 /** Longest wait for a route that may have just been added, in milliseconds: callers give up on a session that is not open after 2,000. */
 const SECOND_LOOK_MS = 1000;
 
-/** Opens a session where its first request is one that may; the database that it named, undefined where it was refused. */
-export async function openSession(parts: GatewayParts, req: CallerRequest | undefined, options: OpenSessionOptions): Promise<string | undefined> {
+/** Opens a session where its first request is one that may; its memory, undefined where it was refused. */
+export async function openSession(parts: GatewayParts, req: CallerRequest | undefined, options: OpenSessionOptions): Promise<SessionMemory | undefined> {
 	const {clock, log, mirror} = parts;
 	const {channel, getStopPlan} = options;
 	if (req?.kind !== 'open') {
@@ -35,15 +38,15 @@
 
 	const {database} = req;
 	await waitForRouting(parts, options);
-	const isKnown = () => mirror.state.routing?.routes.has(database) ?? false;
+	const getRoute = () => mirror.state.routing?.routes.get(database);
 	// A host that stops may end before a second look does; another host can look.
-	if (!isKnown() && !getStopPlan()) {
+	if (!getRoute() && !getStopPlan()) {
 		// The copy may lack a route that was just added. Its next confirmation comes by itself; a look for each such name would be a priced call of each host.
 		await withinMs(clock, SECOND_LOOK_MS, mirror.nextConfirmation());
 	}
 
 	const plan = getStopPlan();
-	if (isPastAdmission(plan, clock.now()) || (plan && !isKnown())) {
+	if (isPastAdmission(plan, clock.now()) || (plan && !getRoute())) {
 		log.info('a session was refused: the host is stopping', {database});
 		channel.refuse(STOPPING.end.code, STOPPING.end.text);
 		return undefined;
@@ -55,14 +58,24 @@
 		return undefined;
 	}
 
-	if (!isKnown()) {
+	const route = getRoute();
+	if (!route) {
 		log.info('a session was refused: no route has its name', {database, routing: mirror.state.routing.version});
 		channel.refuse(AnswerCode.UnknownDatabase, 'no route has this name');
 		return undefined;
 	}
 
+	const memory = createSessionMemory(database, getFingerprint(req.key));
+	const admission = admitCaller(parts, memory.fingerprint, route);
+	if (!admission.admitted) {
+		const {code, text} = admission.refusal.end;
+		log.info('a session was refused: its key is not good', {database, code, routing: mirror.state.routing.version});
+		channel.refuse(code, text);
+		return undefined;
+	}
+
 	channel.greet();
-	return database;
+	return memory;
 }
 
 /** A host that has just started knows no route yet, which must not be taken for a route that is not there. */
--- a/src/gateway/session-memory.ts
+++ b/src/gateway/session-memory.ts
@@ -1,9 +1,12 @@
 import type {PreparedShape, Statement} from '../statements/statement.js';
 import type {LogPosition} from '../terms/log-position.js';
+import type {KeyFingerprint} from '../workspaces/key-index.js';
 
 /** What lasts as long as a caller's session. */
 export type SessionMemory = {
 	readonly database: string;
+	/** Of the key that the caller showed. */
+	readonly fingerprint: KeyFingerprint;
 	/** Session values that the caller set. */
 	readonly values: Map<string, string>;
 	/** Prepared statements by the caller's own names. */
@@ -13,9 +16,9 @@
 };
 
 /** Creates the memory of a fresh session. */
-export function createSessionMemory(database: string): SessionMemory {
+export function createSessionMemory(database: string, fingerprint: KeyFingerprint): SessionMemory {
 	return {
-		database, values: new Map(), prepared: new Map(), floors: new Map(),
+		database, fingerprint, values: new Map(), prepared: new Map(), floors: new Map(),
 	};
 }
 
--- a/src/lending/lending-calls.ts
+++ b/src/lending/lending-calls.ts
@@ -27,6 +27,8 @@
 	readonly waitMs: number;
 	/** Session values; a connection that has them set is preferred. */
 	readonly values: ReadonlyArray<readonly [string, string]>;
+	/** Workspace whose connections may serve it; undefined where there are no workspaces. */
+	readonly workspace?: string;
 	/** It serves one statement that leaves nothing open. */
 	readonly single: boolean;
 	/** What the endpoint's log must have held when the connection was opened; undefined where any will do. */
--- a/src/lending/link-lender.ts
+++ b/src/lending/link-lender.ts
@@ -11,6 +11,7 @@
 import {withinMs} from '../time/deadline.js';
 import type {Clock} from '../time/clock.js';
 import type {ElapsedClock} from '../time/elapsed-clock.js';
+import {createSleepAlarm} from '../time/sleep-alarm.js';
 import {
 	LoanRefusal, type LoanAnswer, type LoanExchange, type LoanRequest, type LoanRun,
 } from './lending-calls.js';
@@ -77,7 +78,7 @@
 	} = options;
 	const log = options.log.part('loans: ');
 	const loans = new Map<string, Loan>();
-	const stopping = new AbortController();
+	const stopping = createSleepAlarm();
 	let retired = false;
 	/** Why no loan outlasts the request under way on it; undefined while they may. */
 	let endingWhy: string | undefined;
@@ -112,7 +113,7 @@
 		}
 	};
 
-	const lend = async ({endpointId, priority, waitMs, values, single, least}: LoanRequest, borrower: string): Promise<LoanAnswer> => {
+	const lend = async ({endpointId, priority, waitMs, values, workspace, single, least}: LoanRequest, borrower: string): Promise<LoanAnswer> => {
 		const endpoint = directory.get(endpointId);
 		if (retired) {
 			return {refused: LoanRefusal.Stopping};
@@ -124,7 +125,7 @@
 
 		const {ownPool} = endpoint;
 		const sessionLink = await ownPool.acquire({
-			priority, until: clock.now() + waitMs, values: new Map(values), single, least,
+			priority, until: clock.now() + waitMs, values: new Map(values), workspace, single, least,
 		});
 		if (retired) {
 			// The order to stop came during the wait: a transaction would begin on a host that is about to end.
@@ -272,9 +273,9 @@
 	};
 
 	const watch = async () => {
-		while (!stopping.signal.aborted) {
+		while (!stopping.aborted) {
 			endForgotten();
-			await clock.sleep(LOOK_MS, stopping.signal);
+			await clock.sleep(LOOK_MS, stopping);
 		}
 	};
 
--- a/src/lending/read-through.ts
+++ b/src/lending/read-through.ts
@@ -22,8 +22,8 @@
 	readonly peers: Peers;
 	readonly unreachable: UnreachableHosts;
 	readonly clock: Clock;
-	/** Lenders to ask, in order. */
-	getOrder(): readonly string[];
+	/** Lenders to ask for connections of a workspace, in order. */
+	getOrder(workspace: string | undefined): readonly string[];
 	/** Runs it on an own connection, as no lender answers; undefined where none came free. */
 	runOnOwn(needed: LoanExchange['needed'], request: EndpointRequest): Promise<EndpointAnswer | undefined>;
 	/** Told of each answer of the endpoint. */
@@ -70,7 +70,7 @@
 		const waitMs = Math.max(1, Math.min(LENDER_WAIT_MS, wish.until - clock.now()));
 		try {
 			const asked = peers.call(lender, 'loan-run', {
-				endpointId, priority: wish.priority, waitMs, values: [...wish.values], single: true, least: wish.least, epoch: wish.read?.epoch, needed: neededNow, request,
+				endpointId, priority: wish.priority, waitMs, values: [...wish.values], workspace: wish.workspace, single: true, least: wish.least, epoch: wish.read?.epoch, needed: neededNow, request,
 			}, RUN_TIMEOUT_MS);
 			const first = await withinMs(clock, waitMs + LENDER_WAY_MS, asked);
 			if (first.timedOut && !await isAlive(lender)) {
@@ -94,7 +94,7 @@
 	/** Asks each lender once; the answer, or why the last one that answered did not run it. */
 	const runAtAny = async (neededNow: LoanExchange['needed'], request: EndpointRequest): Promise<EndpointAnswer | LoanRefusal | undefined> => {
 		let last: LoanRefusal | undefined;
-		for (const lender of options.getOrder()) {
+		for (const lender of options.getOrder(wish.workspace)) {
 			const run = await runAt(lender, neededNow, request);
 			if (run && 'refused' in run) {
 				if (run.refused === LoanRefusal.Stopping) {
--- a/src/lending/shared-pool.ts
+++ b/src/lending/shared-pool.ts
@@ -2,6 +2,7 @@
 import type {EndpointCommand, EndpointRequest, EndpointStatus} from '../links/endpoint-link.js';
 import type {EndpointPool, LinkWish} from '../links/endpoint-pool.js';
 import type {SessionLink} from '../links/link-session.js';
+import {getWeight, hashName, type NameHash} from '../membership/rendezvous.js';
 import type {UnreachableHosts} from '../membership/unreachable-hosts.js';
 import {isPeerError} from '../peers/peer-errors.js';
 import type {Peers} from '../peers/peers.js';
@@ -69,8 +70,11 @@
 		heard.noteHeard(clock.now());
 	};
 
-	/** Lenders to ask, in order: those of the own zone by turns, then one farther away, should all in the zone be cut off from the endpoint. */
-	const getOrder = (): readonly string[] => {
+	/**
+	 * Lenders to ask, in order: those of the own zone, then one farther away, should all in the zone be cut off from the endpoint. By turns, or where the connection is for a
+	 * workspace in the workspace's own order, so that its statements meet where it has connections.
+	 */
+	const getOrder = (workspace: string | undefined): readonly string[] => {
 		const now = clock.now();
 		const near: string[] = [];
 		const far: string[] = [];
@@ -80,6 +84,11 @@
 			}
 		}
 
+		if (workspace !== undefined) {
+			const hash = hashName(workspace);
+			return [...rank(near, hash), ...rank(far, hash).slice(0, 1)];
+		}
+
 		turns++;
 		return [...rotate(near, turns), ...rotate(far, turns).slice(0, 1)];
 	};
@@ -88,7 +97,7 @@
 		const waitMs = Math.min(LENDER_WAIT_MS, wish.until - clock.now());
 		try {
 			const answer = await peers.call(lender, 'loan-open', {
-				endpointId: entry.id, priority: wish.priority, waitMs, values: [...wish.values], single: wish.single, least: wish.least,
+				endpointId: entry.id, priority: wish.priority, waitMs, values: [...wish.values], workspace: wish.workspace, single: wish.single, least: wish.least,
 			}, waitMs + LENDER_WAY_MS);
 			unreachable.delete(lender);
 			if ('refused' in answer) {
@@ -132,7 +141,7 @@
 	/** Asks each lender once; the reason of the last one that answered where none lends. */
 	const askAll = async (wish: LinkWish): Promise<Asked> => {
 		let last: LoanRefusal | undefined;
-		for (const lender of getOrder()) {
+		for (const lender of getOrder(wish.workspace)) {
 			if (clock.now() >= wish.until) {
 				break;
 			}
@@ -255,7 +264,7 @@
 			}
 
 			const until = clock.now() + timeoutMs;
-			for (const lender of getOrder()) {
+			for (const lender of getOrder(undefined)) {
 				const status = await askThrough(lender, command, Math.min(LENDER_WAIT_MS + LENDER_WAY_MS, until - clock.now()));
 				if (status) {
 					noteHeard();
@@ -274,6 +283,13 @@
 	};
 }
 
+function rank(addresses: readonly string[], workspace: NameHash): readonly string[] {
+	return addresses
+		.map(address => ({address, weight: getWeight(workspace, hashName(address))}))
+		.toSorted((left, right) => right.weight - left.weight)
+		.map(({address}) => address);
+}
+
 function rotate<T>(list: readonly T[], by: number): readonly T[] {
 	const at = list.length === 0 ? 0 : by % list.length;
 	return [...list.slice(at), ...list.slice(0, at)];
--- a/src/links/create-endpoint-pool.ts
+++ b/src/links/create-endpoint-pool.ts
@@ -6,6 +6,7 @@
 import type {EndpointPool, EndpointPoolOptions, LinkWish} from './endpoint-pool.js';
 import {createIdleLinks} from './idle-links.js';
 import {createLinkBudget} from './link-budget.js';
+import {chooseWaiter, getNextWaiter, type Waiter} from './choose-waiter.js';
 import {createLinkRefused, isLinkRefused} from './link-errors.js';
 import {createSessionLink, type SessionLink} from './link-session.js';
 
@@ -21,11 +22,6 @@
 /** One within the share, beyond what is kept, after so long, in milliseconds: opening it anew costs 12 ms of a slot. */
 const SHARE_IDLE_MS = 3000;
 
-type Waiter = LinkWish & {
-	readonly order: number;
-	give(sessionLink: SessionLink | undefined): void;
-};
-
 /** Creates a pool without connections. */
 export function createEndpointPool({target, opener, clock, log, getLimits, getLeastPosition}: EndpointPoolOptions): EndpointPool {
 	const health = createEndpointHealth();
@@ -35,7 +31,13 @@
 	const idle = createIdleLinks();
 	let waiters: Waiter[] = [];
 	let opening = 0;
+	/** The workspaces for which connections are being opened. */
+	const openingFor: Array<string | undefined> = [];
+	/** Connections that are lent, by workspace. */
+	const inUse = new Map<string | undefined, number>();
 	let order = 0;
+	/** An idle connection is being closed for one that is opened at once. */
+	let makingRoom = false;
 	let retired = false;
 	let refusedSince: number | undefined;
 	let recheckedAt = Number.NEGATIVE_INFINITY;
@@ -57,24 +59,27 @@
 	};
 
 	/** Opens a connection and keeps it in the pool until it closes. */
-	const openLink = async (timeoutMs: number) => {
+	const openLink = async (timeoutMs: number, workspace: string | undefined) => {
 		opening++;
+		openingFor.push(workspace);
 		listener.onAsked();
 		let opened = false;
 		try {
 			// Taken before the opening: what others write meanwhile may be known here before the endpoint's greeting is.
 			const least = getLeastPosition();
-			const link = await opener.open(target, timeoutMs, listener);
+			const link = await opener.open({...target, workspace}, timeoutMs, listener);
 			if (!isOfLife(link, least)) {
 				refuseForgetful(link, least);
 			}
 
-			const sessionLink = createSessionLink(link);
+			const sessionLink = createSessionLink(link, workspace);
 			all.add(sessionLink);
 			link.onClose(() => {
 				all.delete(sessionLink);
 				inTransactions.delete(sessionLink);
-				openForWaiters();
+				if (!makingRoom) {
+					openForWaiters();
+				}
 			});
 			opened = true;
 			return sessionLink;
@@ -83,6 +88,7 @@
 			throw err;
 		} finally {
 			opening--;
+			openingFor.splice(openingFor.indexOf(workspace), 1);
 			if (opened) {
 				noteWhetherOpen();
 			}
@@ -119,6 +125,7 @@
 	};
 
 	const lend = (sessionLink: SessionLink, {single}: LinkWish) => {
+		noteInUse(sessionLink, 1);
 		if (!single) {
 			inTransactions.add(sessionLink);
 		}
@@ -128,32 +135,47 @@
 
 	const takeIdle = (wish: LinkWish) => {
 		dropOthers(wish);
-		const taken = mayTake(wish) ? idle.take(wish.values) : undefined;
+		const taken = mayTake(wish) ? idle.take(wish.values, wish.workspace) : undefined;
 		return taken && lend(taken, wish);
 	};
 
-	const giveAway = (sessionLink: SessionLink) => {
-		const next = waiters.findIndex(waiter => mayTake(waiter));
-		const [waiter] = next === -1 ? [] : waiters.splice(next, 1);
-		if (waiter && !isOfLife(sessionLink.link, waiter.least)) {
-			waiters.unshift(waiter);
+	const getInUse = (workspace: string | undefined) => (inUse.get(workspace) ?? 0) + openingFor.filter(other => other === workspace).length;
+
+	const noteInUse = ({workspace}: SessionLink, change: number) => {
+		const count = (inUse.get(workspace) ?? 0) + change;
+		if (count > 0) {
+			inUse.set(workspace, count);
+		} else {
+			inUse.delete(workspace);
+		}
+	};
+
+	const giveTo = (waiter: Waiter, sessionLink: SessionLink) => {
+		if (isOfLife(sessionLink.link, waiter.least)) {
+			waiters = waiters.filter(other => other !== waiter);
+			waiter.give(lend(sessionLink, waiter));
+		} else {
 			sessionLink.link.cut();
-			return;
 		}
+	};
 
+	const giveAway = (sessionLink: SessionLink) => {
+		const waiter = chooseWaiter(waiters.filter(wish => mayTake(wish)), sessionLink.workspace, getInUse, clock.now());
 		if (waiter) {
-			waiter.give(lend(sessionLink, waiter));
+			giveTo(waiter, sessionLink);
 			return;
 		}
 
 		idle.add(sessionLink, clock.now());
+		openForWaiters();
 	};
 
 	/** What was held back from a transaction may be lent to it once another may be opened. */
 	const serveIdle = () => {
-		const free = waiters.length > 0 ? idle.takeNewest() : undefined;
+		const waiter = waiters.find(wish => mayTake(wish) && idle.has(wish.workspace));
+		const free = waiter && idle.take(waiter.values, waiter.workspace);
 		if (free) {
-			giveAway(free);
+			giveTo(waiter, free);
 		}
 	};
 
@@ -188,9 +210,9 @@
 		}
 	};
 
-	const openOne = async () => {
+	const openOne = async (workspace: string | undefined) => {
 		try {
-			const sessionLink = await openLink(OPEN_TIMEOUT_MS);
+			const sessionLink = await openLink(OPEN_TIMEOUT_MS, workspace);
 			noteOpened();
 			if (retired) {
 				sessionLink.link.close();
@@ -210,11 +232,43 @@
 		}
 	};
 
+	/** Whose turn it is of those who wait without a connection being opened for them. */
+	const getUnserved = (): Waiter | undefined => {
+		const underWay = [...openingFor];
+		const unserved = waiters.filter(({workspace}) => {
+			const at = underWay.indexOf(workspace);
+			if (at !== -1) {
+				underWay.splice(at, 1);
+			}
+
+			return at === -1;
+		});
+		return getNextWaiter(unserved, getInUse);
+	};
+
+	/**
+	 * Makes room for a connection of the workspace by closing an idle one of another. Guards a workspace that comes anew while others hold every connection: none of
+	 * those can serve it.
+	 */
+	const makeRoom = (workspace: string | undefined) => {
+		const evicted = idle.takeOldestOfOthers(workspace);
+		makingRoom = true;
+		evicted?.link.close();
+		makingRoom = false;
+		return evicted !== undefined;
+	};
+
+	/** Beyond the share one is opened at a time: hosts that press on together would all be turned away. */
+	const mayOpenBeside = (open: number) => budget.mayOpen(clock.now(), open) && (opening === 0 || open < budget.share);
+
 	const openForWaiters = () => {
-		// Beyond the share one is opened at a time: hosts that press on together would all be turned away.
-		const mayOpen = () => budget.mayOpen(clock.now(), all.size + opening) && (opening === 0 || all.size + opening < budget.share);
-		while (!retired && opening < waiters.length && mayOpen()) {
-			void openOne();
+		for (let next = getUnserved(); next && !retired; next = getUnserved()) {
+			const open = all.size + opening;
+			if (!mayOpenBeside(open) && !(mayOpenBeside(open - 1) && makeRoom(next.workspace))) {
+				return;
+			}
+
+			void openOne(next.workspace);
 		}
 	};
 
@@ -229,7 +283,7 @@
 		}
 
 		recheckedAt = now;
-		void openOne();
+		void openOne(undefined);
 	};
 
 	const trim = () => {
@@ -254,6 +308,7 @@
 		const waiter: Waiter = {
 			...wish,
 			order: order++,
+			since: clock.now(),
 			give(sessionLink) {
 				given = sessionLink;
 				done = true;
@@ -296,6 +351,7 @@
 			return takeIdle(wish) ?? wait(wish);
 		},
 		release(sessionLink) {
+			noteInUse(sessionLink, -1);
 			inTransactions.delete(sessionLink);
 			if (sessionLink.link.closed) {
 				openForWaiters();
@@ -316,7 +372,7 @@
 				return open.link.readStatus({command});
 			}
 
-			const sessionLink = await openLink(timeoutMs);
+			const sessionLink = await openLink(timeoutMs, undefined);
 			const status = await sessionLink.link.readStatus({command});
 			giveAway(sessionLink);
 			return status;
--- a/src/links/endpoint-link.ts
+++ b/src/links/endpoint-link.ts
@@ -74,6 +74,8 @@
 	readonly group: string;
 	/** Id that the endpoint must have: addresses are used again by others. */
 	readonly endpointId: string;
+	/** Workspace for which the endpoint is to run statements; undefined for this host's own questions, and where there are no workspaces. */
+	readonly workspace?: string;
 };
 
 /** Is told of traffic on a link. */
--- a/src/links/endpoint-pool.ts
+++ b/src/links/endpoint-pool.ts
@@ -16,6 +16,8 @@
 	readonly until: number;
 	/** Session values; a connection that has them set is preferred. */
 	readonly values: ReadonlyMap<string, string>;
+	/** Workspace whose connections may serve it; undefined where there are no workspaces. */
+	readonly workspace?: string;
 	/** It serves one statement that leaves nothing open. */
 	readonly single: boolean;
 	/** It serves one read, which is sent at once and may run more than once; with the epoch of the evidence under which that goes to a primary. */
--- a/src/links/idle-links.ts
+++ b/src/links/idle-links.ts
@@ -6,9 +6,12 @@
 	/** The one that became idle last and is still open. */
 	readonly newest: SessionLink | undefined;
 	add(sessionLink: SessionLink, now: number): void;
-	/** Takes the newest one that has exactly these session values set, else the newest. */
-	take(values: ReadonlyMap<string, string>): SessionLink | undefined;
-	takeNewest(): SessionLink | undefined;
+	/** Whether one of the workspace is there. */
+	has(workspace: string | undefined): boolean;
+	/** Takes the newest of the workspace that has exactly these session values set, else its newest. */
+	take(values: ReadonlyMap<string, string>, workspace: string | undefined): SessionLink | undefined;
+	/** Takes the one that has been idle longest of all that belong to another workspace. */
+	takeOldestOfOthers(workspace: string | undefined): SessionLink | undefined;
 	/** Takes the oldest one where it became idle before the steady time `before`. */
 	takeOldest(before: number): SessionLink | undefined;
 	takeAll(): readonly SessionLink[];
@@ -35,12 +38,16 @@
 		add(sessionLink, now) {
 			idle.push({sessionLink, since: now});
 		},
-		take(values) {
-			const matching = idle.findLastIndex(({sessionLink}) => sessionLink.matches(values));
-			const at = matching === -1 ? idle.length - 1 : matching;
+		has: workspace => idle.some(({sessionLink}) => sessionLink.workspace === workspace),
+		take(values, workspace) {
+			const matching = idle.findLastIndex(({sessionLink}) => sessionLink.workspace === workspace && sessionLink.matches(values));
+			const at = matching === -1 ? idle.findLastIndex(({sessionLink}) => sessionLink.workspace === workspace) : matching;
+			return at === -1 ? undefined : idle.splice(at, 1)[0]!.sessionLink;
+		},
+		takeOldestOfOthers(workspace) {
+			const at = idle.findIndex(({sessionLink}) => sessionLink.workspace !== workspace);
 			return at === -1 ? undefined : idle.splice(at, 1)[0]!.sessionLink;
 		},
-		takeNewest: () => idle.pop()?.sessionLink,
 		takeOldest: before => idle[0] && idle[0].since < before ? idle.shift()!.sessionLink : undefined,
 		takeAll: () => idle.splice(0).map(({sessionLink}) => sessionLink),
 		cutWhere(isUnwanted) {
--- a/src/links/link-session.ts
+++ b/src/links/link-session.ts
@@ -12,6 +12,8 @@
 /** A connection to an endpoint, with what was set and prepared on it. */
 export type SessionLink = {
 	readonly link: EndpointLink;
+	/** Workspace for which the connection was opened, and which alone may use it; undefined where it was opened for none. */
+	readonly workspace?: string;
 	/** Whether exactly these values are set, so that lending it costs nothing. */
 	matches(values: ReadonlyMap<string, string>): boolean;
 	/** Sends ahead what the next statement needs; the endpoint answers in order, so the statement may follow at once. */
@@ -26,7 +28,7 @@
 }
 
 /** Creates the session of a fresh connection. */
-export function createSessionLink(link: EndpointLink): SessionLink {
+export function createSessionLink(link: EndpointLink, workspace?: string): SessionLink {
 	let values = new Map<string, string>();
 	const prepared = new Set<string>();
 
@@ -50,6 +52,7 @@
 
 	const sessionLink: SessionLink = {
 		link,
+		workspace,
 		matches: needed => needed.size === values.size && [...needed].every(([name, value]) => values.get(name) === value),
 		getName: getPreparedName,
 		adapt(needed) {
--- a/src/mirror/state-difference.ts
+++ b/src/mirror/state-difference.ts
@@ -3,6 +3,7 @@
 import type {
 	RegisteredEndpoint, Route, RoutedGroup, Routing,
 } from '../routes/routing.js';
+import type {Workspace} from '../workspaces/workspace.js';
 import {EMPTY_PART, getContentsId, type ContentsId} from './contents-id.js';
 import {EMPTY_STATE, type MirrorState, type Versioned} from './mirror-state.js';
 
@@ -26,6 +27,7 @@
 		readonly idleTransactionMs: number;
 		readonly routes: ItemsDifference<Route>;
 		readonly groups: ItemsDifference<RoutedGroup>;
+		readonly workspaces: ItemsDifference<Workspace>;
 	}, number>;
 	readonly endpoints?: FromPart<ItemsDifference<RegisteredEndpoint>>;
 	readonly leadership?: FromPart<ItemsDifference<Versioned<LeadershipRecord>> & {readonly duty?: Versioned<DutyRecord>}>;
@@ -88,15 +90,17 @@
 		idleTransactionMs: next.idleTransactionMs,
 		routes: compareItems([...base?.routes.values() ?? []], [...next.routes.values()], getRouteName),
 		groups: compareItems([...base?.groups.values() ?? []], [...next.groups.values()], getName),
+		workspaces: compareItems([...base?.workspaces.values() ?? []], [...next.workspaces.values()], getName),
 	};
 }
 
-function applyRouting(base: Routing | undefined, {version, idleTransactionMs, routes, groups}: NonNullable<StateDifference['routing']>): Routing {
+function applyRouting(base: Routing | undefined, {version, idleTransactionMs, routes, groups, workspaces}: NonNullable<StateDifference['routing']>): Routing {
 	return {
 		version,
 		idleTransactionMs,
 		routes: new Map(applyItems([...base?.routes.values() ?? []], routes, getRouteName).map(route => [route.database, route])),
 		groups: new Map(applyItems([...base?.groups.values() ?? []], groups, getName).map(group => [group.name, group])),
+		workspaces: new Map(applyItems([...base?.workspaces.values() ?? []], workspaces, getName).map(workspace => [workspace.name, workspace])),
 	};
 }
 
--- a/src/platform/boot-settings.ts
+++ b/src/platform/boot-settings.ts
@@ -17,6 +17,8 @@
 	readonly storeAddress: string;
 	/** `ip:port` where the platform takes promotions. */
 	readonly ordersAddress: string;
+	/** Time after which a revoked key must not be honoured by any host, in milliseconds; undefined where nothing bounds it. */
+	readonly revokeWithinMs?: number;
 	/** Time from the order to stop to the end by force, in milliseconds. */
 	readonly graceMs: number;
 };
@@ -44,6 +46,9 @@
 	/** The service that carries out orders; its name on the platform says nothing of that. */
 	'cloud.address': address,
 	'bounds.graceS': z.coerce.number().positive(),
+	/** The bound of revocation holds for hosts that are out of touch too. */
+	'bounds.revokeStrict': z.enum(['true', 'false'], 'must be true or false').default('false'),
+	'bounds.revokeMs': z.coerce.number().positive().optional(),
 });
 
 /** Reads the text of the settings file; throws BootSettingsError, which names each field that is wrong. */
@@ -64,6 +69,7 @@
 		seeds: fields.seeds.split(',').filter(seed => seed !== ''),
 		storeAddress: fields['platform.address'],
 		ordersAddress: fields['cloud.address'],
+		revokeWithinMs: fields['bounds.revokeStrict'] === 'true' ? fields['bounds.revokeMs'] : undefined,
 		graceMs: fields['bounds.graceS'] * 1000,
 	};
 }
--- a/src/platform/caller-lines.ts
+++ b/src/platform/caller-lines.ts
@@ -8,8 +8,8 @@
 
 /** A message of a caller. */
 export type CallerMessage =
-	/** The first of a session: names the database, which is a route's host, and the caller. */
-	| {readonly kind: 'open'; readonly database: string; readonly caller: string}
+	/** The first of a session: names the database, which is a route's host, and shows the caller's key. */
+	| {readonly kind: 'open'; readonly database: string; readonly key: string}
 	| ({readonly kind: 'statement'} & IdentifiedStatement)
 	| {readonly kind: 'end'}
 	| {readonly kind: 'malformed'};
@@ -21,8 +21,8 @@
 	const [word, rest] = cutWord(line);
 	switch (word) {
 		case 'STARTUP': {
-			const [database, caller] = cutWord(rest);
-			return database === '' ? {kind: 'malformed'} : {kind: 'open', database, caller};
+			const [database, key] = cutWord(rest);
+			return database === '' ? {kind: 'malformed'} : {kind: 'open', database, key};
 		}
 
 		case 'QUERY': {
--- a/src/platform/endpoint-lines.ts
+++ b/src/platform/endpoint-lines.ts
@@ -7,9 +7,9 @@
 /** The id that marks what the proxy asks on its own behalf. */
 const OWN_ID = '-';
 
-/** Writes the first message to an endpoint: the group stands where callers name a database. */
-export function formatStartup(group: string, hostName: string, endpointId: string): string {
-	return `STARTUP ${group} ${hostName} ${getServerId(endpointId)}\r\n`;
+/** Writes the first message to an endpoint: the group stands where callers name a database, and whom the connection is for where they show a key. */
+export function formatStartup(group: string, onBehalfOf: string, endpointId: string): string {
+	return `STARTUP ${group} ${onBehalfOf} ${getServerId(endpointId)}\r\n`;
 }
 
 /** Writes a request to an endpoint. */
--- a/src/platform/http-metadata-store.ts
+++ b/src/platform/http-metadata-store.ts
@@ -32,6 +32,9 @@
 const CONFIGURATION_NAME = 'main';
 const ENDPOINT_KIND = 'servers';
 
+/** How log lines name an entry of a configuration's workspaces. */
+const WORKSPACE = 'workspace';
+
 /**
  * A kind without objects: listing it is the cheapest linearizable answer that carries the store's revision, 46 bytes
  * against 2,500 of the list of nine servers.
@@ -107,9 +110,11 @@
 		async readRouting(timeoutMs) {
 			const {revision, objects} = await list(CONFIGURATION_KIND, timeoutMs);
 			const main = objects.find(object => object.meta.name === CONFIGURATION_NAME);
-			const routing = main && decodeRouting(main.spec);
+			const routing = main && decodeRouting(main.spec, entry => {
+				unusable.note(WORKSPACE, entry);
+			});
 			if (main && !routing) {
-				unusable.note(CONFIGURATION_KIND, main);
+				unusable.note(CONFIGURATION_KIND, {meta: main.meta});
 			}
 
 			return {revision, content: routing};
--- a/src/platform/platform-words.ts
+++ b/src/platform/platform-words.ts
@@ -13,12 +13,15 @@
 	[AnswerCode.UnknownStatement]: 'NOSUCHSTMT',
 	[AnswerCode.TimedOut]: 'TIMEOUT',
 	[AnswerCode.UnknownDatabase]: 'NOSUCHDB',
+	[AnswerCode.Unauthenticated]: 'AUTHFAIL',
+	// The platform has one word for all that did not run and may come back.
+	[AnswerCode.RateLimited]: 'BUSY',
 	[AnswerCode.TooLarge]: 'TOOBIG',
 	[AnswerCode.Malformed]: 'MALFORMED',
 	[AnswerCode.OutcomeUnknown]: 'INDOUBT',
 };
 
-const CODES_BY_WORD = new Map(Object.entries(CODE_WORDS).map(([code, word]) => [word, code as AnswerCode]));
+const CODES_BY_WORD = new Map(Object.entries(CODE_WORDS).toReversed().map(([code, word]) => [word, code as AnswerCode]));
 
 const STATES_BY_LETTER = new Map<string, SessionState>([['I', SessionState.Idle], ['T', SessionState.Open], ['E', SessionState.Failed]]);
 
@@ -33,7 +36,7 @@
 	return CODE_WORDS[code];
 }
 
-/** Reads a code; a word that is not known counts as a statement that ran and failed, since nothing may be promised of it. */
+/** Reads a code, the first of those that share a word; a word that is not known counts as a statement that ran and failed, since nothing may be promised of it. */
 export function parseCode(word: string): AnswerCode {
 	return CODES_BY_WORD.get(word) ?? AnswerCode.Failed;
 }
--- a/src/platform/store-schemas.ts
+++ b/src/platform/store-schemas.ts
@@ -3,6 +3,7 @@
 	ReadPolicy, type RegisteredEndpoint, type Route, type Routing,
 } from '../routes/routing.js';
 import {formatEndpointId} from './endpoint-identity.js';
+import {decodeWorkspaces} from './workspace-schema.js';
 
 /** Checks an object of the store; `spec` holds what its writer put there. */
 export const storeObjectSchema = z.object({
@@ -49,6 +50,8 @@
 	/** The database group. */
 	backend: z.string(),
 	maxStalenessMs: z.number().default(0),
+	/** Callers without a key are served too. */
+	allowAnonymous: z.boolean().default(false),
 });
 
 const routingSchema = z.object({
@@ -59,6 +62,8 @@
 		/** Of each server, from all callers together. */
 		maxConnections: z.number(),
 	})),
+	/** Read one by one, since one that cannot be read must not hide the others; left out where callers have no keys. */
+	tenants: z.array(z.unknown()).default([]),
 	limits: z.object({txIdleMs: z.number().default(DEFAULT_IDLE_TRANSACTION_MS)}),
 });
 
@@ -86,22 +91,24 @@
 const serverIdSchema = z.string().regex(/^\S+$/v);
 
 /** Decodes the configuration; undefined where it is none, upon which the version in force stays. */
-export function decodeRouting(spec: unknown): Routing | undefined {
+export function decodeRouting(spec: unknown, onUnusable: (workspace: unknown) => void): Routing | undefined {
 	const read = routingSchema.safeParse(spec);
 	if (!read.success) {
 		return undefined;
 	}
 
-	const {revision, routes, backends, limits} = read.data;
+	const {revision, routes, backends, tenants, limits} = read.data;
+	const hasWorkspaces = tenants.length > 0;
 	return {
 		version: revision,
-		routes: new Map(routes.map(route => [route.host, decodeRoute(route)])),
+		routes: new Map(routes.map(route => [route.host, decodeRoute(route, hasWorkspaces)])),
 		groups: new Map(backends.map(({name, maxConnections}) => [name, {name, maxConnections}])),
+		workspaces: decodeWorkspaces(tenants, onUnusable),
 		idleTransactionMs: limits.txIdleMs,
 	};
 }
 
-function decodeRoute(route: z.infer<typeof routeSchema>): Route {
+function decodeRoute(route: z.infer<typeof routeSchema>, hasWorkspaces: boolean): Route {
 	return {
 		name: route.name,
 		database: route.host,
@@ -112,6 +119,8 @@
 		statementTimeoutMs: route.timeoutMs,
 		targetLatencyMs: route.targetLatencyMs,
 		priority: route.priority,
+		// A deployment without workspaces has no keys that a caller could show.
+		needsKey: hasWorkspaces && !route.allowAnonymous,
 	};
 }
 
--- a/src/platform/tcp-link-opener.ts
+++ b/src/platform/tcp-link-opener.ts
@@ -15,7 +15,7 @@
 /** What the opener needs. */
 export type TcpLinkOpenerOptions = {
 	readonly clock: Clock;
-	/** Tells endpoints who connects. */
+	/** Tells endpoints who connects where that is no workspace. */
 	readonly hostName: string;
 };
 
@@ -31,7 +31,7 @@
 			const [host, port] = splitAddress(target.address);
 			const socket = connect({host, port, noDelay: true});
 			const opening = createTcpLink(socket, target, listener);
-			socket.write(formatStartup(target.group, hostName, target.endpointId), 'latin1');
+			socket.write(formatStartup(target.group, target.workspace ?? hostName, target.endpointId), 'latin1');
 			const bounded = await withinMs(clock, timeoutMs, opening);
 			if (bounded.timedOut) {
 				socket.resetAndDestroy();
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -30,6 +30,9 @@
 import {getLongestRestMs} from '../routes/routing.js';
 import type {Clock} from '../time/clock.js';
 import type {ElapsedClock} from '../time/elapsed-clock.js';
+import {createCallerAccess} from '../workspaces/caller-access.js';
+import {createRateLimiter, type RateLimiter} from '../workspaces/rate-limiter.js';
+import {createTokenIssuer} from '../workspaces/token-issuer.js';
 
 declare module '../kernel/service-map.js' {
 	interface ServiceMap {
@@ -41,6 +44,7 @@
 		hostRegistration: HostRegistration;
 		endpointDirectory: EndpointDirectory;
 		lenders: Lenders;
+		rateLimiter: RateLimiter;
 		linkLender: LinkLender;
 		proxyMetrics: ProxyMetrics;
 		gateway: Gateway;
@@ -66,6 +70,8 @@
 	readonly seeds: readonly string[];
 	/** Marks this life of the process. */
 	readonly incarnation: string;
+	/** Time after which a revoked key must not be honoured by any host, in milliseconds; undefined where nothing bounds it. */
+	readonly revokeWithinMs?: number;
 	/** Where reads run; by load, lag and zone without it. */
 	readonly placement?: ReadPlacement;
 };
@@ -125,6 +131,14 @@
 	const sampleBorrowing = createSampleBorrowing({
 		peers, lenders, knowledge, clock, elapsedClock, unreachable,
 	});
+	const issuer = createTokenIssuer({getLimit: workspace => mirror.state.routing?.workspaces.get(workspace)?.limit});
+	const rateLimiter = createRateLimiter({
+		peers, unreachable, clock, ownPeerAddress: peerAddress, issuer, getHosts: () => mirror.state.hosts,
+	});
+	const access = createCallerAccess({
+		getKnown: () => ({routing: mirror.state.routing, storeConfirmedAt: mirror.storeConfirmedAt}),
+		revokeWithinMs: parts.revokeWithinMs,
+	});
 	const duty = createDutyLease({
 		store, mirror, elapsedClock, log, hostName, incarnation,
 	});
@@ -185,6 +199,8 @@
 		primaryWork,
 		cutOffs,
 		sampleBorrowing,
+		access,
+		rateLimiter,
 		availabilityZone: parts.availabilityZone,
 		placement: parts.placement ?? new WeighedPlacement(),
 	});
@@ -208,6 +224,7 @@
 	kernel.register('endpointDirectory', directory);
 	kernel.register('lenders', lenders);
 	kernel.register('linkLender', lender);
+	kernel.register('rateLimiter', rateLimiter);
 	kernel.register('leadEvidences', evidences);
 	kernel.register('dutyLease', duty);
 	kernel.register('hostRegistration', registration);
--- a/src/proxy/main.ts
+++ b/src/proxy/main.ts
@@ -52,6 +52,7 @@
 		availabilityZone: settings.availabilityZone,
 		peerAddress: settings.peerAddress,
 		seeds: settings.seeds,
+		revokeWithinMs: settings.revokeWithinMs,
 		incarnation: createRequestId(clock.wall(), random),
 	};
 }
--- a/src/routes/routing.ts
+++ b/src/routes/routing.ts
@@ -1,3 +1,5 @@
+import type {Workspace} from '../workspaces/workspace.js';
+
 /** How fresh the data must be that a route's reads see. */
 export const ReadPolicy = {
 	/** Every commit acknowledged before the read. */
@@ -26,6 +28,8 @@
 	readonly targetLatencyMs: number;
 	/** 0 goes first. */
 	readonly priority: number;
+	/** Callers have to show the key of a workspace. */
+	readonly needsKey?: boolean;
 };
 
 /** A database group as it is configured. */
@@ -42,6 +46,8 @@
 	readonly routes: ReadonlyMap<string, Route>;
 	/** By name. */
 	readonly groups: ReadonlyMap<string, RoutedGroup>;
+	/** By name; empty where the deployment has none. */
+	readonly workspaces: ReadonlyMap<string, Workspace>;
 	/** A transaction idle for so long may be ended, in milliseconds. */
 	readonly idleTransactionMs: number;
 };
--- a/src/stand-ins/plain-group/plain-group.ts
+++ b/src/stand-ins/plain-group/plain-group.ts
@@ -159,9 +159,9 @@
 		}
 	};
 
-	const connect = (server: PlainServer, listener: LinkListener, isCut: () => boolean, wayMs: number): EndpointLink => {
+	const connect = (server: PlainServer, workspace: string | undefined, listener: LinkListener, isCut: () => boolean, wayMs: number): EndpointLink => {
 		const session: PlainSession = {
-			server, closed: false, values: new Map(), prepared: new Map(), queue: Promise.resolve(),
+			server, workspace, closed: false, values: new Map(), prepared: new Map(), queue: Promise.resolve(),
 		};
 		server.sessions.add(session);
 		const closeListeners: Array<() => void> = [];
@@ -278,7 +278,7 @@
 			}
 
 			listener.onHeard();
-			return connect(server, listener, isCut, options.getWayMs?.(hostZone, server.availabilityZone) ?? WAY_MS);
+			return connect(server, target.workspace, listener, isCut, options.getWayMs?.(hostZone, server.availabilityZone) ?? WAY_MS);
 		},
 		promote(endpointId) {
 			const server = servers.find(({id}) => id === getServerId(endpointId));
--- a/src/stand-ins/plain-group/plain-server.ts
+++ b/src/stand-ins/plain-group/plain-server.ts
@@ -12,6 +12,8 @@
 /** A session on a server: one connection. */
 export type PlainSession = {
 	readonly server: PlainServer;
+	/** Workspace that the connection was opened for. */
+	readonly workspace?: string;
 	closed: boolean;
 	values: Map<string, string>;
 	prepared: Map<string, PreparedShape>;
@@ -56,8 +58,8 @@
 
 /** What is told of each statement that ran, for the judgement of a whole run. */
 export type PlainObserver = {
-	onRead(read: {readonly id: string; readonly server: PlainServer; readonly end: LogPosition}): void;
-	onCommit(commit: PlainCommit, server: PlainServer, id: string): void;
+	onRead(read: {readonly id: string; readonly server: PlainServer; readonly end: LogPosition; readonly workspace?: string}): void;
+	onCommit(commit: PlainCommit, server: PlainServer, id: string, workspace?: string): void;
 	/** The server leads from now on; what its log lacks of the former leader's is rolled back for good. */
 	onLead?(server: PlainServer): void;
 };
@@ -111,7 +113,7 @@
 		const {server} = session;
 		const made: PlainCommit = {term: server.term, position: server.log.length + 1, writes};
 		server.log.push({commit: made, visibleAt: clock.now()});
-		observer.onCommit(made, server, id);
+		observer.onCommit(made, server, id, session.workspace);
 		return done(session, `sign-${id}`);
 	};
 
@@ -120,7 +122,9 @@
 	const read = (session: PlainSession, id: string, item: string) => {
 		const {server} = session;
 		const now = clock.now();
-		observer.onRead({id, server, end: getVisibleEnd(server.log, now)});
+		observer.onRead({
+			id, server, end: getVisibleEnd(server.log, now), workspace: session.workspace,
+		});
 		return done(session, `sign-${id}`, [readItem(server.log, now, item) ?? '-']);
 	};
 
--- a/src/stand-ins/plain-platform/wire-caller.ts
+++ b/src/stand-ins/plain-platform/wire-caller.ts
@@ -34,8 +34,8 @@
 	return lines.some(line => /^ERROR (?:BUSY|ABORTED|LAGGING|READONLY|WRONGNODE|CONNLIMIT) /v.test(line)) ? 'not-run' : 'unknown';
 }
 
-/** Opens a session. */
-export async function openWireCaller(port: number, database: string): Promise<WireCaller> {
+/** Opens a session, showing a key where the route needs one. */
+export async function openWireCaller(port: number, database: string, key = 'caller'): Promise<WireCaller> {
 	const socket = connect({host: '127.0.0.1', port, noDelay: true});
 	const reader = createLineReader();
 	let closed = false;
@@ -89,7 +89,7 @@
 	};
 
 	return {
-		greeting: await exchange(`STARTUP ${database} caller\r\n`),
+		greeting: await exchange(`STARTUP ${database} ${key}\r\n`),
 		ask: async (id, text) => exchange(`QUERY ${id} ${text}\r\n`),
 		send(text) {
 			socket.write(text, 'latin1');
--- a/src/stand-ins/proxies/scripted-caller.ts
+++ b/src/stand-ins/proxies/scripted-caller.ts
@@ -10,8 +10,8 @@
 /** A caller whose requests a test or a schedule makes. */
 export type ScriptedCaller = {
 	readonly channel: CallerChannel;
-	/** Opens the session; false where it was refused. */
-	open(database: string): Promise<boolean>;
+	/** Opens the session, showing a key where it has one; false where it was refused. */
+	open(database: string, key?: string): Promise<boolean>;
 	/** Sends a statement and resolves with its answer, undefined where the session ended before. */
 	ask(id: string, statement: Statement): Promise<ScriptedAnswer | undefined>;
 	/** Leaves at once. */
@@ -130,11 +130,11 @@
 		get closed() {
 			return closed;
 		},
-		async open(database) {
+		async open(database, key = name) {
 			const greeted = new Promise<boolean>(resolve => {
 				takeGreeting = resolve;
 			});
-			send({kind: 'open', database, caller: name});
+			send({kind: 'open', database, key});
 			return greeted;
 		},
 		async ask(id, statement) {
--- a/src/stand-ins/proxies/simulated-proxies.ts
+++ b/src/stand-ins/proxies/simulated-proxies.ts
@@ -8,6 +8,7 @@
 import {OrderOutcome, type PromotionOrder} from '../../leadership/promotion-orders.js';
 import {formatEndpointId, getServerId} from '../../platform/endpoint-identity.js';
 import {createProxy} from '../../proxy/create-proxy.js';
+import type {Workspace} from '../../workspaces/workspace.js';
 import {createSeededRandom} from '../../random/seeded-random.js';
 import type {RegisteredEndpoint, Route, Routing} from '../../routes/routing.js';
 import {createInMemoryMetadataStore, type InMemoryMetadataStore} from '../metadata-store/in-memory-metadata-store.js';
@@ -71,6 +72,9 @@
 	readonly seed: number;
 	readonly groups: ReadonlyArray<Omit<PlainGroupOptions, 'clock'>>;
 	readonly routes: readonly Route[];
+	readonly workspaces?: readonly Workspace[];
+	/** Time after which hosts may not honour a revoked key, in milliseconds. */
+	readonly revokeWithinMs?: number;
 	readonly log?: Log;
 	/** Longest way of an order to the platform, in milliseconds. */
 	readonly orderMs?: number;
@@ -113,6 +117,7 @@
 		version: 1,
 		routes: new Map(options.routes.map(route => [route.database, route])),
 		groups: new Map(options.groups.map(group => [group.name, {name: group.name, maxConnections: group.maxConnections ?? 22}])),
+		workspaces: new Map(options.workspaces?.map(workspace => [workspace.name, workspace])),
 		idleTransactionMs: 3000,
 	};
 
@@ -264,6 +269,7 @@
 				peerAddress,
 				seeds: [],
 				incarnation: `${name}/${life}`,
+				revokeWithinMs: options.revokeWithinMs,
 				placement: options.createPlacement?.(proxy),
 			});
 			proxies.push(proxy);
--- a/src/statements/statement-answer.ts
+++ b/src/statements/statement-answer.ts
@@ -23,6 +23,10 @@
 	TimedOut: 'timed-out',
 	/** No route has the database's name. */
 	UnknownDatabase: 'unknown-database',
+	/** The caller's key is none of a workspace, or no longer. */
+	Unauthenticated: 'unauthenticated',
+	/** The workspace has used up its rate limit; nothing ran. */
+	RateLimited: 'rate-limited',
 	/** A message over the size limit. */
 	TooLarge: 'too-large',
 	/** The text is none that is understood, or not in this state. */
--- a/tests/lending/lenders-tests.ts
+++ b/tests/lending/lenders-tests.ts
@@ -14,7 +14,7 @@
 
 function makeState({hosts, zones, maxConnections}: Fleet): MirrorState {
 	const routing: Routing = {
-		version: 1, routes: new Map(), groups: new Map([['nights', {name: 'nights', maxConnections}]]), idleTransactionMs: 3000,
+		version: 1, routes: new Map(), groups: new Map([['nights', {name: 'nights', maxConnections}]]), workspaces: new Map(), idleTransactionMs: 3000,
 	};
 	return {
 		...EMPTY_STATE,
--- a/tests/links/create-endpoint-pool-tests.ts
+++ b/tests/links/create-endpoint-pool-tests.ts
@@ -2,20 +2,32 @@
 import type {EndpointLink} from '../../src/links/endpoint-link.js';
 import {createEndpointPool} from '../../src/links/create-endpoint-pool.js';
 import type {EndpointPool, LinkWish} from '../../src/links/endpoint-pool.js';
+import {createLinkRefused} from '../../src/links/link-errors.js';
 import {createSilentLog} from '../../src/log/silent-log.js';
+import {AnswerCode} from '../../src/statements/statement-answer.js';
 import {createVirtualClock} from '../../src/stand-ins/time/virtual-clock.js';
 
 /** A pool of at most three connections, which open after 12 ms. */
 function createBench() {
 	const clock = createVirtualClock();
+	/** Workspaces that connections were opened for, in order. */
+	const openedFor: Array<string | undefined> = [];
 	const pool = createEndpointPool({
 		target: {address: '10.1.0.9:8080', group: 'nights', endpointId: 'i-1'},
 		opener: {
-			async open(_target, _timeoutMs, listener) {
+			async open({workspace}, _timeoutMs, listener) {
 				await clock.sleep(12);
 				listener.onHeard();
+				openedFor.push(workspace);
+				const closeListeners: Array<() => void> = [];
+				const close = () => {
+					for (const closeListener of closeListeners) {
+						closeListener();
+					}
+				};
+
 				return {
-					pending: 0, closed: false, cut: () => undefined, close: () => undefined, onClose: () => undefined,
+					pending: 0, closed: false, cut: close, close, onClose: (closeListener: () => void) => closeListeners.push(closeListener),
 				} as unknown as EndpointLink;
 			},
 		},
@@ -24,11 +36,28 @@
 		getLimits: () => ({maxConnections: 5, hosts: 1, keepsOwn: true}),
 		getLeastPosition: () => undefined,
 	});
-	const wish = (single: boolean): LinkWish => ({
-		priority: 1, until: clock.now() + 500, values: new Map(), single,
+	const wish = (single: boolean, workspace?: string): LinkWish => ({
+		priority: 1, until: clock.now() + 500, values: new Map(), single, workspace,
 	});
-	const acquire = async (single: boolean) => pool.acquire(wish(single));
-	return {clock, pool, acquire};
+	const acquire = async (single: boolean, workspace?: string) => pool.acquire(wish(single, workspace));
+	/** Runs a statement of the given time for a workspace; resolves with the time that it waited for its connection, undefined where it got none. */
+	const run = async (workspace: string, ms: number) => {
+		const askedAt = clock.now();
+		const sessionLink = await acquire(true, workspace);
+		if (!sessionLink) {
+			return undefined;
+		}
+
+		expect(sessionLink.workspace).to.equal(workspace);
+		const waitedMs = clock.now() - askedAt;
+		await clock.sleep(ms);
+		pool.release(sessionLink);
+		return waitedMs;
+	};
+
+	return {
+		clock, pool, acquire, run, openedFor,
+	};
 }
 
 async function beginTransactions({clock, acquire}: {readonly clock: ReturnType<typeof createBench>['clock']; acquire(single: boolean): ReturnType<EndpointPool['acquire']>}, count: number) {
@@ -72,4 +101,69 @@
 
 		expect(lent.every(link => link !== undefined)).to.equal(true);
 	});
+
+	it('serve the statements of one workspace alone', async () => {
+		const bench = createBench();
+		for (const workspace of ['north', 'south', 'north', 'south']) {
+			await bench.clock.runUntil(bench.run(workspace, 5));
+		}
+
+		expect(bench.openedFor).to.deep.equal(['north', 'south']);
+	});
+
+	/** More workspaces than connections: the connection of one that has been idle longest makes room, and that of one in use does not. */
+	it('make room for a workspace that has none', async () => {
+		const bench = createBench();
+		for (const workspace of ['a', 'b', 'c', 'd', 'b']) {
+			await bench.clock.runUntil(bench.run(workspace, 5));
+		}
+
+		expect(bench.openedFor).to.deep.equal(['a', 'b', 'c', 'd']);
+		expect(bench.pool.open).to.equal(3);
+	});
+
+	/** A workspace that asks without a pause would keep every connection by passing them on among its own statements; another one's would wait until its time is up. */
+	it('come to another workspace beside one that keeps all busy', async () => {
+		const bench = createBench();
+		const busy = Array.from({length: 60}, async () => bench.run('busy', 20));
+		await bench.clock.advance(100);
+		const waitedMs = await bench.clock.runUntil(bench.run('quiet', 20));
+		expect(waitedMs).to.be.at.most(100);
+		await bench.clock.runUntil(Promise.all(busy));
+	});
+
+	it('are not closed for a workspace while the endpoint turns new ones away', async () => {
+		const clock = createVirtualClock();
+		let closed = 0;
+		let full = false;
+		const pool = createEndpointPool({
+			target: {address: '10.1.0.9:8080', group: 'nights', endpointId: 'i-1'},
+			opener: {
+				async open({address}) {
+					if (full) {
+						throw createLinkRefused(address, AnswerCode.TooManyConnections);
+					}
+
+					return {
+						pending: 0, closed: false, cut: () => undefined, close: () => closed++, onClose: () => undefined,
+					} as unknown as EndpointLink;
+				},
+			},
+			clock,
+			log: createSilentLog(),
+			getLimits: () => ({maxConnections: 5, hosts: 1, keepsOwn: true}),
+			getLeastPosition: () => undefined,
+		});
+		const acquire = async (workspace: string) => pool.acquire({
+			priority: 1, until: clock.now() + 50, values: new Map(), single: true, workspace,
+		});
+		for (const workspace of ['a', 'b']) {
+			const sessionLink = await clock.runUntil(acquire(workspace));
+			pool.release(sessionLink!);
+		}
+
+		full = true;
+		await clock.runUntil(acquire('c'));
+		expect(closed).to.equal(0);
+	});
 });
--- a/tests/mirror/store-mirror-tests.ts
+++ b/tests/mirror/store-mirror-tests.ts
@@ -126,7 +126,7 @@
 	it('never goes back to an earlier configuration', async () => {
 		const {store, confirm, mirrors} = await createBench();
 		const routing = {
-			version: 7, routes: new Map(), groups: new Map(), idleTransactionMs: 1,
+			version: 7, routes: new Map(), groups: new Map(), workspaces: new Map(), idleTransactionMs: 1,
 		};
 		store.setRouting(routing);
 		await confirm('a');
--- a/tests/platform/boot-settings-tests.ts
+++ b/tests/platform/boot-settings-tests.ts
@@ -27,9 +27,15 @@
 			storeAddress: '10.200.1.7:8783',
 			ordersAddress: '10.200.0.160:8783',
 			graceMs: 6000,
+			revokeWithinMs: undefined,
 		});
 	});
 
+	it('bounds the time of a revoked key only where revocation is strict', () => {
+		expect(parseBootSettings(`${GOOD}bounds.revokeStrict=true\nbounds.revokeMs=5000\n`).revokeWithinMs).to.equal(5000);
+		expect(parseBootSettings(`${GOOD}bounds.revokeStrict=false\nbounds.revokeMs=5000\n`).revokeWithinMs).to.equal(undefined);
+	});
+
 	it('links proxies on the first free port where no control address is given', () => {
 		expect(parseBootSettings(GOOD.replace(/listen\.control=.*\n/v, '')).peerAddress).to.equal('10.1.0.8:7440');
 	});
@@ -45,5 +51,6 @@
 	doTest('names a figure that is none', text => text.replace('graceS=6', 'graceS=soon'), /bounds\.graceS is wrong/v);
 	doTest('names a line that is none', text => `${text}nonsense\n`, /no name and value: nonsense/v);
 	doTest('names every field that is wrong at once', text => text.replace(/zone=.*\n/v, '').replace('graceS=6', 'graceS=0'), /zone is wrong.*; bounds\.graceS is wrong/v);
+	doTest('names a choice that is none', text => `${text}bounds.revokeStrict=maybe\n`, /bounds\.revokeStrict is wrong: must be true or false/v);
 	doTest('refuses an empty file', () => '', /nodeName is wrong/v);
 });
--- a/tests/platform/caller-lines-tests.ts
+++ b/tests/platform/caller-lines-tests.ts
@@ -14,8 +14,8 @@
 		doTest(`QUERY id7 ${text}`, {kind: 'statement', id: 'id7', statement});
 	}
 
-	doTest('STARTUP nights u3f1', {kind: 'open', database: 'nights', caller: 'u3f1'});
-	doTest('STARTUP nights', {kind: 'open', database: 'nights', caller: ''});
+	doTest('STARTUP nights u3f1', {kind: 'open', database: 'nights', key: 'u3f1'});
+	doTest('STARTUP nights', {kind: 'open', database: 'nights', key: ''});
 	doTest('STARTUP', {kind: 'malformed'});
 	doTest('TERMINATE', {kind: 'end'});
 	doTest('', {kind: 'malformed'});
--- a/tests/platform/tcp-caller-channel-tests.ts
+++ b/tests/platform/tcp-caller-channel-tests.ts
@@ -29,7 +29,7 @@
 
 	it('gives requests out one by one, however they were cut', async () => {
 		caller.write('STARTUP nights u1\r\nQUERY a RE');
-		expect(await channel.next()).to.deep.equal({kind: 'open', database: 'nights', caller: 'u1'});
+		expect(await channel.next()).to.deep.equal({kind: 'open', database: 'nights', key: 'u1'});
 		caller.write('AD x\r\nTERMINATE\r\n');
 		expect(await channel.next()).to.deep.equal({kind: 'statement', id: 'a', statement: {kind: 'run', access: 'read', text: 'READ x'}});
 		expect(await channel.next()).to.deep.equal({kind: 'end'});
--- a/tests/proxy/proxy-bench.ts
+++ b/tests/proxy/proxy-bench.ts
@@ -5,6 +5,7 @@
 import type {PlainGroup} from '../../src/stand-ins/plain-group/plain-group.js';
 import type {PlainServer} from '../../src/stand-ins/plain-group/plain-server.js';
 import {createVirtualClock, type VirtualClock} from '../../src/stand-ins/time/virtual-clock.js';
+import type {Workspace} from '../../src/workspaces/workspace.js';
 import {parseStatement} from '../../src/platform/caller-lines.js';
 
 /** A simulated system of one group and some proxies, and the ways to ask it and to fail it. */
@@ -19,7 +20,7 @@
 	/** Cuts the first proxies off from the others and from the primary. */
 	splitOff(count: number): void;
 	/** Opens a session at a proxy; what its caller sends takes `requestMs` to be read there, without it no time. */
-	open(proxy: SimulatedProxy, database: string, requestMs?: number): Promise<ScriptedCaller>;
+	open(proxy: SimulatedProxy, database: string, requestMs?: number, key?: string): Promise<ScriptedCaller>;
 	/** Sends a statement and lets time pass until it is answered. */
 	ask(caller: ScriptedCaller, text: string, id?: string): Promise<string>;
 	/** Sends a statement without letting time pass. */
@@ -42,10 +43,13 @@
 	readonly maxConnections?: number;
 	readonly promoteMs?: number;
 	readonly log?: Log;
+	/** With any, all routes need a key. */
+	readonly workspaces?: readonly Workspace[];
+	readonly revokeWithinMs?: number;
 };
 
 /** Creates a bench whose proxies know the group's primary. */
-export async function createProxyBench({proxies: count = 3, lagMs, maxConnections, promoteMs, log}: ProxyBenchOptions = {}): Promise<ProxyBench> {
+export async function createProxyBench({proxies: count = 3, lagMs, maxConnections, promoteMs, log, workspaces, revokeWithinMs}: ProxyBenchOptions = {}): Promise<ProxyBench> {
 	const clock = createVirtualClock();
 	const ran: string[] = [];
 	const system = createSimulatedProxies({
@@ -58,15 +62,17 @@
 			maxConnections,
 			promoteMs,
 			observer: {
-				onRead({id, server}) {
-					ran.push(`${server.id} read ${id}`);
+				onRead({id, server, workspace}) {
+					ran.push(`${server.id} read ${id}${workspace === undefined ? '' : ` for ${workspace}`}`);
 				},
-				onCommit(_commit, server, id) {
-					ran.push(`${server.id} commit ${id}`);
+				onCommit(_commit, server, id, workspace) {
+					ran.push(`${server.id} commit ${id}${workspace === undefined ? '' : ` for ${workspace}`}`);
 				},
 			},
 		}],
-		routes: ROUTES,
+		routes: ROUTES.map(route => ({...route, needsKey: workspaces !== undefined})),
+		workspaces,
+		revokeWithinMs,
 		log,
 	});
 	for (let i = 1; i <= count; i++) {
@@ -95,10 +101,10 @@
 				}
 			}
 		},
-		async open(proxy, database, requestMs) {
+		async open(proxy, database, requestMs, key) {
 			const caller = createScriptedCaller(undefined, requestMs === undefined ? undefined : {clock, requestMs});
 			void proxy.kernel.getOrThrow('gateway').serve(caller.channel);
-			await clock.runUntil(caller.open(database));
+			await clock.runUntil(caller.open(database, key));
 			return caller;
 		},
 		send,
--- /dev/null
+++ b/tests/proxy/workspaces-tests.ts
@@ -0,0 +1,131 @@
+import {expect} from 'chai';
+import type {Routing} from '../../src/routes/routing.js';
+import type {Workspace} from '../../src/workspaces/workspace.js';
+import {createProxyBench, ROUTES, type ProxyBench} from './proxy-bench.js';
+
+const REVOKE_WITHIN_MS = 5000;
+
+const WORKSPACES: readonly Workspace[] = [
+	{name: 'north', keys: ['key-n1', 'key-n2'], priority: 0},
+	{name: 'south', keys: ['key-s'], priority: 0},
+	{
+		name: 'west', keys: ['key-w'], priority: 0, limit: {ratePerSecond: 4, burst: 8},
+	},
+];
+
+const createBench = async (options = {}) => createProxyBench({workspaces: WORKSPACES, revokeWithinMs: REVOKE_WITHIN_MS, ...options});
+
+const openFor = async (bench: ProxyBench, key: string, database = 'sync') => bench.open(bench.proxies[0]!, database, undefined, key);
+
+/** Writes a configuration in which workspaces have other keys or limits. */
+function change({system}: ProxyBench, workspaces: readonly Workspace[]) {
+	const routing: Routing = {
+		version: 2,
+		routes: new Map(ROUTES.map(route => [route.database, {...route, needsKey: true}])),
+		groups: new Map([['nights', {name: 'nights', maxConnections: 22}]]),
+		workspaces: new Map(workspaces.map(workspace => [workspace.name, workspace])),
+		idleTransactionMs: 3000,
+	};
+	system.store.setRouting(routing);
+}
+
+const withoutKey = (key: string) => WORKSPACES.map(workspace => ({...workspace, keys: workspace.keys.filter(other => other !== key)}));
+
+describe('a caller with a key', () => {
+	it('has its statements run in the name of its workspace', async () => {
+		const bench = await createBench();
+		const north = await openFor(bench, 'key-n1');
+		const south = await openFor(bench, 'key-s');
+		await bench.ask(north, 'WRITE a 1', 'n1');
+		await bench.ask(south, 'WRITE b 1', 's1');
+		await bench.ask(north, 'READ b', 'n2');
+		expect(bench.ran.map(line => line.replace(/^\S+ /v, ''))).to.deep.equal(['commit n1 for north', 'commit s1 for south', 'read n2 for north']);
+	});
+
+	function doTest(name: string, key: string) {
+		it(name, async () => {
+			const bench = await createBench();
+			const caller = await openFor(bench, key);
+			expect(caller.refusal).to.equal('unauthenticated');
+			expect(bench.ran).to.deep.equal([]);
+		});
+	}
+
+	doTest('is refused its session where the key is unknown', 'key-x');
+	doTest('is refused its session where the key is empty', '');
+
+	it('is served nothing more once its key is revoked, in an open session and in an open transaction', async () => {
+		const bench = await createBench();
+		const single = await openFor(bench, 'key-n1');
+		const inTransaction = await openFor(bench, 'key-n1');
+		const other = await openFor(bench, 'key-n2');
+		await bench.ask(inTransaction, 'BEGIN');
+		await bench.ask(inTransaction, 'WRITE a 1');
+		change(bench, withoutKey('key-n1'));
+		await bench.clock.advance(2000);
+		expect(await bench.ask(single, 'READ a')).to.equal('unauthenticated idle');
+		expect(await bench.ask(inTransaction, 'COMMIT')).to.equal('unauthenticated idle');
+		expect(await bench.ask(other, 'READ a')).to.equal('done - idle');
+		expect(bench.ran.filter(line => line.includes('commit'))).to.deep.equal([]);
+	});
+
+	/**
+	 * The store turns a host away and no peer is heard, while the operator revokes a key. Evidence of the primary may outlast the outage; it says nothing of keys. A request
+	 * that ran under the key later than the bound would be served to somebody who was locked out.
+	 */
+	it('is refused by a host without news of keys from the bound on, and told to come back', async () => {
+		const bench = await createBench();
+		const caller = await openFor(bench, 'key-n1', 'review');
+		bench.system.store.setTrouble(undefined, {silent: true});
+		await bench.clock.advance(REVOKE_WITHIN_MS - 2500);
+		expect(await bench.ask(caller, 'READ a')).to.equal('done - idle');
+		await bench.clock.advance(3500);
+		expect(await bench.ask(caller, 'READ a', 'late')).to.equal('overloaded idle');
+		expect(bench.ran.filter(line => line.includes('late'))).to.deep.equal([]);
+	});
+
+	it('is served by a host that the store turns away while its peers read on', async () => {
+		const bench = await createBench();
+		const caller = await openFor(bench, 'key-n1');
+		bench.system.store.setTrouble('entry-1', {refused: true});
+		await bench.clock.advance(REVOKE_WITHIN_MS * 2);
+		expect(await bench.ask(caller, 'READ a')).to.equal('done - idle');
+	});
+
+	it('is refused beyond the limit of its workspace, before anything runs', async () => {
+		const bench = await createBench();
+		const caller = await openFor(bench, 'key-w');
+		const answers: string[] = [];
+		for (let i = 0; i < 12; i++) {
+			answers.push(await bench.ask(caller, 'READ a', `r${i}`));
+		}
+
+		expect(answers.at(0)).to.equal('done - idle');
+		expect(answers.at(-1)).to.equal('rate-limited idle');
+		expect(bench.ran).to.have.length(answers.filter(answer => answer.startsWith('done')).length);
+	});
+
+	it('counts a transaction once against the limit', async () => {
+		const bench = await createBench();
+		await bench.clock.advance(5000);
+		const caller = await openFor(bench, 'key-w');
+		await bench.ask(caller, 'BEGIN');
+		for (let i = 0; i < 12; i++) {
+			expect(await bench.ask(caller, 'READ a')).to.equal('done - open');
+		}
+
+		expect(await bench.ask(caller, 'COMMIT')).to.equal('done idle');
+	});
+
+	/** Many workspaces meet an endpoint that takes fewer connections than there are workspaces: one whose callers come anew must not wait for others to leave. */
+	it('is served though other workspaces hold every connection', async () => {
+		const workspaces = Array.from({length: 30}, (_, i): Workspace => ({name: `w${i}`, keys: [`k${i}`], priority: 0}));
+		const bench = await createBench({workspaces, proxies: 1, maxConnections: 8});
+		const answers: string[] = [];
+		for (const {keys: [key]} of workspaces) {
+			answers.push(await bench.ask(await openFor(bench, key!), 'READ a'));
+		}
+
+		expect(answers).to.deep.equal(workspaces.map(() => 'done - idle'));
+	});
+});
