--- a/scripts/bundle-proxy.js
+++ b/scripts/bundle-proxy.js
@@ -1,33 +1,31 @@
 #!/usr/bin/env node
-/** Bundles the proxy into one file under target/: a restart loads one file in place of some hundred. */
+/** Bundles the proxy under target/ and makes its code cache: a restart loads one file in place of some hundred, and compiles little of it. */
+import {spawnSync} from 'node:child_process';
+import {copyFileSync, readFileSync} from 'node:fs';
+import process from 'node:process';
 import {build} from 'esbuild';
 
-/** Bunyan's optional parts, which the proxy does without: found in node_modules, one of them loads much that each start would wait for. */
-const LEFT_OUT = ['dtrace-provider', 'mv', 'source-map-support', 'safe-json-stringify', 'moment'];
-
-const REQUIRE = `
-import {createRequire} from "node:module";
-const requireModule = createRequire(import.meta.url);
-const require = Object.assign(name => {
-	if (${JSON.stringify(LEFT_OUT)}.includes(name)) {
-		throw new Error(name + " is left out");
-	}
-
-	return requireModule(name);
-}, requireModule);
-`;
+/** The flags under which the program runs: V8 takes a cache only under those that it was made with. */
+function getProgramFlags() {
+	const [, command] = /^run = "node (?<command>[^"]*)"/mv.exec(readFileSync('deploy/system.toml', 'utf8'));
+	const words = command.split(' ');
+	return words.slice(0, words.findIndex(word => !word.startsWith('--')));
+}
 
 await build({
 	entryPoints: ['src/proxy/main.ts'],
-	outfile: 'target/aldercroft-proxy.mjs',
+	outfile: 'target/aldercroft-proxy.bundle.cjs',
 	bundle: true,
 	platform: 'node',
-	format: 'esm',
+	format: 'cjs',
 	target: 'node20',
-	minify: true,
-	keepNames: true,
+	minifyWhitespace: true,
+	minifySyntax: true,
 	legalComments: 'none',
-	// The first is a native library.
-	external: ['koffi', ...LEFT_OUT],
-	banner: {js: REQUIRE},
+	// The first is a native library; the launcher leaves out the others.
+	external: ['koffi', 'dtrace-provider', 'mv', 'source-map-support', 'safe-json-stringify', 'moment'],
 });
+copyFileSync('scripts/proxy-launcher.cjs', 'target/aldercroft-proxy.cjs');
+
+const cache = spawnSync(process.execPath, [...getProgramFlags(), 'scripts/make-code-cache.cjs'], {stdio: 'inherit'});
+process.exitCode = cache.status ?? 1;
--- /dev/null
+++ b/scripts/make-code-cache.cjs
@@ -0,0 +1,9 @@
+'use strict';
+/** Writes the code cache of the proxy's bundle, with all that a start compiles. */
+const {writeFileSync} = require('node:fs');
+const {loadBundle, CACHE_FILE} = require('../target/aldercroft-proxy.cjs');
+
+const {script, exports: {main}} = loadBundle();
+main(['--version'], {write: () => true}).then(() => {
+	writeFileSync(CACHE_FILE, script.createCachedData());
+});
--- /dev/null
+++ b/scripts/proxy-launcher.cjs
@@ -0,0 +1,54 @@
+#!/usr/bin/env node
+'use strict';
+/**
+ * Starts the proxy from its bundle with V8's code cache: a restart compiles nothing that the cache holds. A cache that is missing, or was made by another version of Node or
+ * under other flags, is left out, and the start takes longer.
+ */
+const {readFileSync} = require('node:fs');
+const {createRequire} = require('node:module');
+const path = require('node:path');
+const process = require('node:process');
+const vm = require('node:vm');
+
+const BUNDLE_FILE = path.join(__dirname, 'aldercroft-proxy.bundle.cjs');
+const CACHE_FILE = path.join(__dirname, 'aldercroft-proxy.bundle.cache');
+
+/** Bunyan's optional parts, which the proxy does without: found in node_modules, one of them loads much that each start would wait for. */
+const LEFT_OUT = new Set(['dtrace-provider', 'mv', 'source-map-support', 'safe-json-stringify', 'moment']);
+
+function readCache() {
+	try {
+		return readFileSync(CACHE_FILE);
+	} catch {
+		return undefined;
+	}
+}
+
+/** Compiles the bundle; resolves with its script and what it exports. */
+function loadBundle() {
+	const requireModule = createRequire(BUNDLE_FILE);
+	const requireListed = name => {
+		if (LEFT_OUT.has(name)) {
+			throw new Error(`${name} is left out`);
+		}
+
+		return requireModule(name);
+	};
+
+	const source = readFileSync(BUNDLE_FILE, 'utf8');
+	const script = new vm.Script(`(function (exports, require, module) {${source}\n})`, {
+		filename: BUNDLE_FILE, cachedData: readCache(), importModuleDynamically: vm.constants.USE_MAIN_CONTEXT_DEFAULT_LOADER,
+	});
+	const bundle = {exports: {}};
+	script.runInThisContext()(bundle.exports, requireListed, bundle);
+	return {script, exports: bundle.exports};
+}
+
+module.exports = {loadBundle, CACHE_FILE};
+
+if (require.main === module) {
+	const {main} = loadBundle().exports;
+	main(process.argv.slice(2)).then(exitCode => {
+		process.exit(exitCode);
+	});
+}
--- a/src/leadership/host-census.ts
+++ b/src/leadership/host-census.ts
@@ -3,6 +3,7 @@
 import {isPeerError} from '../peers/peer-errors.js';
 import type {Peers} from '../peers/peers.js';
 import type {Clock} from '../time/clock.js';
+import {createSleepAlarm} from '../time/sleep-alarm.js';
 import type {GoneHosts} from './gone-hosts.js';
 import {LEAD_CALL_TIMEOUT_MS} from './lead-calls.js';
 
@@ -44,7 +45,7 @@
 /** Creates the census. */
 export function createHostCensus({mirror, peers, gone, clock, log: parentLog, ownPeerAddress}: HostCensusOptions): HostCensus {
 	const log = parentLog.part('hosts: ');
-	const stopping = new AbortController();
+	const stopping = createSleepAlarm();
 	/** Addresses that did not answer at the last look. */
 	let unanswered: ReadonlySet<string> = new Set();
 
@@ -96,8 +97,8 @@
 	};
 
 	const run = async () => {
-		while (!stopping.signal.aborted) {
-			await clock.sleep(LOOK_MS, stopping.signal);
+		while (!stopping.aborted) {
+			await clock.sleep(LOOK_MS, stopping);
 			await look().catch((err: unknown) => {
 				log.error('a look at the hosts failed', {err});
 			});
--- a/src/leadership/lead-watch.ts
+++ b/src/leadership/lead-watch.ts
@@ -10,6 +10,7 @@
 import type {Random} from '../random/random.js';
 import type {Clock} from '../time/clock.js';
 import type {ElapsedClock} from '../time/elapsed-clock.js';
+import {createSleepAlarm} from '../time/sleep-alarm.js';
 import type {CutOffs} from './cut-offs.js';
 import {DUTY_LEASE_MS, type DutyLease} from './duty-lease.js';
 import {createFenceLook} from './fence-look.js';
@@ -98,7 +99,7 @@
 		directory, evidences, clock, elapsedClock, log, readsForAll: () => mirror.readsForAll, countHosts: () => mirror.state.hosts.length,
 	});
 	const watches = new Map<string, GroupWatch>();
-	const stopping = new AbortController();
+	const stopping = createSleepAlarm();
 
 	const noteBug = (err: unknown) => {
 		log.error('a task failed', {err});
@@ -299,16 +300,23 @@
 		return {taken: true};
 	});
 
+	/** Whether this host is one of those that notice first what becomes of the group's primary. */
+	const isNear = (group: string) => {
+		const record = mirror.state.leadership.get(group);
+		return record?.phase !== LeadPhase.Steady || options.lenders.keepsOwn({id: record.primaryId, group});
+	};
+
 	const run = async () => {
-		while (!stopping.signal.aborted) {
+		while (!stopping.aborted) {
 			directory.update(clock.now());
-			for (const group of mirror.state.routing?.groups.keys() ?? []) {
+			const groups = [...mirror.state.routing?.groups.keys() ?? []];
+			for (const group of groups) {
 				if (isDue(group)) {
 					lookSafely(group).catch(noteBug);
 				}
 			}
 
-			await clock.sleep(LOOK_MS, stopping.signal);
+			await clock.sleep(groups.length === 0 || groups.some(group => isNear(group)) ? LOOK_MS : BYSTANDER_LOOK_MS, stopping);
 		}
 	};
 
--- a/src/membership/rendezvous.ts
+++ b/src/membership/rendezvous.ts
@@ -1,4 +1,4 @@
-import xxhash from 'xxhash-wasm';
+import xxhash from 'xxhashjs';
 
 /** The hash of a name, made once and mixed with many others; two signed integers of 32 bits. */
 export type NameHash = {
@@ -6,12 +6,26 @@
 	readonly low: number;
 };
 
-const {h64} = await xxhash();
+/** Names whose hashes are remembered: hosts are ranked anew with each change of one of them. */
+const REMEMBERED = 10_000;
+
+const remembered = new Map<string, NameHash>();
 
 /** Hashes a name with xxHash64. */
 export function hashName(name: string): NameHash {
-	const hash = h64(name);
-	return {high: Number(BigInt.asIntN(32, hash >> 32n)), low: Number(BigInt.asIntN(32, hash))};
+	const known = remembered.get(name);
+	if (known) {
+		return known;
+	}
+
+	if (remembered.size >= REMEMBERED) {
+		remembered.clear();
+	}
+
+	const hash = BigInt(`0x${xxhash.h64(name, 0).toString(16)}`);
+	const made = {high: Number(BigInt.asIntN(32, hash >> 32n)), low: Number(BigInt.asIntN(32, hash))};
+	remembered.set(name, made);
+	return made;
 }
 
 /**
--- a/src/mirror/store-mirror.ts
+++ b/src/mirror/store-mirror.ts
@@ -5,6 +5,7 @@
 import {withinMs} from '../time/deadline.js';
 import type {Clock} from '../time/clock.js';
 import type {ElapsedClock} from '../time/elapsed-clock.js';
+import {createSleepAlarm} from '../time/sleep-alarm.js';
 import {createMirrorCopy} from './mirror-copy.js';
 import type {MetadataStore} from './metadata-store.js';
 import type {UnfencedGroup} from './mirror-calls.js';
@@ -97,14 +98,14 @@
 export function createStoreMirror(options: StoreMirrorOptions): StoreMirror {
 	const {store, peers, clock, elapsedClock, host} = options;
 	const log = options.log.part('mirror: ');
-	const stopping = new AbortController();
+	const stopping = createSleepAlarm();
 	const copy = createMirrorCopy(log);
 	const source = createNewsSource(copy, host, options.seeds, log);
 	const unheard = createUnheardHosts(clock.now());
 	const permit = createReadPermit();
 	let running: Promise<boolean> | undefined;
 	let queued: Promise<boolean> | undefined;
-	let wake = new AbortController();
+	let wake = createSleepAlarm();
 	let confirmationWaiters: Array<() => void> = [];
 
 	const reader = createStoreReader({
@@ -210,17 +211,17 @@
 		if (!answer) {
 			source.avoid(parent, clock.now());
 		} else if (!answer.isNew) {
-			await clock.sleep(NOTHING_NEW_PAUSE_MS, stopping.signal);
+			await clock.sleep(NOTHING_NEW_PAUSE_MS, stopping);
 		}
 	};
 
 	const run = async () => {
-		while (!stopping.signal.aborted) {
+		while (!stopping.aborted) {
 			const parent = copy.state.revision === 0 ? undefined : source.getParent(clock.now());
 			if (parent === undefined) {
-				wake = new AbortController();
+				wake = createSleepAlarm();
 				await confirm();
-				await clock.sleep(CONFIRM_INTERVAL_MS, AbortSignal.any([wake.signal, stopping.signal]));
+				await clock.sleep(CONFIRM_INTERVAL_MS, wake);
 			} else {
 				await askParent(parent);
 			}
@@ -270,6 +271,7 @@
 		},
 		async stop() {
 			stopping.abort();
+			wake.abort();
 		},
 	};
 }
--- a/src/peers/answering-link.ts
+++ b/src/peers/answering-link.ts
@@ -1,5 +1,6 @@
 import type {Clock} from '../time/clock.js';
 import {withinMs} from '../time/deadline.js';
+import {createSleepAlarm} from '../time/sleep-alarm.js';
 import {createFrameWriter} from './frame-writer.js';
 import {authenticateCaller, type PeerCredentials} from './peer-authentication.js';
 import {throwNotAuthenticated} from './peer-errors.js';
@@ -47,7 +48,7 @@
 export function createAnsweringLink(options: AnsweringLinkOptions): AnsweringLink {
 	const {channel, peer, handlers, limits, clock} = options;
 	const writer = createFrameWriter(channel, limits.maxFrameBytes);
-	const closed = new AbortController();
+	const closed = createSleepAlarm();
 	let running = 0;
 	let draining = false;
 	let heardAt = clock.now();
@@ -101,8 +102,8 @@
 
 	const watchIdle = async () => {
 		const idleMs = limits.idleMs * IDLE_FACTOR;
-		while (!closed.signal.aborted) {
-			await clock.sleep(idleMs, closed.signal);
+		while (!closed.aborted) {
+			await clock.sleep(idleMs, closed);
 			if (running === 0 && clock.now() >= heardAt + idleMs) {
 				channel.terminate();
 			}
@@ -124,7 +125,7 @@
 	 * Guards against a call that is on its way when the link ends: its caller would take it for sent, and be left unsure of
 	 * a write that nobody read. Only the calling end knows when all it sent has its answer, so it ends the link.
 	 */
-	const waitForCaller = async () => clock.sleep(limits.callerCloseMs, closed.signal);
+	const waitForCaller = async () => clock.sleep(limits.callerCloseMs, closed);
 
 	return {
 		async drain() {
--- a/src/peers/peer-link.ts
+++ b/src/peers/peer-link.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '../time/clock.js';
+import {createSleepAlarm} from '../time/sleep-alarm.js';
 import {createAwaitedCalls, type AwaitedCall} from './awaited-calls.js';
 import {createFrameWriter} from './frame-writer.js';
 import {authenticateToAnswerer, type PeerCredentials} from './peer-authentication.js';
@@ -60,7 +61,7 @@
 	let owedSince = Infinity;
 	let pingedAt = -Infinity;
 	let wakeAt = Infinity;
-	let sleeper = new AbortController();
+	let sleeper = createSleepAlarm();
 
 	const close = (reason: string, end: () => void) => {
 		if (state === LinkState.Closed) {
@@ -215,8 +216,8 @@
 		while (state !== LinkState.Closed) {
 			const now = clock.now();
 			wakeAt = check(now);
-			sleeper = new AbortController();
-			await clock.sleep(Math.max(1, Math.ceil(wakeAt - now)), sleeper.signal);
+			sleeper = createSleepAlarm();
+			await clock.sleep(Math.max(1, Math.ceil(wakeAt - now)), sleeper);
 		}
 	};
 
--- a/src/proxy/main.ts
+++ b/src/proxy/main.ts
@@ -1,4 +1,3 @@
-#!/usr/bin/env node
 import process from 'node:process';
 import {createPromGatewayMetrics} from '../gateway/prom-gateway-metrics.js';
 import {openAsyncOutput} from '../log/async-output.js';
@@ -57,13 +56,16 @@
 	};
 }
 
-const exitCode = await runProxy({
-	settingsPath: process.env[SETTINGS_VARIABLE],
-	args: process.argv.slice(2),
-	output: process.stdout,
-	errors: process.stderr,
-	events: process,
-	createParts,
-});
-await output.flush();
-process.exit(exitCode);
+/** Runs the proxy in this process; resolves with the exit code upon which the process is to end. */
+export async function main(args: readonly string[], tells: NodeJS.WritableStream = process.stdout): Promise<number> {
+	const exitCode = await runProxy({
+		settingsPath: process.env[SETTINGS_VARIABLE],
+		args,
+		output: tells,
+		errors: process.stderr,
+		events: process,
+		createParts,
+	});
+	await output.flush();
+	return exitCode;
+}
--- a/src/stand-ins/plain-platform/local-platform.ts
+++ b/src/stand-ins/plain-platform/local-platform.ts
@@ -110,7 +110,7 @@
 				`cloud.address=${HOST}:${ordersPort}`,
 				'bounds.graceS=6',
 			].join('\n'));
-			const child = spawn(process.execPath, ['target/aldercroft-proxy.mjs', `--metrics-port=${metricsPort}`], {
+			const child = spawn(process.execPath, ['target/aldercroft-proxy.cjs', `--metrics-port=${metricsPort}`], {
 				env: {PATH: process.env.PATH, ALDERCROFT_BOOT: settings, ALDERCROFT_PEER_KEYS: 'a key of the local platform alone, 32+'},
 				stdio: ['ignore', 'pipe', 'inherit'],
 			});
--- a/src/time/elapsed-clock.ts
+++ b/src/time/elapsed-clock.ts
@@ -21,17 +21,17 @@
  * another machine's time.
  */
 export function createElapsedClock(): ElapsedClock {
-	const timespec = koffi.struct({tv_sec: 'long', tv_nsec: 'long'});
 	const library = koffi.load(null);
-	const getTime = library.func('clock_gettime', 'int', ['int', koffi.out(koffi.pointer(timespec))]) as (clock: number, time: Record<string, unknown>) => number;
+	// The C library fills in seconds and nanoseconds, 64 bits each; a buffer that is kept costs less than a struct that is decoded anew.
+	const getTime = library.func('int clock_gettime(int clock, void *time)') as (clock: number, time: BigInt64Array) => number;
+	const time = new BigInt64Array(2);
 	return {
 		elapsed() {
-			const time: {tv_sec?: number; tv_nsec?: number} = {};
 			if (getTime(CLOCK_BOOTTIME, time) !== 0) {
 				throw new Error('the host has no clock that counts suspensions');
 			}
 
-			return (time.tv_sec! * 1000) + (time.tv_nsec! / 1e6);
+			return (Number(time[0]) * 1000) + (Number(time[1]) / 1e6);
 		},
 	};
 }
