Count operations at few hosts, and let those far from the limit not wait

Cause: each workspace had a counting host of its own, so every host opened links to nearly every other (82 hosts: 83 workspaces), and each operation waited for a message there and back before its statement went out.

Counting hosts: a power of two above 1.5 times the root of all hosts (16 of 82, 64 of 900). While half of the burst is left, an operation runs while its token is asked for, one at a time for each workspace and host; what it spends is charged, also below zero.

--- a/src/bench/rate-limits/counting-host.ts
+++ b/src/bench/rate-limits/counting-host.ts
@@ -3,6 +3,7 @@
 import {createPeerNetwork} from '../../stand-ins/peers/in-memory-peers.js';
 import {createRateLimiter} from '../../workspaces/rate-limiter.js';
 import {createTokenIssuer} from '../../workspaces/token-issuer.js';
+import {createTokenSource} from '../../workspaces/token-source.js';
 import {WAY_MS, type FleetLimit, type FleetLimitOptions} from './fleet-limit.js';
 
 /** The product's way: one host counts and issues tokens, and others stand by. */
@@ -27,12 +28,16 @@
 		const peers = network.addHost(peerAddress);
 		peers.handle('host-alive', async () => ({alive: true as const}));
 		return createRateLimiter({
-			peers: count(peers),
-			unreachable: createUnreachableHosts(),
+			source: createTokenSource({
+				peers: count(peers),
+				unreachable: createUnreachableHosts(),
+				clock,
+				ownPeerAddress: peerAddress,
+				issuer: createTokenIssuer({getLimit: () => limit}),
+				getHosts: () => hosts,
+			}),
 			clock,
-			ownPeerAddress: peerAddress,
-			issuer: createTokenIssuer({getLimit: () => limit}),
-			getHosts: () => hosts,
+			countHosts: () => hosts.length,
 		});
 	});
 
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -33,6 +33,7 @@
 import {createCallerAccess} from '../workspaces/caller-access.js';
 import {createRateLimiter, type RateLimiter} from '../workspaces/rate-limiter.js';
 import {createTokenIssuer} from '../workspaces/token-issuer.js';
+import {createTokenSource} from '../workspaces/token-source.js';
 
 declare module '../kernel/service-map.js' {
 	interface ServiceMap {
@@ -132,9 +133,10 @@
 		peers, lenders, knowledge, clock, elapsedClock, unreachable,
 	});
 	const issuer = createTokenIssuer({getLimit: workspace => mirror.state.routing?.workspaces.get(workspace)?.limit});
-	const rateLimiter = createRateLimiter({
+	const tokenSource = createTokenSource({
 		peers, unreachable, clock, ownPeerAddress: peerAddress, issuer, getHosts: () => mirror.state.hosts,
 	});
+	const rateLimiter = createRateLimiter({source: tokenSource, clock, countHosts: () => mirror.state.hosts.length});
 	const access = createCallerAccess({
 		getKnown: () => ({routing: mirror.state.routing, storeConfirmedAt: mirror.storeConfirmedAt}),
 		revokeWithinMs: parts.revokeWithinMs,
--- a/src/workspaces/rate-limit-calls.ts
+++ b/src/workspaces/rate-limit-calls.ts
@@ -7,6 +7,8 @@
 	readonly limit: RateLimit;
 	/** Tokens for operations that wait. */
 	readonly needed: number;
+	/** Operations that run already. */
+	readonly spent: number;
 	/** Tokens for operations to come, granted only while the limit is far. */
 	readonly ahead: number;
 };
@@ -16,6 +18,8 @@
 	readonly tokens: number;
 	/** When to come back with an operation that got none, in milliseconds; undefined where all that were needed were granted. */
 	readonly retryAfterMs?: number;
+	/** The limit is far: much of the burst is left. */
+	readonly isFar?: boolean;
 };
 
 declare module '../peers/peer-calls.js' {
--- a/src/workspaces/token-bucket.ts
+++ b/src/workspaces/token-bucket.ts
@@ -4,6 +4,10 @@
 export type TokenBucket = {
 	/** Takes up to `wanted` tokens at the steady time `now`, and leaves at least `leave`; how many were taken. */
 	take(wanted: number, now: number, leave?: number): number;
+	/** Takes tokens for what runs already; what it lacks of them it owes. */
+	charge(spent: number, now: number): void;
+	/** Tokens that it holds; negative where it owes some. */
+	getLevel(now: number): number;
 	/** Time until one token is there, in milliseconds; Infinity where none will be. */
 	getWaitMs(now: number): number;
 	/** Takes over another limit. */
@@ -29,6 +33,14 @@
 			held -= taken;
 			return taken;
 		},
+		charge(spent, at) {
+			refill(at);
+			held -= spent;
+		},
+		getLevel(at) {
+			refill(at);
+			return held;
+		},
 		getWaitMs(at) {
 			refill(at);
 			if (held >= 1) {
--- a/src/workspaces/token-issuer.ts
+++ b/src/workspaces/token-issuer.ts
@@ -18,6 +18,9 @@
 /** Part of a burst that stays for operations that wait; tokens ahead of their operations come from what is above. */
 const KEPT_FOR_WAITING = 7 / 8;
 
+/** Part of a burst that is left where the limit is far. */
+const FAR_LEVEL = 1 / 2;
+
 /**
  * What a bucket holds when its workspace is met here for the first time: a part of a second, and some operations. Guards the limit when another host has counted so far
  * and died, or was restarted: a full burst would be granted twice within one window.
@@ -71,16 +74,17 @@
 	};
 
 	return {
-		grant({workspace, limit: named, needed, ahead}, now) {
+		grant({workspace, limit: named, needed, spent, ahead}, now) {
 			forgetUnused(now);
 			const limit = getLimit(workspace) ?? named;
 			const {bucket, comeBackTimes} = getCounted(workspace, limit, now);
+			bucket.charge(spent, now);
 			const tokens = bucket.take(needed, now);
 			if (tokens < needed) {
 				return {tokens, retryAfterMs: comeBackTimes.take(bucket.getWaitMs(now), 1000 / limit.ratePerSecond, now)};
 			}
 
-			return {tokens: tokens + bucket.take(ahead, now, limit.burst * KEPT_FOR_WAITING)};
+			return {tokens: tokens + bucket.take(ahead, now, limit.burst * KEPT_FOR_WAITING), isFar: bucket.getLevel(now) >= limit.burst * FAR_LEVEL};
 		},
 	};
 }
--- a/tests/workspaces/rate-limiter-tests.ts
+++ b/tests/workspaces/rate-limiter-tests.ts
@@ -5,6 +5,7 @@
 import {createVirtualClock} from '../../src/stand-ins/time/virtual-clock.js';
 import {createRateLimiter, type RateLimiter, type RateVerdict} from '../../src/workspaces/rate-limiter.js';
 import {createTokenIssuer} from '../../src/workspaces/token-issuer.js';
+import {createTokenSource} from '../../src/workspaces/token-source.js';
 import type {RateLimit, Workspace} from '../../src/workspaces/workspace.js';
 
 const HOSTS = 12;
@@ -40,12 +41,16 @@
 		const peers = network.addHost(hosts[i]!.peerAddress);
 		peers.handle('host-alive', async () => ({alive: true as const}));
 		limiters[i] = createRateLimiter({
-			peers: count(peers),
-			unreachable: createUnreachableHosts(),
+			source: createTokenSource({
+				peers: count(peers),
+				unreachable: createUnreachableHosts(),
+				clock,
+				ownPeerAddress: hosts[i]!.peerAddress,
+				issuer: createTokenIssuer({getLimit: () => limit}),
+				getHosts: () => hosts,
+			}),
 			clock,
-			ownPeerAddress: hosts[i]!.peerAddress,
-			issuer: createTokenIssuer({getLimit: () => limit}),
-			getHosts: () => hosts,
+			countHosts: () => hosts.length,
 		});
 	};
 
