Close idle connections of other workspaces before passing the share

The endpoint reached its cap, hosts turned each other away, and an opening takes a slot like a statement. A connection that was opened for one went to another whose turn had come, and was closed unused; an endpoint too busy to open one was taken to be gone.

Tried and left: keeping the whole share, or for 10 s: no difference.

--- a/src/bench/experiments.ts
+++ b/src/bench/experiments.ts
@@ -7,6 +7,7 @@
 import {overload} from './overload.js';
 import {rateLimits} from './rate-limits.js';
 import {replicaShare} from './replica-share.js';
+import {workspaceLinks} from './workspace-links.js';
 import {siteLoad} from './site-load.js';
 import {pooling} from './pooling.js';
 
@@ -22,4 +23,5 @@
 	[replicaShare.name]: replicaShare,
 	[siteLoad.name]: siteLoad,
 	[pooling.name]: pooling,
+	[workspaceLinks.name]: workspaceLinks,
 };
--- /dev/null
+++ b/src/bench/workspace-links.ts
@@ -0,0 +1,66 @@
+import type {
+	Experiment, ExperimentOptions, ExperimentResult, Measure, Variant,
+} from './experiment.js';
+import {createMeasure} from './statistics.js';
+import {playKeepers, type KeepersFigures, type KeepersPlay} from './workspace-links/play-keepers.js';
+
+/** Serves many workspaces at one busy endpoint by ways of spreading its connections, in virtual time. */
+export const workspaceLinks: Experiment = {
+	name: 'workspace-links',
+	description: 'Connections opened for each statement, failures and times where workspaces share the connections of one busy endpoint',
+	run,
+};
+
+const LOADS = [40, 120, 180] as const;
+
+const WAYS: Readonly<Record<string, Pick<KeepersPlay, 'keepersPerZone' | 'byWorkspace'>>> = {
+	'two hosts a zone, by workspace': {keepersPerZone: 2, byWorkspace: true},
+	'two hosts a zone, by turns': {keepersPerZone: 2, byWorkspace: false},
+	'one host a zone': {keepersPerZone: 1, byWorkspace: true},
+};
+
+const FIGURES: ReadonlyArray<readonly [name: string, unit: string, pick: (figures: KeepersFigures) => number]> = [
+	['opened', 'a statement', ({openedPerStatement}) => openedPerStatement],
+	['openings over the cap', 'a statement', ({overCapPerStatement}) => overCapPerStatement],
+	['failed', 'of statements', ({failed}) => failed],
+	['p50', 'ms', ({p50Ms}) => p50Ms],
+	['p99', 'ms', ({p99Ms}) => p99Ms],
+];
+
+async function run({seeds, report}: ExperimentOptions): Promise<ExperimentResult> {
+	const variants: Variant[] = [];
+	for (const [name, way] of Object.entries(WAYS)) {
+		report(name);
+		variants.push({name, measures: await measureWay(way, seeds)});
+	}
+
+	return {
+		name: workspaceLinks.name,
+		description: workspaceLinks.description,
+		seeds,
+		setting: {
+			workspaces: 83, skew: 1, zones: 4, connections: 46, slots: 3,
+		},
+		measures: variants[0]!.measures,
+		baselines: variants.slice(1),
+		plots: [],
+	};
+}
+
+async function measureWay(way: Pick<KeepersPlay, 'keepersPerZone' | 'byWorkspace'>, seeds: readonly number[]): Promise<readonly Measure[]> {
+	const measures: Measure[] = [];
+	for (const statementsPerSecond of LOADS) {
+		const played: KeepersFigures[] = [];
+		for (const seed of seeds) {
+			played.push(await playKeepers({
+				...way, zones: 4, workspaces: 83, skew: 1, statementsPerSecond, seed,
+			}));
+		}
+
+		for (const [name, unit, pick] of FIGURES) {
+			measures.push(createMeasure(`${statementsPerSecond}/s: ${name}`, unit, played.map(figures => pick(figures))));
+		}
+	}
+
+	return measures;
+}
--- a/src/links/choose-waiter.ts
+++ b/src/links/choose-waiter.ts
@@ -13,10 +13,10 @@
 export type ConnectionsInUse = (workspace: string | undefined) => number;
 
 /**
- * A waiter is passed over by others of the connection's own workspace for so long, in milliseconds: about the time of opening a connection for it, which takes a slot
- * of the endpoint as a statement does.
+ * A waiter is passed over by others of the connection's own workspace for so long, in milliseconds: some statements' time. Opening a connection for it takes a slot of the endpoint as
+ * a statement does, which a busy one can spare least.
  */
-const PASSED_OVER_MS = 25;
+const PASSED_OVER_MS = 60;
 
 /**
  * Whose turn it is: by priority, then that of the workspace with the fewest connections in use, then in order of arrival.
--- a/src/links/create-endpoint-pool.ts
+++ b/src/links/create-endpoint-pool.ts
@@ -170,6 +170,19 @@
 		openForWaiters();
 	};
 
+	/**
+	 * A connection that was opened for a workspace serves that first. Guards against openings without an end: given to the one whose turn it is by then, of another
+	 * workspace, it would have to be closed again unused.
+	 */
+	const giveOpened = (sessionLink: SessionLink) => {
+		const own = getNextWaiter(waiters.filter(wish => wish.workspace === sessionLink.workspace && mayTake(wish)), getInUse);
+		if (own) {
+			giveTo(own, sessionLink);
+		} else {
+			giveAway(sessionLink);
+		}
+	};
+
 	/** What was held back from a transaction may be lent to it once another may be opened. */
 	const serveIdle = () => {
 		const waiter = waiters.find(wish => mayTake(wish) && idle.has(wish.workspace));
@@ -187,7 +200,7 @@
 
 	const noteOpenFailed = (err: unknown) => {
 		const now = clock.now();
-		if (isLinkRefused(err) && err.code === AnswerCode.TooManyConnections) {
+		if (isLinkRefused(err) && (err.code === AnswerCode.TooManyConnections || err.code === AnswerCode.Overloaded)) {
 			health.noteHeard(now);
 			budget.noteTurnedAway(now);
 			return;
@@ -219,7 +232,7 @@
 				return;
 			}
 
-			giveAway(sessionLink);
+			giveOpened(sessionLink);
 		} catch (err) {
 			log.debug('a connection was not opened', {endpoint: target.endpointId, reason: (err as Error).message});
 		}
@@ -235,8 +248,12 @@
 	/** Whose turn it is of those who wait without a connection being opened for them. */
 	const getUnserved = (): Waiter | undefined => {
 		const underWay = [...openingFor];
-		const unserved = waiters.filter(({workspace}) => {
-			const at = underWay.indexOf(workspace);
+		const unserved = waiters.filter(waiter => {
+			if (!mayTake(waiter)) {
+				return false;
+			}
+
+			const at = underWay.indexOf(waiter.workspace);
 			if (at !== -1) {
 				underWay.splice(at, 1);
 			}
@@ -264,7 +281,8 @@
 	const openForWaiters = () => {
 		for (let next = getUnserved(); next && !retired; next = getUnserved()) {
 			const open = all.size + opening;
-			if (!mayOpenBeside(open) && !(mayOpenBeside(open - 1) && makeRoom(next.workspace))) {
+			const isWithinShare = open < budget.share && mayOpenBeside(open);
+			if (!isWithinShare && !(mayOpenBeside(open - 1) && makeRoom(next.workspace)) && !mayOpenBeside(open)) {
 				return;
 			}
 
