Refuse what has queued for twice the time in which it is wanted

Cause: a statement that found an endpoint busy waited until its route's time was up, 800 ms of a caller's 1,209, was tried there every 25 ms meanwhile, and left its caller no time for another try.

One that queues is now refused after twice its route's aim, half of its route's time at most, with when to come back. Time in which no primary is known does not count, and what is under way is awaited.

--- a/src/gateway/caller-session.ts
+++ b/src/gateway/caller-session.ts
@@ -15,6 +15,7 @@
 import type {GatewayParts} from './gateway-parts.js';
 import {observeStatement} from './observe-statement.js';
 import {openSession, type OpenSessionOptions} from './open-session.js';
+import {createQueuePatience} from './queue-patience.js';
 import {runRead} from './run-read.js';
 import {runWrite} from './run-write.js';
 import {createSessionMemory, rememberStatement} from './session-memory.js';
@@ -120,7 +121,7 @@
 			beginId: id,
 			readOnly,
 			req: {
-				route, memory, workspace, arrivedAt, isWanted, trace: newTrace(),
+				route, memory, workspace, arrivedAt, patience: createQueuePatience(route), isWanted, trace: newTrace(),
 			},
 		});
 		return DONE;
@@ -170,7 +171,7 @@
 			id,
 			statement,
 			req: {
-				route, memory, workspace: admission.workspace, arrivedAt, until, single: true, isWanted, trace: newTrace(),
+				route, memory, workspace: admission.workspace, arrivedAt, until, patience: createQueuePatience(route), single: true, isWanted, trace: newTrace(),
 			},
 		};
 		return shape.access === Access.Read ? runRead(parts, getBudget(route.group), single) : runWrite(parts, single);
--- a/src/gateway/caller-transaction.ts
+++ b/src/gateway/caller-transaction.ts
@@ -97,7 +97,7 @@
 	/** Begins at an endpoint; undefined where none took it in time. */
 	const begin = async (until: number): Promise<LentLink | undefined> => {
 		const excluded = new Set<string>();
-		while (clock.now() < until && req.isWanted()) {
+		while (clock.now() < until && req.isWanted() && !req.patience.isOver(clock.now())) {
 			const wish = {...req, until, excluded};
 			const candidate = await (readOnly ? lendForRead(parts, wish) : lendPrimary(parts, wish));
 			if (!candidate) {
--- a/src/gateway/lend-link.ts
+++ b/src/gateway/lend-link.ts
@@ -12,6 +12,7 @@
 import {createSleepAlarm} from '../time/sleep-alarm.js';
 import type {Workspace} from '../workspaces/workspace.js';
 import type {GatewayParts} from './gateway-parts.js';
+import type {QueuePatience} from './queue-patience.js';
 import type {SessionMemory} from './session-memory.js';
 import type {StatementTrace} from './statement-trace.js';
 
@@ -39,6 +40,8 @@
 	readonly arrivedAt: number;
 	/** Steady time until which a connection is of use. */
 	readonly until: number;
+	/** How long it queues for one. */
+	readonly patience: QueuePatience;
 	/** Whether the connection is for one statement; else it is for a transaction. */
 	readonly single?: boolean;
 	/** Whether it is for one read, which may run more than once. */
@@ -103,8 +106,9 @@
 			continue;
 		}
 
-		const lent = await acquire(parts, req, endpoint, evidence);
-		if (lent) {
+		const until = Math.min(req.until, req.patience.start(parts.clock.now()));
+		const lent = await acquire(parts, {...req, until}, endpoint, evidence);
+		if (req.patience.isOver(parts.clock.now()) || lent) {
 			return lent;
 		}
 
@@ -150,9 +154,10 @@
 			await parts.clock.sleep(Math.min(chosen.catchUpMs + CATCH_UP_MARGIN_MS, req.until - parts.clock.now()));
 		}
 
-		const until = candidates.length > 1 ? Math.min(req.until, parts.clock.now() + LONGEST_AT_ONE_MS) : req.until;
+		const queueUntil = Math.min(req.until, req.patience.start(parts.clock.now()));
+		const until = candidates.length > 1 ? Math.min(queueUntil, parts.clock.now() + LONGEST_AT_ONE_MS) : queueUntil;
 		const lent = await acquire(parts, {...req, until}, endpoint, chosen.isPrimary ? evidence : undefined, chosen.isPrimary ? undefined : floor);
-		if (lent) {
+		if (req.patience.isOver(parts.clock.now()) || lent) {
 			return lent;
 		}
 
--- a/src/gateway/run-read.ts
+++ b/src/gateway/run-read.ts
@@ -35,7 +35,7 @@
 	const excluded = new Set<string>();
 	const {until, route} = single.req;
 	const underWay = new Set<Promise<TryOutcome>>();
-	let lastReason = 'no endpoint could be used';
+	let lastReason: string = AnswerCode.Overloaded;
 	budget.noteFresh(clock.now());
 
 	/**
@@ -54,7 +54,10 @@
 		excluded.add(endpointId);
 	};
 
-	while (clock.now() < until && single.req.isWanted()) {
+	/** What is under way is awaited, since its answer may be ready. */
+	const hasQueuedOut = () => underWay.size === 0 && lastReason === AnswerCode.Overloaded && single.req.patience.isOver(clock.now());
+
+	while (clock.now() < until && single.req.isWanted() && !hasQueuedOut()) {
 		const lent = await lendForRead(parts, {
 			...single.req, reads: true, excluded, until: underWay.size > 0 ? clock.now() : until,
 		});
--- a/src/gateway/run-write.ts
+++ b/src/gateway/run-write.ts
@@ -22,7 +22,7 @@
 	const {group} = req.route;
 	let lastReason = 'no primary could be used';
 
-	while (clock.now() < req.until && req.isWanted()) {
+	while (clock.now() < req.until && req.isWanted() && !req.patience.isOver(clock.now())) {
 		const lent = await lendPrimary(parts, req);
 		if (!lent) {
 			break;
