Bound what a host has under way at an endpoint that turns statements away

Each host's window is unbounded until the endpoint turns a statement away, is halved then, and grows by one a window served. What is held back waits in order of priority and workspace, and its connections stay open.

--- a/src/bench/workspace-links.ts
+++ b/src/bench/workspace-links.ts
@@ -11,7 +11,8 @@
 	run,
 };
 
-const LOADS = [40, 120, 180] as const;
+/** Statements a second, and how many times as long the endpoint works at first. */
+const LOADS = [[40, 1], [120, 1], [120, 5], [180, 1]] as const;
 
 const WAYS: Readonly<Record<string, Pick<KeepersPlay, 'keepersPerZone' | 'byWorkspace'>>> = {
 	'two hosts a zone, by workspace': {keepersPerZone: 2, byWorkspace: true},
@@ -23,6 +24,7 @@
 	['opened', 'a statement', ({openedPerStatement}) => openedPerStatement],
 	['openings over the cap', 'a statement', ({overCapPerStatement}) => overCapPerStatement],
 	['failed', 'of statements', ({failed}) => failed],
+	['failed later', 'of statements', ({failedLater}) => failedLater],
 	['p50', 'ms', ({p50Ms}) => p50Ms],
 	['p99', 'ms', ({p99Ms}) => p99Ms],
 ];
@@ -49,16 +51,16 @@
 
 async function measureWay(way: Pick<KeepersPlay, 'keepersPerZone' | 'byWorkspace'>, seeds: readonly number[]): Promise<readonly Measure[]> {
 	const measures: Measure[] = [];
-	for (const statementsPerSecond of LOADS) {
+	for (const [statementsPerSecond, slowFactor] of LOADS) {
 		const played: KeepersFigures[] = [];
 		for (const seed of seeds) {
 			played.push(await playKeepers({
-				...way, zones: 4, workspaces: 83, skew: 1, statementsPerSecond, seed,
+				...way, zones: 4, workspaces: 83, skew: 1, statementsPerSecond, slowFactor, seed,
 			}));
 		}
 
 		for (const [name, unit, pick] of FIGURES) {
-			measures.push(createMeasure(`${statementsPerSecond}/s: ${name}`, unit, played.map(figures => pick(figures))));
+			measures.push(createMeasure(`${statementsPerSecond}/s${slowFactor === 1 ? '' : `, slow by ${slowFactor} at first`}: ${name}`, unit, played.map(figures => pick(figures))));
 		}
 	}
 
--- a/src/bench/workspace-links/busy-endpoint.ts
+++ b/src/bench/workspace-links/busy-endpoint.ts
@@ -1,4 +1,4 @@
-import type {EndpointLink, LinkOpener} from '../../links/endpoint-link.js';
+import type {EndpointLink, LinkListener, LinkOpener} from '../../links/endpoint-link.js';
 import {createLinkRefused} from '../../links/link-errors.js';
 import {createServiceSlots} from '../../stand-ins/database/service-slots.js';
 import {SessionState} from '../../statements/statement.js';
@@ -49,7 +49,7 @@
 		return true;
 	};
 
-	const createLink = (): EndpointLink => {
+	const createLink = (listener: LinkListener): EndpointLink => {
 		const closeListeners: Array<() => void> = [];
 		let pending = 0;
 		let closed = false;
@@ -81,6 +81,7 @@
 				const isRun = await occupy(command.kind === 'run' ? Number(command.text) : 1);
 				await clock.sleep(wayMs);
 				pending--;
+				listener.onAnswered(!isRun);
 				return {rows: [], end: isRun ? {kind: 'complete'} : {kind: 'error', code: AnswerCode.Overloaded, text: ''}, state: SessionState.Idle};
 			},
 			async readStatus() {
@@ -112,7 +113,7 @@
 
 				await clock.sleep(wayMs);
 				listener.onHeard();
-				return createLink();
+				return createLink(listener);
 			},
 		},
 		get opened() {
--- a/src/bench/workspace-links/play-keepers.ts
+++ b/src/bench/workspace-links/play-keepers.ts
@@ -17,6 +17,8 @@
 	/** Exponent of the workspaces' sizes. */
 	readonly skew: number;
 	readonly statementsPerSecond: number;
+	/** The endpoint works so many times as long for the first seconds. */
+	readonly slowFactor?: number;
 	readonly seed: number;
 };
 
@@ -26,11 +28,18 @@
 	readonly overCapPerStatement: number;
 	/** Statements that were not answered in their time, as a share. */
 	readonly failed: number;
+	/** The same of those that came once the endpoint had been back to its speed for a while. */
+	readonly failedLater: number;
 	readonly p50Ms: number;
 	readonly p99Ms: number;
 };
 
 const PLAY_MS = 20_000;
+
+/** The endpoint is slow until then, and some time later it should have recovered. */
+const SLOW_MS = 5000;
+const RECOVERED_MS = 8000;
+
 const STATEMENT_TIMEOUT_MS = 800;
 const MEAN_WORK_MS = 14;
 const TRANSACTION_SHARE = 0.13;
@@ -38,7 +47,7 @@
 const BUSY_PAUSE_MS = 20;
 
 /** Plays one busy endpoint. */
-export async function playKeepers({keepersPerZone, zones, byWorkspace, workspaces, skew, statementsPerSecond, seed}: KeepersPlay): Promise<KeepersFigures> {
+export async function playKeepers({keepersPerZone, zones, byWorkspace, workspaces, skew, statementsPerSecond, slowFactor = 1, seed}: KeepersPlay): Promise<KeepersFigures> {
 	const clock = createVirtualClock(undefined, {settleRounds: 1});
 	const random = createSeededRandom(seed);
 	const endpoint = createBusyEndpoint({
@@ -58,6 +67,9 @@
 	const waits: number[] = [];
 	let asked = 0;
 	let failed = 0;
+	let failedLater = 0;
+	let askedLater = 0;
+	const startedAt = clock.now();
 
 	const draw = () => {
 		let left = random.fraction() * total;
@@ -78,6 +90,7 @@
 	const run = async (pool: EndpointPool, workspace: string) => {
 		const until = clock.now() + STATEMENT_TIMEOUT_MS;
 		const askedAt = clock.now();
+		askedLater += askedAt >= startedAt + RECOVERED_MS ? 1 : 0;
 		const isTransaction = random.fraction() < TRANSACTION_SHARE;
 		while (clock.now() < until) {
 			const sessionLink = await pool.acquire({
@@ -87,7 +100,8 @@
 				break;
 			}
 
-			const work = String(-Math.log(1 - random.fraction()) * MEAN_WORK_MS);
+			const factor = clock.now() < startedAt + SLOW_MS ? slowFactor : 1;
+			const work = String(-Math.log(1 - random.fraction()) * MEAN_WORK_MS * factor);
 			const {end} = await sessionLink.link.exchange({id: 's', command: {kind: 'run', text: work}});
 			if (end.kind === 'complete') {
 				waits.push(clock.now() - askedAt);
@@ -104,6 +118,7 @@
 		}
 
 		failed++;
+		failedLater += askedAt >= startedAt + RECOVERED_MS ? 1 : 0;
 	};
 
 	const endsAt = clock.now() + PLAY_MS;
@@ -122,6 +137,7 @@
 		openedPerStatement: endpoint.opened / asked,
 		overCapPerStatement: endpoint.overCap / asked,
 		failed: failed / asked,
+		failedLater: failedLater / Math.max(1, askedLater),
 		p50Ms: sorted[Math.floor(sorted.length / 2)] ?? Number.NaN,
 		p99Ms: sorted[Math.floor(sorted.length * 0.99)] ?? Number.NaN,
 	};
--- a/src/links/create-endpoint-pool.ts
+++ b/src/links/create-endpoint-pool.ts
@@ -1,6 +1,7 @@
 import {AnswerCode} from '../statements/statement-answer.js';
 import {holdsLogPosition, LOG_START, type LogPosition} from '../terms/log-position.js';
 import {createSleepAlarm} from '../time/sleep-alarm.js';
+import {createCongestionWindow} from './congestion-window.js';
 import {createEndpointHealth} from './endpoint-health.js';
 import type {EndpointLink, LinkListener} from './endpoint-link.js';
 import type {EndpointPool, EndpointPoolOptions, LinkWish} from './endpoint-pool.js';
@@ -26,6 +27,7 @@
 export function createEndpointPool({target, opener, clock, log, getLimits, getLeastPosition}: EndpointPoolOptions): EndpointPool {
 	const health = createEndpointHealth();
 	const budget = createLinkBudget(getLimits);
+	const congestion = createCongestionWindow();
 	const all = new Set<SessionLink>();
 	const inTransactions = new Set<SessionLink>();
 	const idle = createIdleLinks();
@@ -56,8 +58,18 @@
 			health.noteHeard(clock.now());
 			noteWhetherOpen();
 		},
+		onAnswered(isTurnedAway) {
+			if (isTurnedAway) {
+				congestion.noteTurnedAway(countUnderWay(), clock.now());
+			} else {
+				congestion.noteServed();
+			}
+		},
 	};
 
+	/** Connections that serve single statements, or are being opened; what rests in transactions takes no slot of the endpoint. */
+	const countUnderWay = () => all.size - idle.size - inTransactions.size + opening;
+
 	/** Opens a connection and keeps it in the pool until it closes. */
 	const openLink = async (timeoutMs: number, workspace: string | undefined) => {
 		opening++;
@@ -111,7 +123,11 @@
 	 * Guards single statements against transactions that rest: where no further connection may be opened, a transaction leaves one to them. A hundred
 	 * callers that rested in transactions for 3 s each took every connection of a primary, and reads and writes of 15 ms waited until their time was up.
 	 */
-	const mayTake = ({single}: LinkWish) => {
+	const mayTake = ({single}: LinkWish, underWay = countUnderWay()) => {
+		if (underWay >= congestion.size) {
+			return false;
+		}
+
 		const left = all.size - inTransactions.size - 1;
 		return single || left > 0 || all.size <= 1 || budget.mayOpen(clock.now(), all.size + opening);
 	};
@@ -159,8 +175,11 @@
 		}
 	};
 
+	/** Those who may take a connection that is neither lent nor idle. */
+	const getWaitersFor = ({link}: SessionLink) => waiters.filter(wish => !link.closed && mayTake(wish, countUnderWay() - 1));
+
 	const giveAway = (sessionLink: SessionLink) => {
-		const waiter = chooseWaiter(waiters.filter(wish => mayTake(wish)), sessionLink.workspace, getInUse, clock.now());
+		const waiter = chooseWaiter(getWaitersFor(sessionLink), sessionLink.workspace, getInUse, clock.now());
 		if (waiter) {
 			giveTo(waiter, sessionLink);
 			return;
@@ -175,7 +194,7 @@
 	 * workspace, it would have to be closed again unused.
 	 */
 	const giveOpened = (sessionLink: SessionLink) => {
-		const own = getNextWaiter(waiters.filter(wish => wish.workspace === sessionLink.workspace && mayTake(wish)), getInUse);
+		const own = getNextWaiter(getWaitersFor(sessionLink).filter(({workspace}) => workspace === sessionLink.workspace), getInUse);
 		if (own) {
 			giveTo(own, sessionLink);
 		} else {
--- a/src/links/endpoint-link.ts
+++ b/src/links/endpoint-link.ts
@@ -84,6 +84,8 @@
 	onAsked(): void;
 	/** Something came, and what it completes has been handed on. */
 	onHeard(): void;
+	/** A request has its answer, or was turned away since too much work waits. */
+	onAnswered(isTurnedAway: boolean): void;
 };
 
 /** Opens links. */
--- a/src/statements/statement-answer.ts
+++ b/src/statements/statement-answer.ts
@@ -54,3 +54,8 @@
 	/** End of the endpoint's log when it answered; undefined where it did not say. */
 	readonly position?: LogPosition;
 };
+
+/** Whether the endpoint ran nothing since too much work waits there. */
+export function isTurnedAway({end}: EndpointAnswer): boolean {
+	return end.kind === 'error' && end.code === AnswerCode.Overloaded;
+}
--- /dev/null
+++ b/tests/links/congestion-window-tests.ts
@@ -0,0 +1,56 @@
+import {expect} from 'chai';
+import {createCongestionWindow} from '../../src/links/congestion-window.js';
+
+describe('the congestion window of an endpoint', () => {
+	it('bounds nothing before anything was turned away', () => {
+		const window = createCongestionWindow();
+		window.noteServed();
+		expect(window.size).to.equal(Number.POSITIVE_INFINITY);
+	});
+
+	it('is half of what was under way when a statement is turned away', () => {
+		const window = createCongestionWindow();
+		window.noteTurnedAway(6, 0);
+		expect(window.size).to.equal(3);
+	});
+
+	it('shrinks once for all that is turned away together', () => {
+		const window = createCongestionWindow();
+		for (const now of [0, 1, 50, 99]) {
+			window.noteTurnedAway(8, now);
+		}
+
+		expect(window.size).to.equal(4);
+		window.noteTurnedAway(4, 100);
+		expect(window.size).to.equal(2);
+	});
+
+	it('is never below one, so that the endpoint is asked again', () => {
+		const window = createCongestionWindow();
+		for (let now = 0; now < 10_000; now += 100) {
+			window.noteTurnedAway(1, now);
+		}
+
+		expect(window.size).to.equal(1);
+	});
+
+	it('grows by one for each full window that is served', () => {
+		const window = createCongestionWindow();
+		window.noteTurnedAway(4, 0);
+		for (let served = 0; served < 2; served++) {
+			window.noteServed();
+		}
+
+		expect(window.size).to.be.within(2.8, 3);
+	});
+
+	it('bounds nothing any more once it has grown', () => {
+		const window = createCongestionWindow();
+		window.noteTurnedAway(1, 0);
+		for (let served = 0; served < 64 * 64; served++) {
+			window.noteServed();
+		}
+
+		expect(window.size).to.equal(Number.POSITIVE_INFINITY);
+	});
+});
