--- a/src/gateway/admit-operation.ts
+++ b/src/gateway/admit-operation.ts
@@ -9,7 +9,7 @@
 /** Whether a caller's request is let in, and on whose behalf it runs. */
 export type Admission =
 	| {readonly admitted: true; readonly workspace?: Workspace}
-	| {readonly admitted: false; readonly refusal: RefusalResult};
+	| {readonly admitted: false; readonly workspace?: Workspace; readonly refusal: RefusalResult};
 
 /** When to come back to a host that cannot verify keys, in milliseconds: another host can at once. */
 const UNVERIFIABLE_COME_BACK_MS = 50;
@@ -37,5 +37,9 @@
 	const verdict = await parts.rateLimiter.take(admission.workspace);
 	return verdict.allowed
 		? admission
-		: {admitted: false, refusal: refuse(AnswerCode.RateLimited, 'the workspace is over its rate limit; nothing ran', verdict.retryAfterMs)};
+		: {
+			admitted: false,
+			workspace: admission.workspace,
+			refusal: refuse(AnswerCode.RateLimited, 'the workspace is over its rate limit; nothing ran', verdict.retryAfterMs),
+		};
 }
--- a/src/gateway/caller-session.ts
+++ b/src/gateway/caller-session.ts
@@ -82,8 +82,8 @@
 
 	const getRoute = () => transactionRoute ?? mirror.state.routing?.routes.get(memory.database);
 
-	const newTrace = () => {
-		trace = createStatementTrace();
+	const newTrace = (workspace?: Workspace) => {
+		trace = createStatementTrace(workspace?.name);
 		return trace;
 	};
 
@@ -109,7 +109,7 @@
 		const arrivedAt = elapsedClock.elapsed();
 		const admission = await admitOperation(parts, memory.fingerprint, route);
 		if (!admission.admitted) {
-			newTrace();
+			newTrace(admission.workspace);
 			return admission.refusal;
 		}
 
@@ -121,7 +121,7 @@
 			beginId: id,
 			readOnly,
 			req: {
-				route, memory, workspace, arrivedAt, patience: createQueuePatience(route), isWanted, trace: newTrace(),
+				route, memory, workspace, arrivedAt, patience: createQueuePatience(route), isWanted, trace: newTrace(workspace),
 			},
 		});
 		return DONE;
@@ -163,7 +163,7 @@
 
 		const admission = await admitOperation(parts, memory.fingerprint, route);
 		if (!admission.admitted) {
-			newTrace();
+			newTrace(admission.workspace);
 			return admission.refusal;
 		}
 
@@ -171,7 +171,7 @@
 			id,
 			statement,
 			req: {
-				route, memory, workspace: admission.workspace, arrivedAt, until, patience: createQueuePatience(route), single: true, isWanted, trace: newTrace(),
+				route, memory, workspace: admission.workspace, arrivedAt, until, patience: createQueuePatience(route), single: true, isWanted, trace: newTrace(admission.workspace),
 			},
 		};
 		return shape.access === Access.Read ? runRead(parts, getBudget(route.group), single) : runWrite(parts, single);
--- a/src/gateway/statement-trace.ts
+++ b/src/gateway/statement-trace.ts
@@ -2,6 +2,8 @@
 
 /** What a log line has to tell of a statement's way, or of its transaction's. */
 export type StatementTrace = {
+	/** Name of the workspace on whose behalf it came. */
+	readonly workspace?: string;
 	/** Endpoints that it was sent to, in order. */
 	readonly endpoints: string[];
 	/** Time for which it waited for connections, in milliseconds. */
@@ -13,13 +15,13 @@
 };
 
 /** Creates an empty trace. */
-export function createStatementTrace(): StatementTrace {
-	return {endpoints: [], linkWaitMs: 0};
+export function createStatementTrace(workspace?: string): StatementTrace {
+	return {workspace, endpoints: [], linkWaitMs: 0};
 }
 
 /** The fields of a trace in a log line. */
-export function describeTrace({endpoints, linkWaitMs, epoch, floor}: StatementTrace) {
+export function describeTrace({workspace, endpoints, linkWaitMs, epoch, floor}: StatementTrace) {
 	return {
-		endpoints, linkWaitMs: Math.round(linkWaitMs), usedEpoch: epoch, floor,
+		workspace, endpoints, linkWaitMs: Math.round(linkWaitMs), usedEpoch: epoch, floor,
 	};
 }
--- a/src/reports/fleet-report.ts
+++ b/src/reports/fleet-report.ts
@@ -38,6 +38,8 @@
 	readonly refusalsByCode: Counts;
 	readonly refusalsByText: Counts;
 	readonly refusalsByDatabase: Counts;
+	/** By workspace and answer code, of callers with a key. */
+	readonly refusalsByWorkspace: Counts;
 	/** By why it was tried again. */
 	readonly retries: Counts;
 	readonly lateAnswers: number;
@@ -78,6 +80,7 @@
 		code: new Map<string, number>(),
 		text: new Map<string, number>(),
 		database: new Map<string, number>(),
+		workspace: new Map<string, number>(),
 		retry: new Map<string, number>(),
 		unknown: new Map<string, number>(),
 		leftOut: new Map<string, number>(),
@@ -103,6 +106,9 @@
 		count(counts.code, String(fields.code));
 		count(counts.text, withoutFigures(String(fields.text)));
 		count(counts.database, String(fields.database));
+		if (typeof fields.workspace === 'string') {
+			count(counts.workspace, `${fields.workspace}: ${String(fields.code)}`);
+		}
 	};
 
 	const noteChange = ({at, host, fields}: LogEvent) => {
@@ -195,6 +201,7 @@
 			refusalsByCode: toCounts(counts.code),
 			refusalsByText: toCounts(counts.text),
 			refusalsByDatabase: toCounts(counts.database),
+			refusalsByWorkspace: toCounts(counts.workspace),
 			retries: toCounts(counts.retry),
 			unknownOutcomes: toCounts(counts.unknown),
 			primaryChanges: primaryChanges.toSorted((left, right) => left.at - right.at),
--- a/src/reports/format-report.ts
+++ b/src/reports/format-report.ts
@@ -10,6 +10,7 @@
 		...formatCounts('refusals by code', report.refusalsByCode),
 		...formatCounts('refusals by what was told', report.refusalsByText),
 		...formatCounts('refusals by database', report.refusalsByDatabase),
+		...formatCounts('refusals by workspace', report.refusalsByWorkspace),
 		...formatCounts('tried again', report.retries),
 		...formatCounts('outcome unknown', report.unknownOutcomes),
 		`answered late: ${report.lateAnswers}`,
--- a/tests/proxy/workspaces-tests.ts
+++ b/tests/proxy/workspaces-tests.ts
@@ -1,4 +1,5 @@
 import {expect} from 'chai';
+import {createLineLog} from '../../src/log/line-log.js';
 import type {Routing} from '../../src/routes/routing.js';
 import type {Workspace} from '../../src/workspaces/workspace.js';
 import {createProxyBench, ROUTES, type ProxyBench} from './proxy-bench.js';
@@ -117,6 +118,20 @@
 		expect(await bench.ask(caller, 'COMMIT')).to.equal('done idle');
 	});
 
+	it('is named in log lines by its workspace, never by its key', async () => {
+		const lines: string[] = [];
+		const bench = await createBench({log: createLineLog((sentence, fields) => lines.push(`${sentence} ${JSON.stringify(fields)}`))});
+		for (const key of ['key-w', 'key-x']) {
+			const caller = await openFor(bench, key);
+			for (let i = 0; i < 12 && !caller.closed; i++) {
+				await bench.ask(caller, 'READ a');
+			}
+		}
+
+		expect(lines.some(line => line.includes('a statement was refused') && line.includes('west'))).to.equal(true);
+		expect(lines.filter(line => line.includes('key-'))).to.deep.equal([]);
+	});
+
 	/** Many workspaces meet an endpoint that takes fewer connections than there are workspaces: one whose callers come anew must not wait for others to leave. */
 	it('is served though other workspaces hold every connection', async () => {
 		const workspaces = Array.from({length: 30}, (_, i): Workspace => ({name: `w${i}`, keys: [`k${i}`], priority: 0}));
--- a/tests/reports/fleet-report-tests.ts
+++ b/tests/reports/fleet-report-tests.ts
@@ -66,6 +66,14 @@
 		]);
 	});
 
+	it('tells refusals by workspace and code, and none of callers without one', () => {
+		const refused = (workspace: string | undefined, code: string) => line('entry-1', 0, 'callers: a statement was refused', {
+			code, text: 'the workspace is over its rate limit', database: 'sync', workspace,
+		});
+		const {refusalsByWorkspace} = report([refused('north', 'rate-limited'), refused('north', 'rate-limited'), refused('south', 'overloaded'), refused(undefined, 'unauthenticated')]);
+		expect(refusalsByWorkspace).to.deep.equal({'north: rate-limited': 2, 'south: overloaded': 1});
+	});
+
 	it('tells of no lines that there were none', () => {
 		expect(formatReport(report([])).split('\n')[0]).to.equal('0 lines of 0 hosts; 0 lines were not read, 0 were dropped by hosts');
 	});
