--- a/src/links/choose-waiter.ts
+++ b/src/links/choose-waiter.ts
@@ -50,6 +50,19 @@
 		: undefined;
 }
 
+/** Those for whom no connection is being opened, where each opening serves the first who waits for its workspace. */
+export function getUnservedWaiters(waiters: readonly Waiter[], openingFor: ReadonlyArray<string | undefined>): readonly Waiter[] {
+	const underWay = [...openingFor];
+	return waiters.filter(({workspace}) => {
+		const at = underWay.indexOf(workspace);
+		if (at !== -1) {
+			underWay.splice(at, 1);
+		}
+
+		return at === -1;
+	});
+}
+
 function compareTurns(left: Waiter, right: Waiter, getInUse: ConnectionsInUse): number {
 	return left.priority - right.priority
 		|| (left.workspace === right.workspace ? 0 : getInUse(left.workspace) - getInUse(right.workspace))
--- a/src/links/create-endpoint-pool.ts
+++ b/src/links/create-endpoint-pool.ts
@@ -1,15 +1,18 @@
 import {AnswerCode} from '../statements/statement-answer.js';
-import {holdsLogPosition, LOG_START, type LogPosition} from '../terms/log-position.js';
 import {createSleepAlarm} from '../time/sleep-alarm.js';
 import {createCongestionWindow} from './congestion-window.js';
 import {createEndpointHealth} from './endpoint-health.js';
-import type {EndpointLink, LinkListener} from './endpoint-link.js';
+import type {LinkListener} from './endpoint-link.js';
 import type {EndpointPool, EndpointPoolOptions, LinkWish} from './endpoint-pool.js';
 import {createIdleLinks} from './idle-links.js';
 import {createLinkBudget} from './link-budget.js';
-import {chooseWaiter, getNextWaiter, type Waiter} from './choose-waiter.js';
-import {createLinkRefused, isLinkRefused} from './link-errors.js';
+import {
+	chooseWaiter, getNextWaiter, getUnservedWaiters, type Waiter,
+} from './choose-waiter.js';
+import {isLinkRefused} from './link-errors.js';
 import {createSessionLink, type SessionLink} from './link-session.js';
+import {isOfLife, openCheckedLink} from './open-checked-link.js';
+import {createWorkspaceUsage} from './workspace-usage.js';
 
 /**
  * Longest opening of a connection, in milliseconds. It takes 12 ms and a slot of the endpoint, so it queues behind
@@ -24,7 +27,8 @@
 const SHARE_IDLE_MS = 3000;
 
 /** Creates a pool without connections. */
-export function createEndpointPool({target, opener, clock, log, getLimits, getLeastPosition}: EndpointPoolOptions): EndpointPool {
+export function createEndpointPool(options: EndpointPoolOptions): EndpointPool {
+	const {target, clock, log, getLimits} = options;
 	const health = createEndpointHealth();
 	const budget = createLinkBudget(getLimits);
 	const congestion = createCongestionWindow();
@@ -32,11 +36,7 @@
 	const inTransactions = new Set<SessionLink>();
 	const idle = createIdleLinks();
 	let waiters: Waiter[] = [];
-	let opening = 0;
-	/** The workspaces for which connections are being opened. */
-	const openingFor: Array<string | undefined> = [];
-	/** Connections that are lent, by workspace. */
-	const inUse = new Map<string | undefined, number>();
+	const usage = createWorkspaceUsage();
 	let order = 0;
 	/** An idle connection is being closed for one that is opened at once. */
 	let makingRoom = false;
@@ -45,7 +45,7 @@
 	let recheckedAt = Number.NEGATIVE_INFINITY;
 
 	const noteWhetherOpen = () => {
-		if (opening === 0 && ![...all].some(({link}) => link.pending > 0)) {
+		if (usage.opening === 0 && ![...all].some(({link}) => link.pending > 0)) {
 			health.noteNothingOpen();
 		}
 	};
@@ -68,22 +68,15 @@
 	};
 
 	/** Connections that serve single statements, or are being opened; what rests in transactions takes no slot of the endpoint. */
-	const countUnderWay = () => all.size - idle.size - inTransactions.size + opening;
+	const countUnderWay = () => all.size - idle.size - inTransactions.size + usage.opening;
 
 	/** Opens a connection and keeps it in the pool until it closes. */
 	const openLink = async (timeoutMs: number, workspace: string | undefined) => {
-		opening++;
-		openingFor.push(workspace);
+		usage.noteOpening(workspace);
 		listener.onAsked();
 		let opened = false;
 		try {
-			// Taken before the opening: what others write meanwhile may be known here before the endpoint's greeting is.
-			const least = getLeastPosition();
-			const link = await opener.open({...target, workspace}, timeoutMs, listener);
-			if (!isOfLife(link, least)) {
-				refuseForgetful(link, least);
-			}
-
+			const link = await openCheckedLink(options, workspace, timeoutMs, listener);
 			const sessionLink = createSessionLink(link, workspace);
 			all.add(sessionLink);
 			link.onClose(() => {
@@ -99,26 +92,13 @@
 			noteOpenFailed(err);
 			throw err;
 		} finally {
-			opening--;
-			openingFor.splice(openingFor.indexOf(workspace), 1);
+			usage.noteOpeningEnded(workspace);
 			if (opened) {
 				noteWhetherOpen();
 			}
 		}
 	};
 
-	/**
-	 * Guards against a primary that started again and lost its log while its entry still names the life before: it answers under the server's id,
-	 * a read there would miss acknowledged commits, and a write would begin a second history. Its log is shorter than what was seen in it.
-	 */
-	const refuseForgetful = (link: EndpointLink, least: LogPosition | undefined): never => {
-		log.warn('an endpoint has lost its log and is not used', {
-			endpoint: target.endpointId, group: target.group, holds: link.firstPosition, held: least,
-		});
-		link.cut();
-		throw createLinkRefused(target.address, AnswerCode.WrongEndpoint);
-	};
-
 	/**
 	 * Guards single statements against transactions that rest: where no further connection may be opened, a transaction leaves one to them. A hundred
 	 * callers that rested in transactions for 3 s each took every connection of a primary, and reads and writes of 15 ms waited until their time was up.
@@ -129,7 +109,7 @@
 		}
 
 		const left = all.size - inTransactions.size - 1;
-		return single || left > 0 || all.size <= 1 || budget.mayOpen(clock.now(), all.size + opening);
+		return single || left > 0 || all.size <= 1 || budget.mayOpen(clock.now(), all.size + usage.opening);
 	};
 
 	/**
@@ -141,7 +121,7 @@
 	};
 
 	const lend = (sessionLink: SessionLink, {single}: LinkWish) => {
-		noteInUse(sessionLink, 1);
+		usage.noteLent(sessionLink.workspace);
 		if (!single) {
 			inTransactions.add(sessionLink);
 		}
@@ -155,17 +135,6 @@
 		return taken && lend(taken, wish);
 	};
 
-	const getInUse = (workspace: string | undefined) => (inUse.get(workspace) ?? 0) + openingFor.filter(other => other === workspace).length;
-
-	const noteInUse = ({workspace}: SessionLink, change: number) => {
-		const count = (inUse.get(workspace) ?? 0) + change;
-		if (count > 0) {
-			inUse.set(workspace, count);
-		} else {
-			inUse.delete(workspace);
-		}
-	};
-
 	const giveTo = (waiter: Waiter, sessionLink: SessionLink) => {
 		if (isOfLife(sessionLink.link, waiter.least)) {
 			waiters = waiters.filter(other => other !== waiter);
@@ -179,7 +148,7 @@
 	const getWaitersFor = ({link}: SessionLink) => waiters.filter(wish => !link.closed && mayTake(wish, countUnderWay() - 1));
 
 	const giveAway = (sessionLink: SessionLink) => {
-		const waiter = chooseWaiter(getWaitersFor(sessionLink), sessionLink.workspace, getInUse, clock.now());
+		const waiter = chooseWaiter(getWaitersFor(sessionLink), sessionLink.workspace, usage.count, clock.now());
 		if (waiter) {
 			giveTo(waiter, sessionLink);
 			return;
@@ -194,7 +163,7 @@
 	 * workspace, it would have to be closed again unused.
 	 */
 	const giveOpened = (sessionLink: SessionLink) => {
-		const own = getNextWaiter(getWaitersFor(sessionLink).filter(({workspace}) => workspace === sessionLink.workspace), getInUse);
+		const own = getNextWaiter(getWaitersFor(sessionLink).filter(({workspace}) => workspace === sessionLink.workspace), usage.count);
 		if (own) {
 			giveTo(own, sessionLink);
 		} else {
@@ -265,22 +234,7 @@
 	};
 
 	/** Whose turn it is of those who wait without a connection being opened for them. */
-	const getUnserved = (): Waiter | undefined => {
-		const underWay = [...openingFor];
-		const unserved = waiters.filter(waiter => {
-			if (!mayTake(waiter)) {
-				return false;
-			}
-
-			const at = underWay.indexOf(waiter.workspace);
-			if (at !== -1) {
-				underWay.splice(at, 1);
-			}
-
-			return at === -1;
-		});
-		return getNextWaiter(unserved, getInUse);
-	};
+	const getUnserved = () => getNextWaiter(getUnservedWaiters(waiters.filter(wish => mayTake(wish)), usage.openingFor), usage.count);
 
 	/**
 	 * Makes room for a connection of the workspace by closing an idle one of another. Guards a workspace that comes anew while others hold every connection: none of
@@ -295,11 +249,11 @@
 	};
 
 	/** Beyond the share one is opened at a time: hosts that press on together would all be turned away. */
-	const mayOpenBeside = (open: number) => budget.mayOpen(clock.now(), open) && (opening === 0 || open < budget.share);
+	const mayOpenBeside = (open: number) => budget.mayOpen(clock.now(), open) && (usage.opening === 0 || open < budget.share);
 
 	const openForWaiters = () => {
 		for (let next = getUnserved(); next && !retired; next = getUnserved()) {
-			const open = all.size + opening;
+			const open = all.size + usage.opening;
 			const isWithinShare = open < budget.share && mayOpenBeside(open);
 			if (!isWithinShare && !(mayOpenBeside(open - 1) && makeRoom(next.workspace)) && !mayOpenBeside(open)) {
 				return;
@@ -315,7 +269,7 @@
 	 */
 	const recheck = () => {
 		const now = clock.now();
-		if (retired || opening > 0 || now - recheckedAt < RECHECK_SUSPECT_MS || !health.getSuspicion(now)) {
+		if (retired || usage.opening > 0 || now - recheckedAt < RECHECK_SUSPECT_MS || !health.getSuspicion(now)) {
 			return;
 		}
 
@@ -388,7 +342,7 @@
 			return takeIdle(wish) ?? wait(wish);
 		},
 		release(sessionLink) {
-			noteInUse(sessionLink, -1);
+			usage.noteReturned(sessionLink.workspace);
 			inTransactions.delete(sessionLink);
 			if (sessionLink.link.closed) {
 				openForWaiters();
@@ -431,10 +385,5 @@
 /** An endpoint that is taken to be gone is tried again so often, in milliseconds: a try costs it nothing, and a cut lasts seconds. */
 const RECHECK_SUSPECT_MS = 1000;
 
-/** Whether a connection was opened to a log that held `least`. */
-function isOfLife({firstPosition}: EndpointLink, least: LogPosition | undefined): boolean {
-	return !least || least.position === 0 || holdsLogPosition(firstPosition ?? LOG_START, least);
-}
-
 /** Whoever waits for a connection looks this often whether one may be opened by now, in milliseconds. */
 const RECHECK_MS = 30;
