--- a/src/gateway/admit-operation.ts
+++ b/src/gateway/admit-operation.ts
@@ -17,6 +17,8 @@
 const UNKNOWN_KEY = refuse(AnswerCode.Unauthenticated, 'no workspace has this key; nothing is kept');
 const UNVERIFIABLE = refuse(AnswerCode.Overloaded, 'this host cannot tell whether the key was revoked; nothing is kept', UNVERIFIABLE_COME_BACK_MS);
 
+const OTHER_WORKSPACE = refuse(AnswerCode.Unauthenticated, 'the key is of another workspace now; nothing is kept');
+
 /** Lets a request in where its caller's key is good. */
 export function admitCaller({access, elapsedClock}: GatewayParts, fingerprint: KeyFingerprint, route: Route): Admission {
 	const verdict = access.judge(fingerprint, route, elapsedClock.elapsed());
@@ -27,6 +29,16 @@
 	return {admitted: false, refusal: verdict.denial === AccessDenial.UnknownKey ? UNKNOWN_KEY : UNVERIFIABLE};
 }
 
+/** The refusal to a statement of a transaction that was begun for the workspace, where its caller's key is not good any more; undefined where it is. */
+export function refuseInTransaction(parts: GatewayParts, fingerprint: KeyFingerprint, route: Route, begunFor: Workspace | undefined): RefusalResult | undefined {
+	const admission = admitCaller(parts, fingerprint, route);
+	if (!admission.admitted) {
+		return admission.refusal;
+	}
+
+	return admission.workspace?.name === begunFor?.name ? undefined : OTHER_WORKSPACE;
+}
+
 /** Lets an operation in where its caller's key is good and its workspace is within its rate limit. */
 export async function admitOperation(parts: GatewayParts, fingerprint: KeyFingerprint, route: Route): Promise<Admission> {
 	const admission = admitCaller(parts, fingerprint, route);
--- a/src/gateway/caller-session.ts
+++ b/src/gateway/caller-session.ts
@@ -7,7 +7,7 @@
 import {createSleepAlarm, type SleepAlarm} from '../time/sleep-alarm.js';
 import {getFingerprint} from '../workspaces/key-index.js';
 import type {Workspace} from '../workspaces/workspace.js';
-import {admitCaller, admitOperation} from './admit-operation.js';
+import {admitOperation, refuseInTransaction} from './admit-operation.js';
 import {createAnswerWait} from './answer-wait.js';
 import {createCallerTransaction, type CallerTransaction} from './caller-transaction.js';
 import {getShape, type EndpointStatement} from './exchange.js';
@@ -53,9 +53,6 @@
 /** Statements of a stopping host end so long before their final answer is due, in milliseconds, so that what did not run is told apart from what may have. */
 const FINAL_ANSWER_MS = 100;
 
-/** Answers a statement whose caller's key has come to another workspace since its transaction began. */
-const REVOKED = refuse(AnswerCode.Unauthenticated, 'the key is of another workspace now; the transaction was rolled back');
-
 /** What leaves an operation to come: a session does not end behind it. */
 const PREPARES: ReadonlySet<Statement['kind']> = new Set(['set', 'prepare', 'forget']);
 
@@ -128,14 +125,13 @@
 	};
 
 	/** The refusal to a statement of an open transaction whose caller's key has been revoked, or cannot be verified; the transaction is rolled back. */
-	const admitToTransaction = (open: CallerTransaction, route: Route): StatementResult | undefined => {
-		const admission = admitCaller(parts, memory.fingerprint, route);
-		if (admission.admitted && admission.workspace?.name === transactionWorkspace?.name) {
-			return undefined;
+	const getTransactionRefusal = (open: CallerTransaction, route: Route): StatementResult | undefined => {
+		const refusal = refuseInTransaction(parts, memory.fingerprint, route, transactionWorkspace);
+		if (refusal) {
+			open.abort('the key of its caller is not good any more');
 		}
 
-		open.abort('the key of its caller is not good any more');
-		return admission.admitted ? REVOKED : admission.refusal;
+		return refusal;
 	};
 
 	const runStatement = async (id: string, statement: EndpointStatement): Promise<StatementResult> => {
@@ -148,7 +144,7 @@
 		const plan = getStopPlan();
 		const until = Math.min(clock.now() + route.statementTimeoutMs, (plan?.answerBy ?? Number.POSITIVE_INFINITY) - FINAL_ANSWER_MS);
 		if (transaction) {
-			return admitToTransaction(transaction, route) ?? transaction.run(id, statement, until);
+			return getTransactionRefusal(transaction, route) ?? transaction.run(id, statement, until);
 		}
 
 		const shape = getShape(memory, statement);
@@ -183,7 +179,7 @@
 		}
 
 		const route = getRoute();
-		const denied = transactionRoute && admitToTransaction(transaction, transactionRoute);
+		const denied = transactionRoute && getTransactionRefusal(transaction, transactionRoute);
 		if (denied) {
 			endTransaction();
 			return denied;
