--- a/scripts/bundle-proxy.js
+++ b/scripts/bundle-proxy.js
@@ -4,6 +4,7 @@
 import {copyFileSync, readFileSync} from 'node:fs';
 import process from 'node:process';
 import {build} from 'esbuild';
+import launcher from './proxy-launcher.cjs';
 
 /** The flags under which the program runs: V8 takes a cache only under those that it was made with. */
 function getProgramFlags() {
@@ -23,7 +24,7 @@
 	minifySyntax: true,
 	legalComments: 'none',
 	// The first is a native library; the launcher leaves out the others.
-	external: ['koffi', 'dtrace-provider', 'mv', 'source-map-support', 'safe-json-stringify', 'moment'],
+	external: ['koffi', ...launcher.LEFT_OUT],
 });
 copyFileSync('scripts/proxy-launcher.cjs', 'target/aldercroft-proxy.cjs');
 
--- a/scripts/proxy-launcher.cjs
+++ b/scripts/proxy-launcher.cjs
@@ -14,7 +14,7 @@
 const CACHE_FILE = path.join(__dirname, 'aldercroft-proxy.bundle.cache');
 
 /** Bunyan's optional parts, which the proxy does without: found in node_modules, one of them loads much that each start would wait for. */
-const LEFT_OUT = new Set(['dtrace-provider', 'mv', 'source-map-support', 'safe-json-stringify', 'moment']);
+const LEFT_OUT = ['dtrace-provider', 'mv', 'source-map-support', 'safe-json-stringify', 'moment'];
 
 function readCache() {
 	try {
@@ -24,11 +24,11 @@
 	}
 }
 
-/** Compiles the bundle; resolves with its script and what it exports. */
+/** Compiles the bundle; returns its script and what it exports. */
 function loadBundle() {
 	const requireModule = createRequire(BUNDLE_FILE);
 	const requireListed = name => {
-		if (LEFT_OUT.has(name)) {
+		if (LEFT_OUT.includes(name)) {
 			throw new Error(`${name} is left out`);
 		}
 
@@ -44,7 +44,7 @@
 	return {script, exports: bundle.exports};
 }
 
-module.exports = {loadBundle, CACHE_FILE};
+module.exports = {loadBundle, CACHE_FILE, LEFT_OUT};
 
 if (require.main === module) {
 	const {main} = loadBundle().exports;
--- a/src/gateway/caller-session.ts
+++ b/src/gateway/caller-session.ts
@@ -53,13 +53,16 @@
 /** Statements of a stopping host end so long before their final answer is due, in milliseconds, so that what did not run is told apart from what may have. */
 const FINAL_ANSWER_MS = 100;
 
+/** Of a session that is not open yet. */
+const NO_KEY = getFingerprint('');
+
 /** What leaves an operation to come: a session does not end behind it. */
 const PREPARES: ReadonlySet<Statement['kind']> = new Set(['set', 'prepare', 'forget']);
 
 /** Creates a session. */
 export function createCallerSession({parts, channel, getBudget, getStopPlan}: CallerSessionOptions): CallerSession {
 	const {clock, elapsedClock, mirror} = parts;
-	let memory = createSessionMemory('', getFingerprint(''));
+	let memory = createSessionMemory('', NO_KEY);
 	let transaction: CallerTransaction | undefined;
 	let transactionRoute: Route | undefined;
 	/** On whose behalf the open transaction was begun. */
--- a/src/gateway/caller-transaction.ts
+++ b/src/gateway/caller-transaction.ts
@@ -1,5 +1,5 @@
 import {Access, SessionState} from '../statements/statement.js';
-import {AnswerCode, type EndpointAnswer} from '../statements/statement-answer.js';
+import {AnswerCode, isTurnedAway, type EndpointAnswer} from '../statements/statement-answer.js';
 import {
 	exchangeStatement, exchangeWithin, getShape, type EndpointStatement,
 } from './exchange.js';
@@ -140,8 +140,8 @@
 	const commitAtEndpoint = async (ending: LentLink, id: string, until: number) => {
 		for (;;) {
 			const answer = await exchangeWithin(parts, ending, {id, command: {kind: 'commit'}}, until - clock.now());
-			const turnedAway = answer?.end.kind === 'error' && answer.end.code === AnswerCode.Overloaded && answer.state === SessionState.Open;
-			if (!turnedAway || clock.now() + LEAST_COMMIT_MS >= until) {
+			const mayRepeat = answer !== undefined && isTurnedAway(answer) && answer.state === SessionState.Open;
+			if (!mayRepeat || clock.now() + LEAST_COMMIT_MS >= until) {
 				return answer;
 			}
 
--- a/src/leadership/host-census.ts
+++ b/src/leadership/host-census.ts
@@ -1,19 +1,12 @@
 import type {Log} from '../log/log.js';
+import {isHostAlive} from '../membership/is-host-alive.js';
 import type {StoreMirror} from '../mirror/store-mirror.js';
-import {isPeerError} from '../peers/peer-errors.js';
 import type {Peers} from '../peers/peers.js';
 import type {Clock} from '../time/clock.js';
 import {createSleepAlarm} from '../time/sleep-alarm.js';
 import type {GoneHosts} from './gone-hosts.js';
 import {LEAD_CALL_TIMEOUT_MS} from './lead-calls.js';
 
-declare module '../peers/peer-calls.js' {
-	interface PeerCalls {
-		/** Answered by a host that runs. */
-		'host-alive': {req: Record<string, never>; res: {readonly alive: true}};
-	}
-}
-
 /**
  * Marks hosts that have ended without a word, in calm times.
  *
@@ -51,19 +44,6 @@
 
 	peers.handle('host-alive', async () => ({alive: true as const}));
 
-	const isAlive = async (address: string) => {
-		try {
-			await peers.call(address, 'host-alive', {}, LEAD_CALL_TIMEOUT_MS);
-			return true;
-		} catch (err) {
-			if (!isPeerError(err)) {
-				throw err;
-			}
-
-			return false;
-		}
-	};
-
 	const look = async () => {
 		const now = clock.now();
 		if (!mirror.readsForAll) {
@@ -75,7 +55,7 @@
 		const before = unanswered;
 		const silent = new Set<string>();
 		await Promise.all(quiet.map(async host => {
-			if (!await isAlive(host.peerAddress)) {
+			if (!await isHostAlive(peers, host.peerAddress, LEAD_CALL_TIMEOUT_MS)) {
 				silent.add(host.peerAddress);
 			}
 		}));
--- a/src/lending/read-through.ts
+++ b/src/lending/read-through.ts
@@ -2,6 +2,7 @@
 import {createLinkLost, throwUnexpectedAnswer} from '../links/link-errors.js';
 import type {LinkWish} from '../links/endpoint-pool.js';
 import {getPreparedName, type SessionLink} from '../links/link-session.js';
+import {isHostAlive} from '../membership/is-host-alive.js';
 import type {UnreachableHosts} from '../membership/unreachable-hosts.js';
 import {isPeerError} from '../peers/peer-errors.js';
 import type {PeerCalls} from '../peers/peer-calls.js';
@@ -22,8 +23,8 @@
 	readonly peers: Peers;
 	readonly unreachable: UnreachableHosts;
 	readonly clock: Clock;
-	/** Lenders to ask for connections of a workspace, in order. */
-	getOrder(workspace: string | undefined): readonly string[];
+	/** Lenders to ask, in order. */
+	getOrder(): readonly string[];
 	/** Runs it on an own connection, as no lender answers; undefined where none came free. */
 	runOnOwn(needed: LoanExchange['needed'], request: EndpointRequest): Promise<EndpointAnswer | undefined>;
 	/** Told of each answer of the endpoint. */
@@ -52,19 +53,6 @@
 	const needed = createNeededOnce();
 	let pending = 0;
 
-	const isAlive = async (lender: string) => {
-		try {
-			await peers.call(lender, 'host-alive', {}, ALIVE_TIMEOUT_MS);
-			return true;
-		} catch (err) {
-			if (!isPeerError(err)) {
-				throw err;
-			}
-
-			return false;
-		}
-	};
-
 	/** Runs the read at one lender; undefined where that does not answer. A slow endpoint is told from a dead lender by a sign of life. */
 	const runAt = async (lender: string, neededNow: LoanExchange['needed'], request: EndpointRequest): Promise<Run | undefined> => {
 		const waitMs = Math.max(1, Math.min(LENDER_WAIT_MS, wish.until - clock.now()));
@@ -73,7 +61,7 @@
 				endpointId, priority: wish.priority, waitMs, values: [...wish.values], workspace: wish.workspace, single: true, least: wish.least, epoch: wish.read?.epoch, needed: neededNow, request,
 			}, RUN_TIMEOUT_MS);
 			const first = await withinMs(clock, waitMs + LENDER_WAY_MS, asked);
-			if (first.timedOut && !await isAlive(lender)) {
+			if (first.timedOut && !await isHostAlive(peers, lender, ALIVE_TIMEOUT_MS)) {
 				unreachable.add(lender, clock.now());
 				return undefined;
 			}
@@ -94,7 +82,7 @@
 	/** Asks each lender once; the answer, or why the last one that answered did not run it. */
 	const runAtAny = async (neededNow: LoanExchange['needed'], request: EndpointRequest): Promise<EndpointAnswer | LoanRefusal | undefined> => {
 		let last: LoanRefusal | undefined;
-		for (const lender of options.getOrder(wish.workspace)) {
+		for (const lender of options.getOrder()) {
 			const run = await runAt(lender, neededNow, request);
 			if (run && 'refused' in run) {
 				if (run.refused === LoanRefusal.Stopping) {
--- a/src/lending/shared-pool.ts
+++ b/src/lending/shared-pool.ts
@@ -183,7 +183,7 @@
 
 	const readThrough = (wish: LinkWish): SessionLink => {
 		const sessionLink = createReadThrough({
-			endpointId: entry.id, wish, peers, unreachable, clock, getOrder, onHeard: noteHeard, onUnreachable: noteUnreachable,
+			endpointId: entry.id, wish, peers, unreachable, clock, getOrder: () => getOrder(wish.workspace), onHeard: noteHeard, onUnreachable: noteUnreachable,
 			runOnOwn: async (needed, request) => runOnOwn(wish, needed, request),
 		});
 		borrowed.set(sessionLink, {...sessionLink, giveBack() {}}); // eslint-disable-line @typescript-eslint/no-empty-function
--- /dev/null
+++ b/src/membership/is-host-alive.ts
@@ -0,0 +1,23 @@
+import {isPeerError} from '../peers/peer-errors.js';
+import type {Peers} from '../peers/peers.js';
+
+declare module '../peers/peer-calls.js' {
+	interface PeerCalls {
+		/** Answered by a host that runs. */
+		'host-alive': {req: Record<string, never>; res: {readonly alive: true}};
+	}
+}
+
+/** Whether the host at `ip:port` gives a sign of life within `timeoutMs` milliseconds. */
+export async function isHostAlive(peers: Peers, address: string, timeoutMs: number): Promise<boolean> {
+	try {
+		await peers.call(address, 'host-alive', {}, timeoutMs);
+		return true;
+	} catch (err) {
+		if (!isPeerError(err)) {
+			throw err;
+		}
+
+		return false;
+	}
+}
--- a/src/workspaces/peer-contact.ts
+++ b/src/workspaces/peer-contact.ts
@@ -1,4 +1,4 @@
-import {isPeerError} from '../peers/peer-errors.js';
+import {isHostAlive} from '../membership/is-host-alive.js';
 import type {Peers} from '../peers/peers.js';
 import type {Clock} from '../time/clock.js';
 
@@ -34,17 +34,12 @@
 	};
 
 	const isHeardBy = async (address: string) => {
-		try {
-			await peers.call(address, 'host-alive', {}, ANSWER_WITHIN_MS);
+		const isHeard = await isHostAlive(peers, address, ANSWER_WITHIN_MS);
+		if (isHeard) {
 			noteHeard();
-			return true;
-		} catch (err) {
-			if (!isPeerError(err)) {
-				throw err;
-			}
-
-			return false;
 		}
+
+		return isHeard;
 	};
 
 	const askAny = async (addresses: readonly string[]) => {
