Log and count the store's generation, and both revisions where it answers

The adapter now reads it with each answer (aldercroft_store_generation, one line at a change), and the reader says what it held and what was answered. No decision reads either yet, but an answer whose era is no number counts as none.

--- a/src/gateway/prom-gateway-metrics.ts
+++ b/src/gateway/prom-gateway-metrics.ts
@@ -7,6 +7,8 @@
 export type ProxyMetrics = GatewayMetrics & {
 	/** A call to the platform ended. */
 	countPlatformCall(call: string, result: string): void;
+	/** The platform's store answered in this generation. */
+	setStoreGeneration(generation: number): void;
 	/** A group has a primary again after so long. */
 	observeReplacement(part: string, seconds: number): void;
 	/** Sets what is read off at each question. */
@@ -48,6 +50,7 @@
 	const platformCalls = new Counter({
 		name: 'aldercroft_store_calls_total', help: 'Calls to the platform, by result', labelNames: ['call', 'result'], registers,
 	});
+	const storeGeneration = new Gauge({name: 'aldercroft_store_generation', help: 'Times that the store has come back from a copy, as it says', registers});
 	const replacementSeconds = new Histogram({
 		name: 'aldercroft_replacement_seconds', help: 'Parts of replacing a primary', labelNames: ['part'], buckets: REPLACEMENT_BUCKETS, registers,
 	});
@@ -81,6 +84,9 @@
 		countPlatformCall(call, result) {
 			platformCalls.inc({call, result});
 		},
+		setStoreGeneration(generation) {
+			storeGeneration.set(generation);
+		},
 		observeReplacement(part, seconds) {
 			replacementSeconds.observe({part}, seconds);
 		},
--- a/src/mirror/store-reader.ts
+++ b/src/mirror/store-reader.ts
@@ -40,10 +40,21 @@
 	let reached: boolean | undefined;
 	let notBefore = Number.NEGATIVE_INFINITY;
 
-	const noteStore = (answers: boolean, err?: unknown) => {
-		if (answers !== reached) {
-			reached = answers;
-			log[answers ? 'info' : 'warn'](answers ? 'the store answers' : 'the store does not answer', {reason: (err as Error | undefined)?.message, revision: getRevision()});
+	const noteFailure = (err: unknown) => {
+		if (reached !== false) {
+			reached = false;
+			log.warn('the store does not answer', {reason: (err as Error).message, revision: getRevision()});
+		}
+	};
+
+	const noteAnswer = (held: number, answered: number | undefined) => {
+		if (reached !== true) {
+			reached = true;
+			log.info('the store answers', {revision: getRevision(), held, answered});
+		}
+
+		if (answered !== undefined && answered < held) {
+			log.warn('the store answers with a lower revision than the copy has', {held, answered});
 		}
 	};
 
@@ -70,16 +81,18 @@
 
 		const askedAt = elapsedClock.elapsed();
 		try {
+			const held = getRevision();
+			const answered = held === 0 ? undefined : await store.getRevision(STORE_TIMEOUT_MS);
 			// A revision not above the copy's proves the copy complete at the time of asking: each change of anything raises it.
-			if (getRevision() === 0 || await store.getRevision(STORE_TIMEOUT_MS) > getRevision()) {
+			if (answered === undefined || answered > getRevision()) {
 				await readAll();
 			}
 
-			noteStore(true);
+			noteAnswer(held, answered);
 			onConfirmed(askedAt);
 			return true;
 		} catch (err) {
-			noteStore(false, err);
+			noteFailure(err);
 			notBefore = clock.now() + PAUSE_AFTER_FAILURE_MS;
 			return false;
 		}
--- a/src/platform/http-metadata-store.ts
+++ b/src/platform/http-metadata-store.ts
@@ -10,6 +10,7 @@
 import {
 	decodeEndpoint, decodeRouting, storeListSchema, storeObjectSchema, type StoreObject,
 } from './store-schemas.js';
+import {getStoreGeneration} from './store-era.js';
 import {createUnusableEntries} from './unusable-entries.js';
 
 /** What the client needs. */
@@ -20,6 +21,8 @@
 	readonly log: Log;
 	/** Told of each call and how it ended, for the metrics. */
 	onCall(call: string, result: string): void;
+	/** Told of the store's generation with each answer, for the metrics. */
+	onGeneration(generation: number): void;
 };
 
 /** The platform's names for the kinds; no operator writes under the first two. */
@@ -50,9 +53,20 @@
 } as const;
 
 /** Creates a client of the platform's store. */
-export function createHttpMetadataStore({address, clock, log, onCall}: HttpMetadataStoreOptions): MetadataStore {
+export function createHttpMetadataStore({address, clock, log: parentLog, onCall, onGeneration}: HttpMetadataStoreOptions): MetadataStore {
 	const exchanger = createHttpExchanger({baseUrl: `http://${address}`, clock});
-	const unusable = createUnusableEntries(log.part('store: '));
+	const log = parentLog.part('store: ');
+	const unusable = createUnusableEntries(log);
+	let answeredGeneration: number | undefined;
+
+	const noteGeneration = (generation: number) => {
+		if (answeredGeneration !== undefined && answeredGeneration !== generation) {
+			log.warn('the store is of another generation than before', {generation, before: answeredGeneration});
+		}
+
+		answeredGeneration = generation;
+		onGeneration(generation);
+	};
 
 	const exchange = async (call: string, req: HttpExchange): Promise<HttpAnswer> => {
 		try {
@@ -62,6 +76,7 @@
 				throwPlatformSilent(req.what, new Error(`HTTP status ${res.status}`));
 			}
 
+			noteGeneration(getStoreGeneration(req.what, res.headers));
 			return res;
 		} catch (err) {
 			onCall(call, 'no answer');
--- a/src/proxy/main.ts
+++ b/src/proxy/main.ts
@@ -40,7 +40,7 @@
 		log,
 		metrics,
 		store: createHttpMetadataStore({
-			address: settings.storeAddress, clock, log, onCall,
+			address: settings.storeAddress, clock, log, onCall, onGeneration: metrics.setStoreGeneration,
 		}),
 		orders: createHttpPromotionOrders({address: settings.ordersAddress, clock, onCall}),
 		opener: createTcpLinkOpener({clock, hostName: settings.hostName}),
--- a/tests/platform/http-metadata-store-tests.ts
+++ b/tests/platform/http-metadata-store-tests.ts
@@ -46,7 +46,7 @@
 		body = page;
 		const lines: string[] = [];
 		const store = createHttpMetadataStore({
-			address, clock: createSystemClock(), log: createLineLog(line => lines.push(line)), onCall: () => undefined,
+			address, clock: createSystemClock(), log: createLineLog(line => lines.push(line)), onCall: () => undefined, onGeneration: () => undefined,
 		});
 		const {content} = await store.listEndpoints(1000);
 		await store.listEndpoints(1000);
@@ -101,7 +101,7 @@
 	it('keeps the configuration in force where the one that is stored cannot be read', async () => {
 		body = makePage([makeItem('main', {revision: 'new'})]);
 		const store = createHttpMetadataStore({
-			address, clock: createSystemClock(), log: createLineLog(() => undefined), onCall: () => undefined,
+			address, clock: createSystemClock(), log: createLineLog(() => undefined), onCall: () => undefined, onGeneration: () => undefined,
 		});
 		expect(await store.readRouting(1000)).to.deep.equal({revision: 9, content: undefined});
 	});
--- /dev/null
+++ b/tests/platform/store-era-tests.ts
@@ -0,0 +1,28 @@
+import {expect} from 'chai';
+import {PlatformError} from '../../src/object-store/platform-errors.js';
+import {getStoreGeneration} from '../../src/platform/store-era.js';
+
+describe('the store\'s era', () => {
+	function doTest(header: string | undefined, expected: number) {
+		it(`is ${expected} by the header ${JSON.stringify(header)}`, () => {
+			expect(getStoreGeneration('list', {'store-era': header})).to.equal(expected);
+		});
+	}
+
+	doTest(undefined, 0);
+	doTest('0', 0);
+	doTest('7', 7);
+
+	function doFailureTest(header: string) {
+		it(`makes an answer unusable with the header ${JSON.stringify(header)}`, () => {
+			expect(() => getStoreGeneration('list', {'store-era': header})).to.throw(PlatformError);
+		});
+	}
+
+	doFailureTest('');
+	doFailureTest('-1');
+	doFailureTest('1.5');
+	doFailureTest('seven');
+	doFailureTest('1, 2');
+	doFailureTest('99999999999999999999');
+});
