--- a/src/stand-ins/metadata-store/in-memory-metadata-store.ts
+++ b/src/stand-ins/metadata-store/in-memory-metadata-store.ts
@@ -18,6 +18,14 @@
 	readonly answerMs: number;
 };
 
+/** What a store held at one moment. */
+export type StoreCopy = {
+	readonly revision: number;
+	readonly routing?: Routing;
+	readonly endpoints: readonly RegisteredEndpoint[];
+	readonly records: ReadonlyMap<RecordKind, ReadonlyMap<string, StoredRecord>>;
+};
+
 /** A store in memory, with what goes wrong with it. */
 export type InMemoryMetadataStore = {
 	/** The store as one host sees it. */
@@ -26,6 +34,13 @@
 	setRouting(routing: Routing): void;
 	setEndpoints(endpoints: readonly RegisteredEndpoint[]): void;
 	getRecord(kind: RecordKind, name: string): StoredRecord | undefined;
+	/** Copies what the store holds at this moment. */
+	takeCopy(): StoreCopy;
+	/**
+	 * Has the store come back from an earlier copy: what it acknowledged since is gone, and its revisions are given out again. What the operator and the endpoints
+	 * wrote last is written again `rewriteMs` later, at once by default.
+	 */
+	restore(copy: StoreCopy, rewriteMs?: number): void;
 	/** Sets how the store treats a host; undefined for all that have no trouble of their own. */
 	setTrouble(hostName: string | undefined, trouble: Partial<StoreTrouble>): void;
 	/** Ends all trouble. */
@@ -90,6 +105,26 @@
 		return silence(what, timeoutMs);
 	};
 
+	const setRouting = (next: Routing) => {
+		routing = next;
+		revision++;
+	};
+
+	const setEndpoints = (next: readonly RegisteredEndpoint[]) => {
+		endpoints = next;
+		revision++;
+	};
+
+	const writeAgain = (lastRouting: Routing | undefined, lastEndpoints: readonly RegisteredEndpoint[]) => {
+		if (lastRouting && lastRouting.version > (routing?.version ?? 0)) {
+			setRouting(lastRouting);
+		}
+
+		if (lastEndpoints !== endpoints) {
+			setEndpoints(lastEndpoints);
+		}
+	};
+
 	const check = (kind: RecordKind, name: string, expectedVersion: number) => {
 		if ((records.get(kind)!.get(name)?.version ?? 0) !== expectedVersion) {
 			throwVersionConflict(kind, name, expectedVersion);
@@ -117,13 +152,26 @@
 				revision++;
 			}),
 		}),
-		setRouting(next) {
-			routing = next;
-			revision++;
-		},
-		setEndpoints(next) {
-			endpoints = next;
-			revision++;
+		setRouting,
+		setEndpoints,
+		takeCopy: () => ({
+			revision, routing, endpoints, records: new Map([...records].map(([kind, byName]) => [kind, new Map(byName)])),
+		}),
+		restore(copy, rewriteMs = 0) {
+			const last = {routing, endpoints};
+			({revision, routing, endpoints} = copy);
+			for (const [kind, byName] of copy.records) {
+				records.set(kind, new Map(byName));
+			}
+
+			if (rewriteMs === 0) {
+				writeAgain(last.routing, last.endpoints);
+				return;
+			}
+
+			void clock.sleep(rewriteMs).then(() => {
+				writeAgain(last.routing, last.endpoints);
+			});
 		},
 		getRecord: (kind, name) => records.get(kind)!.get(name),
 		setTrouble(hostName, trouble) {
