Order the store's revisions by its generations

Cause: each host held revision 29 when the store went away. It came back from a copy with a lower one. The host that reads for all asks for the revision and takes one that is not above its own for proof that its copy is complete; so nothing counted until the store had given out 29 again. The class: a number of the store's that is used as a name of one state, though the store gives it out twice.

Fix: revisions and versions carry the store's generation (Store-Era) in their upper part, so that one comparison orders all states of the store, in the copy, in news between hosts, in confirmations by peers and in the condition of an update. Nothing that compares had to change. guardGenerations drops answers that were under way across a return and conditions that would hold by chance; a reading or a list that straddles one is read again; a confirmation of an earlier generation counts for nothing.

Ruled out: reading everything whenever the store has been away (a return can be shorter than the pause between two questions); taking any lower revision for news (a late answer is one too).

--- a/src/links/endpoint-directory.ts
+++ b/src/links/endpoint-directory.ts
@@ -1,4 +1,5 @@
 import type {Log} from '../log/log.js';
+import {formatPlaced} from '../mirror/store-generation.js';
 import type {StoreMirror} from '../mirror/store-mirror.js';
 import type {RegisteredEndpoint} from '../routes/routing.js';
 import type {LogPosition} from '../terms/log-position.js';
@@ -86,7 +87,7 @@
 	const tellAdded = (added: readonly RegisteredEndpoint[]) => {
 		if (added.length > MOST_TOLD_APART) {
 			log.info('endpoints are registered', {
-				endpoints: added.length, groups: new Set(added.map(({group}) => group)).size, leaving: added.filter(({leaving}) => leaving).length, revision: mirror.state.revision,
+				endpoints: added.length, groups: new Set(added.map(({group}) => group)).size, leaving: added.filter(({leaving}) => leaving).length, revision: formatPlaced(mirror.state.revision),
 			});
 			return;
 		}
@@ -107,7 +108,7 @@
 		}
 
 		if (entry.leaving && !known.entry.leaving) {
-			log.info('an endpoint is leaving', {endpoint: entry.id, group: entry.group, revision: mirror.state.revision});
+			log.info('an endpoint is leaving', {endpoint: entry.id, group: entry.group, revision: formatPlaced(mirror.state.revision)});
 		}
 
 		kept.set(entry.id, {entry, ownPool: known.ownPool, pool: known.pool});
--- a/src/mirror/mirror-copy.ts
+++ b/src/mirror/mirror-copy.ts
@@ -3,6 +3,7 @@
 	EMPTY_ID, getContentsId, isSameContents, type ContentsId,
 } from './contents-id.js';
 import {EMPTY_STATE, getLaterRouting, type MirrorState} from './mirror-state.js';
+import {formatPlaced, getGeneration} from './store-generation.js';
 import {applyStateDifference, getStateDifference, type StateDifference} from './state-difference.js';
 
 /** What a host holds of the store, and until when that was complete. */
@@ -34,11 +35,20 @@
 	let confirmedAt: number | undefined;
 	let storeConfirmedAt: number | undefined;
 
+	const noteReturn = (before: number, read: number) => {
+		if (before !== 0 && getGeneration(read) !== getGeneration(before)) {
+			log.warn('the store has come back from a copy', {
+				generation: getGeneration(read), before: getGeneration(before), held: formatPlaced(before), revision: formatPlaced(read),
+			});
+		}
+	};
+
 	const take = (read: MirrorState) => {
 		const before = state;
+		noteReturn(before.revision, read.revision);
 		state = {...read, routing: getLaterRouting(before.routing, read.routing)};
 		if (state.routing?.version !== before.routing?.version) {
-			log.info('a configuration is in force', {version: state.routing?.version, before: before.routing?.version, revision: state.revision});
+			log.info('a configuration is in force', {version: state.routing?.version, before: before.routing?.version, revision: formatPlaced(state.revision)});
 		}
 
 		const id = getContentsId(state);
--- a/src/mirror/news-questions.ts
+++ b/src/mirror/news-questions.ts
@@ -6,6 +6,7 @@
 import {createContentsReceiver} from './contents-receiver.js';
 import type {NewsQuestion, StoreNews, UnfencedGroup} from './mirror-calls.js';
 import type {MirrorCopy} from './mirror-copy.js';
+import {formatPlaced, getGeneration} from './store-generation.js';
 
 /** What a host answered, and what that came to. */
 export type NewsAnswer = {
@@ -76,7 +77,8 @@
 	/** Whether the copy holds all that the answering host's does. */
 	const takeContents = async (address: string, {revision, update}: StoreNews, asked: ContentsId): Promise<boolean> => {
 		if (revision <= copy.state.revision) {
-			return true;
+			// What was confirmed in an earlier generation says nothing of this one.
+			return getGeneration(revision) === getGeneration(copy.state.revision);
 		}
 
 		if (!update) {
@@ -87,10 +89,10 @@
 		const isTaken = difference !== undefined && copy.adoptDifference(difference, revision);
 		asksWhole = difference !== undefined && !isTaken && revision > copy.state.revision;
 		if (asksWhole) {
-			log.info('an update of a peer does not fit what is held; the whole is asked for', {peer: address, revision, held: copy.state.revision});
+			log.info('an update of a peer does not fit what is held; the whole is asked for', {peer: address, revision: formatPlaced(revision), held: formatPlaced(copy.state.revision)});
 		}
 
-		return isTaken || revision <= copy.state.revision;
+		return isTaken || (revision <= copy.state.revision && getGeneration(revision) === getGeneration(copy.state.revision));
 	};
 
 	/**
--- a/src/mirror/news-source.ts
+++ b/src/mirror/news-source.ts
@@ -3,6 +3,7 @@
 import {hashName} from '../membership/rendezvous.js';
 import {createHostTree, type HostTree} from './host-tree.js';
 import type {MirrorCopy} from './mirror-copy.js';
+import {formatPlaced} from './store-generation.js';
 
 /** Knows which host this one asks for news of the store. */
 export type NewsSource = {
@@ -71,7 +72,7 @@
 	return {
 		getParent: now => getKnown().living.length === 0 ? getSeed(now) : getTreeWithoutAvoided(now).getParent(host)?.peerAddress,
 		avoid(address, now) {
-			log.info('the host that is asked for news of the store does not answer', {peer: address, revision: copy.state.revision});
+			log.info('the host that is asked for news of the store does not answer', {peer: address, revision: formatPlaced(copy.state.revision)});
 			avoidedUntil.set(address, now + AVOID_MS);
 			treeWithoutAvoided = undefined;
 		},
--- a/src/mirror/peer-help.ts
+++ b/src/mirror/peer-help.ts
@@ -4,6 +4,7 @@
 import type {StoreNews} from './mirror-calls.js';
 import type {MirrorCopy} from './mirror-copy.js';
 import {createPeerChoice} from './peer-choice.js';
+import {formatPlaced} from './store-generation.js';
 
 /** Confirms the copy by what other hosts say, where the store does not answer this one. */
 export type PeerHelp = {
@@ -71,7 +72,7 @@
 
 			const answers = await Promise.all(questions);
 			if (others.length > 0 && others.length === all.length && isUnanimous(answers.map(answer => answer?.news), revision)) {
-				log.info('every host confirms that no primary is being changed', {revision, hosts: others.length + 1});
+				log.info('every host confirms that no primary is being changed', {revision: formatPlaced(revision), hosts: others.length + 1});
 				copy.noteConfirmed(askedAt);
 				return true;
 			}
--- a/src/mirror/store-reader.ts
+++ b/src/mirror/store-reader.ts
@@ -1,8 +1,10 @@
 import type {Log} from '../log/log.js';
 import type {Clock} from '../time/clock.js';
 import type {ElapsedClock} from '../time/elapsed-clock.js';
+import {throwPlatformSilent} from '../object-store/platform-errors.js';
 import {RecordKind, type MetadataStore} from './metadata-store.js';
 import {decodeHosts, decodeLeadership, type MirrorState} from './mirror-state.js';
+import {formatPlaced, getGeneration} from './store-generation.js';
 
 /** Reads the store for the mirror. */
 export type StoreReader = {
@@ -43,19 +45,24 @@
 	const noteFailure = (err: unknown) => {
 		if (reached !== false) {
 			reached = false;
-			log.warn('the store does not answer', {reason: (err as Error).message, revision: getRevision()});
+			log.warn('the store does not answer', {reason: (err as Error).message, revision: formatPlaced(getRevision())});
 		}
 	};
 
 	const noteAnswer = (held: number, answered: number | undefined) => {
 		if (reached !== true) {
 			reached = true;
-			log.info('the store answers', {revision: getRevision(), held, answered});
+			log.info('the store answers', {revision: formatPlaced(getRevision()), held: formatPlaced(held), answered: answered && formatPlaced(answered)});
 		}
+	};
 
-		if (answered !== undefined && answered < held) {
-			log.warn('the store answers with a lower revision than the copy has', {held, answered});
+	/** Whether the copy lacks what the store has by now. Throws PlatformError where the answer is of an earlier generation than the copy, which a peer had read. */
+	const isBehind = (answered: number) => {
+		if (getGeneration(answered) < getGeneration(getRevision())) {
+			throwPlatformSilent('get the revision', new Error('the answer is of an earlier generation of the store'));
 		}
+
+		return answered > getRevision();
 	};
 
 	const readAll = async () => {
@@ -65,6 +72,10 @@
 			store.listRecords(RecordKind.Leadership, STORE_TIMEOUT_MS),
 			store.listRecords(RecordKind.Hosts, STORE_TIMEOUT_MS),
 		]);
+		if (new Set([routing, endpoints, leadership, hosts].map(({revision}) => getGeneration(revision))).size > 1) {
+			throwPlatformSilent('read all', new Error('the store has come back from a copy meanwhile'));
+		}
+
 		adopt({
 			revision: Math.min(routing.revision, endpoints.revision, leadership.revision, hosts.revision),
 			routing: routing.content,
@@ -83,8 +94,8 @@
 		try {
 			const held = getRevision();
 			const answered = held === 0 ? undefined : await store.getRevision(STORE_TIMEOUT_MS);
-			// A revision not above the copy's proves the copy complete at the time of asking: each change of anything raises it.
-			if (answered === undefined || answered > getRevision()) {
+			// A revision not above the copy's proves the copy complete at the time of asking: each change of anything raises it, and so does each return from a copy.
+			if (answered === undefined || isBehind(answered)) {
 				await readAll();
 			}
 
--- a/src/platform/http-metadata-store.ts
+++ b/src/platform/http-metadata-store.ts
@@ -2,6 +2,7 @@
 import {
 	RecordKind, type MetadataStore, type StoredRecord,
 } from '../mirror/metadata-store.js';
+import {getWithinGeneration, placeInGeneration} from '../mirror/store-generation.js';
 import {createHttpExchanger, type HttpAnswer, type HttpExchange} from '../object-store/http-exchange.js';
 import {throwPlatformRefused, throwPlatformSilent, throwVersionConflict} from '../object-store/platform-errors.js';
 import type {RegisteredEndpoint} from '../routes/routing.js';
@@ -52,6 +53,9 @@
 	ServerError: 500,
 } as const;
 
+/** An answer with the generation of the store that gave it. */
+type StoreAnswer = HttpAnswer & {readonly generation: number};
+
 /** Creates a client of the platform's store. */
 export function createHttpMetadataStore({address, clock, log: parentLog, onCall, onGeneration}: HttpMetadataStoreOptions): MetadataStore {
 	const exchanger = createHttpExchanger({baseUrl: `http://${address}`, clock});
@@ -68,7 +72,7 @@
 		onGeneration(generation);
 	};
 
-	const exchange = async (call: string, req: HttpExchange): Promise<HttpAnswer> => {
+	const exchange = async (call: string, req: HttpExchange): Promise<StoreAnswer> => {
 		try {
 			const res = await exchanger.exchange(req);
 			onCall(call, String(res.status));
@@ -76,18 +80,19 @@
 				throwPlatformSilent(req.what, new Error(`HTTP status ${res.status}`));
 			}
 
-			noteGeneration(getStoreGeneration(req.what, res.headers));
-			return res;
+			const generation = getStoreGeneration(req.what, res.headers);
+			noteGeneration(generation);
+			return {...res, generation};
 		} catch (err) {
 			onCall(call, 'no answer');
 			throw err;
 		}
 	};
 
-	const list = async (kind: string, timeoutMs: number): Promise<{revision: number; objects: StoreObject[]}> => {
+	const list = async (kind: string, timeoutMs: number): Promise<{revision: number; generation: number; objects: StoreObject[]}> => {
 		const objects: StoreObject[] = [];
 		const what = `list ${kind}`;
-		let revision: number | undefined;
+		let first: {readonly revision: number; readonly generation: number} | undefined;
 		for (let after = ''; ;) {
 			const path = after === '' ? `/objects/${kind}` : `/objects/${kind}?after=${encodeURIComponent(after)}`;
 			const res = await exchange('list', {
@@ -95,11 +100,15 @@
 			});
 			const page = parse(what, res, storeListSchema);
 			// Later pages may show more; the first one's revision is what the whole is complete up to.
-			revision ??= page.storeRevision;
+			first ??= {revision: placeInGeneration(res.generation, page.storeRevision), generation: res.generation};
+			if (res.generation !== first.generation) {
+				throwPlatformSilent(what, new Error('its pages are of two generations of the store'));
+			}
+
 			const readable = page.items.map(item => decodeObject(kind, item)).filter(object => object !== undefined);
 			objects.push(...readable);
 			if (!page.hasMore) {
-				return {revision, objects};
+				return {...first, objects};
 			}
 
 			// Without a name to go on from, what follows cannot be asked for, and half a list must not pass for the whole.
@@ -149,8 +158,8 @@
 			return {revision, content};
 		},
 		async listRecords(kind, timeoutMs) {
-			const {revision, objects} = await list(KIND_NAMES[kind], timeoutMs);
-			return {revision, content: objects.map(object => toRecord(object))};
+			const {revision, generation, objects} = await list(KIND_NAMES[kind], timeoutMs);
+			return {revision, content: objects.map(object => toRecord(object, generation))};
 		},
 		async putRecord(kind, {name, version, value}, timeoutMs) {
 			const what = `put ${kind} ${name}`;
@@ -160,13 +169,13 @@
 					what, method: 'POST', path, body: {meta: {name}, spec: value}, timeoutMs,
 				}
 				: {
-					what, method: 'PUT', path: `${path}/${encodeURIComponent(name)}`, body: {meta: {name, modRevision: version}, spec: value}, timeoutMs,
+					what, method: 'PUT', path: `${path}/${encodeURIComponent(name)}`, body: {meta: {name, modRevision: getWithinGeneration(version)}, spec: value}, timeoutMs,
 				});
-			return isChangedMeanwhile(res) ? throwVersionConflict(kind, name, version) : toRecord(parse(what, res, storeObjectSchema));
+			return isChangedMeanwhile(res) ? throwVersionConflict(kind, name, version) : toRecord(parse(what, res, storeObjectSchema), res.generation);
 		},
 		async deleteRecord(kind, name, expectedVersion, timeoutMs) {
 			const what = `delete ${kind} ${name}`;
-			const path = `/objects/${KIND_NAMES[kind]}/${encodeURIComponent(name)}?modRevision=${expectedVersion}`;
+			const path = `/objects/${KIND_NAMES[kind]}/${encodeURIComponent(name)}?modRevision=${getWithinGeneration(expectedVersion)}`;
 			const res = await exchange('delete', {
 				what, method: 'DELETE', path, timeoutMs,
 			});
@@ -186,8 +195,8 @@
 	return res.status === Status.Conflict || res.status === Status.NotFound;
 }
 
-function toRecord({meta, spec}: StoreObject): StoredRecord {
-	return {name: meta.name, version: meta.modRevision, value: spec};
+function toRecord({meta, spec}: StoreObject, generation: number): StoredRecord {
+	return {name: meta.name, version: placeInGeneration(generation, meta.modRevision), value: spec};
 }
 
 function parse<T>(what: string, res: HttpAnswer, schema: z.ZodType<T>): T {
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -20,6 +20,7 @@
 import {createSharedPool} from '../lending/shared-pool.js';
 import type {Log} from '../log/log.js';
 import {createUnreachableHosts} from '../membership/unreachable-hosts.js';
+import {guardGenerations} from '../mirror/guard-generations.js';
 import type {MetadataStore} from '../mirror/metadata-store.js';
 import {createStoreMirror, type StoreMirror} from '../mirror/store-mirror.js';
 import type {LivePeers} from '../peers/create-peers.js';
@@ -79,8 +80,9 @@
 
 /** Assembles the inside of a proxy on a kernel; nothing runs before the kernel is started. */
 export function createProxy(parts: ProxyParts): Kernel {
-	const {clock, elapsedClock, random, log, metrics, store, orders, opener, peers, hostName, peerAddress, incarnation} = parts;
+	const {clock, elapsedClock, random, log, metrics, orders, opener, peers, hostName, peerAddress, incarnation} = parts;
 	const kernel = createKernel();
+	const store = guardGenerations(parts.store);
 	const host: HostRecord = {name: hostName, peerAddress, availabilityZone: parts.availabilityZone};
 	const mirror = createStoreMirror({
 		store,
--- a/src/stand-ins/metadata-store/http-store-front.ts
+++ b/src/stand-ins/metadata-store/http-store-front.ts
@@ -11,12 +11,22 @@
 	readonly status: unknown;
 };
 
+/** What the store held at one moment. */
+export type ApiStoreCopy = {
+	readonly revision: number;
+	readonly kinds: ReadonlyMap<string, ReadonlyMap<string, ApiObject>>;
+};
+
 /** The platform's store over HTTP, for programs that run as processes; it holds everything in memory. */
 export type HttpStoreFront = {
 	readonly server: Server;
 	/** Writes as the operator or a server of a group does. */
 	put(kind: string, name: string, spec: unknown): void;
 	remove(kind: string, name: string): void;
+	/** Copies what the store holds at this moment. */
+	takeCopy(): ApiStoreCopy;
+	/** Has the store come back from an earlier copy, in the next era; what others wrote since is gone. */
+	restore(copy: ApiStoreCopy): void;
 	/** While set, every call is refused with this status. */
 	refuseWith: number | undefined;
 	/** Calls so far, by method. */
@@ -31,6 +41,7 @@
 	const kinds = new Map<string, Map<string, ApiObject>>();
 	const calls = new Map<string, number>();
 	let revision = 1;
+	let era = 1;
 
 	const getKind = (kind: string) => {
 		const objects = kinds.get(kind) ?? new Map<string, ApiObject>();
@@ -129,7 +140,7 @@
 	const serve = async (req: IncomingMessage, res: ServerResponse) => {
 		calls.set(req.method ?? '', (calls.get(req.method ?? '') ?? 0) + 1);
 		const [status, body] = front.refuseWith === undefined ? await answer(req) : [front.refuseWith, {}];
-		res.writeHead(status, {'content-type': 'application/json'}).end(JSON.stringify(body));
+		res.writeHead(status, {'content-type': 'application/json', 'store-era': String(era)}).end(JSON.stringify(body));
 	};
 
 	const server = createServer((req, res) => {
@@ -149,6 +160,15 @@
 		remove(kind, name) {
 			remove(kind, name, undefined);
 		},
+		takeCopy: () => ({revision, kinds: new Map([...kinds].map(([kind, objects]) => [kind, new Map(objects)]))}),
+		restore(copy) {
+			era++;
+			revision = copy.revision;
+			kinds.clear();
+			for (const [kind, objects] of copy.kinds) {
+				kinds.set(kind, new Map(objects));
+			}
+		},
 	};
 	return front;
 }
--- a/src/stand-ins/metadata-store/in-memory-metadata-store.ts
+++ b/src/stand-ins/metadata-store/in-memory-metadata-store.ts
@@ -1,4 +1,5 @@
 import {RecordKind, type MetadataStore, type StoredRecord} from '../../mirror/metadata-store.js';
+import {getWithinGeneration, placeInGeneration} from '../../mirror/store-generation.js';
 import {PlatformConflictError, throwPlatformSilent, throwVersionConflict} from '../../object-store/platform-errors.js';
 import type {Random} from '../../random/random.js';
 import type {RegisteredEndpoint, Routing} from '../../routes/routing.js';
@@ -58,6 +59,7 @@
 	const records = new Map<RecordKind, Map<string, StoredRecord>>([[RecordKind.Leadership, new Map()], [RecordKind.Hosts, new Map()]]);
 	const troubles = new Map<string | undefined, StoreTrouble>();
 	let revision = 1;
+	let generation = 0;
 	let routing: Routing | undefined;
 	let endpoints: readonly RegisteredEndpoint[] = [];
 	let calls = 0;
@@ -125,26 +127,33 @@
 		}
 	};
 
+	/** Compares versions as the store gave them out, which hold by chance where the expected one is of an earlier generation. */
 	const check = (kind: RecordKind, name: string, expectedVersion: number) => {
-		if ((records.get(kind)!.get(name)?.version ?? 0) !== expectedVersion) {
+		if ((records.get(kind)!.get(name)?.version ?? 0) !== getWithinGeneration(expectedVersion)) {
 			throwVersionConflict(kind, name, expectedVersion);
 		}
 	};
 
+	const place = (number: number) => placeInGeneration(generation, number);
+
+	const placeRecord = (record: StoredRecord): StoredRecord => ({...record, version: place(record.version)});
+
 	return {
 		get calls() {
 			return calls;
 		},
 		getClient: hostName => ({
-			getRevision: async timeoutMs => call(hostName, 'get revision', timeoutMs, () => revision),
-			readRouting: async timeoutMs => call(hostName, 'read routing', timeoutMs, () => ({revision, content: routing})),
-			listEndpoints: async timeoutMs => call(hostName, 'list endpoints', timeoutMs, () => ({revision, content: endpoints})),
-			listRecords: async (kind, timeoutMs) => call(hostName, `list ${kind}`, timeoutMs, () => ({revision, content: [...records.get(kind)!.values()]})),
+			getRevision: async timeoutMs => call(hostName, 'get revision', timeoutMs, () => place(revision)),
+			readRouting: async timeoutMs => call(hostName, 'read routing', timeoutMs, () => ({revision: place(revision), content: routing})),
+			listEndpoints: async timeoutMs => call(hostName, 'list endpoints', timeoutMs, () => ({revision: place(revision), content: endpoints})),
+			listRecords: async (kind, timeoutMs) => call(hostName, `list ${kind}`, timeoutMs, () => ({
+				revision: place(revision), content: [...records.get(kind)!.values()].map(record => placeRecord(record)),
+			})),
 			putRecord: async (kind, {name, version, value}, timeoutMs) => change(hostName, `put ${name}`, timeoutMs, () => {
 				check(kind, name, version);
 				const record = {name, version: ++revision, value: structuredClone(value)};
 				records.get(kind)!.set(name, record);
-				return record;
+				return placeRecord(record);
 			}),
 			deleteRecord: async (kind, name, expectedVersion, timeoutMs) => change(hostName, `delete ${name}`, timeoutMs, () => {
 				check(kind, name, expectedVersion);
@@ -160,6 +169,7 @@
 		restore(copy, rewriteMs = 0) {
 			const last = {routing, endpoints};
 			({revision, routing, endpoints} = copy);
+			generation++;
 			for (const [kind, byName] of copy.records) {
 				records.set(kind, new Map(byName));
 			}
@@ -173,7 +183,10 @@
 				writeAgain(last.routing, last.endpoints);
 			});
 		},
-		getRecord: (kind, name) => records.get(kind)!.get(name),
+		getRecord(kind, name) {
+			const record = records.get(kind)!.get(name);
+			return record && placeRecord(record);
+		},
 		setTrouble(hostName, trouble) {
 			troubles.set(hostName, {...NO_TROUBLE, ...trouble});
 		},
--- a/tests/lead-check/missing-guards.ts
+++ b/tests/lead-check/missing-guards.ts
@@ -53,7 +53,7 @@
 		without: 'the condition of an update',
 		changes: [{
 			file: 'src/stand-ins/metadata-store/in-memory-metadata-store.ts',
-			from: 'if ((records.get(kind)!.get(name)?.version ?? 0) !== expectedVersion) {',
+			from: 'if ((records.get(kind)!.get(name)?.version ?? 0) !== getWithinGeneration(expectedVersion)) {',
 			to: 'if (expectedVersion < 0) {',
 		}],
 	},
--- /dev/null
+++ b/tests/mirror/guard-generations-tests.ts
@@ -0,0 +1,82 @@
+import {expect} from 'chai';
+import {guardGenerations} from '../../src/mirror/guard-generations.js';
+import {RecordKind} from '../../src/mirror/metadata-store.js';
+import {placeInGeneration} from '../../src/mirror/store-generation.js';
+import {PlatformConflictError, PlatformError} from '../../src/object-store/platform-errors.js';
+import {createSeededRandom} from '../../src/random/seeded-random.js';
+import {createInMemoryMetadataStore} from '../../src/stand-ins/metadata-store/in-memory-metadata-store.js';
+import {createVirtualClock} from '../../src/stand-ins/time/virtual-clock.js';
+
+const TIMEOUT_MS = 900;
+
+function createBench() {
+	const clock = createVirtualClock();
+	const store = createInMemoryMetadataStore(clock, createSeededRandom(1));
+	const client = guardGenerations(store.getClient('entry-1'));
+	const put = async (version: number, value: string) => client.putRecord(RecordKind.Leadership, {name: 'group.nights', version, value}, TIMEOUT_MS);
+	return {
+		clock, store, client, put,
+	};
+}
+
+async function getError(promise: Promise<unknown>): Promise<unknown> {
+	try {
+		await promise;
+		return undefined;
+	} catch (err) {
+		return err;
+	}
+}
+
+describe('a store that comes back from a copy, as a host asks it', () => {
+	it('has a higher revision than before, though it gives out lower ones', async () => {
+		const {clock, store, client, put} = createBench();
+		const copy = store.takeCopy();
+		await clock.runUntil(put(0, 'a'));
+		const before = await clock.runUntil(client.getRevision(TIMEOUT_MS));
+		store.restore(copy);
+		expect([before, await clock.runUntil(client.getRevision(TIMEOUT_MS))]).to.deep.equal([2, placeInGeneration(1, 1)]);
+	});
+
+	/** Guards against an update whose condition holds by chance: the version that it names was given out again, to another host's change. */
+	it('takes no change under a version of before', async () => {
+		const {clock, store, client, put} = createBench();
+		const copy = store.takeCopy();
+		const {version} = await clock.runUntil(put(0, 'a'));
+		store.restore(copy);
+		await clock.runUntil(client.getRevision(TIMEOUT_MS));
+		await clock.runUntil(store.getClient('entry-2').putRecord(RecordKind.Leadership, {name: 'group.nights', version: 0, value: 'b'}, TIMEOUT_MS));
+		expect(await clock.runUntil(getError(put(version, 'c')))).to.be.instanceOf(PlatformConflictError);
+		expect(store.getRecord(RecordKind.Leadership, 'group.nights')?.value).to.equal('b');
+	});
+
+	it('takes no deletion under a version of before', async () => {
+		const {clock, store, client, put} = createBench();
+		const {version} = await clock.runUntil(put(0, 'a'));
+		store.restore(store.takeCopy());
+		await clock.runUntil(client.getRevision(TIMEOUT_MS));
+		const deleted = getError(client.deleteRecord(RecordKind.Leadership, 'group.nights', version, TIMEOUT_MS));
+		expect(await clock.runUntil(deleted)).to.be.instanceOf(PlatformConflictError);
+	});
+
+	/** Guards against a host that takes a change for done in the store that it knew, when it was done in the one that came back. */
+	it('leaves a change open that was meant for the store of before', async () => {
+		const {clock, store, put} = createBench();
+		const {version} = await clock.runUntil(put(0, 'a'));
+		store.restore(store.takeCopy());
+		const err = await clock.runUntil(getError(put(version, 'c')));
+		expect([err instanceof PlatformError, store.getRecord(RecordKind.Leadership, 'group.nights')?.value]).to.deep.equal([true, 'c']);
+	});
+
+	/** Guards against an answer that was on its way while the store came back, and arrives after one of the new generation. */
+	it('is not heard with an answer of before', async () => {
+		const {clock, store, client} = createBench();
+		store.setTrouble('entry-1', {answerMs: 200});
+		const late = getError(client.getRevision(TIMEOUT_MS));
+		await clock.advance(150);
+		store.restore(store.takeCopy());
+		store.heal();
+		await clock.runUntil(client.getRevision(TIMEOUT_MS));
+		expect(await clock.runUntil(late)).to.be.instanceOf(PlatformError);
+	});
+});
--- /dev/null
+++ b/tests/mirror/store-generation-tests.ts
@@ -0,0 +1,40 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {
+	formatPlaced, getGeneration, getNextInGeneration, getWithinGeneration, placeInGeneration,
+} from '../../src/mirror/store-generation.js';
+
+const generations = fc.integer({min: 0, max: 1_000_000});
+const numbers = fc.integer({min: 0, max: 2 ** 31});
+
+describe('a number placed in a generation', () => {
+	it('gives back both', () => {
+		fc.assert(fc.property(generations, numbers, (generation, number) => {
+			const placed = placeInGeneration(generation, number);
+			expect([getGeneration(placed), getWithinGeneration(placed)]).to.deep.equal([generation, number]);
+		}));
+	});
+
+	it('is above all of earlier generations', () => {
+		fc.assert(fc.property(generations, numbers, numbers, (generation, number, earlier) => {
+			expect(placeInGeneration(generation + 1, number)).to.be.greaterThan(placeInGeneration(generation, earlier));
+		}));
+	});
+
+	it('is the store\'s own number before it first came back', () => {
+		expect(placeInGeneration(0, 29)).to.equal(29);
+	});
+
+	function doNextTest(generation: number, last: number, expected: number) {
+		it(`is followed by ${formatPlaced(expected)} in generation ${generation} after ${formatPlaced(last)}`, () => {
+			expect(getNextInGeneration(generation, last)).to.equal(expected);
+		});
+	}
+
+	doNextTest(0, 7, 8);
+	doNextTest(2, 7, placeInGeneration(2, 1));
+	doNextTest(2, placeInGeneration(1, 7), placeInGeneration(2, 1));
+	doNextTest(2, placeInGeneration(2, 7), placeInGeneration(2, 8));
+	// What a host read in a later generation than the one that it knows of.
+	doNextTest(1, placeInGeneration(2, 7), placeInGeneration(2, 8));
+});
