Write records of leadership again in a store that came back, and use none of before

Callers would see commits acknowledged by a primary that was replaced, or a group without one: a store that comes back from a copy names the primary of before a replacement that it has lost, and hosts took its word.

Cause: a record's epoch and its place in the store were taken for the truth about who leads.

Fix: a record says in which generation it was written. One of an earlier generation gives no new evidence. A host whose evidence still holds after the return vouches for it and writes it again under the same epoch, so work under way goes on: whoever replaces a primary has ended all evidence first. Where nobody has any, the group is settled like a change that was not finished: fences, the furthest log, an order. Hosts keep records of a later epoch than the store shows, and epochs of a new generation are above all before, so none is used twice. Ruled out: asking the endpoints' terms alone (one that does not answer may lead); treating every group as unfinished at a return (each would stand still for seconds in calm).

--- a/src/leadership/first-record.ts
+++ b/src/leadership/first-record.ts
@@ -1,6 +1,8 @@
+import {EndpointRole} from '../endpoints/endpoint.js';
 import type {EndpointDirectory} from '../links/endpoint-directory.js';
 import type {Log} from '../log/log.js';
 import {RecordKind, type MetadataStore} from '../mirror/metadata-store.js';
+import {getGeneration, getNextInGeneration} from '../mirror/store-generation.js';
 import type {StoreMirror} from '../mirror/store-mirror.js';
 import type {Clock} from '../time/clock.js';
 import {getLeadershipName, LeadPhase, type LeadershipRecord} from './leadership-record.js';
@@ -48,8 +50,13 @@
 			}
 
 			const status = await leader.pool.ask({kind: 'status'}, STORE_TIMEOUT_MS);
+			if (status.role !== EndpointRole.Primary) {
+				return;
+			}
+
+			const generation = getGeneration(mirror.state.revision);
 			const record: LeadershipRecord = {
-				group, primaryId: leader.entry.id, term: status.term, epoch: 1, phase: LeadPhase.Steady, start: status.received, changedBy: hostName,
+				group, primaryId: leader.entry.id, term: status.term, epoch: getNextInGeneration(generation, 0), phase: LeadPhase.Steady, start: status.received, changedBy: hostName, generation,
 			};
 			await store.putRecord(RecordKind.Leadership, {name: getLeadershipName(group), version: 0, value: record}, STORE_TIMEOUT_MS);
 			log.info('a group is led for the first time', {group, primary: record.primaryId, term: record.term});
--- a/src/leadership/lead-evidence.ts
+++ b/src/leadership/lead-evidence.ts
@@ -2,7 +2,7 @@
 import {LONGEST_WITHOUT_STORE_MS} from '../mirror/peer-help.js';
 import type {UnfencedGroup} from '../mirror/mirror-calls.js';
 import type {StoreMirror} from '../mirror/store-mirror.js';
-import {LeadPhase, type LeadershipRecord} from './leadership-record.js';
+import {isAffirmed, LeadPhase, type LeadershipRecord} from './leadership-record.js';
 
 /** What a proxy may rely on when it uses a primary. */
 export type LeadEvidence = Pick<LeadershipRecord, 'group' | 'primaryId' | 'term' | 'epoch' | 'start'>;
@@ -73,7 +73,7 @@
 
 	mirror.onChange(() => {
 		for (const record of mirror.state.leadership.values()) {
-			if (record.phase === LeadPhase.Steady && mirror.confirmedAt !== undefined) {
+			if (record.phase === LeadPhase.Steady && mirror.confirmedAt !== undefined && isAffirmed(record, mirror.state.revision)) {
 				noteSteady(record, mirror.confirmedAt);
 			}
 		}
--- a/src/leadership/lead-watch.ts
+++ b/src/leadership/lead-watch.ts
@@ -4,6 +4,7 @@
 import type {Log} from '../log/log.js';
 import type {Lenders} from '../lending/lenders.js';
 import type {MetadataStore} from '../mirror/metadata-store.js';
+import type {Versioned} from '../mirror/mirror-state.js';
 import type {StoreMirror} from '../mirror/store-mirror.js';
 import {PlatformConflictError, PlatformError} from '../object-store/platform-errors.js';
 import type {Peers} from '../peers/peers.js';
@@ -16,9 +17,10 @@
 import {createFenceLook} from './fence-look.js';
 import type {LeadEvidences} from './lead-evidence.js';
 import {createFirstRecord} from './first-record.js';
-import {LeadPhase, type LeadershipRecord} from './leadership-record.js';
+import {isAffirmed, LeadPhase, type LeadershipRecord} from './leadership-record.js';
 import {createPrimaryReach, ReachVerdict} from './primary-reach.js';
 import type {PrimaryWork} from './primary-work.js';
+import {createRecordReaffirmation} from './reaffirm-record.js';
 import type {Replacement} from './replace-primary.js';
 import {createReplacements} from './replacements.js';
 
@@ -77,6 +79,9 @@
 /** A change that makes no progress for so long has lost the host that made it, in milliseconds. */
 const STALLED_AFTER_MS = DUTY_LEASE_MS + 400;
 
+/** A record that no host has written again for so long since the store came back has nobody with evidence of its primary, in milliseconds: all tries lie within it. */
+const UNAFFIRMED_AFTER_MS = 1500;
+
 type GroupWatch = {
 	busy: boolean;
 	suspectedSince?: number;
@@ -98,6 +103,9 @@
 	const fenceLook = createFenceLook({
 		directory, evidences, clock, elapsedClock, log, readsForAll: () => mirror.readsForAll, countHosts: () => mirror.state.hosts.length,
 	});
+	const reaffirmation = createRecordReaffirmation({
+		store, mirror, evidences, clock, elapsedClock, random, log,
+	});
 	const watches = new Map<string, GroupWatch>();
 	const stopping = createSleepAlarm();
 
@@ -217,30 +225,48 @@
 
 	const isCurrent = ({group, epoch}: LeadershipRecord) => mirror.state.leadership.get(group)?.epoch === epoch && evidences.get(group, elapsedClock.elapsed()) !== undefined;
 
-	/** A change whose host died half way is gone on with by another. */
-	const lookAtChanging = async (record: LeadershipRecord & {readonly version: number}, watch: GroupWatch) => {
+	/** For how long this host has seen the record as it is, in milliseconds. */
+	const getSeenMs = ({version}: Versioned<LeadershipRecord>, watch: GroupWatch) => {
 		const now = elapsedClock.elapsed();
-		if (watch.seenVersion !== record.version) {
-			watch.seenVersion = record.version;
+		if (watch.seenVersion !== version) {
+			watch.seenVersion = version;
 			watch.seenSince = now;
 		}
 
+		return now - watch.seenSince;
+	};
+
+	/** A change whose host died half way is gone on with by another. */
+	const lookAtChanging = async (record: Versioned<LeadershipRecord>, watch: GroupWatch) => {
 		const isOwn = record.changedBy === options.hostName;
 		const waitMs = isOwn ? PAUSE_MS : STALLED_AFTER_MS;
-		if (now - watch.seenSince > waitMs && duty.getOtherHolder() === undefined) {
+		if (getSeenMs(record, watch) > waitMs && duty.getOtherHolder() === undefined) {
 			await spread();
 			await replacements.begin({group: record.group, reason: 'an earlier change was not finished', planned: false});
 		}
 	};
 
+	/** Who leads is open where the store came back from a copy and nobody has evidence any more: then it is settled as in a change that was not finished. */
+	const lookAtUnaffirmed = async (record: Versioned<LeadershipRecord>, watch: GroupWatch) => {
+		const seenMs = getSeenMs(record, watch);
+		if (await reaffirmation.reaffirm(record) || seenMs <= UNAFFIRMED_AFTER_MS || duty.getOtherHolder() !== undefined) {
+			return;
+		}
+
+		await spread();
+		await replacements.begin({group: record.group, reason: 'the store came back from a copy and nobody has evidence of the primary', planned: false});
+	};
+
 	const look = async (group: string, watch: GroupWatch) => {
 		const record = mirror.state.leadership.get(group);
 		if (!record) {
 			await firstRecord.create(group);
 		} else if (record.phase === LeadPhase.Changing) {
 			await lookAtChanging(record, watch);
-		} else {
+		} else if (isAffirmed(record, mirror.state.revision)) {
 			await Promise.all([lookAtSteady(record, watch), fenceLook.look(record)]);
+		} else {
+			await lookAtUnaffirmed(record, watch);
 		}
 	};
 
@@ -288,7 +314,7 @@
 	});
 	peers.handle('lead-replace', async ({group, epoch, reason}) => {
 		const record = mirror.state.leadership.get(group);
-		if (replacements.retired || !options.mayReplace() || record?.epoch !== epoch || record.phase !== LeadPhase.Steady) {
+		if (replacements.retired || !options.mayReplace() || record?.epoch !== epoch || record.phase !== LeadPhase.Steady || !isAffirmed(record, mirror.state.revision)) {
 			return {taken: false};
 		}
 
--- a/src/leadership/leadership-record.ts
+++ b/src/leadership/leadership-record.ts
@@ -1,4 +1,5 @@
 import * as z from 'zod';
+import {getGeneration} from '../mirror/store-generation.js';
 import type {LogPosition} from '../terms/log-position.js';
 
 /** Whether a group has a primary that may be used, or is between two. */
@@ -23,6 +24,8 @@
 	readonly start: LogPosition;
 	/** Host that wrote it. */
 	readonly changedBy: string;
+	/** Generation of the store that it was written in, or written again in; without it 0. */
+	readonly generation?: number;
 };
 
 /** Who may have primaries replaced. */
@@ -46,6 +49,15 @@
 	readonly gone?: boolean;
 };
 
+/**
+ * Whether a host has written a record in the generation of the store that `revision` is of.
+ *
+ * Guards against a record of before that came back with the store, or that a host still holds: a later one may have been lost.
+ */
+export function isAffirmed({generation = 0}: Pick<LeadershipRecord, 'generation'>, revision: number): boolean {
+	return generation === getGeneration(revision);
+}
+
 /** Name of the record of the duty; the groups' records have their group's name behind a prefix. */
 export const DUTY_NAME = 'duty';
 
@@ -66,6 +78,7 @@
 	phase: z.enum(LeadPhase),
 	start: positionSchema,
 	changedBy: z.string(),
+	generation: z.int().optional(),
 });
 
 const dutySchema: z.ZodType<DutyRecord> = z.object({
@@ -109,6 +122,7 @@
 			phase: LeadPhase.Changing,
 			start: {term: 0, position: 0},
 			changedBy: UNREADABLE,
+			generation: getGeneration(version),
 		}
 		: undefined;
 }
--- /dev/null
+++ b/src/leadership/reaffirm-record.ts
@@ -0,0 +1,76 @@
+import type {Log} from '../log/log.js';
+import {RecordKind, type MetadataStore} from '../mirror/metadata-store.js';
+import type {Versioned} from '../mirror/mirror-state.js';
+import {getGeneration} from '../mirror/store-generation.js';
+import type {StoreMirror} from '../mirror/store-mirror.js';
+import type {Random} from '../random/random.js';
+import type {Clock} from '../time/clock.js';
+import type {ElapsedClock} from '../time/elapsed-clock.js';
+import type {LeadEvidences} from './lead-evidence.js';
+import {getLeadershipName, isAffirmed, type LeadershipRecord} from './leadership-record.js';
+
+/** Writes records of leadership again in a store that has come back from a copy. */
+export type RecordReaffirmation = {
+	/** Writes a group's record again where this host has evidence of its primary; false where it has none. Rejects with PlatformError or PlatformConflictError. */
+	reaffirm(record: Versioned<LeadershipRecord>): Promise<boolean>;
+};
+
+/** What this needs. */
+export type RecordReaffirmationOptions = {
+	readonly store: MetadataStore;
+	readonly mirror: StoreMirror;
+	readonly evidences: LeadEvidences;
+	readonly clock: Clock;
+	readonly elapsedClock: ElapsedClock;
+	readonly random: Random;
+	readonly log: Log;
+};
+
+/** Other hosts leave it to the one that reads the store for all for so long, in milliseconds: an update and its way along the tree. */
+const OTHERS_WAIT_MS = 400;
+
+/** They spread their own tries over so long, in milliseconds; all of it fits into the time that evidence lasts. */
+const OTHERS_SPREAD_MS = 1000;
+
+const STORE_TIMEOUT_MS = 900;
+
+/**
+ * Creates the reaffirmation.
+ *
+ * A restored record may name a primary that was replaced after the copy was made. Evidence of a primary that still holds after the return shows that none
+ * was: whoever replaces one has all evidence of it ended first, and then asks the store once more before it gives an order.
+ */
+export function createRecordReaffirmation({store, mirror, evidences, clock, elapsedClock, random, log}: RecordReaffirmationOptions): RecordReaffirmation {
+	const holdsEvidence = ({group, epoch}: LeadershipRecord) => evidences.get(group, elapsedClock.elapsed())?.epoch === epoch;
+
+	/** Whether the record is still what was looked at, after a wait. */
+	const isOpen = ({group, epoch, version}: Versioned<LeadershipRecord>) => {
+		const record = mirror.state.leadership.get(group);
+		return record?.epoch === epoch && record.version === version && !isAffirmed(record, mirror.state.revision);
+	};
+
+	return {
+		async reaffirm(record) {
+			if (!holdsEvidence(record)) {
+				return false;
+			}
+
+			if (!mirror.readsForAll) {
+				await clock.sleep(OTHERS_WAIT_MS + (random.fraction() * OTHERS_SPREAD_MS));
+			}
+
+			if (!isOpen(record) || !holdsEvidence(record)) {
+				return true;
+			}
+
+			const {version, ...value} = record;
+			const generation = getGeneration(mirror.state.revision);
+			await store.putRecord(RecordKind.Leadership, {name: getLeadershipName(record.group), version, value: {...value, generation}}, STORE_TIMEOUT_MS);
+			log.info('a record of leadership was written again, since the store came back from a copy', {
+				group: record.group, primary: record.primaryId, term: record.term, epoch: record.epoch, generation,
+			});
+			await mirror.confirm();
+			return true;
+		},
+	};
+}
--- a/src/leadership/replace-primary.ts
+++ b/src/leadership/replace-primary.ts
@@ -1,6 +1,7 @@
+import {getGeneration, getNextInGeneration} from '../mirror/store-generation.js';
 import {LEAD_CALL_TIMEOUT_MS} from './lead-calls.js';
 import {EVIDENCE_MS} from './lead-evidence.js';
-import {LeadPhase} from './leadership-record.js';
+import {isAffirmed, LeadPhase} from './leadership-record.js';
 import {
 	cleanUp, gatherCandidates, keepFenced, waitForCatchUp,
 } from './ask-endpoints.js';
@@ -71,16 +72,21 @@
 		marks.push(clock.now());
 	};
 
-	const before = mirror.state.leadership.get(group);
-	if (!before) {
+	const held = mirror.state.leadership.get(group);
+	if (!held) {
 		return false;
 	}
 
+	const {revision} = mirror.state;
+	const generation = getGeneration(revision);
+	// One of an earlier generation may be out of date: another primary may have been promoted since, as in a change that nobody finished.
+	const before = isAffirmed(held, revision) ? held : {...held, phase: LeadPhase.Changing};
+
 	log.info('a primary is replaced', {
 		group, reason, planned, primary: before.primaryId, epoch: before.epoch, term: before.term, version: before.version,
 	});
 	const changing = await updateRecord(parts, {
-		...before, epoch: before.epoch + 1, phase: LeadPhase.Changing, changedBy: parts.hostName,
+		...before, epoch: getNextInGeneration(generation, before.epoch), phase: LeadPhase.Changing, changedBy: parts.hostName, generation,
 	}, before.version, giveUpAt);
 	if (!changing) {
 		log.info('another host changed the record first', {group, epoch: before.epoch});
--- a/src/leadership/update-record.ts
+++ b/src/leadership/update-record.ts
@@ -2,7 +2,7 @@
 import type {Versioned} from '../mirror/mirror-state.js';
 import type {StoreMirror} from '../mirror/store-mirror.js';
 import {PlatformConflictError, PlatformError} from '../object-store/platform-errors.js';
-import {getLeadershipName, type LeadershipRecord} from './leadership-record.js';
+import {getLeadershipName, isAffirmed, type LeadershipRecord} from './leadership-record.js';
 import {RETRY_MS, type ReplacePrimaryParts} from './replace-parts.js';
 
 const STORE_TIMEOUT_MS = 900;
@@ -36,6 +36,7 @@
 async function findOwnUpdate(mirror: StoreMirror, record: LeadershipRecord) {
 	await mirror.confirm();
 	const found = mirror.state.leadership.get(record.group);
-	const isOwn = found?.changedBy === record.changedBy && found.epoch === record.epoch && found.phase === record.phase && found.primaryId === record.primaryId;
+	const isStored = found?.generation === record.generation && isAffirmed(record, mirror.state.revision);
+	const isOwn = isStored && found?.changedBy === record.changedBy && found.epoch === record.epoch && found.phase === record.phase && found.primaryId === record.primaryId;
 	return isOwn ? found : undefined;
 }
--- a/src/mirror/contents-id.ts
+++ b/src/mirror/contents-id.ts
@@ -28,7 +28,7 @@
 
 /** Names what a copy holds. */
 export function getContentsId({routing, endpoints, leadership, duty, hosts}: MirrorState): ContentsId {
-	const records = [...leadership.values()].map(({group, version}) => `${group} ${version}`);
+	const records = [...leadership.values()].map(({group, version, epoch}) => `${group} ${version} ${epoch}`);
 	return {
 		routing: routing?.version ?? 0,
 		endpoints: getDigest(endpoints.map(endpoint => JSON.stringify(Object.entries(endpoint).toSorted(([left], [right]) => compare(left, right))))),
--- a/src/mirror/mirror-copy.ts
+++ b/src/mirror/mirror-copy.ts
@@ -2,7 +2,9 @@
 import {
 	EMPTY_ID, getContentsId, isSameContents, type ContentsId,
 } from './contents-id.js';
-import {EMPTY_STATE, getLaterRouting, type MirrorState} from './mirror-state.js';
+import {
+	EMPTY_STATE, getLaterLeadership, getLaterRouting, type MirrorState,
+} from './mirror-state.js';
 import {formatPlaced, getGeneration} from './store-generation.js';
 import {applyStateDifference, getStateDifference, type StateDifference} from './state-difference.js';
 
@@ -46,7 +48,7 @@
 	const take = (read: MirrorState) => {
 		const before = state;
 		noteReturn(before.revision, read.revision);
-		state = {...read, routing: getLaterRouting(before.routing, read.routing)};
+		state = {...read, routing: getLaterRouting(before.routing, read.routing), leadership: getLaterLeadership(before.leadership, read.leadership)};
 		if (state.routing?.version !== before.routing?.version) {
 			log.info('a configuration is in force', {version: state.routing?.version, before: before.routing?.version, revision: formatPlaced(state.revision)});
 		}
--- a/src/mirror/mirror-state.ts
+++ b/src/mirror/mirror-state.ts
@@ -4,6 +4,7 @@
 } from '../leadership/leadership-record.js';
 import type {RegisteredEndpoint, Routing} from '../routes/routing.js';
 import type {StoredRecord} from './metadata-store.js';
+import {getGeneration} from './store-generation.js';
 
 /** A record with the version that a conditional update has to name. */
 export type Versioned<T> = T & {readonly version: number};
@@ -52,3 +53,21 @@
 export function getLaterRouting(held: Routing | undefined, read: Routing | undefined): Routing | undefined {
 	return held && (!read || read.version < held.version) ? held : read;
 }
+
+/**
+ * The groups' records as read, but for those that were held in a later epoch.
+ *
+ * Guards against a store that came back from a copy and names a primary which was replaced since. What it lost stays here until a host has written it again; its
+ * next update names the version that the store has by now.
+ */
+export function getLaterLeadership(held: MirrorState['leadership'], read: MirrorState['leadership']): MirrorState['leadership'] {
+	const later = [...held.values()].filter(({group, epoch}) => epoch > (read.get(group)?.epoch ?? 0));
+	return later.length === 0 ? read : new Map([...read, ...later.map(record => [record.group, withVersionRead(record, read.get(record.group))] as const)]);
+}
+
+/** A record that was read before with what the same generation of the store gave out for it is not older for that: lists are read one after the other. */
+function withVersionRead(record: Versioned<LeadershipRecord>, read: Versioned<LeadershipRecord> | undefined): Versioned<LeadershipRecord> {
+	const version = read?.version ?? 0;
+	const isOfSame = getGeneration(record.version) === getGeneration(version);
+	return {...record, version: isOfSame ? Math.max(record.version, version) : version};
+}
--- a/tests/proxy/store-restore-tests.ts
+++ b/tests/proxy/store-restore-tests.ts
@@ -1,7 +1,9 @@
 import {expect} from 'chai';
+import {RecordKind} from '../../src/mirror/metadata-store.js';
 import type {Routing} from '../../src/routes/routing.js';
 import type {SimulatedProxy} from '../../src/stand-ins/proxies/simulated-proxies.js';
 import type {StoreCopy} from '../../src/stand-ins/metadata-store/in-memory-metadata-store.js';
+import type {PlainServer} from '../../src/stand-ins/plain-group/plain-server.js';
 import {createProxyBench, type ProxyBench} from './proxy-bench.js';
 
 const AWAY_MS = 1000;
@@ -32,6 +34,56 @@
 	system.store.restore(copy, rewriteMs);
 }
 
+/** Crashes the primary and waits until another one leads; the former one is back as a replica. */
+async function losePrimary(bench: ProxyBench): Promise<PlainServer> {
+	const former = bench.getPrimary();
+	bench.group.crash(former);
+	await writeUntilDone(bench, bench.proxies[0]!);
+	bench.group.restart(former);
+	await bench.clock.advance(3000);
+	return former;
+}
+
+async function writeUntilDone(bench: ProxyBench, proxy: SimulatedProxy) {
+	const caller = await bench.open(proxy, 'sync');
+	const until = bench.clock.now() + 30_000;
+	while (bench.clock.now() < until) {
+		if (await bench.ask(caller, 'WRITE gap 1') === 'done idle') {
+			return;
+		}
+
+		await bench.clock.advance(20);
+	}
+
+	expect.fail('no write was acknowledged within 30 s');
+}
+
+/** Writes at each host by turns for some time; tells the answers to writes that were not acknowledged. */
+async function writeFor(bench: ProxyBench, ms: number): Promise<readonly string[]> {
+	const until = bench.clock.now() + ms;
+	const refused: string[] = [];
+	const callers = [];
+	for (const proxy of bench.proxies) {
+		callers.push(await bench.open(proxy, 'sync'));
+	}
+
+	for (let i = 0; bench.clock.now() < until; i++) {
+		const answer = await bench.ask(callers[i % callers.length]!, `WRITE calm ${i}`);
+		if (answer !== 'done idle') {
+			refused.push(answer);
+		}
+
+		await bench.clock.advance(20);
+	}
+
+	return refused;
+}
+
+/** Primaries that hosts have evidence of. */
+function getLeads({proxies}: ProxyBench): ReadonlyArray<string | undefined> {
+	return [...new Set(proxies.map(({kernel, clock}) => kernel.getOrThrow('leadEvidences').get('nights', clock.elapsed())?.primaryId))];
+}
+
 describe('a store that comes back from an older copy', () => {
 	function doConfigurationTest(hosts: number, lost: number) {
 		/** Guards against hosts that take a lower revision of the restored store for proof that their copy is complete. */
@@ -50,4 +102,55 @@
 
 	doConfigurationTest(3, 3);
 	doConfigurationTest(9, 30);
+
+	/** Guards against a restored record that names a primary which was replaced since: hosts would use it, or have nobody lead. */
+	it('leaves the primary in use that was promoted after the copy was made', async () => {
+		const bench = await createProxyBench({proxies: 9, maxConnections: 100, promoteMs: 600});
+		const copy = bench.system.store.takeCopy();
+		const former = await losePrimary(bench);
+		const promoted = bench.getPrimary().id;
+		await comeBackFrom(bench, copy);
+		const refused = await writeFor(bench, 6000);
+		expect([refused, bench.getPrimary().id, bench.system.orders.length]).to.deep.equal([[], promoted, 1]);
+		expect(getLeads(bench)).to.deep.equal([promoted]);
+		expect(bench.ran.filter(line => line.startsWith(`${former.id} commit`))).to.deep.equal([]);
+		bench.system.stop();
+	});
+
+	/** Guards against hosts that know the restored store alone: nobody is left who saw the primary replaced, and the former one still calls itself one. */
+	it('never has the primary of an old record used where all hosts are new', async () => {
+		const bench = await createProxyBench({proxies: 3, promoteMs: 600});
+		const former = bench.getPrimary();
+		const copy = bench.system.store.takeCopy();
+		former.cutFromGroup = true;
+		for (const proxy of bench.proxies) {
+			proxy.cutFrom.add(former.id);
+		}
+
+		await writeUntilDone(bench, bench.proxies[0]!);
+		const promoted = bench.getPrimary();
+		for (const proxy of bench.proxies) {
+			bench.system.kill(proxy);
+		}
+
+		await comeBackFrom(bench, copy);
+		const started = [];
+		for (const name of ['entry-1', 'entry-2', 'entry-3']) {
+			started.push(await bench.clock.runUntil(bench.system.startProxy(name)));
+		}
+
+		await writeUntilDone(bench, started[0]!);
+		expect([promoted.id === former.id, former.role, bench.getPrimary().id === former.id]).to.deep.equal([false, 'replica', false]);
+		expect(bench.ran.filter(line => line.startsWith(`${former.id} commit`))).to.deep.equal([]);
+		bench.system.stop();
+	});
+
+	it('has its records of leadership written again in its new generation', async () => {
+		const bench = await createProxyBench({proxies: 3});
+		await comeBackFrom(bench, bench.system.store.takeCopy());
+		await bench.clock.advance(2000);
+		const {value} = bench.system.store.getRecord(RecordKind.Leadership, 'group.nights')!;
+		expect(value).to.include({generation: 1, epoch: 1, primaryId: 'nights-1'});
+		bench.system.stop();
+	});
 });
