Ask the store once more before an order to promote, and lift fences that nobody holds

Callers would see two primaries at once: a replacement marks its group's record, the store comes back without the mark, a host that the replacement could not reach vouches for the old primary and goes on with it, and the replacement, its wait over, promotes another.

Cause: an update that was acknowledged was taken to last until it is changed. Fix: after the fences and the end of evidence the store is asked whether the record is still this host's, of this generation. A host that vouches later finds the fences or comes after a read that would have shown the return. Fences of such a replacement are lifted by its host, or, where that died, by the host that writes the record again (test: replicas fenced by nobody receive again; fenced for ever before). The fake mirror of ask-endpoints-tests got the revision that real ones have.

--- a/src/leadership/ask-endpoints.ts
+++ b/src/leadership/ask-endpoints.ts
@@ -43,7 +43,7 @@
 }
 
 /** Asks one endpoint; undefined where no status came in time. */
-export async function askStatus({clock}: ReplacePrimaryParts, {pool}: KnownEndpoint, command: EndpointCommand): Promise<EndpointStatus | undefined> {
+export async function askStatus({clock}: Pick<ReplacePrimaryParts, 'clock'>, {pool}: KnownEndpoint, command: EndpointCommand): Promise<EndpointStatus | undefined> {
 	try {
 		const bounded = await withinMs(clock, STATUS_TIMEOUT_MS, pool.ask(command, STATUS_TIMEOUT_MS));
 		return bounded.timedOut ? undefined : bounded.value;
@@ -85,14 +85,18 @@
 		|| now.some(other => other.endpointId === endpointId && other.status.fencedTerm > before.term));
 }
 
-/** Lets the other replicas receive again and makes the former primary one; nothing waits for it. */
-export function cleanUp(parts: ReplacePrimaryParts, leading: SuccessorCandidate, before: LeadershipRecord) {
-	for (const endpoint of parts.directory.list(before.group)) {
-		if (endpoint.entry.id !== leading.endpointId) {
+/** Lets all endpoints of a group receive again but the one that leads; nothing waits for it. */
+export function liftFences(parts: Pick<ReplacePrimaryParts, 'clock' | 'directory'>, group: string, leadingId: string) {
+	for (const endpoint of parts.directory.list(group)) {
+		if (endpoint.entry.id !== leadingId) {
 			void unfence(parts, endpoint);
 		}
 	}
+}
 
+/** Lets the other replicas receive again and makes the former primary one; nothing waits for it. */
+export function cleanUp(parts: ReplacePrimaryParts, leading: SuccessorCandidate, before: LeadershipRecord) {
+	liftFences(parts, before.group, leading.endpointId);
 	const former = parts.directory.get(before.primaryId);
 	if (former && before.primaryId !== leading.endpointId) {
 		void askStatus(parts, former, {kind: 'step-down', term: leading.status.term});
@@ -100,7 +104,7 @@
 }
 
 /** An endpoint left fenced would receive nothing for ever, so it is asked again where no answer came. */
-async function unfence(parts: ReplacePrimaryParts, endpoint: KnownEndpoint) {
+async function unfence(parts: Pick<ReplacePrimaryParts, 'clock'>, endpoint: KnownEndpoint) {
 	for (let i = 0; i < UNFENCE_TRIES; i++) {
 		if (await askStatus(parts, endpoint, {kind: 'unfence'})) {
 			return;
--- a/src/leadership/lead-watch.ts
+++ b/src/leadership/lead-watch.ts
@@ -104,7 +104,7 @@
 		directory, evidences, clock, elapsedClock, log, readsForAll: () => mirror.readsForAll, countHosts: () => mirror.state.hosts.length,
 	});
 	const reaffirmation = createRecordReaffirmation({
-		store, mirror, evidences, clock, elapsedClock, random, log,
+		store, mirror, evidences, directory, clock, elapsedClock, random, log,
 	});
 	const watches = new Map<string, GroupWatch>();
 	const stopping = createSleepAlarm();
--- a/src/leadership/reaffirm-record.ts
+++ b/src/leadership/reaffirm-record.ts
@@ -1,3 +1,4 @@
+import type {EndpointDirectory} from '../links/endpoint-directory.js';
 import type {Log} from '../log/log.js';
 import {RecordKind, type MetadataStore} from '../mirror/metadata-store.js';
 import type {Versioned} from '../mirror/mirror-state.js';
@@ -6,6 +7,7 @@
 import type {Random} from '../random/random.js';
 import type {Clock} from '../time/clock.js';
 import type {ElapsedClock} from '../time/elapsed-clock.js';
+import {liftFences} from './ask-endpoints.js';
 import type {LeadEvidences} from './lead-evidence.js';
 import {getLeadershipName, isAffirmed, type LeadershipRecord} from './leadership-record.js';
 
@@ -20,6 +22,7 @@
 	readonly store: MetadataStore;
 	readonly mirror: StoreMirror;
 	readonly evidences: LeadEvidences;
+	readonly directory: EndpointDirectory;
 	readonly clock: Clock;
 	readonly elapsedClock: ElapsedClock;
 	readonly random: Random;
@@ -40,7 +43,7 @@
  * A restored record may name a primary that was replaced after the copy was made. Evidence of a primary that still holds after the return shows that none
  * was: whoever replaces one has all evidence of it ended first, and then asks the store once more before it gives an order.
  */
-export function createRecordReaffirmation({store, mirror, evidences, clock, elapsedClock, random, log}: RecordReaffirmationOptions): RecordReaffirmation {
+export function createRecordReaffirmation({store, mirror, evidences, directory, clock, elapsedClock, random, log}: RecordReaffirmationOptions): RecordReaffirmation {
 	const holdsEvidence = ({group, epoch}: LeadershipRecord) => evidences.get(group, elapsedClock.elapsed())?.epoch === epoch;
 
 	/** Whether the record is still what was looked at, after a wait. */
@@ -69,6 +72,8 @@
 			log.info('a record of leadership was written again, since the store came back from a copy', {
 				group: record.group, primary: record.primaryId, term: record.term, epoch: record.epoch, generation,
 			});
+			// A replacement whose record was lost, and its host since, left its fences behind.
+			liftFences({clock, directory}, record.group, record.primaryId);
 			await mirror.confirm();
 			return true;
 		},
--- a/src/leadership/replace-primary.ts
+++ b/src/leadership/replace-primary.ts
@@ -3,13 +3,13 @@
 import {EVIDENCE_MS} from './lead-evidence.js';
 import {isAffirmed, LeadPhase} from './leadership-record.js';
 import {
-	cleanUp, gatherCandidates, keepFenced, waitForCatchUp,
+	cleanUp, gatherCandidates, keepFenced, liftFences, waitForCatchUp,
 } from './ask-endpoints.js';
 import {createEvidenceEnd} from './evidence-end.js';
 import {promoteBest} from './promote-best.js';
 import {ORDER_EFFECT_MS} from './promotion-orders.js';
 import type {ReplacePrimaryParts} from './replace-parts.js';
-import {updateRecord} from './update-record.js';
+import {isStillStored, updateRecord} from './update-record.js';
 
 /** Why a primary is replaced. */
 export type Replacement = {
@@ -119,6 +119,13 @@
 	log.info('endpoints were asked for a successor', {group, byTime, candidates: all.map(({endpointId, leaving, status}) => ({endpointId, leaving, ...status}))});
 	const former = planned ? all.filter(({endpointId}) => endpointId === before.primaryId) : [];
 	const others = all.filter(candidate => !former.includes(candidate));
+	// After the fences: a host that vouches for the primary in a store that came back later would find them.
+	if (!await isStillStored(parts, changing, giveUpAt)) {
+		log.warn('the record of a change is no longer stored', {group, epoch: changing.epoch});
+		leaveToOthers(parts, group);
+		return false;
+	}
+
 	const candidates = byTime ? await keepFenced(parts, others, before) : others;
 	mark();
 	const leading = await promoteBest(parts, {candidates, former}, before, giveUpAt);
@@ -154,6 +161,14 @@
 	return true;
 }
 
+/** Gives a change up whose record is lost; another host that changes the group by now lifts the fences itself. */
+function leaveToOthers(parts: ReplacePrimaryParts, group: string) {
+	const record = parts.mirror.state.leadership.get(group);
+	if (record?.phase === LeadPhase.Steady) {
+		liftFences(parts, group, record.primaryId);
+	}
+}
+
 /** Tells the other hosts that there is something new to ask for. */
 async function tellEverywhere({mirror, peers, ownPeerAddress}: ReplacePrimaryParts, group: string) {
 	for (const host of mirror.state.hosts) {
--- a/src/leadership/update-record.ts
+++ b/src/leadership/update-record.ts
@@ -32,6 +32,24 @@
 	return undefined;
 }
 
+/**
+ * Whether the store still shows a record as this host wrote it, asked until it answers; false after `until`.
+ *
+ * Guards against a store that came back from a copy and lost the record: hosts may have had evidence of what stood there before since, and were not asked to give that up.
+ */
+export async function isStillStored({mirror, clock}: ReplacePrimaryParts, written: Versioned<LeadershipRecord>, until: number): Promise<boolean> {
+	while (clock.now() < until) {
+		if (await mirror.confirm()) {
+			const record = mirror.state.leadership.get(written.group);
+			return record?.version === written.version && isAffirmed(record, mirror.state.revision);
+		}
+
+		await clock.sleep(RETRY_MS);
+	}
+
+	return false;
+}
+
 /** A conflict may be with this host's own update, the answer to which was lost. */
 async function findOwnUpdate(mirror: StoreMirror, record: LeadershipRecord) {
 	await mirror.confirm();
--- a/tests/leadership/ask-endpoints-tests.ts
+++ b/tests/leadership/ask-endpoints-tests.ts
@@ -46,6 +46,7 @@
 		mirror: {
 			confirm: async () => true,
 			state: {
+				revision: 4,
 				hosts: [{name: 'entry-2', peerAddress: 'entry-2:7000', gone: true}],
 				leadership: {get: () => record},
 			},
--- a/tests/proxy/store-restore-tests.ts
+++ b/tests/proxy/store-restore-tests.ts
@@ -1,4 +1,5 @@
 import {expect} from 'chai';
+import {LeadPhase, type LeadershipRecord} from '../../src/leadership/leadership-record.js';
 import {RecordKind} from '../../src/mirror/metadata-store.js';
 import type {Routing} from '../../src/routes/routing.js';
 import type {SimulatedProxy} from '../../src/stand-ins/proxies/simulated-proxies.js';
@@ -79,6 +80,17 @@
 	return refused;
 }
 
+function getStoredPhase({system}: ProxyBench): LeadPhase | undefined {
+	return (system.store.getRecord(RecordKind.Leadership, 'group.nights')?.value as LeadershipRecord | undefined)?.phase;
+}
+
+async function advanceUntil({clock}: ProxyBench, isReached: () => boolean) {
+	const until = clock.now() + 30_000;
+	while (!isReached() && clock.now() < until) {
+		await clock.advance(5);
+	}
+}
+
 /** Primaries that hosts have evidence of. */
 function getLeads({proxies}: ProxyBench): ReadonlyArray<string | undefined> {
 	return [...new Set(proxies.map(({kernel, clock}) => kernel.getOrThrow('leadEvidences').get('nights', clock.elapsed())?.primaryId))];
@@ -153,4 +165,45 @@
 		expect(value).to.include({generation: 1, epoch: 1, primaryId: 'nights-1'});
 		bench.system.stop();
 	});
+
+	/** Guards against an order to promote under a record that the store has lost: a host that was not reached vouches for the old primary and goes on with it. */
+	it('has no primary promoted by a replacement whose record was lost', async () => {
+		const bench = await createProxyBench({proxies: 3, promoteMs: 600});
+		const [apart, ...others] = bench.proxies as [SimulatedProxy, ...SimulatedProxy[]];
+		const former = bench.getPrimary();
+		const copy = bench.system.store.takeCopy();
+		for (const other of others) {
+			other.cutFrom.add(former.id);
+			bench.system.network.setFaultsBetween(apart.peerAddress, other.peerAddress, {cut: true});
+		}
+
+		const caller = await bench.open(others[0]!, 'sync');
+		void bench.send(caller, 'WRITE a 1');
+		await advanceUntil(bench, () => getStoredPhase(bench) === LeadPhase.Changing);
+		await comeBackFrom(bench, copy);
+		const usesFormer = () => apart.kernel.getOrThrow('leadEvidences').get('nights', apart.clock.elapsed())?.primaryId === former.id;
+		let both = 0;
+		for (let ms = 0; ms < 12_000; ms += 10) {
+			await bench.clock.advance(10);
+			both += bench.system.orders.length > 0 && usesFormer() ? 1 : 0;
+		}
+
+		expect([both, bench.group.leader.id === former.id]).to.deep.equal([0, false]);
+		bench.system.stop();
+	});
+
+	/** Guards against replicas that receive nothing for ever: the host that fenced them died, and the store has lost its record. */
+	it('has replicas receive again that a lost replacement had fenced', async () => {
+		const bench = await createProxyBench({proxies: 3});
+		const copy = bench.system.store.takeCopy();
+		const replicas = bench.group.servers.filter(server => server !== bench.getPrimary());
+		for (const replica of replicas) {
+			replica.fencedTerm = 2;
+		}
+
+		await comeBackFrom(bench, copy);
+		await bench.clock.advance(2000);
+		expect(replicas.map(({fencedTerm}) => fencedTerm)).to.deep.equal([0, 0]);
+		bench.system.stop();
+	});
 });
