Let no duty begin beside one that a restored store has lost

Operators of the platform would see two holders of the duty inside its lease, or a fencing token used twice: a host takes the duty, the store comes back without that record, and another host finds none, or its own of before.

Cause: the absence of a record, or one's own name in it, was taken for the proof that nobody else holds the duty, and the next token was counted from the record. Fix: for a whole lease after a host has seen the store of a new generation only a holder whose own lease runs may write; tokens of a generation are above all earlier ones; a taking that took effect in another generation than the one it was meant for is none.

--- a/src/leadership/duty-lease.ts
+++ b/src/leadership/duty-lease.ts
@@ -1,5 +1,6 @@
 import type {Log} from '../log/log.js';
 import {RecordKind, type MetadataStore} from '../mirror/metadata-store.js';
+import {getGeneration, getNextInGeneration} from '../mirror/store-generation.js';
 import type {StoreMirror} from '../mirror/store-mirror.js';
 import {PlatformConflictError, PlatformError} from '../object-store/platform-errors.js';
 import type {ElapsedClock} from '../time/elapsed-clock.js';
@@ -41,9 +42,18 @@
 	const log = parentLog.part('duty: ');
 	let seenVersion = -1;
 	let seenSince = 0;
+	let generation = 0;
+	/** Since when this host has seen the store in its generation; undefined where it never came back from a copy. */
+	let returnSeenAt: number | undefined;
 	let held: {readonly token: number; readonly until: number} | undefined;
 
 	const observe = () => {
+		const current = getGeneration(mirror.state.revision);
+		if (current !== generation) {
+			generation = current;
+			returnSeenAt = elapsedClock.elapsed();
+		}
+
 		const version = mirror.state.duty?.version ?? 0;
 		if (version !== seenVersion) {
 			seenVersion = version;
@@ -55,31 +65,49 @@
 
 	const isMine = (duty: DutyRecord | undefined) => duty?.holder === hostName && duty.incarnation === incarnation;
 
+	const isHeld = (now: number) => held !== undefined && now < held.until;
+
+	/**
+	 * Guards against two holders at once: a store that came back from a copy may have lost the record of one whose duty lasts, and show none, another's or this host's own
+	 * of before. The holder itself may renew.
+	 */
+	const isJustBack = (now: number) => returnSeenAt !== undefined && now - returnSeenAt < DUTY_LEASE_MS + MARGIN_MS;
+
 	/**
 	 * Guards against two holders at once: the record of another is replaced only after this host has seen it unchanged
 	 * for the whole lease. The holder counts its lease from before the update that this host saw.
 	 */
 	const isFree = (now: number) => {
 		const {duty} = mirror.state;
+		if (isJustBack(now)) {
+			return isHeld(now) && (isMine(duty) || getGeneration(duty?.token ?? 0) < generation);
+		}
+
 		return !duty || isMine(duty) || now - seenSince >= DUTY_LEASE_MS + MARGIN_MS;
 	};
 
 	const getNext = (now: number): DutyRecord => {
 		const {duty} = mirror.state;
-		const renews = isMine(duty) && held !== undefined && now < held.until;
+		const renews = isHeld(now) && (isMine(duty) || isJustBack(now));
 		return {
 			holder: hostName,
 			incarnation,
-			token: renews ? held!.token : (duty?.token ?? 0) + 1,
-			renewals: renews ? duty!.renewals + 1 : 0,
+			token: renews ? held!.token : getNextInGeneration(generation, duty?.token ?? 0),
+			renewals: renews ? (duty?.renewals ?? 0) + 1 : 0,
 		};
 	};
 
 	const put = async (now: number) => {
+		const takenIn = generation;
 		const next = getNext(now);
 		const version = mirror.state.duty?.version ?? 0;
 		try {
-			await store.putRecord(RecordKind.Leadership, {name: DUTY_NAME, version, value: next}, STORE_TIMEOUT_MS);
+			const stored = await store.putRecord(RecordKind.Leadership, {name: DUTY_NAME, version, value: next}, STORE_TIMEOUT_MS);
+			if (getGeneration(stored.version) !== takenIn) {
+				log.info('the duty was not taken: the store came back from a copy meanwhile', {fence: next.token});
+				return false;
+			}
+
 			held = {token: next.token, until: now + DUTY_LEASE_MS};
 			log.info('the duty is held', {fence: next.token, renewals: next.renewals});
 			return true;
--- a/tests/leadership/duty-lease-tests.ts
+++ b/tests/leadership/duty-lease-tests.ts
@@ -12,6 +12,7 @@
 	readonly store: InMemoryMetadataStore;
 	create(hostName: string, incarnation: string): Promise<{readonly duty: DutyLease; readonly mirror: StoreMirror}>;
 	take(duty: DutyLease): Promise<boolean>;
+	confirm(mirror: StoreMirror): Promise<boolean>;
 };
 
 function createBench(): Bench {
@@ -44,6 +45,7 @@
 			return {duty, mirror};
 		},
 		take: async duty => clock.runUntil(duty.take()),
+		confirm: async mirror => clock.runUntil(mirror.confirm()),
 	};
 }
 
@@ -101,4 +103,57 @@
 		bench.store.setTrouble('a', {loseShare: 1});
 		expect([await bench.take(duty), duty.getToken(100)]).to.deep.equal([false, undefined]);
 	});
+
+	/** Guards against two holders at once: the store has lost the record of the first, whose duty lasts. */
+	it('is not taken from a store that came back without its record before it has ended', async () => {
+		const bench = createBench();
+		const first = await bench.create('a', '1');
+		const second = await bench.create('b', '1');
+		const copy = bench.store.takeCopy();
+		await bench.take(first.duty);
+		bench.store.restore(copy);
+		await bench.confirm(second.mirror);
+		expect([await bench.take(second.duty), first.duty.getToken(100) !== undefined]).to.deep.equal([false, true]);
+		await bench.clock.advance(DUTY_LEASE_MS + 300);
+		expect([await bench.take(second.duty), first.duty.getToken(1)]).to.deep.equal([true, undefined]);
+	});
+
+	/** Guards against a host that finds its own earlier duty in a restored store, though another host has taken it since. */
+	it('is not held again by the record of before while another holds it', async () => {
+		const bench = createBench();
+		const first = await bench.create('a', '1');
+		await bench.take(first.duty);
+		const copy = bench.store.takeCopy();
+		const second = await bench.create('b', '1');
+		await bench.clock.advance(DUTY_LEASE_MS + 300);
+		await bench.take(second.duty);
+		bench.store.restore(copy);
+		await bench.confirm(first.mirror);
+		expect([await bench.take(first.duty), second.duty.getToken(100) !== undefined]).to.deep.equal([false, true]);
+	});
+
+	/** Guards against a token that two holders share, or that falls: the platform orders by it, and the store has lost the last one. */
+	it('has a higher token after a return than any before it', async () => {
+		const bench = createBench();
+		const first = await bench.create('a', '1');
+		const copy = bench.store.takeCopy();
+		await bench.take(first.duty);
+		const before = first.duty.getToken(100)!;
+		bench.store.restore(copy);
+		const second = await bench.create('b', '1');
+		await bench.clock.advance(DUTY_LEASE_MS + 300);
+		expect(await bench.take(second.duty)).to.equal(true);
+		expect(second.duty.getToken(100)).to.be.greaterThan(before);
+	});
+
+	it('is renewed by its holder in a store that came back', async () => {
+		const bench = createBench();
+		const {duty, mirror} = await bench.create('a', '1');
+		await bench.take(duty);
+		const copy = bench.store.takeCopy();
+		await bench.clock.advance(1000);
+		bench.store.restore(copy);
+		await bench.confirm(mirror);
+		expect([await bench.take(duty), duty.getToken(DUTY_LEASE_MS - 200)]).to.deep.equal([true, 1]);
+	});
 });
