Keep an endpoint leaving in a store that has lost its word; schedules in which the store comes back

An endpoint that said that it is leaving would get new work again: the store comes back from a copy in which it is ready, and the endpoint writes again only later. An endpoint that was seen leaving in an earlier generation stays so; within one generation nothing changes.

--- a/src/links/endpoint-directory.ts
+++ b/src/links/endpoint-directory.ts
@@ -1,5 +1,5 @@
 import type {Log} from '../log/log.js';
-import {formatPlaced} from '../mirror/store-generation.js';
+import {formatPlaced, getGeneration} from '../mirror/store-generation.js';
 import type {StoreMirror} from '../mirror/store-mirror.js';
 import type {RegisteredEndpoint} from '../routes/routing.js';
 import type {LogPosition} from '../terms/log-position.js';
@@ -57,7 +57,11 @@
 /** Used where a group's configuration is not known yet. */
 const DEFAULT_MAX_CONNECTIONS = 8;
 
-type Kept = KnownEndpoint & {missingSince?: number};
+type Kept = KnownEndpoint & {
+	missingSince?: number;
+	/** Generation of the store that last showed it as leaving. */
+	readonly leavingIn?: number;
+};
 
 /** Creates an empty directory. */
 export function createEndpointDirectory({mirror, opener, clock, log: parentLog, getSharing, sharePool, getLeastPosition}: EndpointDirectoryOptions): EndpointDirectory {
@@ -80,7 +84,9 @@
 				...getSharing(entry),
 			}),
 		});
-		kept.set(entry.id, {entry, ownPool, pool: sharePool(entry, ownPool)});
+		kept.set(entry.id, {
+			entry, ownPool, pool: sharePool(entry, ownPool), leavingIn: entry.leaving ? getGeneration(mirror.state.revision) : undefined,
+		});
 	};
 
 	/** Says what was added: in one line where it was many at once, since each host of a fleet says it. */
@@ -99,7 +105,11 @@
 		}
 	};
 
-	/** Takes an entry over; true where it is new. */
+	/**
+	 * Takes an entry over; true where it is new.
+	 *
+	 * Guards against an endpoint that gets new work again because the store came back from a copy without its word that it is leaving, which it writes again only later.
+	 */
 	const noteEntry = (entry: RegisteredEndpoint) => {
 		const known = kept.get(entry.id);
 		if (!known) {
@@ -111,7 +121,12 @@
 			log.info('an endpoint is leaving', {endpoint: entry.id, group: entry.group, revision: formatPlaced(mirror.state.revision)});
 		}
 
-		kept.set(entry.id, {entry, ownPool: known.ownPool, pool: known.pool});
+		const generation = getGeneration(mirror.state.revision);
+		const leavingIn = entry.leaving ? generation : known.leavingIn;
+		const isLost = leavingIn !== undefined && leavingIn < generation;
+		kept.set(entry.id, {
+			entry: isLost ? {...entry, leaving: true} : entry, ownPool: known.ownPool, pool: known.pool, leavingIn,
+		});
 		return false;
 	};
 
--- a/tests/lead-check/lead-troubles.ts
+++ b/tests/lead-check/lead-troubles.ts
@@ -1,5 +1,6 @@
 import type {SimulatedProxy} from '../../src/stand-ins/proxies/simulated-proxies.js';
 import {pick, type World} from './lead-world.js';
+import type {LeadScheduleOptions} from './run-lead-schedule.js';
 
 /** Kinds of trouble in a swarm. */
 const LARGEST_SWARM = 5;
@@ -12,11 +13,11 @@
 }
 
 /** Troubles one after the other, some overlapping. */
-export async function runTroubles(world: World, until: number, {swarms = false, rebirths = false}: {readonly swarms?: boolean; readonly rebirths?: boolean}) {
+export async function runTroubles(world: World, until: number, {swarms = false, rebirths = false, returns = false}: Pick<LeadScheduleOptions, 'swarms' | 'rebirths' | 'returns'>) {
 	const {clock, random} = world;
 	// Listed apart: with one more kind among the usual ones each seed would play another schedule than the one that it is kept for.
 	const usual = swarms ? pickSwarm(world) : USUAL_TROUBLES;
-	const troubles = rebirths ? [...usual, startOver, startOver] : usual;
+	const troubles = [...usual, ...(rebirths ? [startOver, startOver] : []), ...(returns ? [comeBackOlder, comeBackOlder, comeBackOlder] : [])];
 	while (clock.now() < until && !world.stopped) {
 		await clock.sleep(100 + (900 * random.fraction()));
 		if (clock.now() < until) {
@@ -196,6 +197,19 @@
 	});
 }
 
+/** The store is away for a moment and comes back from a copy some time old; what the operator and the servers wrote is there again at once or later. */
+function comeBackOlder(world: World, ms: number) {
+	const {store} = world.system;
+	const copy = store.takeCopy();
+	later(world, ms, () => {
+		store.setTrouble(undefined, {silent: true});
+	});
+	later(world, ms + 200 + (1800 * world.random.fraction()), () => {
+		store.heal();
+		store.restore(copy, world.random.fraction() < 0.5 ? 0 : 1500 * world.random.fraction());
+	});
+}
+
 function freezeServer(world: World, ms: number) {
 	pickServer(world).frozenUntil = world.clock.now() + (2 * ms);
 }
--- a/tests/lead-check/main.ts
+++ b/tests/lead-check/main.ts
@@ -2,7 +2,8 @@
  * Plays random schedules by hand: `npm run check:leads -- --first SEED --count N --jobs N`.
  *
  * `--trouble-ms MS` sets the time of trouble, `--callers N` how many each proxy has; `--swarms` gives each schedule a few
- * kinds of trouble only; `--crowded` has more proxies than each endpoint has connections for; `--rebirths` has servers start over empty; `--log` prints the proxies' lines behind their virtual time. `--without NAME` takes a guard out
+ * kinds of trouble only; `--crowded` has more proxies than each endpoint has connections for; `--rebirths` has servers start over empty; `--returns` has the store come back from
+ * a copy; `--log` prints the proxies' lines behind their virtual time. `--without NAME` takes a guard out
  * first and ends with the first broken schedule; `--without all` does so with each in turn.
  */
 import {spawn, type ChildProcess} from 'node:child_process';
@@ -26,6 +27,7 @@
 		swarms: {type: 'boolean', default: false},
 		crowded: {type: 'boolean', default: false},
 		rebirths: {type: 'boolean', default: false},
+		returns: {type: 'boolean', default: false},
 		log: {type: 'boolean', default: false},
 		without: {type: 'string'},
 	},
@@ -58,6 +60,7 @@
 		swarms: values.swarms,
 		crowded: values.crowded,
 		rebirths: values.rebirths,
+		returns: values.returns,
 		log: values.log,
 	};
 	const child = spawn(process.execPath, [search.player, JSON.stringify(options)], {stdio: ['ignore', 'pipe', 'inherit']});
--- a/tests/lead-check/play-options.ts
+++ b/tests/lead-check/play-options.ts
@@ -8,6 +8,7 @@
 	readonly swarms: boolean;
 	readonly crowded: boolean;
 	readonly rebirths: boolean;
+	readonly returns: boolean;
 	/** Prints the proxies' lines behind their virtual time. */
 	readonly log: boolean;
 };
--- a/tests/lead-check/play.ts
+++ b/tests/lead-check/play.ts
@@ -9,11 +9,11 @@
 });
 
 /** Plays the schedules that its argument names; a broken one is printed as it comes, the totals at the end. */
-const {first, count, troubleMs, callersPerProxy, swarms, crowded, rebirths, log} = JSON.parse(process.argv[2]!) as PlayOptions;
+const {first, count, troubleMs, callersPerProxy, swarms, crowded, rebirths, returns, log} = JSON.parse(process.argv[2]!) as PlayOptions;
 const totals = createTotals();
 for (let seed = first; seed < first + count; seed++) {
 	const {violations, servedAfterwards, figures, promotions} = await runLeadSchedule(seed, {
-		lengthMs: troubleMs, callersPerProxy, swarms, crowded, rebirths, ...(log ? {createLog: createPrintedLog} : {}),
+		lengthMs: troubleMs, callersPerProxy, swarms, crowded, rebirths, returns, ...(log ? {createLog: createPrintedLog} : {}),
 	});
 	totals.schedules++;
 	totals.broken += violations.length > 0 ? 1 : 0;
--- a/tests/lead-check/run-lead-schedule.ts
+++ b/tests/lead-check/run-lead-schedule.ts
@@ -31,6 +31,8 @@
 	readonly crowded?: boolean;
 	/** Whether servers start over with nothing of what they held. */
 	readonly rebirths?: boolean;
+	/** Whether the store comes back from a copy, now and then. */
+	readonly returns?: boolean;
 };
 
 const DEFAULT_LENGTH_MS = 15_000;
--- a/tests/proxy/store-restore-tests.ts
+++ b/tests/proxy/store-restore-tests.ts
@@ -235,4 +235,17 @@
 		expect([await countBoth(bench, lost, former), bench.group.leader.id === former.id]).to.deep.equal([0, false]);
 		system.stop();
 	});
+
+	/** Guards against an endpoint that gets new work again: the store came back without its word that it is leaving, which it writes again only later. */
+	it('does not take an endpoint for staying that has said it is leaving', async () => {
+		const bench = await createProxyBench({proxies: 3});
+		const copy = bench.system.store.takeCopy();
+		bench.group.servers[2]!.leaving = true;
+		bench.system.registerEndpoints();
+		await bench.clock.advance(2000);
+		await comeBackFrom(bench, copy, 2000);
+		await bench.clock.advance(1500);
+		expect(bench.proxies.map(({kernel}) => kernel.getOrThrow('endpointDirectory').get('nights-3')?.entry.leaving)).to.deep.equal([true, true, true]);
+		bench.system.stop();
+	});
 });
