--- a/tests/lead-check/missing-guards.ts
+++ b/tests/lead-check/missing-guards.ts
@@ -164,6 +164,54 @@
 		without: 'the cut of a connection with an open transaction',
 		changes: [inGateway('lend-link.ts', 'if (lent.state !== SessionState.Idle) {', 'if (lent === null) {')],
 	},
+	{
+		name: 'affirmed-evidence',
+		without: 'the generation of a record as a condition of evidence',
+		changes: [inLeadership('lead-evidence.ts', ' && isAffirmed(record, mirror.state.revision)) {', ') {')],
+	},
+	{
+		name: 'affirmed-change',
+		without: 'the care for a record of before in a replacement: it is taken as it stands',
+		changes: [inLeadership('replace-primary.ts', 'const before = isAffirmed(held, revision) ? held :', 'const before = isAffirmed(held, held.version) ? held :')],
+	},
+	{
+		name: 'later-epoch',
+		without: 'the records of a later epoch than the store shows',
+		changes: [{file: 'src/mirror/mirror-state.ts', from: 'return later.length === 0 ? read :', to: 'return later.length >= 0 ? read :'}],
+	},
+	{
+		name: 'vouched-by-evidence',
+		without: 'evidence as a condition of writing a record again',
+		changes: [
+			inLeadership('reaffirm-record.ts', 'if (!holdsEvidence(record)) {', 'if (!isOpen(record)) {'),
+			inLeadership('reaffirm-record.ts', 'if (!isOpen(record) || !holdsEvidence(record)) {', 'if (!isOpen(record)) {'),
+		],
+	},
+	{
+		name: 'still-stored',
+		without: 'the question whether a change is still stored, before an order',
+		changes: [inLeadership('replace-primary.ts', 'if (!await isStillStored(parts, changing, giveUpAt)) {', 'if (giveUpAt < 0) {')],
+	},
+	{
+		name: 'lost-hosts',
+		without: 'the wait for hosts that a restored store may have lost',
+		changes: [inLeadership('evidence-end.ts', 'silent.length > 0 || hasGone || mayLackHosts;', 'silent.length > 0 || hasGone;')],
+	},
+	{
+		name: 'duty-after-return',
+		without: 'the wait for a duty that a restored store may have lost',
+		changes: [inLeadership('duty-lease.ts', 'if (isJustBack(now)) {', 'if (isJustBack(now) && now < 0) {')],
+	},
+	{
+		name: 'token-of-generation',
+		without: 'tokens above all of earlier generations',
+		changes: [inLeadership('duty-lease.ts', 'getNextInGeneration(generation, duty?.token ?? 0)', '(duty?.token ?? 0) + 1')],
+	},
+	{
+		name: 'versions-of-before',
+		without: 'the care for conditions on versions of an earlier generation',
+		changes: [{file: 'src/mirror/guard-generations.ts', from: 'if (version !== 0 && getGeneration(version) < newest) {', to: 'if (version < 0) {'}],
+	},
 ];
 
 /** Finds a guard by its name. */
