Honour no revoked key by the configuration that a restored store shows first

A caller whose key was taken away would be served again: the key is revoked while the store is away for 6 s, the store comes back without that change, and confirms the one before until the operator has written again.

Cause: a confirmation by the store was taken to say that the copy holds each acknowledged configuration. Fix: after a return the configuration counts as confirmed only by what was confirmed before, until a version above the one held is read or 2 s have passed, the time in which entries that lapsed in an outage are back. Costs: after an outage of over 3 s callers with keys are refused for up to 2 s more. Records of leadership are written again 16 at a time, so that a thousand groups are no burst at the store.

--- a/src/leadership/reaffirm-record.ts
+++ b/src/leadership/reaffirm-record.ts
@@ -13,7 +13,7 @@
 
 /** Writes records of leadership again in a store that has come back from a copy. */
 export type RecordReaffirmation = {
-	/** Writes a group's record again where this host has evidence of its primary; false where it has none. Rejects with PlatformError or PlatformConflictError. */
+	/** Writes a group's record again where this host has evidence of its primary, now or at a later call; false where it has none. Rejects with PlatformError or PlatformConflictError. */
 	reaffirm(record: Versioned<LeadershipRecord>): Promise<boolean>;
 };
 
@@ -35,6 +35,9 @@
 /** They spread their own tries over so long, in milliseconds; all of it fits into the time that evidence lasts. */
 const OTHERS_SPREAD_MS = 1000;
 
+/** Records that a host writes at once: with the pause between two looks at a group that bounds the rate at the store, however many groups there are. */
+const MOST_AT_ONCE = 16;
+
 const STORE_TIMEOUT_MS = 900;
 
 /**
@@ -44,6 +47,8 @@
  * was: whoever replaces one has all evidence of it ended first, and then asks the store once more before it gives an order.
  */
 export function createRecordReaffirmation({store, mirror, evidences, directory, clock, elapsedClock, random, log}: RecordReaffirmationOptions): RecordReaffirmation {
+	let underWay = 0;
+
 	const holdsEvidence = ({group, epoch}: LeadershipRecord) => evidences.get(group, elapsedClock.elapsed())?.epoch === epoch;
 
 	/** Whether the record is still what was looked at, after a wait. */
@@ -52,6 +57,18 @@
 		return record?.epoch === epoch && record.version === version && !isAffirmed(record, mirror.state.revision);
 	};
 
+	const write = async ({version, ...value}: Versioned<LeadershipRecord>) => {
+		const {group, primaryId, term, epoch} = value;
+		const generation = getGeneration(mirror.state.revision);
+		await store.putRecord(RecordKind.Leadership, {name: getLeadershipName(group), version, value: {...value, generation}}, STORE_TIMEOUT_MS);
+		log.info('a record of leadership was written again, since the store came back from a copy', {
+			group, primary: primaryId, term, epoch, generation,
+		});
+		// A replacement whose record was lost, and its host since, left its fences behind.
+		liftFences({clock, directory}, group, primaryId);
+		await mirror.confirm();
+	};
+
 	return {
 		async reaffirm(record) {
 			if (!holdsEvidence(record)) {
@@ -62,19 +79,17 @@
 				await clock.sleep(OTHERS_WAIT_MS + (random.fraction() * OTHERS_SPREAD_MS));
 			}
 
-			if (!isOpen(record) || !holdsEvidence(record)) {
+			if (!isOpen(record) || !holdsEvidence(record) || underWay >= MOST_AT_ONCE) {
 				return true;
 			}
 
-			const {version, ...value} = record;
-			const generation = getGeneration(mirror.state.revision);
-			await store.putRecord(RecordKind.Leadership, {name: getLeadershipName(record.group), version, value: {...value, generation}}, STORE_TIMEOUT_MS);
-			log.info('a record of leadership was written again, since the store came back from a copy', {
-				group: record.group, primary: record.primaryId, term: record.term, epoch: record.epoch, generation,
-			});
-			// A replacement whose record was lost, and its host since, left its fences behind.
-			liftFences({clock, directory}, record.group, record.primaryId);
-			await mirror.confirm();
+			underWay++;
+			try {
+				await write(record);
+			} finally {
+				underWay--;
+			}
+
 			return true;
 		},
 	};
--- a/src/leadership/store-returns.ts
+++ b/src/leadership/store-returns.ts
@@ -1,9 +1,9 @@
 import {LONGEST_WITHOUT_STORE_MS} from '../mirror/peer-help.js';
+import {holdsRecordsOfBefore} from '../mirror/mirror-state.js';
 import {getGeneration} from '../mirror/store-generation.js';
 import type {StoreMirror} from '../mirror/store-mirror.js';
 import type {ElapsedClock} from '../time/elapsed-clock.js';
 import {EVIDENCE_MS} from './lead-evidence.js';
-import {isAffirmed} from './leadership-record.js';
 
 /** Knows whether the store has come back from a copy lately, so that the list of hosts may lack some. */
 export type StoreReturns = {
@@ -25,15 +25,10 @@
 	let generation: number | undefined;
 	let seenAt = Number.NEGATIVE_INFINITY;
 
-	/** A process that starts after a return finds records that nobody has written again yet. */
-	const hasRecordsOfBefore = () => {
-		const {hosts, leadership, revision} = mirror.state;
-		return [...hosts, ...leadership.values()].some(record => !isAffirmed(record, revision));
-	};
-
 	mirror.onChange(() => {
 		const current = getGeneration(mirror.state.revision);
-		if (generation === undefined ? hasRecordsOfBefore() : current !== generation) {
+		// A process that starts after a return finds records of before.
+		if (generation === undefined ? holdsRecordsOfBefore(mirror.state) : current !== generation) {
 			seenAt = elapsedClock.elapsed();
 		}
 
--- a/src/mirror/mirror-copy.ts
+++ b/src/mirror/mirror-copy.ts
@@ -3,8 +3,9 @@
 	EMPTY_ID, getContentsId, isSameContents, type ContentsId,
 } from './contents-id.js';
 import {
-	EMPTY_STATE, getLaterLeadership, getLaterRouting, type MirrorState,
+	EMPTY_STATE, getLaterLeadership, getLaterRouting, holdsRecordsOfBefore, type MirrorState,
 } from './mirror-state.js';
+import {createRoutingConfirmation} from './routing-confirmation.js';
 import {formatPlaced, getGeneration} from './store-generation.js';
 import {applyStateDifference, getStateDifference, type StateDifference} from './state-difference.js';
 
@@ -16,6 +17,8 @@
 	readonly confirmedAt: number | undefined;
 	/** The same, of the last confirmation by the store itself, at this host or a peer. */
 	readonly storeConfirmedAt: number | undefined;
+	/** The same, of the last confirmation by the store that the configuration is the latest. */
+	readonly routingConfirmedAt: number | undefined;
 	/** Takes over what was read, unless that is older. */
 	adopt(read: MirrorState): void;
 	/** Takes over what a peer sent, complete up to `revision`; false where that does not fit to what is held. */
@@ -37,17 +40,24 @@
 	let confirmedAt: number | undefined;
 	let storeConfirmedAt: number | undefined;
 
-	const noteReturn = (before: number, read: number) => {
-		if (before !== 0 && getGeneration(read) !== getGeneration(before)) {
-			log.warn('the store has come back from a copy', {
-				generation: getGeneration(read), before: getGeneration(before), held: formatPlaced(before), revision: formatPlaced(read),
-			});
+	const routingConfirmation = createRoutingConfirmation();
+
+	const noteGeneration = (before: MirrorState, read: MirrorState) => {
+		const isFirst = before.revision === 0;
+		const hasReturned = isFirst ? holdsRecordsOfBefore(read) : getGeneration(read.revision) !== getGeneration(before.revision);
+		if (!hasReturned) {
+			return;
 		}
+
+		routingConfirmation.noteReturn((isFirst ? read : before).routing?.version ?? 0);
+		log.warn('the store has come back from a copy', {
+			generation: getGeneration(read.revision), held: formatPlaced(before.revision), revision: formatPlaced(read.revision), routing: before.routing?.version, routingRead: read.routing?.version,
+		});
 	};
 
 	const take = (read: MirrorState) => {
 		const before = state;
-		noteReturn(before.revision, read.revision);
+		noteGeneration(before, read);
 		state = {...read, routing: getLaterRouting(before.routing, read.routing), leadership: getLaterLeadership(before.leadership, read.leadership)};
 		if (state.routing?.version !== before.routing?.version) {
 			log.info('a configuration is in force', {version: state.routing?.version, before: before.routing?.version, revision: formatPlaced(state.revision)});
@@ -75,6 +85,9 @@
 		get storeConfirmedAt() {
 			return storeConfirmedAt;
 		},
+		get routingConfirmedAt() {
+			return routingConfirmation.confirmedAt;
+		},
 		adopt(read) {
 			if (read.revision < state.revision) {
 				return;
@@ -99,6 +112,7 @@
 		noteConfirmed(at, storeAt) {
 			if (storeAt !== undefined) {
 				storeConfirmedAt = Math.max(storeConfirmedAt ?? storeAt, storeAt);
+				routingConfirmation.noteConfirmed(storeAt, state.routing?.version ?? 0);
 			}
 
 			confirmedAt = Math.max(confirmedAt ?? at, at);
--- a/src/mirror/mirror-state.ts
+++ b/src/mirror/mirror-state.ts
@@ -1,5 +1,5 @@
 import {
-	DUTY_NAME, getUnreadableDuty, getUnreadableHost, getUnreadableLeadership, parseDuty, parseHost, parseLeadership,
+	DUTY_NAME, getUnreadableDuty, getUnreadableHost, getUnreadableLeadership, isAffirmed, parseDuty, parseHost, parseLeadership,
 	type DutyRecord, type HostRecord, type LeadershipRecord,
 } from '../leadership/leadership-record.js';
 import type {RegisteredEndpoint, Routing} from '../routes/routing.js';
@@ -25,6 +25,11 @@
 	revision: 0, endpoints: [], leadership: new Map(), hosts: [],
 };
 
+/** Whether it shows records of an earlier generation that nobody has written again yet: the store came back from a copy not long ago. */
+export function holdsRecordsOfBefore({hosts, leadership, revision}: MirrorState): boolean {
+	return [...hosts, ...leadership.values()].some(record => !isAffirmed(record, revision));
+}
+
 /** Decodes the records of leadership and of the duty; what cannot be read is taken as in {@link getUnreadableLeadership} and {@link getUnreadableDuty}. */
 export function decodeLeadership(records: readonly StoredRecord[]): Pick<MirrorState, 'leadership' | 'duty'> {
 	const leadership = new Map<string, Versioned<LeadershipRecord>>();
--- a/src/mirror/store-mirror.ts
+++ b/src/mirror/store-mirror.ts
@@ -25,6 +25,8 @@
 	readonly confirmedAt: number | undefined;
 	/** The same, of the last confirmation by the store itself, at this host or a peer. */
 	readonly storeConfirmedAt: number | undefined;
+	/** The same, of the last confirmation by the store that the configuration is the latest. */
+	readonly routingConfirmedAt: number | undefined;
 	/** Reads the store, or asks peers; true where the copy was found complete at a time after the call. */
 	confirm(): Promise<boolean>;
 	/** Has the copy confirmed soon, without waiting. */
@@ -242,6 +244,9 @@
 		get storeConfirmedAt() {
 			return copy.storeConfirmedAt;
 		},
+		get routingConfirmedAt() {
+			return copy.routingConfirmedAt;
+		},
 		confirm,
 		confirmSoon() {
 			if (readsForAll()) {
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -141,7 +141,7 @@
 	});
 	const rateLimiter = createRateLimiter({source: tokenSource, clock, countHosts: () => mirror.state.hosts.length});
 	const access = createCallerAccess({
-		getKnown: () => ({routing: mirror.state.routing, storeConfirmedAt: mirror.storeConfirmedAt}),
+		getKnown: () => ({routing: mirror.state.routing, routingConfirmedAt: mirror.routingConfirmedAt}),
 		revokeWithinMs: parts.revokeWithinMs,
 	});
 	const duty = createDutyLease({
--- a/src/workspaces/caller-access.ts
+++ b/src/workspaces/caller-access.ts
@@ -27,7 +27,7 @@
 /** What the decision needs. */
 export type CallerAccessOptions = {
 	/** The configuration in force, and the elapsed time at which the store was last asked for a later one. */
-	getKnown(): {readonly routing?: Routing; readonly storeConfirmedAt?: number};
+	getKnown(): {readonly routing?: Routing; readonly routingConfirmedAt?: number};
 	/** Time after which a revoked key must not be honoured anywhere, in milliseconds; undefined where nothing bounds it. */
 	readonly revokeWithinMs?: number;
 };
@@ -55,12 +55,12 @@
 		return index;
 	};
 
-	const isVerifiable = (storeConfirmedAt: number | undefined, now: number) =>
-		revokeWithinMs === undefined || (storeConfirmedAt !== undefined && now - storeConfirmedAt <= revokeWithinMs - REVOKE_MARGIN_MS);
+	const isVerifiable = (routingConfirmedAt: number | undefined, now: number) =>
+		revokeWithinMs === undefined || (routingConfirmedAt !== undefined && now - routingConfirmedAt <= revokeWithinMs - REVOKE_MARGIN_MS);
 
 	return {
 		judge(fingerprint, route, now) {
-			const {routing, storeConfirmedAt} = getKnown();
+			const {routing, routingConfirmedAt} = getKnown();
 			const workspace = routing && getIndex(routing).getWorkspace(fingerprint);
 			if (!route.needsKey) {
 				return {allowed: true, workspace};
@@ -70,7 +70,7 @@
 				return {allowed: false, denial: AccessDenial.UnknownKey};
 			}
 
-			return isVerifiable(storeConfirmedAt, now) ? {allowed: true, workspace} : {allowed: false, denial: AccessDenial.Unverifiable};
+			return isVerifiable(routingConfirmedAt, now) ? {allowed: true, workspace} : {allowed: false, denial: AccessDenial.Unverifiable};
 		},
 	};
 }
--- a/tests/proxy/store-restore-tests.ts
+++ b/tests/proxy/store-restore-tests.ts
@@ -5,6 +5,7 @@
 import type {SimulatedProxy} from '../../src/stand-ins/proxies/simulated-proxies.js';
 import type {StoreCopy} from '../../src/stand-ins/metadata-store/in-memory-metadata-store.js';
 import type {PlainServer} from '../../src/stand-ins/plain-group/plain-server.js';
+import type {Workspace} from '../../src/workspaces/workspace.js';
 import {createProxyBench, type ProxyBench} from './proxy-bench.js';
 
 const AWAY_MS = 1000;
@@ -248,4 +249,34 @@
 		expect(bench.proxies.map(({kernel}) => kernel.getOrThrow('endpointDirectory').get('nights-3')?.entry.leaving)).to.deep.equal([true, true, true]);
 		bench.system.stop();
 	});
+
+	/** Guards against a revoked key that is honoured anew: the store confirms the configuration of before, which the operator has not written again yet. */
+	it('has no revoked key honoured beyond its bound', async () => {
+		const workspace: Workspace = {name: 'north', keys: ['north-1', 'north-2'], priority: 0};
+		const bench = await createProxyBench({proxies: 3, workspaces: [workspace], revokeWithinMs: 5000});
+		const {clock, system} = bench;
+		const copy = system.store.takeCopy();
+		const routing = getRouting(bench.proxies[0]!);
+		const callers = [];
+		for (const proxy of bench.proxies) {
+			callers.push(await bench.open(proxy, 'sync', undefined, 'north-1'));
+		}
+
+		system.store.setTrouble(undefined, {silent: true});
+		system.store.setRouting({...routing, version: 2, workspaces: new Map([['north', {...workspace, keys: ['north-2']}]])});
+		await clock.advance(6000);
+		system.store.heal();
+		system.store.restore(copy, 1500);
+		let ran = 0;
+		for (let i = 0; i < 60; i++) {
+			const answer = await bench.ask(callers[i % 3]!, `WRITE a ${i}`);
+			ran += answer.startsWith('done') ? 1 : 0;
+			await clock.advance(50);
+		}
+
+		expect(ran).to.equal(0);
+		const other = await bench.open(bench.proxies[1]!, 'sync', undefined, 'north-2');
+		expect(await bench.ask(other, 'WRITE b 1')).to.equal('done idle');
+		system.stop();
+	});
 });
--- a/tests/workspaces/caller-access-tests.ts
+++ b/tests/workspaces/caller-access-tests.ts
@@ -16,7 +16,7 @@
 		readonly key: string; readonly needsKey?: boolean; readonly confirmedAt?: number; readonly now?: number; readonly revokeWithinMs?: number;
 	}, expected: string) {
 		it(name, () => {
-			const access = createCallerAccess({getKnown: () => ({routing: ROUTING, storeConfirmedAt: confirmedAt}), revokeWithinMs});
+			const access = createCallerAccess({getKnown: () => ({routing: ROUTING, routingConfirmedAt: confirmedAt}), revokeWithinMs});
 			const verdict = access.judge(getFingerprint(key), {...ROUTE, needsKey}, now);
 			expect(verdict.allowed ? verdict.workspace?.name ?? 'nobody' : verdict.denial).to.equal(expected);
 		});
@@ -34,7 +34,7 @@
 
 	it('follows the configuration', () => {
 		let routing = ROUTING;
-		const access = createCallerAccess({getKnown: () => ({routing, storeConfirmedAt: 0})});
+		const access = createCallerAccess({getKnown: () => ({routing, routingConfirmedAt: 0})});
 		expect(access.judge(getFingerprint('k1'), {...ROUTE, needsKey: true}, 0).allowed).to.equal(true);
 		routing = {...ROUTING, version: 2, workspaces: new Map()};
 		expect(access.judge(getFingerprint('k1'), {...ROUTE, needsKey: true}, 0).allowed).to.equal(false);
