--- a/tests/lead-check/missing-guards.ts
+++ b/tests/lead-check/missing-guards.ts
@@ -184,7 +184,7 @@
 		without: 'evidence as a condition of writing a record again',
 		changes: [
 			inLeadership('reaffirm-record.ts', 'if (!holdsEvidence(record)) {', 'if (!isOpen(record)) {'),
-			inLeadership('reaffirm-record.ts', 'if (!isOpen(record) || !holdsEvidence(record)) {', 'if (!isOpen(record)) {'),
+			inLeadership('reaffirm-record.ts', 'if (!isOpen(record) || !holdsEvidence(record) || underWay', 'if (!isOpen(record) || underWay'),
 		],
 	},
 	{
