--- a/src/bench/experiments.ts
+++ b/src/bench/experiments.ts
@@ -7,6 +7,7 @@
 import {overload} from './overload.js';
 import {rateLimits} from './rate-limits.js';
 import {replicaShare} from './replica-share.js';
+import {storeRestore} from './store-restore.js';
 import {workspaceLinks} from './workspace-links.js';
 import {siteLoad} from './site-load.js';
 import {pooling} from './pooling.js';
@@ -23,5 +24,6 @@
 	[replicaShare.name]: replicaShare,
 	[siteLoad.name]: siteLoad,
 	[pooling.name]: pooling,
+	[storeRestore.name]: storeRestore,
 	[workspaceLinks.name]: workspaceLinks,
 };
