Ask hosts that a restored store has lost, and wait by time only for those that nobody knew

A host that the store confirmed within 9 s before it saw the return knows all that had registered by then: those that the list lacks now are asked like the others. Who registered later was new when the store was lost, and a new host's evidence is no longer lengthened by endpoints without a fence (it could be before, for 9 s); so it ends with the 3 s, inside the lease that a new holder of the duty waits anyway. A host that saw the return late, or started after it, waits as before.

--- a/src/leadership/evidence-end.ts
+++ b/src/leadership/evidence-end.ts
@@ -17,8 +17,8 @@
 
 /**
  * Has every host give up its evidence below the record's epoch. A host that does not answer may be dead, or cut off
- * and still serving: its evidence ends by its time, and until then it is asked again. One whose registration a restored
- * store has lost is not known, and its evidence ends by its time as well.
+ * and still serving: its evidence ends by its time, and until then it is asked again. So does that of a host which this one
+ * never knew, whose registration a restored store has lost.
  */
 export function createEvidenceEnd(parts: ReplacePrimaryParts, changing: Versioned<LeadershipRecord>, settleMs: number): EvidenceEnd {
 	const {clock, elapsedClock, evidences, primaryWork, log} = parts;
@@ -89,7 +89,12 @@
 	};
 }
 
-/** The other hosts as registered after the record was updated; undefined where the store does not say. */
-async function listOtherHosts({mirror, ownPeerAddress}: ReplacePrimaryParts) {
-	return await mirror.confirm() ? mirror.state.hosts.filter(host => host.peerAddress !== ownPeerAddress) : undefined;
+/** The other hosts as registered after the record was updated, and those that a restored store has lost; undefined where the store does not say. */
+async function listOtherHosts({mirror, returns, elapsedClock, ownPeerAddress}: ReplacePrimaryParts) {
+	if (!await mirror.confirm()) {
+		return undefined;
+	}
+
+	const hosts = [...mirror.state.hosts, ...returns.getLostHosts(elapsedClock.elapsed())];
+	return hosts.filter(host => host.peerAddress !== ownPeerAddress);
 }
--- a/src/leadership/lead-evidence.ts
+++ b/src/leadership/lead-evidence.ts
@@ -36,6 +36,8 @@
 	readonly mirror: StoreMirror;
 	/** Own address as registered: a host that is not registered is not asked before a primary is replaced. */
 	readonly ownPeerAddress: string;
+	/** Whether each host that goes on without the store knew this one at the elapsed time `at`. */
+	isKnownToAll(at: number): boolean;
 };
 
 /**
@@ -48,7 +50,7 @@
 export const EVIDENCE_MS = 3000;
 
 /** Creates the evidences. */
-export function createLeadEvidences({mirror, ownPeerAddress}: LeadEvidencesOptions): LeadEvidences {
+export function createLeadEvidences({mirror, ownPeerAddress, isKnownToAll}: LeadEvidencesOptions): LeadEvidences {
 	const pausedBelow = new Map<string, number>();
 	const revokedBelow = new Map<string, number>();
 	let waiting: Array<() => void> = [];
@@ -88,6 +90,15 @@
 		return steady?.epoch === epoch && now < steady.askedAt + EVIDENCE_MS;
 	};
 
+	/**
+	 * Whether endpoints may lengthen evidence asked for at `askedAt`. Guards against a host that goes on although nobody knows of it: its registration was new when the
+	 * store was lost, and the store came back without it.
+	 */
+	const mayOutlastStore = (askedAt: number) => {
+		const confirmedAt = mirror.storeConfirmedAt;
+		return confirmedAt !== undefined && askedAt - confirmedAt < LONGEST_WITHOUT_STORE_MS && isKnownToAll(confirmedAt);
+	};
+
 	const getSteady = (group: string, now: number) => {
 		const record = mirror.state.leadership.get(group);
 		const usable = record?.phase === LeadPhase.Steady && record.epoch >= (revokedBelow.get(group) ?? 0);
@@ -114,8 +125,7 @@
 		},
 		noteUnfenced(group, epoch, askedAt) {
 			const steady = lastSteady.get(group);
-			const withoutStoreMs = askedAt - (mirror.storeConfirmedAt ?? Number.NEGATIVE_INFINITY);
-			if (steady?.epoch === epoch && askedAt > steady.askedAt && withoutStoreMs < LONGEST_WITHOUT_STORE_MS) {
+			if (steady?.epoch === epoch && askedAt > steady.askedAt && mayOutlastStore(askedAt)) {
 				lastSteady.set(group, {epoch, askedAt});
 				tell();
 				mirror.tellUnfenced();
--- a/src/mirror/news-questions.ts
+++ b/src/mirror/news-questions.ts
@@ -74,11 +74,13 @@
 		return isUnchanged;
 	};
 
+	/** Whether the copy holds all that one complete up to `revision` does. What was confirmed in an earlier generation says nothing of this one. */
+	const covers = (revision: number) => revision <= copy.state.revision && getGeneration(revision) === getGeneration(copy.state.revision);
+
 	/** Whether the copy holds all that the answering host's does. */
 	const takeContents = async (address: string, {revision, update}: StoreNews, asked: ContentsId): Promise<boolean> => {
 		if (revision <= copy.state.revision) {
-			// What was confirmed in an earlier generation says nothing of this one.
-			return getGeneration(revision) === getGeneration(copy.state.revision);
+			return covers(revision);
 		}
 
 		if (!update) {
@@ -92,7 +94,7 @@
 			log.info('an update of a peer does not fit what is held; the whole is asked for', {peer: address, revision: formatPlaced(revision), held: formatPlaced(copy.state.revision)});
 		}
 
-		return isTaken || (revision <= copy.state.revision && getGeneration(revision) === getGeneration(copy.state.revision));
+		return isTaken || covers(revision);
 	};
 
 	/**
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -99,7 +99,7 @@
 			evidences.noteUnfenced(group, epoch, askedAt);
 		},
 	});
-	const evidences: LeadEvidences = createLeadEvidences({mirror, ownPeerAddress: peerAddress});
+	const evidences: LeadEvidences = createLeadEvidences({mirror, ownPeerAddress: peerAddress, isKnownToAll: at => registration.isKnownToAll(at)});
 	const knowledge = createPlacementKnowledge();
 	const primaryWork = createPrimaryWork(clock);
 	const cutOffs = createCutOffs();
@@ -151,7 +151,7 @@
 		store, mirror, elapsedClock, log,
 	});
 	const returns = createStoreReturns({mirror, elapsedClock});
-	const registration = createHostRegistration({
+	const registration: HostRegistration = createHostRegistration({
 		store, mirror, log, clock, elapsedClock, random, host,
 	});
 	const leadWatch: LeadWatch = createLeadWatch({
