--- a/tests/mirror/news-questions-tests.ts
+++ b/tests/mirror/news-questions-tests.ts
@@ -4,6 +4,7 @@
 import {createMirrorCopy} from '../../src/mirror/mirror-copy.js';
 import {EMPTY_STATE, type MirrorState} from '../../src/mirror/mirror-state.js';
 import {createNewsQuestions} from '../../src/mirror/news-questions.js';
+import {placeInGeneration} from '../../src/mirror/store-generation.js';
 import type {Peers} from '../../src/peers/peers.js';
 
 const createState = (revision: number, hosts: readonly string[]): MirrorState => ({
@@ -61,4 +62,10 @@
 		const {copy, answer} = await ask({revision: 20, ageMs: 0}, createState(15, ['a', 'b']));
 		expect([copy.state.revision, copy.confirmedAt, answer?.confirmed]).to.deep.equal([15, undefined, false]);
 	});
+
+	/** Guards against a copy of a store that came back which counts as confirmed because others, who still hold what is lost, confirm each other. */
+	it('no confirmation of an earlier generation', async () => {
+		const {copy, answer} = await ask({revision: 20, ageMs: 0}, createState(placeInGeneration(1, 8), ['a']));
+		expect([copy.confirmedAt, answer?.confirmed]).to.deep.equal([undefined, false]);
+	});
 });
