--- a/tests/leadership/duty-lease-tests.ts
+++ b/tests/leadership/duty-lease-tests.ts
@@ -156,4 +156,12 @@
 		await bench.confirm(mirror);
 		expect([await bench.take(duty), duty.getToken(DUTY_LEASE_MS - 200)]).to.deep.equal([true, 1]);
 	});
+
+	/** Guards against a duty taken from the store of before: the update was done in the one that came back, where another's lease may run. */
+	it('is not held where the store came back before the update was done', async () => {
+		const bench = createBench();
+		const {duty} = await bench.create('a', '1');
+		bench.store.restore(bench.store.takeCopy());
+		expect([await bench.take(duty), duty.getToken(100)]).to.deep.equal([false, undefined]);
+	});
 });
