--- a/src/reports/fleet-report.ts
+++ b/src/reports/fleet-report.ts
@@ -25,6 +25,18 @@
 	readonly lastAt: number;
 };
 
+/** A return of the platform's store from a copy. */
+export type StoreReturn = {
+	readonly generation: number;
+	/** Hosts that tell of it. */
+	readonly hosts: number;
+	readonly firstAt: number;
+	/** When the last of these saw it. */
+	readonly lastAt: number;
+	/** Records of leadership that hosts wrote again. */
+	readonly recordsWritten: number;
+};
+
 /** What the logs of a fleet tell. */
 export type FleetReport = {
 	readonly lines: number;
@@ -47,6 +59,7 @@
 	readonly unknownOutcomes: Counts;
 	readonly primaryChanges: readonly PrimaryChange[];
 	readonly configurations: readonly ConfigurationSpread[];
+	readonly storeReturns: readonly StoreReturn[];
 	/** Hosts that were told to stop, and those of them that said that they ended. */
 	readonly stopsBegun: number;
 	readonly stopsEnded: number;
@@ -73,6 +86,9 @@
 	'no whole answer to a commit came': 'commit, no whole answer came',
 };
 
+/** The hosts that told of one thing, and when the first and the last of them did. */
+type Spread = {readonly hosts: Set<string>; firstAt: number; lastAt: number};
+
 /** Creates a reporter that has read nothing. */
 export function createFleetReporter(): FleetReporter {
 	const hosts = new Set<string>();
@@ -87,7 +103,9 @@
 	};
 	const reasons = new Map<string, string>();
 	const primaryChanges: PrimaryChange[] = [];
-	const configurations = new Map<number, {hosts: Set<string>; firstAt: number; lastAt: number}>();
+	const configurations = new Map<number, Spread>();
+	const storeReturns = new Map<number, Spread>();
+	const recordsWritten = new Map<number, number>();
 	const totals = {
 		lines: 0, unreadLines: 0, lateAnswers: 0, stopsBegun: 0, stopsEnded: 0, droppedLines: 0,
 	};
@@ -124,18 +142,17 @@
 		});
 	};
 
-	const noteConfiguration = ({at, host, fields}: LogEvent) => {
-		const version = Number(fields.version);
-		const known = configurations.get(version) ?? {hosts: new Set(), firstAt: at, lastAt: at};
-		if (configurations.size >= MOST_ENTRIES && !configurations.has(version)) {
-			count(counts.leftOut, 'configurations');
+	const noteSpread = (spreads: Map<number, Spread>, what: string, key: number, {at, host}: LogEvent) => {
+		const known = spreads.get(key) ?? {hosts: new Set(), firstAt: at, lastAt: at};
+		if (spreads.size >= MOST_ENTRIES && !spreads.has(key)) {
+			count(counts.leftOut, what);
 			return;
 		}
 
 		known.hosts.add(host);
 		known.firstAt = Math.min(known.firstAt, at);
 		known.lastAt = Math.max(known.lastAt, at);
-		configurations.set(version, known);
+		spreads.set(key, known);
 	};
 
 	const noteBySentence: Readonly<Record<string, (event: LogEvent) => void>> = {
@@ -156,7 +173,18 @@
 			reasons.set(`${host} ${String(fields.group)}`, String(fields.reason));
 		},
 		'a group has a primary again': noteChange,
-		'a configuration is in force': noteConfiguration,
+		'a configuration is in force'(event) {
+			noteSpread(configurations, 'configurations', Number(event.fields.version), event);
+		},
+		'the store has come back from a copy'(event) {
+			noteSpread(storeReturns, 'returns of the store', Number(event.fields.generation), event);
+		},
+		'a record of leadership was written again, since the store came back from a copy'({fields}) {
+			const generation = Number(fields.generation);
+			if (recordsWritten.size < MOST_ENTRIES || recordsWritten.has(generation)) {
+				recordsWritten.set(generation, (recordsWritten.get(generation) ?? 0) + 1);
+			}
+		},
 		'lines were dropped'({fields}) {
 			totals.droppedLines += Number(fields.dropped) || 0;
 		},
@@ -208,6 +236,9 @@
 			configurations: [...configurations].map(([version, spread]) => ({
 				version, hosts: spread.hosts.size, firstAt: spread.firstAt, lastAt: spread.lastAt,
 			})),
+			storeReturns: [...storeReturns].map(([generation, {hosts: tellers, firstAt, lastAt}]) => ({
+				generation, hosts: tellers.size, firstAt, lastAt, recordsWritten: recordsWritten.get(generation) ?? 0,
+			})),
 			leftOut: toCounts(counts.leftOut),
 		}),
 	};
--- a/src/reports/format-report.ts
+++ b/src/reports/format-report.ts
@@ -17,6 +17,7 @@
 		`stops begun: ${report.stopsBegun}, ended: ${report.stopsEnded}`,
 		...formatList('changes of primary', report.primaryChanges.map(change => formatChange(change))),
 		...formatList('configurations', report.configurations.map(({version, hosts, firstAt, lastAt}) => `version ${version}: ${hosts} hosts within ${Math.round(lastAt - firstAt)} ms`)),
+		...formatList('returns of the store from a copy', report.storeReturns.map(storeReturn => formatReturn(storeReturn))),
 		...formatCounts('left out, as there was too much of it', report.leftOut),
 	].join('\n');
 }
@@ -34,6 +35,10 @@
 	return `${formatTime(at)} ${group}: ${primary}, by ${host}, since ${reason}${parts === '' ? '' : ` (ms: ${parts})`}`;
 }
 
+function formatReturn({generation, hosts, firstAt, lastAt, recordsWritten}: FleetReport['storeReturns'][number]): string {
+	return `${formatTime(firstAt)} generation ${generation}: seen by ${hosts} hosts within ${Math.round(lastAt - firstAt)} ms, ${recordsWritten} records of leadership written again`;
+}
+
 function formatCounts(title: string, counts: Counts): readonly string[] {
 	return formatList(title, Object.entries(counts).map(([cause, count]) => `${String(count).padStart(7)}  ${cause}`));
 }
--- a/tests/reports/fleet-report-tests.ts
+++ b/tests/reports/fleet-report-tests.ts
@@ -66,6 +66,13 @@
 		]);
 	});
 
+	it('tells when the store came back from a copy, who saw it and what was written again', () => {
+		const back = (host: string, ms: number) => line(host, ms, 'mirror: the store has come back from a copy', {generation: 2, held: '1.29', revision: '2.24'});
+		const written = line('entry-1', 60, 'leads: a record of leadership was written again, since the store came back from a copy', {group: 'nights', generation: 2});
+		const {storeReturns} = report([back('entry-1', 0), written, back('entry-2', 40)]);
+		expect(storeReturns.map(({generation, hosts, firstAt, lastAt, recordsWritten}) => [generation, hosts, lastAt - firstAt, recordsWritten])).to.deep.equal([[2, 2, 40, 1]]);
+	});
+
 	it('tells refusals by workspace and code, and none of callers without one', () => {
 		const refused = (workspace: string | undefined, code: string) => line('entry-1', 0, 'callers: a statement was refused', {
 			code, text: 'the workspace is over its rate limit', database: 'sync', workspace,
