--- a/src/leadership/lead-watch.ts
+++ b/src/leadership/lead-watch.ts
@@ -4,7 +4,6 @@
 import type {Log} from '../log/log.js';
 import type {Lenders} from '../lending/lenders.js';
 import type {MetadataStore} from '../mirror/metadata-store.js';
-import type {Versioned} from '../mirror/mirror-state.js';
 import type {StoreMirror} from '../mirror/store-mirror.js';
 import {PlatformConflictError, PlatformError} from '../object-store/platform-errors.js';
 import type {Peers} from '../peers/peers.js';
@@ -13,7 +12,7 @@
 import type {ElapsedClock} from '../time/elapsed-clock.js';
 import {createSleepAlarm} from '../time/sleep-alarm.js';
 import type {CutOffs} from './cut-offs.js';
-import {DUTY_LEASE_MS, type DutyLease} from './duty-lease.js';
+import type {DutyLease} from './duty-lease.js';
 import {createFenceLook} from './fence-look.js';
 import type {LeadEvidences} from './lead-evidence.js';
 import {createFirstRecord} from './first-record.js';
@@ -23,6 +22,7 @@
 import {createRecordReaffirmation} from './reaffirm-record.js';
 import type {Replacement} from './replace-primary.js';
 import {createReplacements} from './replacements.js';
+import {createUnsettledGroups} from './unsettled-groups.js';
 
 /** Watches the primaries of all groups and has lost or leaving ones replaced. */
 export type LeadWatch = {
@@ -76,18 +76,10 @@
 /** After a replacement that came to nothing the group is left alone for so long, in milliseconds. */
 const PAUSE_MS = 400;
 
-/** A change that makes no progress for so long has lost the host that made it, in milliseconds. */
-const STALLED_AFTER_MS = DUTY_LEASE_MS + 400;
-
-/** A record that no host has written again for so long since the store came back has nobody with evidence of its primary, in milliseconds: all tries lie within it. */
-const UNAFFIRMED_AFTER_MS = 1500;
-
 type GroupWatch = {
 	busy: boolean;
 	suspectedSince?: number;
 	notBefore: number;
-	seenVersion: number;
-	seenSince: number;
 };
 
 /** Creates the watch. */
@@ -103,9 +95,6 @@
 	const fenceLook = createFenceLook({
 		directory, evidences, clock, elapsedClock, log, readsForAll: () => mirror.readsForAll, countHosts: () => mirror.state.hosts.length,
 	});
-	const reaffirmation = createRecordReaffirmation({
-		store, mirror, evidences, directory, clock, elapsedClock, random, log,
-	});
 	const watches = new Map<string, GroupWatch>();
 	const stopping = createSleepAlarm();
 
@@ -120,7 +109,7 @@
 		}
 
 		const watch: GroupWatch = {
-			busy: false, notBefore: 0, seenVersion: 0, seenSince: 0,
+			busy: false, notBefore: 0,
 		};
 		watches.set(group, watch);
 		return watch;
@@ -129,6 +118,19 @@
 	const replacements = createReplacements({
 		duty, mirror, peers, log, ownPeerAddress: options.ownPeerAddress, mayReplace: options.mayReplace, replace: options.replace,
 	});
+	const unsettled = createUnsettledGroups({
+		duty,
+		reaffirmation: createRecordReaffirmation({
+			store, mirror, evidences, directory, clock, elapsedClock, random, log,
+		}),
+		replacements,
+		clock,
+		elapsedClock,
+		random,
+		hostName: options.hostName,
+		spreadMs: SPREAD_MS,
+		pauseMs: PAUSE_MS,
+	});
 
 	/** Replaces, or has the holder of the duty do it; then the group is left alone for a moment. */
 	const replaceOrAsk = async (replacement: Replacement, epoch: number) => {
@@ -225,48 +227,14 @@
 
 	const isCurrent = ({group, epoch}: LeadershipRecord) => mirror.state.leadership.get(group)?.epoch === epoch && evidences.get(group, elapsedClock.elapsed()) !== undefined;
 
-	/** For how long this host has seen the record as it is, in milliseconds. */
-	const getSeenMs = ({version}: Versioned<LeadershipRecord>, watch: GroupWatch) => {
-		const now = elapsedClock.elapsed();
-		if (watch.seenVersion !== version) {
-			watch.seenVersion = version;
-			watch.seenSince = now;
-		}
-
-		return now - watch.seenSince;
-	};
-
-	/** A change whose host died half way is gone on with by another. */
-	const lookAtChanging = async (record: Versioned<LeadershipRecord>, watch: GroupWatch) => {
-		const isOwn = record.changedBy === options.hostName;
-		const waitMs = isOwn ? PAUSE_MS : STALLED_AFTER_MS;
-		if (getSeenMs(record, watch) > waitMs && duty.getOtherHolder() === undefined) {
-			await spread();
-			await replacements.begin({group: record.group, reason: 'an earlier change was not finished', planned: false});
-		}
-	};
-
-	/** Who leads is open where the store came back from a copy and nobody has evidence any more: then it is settled as in a change that was not finished. */
-	const lookAtUnaffirmed = async (record: Versioned<LeadershipRecord>, watch: GroupWatch) => {
-		const seenMs = getSeenMs(record, watch);
-		if (await reaffirmation.reaffirm(record) || seenMs <= UNAFFIRMED_AFTER_MS || duty.getOtherHolder() !== undefined) {
-			return;
-		}
-
-		await spread();
-		await replacements.begin({group: record.group, reason: 'the store came back from a copy and nobody has evidence of the primary', planned: false});
-	};
-
 	const look = async (group: string, watch: GroupWatch) => {
 		const record = mirror.state.leadership.get(group);
 		if (!record) {
 			await firstRecord.create(group);
-		} else if (record.phase === LeadPhase.Changing) {
-			await lookAtChanging(record, watch);
-		} else if (isAffirmed(record, mirror.state.revision)) {
+		} else if (record.phase === LeadPhase.Steady && isAffirmed(record, mirror.state.revision)) {
 			await Promise.all([lookAtSteady(record, watch), fenceLook.look(record)]);
 		} else {
-			await lookAtUnaffirmed(record, watch);
+			await unsettled.look(record);
 		}
 	};
 
