--- a/src/connection-sharing/checkout-calls.ts
+++ b/src/connection-sharing/checkout-calls.ts
@@ -1,5 +1,7 @@
+import type {QueueRefusal} from '../links/endpoint-pool.js';
 import type {EndpointCommand, EndpointRequest, EndpointStatus} from '../links/endpoint-link.js';
 import type {PreparedShape} from '../statements/statement.js';
+import type {EndpointLoad} from '../links/endpoint-load.js';
 import type {EndpointAnswer} from '../statements/statement-answer.js';
 import type {LogPosition} from '../terms/log-position.js';
 
@@ -11,6 +13,8 @@
 	Unreachable: 'unreachable',
 	/** The pool host holds no primary lease of the epoch that the remote host gave. */
 	NoLease: 'unproven',
+	/** The pool host knows that no connection will be released in time. */
+	Hopeless: 'hopeless',
 	/** The pool host is stopping. */
 	Stopping: 'stopping',
 } as const;
@@ -29,6 +33,8 @@
 	readonly values: ReadonlyArray<readonly [string, string]>;
 	/** Workspace whose connections may serve the request; undefined where there are no workspaces. */
 	readonly workspace?: string;
+	/** Time in which the operation has to start to be within its latency target, in milliseconds; undefined where it has none. */
+	readonly startInMs?: number;
 	/** Whether the connection serves one statement that leaves no transaction open. */
 	readonly single: boolean;
 	/** Position that the endpoint's log must have held when the connection was opened; undefined where any log will do. */
@@ -36,7 +42,17 @@
 };
 
 /** The id of a checkout, which is never used twice, or why the checkout is refused. */
-export type CheckoutResponse = {readonly loan: string} | {readonly refused: CheckoutRefusal};
+export type CheckoutResponse = ({readonly loan: string} | CheckoutRefused) & CheckoutLoad;
+
+/** A refused checkout. */
+export type CheckoutRefused = {
+	readonly refused: CheckoutRefusal;
+	/** Why the pool host refused at once, and when to come back; set for {@link CheckoutRefusal.Hopeless}. */
+	readonly queue?: QueueRefusal;
+};
+
+/** The endpoint's load at the pool host, sent along with its responses where load is known beyond one host. */
+export type CheckoutLoad = {readonly load?: EndpointLoad};
 
 /** A request on a checked-out connection. */
 export type CheckoutExchange = {
@@ -63,9 +79,9 @@
 		 * Runs a request on a checked-out connection. There is no `answer` where the connection ended during the request, which may have run. `over` says that the checkout had
 		 * ended before: the request was not sent to the endpoint and never will be, and a transaction that was open on the connection is rolled back.
 		 */
-		'loan-exchange': {req: CheckoutExchange; res: {readonly answer?: EndpointAnswer; readonly over?: true}};
+		'loan-exchange': {req: CheckoutExchange; res: {readonly answer?: EndpointAnswer; readonly over?: true} & CheckoutLoad};
 		/** Checks out a connection for one read, runs the read and ends the checkout; answered as `loan-open` where it is refused, else as `loan-exchange`. */
-		'loan-run': {req: CheckoutRun; res: {readonly refused: CheckoutRefusal} | {readonly answer?: EndpointAnswer; readonly over?: true}};
+		'loan-run': {req: CheckoutRun; res: (CheckoutRefused | {readonly answer?: EndpointAnswer; readonly over?: true}) & CheckoutLoad};
 		/** Returns a connection, or has it cut with all that is in flight on it. */
 		'loan-end': {req: {readonly loan: string; readonly cut: boolean}; res: {readonly ended: true}};
 		/** Asks a pool host of a group's primary for the newest log position that it saw there, and how long ago it sent the request that brought it. */
--- a/src/connection-sharing/shared-pool.ts
+++ b/src/connection-sharing/shared-pool.ts
@@ -241,6 +241,7 @@
 		get open() {
 			return ownPool.open;
 		},
+		getLoad: now => ownPool.getLoad(now),
 		async acquire(acquireRequest) {
 			if (isPoolHost()) {
 				return ownPool.acquire(acquireRequest);
--- a/src/links/create-endpoint-pool.ts
+++ b/src/links/create-endpoint-pool.ts
@@ -6,12 +6,12 @@
 import type {EndpointPool, EndpointPoolOptions, AcquireRequest} from './endpoint-pool.js';
 import {createIdleLinks} from './idle-links.js';
 import {createLinkBudget} from './link-budget.js';
-import {
-	chooseWaiter, getNextWaiter, getUnservedWaiters, type Waiter,
-} from './choose-waiter.js';
+import {getUnservedWaiters, type Waiter} from './choose-waiter.js';
+import {LongestIdlePolicy} from './connection-policy.js';
 import {isLinkRefused} from './link-errors.js';
 import {createSessionLink, type SessionLink} from './link-session.js';
 import {heldPositionAtOpen, openCheckedLink} from './open-checked-link.js';
+import {ArrivalOrder} from './waiter-order.js';
 import {createWorkspaceUsage} from './workspace-usage.js';
 
 /**
@@ -20,18 +20,14 @@
  */
 const OPEN_TIMEOUT_MS = 1500;
 
-/** Idle time after which a connection beyond the host's share is closed, in milliseconds, so that other hosts can open one. */
-const EXCESS_IDLE_TIMEOUT_MS = 1000;
-
-/** Idle time after which a connection within the share, beyond those that stay open, is closed, in milliseconds: reopening one costs 12 ms of a slot. */
-const SHARE_IDLE_TIMEOUT_MS = 3000;
-
 /** Creates a pool without connections. */
 export function createEndpointPool(options: EndpointPoolOptions): EndpointPool {
 	const {target, clock, log, getLimits} = options;
 	const health = createEndpointHealth();
 	const budget = createLinkBudget(getLimits);
-	const congestion = createCongestionWindow();
+	const congestion = options.window ?? createCongestionWindow();
+	const waiterOrder = options.order ?? new ArrivalOrder();
+	const connections = options.connections ?? new LongestIdlePolicy();
 	const all = new Set<SessionLink>();
 	const inTransactions = new Set<SessionLink>();
 	const idle = createIdleLinks();
@@ -148,7 +144,7 @@
 	const getWaitersFor = ({link}: SessionLink) => waiters.filter(request => !link.closed && mayAcquire(request, countInFlight() - 1));
 
 	const assignOrKeepIdle = (sessionLink: SessionLink) => {
-		const waiter = chooseWaiter(getWaitersFor(sessionLink), sessionLink.workspace, usage.count, clock.now());
+		const waiter = waiterOrder.choose(getWaitersFor(sessionLink), sessionLink.workspace, usage.count, clock.now());
 		if (waiter) {
 			assignTo(waiter, sessionLink);
 			return;
@@ -163,7 +159,7 @@
 	 * to the waiter whose turn it is by then, of another workspace, the connection would have to be closed again unused.
 	 */
 	const assignOpened = (sessionLink: SessionLink) => {
-		const own = getNextWaiter(getWaitersFor(sessionLink).filter(({workspace}) => workspace === sessionLink.workspace), usage.count);
+		const own = waiterOrder.getNext(getWaitersFor(sessionLink).filter(({workspace}) => workspace === sessionLink.workspace), usage.count, clock.now());
 		if (own) {
 			assignTo(own, sessionLink);
 		} else {
@@ -234,18 +230,23 @@
 	};
 
 	/** Returns the waiter whose turn it is, out of those for which no connection is being opened. */
-	const getUnserved = () => getNextWaiter(getUnservedWaiters(waiters.filter(request => mayAcquire(request)), usage.openingFor), usage.count);
+	const getUnserved = () => waiterOrder.getNext(getUnservedWaiters(waiters.filter(request => mayAcquire(request)), usage.openingFor), usage.count, clock.now());
 
 	/**
 	 * Closes an idle connection of another workspace, so that one can be opened for this workspace; returns whether there was one. Guards a workspace that has no
 	 * connection while others hold all of them: none of those can serve it.
 	 */
 	const evictIdle = (workspace: string | undefined) => {
-		const evicted = idle.takeOldestOfOthers(workspace);
+		const evicted = connections.chooseEvicted(idle.all, workspace, clock.now());
+		if (!evicted) {
+			return false;
+		}
+
+		idle.remove(evicted);
 		isEvicting = true;
-		evicted?.link.close();
+		evicted.sessionLink.link.close();
 		isEvicting = false;
-		return evicted !== undefined;
+		return true;
 	};
 
 	/** Returns whether one more may be opened. Beyond the share only one is opened at a time: the endpoint would reject hosts that open many at once. */
@@ -281,7 +282,7 @@
 		const now = clock.now();
 		let open = all.size;
 		while (idle.size > 0 && open > budget.kept) {
-			const oldest = idle.takeOldest(now - (open > budget.share ? EXCESS_IDLE_TIMEOUT_MS : SHARE_IDLE_TIMEOUT_MS));
+			const oldest = idle.takeOldest(now - connections.getIdleTimeoutMs(open <= budget.share));
 			if (!oldest) {
 				return;
 			}
@@ -334,6 +335,9 @@
 		get open() {
 			return all.size;
 		},
+		getLoad: () => ({
+			limit: congestion.size, inFlight: countInFlight(), queued: waiters.length, serviceMs: 0, waitMs: 0,
+		}),
 		async acquire(request) {
 			if (retired) {
 				return undefined;
--- a/src/links/endpoint-pool.ts
+++ b/src/links/endpoint-pool.ts
@@ -5,8 +5,12 @@
 import type {
 	EndpointRequest, EndpointStatus, LinkOpener, LinkTarget,
 } from './endpoint-link.js';
+import type {CongestionWindow} from './congestion-window.js';
+import type {ConnectionPolicy} from './connection-policy.js';
+import type {EndpointLoad} from './endpoint-load.js';
 import type {LinkLimits} from './link-budget.js';
 import type {SessionLink} from './link-session.js';
+import type {WaiterOrder} from './waiter-order.js';
 
 /** A request to acquire a connection. */
 export type AcquireRequest = {
@@ -24,6 +28,19 @@
 	readonly read?: {readonly epoch?: number};
 	/** Position that the endpoint's log must have held when the connection was opened; undefined where any log will do. */
 	readonly minPosition?: LogPosition;
+	/** Steady time by which the operation has to start to be within its latency target; undefined where it has none. */
+	readonly startBy?: number;
+	/** Called, before the request resolves without a connection, where the pool knows at once that there will be none in time. */
+	onRefused?(refusal: QueueRefusal): void;
+};
+
+/** Why a pool refused a request before its time was over. */
+export type QueueRefusal = {
+	readonly reason: string;
+	/** Time after which the caller may try again, in milliseconds. */
+	readonly retryAfterMs: number;
+	/** Wait that was predicted for the request, in milliseconds. */
+	readonly predictedWaitMs: number;
 };
 
 /** The connections of this host to one endpoint. */
@@ -36,6 +53,8 @@
 	readonly waiting: number;
 	/** Connections that are open. */
 	readonly open: number;
+	/** Returns the endpoint's load from this pool's point of view at the steady time `now`. */
+	getLoad(now: number): EndpointLoad;
 	/** Resolves with a connection, or with undefined where none came free in time or the endpoint refuses sessions. */
 	acquire(request: AcquireRequest): Promise<SessionLink | undefined>;
 	/** Returns a connection to the pool; it must be in no transaction, with no request in flight. A closed one is dropped. */
@@ -54,6 +73,12 @@
 	readonly opener: LinkOpener;
 	readonly clock: Clock;
 	readonly log: Log;
+	/** Bounds what is in flight at the endpoint; by default a window that shrinks when the endpoint rejects statements. */
+	readonly window?: CongestionWindow;
+	/** Order of the waiters; by default that of arrival within a priority. */
+	readonly order?: WaiterOrder;
+	/** Decides which connections are opened and closed; by default the one that was idle longest is closed. */
+	readonly connections?: ConnectionPolicy;
 	getLimits(): LinkLimits;
 	/** Returns the position that the endpoint's log holds at least; undefined where nothing is known of its log. */
 	getMinPosition(): LogPosition | undefined;
--- a/src/links/idle-links.ts
+++ b/src/links/idle-links.ts
@@ -1,5 +1,12 @@
 import type {SessionLink} from './link-session.js';
 
+/** A connection that is not in use. */
+export type IdleLink = {
+	readonly sessionLink: SessionLink;
+	/** Steady time at which it became idle. */
+	readonly since: number;
+};
+
 /** The idle connections of a pool, in the order in which they became idle. */
 export type IdleLinks = {
 	readonly size: number;
@@ -10,8 +17,10 @@
 	has(workspace: string | undefined): boolean;
 	/** Removes and returns the workspace's newest connection that has exactly these session values set, else its newest one. */
 	take(values: ReadonlyMap<string, string>, workspace: string | undefined): SessionLink | undefined;
-	/** Removes and returns the connection that has been idle longest, out of those of other workspaces. */
-	takeOldestOfOthers(workspace: string | undefined): SessionLink | undefined;
+	/** The connections, the one that has been idle longest first. */
+	readonly all: readonly IdleLink[];
+	/** Removes a connection. */
+	remove(link: IdleLink): void;
 	/** Removes and returns the connection that has been idle longest, if it became idle before the steady time `before`. */
 	takeOldest(before: number): SessionLink | undefined;
 	takeAll(): readonly SessionLink[];
@@ -19,14 +28,9 @@
 	cutWhere(isUnwanted: (sessionLink: SessionLink) => boolean): void;
 };
 
-type Idle = {
-	readonly sessionLink: SessionLink;
-	readonly since: number;
-};
-
 /** Creates an empty list. */
 export function createIdleLinks(): IdleLinks {
-	let idle: Idle[] = [];
+	let idle: IdleLink[] = [];
 
 	return {
 		get size() {
@@ -44,9 +48,11 @@
 			const at = matching === -1 ? idle.findLastIndex(({sessionLink}) => sessionLink.workspace === workspace) : matching;
 			return at === -1 ? undefined : idle.splice(at, 1)[0]!.sessionLink;
 		},
-		takeOldestOfOthers(workspace) {
-			const at = idle.findIndex(({sessionLink}) => sessionLink.workspace !== workspace);
-			return at === -1 ? undefined : idle.splice(at, 1)[0]!.sessionLink;
+		get all() {
+			return idle;
+		},
+		remove(link) {
+			idle = idle.filter(other => other !== link);
 		},
 		takeOldest: before => idle[0] && idle[0].since < before ? idle.shift()!.sessionLink : undefined,
 		takeAll: () => idle.splice(0).map(({sessionLink}) => sessionLink),
--- a/src/platform/boot-settings.ts
+++ b/src/platform/boot-settings.ts
@@ -19,6 +19,12 @@
 	readonly ordersAddress: string;
 	/** Time after which no host may accept a revoked key any more, in milliseconds; undefined if there is no such bound. */
 	readonly revokeWithinMs?: number;
+	/** Region of each availability zone. */
+	readonly zoneRegions: Readonly<Record<string, string>>;
+	/** Whether the platform expects callers to compete for endpoints. */
+	readonly isContended: boolean;
+	/** Capacity of this host, in cores. */
+	readonly capacity: number;
 	/** Time from the signal to stop until the process is killed, in milliseconds. */
 	readonly graceMs: number;
 };
@@ -45,6 +51,12 @@
 	'platform.address': address,
 	/** The service that promotes servers, despite its general name. */
 	'cloud.address': address,
+	/** The parts of the platform's rules that are in force. */
+	contracts: z.string().default(''),
+	/** Share of a core that the host may use. */
+	'limits.cpuShare': z.coerce.number().positive().default(1),
+	/** Speed of the core as a multiple of a usual one, despite the name. */
+	'limits.cores': z.coerce.number().positive().default(1),
 	'bounds.graceS': z.coerce.number().positive(),
 	/** Whether the bound on revocation also applies to hosts that are cut off from the store. */
 	'bounds.revokeStrict': z.enum(['true', 'false'], 'must be true or false').default('false'),
@@ -53,7 +65,8 @@
 
 /** Parses the text of the settings file. Throws BootSettingsError, which names every invalid field. */
 export function parseBootSettings(text: string): BootSettings {
-	const parsed = schema.safeParse(parseLines(text));
+	const lines = parseLines(text);
+	const parsed = schema.safeParse(lines);
 	if (!parsed.success) {
 		return throwBootSettingsInvalid(parsed.error.issues.map(({path, message}) => `${String(path[0] ?? 'settings')} is wrong: ${message}`));
 	}
@@ -70,10 +83,23 @@
 		storeAddress: fields['platform.address'],
 		ordersAddress: fields['cloud.address'],
 		revokeWithinMs: fields['bounds.revokeStrict'] === 'true' ? fields['bounds.revokeMs'] : undefined,
+		zoneRegions: getZoneRegions(lines),
+		isContended: fields.contracts.split(',').includes(CONTENTION_CONTRACT),
+		capacity: fields['limits.cpuShare'] * fields['limits.cores'],
 		graceMs: fields['bounds.graceS'] * 1000,
 	};
 }
 
+/** The contract under which callers compete for endpoints. */
+const CONTENTION_CONTRACT = 'pressure';
+
+/** Prefix of the fields that give the region of a zone. */
+const ZONE_PREFIX = 'zones.';
+
+function getZoneRegions(fields: Readonly<Record<string, string>>): Readonly<Record<string, string>> {
+	return Object.fromEntries(Object.entries(fields).filter(([name]) => name.startsWith(ZONE_PREFIX)).map(([name, region]) => [name.slice(ZONE_PREFIX.length), region]));
+}
+
 function parseLines(text: string): Record<string, string> {
 	const fields: Record<string, string> = {};
 	for (const line of text.split('\n')) {
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -36,6 +36,7 @@
 import {createRateLimiter, type RateLimiter} from '../workspaces/rate-limiter.js';
 import {createTokenIssuer} from '../workspaces/token-issuer.js';
 import {createTokenSource} from '../workspaces/token-source.js';
+import type {ProxyFeatures} from './proxy-features.js';
 
 declare module '../kernel/service-map.js' {
 	interface ServiceMap {
@@ -75,6 +76,8 @@
 	readonly incarnation: string;
 	/** Time after which no host may accept a revoked key, in milliseconds; undefined where there is no bound. */
 	readonly revokeWithinMs?: number;
+	/** Features that this deployment asks for; none by default. */
+	readonly features?: ProxyFeatures;
 	/** Chooses where reads run; by load, lag and zone where it is undefined. */
 	readonly placement?: ReadPlacement;
 };
@@ -84,7 +87,9 @@
 	const {clock, elapsedClock, random, log, metrics, orders, opener, peers, hostName, peerAddress, incarnation} = parts;
 	const kernel = createKernel();
 	const store = guardGenerations(parts.store);
-	const host: HostRecord = {name: hostName, peerAddress, availabilityZone: parts.availabilityZone};
+	const host: HostRecord = {
+		name: hostName, peerAddress, availabilityZone: parts.availabilityZone, capacity: parts.features?.scheduling?.capacity,
+	};
 	const mirror = createStoreMirror({
 		store,
 		peers,
--- a/src/proxy/main.ts
+++ b/src/proxy/main.ts
@@ -13,6 +13,8 @@
 import {createElapsedClock} from '../time/elapsed-clock.js';
 import {createSystemClock} from '../time/system-clock.js';
 import type {ProxyParts} from './create-proxy.js';
+import {getProxyFeatures} from './proxy-features.js';
+import type {ProxyCommandLine} from './read-proxy-command-line.js';
 import {runProxy} from './run-proxy.js';
 
 /** The entry point of the proxy on the users' platform, with its real clock, store, peers and endpoints. */
@@ -21,7 +23,7 @@
 
 const output = openAsyncOutput();
 
-function createParts(settings: BootSettings): ProxyParts {
+function createParts(settings: BootSettings, commandLine: ProxyCommandLine): ProxyParts {
 	const clock = createSystemClock();
 	const random = createSystemRandom();
 	const log = createRateLimitedLog(createBunyanLog({
@@ -52,6 +54,7 @@
 		peerAddress: settings.peerAddress,
 		seeds: settings.seeds,
 		revokeWithinMs: settings.revokeWithinMs,
+		features: getProxyFeatures(settings, commandLine),
 		incarnation: createRequestId(clock.wall(), random),
 	};
 }
--- a/src/proxy/run-proxy.ts
+++ b/src/proxy/run-proxy.ts
@@ -38,7 +38,7 @@
 	readonly errors: NodeJS.WritableStream;
 	/** Emits signals and uncaught exceptions, as the process does. */
 	readonly events: {on(event: string, listener: (detail: unknown) => void): unknown};
-	readonly createParts: (settings: BootSettings) => ProxyParts;
+	readonly createParts: (settings: BootSettings, commandLine: ProxyCommandLine) => ProxyParts;
 };
 
 /** Runs the proxy until it is ordered to stop or fails. Resolves with the exit code; the process must end then. */
@@ -68,7 +68,7 @@
 		return ProxyExitCode.Ok;
 	}
 
-	const parts = createParts(settings);
+	const parts = createParts(settings, commandLine);
 	const {log} = parts;
 	const stopped = new Promise<string>(resolve => {
 		for (const signal of ['SIGTERM', 'SIGINT']) {
@@ -114,6 +114,11 @@
 		return ProxyExitCode.Failed;
 	}
 
+	const {features} = parts;
+	if (features?.scheduling ?? features?.zoneRegions) {
+		log.info('features are in force', {scheduling: features.scheduling, regions: features.zoneRegions && [...new Set(features.zoneRegions.values())]});
+	}
+
 	log.info('serving', {callers: settings.callerAddress, peers: settings.peerAddress, zone: settings.availabilityZone});
 	const signal = await stopped;
 	leaving = true;
--- a/src/stand-ins/proxies/simulated-proxies.ts
+++ b/src/stand-ins/proxies/simulated-proxies.ts
@@ -8,6 +8,7 @@
 import {OrderOutcome, type PromotionOrder} from '../../leadership/promotion-orders.js';
 import {formatEndpointId, getServerId} from '../../platform/endpoint-identity.js';
 import {createProxy} from '../../proxy/create-proxy.js';
+import type {ProxyFeatures} from '../../proxy/proxy-features.js';
 import type {Workspace} from '../../workspaces/workspace.js';
 import {createSeededRandom} from '../../random/seeded-random.js';
 import type {RegisteredEndpoint, Route, Routing} from '../../routes/routing.js';
@@ -82,6 +83,8 @@
 	readonly zoneCount?: number;
 	/** Creates the read placement of a host, in place of the product's own. */
 	createPlacement?(proxy: SimulatedProxy): ReadPlacement;
+	/** Features of each proxy; none by default. */
+	readonly features?: ProxyFeatures;
 	/** Wraps a proxy's client of the store, for experiments with other designs. */
 	wrapStore?(store: MetadataStore, proxy: SimulatedProxy): MetadataStore;
 	/** Wraps a proxy's calls to its peers. */
@@ -271,6 +274,7 @@
 				incarnation: `${name}/${earlierStarts}`,
 				revokeWithinMs: options.revokeWithinMs,
 				placement: options.createPlacement?.(proxy),
+				features: options.features,
 			});
 			proxies.push(proxy);
 			await proxy.kernel.start();
--- a/tests/platform/boot-settings-tests.ts
+++ b/tests/platform/boot-settings-tests.ts
@@ -28,9 +28,17 @@
 			ordersAddress: '10.200.0.160:8783',
 			graceMs: 6000,
 			revokeWithinMs: undefined,
+			zoneRegions: {},
+			isContended: false,
+			capacity: 1,
 		});
 	});
 
+	it('parses regions, the capacity of the host and whether callers compete', () => {
+		const {zoneRegions, capacity, isContended} = parseBootSettings(`${GOOD}zones.hall-a=north\nzones.hall-b=south\nlimits.cpuShare=0.675\nlimits.cores=2\ncontracts=base,pressure,sql\n`);
+		expect({zoneRegions, capacity, isContended}).to.deep.equal({zoneRegions: {'hall-a': 'north', 'hall-b': 'south'}, capacity: 1.35, isContended: true});
+	});
+
 	it('takes the bound on revocation only if bounds.revokeStrict is true', () => {
 		expect(parseBootSettings(`${GOOD}bounds.revokeStrict=true\nbounds.revokeMs=5000\n`).revokeWithinMs).to.equal(5000);
 		expect(parseBootSettings(`${GOOD}bounds.revokeStrict=false\nbounds.revokeMs=5000\n`).revokeWithinMs).to.equal(undefined);
--- a/tests/proxy/proxy-bench.ts
+++ b/tests/proxy/proxy-bench.ts
@@ -1,4 +1,5 @@
 import type {Log} from '../../src/log/log.js';
+import type {ProxyFeatures} from '../../src/proxy/proxy-features.js';
 import {ReadPolicy, type Route} from '../../src/routes/routing.js';
 import {createScriptedCaller, type ScriptedAnswer, type ScriptedCaller} from '../../src/stand-ins/proxies/scripted-caller.js';
 import {createSimulatedProxies, type SimulatedProxies, type SimulatedProxy} from '../../src/stand-ins/proxies/simulated-proxies.js';
@@ -46,10 +47,11 @@
 	/** Where it is defined, all routes need a key. */
 	readonly workspaces?: readonly Workspace[];
 	readonly revokeWithinMs?: number;
+	readonly features?: ProxyFeatures;
 };
 
 /** Creates a bench whose proxies know the group's primary. */
-export async function createProxyBench({proxies: count = 3, lagMs, maxConnections, promoteMs, log, workspaces, revokeWithinMs}: ProxyBenchOptions = {}): Promise<ProxyBench> {
+export async function createProxyBench({proxies: count = 3, lagMs, maxConnections, promoteMs, log, workspaces, revokeWithinMs, features}: ProxyBenchOptions = {}): Promise<ProxyBench> {
 	const clock = createVirtualClock();
 	const ran: string[] = [];
 	const system = createSimulatedProxies({
@@ -73,6 +75,7 @@
 		routes: ROUTES.map(route => ({...route, needsKey: workspaces !== undefined})),
 		workspaces,
 		revokeWithinMs,
+		features,
 		log,
 	});
 	for (let i = 1; i <= count; i++) {
--- a/tests/proxy/read-proxy-command-line-tests.ts
+++ b/tests/proxy/read-proxy-command-line-tests.ts
@@ -23,6 +23,16 @@
 	doTest(['--version'], {version: true});
 	doTest(['--metrics-port=none'], /--metrics-port must be a port, not none/v);
 	doTest(['--metrics-port=70000'], /--metrics-port must be a port, not 70000/v);
+	doTest([], {
+		scheduling: 'auto', regions: 'auto', poolHosts: 3, roomFactor: 1.5, leastShare: 0.1,
+	});
+	doTest(['--scheduling=on', '--regions=off', '--pool-hosts=2', '--room-factor=2.5', '--least-share=0'], {
+		scheduling: 'on', regions: 'off', poolHosts: 2, roomFactor: 2.5, leastShare: 0,
+	});
+	doTest(['--scheduling=yes'], /--scheduling must be auto, on or off, not yes/v);
+	doTest(['--pool-hosts=2.5'], /--pool-hosts must be a whole number from 2 to 12, not 2.5/v);
+	doTest(['--room-factor=0.5'], /--room-factor must be a number from 1 to 4, not 0.5/v);
+	doTest(['--least-share='], /--least-share must be a number from 0 to 0.3, not /v);
 	doTest(['--metric-port=9464'], /unknown option --metric/v);
 	doTest(['start'], /unexpected argument start/v);
 });
