Give a list of the store that keeps arriving more time than its timeout

Cause: with 1,700 routes more the configuration took over 900 ms on a link of 2 Mbit/s.

Ruled out: the tree of updates alone (with updates compressed and spread by capacity the collapse was the same).

Change: a list of the store fails after its timeout without a byte, and after five timeouts in any case. Times of confirmations are those of the requests, as before.

--- a/src/object-store/http-client.ts
+++ b/src/object-store/http-client.ts
@@ -19,7 +19,10 @@
 	/** Sent as JSON. */
 	readonly body?: unknown;
 	readonly headers?: OutgoingHttpHeaders;
+	/** Timeout, in milliseconds. */
 	readonly timeoutMs: number;
+	/** Whether a response that keeps arriving gets more time: the request then fails after `timeoutMs` without a byte, and after a few times as long in any case. */
+	readonly waitsWhileReceiving?: boolean;
 };
 
 /** The response to a request. */
@@ -45,6 +48,11 @@
 	readonly clock: Clock;
 };
 
+/**
+ * Maximum duration of a request whose response keeps arriving, as a multiple of its timeout: a configuration of 500 KB takes 2 s over a link of 2 Mbit/s.
+ */
+const MAX_TIMEOUTS_WHILE_RECEIVING = 5;
+
 /** Maximum number of idle connections: one in addition to that of the waiting watch. */
 const MAX_IDLE_CONNECTIONS = 2;
 
@@ -67,7 +75,7 @@
 	return {
 		async exchange(exchange) {
 			const req = openRequest(baseUrl, exchange, agent);
-			const bounded = await withinMs(clock, exchange.timeoutMs, readResponse(req)).catch((err: unknown) => throwPlatformSilent(exchange.what, err));
+			const bounded = await waitForResponse(clock, req, exchange).catch((err: unknown) => throwPlatformSilent(exchange.what, err));
 			if (!bounded.timedOut) {
 				return bounded.value;
 			}
@@ -96,6 +104,25 @@
 	return req;
 }
 
+/**
+ * Waits for the whole response.
+ *
+ * Guards against a large list that never arrives over a slow link: cut off at its timeout, it was requested again from the beginning, and the link stayed full.
+ */
+async function waitForResponse(clock: Clock, req: ClientRequest, {timeoutMs, waitsWhileReceiving = false}: HttpRequest) {
+	const response = readResponse(req);
+	let received = 0;
+	for (let timeouts = 1; ; timeouts++) {
+		const bounded = await withinMs(clock, timeoutMs, response);
+		const total = req.socket?.bytesRead ?? 0;
+		if (!bounded.timedOut || !waitsWhileReceiving || total === received || timeouts === MAX_TIMEOUTS_WHILE_RECEIVING) {
+			return bounded;
+		}
+
+		received = total;
+	}
+}
+
 async function readResponse(req: ClientRequest): Promise<HttpResponse> {
 	const res = await new Promise<IncomingMessage>((resolve, reject) => {
 		req.once('response', resolve);
--- a/src/platform/http-metadata-store.ts
+++ b/src/platform/http-metadata-store.ts
@@ -96,7 +96,7 @@
 		for (let after = ''; ;) {
 			const path = after === '' ? `/objects/${kind}` : `/objects/${kind}?after=${encodeURIComponent(after)}`;
 			const res = await exchange('list', {
-				what, method: 'GET', path, timeoutMs,
+				what, method: 'GET', path, timeoutMs, waitsWhileReceiving: true,
 			});
 			const page = parse(what, res, storeListSchema);
 			// Later pages may include newer changes. The list as a whole is complete only up to the revision of its first page.
