Place pool hosts in the zone of their endpoint, with scheduling

Cause: the pool hosts of an endpoint were spread over all zones, 12 of them with 4 connections each, so that most statements crossed zones twice and each pool opened connections of its own for every workspace.

Result: without scheduling the selection is the same; tests/connection-sharing pass.

--- /dev/null
+++ b/src/connection-sharing/pool-host-layout.ts
@@ -0,0 +1,14 @@
+import type {HostRecord} from '../leadership/leadership-record.js';
+import type {RegisteredEndpoint} from '../routes/routing.js';
+
+/** The fields of an endpoint by which its pool hosts are selected. */
+export type EndpointKey = Pick<RegisteredEndpoint, 'id' | 'group'> & Partial<Pick<RegisteredEndpoint, 'availabilityZone'>>;
+
+/** Selects the pool hosts of an endpoint that accepts `connections` connections; every host computes the same set from the same list. */
+export type PoolHostSelector = (endpoint: EndpointKey, connections: number) => readonly HostRecord[];
+
+/** Decides where the pool hosts of endpoints are whose connections are too few for every host. */
+export interface PoolHostLayout {
+	/** Prepares the selection out of the live hosts; called after each change of the hosts. `ownZone` is the zone of this host. */
+	prepare(live: readonly HostRecord[], ownZone: string): PoolHostSelector;
+}
--- a/src/connection-sharing/pool-hosts.ts
+++ b/src/connection-sharing/pool-hosts.ts
@@ -1,8 +1,8 @@
 import type {HostRecord} from '../leadership/leadership-record.js';
 import {RESERVED_CONNECTIONS} from '../links/link-budget.js';
-import {createHostRanking, type HostRanking} from '../membership/host-ranking.js';
 import type {StoreMirror} from '../mirror/store-mirror.js';
-import type {RegisteredEndpoint} from '../routes/routing.js';
+import type {EndpointKey, PoolHostLayout, PoolHostSelector} from './pool-host-layout.js';
+import {SpreadLayout} from './spread-layout.js';
 
 /** Selects the pool hosts of an endpoint: the hosts that keep connections to it. */
 export type PoolHosts = {
@@ -14,19 +14,18 @@
 	isShared(endpoint: EndpointKey): boolean;
 	/** Returns how many hosts keep connections to the endpoint. */
 	countHosts(endpoint: EndpointKey): number;
-	/** Returns the hosts that keep connections to the endpoint, those in this host's zone first; all live hosts where each keeps its own. */
+	/** Returns the hosts that keep connections to the endpoint, in the order of the layout; all live hosts where each keeps its own. The array stays the same until the hosts change. */
 	getHosts(endpoint: EndpointKey): readonly HostRecord[];
 };
 
-/** The fields of an endpoint by which its pool hosts are selected. */
-export type EndpointKey = Pick<RegisteredEndpoint, 'id' | 'group'>;
-
 /** What the selection needs. */
 export type PoolHostsOptions = {
 	readonly mirror: StoreMirror;
 	readonly hostName: string;
 	readonly availabilityZone: string;
 	readonly minShare?: number;
+	/** Where the pool hosts are; by default they are spread over all zones. */
+	readonly layout?: PoolHostLayout;
 };
 
 /**
@@ -39,14 +38,15 @@
 	readonly shared: boolean;
 	readonly all: readonly HostRecord[];
 	readonly names: ReadonlySet<string>;
+	readonly endpointZone: string | undefined;
 };
 
 /** Creates the selection. Every host computes the same from its mirror; where mirrors differ, more hosts keep connections for a while. */
-export function createPoolHosts({mirror, hostName, availabilityZone, minShare = MIN_SHARE}: PoolHostsOptions): PoolHosts {
-	let hostCache: {readonly hosts: readonly HostRecord[]; readonly routing: unknown; readonly zones: ReadonlyMap<string, HostRanking<HostRecord>>; readonly live: readonly HostRecord[]} | undefined;
+export function createPoolHosts({mirror, hostName, availabilityZone, minShare = MIN_SHARE, layout = new SpreadLayout()}: PoolHostsOptions): PoolHosts {
+	let hostCache: {readonly hosts: readonly HostRecord[]; readonly routing: unknown; readonly selectSome: PoolHostSelector; readonly live: readonly HostRecord[]} | undefined;
 	let selections = new Map<string, Selection>();
 
-	/** Returns the live hosts, grouped by zone; they are computed again after each change of the hosts or of the configuration. */
+	/** Returns the live hosts and prepares their selection, again after each change of the hosts or of the configuration. */
 	const getLiveHosts = () => {
 		const {hosts, routing} = mirror.state;
 		if (hostCache?.hosts === hosts && hostCache.routing === routing) {
@@ -54,31 +54,35 @@
 		}
 
 		const live = hosts.filter(({gone}) => !gone);
-		const names = new Set([availabilityZone, ...live.map(host => host.availabilityZone).toSorted()]);
-		const zones = new Map([...names].map(zone => [zone, createHostRanking(live.filter(host => host.availabilityZone === zone))]));
 		hostCache = {
-			hosts, routing, zones, live,
+			hosts, routing, live, selectSome: layout.prepare(live, availabilityZone),
 		};
 		selections = new Map();
 		return hostCache;
 	};
 
-	const select = ({id, group}: EndpointKey): Selection => {
-		const {live, zones} = getLiveHosts();
-		const connections = (mirror.state.routing?.groups.get(group)?.maxConnections ?? 0) - RESERVED_CONNECTIONS;
+	const select = (endpoint: EndpointKey): Selection => {
+		const {live, selectSome} = getLiveHosts();
+		const connections = (mirror.state.routing?.groups.get(endpoint.group)?.maxConnections ?? 0) - RESERVED_CONNECTIONS;
 		const isEnoughForAll = live.length * minShare <= Math.max(connections, minShare);
-		const perZone = Math.max(1, Math.floor(connections / POOL_HOST_SHARE / zones.size));
-		const all = isEnoughForAll
-			? live
-			: [...zones.values()].flatMap(ranking => ranking.getOwners(id, perZone, {isUsable: () => true, nearZones: []}));
-		return {shared: !isEnoughForAll, all, names: new Set(all.map(({name}) => name))};
+		const all = isEnoughForAll ? live : selectSome(endpoint, connections);
+		return {
+			shared: !isEnoughForAll, all, names: new Set(all.map(({name}) => name)), endpointZone: endpoint.availabilityZone,
+		};
 	};
 
 	const getSelection = (endpoint: EndpointKey) => {
 		getLiveHosts();
-		const chosen = selections.get(endpoint.id) ?? select(endpoint);
-		selections.set(endpoint.id, chosen);
-		return chosen;
+		const known = selections.get(endpoint.id);
+		// A selection that was made before the endpoint was listed, without its zone, is replaced once the zone is known.
+		if (known && (known.endpointZone !== undefined || endpoint.availabilityZone === undefined)) {
+			return known;
+		}
+
+		const endpointZone = endpoint.availabilityZone ?? mirror.state.endpoints.find(({id}) => id === endpoint.id)?.availabilityZone;
+		const selection = select({...endpoint, availabilityZone: endpointZone});
+		selections.set(endpoint.id, selection);
+		return selection;
 	};
 
 	return {
@@ -93,6 +97,3 @@
 		getHosts: endpoint => getSelection(endpoint).all,
 	};
 }
-
-/** Connections to an endpoint that each pool host has as its share: enough for some statements beside a few open transactions. */
-const POOL_HOST_SHARE = 4;
--- a/src/membership/rendezvous.ts
+++ b/src/membership/rendezvous.ts
@@ -40,6 +40,11 @@
 	return ((high & 0x1F_FF_FF) * 0x1_00_00_00_00) + (low >>> 0);
 }
 
+/** Returns the weight of a host for a group as a number above 0 and below 1, for rankings that are weighted by a property of the host. */
+export function getUnitWeight(group: NameHash, host: NameHash): number {
+	return (getWeight(group, host) + 0.5) / (2 ** 53);
+}
+
 /** The finalizer of MurmurHash3: every bit of the input changes half of the output's. */
 function mix(value: number): number {
 	let mixed = value;
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -15,10 +15,12 @@
 import {createStoreRestores} from '../leadership/store-restores.js';
 import {createEndpointDirectory, type EndpointDirectory} from '../links/endpoint-directory.js';
 import type {LinkOpener} from '../links/endpoint-link.js';
+import {EndpointZoneLayout} from '../connection-sharing/endpoint-zone-layout.js';
 import {createPoolHosts, type PoolHosts} from '../connection-sharing/pool-hosts.js';
 import {createCheckoutServer, type CheckoutServer} from '../connection-sharing/checkout-server.js';
 import {createSampleFetcher} from '../connection-sharing/sample-fetcher.js';
 import {createSharedPool} from '../connection-sharing/shared-pool.js';
+import {SpreadLayout} from '../connection-sharing/spread-layout.js';
 import type {Log} from '../log/log.js';
 import {createUnreachableHosts} from '../membership/unreachable-hosts.js';
 import {guardGenerations} from '../mirror/guard-generations.js';
@@ -108,7 +110,13 @@
 	const knowledge = createPlacementKnowledge();
 	const primaryWork = createPrimaryWork(clock);
 	const cutOffs = createCutOffs();
-	const poolHosts = createPoolHosts({mirror, hostName, availabilityZone: parts.availabilityZone});
+	const {scheduling, zoneRegions} = parts.features ?? {};
+	const poolHosts = createPoolHosts({
+		mirror,
+		hostName,
+		availabilityZone: parts.availabilityZone,
+		layout: scheduling ? new EndpointZoneLayout({poolHosts: scheduling.poolHosts, zoneRegions}) : new SpreadLayout(),
+	});
 	const unreachable = createUnreachableHosts();
 	const directory = createEndpointDirectory({
 		mirror,
