Let a request wait at one pool host, chosen by workspace or by load

Cause: a request waited 120 ms at each pool host in turn and lost its place in the queue at each of them; a workspace's connections were opened again in each zone; and a place whose remote host had died, or whose caller had left, was kept to its end.

Change, with scheduling: LeastLoadOrder and SinglePlaceWait beside the earlier NearFirstOrder and TurnWait.

--- a/src/connection-sharing/checkout-calls.ts
+++ b/src/connection-sharing/checkout-calls.ts
@@ -35,6 +35,8 @@
 	readonly workspace?: string;
 	/** Time in which the operation has to start to be within its latency target, in milliseconds; undefined where it has none. */
 	readonly startInMs?: number;
+	/** Names the request at its remote host, which ends it while it waits by `loan-end` with this id; undefined where it always waits to its end. */
+	readonly waitId?: string;
 	/** Whether the connection serves one statement that leaves no transaction open. */
 	readonly single: boolean;
 	/** Position that the endpoint's log must have held when the connection was opened; undefined where any log will do. */
@@ -82,7 +84,7 @@
 		'loan-exchange': {req: CheckoutExchange; res: {readonly answer?: EndpointAnswer; readonly over?: true} & CheckoutLoad};
 		/** Checks out a connection for one read, runs the read and ends the checkout; answered as `loan-open` where it is refused, else as `loan-exchange`. */
 		'loan-run': {req: CheckoutRun; res: (CheckoutRefused | {readonly answer?: EndpointAnswer; readonly over?: true}) & CheckoutLoad};
-		/** Returns a connection, or has it cut with all that is in flight on it. */
+		/** Returns a connection, or has it cut with all that is in flight on it; ends a request that still waits, where `loan` is its `waitId`. */
 		'loan-end': {req: {readonly loan: string; readonly cut: boolean}; res: {readonly ended: true}};
 		/** Asks a pool host of a group's primary for the newest log position that it saw there, and how long ago it sent the request that brought it. */
 		'loan-sample': {req: {readonly group: string}; res: {readonly sample?: {readonly position: LogPosition; readonly ageMs: number}}};
--- a/src/connection-sharing/checkout-server.ts
+++ b/src/connection-sharing/checkout-server.ts
@@ -13,8 +13,10 @@
 import type {ElapsedClock} from '../time/elapsed-clock.js';
 import {createSleepAlarm} from '../time/sleep-alarm.js';
 import {
-	CheckoutRefusal, type CheckoutResponse, type CheckoutExchange, type CheckoutRequest, type CheckoutRun,
+	CheckoutRefusal, type CheckoutLoad, type CheckoutResponse, type CheckoutExchange, type CheckoutRequest, type CheckoutRun,
 } from './checkout-calls.js';
+import type {HostWatch} from './host-watch.js';
+import {createWaitingPlaces} from './waiting-places.js';
 
 /** Serves checkouts of this host's connections to hosts that keep none. */
 export type CheckoutServer = {
@@ -41,6 +43,8 @@
 	readonly elapsedClock: ElapsedClock;
 	readonly random: Random;
 	readonly log: Log;
+	/** Set with scheduling: requests give up their place where their remote host is silent, and responses carry the endpoint's load. */
+	readonly hostWatch?: HostWatch;
 	/** Returns the maximum idle time between two requests of a checkout, in milliseconds. */
 	getMaxIdleMs(): number;
 };
@@ -80,10 +84,11 @@
 /** Creates a checkout server without checkouts. */
 export function createCheckoutServer(options: CheckoutServerOptions): CheckoutServer {
 	const {
-		peers, directory, primaryLeases, knowledge, clock, elapsedClock, random, getMaxIdleMs,
+		peers, directory, primaryLeases, knowledge, clock, elapsedClock, random, hostWatch, getMaxIdleMs,
 	} = options;
 	const log = options.log.withPrefix('loans: ');
 	const checkouts = new Map<string, Checkout>();
+	const places = createWaitingPlaces({clock, hostWatch});
 	const stopping = createSleepAlarm();
 	let retired = false;
 	/** Why every checkout is revoked once it has no request in flight; undefined while none is. */
@@ -119,8 +124,8 @@
 		}
 	};
 
-	const openCheckout = async ({endpointId, priority, waitMs, values, workspace, single, least: minPosition}: CheckoutRequest, remoteHost: string): Promise<CheckoutResponse> => {
-		const endpoint = directory.get(endpointId);
+	const openCheckout = async (request: CheckoutRequest, remoteHost: string): Promise<CheckoutResponse> => {
+		const endpoint = directory.get(request.endpointId);
 		if (retired) {
 			return {refused: CheckoutRefusal.Stopping};
 		}
@@ -130,9 +135,7 @@
 		}
 
 		const {ownPool} = endpoint;
-		const sessionLink = await ownPool.acquire({
-			priority, until: clock.now() + waitMs, values: new Map(values), workspace, single, minPosition,
-		});
+		const {sessionLink, refusal} = await places.wait(ownPool, request, remoteHost);
 		if (retired) {
 			// The host was ordered to stop during the wait: a transaction would begin on a host that is about to end.
 			if (sessionLink) {
@@ -142,6 +145,10 @@
 			return {refused: CheckoutRefusal.Stopping};
 		}
 
+		if (!sessionLink && refusal) {
+			return {refused: CheckoutRefusal.Hopeless, queue: refusal};
+		}
+
 		if (!sessionLink) {
 			return {refused: ownPool.health.getSuspicion(clock.now()) ? CheckoutRefusal.Unreachable : CheckoutRefusal.Busy};
 		}
@@ -253,15 +260,24 @@
 		}
 	};
 
-	peers.handle('loan-open', async (req, from) => openCheckout(req, from.address));
-	peers.handle('loan-run', async (req, from) => run(req, from.address));
-	peers.handle('loan-exchange', async (req, from) => exchange(req, from.address));
+	/** Adds the endpoint's load to a response, with scheduling. */
+	const addLoad = <T extends Record<string, unknown>>(response: T, endpoint: KnownEndpoint | undefined): T & CheckoutLoad =>
+		hostWatch && endpoint ? {...response, load: endpoint.ownPool.getLoad(clock.now())} : response;
+
+	peers.handle('loan-open', async (req, from) => addLoad(await openCheckout(req, from.address), directory.get(req.endpointId)));
+	peers.handle('loan-run', async (req, from) => addLoad(await run(req, from.address), directory.get(req.endpointId)));
+	peers.handle('loan-exchange', async (req, from) => {
+		const endpoint = checkouts.get(req.loan)?.endpoint;
+		return addLoad(await exchange(req, from.address), endpoint);
+	});
 	peers.handle('loan-end', async ({loan: id, cut}, from) => {
 		const checkout = checkouts.get(id);
 		if (checkout?.remoteHost === from.address) {
 			end(checkout, cut);
 		}
 
+		places.abandon(id, from.address);
+
 		return {ended: true as const};
 	});
 	peers.handle('loan-ask', sendCommand);
--- a/src/connection-sharing/remote-link.ts
+++ b/src/connection-sharing/remote-link.ts
@@ -6,6 +6,7 @@
 import type {Peers} from '../peers/peers.js';
 import {SessionState} from '../statements/statement.js';
 import {AnswerCode, type EndpointAnswer} from '../statements/statement-answer.js';
+import type {CheckoutLoad} from './checkout-calls.js';
 import {createCloseState} from './close-state.js';
 import {createPendingSession} from './pending-session.js';
 
@@ -25,6 +26,8 @@
 	readonly single: boolean;
 	/** Called after each answer of the endpoint. */
 	onReceived(): void;
+	/** Called with the endpoint's load where the pool host sends it along. */
+	onLoad?(response: CheckoutLoad): void;
 };
 
 /** Timeout for an exchange with a pool host, in milliseconds: the sender of a statement bounds it by a far shorter time. */
@@ -42,7 +45,7 @@
  * have run, and a transaction on it is rolled back, since only the remote host would commit it. A request that was never sent, or arrived after the
  * checkout had ended, certainly did not run.
  */
-export function createRemoteLink({peers, poolHost, checkoutId, single, onReceived}: RemoteLinkOptions): RemoteLink {
+export function createRemoteLink({peers, poolHost, checkoutId, single, onReceived, onLoad}: RemoteLinkOptions): RemoteLink {
 	const closeState = createCloseState();
 	const pendingSession = createPendingSession();
 	let turn = 0;
@@ -83,8 +86,10 @@
 			}
 
 			pending++;
-			const {answer, over} = await send(request);
+			const response = await send(request);
+			const {answer, over} = response;
 			pending--;
+			onLoad?.(response);
 			if (over) {
 				// A pool host that was not reached may still be alive, with the transaction open.
 				end(true);
--- a/src/connection-sharing/remote-read.ts
+++ b/src/connection-sharing/remote-read.ts
@@ -2,19 +2,20 @@
 import {createLinkLost, throwUnexpectedAnswer} from '../links/link-errors.js';
 import type {AcquireRequest} from '../links/endpoint-pool.js';
 import {getPreparedName, type SessionLink} from '../links/link-session.js';
-import {isHostAlive} from '../membership/is-host-alive.js';
 import type {UnreachableHosts} from '../membership/unreachable-hosts.js';
 import {isPeerError} from '../peers/peer-errors.js';
 import type {PeerCalls} from '../peers/peer-calls.js';
 import type {Peers} from '../peers/peers.js';
 import {AnswerCode, type EndpointAnswer} from '../statements/statement-answer.js';
 import {SessionState} from '../statements/statement.js';
-import {withinMs} from '../time/deadline.js';
 import type {Clock} from '../time/clock.js';
-import {POOL_HOST_WAIT_MS, POOL_HOST_ROUND_TRIP_MS} from './pool-host-timeouts.js';
-import {CheckoutRefusal, type CheckoutExchange} from './checkout-calls.js';
+import {CheckoutRefusal, type CheckoutExchange, type CheckoutLoad} from './checkout-calls.js';
+import {createCheckoutRequest} from './checkout-opener.js';
 import {createCloseState} from './close-state.js';
 import {createPendingSession} from './pending-session.js';
+import type {PoolHostWait} from './pool-host-wait.js';
+import {TurnWait} from './turn-wait.js';
+import type {WaitIds} from './wait-ids.js';
 
 /** What a remote read needs. */
 export type RemoteReadOptions = {
@@ -31,14 +32,17 @@
 	onReceived(): void;
 	/** Called where the pool hosts do not reach the endpoint. */
 	onUnreachable(): void;
+	/** How long the read waits at one pool host; by default a short time at each in turn. */
+	readonly wait?: PoolHostWait;
+	/** Names the read while it waits, so that it can be ended; undefined where it always waits to its end. */
+	readonly waitIds?: WaitIds;
+	/** Called with each response of a pool host. */
+	onResponse?(poolHost: string, response: CheckoutLoad): void;
 };
 
 /** Timeout for a read at a pool host, in milliseconds: the sender of a read bounds it by a far shorter time. */
 const RUN_TIMEOUT_MS = 8000;
 
-/** Timeout for a heartbeat of a pool host whose answer is late, in milliseconds. */
-const HEARTBEAT_TIMEOUT_MS = 150;
-
 const DID_NOT_RUN: EndpointAnswer = {rows: [], end: {kind: 'error', code: AnswerCode.Overloaded, text: 'no lender had a connection; nothing ran'}, state: SessionState.Idle};
 
 type Run = PeerCalls['loan-run']['res'];
@@ -48,36 +52,44 @@
  * back. This takes half of the messages, and one round trip less, than a checkout that is opened first. It serves reads only, since a request without an answer may have run.
  */
 export function createRemoteRead(options: RemoteReadOptions): SessionLink {
-	const {endpointId, acquireRequest, peers, unreachable, clock} = options;
+	const {endpointId, acquireRequest, peers, unreachable, clock, waitIds} = options;
+	const wait = options.wait ?? new TurnWait({peers, clock});
 	const closeState = createCloseState();
 	const pendingSession = createPendingSession();
 	let pending = 0;
 
+	/** Returns whether the read is still to run; once it is not, it ends at its pool host too where it only waits there. */
+	const isWanted = () => !closeState.closed && acquireRequest.isWanted?.() !== false;
+
 	/** Runs the read at one pool host; resolves with undefined where that does not answer. A heartbeat distinguishes a slow endpoint from a failed pool host. */
 	const runAt = async (poolHost: string, neededNow: CheckoutExchange['needed'], request: EndpointRequest): Promise<Run | undefined> => {
-		const waitMs = Math.max(1, Math.min(POOL_HOST_WAIT_MS, acquireRequest.until - clock.now()));
+		const now = clock.now();
+		const waitMs = Math.max(1, wait.getWaitMs(acquireRequest.until, now));
+		const checkoutRequest = createCheckoutRequest(endpointId, acquireRequest, waitMs, now, waitIds?.next());
 		try {
 			const response = peers.call(poolHost, 'loan-run', {
-				endpointId,
-				priority: acquireRequest.priority,
-				waitMs,
-				values: [...acquireRequest.values],
-				workspace: acquireRequest.workspace,
+				...checkoutRequest,
 				single: true,
-				least: acquireRequest.minPosition,
 				epoch: acquireRequest.read?.epoch,
 				needed: neededNow,
 				request,
 			}, RUN_TIMEOUT_MS);
-			const first = await withinMs(clock, waitMs + POOL_HOST_ROUND_TRIP_MS, response);
-			if (first.timedOut && !await isHostAlive(peers, poolHost, HEARTBEAT_TIMEOUT_MS)) {
+			const run = await wait.whenRun(poolHost, waitMs, response, isWanted);
+			if (run) {
+				unreachable.delete(poolHost);
+				options.onResponse?.(poolHost, run);
+				return run;
+			}
+
+			if (checkoutRequest.waitId !== undefined) {
+				waitIds?.end(poolHost, checkoutRequest.waitId);
+			}
+
+			if (isWanted()) {
 				unreachable.add(poolHost, clock.now());
-				return undefined;
 			}
 
-			const run = await response;
-			unreachable.delete(poolHost);
-			return run;
+			return undefined;
 		} catch (err) {
 			if (!isPeerError(err)) {
 				throw err;
@@ -94,6 +106,14 @@
 		for (const poolHost of options.getPoolHosts()) {
 			const run = await runAt(poolHost, neededNow, request);
 			if (run && 'refused' in run) {
+				if (run.refused === CheckoutRefusal.Hopeless) {
+					if (run.queue) {
+						acquireRequest.onRefused?.(run.queue);
+					}
+
+					return run.refused;
+				}
+
 				if (run.refused === CheckoutRefusal.Stopping) {
 					unreachable.add(poolHost, clock.now());
 				} else {
@@ -105,7 +125,7 @@
 				throw createLinkLost(poolHost, 'the endpoint ended the connection during the read');
 			}
 
-			if (closeState.closed || clock.now() >= acquireRequest.until) {
+			if (!isWanted() || clock.now() >= acquireRequest.until) {
 				break;
 			}
 		}
@@ -125,14 +145,14 @@
 				options.onUnreachable();
 			}
 
-			if (run === CheckoutRefusal.Unreachable || run === CheckoutRefusal.NoLease) {
+			if (run === CheckoutRefusal.Unreachable || run === CheckoutRefusal.NoLease || run === CheckoutRefusal.Hopeless) {
 				return DID_NOT_RUN;
 			}
 
-			if (run === undefined) {
+			if (run === undefined && (!waitIds || isWanted())) {
 				return await options.runOnOwn(neededNow, request) ?? DID_NOT_RUN;
 			}
-		} while (!closeState.closed && clock.now() < acquireRequest.until);
+		} while (isWanted() && clock.now() < acquireRequest.until);
 
 		return DID_NOT_RUN;
 	};
--- a/src/connection-sharing/shared-pool.ts
+++ b/src/connection-sharing/shared-pool.ts
@@ -2,17 +2,28 @@
 import type {EndpointCommand, EndpointRequest, EndpointStatus} from '../links/endpoint-link.js';
 import type {EndpointPool, AcquireRequest} from '../links/endpoint-pool.js';
 import type {SessionLink} from '../links/link-session.js';
-import {getWeight, hashName, type NameHash} from '../membership/rendezvous.js';
 import type {UnreachableHosts} from '../membership/unreachable-hosts.js';
 import {isPeerError} from '../peers/peer-errors.js';
 import type {Peers} from '../peers/peers.js';
+import type {Random} from '../random/random.js';
 import type {RegisteredEndpoint} from '../routes/routing.js';
 import type {Clock} from '../time/clock.js';
-import {createRemoteLink, type RemoteLink} from './remote-link.js';
+import {CheckoutRefusal, type CheckoutExchange, type CheckoutLoad} from './checkout-calls.js';
+import {createCheckoutOpener, type CheckoutResult} from './checkout-opener.js';
+import type {HostWatch} from './host-watch.js';
+import {LeastLoadOrder} from './least-load-order.js';
+import {NearFirstOrder} from './near-first-order.js';
+import type {PoolHostLoads} from './pool-host-loads.js';
+import type {PoolHostOrder} from './pool-host-order.js';
 import type {PoolHosts} from './pool-hosts.js';
 import {POOL_HOST_WAIT_MS, POOL_HOST_ROUND_TRIP_MS} from './pool-host-timeouts.js';
-import {CheckoutRefusal, type CheckoutExchange} from './checkout-calls.js';
+import type {PoolHostWait} from './pool-host-wait.js';
+import type {RemoteLink} from './remote-link.js';
 import {createRemoteRead} from './remote-read.js';
+import {createSinglePlaceAcquire, OWN_WAIT_MS} from './single-place-acquire.js';
+import {SinglePlaceWait} from './single-place-wait.js';
+import {TurnWait} from './turn-wait.js';
+import type {WaitIds} from './wait-ids.js';
 
 /** What a shared pool needs. */
 export type SharedPoolOptions = {
@@ -25,32 +36,38 @@
 	readonly peers: Peers;
 	readonly clock: Clock;
 	readonly ownPeerAddress: string;
+	/** Set with scheduling: requests wait in one place, chosen by workspace or by load. */
+	readonly scheduling?: SharedPoolScheduling;
 };
 
-/**
- * Maximum wait for a connection of this host's own where no pool host that was asked has one, in milliseconds: as long as one pool host may take. Guards against a statement that waits at
- * a full endpoint until its deadline while a pool host that was not asked has connections: those that are stopping or did not answer are skipped in the next round, so others are asked.
- */
-const OWN_WAIT_MS = POOL_HOST_WAIT_MS;
+/** What shared pools need with scheduling, the same for all endpoints. */
+export type SharedPoolScheduling = {
+	readonly loads: PoolHostLoads;
+	readonly hostWatch: HostWatch;
+	readonly waitIds: WaitIds;
+	readonly random: Random;
+};
 
 /** An endpoint that no pool host reaches is suspected for this long, in milliseconds; then pool hosts are asked again. */
 const UNREACHABLE_RETRY_DELAY_MS = 250;
 
-/** The result of a checkout: a link, the reason for a refusal, or undefined where no pool host answered. */
-type CheckoutResult = RemoteLink | CheckoutRefusal | undefined;
-
 /**
  * Creates a pool that uses this host's own connections where it keeps some, and checks out those of pool hosts where it keeps none.
  *
  * Guards against an endpoint's few connections being split among many hosts: each would have less than one, and a host with one is blocked by a
  * transaction while those of others are idle. Where no pool host answers, the host opens its own connections as far as the endpoint allows.
  */
-export function createSharedPool({entry, ownPool, poolHosts, unreachable, peers, clock, ownPeerAddress}: SharedPoolOptions): EndpointPool {
+export function createSharedPool({entry, ownPool, poolHosts, unreachable, peers, clock, ownPeerAddress, scheduling}: SharedPoolOptions): EndpointPool {
 	const checkouts = new Map<SessionLink, RemoteLink>();
 	const received = createEndpointHealth();
 	let unreachableUntil = Number.NEGATIVE_INFINITY;
 	let waiting = 0;
-	let rotation = 0;
+	const order: PoolHostOrder = scheduling
+		? new LeastLoadOrder({
+			endpointId: entry.id, ownPeerAddress, unreachable, loads: scheduling.loads, random: scheduling.random, getOwnLoad: ownPool.getLoad,
+		})
+		: new NearFirstOrder({ownPeerAddress, ownZone: poolHosts.availabilityZone, unreachable});
+	const wait: PoolHostWait = scheduling ? new SinglePlaceWait(scheduling.hostWatch) : new TurnWait({peers, clock});
 
 	const isPoolHost = () => poolHosts.isPoolHost(entry);
 
@@ -70,59 +87,23 @@
 		received.noteReceived(clock.now());
 	};
 
-	/**
-	 * Returns the pool hosts to ask, in order: those of this host's zone, then one of another zone, in case all in the zone are cut off from the endpoint. The order rotates (round robin);
-	 * for a workspace it is the workspace's own order, so that its statements reach the hosts which have connections for it.
-	 */
-	const getPoolHosts = (workspace: string | undefined): readonly string[] => {
-		const now = clock.now();
-		const near: string[] = [];
-		const far: string[] = [];
-		for (const {peerAddress, availabilityZone} of poolHosts.getHosts(entry)) {
-			if (peerAddress !== ownPeerAddress && !unreachable.has(peerAddress, now)) {
-				(availabilityZone === poolHosts.availabilityZone ? near : far).push(peerAddress);
-			}
-		}
-
-		if (workspace !== undefined) {
-			const hash = hashName(workspace);
-			return [...rank(near, hash), ...rank(far, hash).slice(0, 1)];
-		}
+	const getPoolHosts = (workspace: string | undefined) => order.getAddresses(poolHosts.getHosts(entry), workspace, clock.now());
 
-		rotation++;
-		return [...rotate(near, rotation), ...rotate(far, rotation).slice(0, 1)];
+	const getRemotePoolHosts = (workspace: string | undefined) => {
+		const all = getPoolHosts(workspace);
+		return all.includes(ownPeerAddress) ? all.filter(address => address !== ownPeerAddress) : all;
 	};
 
-	const checkOutAt = async (poolHost: string, acquireRequest: AcquireRequest): Promise<CheckoutResult> => {
-		const waitMs = Math.min(POOL_HOST_WAIT_MS, acquireRequest.until - clock.now());
-		try {
-			const response = await peers.call(poolHost, 'loan-open', {
-				endpointId: entry.id,
-				priority: acquireRequest.priority,
-				waitMs,
-				values: [...acquireRequest.values],
-				workspace: acquireRequest.workspace,
-				single: acquireRequest.single,
-				least: acquireRequest.minPosition,
-			}, waitMs + POOL_HOST_ROUND_TRIP_MS);
-			unreachable.delete(poolHost);
-			if ('refused' in response) {
-				return response.refused;
-			}
-
-			return createRemoteLink({
-				peers, poolHost, checkoutId: response.loan, single: acquireRequest.single, onReceived: noteReceived,
-			});
-		} catch (err) {
-			if (!isPeerError(err)) {
-				throw err;
-			}
-
-			unreachable.add(poolHost, clock.now());
-			return undefined;
+	const noteResponse = (poolHost: string, {load}: CheckoutLoad) => {
+		if (load) {
+			scheduling?.loads.note(entry.id, poolHost, load, clock.now());
 		}
 	};
 
+	const checkOutAt = createCheckoutOpener({
+		endpointId: entry.id, peers, unreachable, clock, wait, waitIds: scheduling?.waitIds, onReceived: noteReceived, onResponse: noteResponse,
+	});
+
 	/**
 	 * Sends a command to the endpoint through a pool host; resolves with undefined where no status came.
 	 *
@@ -192,7 +173,8 @@
 
 	const startRemoteRead = (acquireRequest: AcquireRequest): SessionLink => {
 		const sessionLink = createRemoteRead({
-			endpointId: entry.id, acquireRequest, peers, unreachable, clock, getPoolHosts: () => getPoolHosts(acquireRequest.workspace), onReceived: noteReceived, onUnreachable: noteUnreachable,
+			endpointId: entry.id, acquireRequest, peers, unreachable, clock, getPoolHosts: () => getRemotePoolHosts(acquireRequest.workspace), onReceived: noteReceived, onUnreachable: noteUnreachable,
+			wait, waitIds: scheduling?.waitIds, onResponse: noteResponse,
 			runOnOwn: async (needed, request) => runOnOwn(acquireRequest, needed, request),
 		});
 		checkouts.set(sessionLink, {...sessionLink, release() {}}); // eslint-disable-line @typescript-eslint/no-empty-function
@@ -227,6 +209,22 @@
 		return undefined;
 	};
 
+	const singlePlace = createSinglePlaceAcquire({
+		ownPool, clock, unreachable, ownPeerAddress, getPoolHosts, checkOutAt, onUnreachable: noteUnreachable, onCheckedOut(checkout) {
+			checkouts.set(checkout, checkout);
+		},
+	});
+
+	/** Starts a read at the first of the pool hosts. Where that is this host itself, the read waits here, and goes to another one only where this host does not reach the endpoint. */
+	const acquireForRead = async (acquireRequest: AcquireRequest): Promise<SessionLink | undefined> => {
+		if (getPoolHosts(acquireRequest.workspace)[0] !== ownPeerAddress) {
+			return startRemoteRead(acquireRequest);
+		}
+
+		const own = await singlePlace.acquireOwn(acquireRequest);
+		return own === CheckoutRefusal.Unreachable ? startRemoteRead(acquireRequest) : (typeof own === 'object' ? own : undefined);
+	};
+
 	return {
 		target: ownPool.target,
 		get health() {
@@ -243,17 +241,18 @@
 		},
 		getLoad: now => ownPool.getLoad(now),
 		async acquire(acquireRequest) {
-			if (isPoolHost()) {
+			const isInOnePlace = scheduling !== undefined && poolHosts.isShared(entry);
+			if (isPoolHost() && !isInOnePlace) {
 				return ownPool.acquire(acquireRequest);
 			}
 
 			if (acquireRequest.read) {
-				return startRemoteRead(acquireRequest);
+				return isInOnePlace ? acquireForRead(acquireRequest) : startRemoteRead(acquireRequest);
 			}
 
 			waiting++;
 			try {
-				return await checkOut(acquireRequest);
+				return await (isInOnePlace ? singlePlace.acquire(acquireRequest) : checkOut(acquireRequest));
 			} finally {
 				waiting--;
 			}
@@ -292,15 +291,3 @@
 		},
 	};
 }
-
-function rank(addresses: readonly string[], workspace: NameHash): readonly string[] {
-	return addresses
-		.map(address => ({address, weight: getWeight(workspace, hashName(address))}))
-		.toSorted((left, right) => right.weight - left.weight)
-		.map(({address}) => address);
-}
-
-function rotate<T>(list: readonly T[], by: number): readonly T[] {
-	const at = list.length === 0 ? 0 : by % list.length;
-	return [...list.slice(at), ...list.slice(0, at)];
-}
--- a/src/gateway/acquire-link.ts
+++ b/src/gateway/acquire-link.ts
@@ -236,6 +236,7 @@
 		single: req.single ?? false,
 		read: req.reads ? {epoch: lease?.epoch} : undefined,
 		minPosition: lease?.start,
+		...(parts.isScheduled && {isWanted: req.isWanted}),
 	});
 	if (!sessionLink) {
 		return undefined;
--- a/src/gateway/gateway-parts.ts
+++ b/src/gateway/gateway-parts.ts
@@ -30,4 +30,6 @@
 	readonly rateLimiter: RateLimiter;
 	readonly availabilityZone: string;
 	readonly placement: ReadPlacement;
+	/** Whether statements are scheduled: a request for a connection then gives up its place once its caller has left. */
+	readonly isScheduled?: boolean;
 };
--- a/src/links/create-endpoint-pool.ts
+++ b/src/links/create-endpoint-pool.ts
@@ -310,7 +310,7 @@
 		waiters.push(waiter);
 		waiters.sort((left, right) => left.priority - right.priority || left.order - right.order);
 		// A request that waits at a silent endpoint may be served elsewhere, for example by the endpoint's successor.
-		while (!done && clock.now() < request.until && !retired && !health.getSuspicion(clock.now())) {
+		while (!done && clock.now() < request.until && request.isWanted?.() !== false && !retired && !health.getSuspicion(clock.now())) {
 			serveIdle();
 			openForWaiters();
 			await clock.sleep(Math.min(WAITER_POLL_INTERVAL_MS, request.until - clock.now()), alarm);
--- a/src/links/endpoint-pool.ts
+++ b/src/links/endpoint-pool.ts
@@ -30,6 +30,8 @@
 	readonly minPosition?: LogPosition;
 	/** Steady time by which the operation has to start to be within its latency target; undefined where it has none. */
 	readonly startBy?: number;
+	/** Returns whether somebody still waits for the connection; a request that nobody waits for gives up its place soon. By default somebody always does. */
+	isWanted?(): boolean;
 	/** Called, before the request resolves without a connection, where the pool knows at once that there will be none in time. */
 	onRefused?(refusal: QueueRefusal): void;
 };
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -16,10 +16,13 @@
 import {createEndpointDirectory, type EndpointDirectory} from '../links/endpoint-directory.js';
 import type {LinkOpener} from '../links/endpoint-link.js';
 import {EndpointZoneLayout} from '../connection-sharing/endpoint-zone-layout.js';
+import {createHostWatch} from '../connection-sharing/host-watch.js';
+import {createPoolHostLoads, type PoolHostLoads} from '../connection-sharing/pool-host-loads.js';
 import {createPoolHosts, type PoolHosts} from '../connection-sharing/pool-hosts.js';
 import {createCheckoutServer, type CheckoutServer} from '../connection-sharing/checkout-server.js';
 import {createSampleFetcher} from '../connection-sharing/sample-fetcher.js';
 import {createSharedPool} from '../connection-sharing/shared-pool.js';
+import {createWaitIds} from '../connection-sharing/wait-ids.js';
 import {SpreadLayout} from '../connection-sharing/spread-layout.js';
 import type {Log} from '../log/log.js';
 import {createUnreachableHosts} from '../membership/unreachable-hosts.js';
@@ -50,6 +53,7 @@
 		hostRegistration: HostRegistration;
 		endpointDirectory: EndpointDirectory;
 		poolHosts: PoolHosts;
+		poolHostLoads: PoolHostLoads;
 		rateLimiter: RateLimiter;
 		checkoutServer: CheckoutServer;
 		proxyMetrics: ProxyMetrics;
@@ -118,6 +122,9 @@
 		layout: scheduling ? new EndpointZoneLayout({poolHosts: scheduling.poolHosts, zoneRegions}) : new SpreadLayout(),
 	});
 	const unreachable = createUnreachableHosts();
+	const hostWatch = scheduling && createHostWatch({peers, clock});
+	const poolHostLoads = createPoolHostLoads();
+	const waitIds = createWaitIds(peers);
 	const directory = createEndpointDirectory({
 		mirror,
 		opener,
@@ -125,7 +132,9 @@
 		log,
 		getSharing: entry => ({hosts: poolHosts.countHosts(entry), isPoolHost: poolHosts.isPoolHost(entry)}),
 		sharePool: (entry, ownPool) => createSharedPool({
-			entry, ownPool, poolHosts, unreachable, peers, clock, ownPeerAddress: peerAddress,
+			entry, ownPool, poolHosts, unreachable, peers, clock, ownPeerAddress: peerAddress, scheduling: hostWatch && {
+				loads: poolHostLoads, hostWatch, waitIds, random,
+			},
 		}),
 		getMinPosition({id, group}) {
 			const record = mirror.state.leadership.get(group);
@@ -143,6 +152,7 @@
 		elapsedClock,
 		random,
 		log,
+		hostWatch,
 		getMaxIdleMs: () => getMaxTransactionIdleMs(mirror.state.routing),
 	});
 	const sampleFetcher = createSampleFetcher({
@@ -223,6 +233,7 @@
 		rateLimiter,
 		availabilityZone: parts.availabilityZone,
 		placement: parts.placement ?? new CostBasedPlacement(),
+		isScheduled: scheduling !== undefined,
 	});
 
 	mirror.onChange(() => {
@@ -231,7 +242,9 @@
 			knowledge.getSamples(record.group).applyTermStart(record);
 		}
 
-		knowledge.keepOnly(new Set(mirror.state.endpoints.map(({id}) => id)));
+		const endpointIds = new Set(mirror.state.endpoints.map(({id}) => id));
+		knowledge.keepOnly(endpointIds);
+		poolHostLoads.keepOnly(endpointIds);
 		void registration.ensureRegistered();
 	});
 
@@ -243,6 +256,7 @@
 	kernel.register('peers', peers);
 	kernel.register('endpointDirectory', directory);
 	kernel.register('poolHosts', poolHosts);
+	kernel.register('poolHostLoads', poolHostLoads);
 	kernel.register('checkoutServer', checkoutServer);
 	kernel.register('rateLimiter', rateLimiter);
 	kernel.register('primaryLeases', primaryLeases);
