Divide a concurrency budget of each endpoint among its pool hosts

Cause: no pool host knew what the others sent. Together they sent more than an endpoint executes and queues, and 23% of the statements that reached one were rejected.

The share is the congestion window of the pool.

--- a/src/links/endpoint-directory.ts
+++ b/src/links/endpoint-directory.ts
@@ -4,6 +4,7 @@
 import type {RegisteredEndpoint} from '../routes/routing.js';
 import type {LogPosition} from '../terms/log-position.js';
 import type {Clock} from '../time/clock.js';
+import type {CongestionWindow} from './congestion-window.js';
 import {createEndpointPool} from './create-endpoint-pool.js';
 import type {EndpointPool} from './endpoint-pool.js';
 import type {LinkOpener} from './endpoint-link.js';
@@ -36,6 +37,8 @@
 	readonly log: Log;
 	/** Returns how many hosts share the endpoint's connections, and whether this host is one of them. */
 	getSharing(entry: RegisteredEndpoint): Pick<LinkLimits, 'hosts' | 'isPoolHost'>;
+	/** Creates the window that bounds what this host has in flight at the endpoint; by default the pool's own. */
+	createWindow?(entry: RegisteredEndpoint): CongestionWindow;
 	/** Creates the pool that requests use on top of this host's own connections. */
 	sharePool(entry: RegisteredEndpoint, ownPool: EndpointPool): EndpointPool;
 	/** Returns the position that an endpoint's log holds at least in this incarnation, as far as this host knows. */
@@ -64,7 +67,7 @@
 };
 
 /** Creates an empty directory. */
-export function createEndpointDirectory({mirror, opener, clock, log: parentLog, getSharing, sharePool, getMinPosition}: EndpointDirectoryOptions): EndpointDirectory {
+export function createEndpointDirectory({mirror, opener, clock, log: parentLog, getSharing, createWindow, sharePool, getMinPosition}: EndpointDirectoryOptions): EndpointDirectory {
 	const log = parentLog.withPrefix('endpoints: ');
 	const tracked = new Map<string, TrackedEndpoint>();
 	/** Cache of endpoints by group, filled on demand since the last update: each read asks for a list, and a fleet has thousands of endpoints. */
@@ -79,6 +82,7 @@
 			getMinPosition: () => getMinPosition(entry),
 			clock,
 			log,
+			window: createWindow?.(entry),
 			getLimits: () => ({
 				maxConnections: mirror.state.routing?.groups.get(entry.group)?.maxConnections ?? DEFAULT_MAX_CONNECTIONS,
 				...getSharing(entry),
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -13,6 +13,7 @@
 import {createHostRegistration, type HostRegistration} from '../leadership/register-host.js';
 import {replacePrimary} from '../leadership/replace-primary.js';
 import {createStoreRestores} from '../leadership/store-restores.js';
+import {createEndpointRooms, type EndpointRooms} from '../endpoint-room/endpoint-rooms.js';
 import {createEndpointDirectory, type EndpointDirectory} from '../links/endpoint-directory.js';
 import type {LinkOpener} from '../links/endpoint-link.js';
 import {EndpointZoneLayout} from '../connection-sharing/endpoint-zone-layout.js';
@@ -54,6 +55,8 @@
 		endpointDirectory: EndpointDirectory;
 		poolHosts: PoolHosts;
 		poolHostLoads: PoolHostLoads;
+		/** Registered with scheduling only. */
+		endpointRooms: EndpointRooms;
 		rateLimiter: RateLimiter;
 		checkoutServer: CheckoutServer;
 		proxyMetrics: ProxyMetrics;
@@ -125,12 +128,16 @@
 	const hostWatch = scheduling && createHostWatch({peers, clock});
 	const poolHostLoads = createPoolHostLoads();
 	const waitIds = createWaitIds(peers);
-	const directory = createEndpointDirectory({
+	const endpointRooms = scheduling && createEndpointRooms({
+		poolHosts, peers, clock, log, ownPeerAddress: peerAddress, roomFactor: scheduling.roomFactor, getEndpoint: endpointId => directory.get(endpointId),
+	});
+	const directory: EndpointDirectory = createEndpointDirectory({
 		mirror,
 		opener,
 		clock,
 		log,
 		getSharing: entry => ({hosts: poolHosts.countHosts(entry), isPoolHost: poolHosts.isPoolHost(entry)}),
+		createWindow: endpointRooms?.createWindow,
 		sharePool: (entry, ownPool) => createSharedPool({
 			entry, ownPool, poolHosts, unreachable, peers, clock, ownPeerAddress: peerAddress, scheduling: hostWatch && {
 				loads: poolHostLoads, hostWatch, waitIds, random,
@@ -256,6 +263,10 @@
 	kernel.register('peers', peers);
 	kernel.register('endpointDirectory', directory);
 	kernel.register('poolHosts', poolHosts);
+	if (endpointRooms) {
+		kernel.register('endpointRooms', endpointRooms);
+	}
+
 	kernel.register('poolHostLoads', poolHostLoads);
 	kernel.register('checkoutServer', checkoutServer);
 	kernel.register('rateLimiter', rateLimiter);
