--- a/src/endpoint-room/endpoint-rooms.ts
+++ b/src/endpoint-room/endpoint-rooms.ts
@@ -218,7 +218,7 @@
 		const until = sentAt + (everyMs * GRANT_INTERVALS);
 		if (allocator === ownPeerAddress) {
 			room.reports.note(ownPeerAddress, {...demand, everyMs}, sentAt);
-			room.share.noteGranted(ownPeerAddress, room.reports.getShare(ownPeerAddress, addresses, room.total, sentAt), until);
+			room.share.noteGranted(room.reports.getShare(ownPeerAddress, addresses, room.total, sentAt), until);
 			return;
 		}
 
@@ -226,7 +226,7 @@
 		if (limit === undefined) {
 			noteFailed(room, allocator, sentAt);
 		} else {
-			room.share.noteGranted(allocator, limit, until);
+			room.share.noteGranted(limit, until);
 		}
 	};
 
--- a/src/endpoint-room/room-share.ts
+++ b/src/endpoint-room/room-share.ts
@@ -9,7 +9,7 @@
 	/** Returns a pool host ranked before the allocator that was skipped and is due to be asked whether it responds again; undefined where there is none. */
 	takeProbe(poolHosts: readonly string[], now: number): string | undefined;
 	/** Notes a grant in response to a report, in force until the steady time `until`. */
-	noteGranted(allocator: string, limit: number, until: number): void;
+	noteGranted(limit: number, until: number): void;
 	/** Notes that a report got no response; returns whether the allocator is skipped from now on. */
 	noteFailed(allocator: string, now: number): boolean;
 	/** Notes that a skipped pool host responded to a probe; it is no longer skipped. */
@@ -65,7 +65,7 @@
 
 			return undefined;
 		},
-		noteGranted(_allocator, limit, until) {
+		noteGranted(limit, until) {
 			grant = {limit, until};
 			failures = 0;
 		},
