Test scheduled statements under load and under each failure of pool hosts

Cause: the parts of the concurrency budget and of the waits were tested without proxies.

Change: a test of 48 callers with and without scheduling, and one for each failure: pool hosts killed, without power, frozen, cut off from the endpoint or from all hosts, stopping, all three lost, the store down. A request no longer waits at a pool host to which the endpoint has not responded for 250 ms.

--- a/src/connection-sharing/remote-read.ts
+++ b/src/connection-sharing/remote-read.ts
@@ -14,6 +14,7 @@
 import {createCloseState} from './close-state.js';
 import {createPendingSession} from './pending-session.js';
 import type {PoolHostWait} from './pool-host-wait.js';
+import {REFUSED_RETRY_DELAY_MS} from './single-place-acquire.js';
 import {TurnWait} from './turn-wait.js';
 import type {WaitIds} from './wait-ids.js';
 
@@ -152,6 +153,11 @@
 			if (run === undefined && (!waitIds || isWanted())) {
 				return await options.runOnOwn(neededNow, request) ?? DID_NOT_RUN;
 			}
+
+			if (waitIds) {
+				// Each pool host refused before the read's time was over.
+				await clock.sleep(Math.max(0, Math.min(REFUSED_RETRY_DELAY_MS, acquireRequest.until - clock.now())));
+			}
 		} while (isWanted() && clock.now() < acquireRequest.until);
 
 		return DID_NOT_RUN;
--- a/src/connection-sharing/single-place-acquire.ts
+++ b/src/connection-sharing/single-place-acquire.ts
@@ -35,8 +35,8 @@
  */
 export const OWN_WAIT_MS = POOL_HOST_WAIT_MS;
 
-/** Pause before pool hosts are asked again that all refused before the request's time was over, in milliseconds. */
-const REFUSED_RETRY_DELAY_MS = 20;
+/** Pause before pool hosts are asked again that all refused before the request's time was over, in milliseconds: the endpoint responds to none of them for the moment. */
+export const REFUSED_RETRY_DELAY_MS = 100;
 
 /** Creates it for one endpoint. */
 export function createSinglePlaceAcquire(options: SinglePlaceAcquireOptions): SinglePlaceAcquire {
--- a/src/connection-sharing/waiting-places.ts
+++ b/src/connection-sharing/waiting-places.ts
@@ -26,6 +26,13 @@
 	readonly hostWatch?: HostWatch;
 };
 
+/**
+ * Time without anything from the endpoint, while a request there waits for its answer, after which requests no longer wait in this host's pool, in milliseconds. Guards against requests that wait
+ * at a pool host which alone is cut off from the endpoint: it suspects the endpoint only after 700 ms, when most of them have no time left for another pool host. It is longer than a single
+ * statement usually takes, since a request that leaves loses its place in the queue.
+ */
+const STALLED_AFTER_MS = 250;
+
 /** Creates places of which none is taken. */
 export function createWaitingPlaces({clock, hostWatch}: WaitingPlacesOptions): WaitingPlaces {
 	const abandonments = new Map<string, () => void>();
@@ -33,10 +40,15 @@
 	const getKey = (waitId: string, remoteHost: string) => `${remoteHost} ${waitId}`;
 
 	/**
-	 * Waits until the remote host is found to have failed, or says that it no longer waits. Guards against places that are kept for nobody: a connection would be
+	 * Waits until the remote host is found to have failed, or says that it no longer waits, or the endpoint does not respond here. Guards against places that are kept for nobody: a connection would be
 	 * acquired, and possibly opened, for each of them, while requests behind them wait.
 	 */
 	const waitWatched = async (pool: EndpointPool, request: CheckoutRequest, remoteHost: string, watch: HostWatch): Promise<WaitResult> => {
+		const isStalled = () => clock.now() - (pool.health.awaitingSince ?? Number.POSITIVE_INFINITY) > STALLED_AFTER_MS;
+		if (isStalled()) {
+			return {};
+		}
+
 		const key = request.waitId === undefined ? undefined : getKey(request.waitId, remoteHost);
 		let isOver = false;
 		const result = new Promise<WaitResult>((resolve, reject) => {
@@ -73,6 +85,7 @@
 		});
 		watch.noteHeard(remoteHost);
 		const watched = await watch.watch(remoteHost, result, {
+			isWanted: () => !isStalled(),
 			onEnded() {
 				isOver = true;
 			},
--- a/tests/connection-sharing/single-place-tests.ts
+++ b/tests/connection-sharing/single-place-tests.ts
@@ -138,6 +138,7 @@
 		let released = 0;
 		let isWanted: (() => boolean) | undefined;
 		const pool = {
+			health: {awaitingSince: undefined},
 			async acquire(request: AcquireRequest) {
 				isWanted = request.isWanted;
 				await clock.sleep(2000);
--- a/tests/proxy/scheduling-tests.ts
+++ b/tests/proxy/scheduling-tests.ts
@@ -83,32 +83,129 @@
 	};
 }
 
+/** A failure of pool hosts, and what callers may observe while it begins. */
+type Failure = {
+	fail(bench: ProxyBench, poolHosts: readonly SimulatedProxy[]): void;
+	/** Maximum number of statements that are refused, or whose outcome is unknown; none unless it is defined. */
+	readonly mostLost?: number;
+	/** Whether the endpoint may get more than the budget afterwards, since hosts use connections of their own until the list of hosts has changed. */
+	readonly mayExceed?: boolean;
+};
+
+const cutFromHosts = ({system, proxies}: ProxyBench, cut: SimulatedProxy) => {
+	for (const {peerAddress} of proxies.filter(proxy => proxy !== cut)) {
+		system.network.setFaultsBetween(cut.peerAddress, peerAddress, {cut: true});
+	}
+};
+
+/** By what happens; the first pool host is the allocator of the budget. */
+const FAILURES: Readonly<Record<string, Failure>> = {
+	'the allocator is killed': {
+		fail({system}, [first]) {
+			system.kill(first!);
+		},
+		mostLost: 2,
+	},
+	'another pool host is killed': {
+		fail({system}, poolHosts) {
+			system.kill(poolHosts[2]!);
+		},
+		mostLost: 2,
+	},
+	'a pool host loses power': {
+		fail({system}, [first]) {
+			system.powerOff(first!);
+		},
+		mostLost: 2,
+	},
+	// 4 requests of other hosts' callers have waited there for so long that no time is left for another pool host.
+	'a pool host is frozen': {
+		fail({system}, [first]) {
+			system.suspend(first!);
+		},
+		mostLost: 4,
+	},
+	// A third of the callers wait at that pool host until it finds that the endpoint does not respond to it.
+	'a pool host is cut off from the endpoint only': {
+		fail({getPrimary}, [first]) {
+			first!.cutFrom.add(getPrimary().id);
+		},
+		mostLost: 12,
+	},
+	'a pool host is cut off from all other hosts': {
+		fail(bench, [first]) {
+			cutFromHosts(bench, first!);
+		},
+		mostLost: 4,
+	},
+	'a pool host is stopping': {
+		fail(_bench, [first]) {
+			first!.kernel.getOrThrow('checkoutServer').retire();
+		},
+	},
+	'all pool hosts are killed at once': {
+		fail({system}, poolHosts) {
+			for (const poolHost of poolHosts) {
+				system.kill(poolHost);
+			}
+		},
+		mostLost: 6,
+		mayExceed: true,
+	},
+	'the store is down and the allocator is killed': {
+		fail({system}, [first]) {
+			system.store.setFaults(undefined, {refused: true});
+			system.kill(first!);
+		},
+		mostLost: 2,
+	},
+};
+
 describe('statements that are scheduled over all hosts', () => {
-	it('explore', async function () {
-		this.timeout(60000);
-		const faults: Record<string, (bench: ProxyBench, poolHosts: SimulatedProxy[]) => void> = {
-			none() {},
-			killed({system}, [a]) { system.kill(a!); },
-			power({system}, [a]) { system.powerOff(a!); },
-			last({system}, [, , c]) { system.kill(c!); },
-			frozen({system}, [a]) { system.suspend(a!); },
-			cutEndpoint({getPrimary}, [a]) { a!.cutFrom.add(getPrimary().id); },
-			cutHosts({system, proxies}, [a]) { for (const p of proxies) if (p !== a) system.network.setFaultsBetween(a!.peerAddress, p.peerAddress, {cut: true}); },
-			stopping(_, [a]) { a!.kernel.getOrThrow('checkoutServer').retire(); },
-			all({system}, hosts) { for (const p of hosts) system.kill(p); },
-			storeDown({system}, [a]) { system.store.setFaults(undefined, {refused: true}); system.kill(a!); },
-		};
-		for (const [name, fault] of Object.entries(faults)) {
+	/**
+	 * 48 callers at twelve hosts send to a primary that runs 4 statements at once. Without a common budget its queue holds as many statements as it has connections, in order of arrival. With
+	 * one they wait at the pool hosts, where they can be ordered, and as many are served.
+	 */
+	it('are in flight at an endpoint in the number that it runs, and are served as fast', async () => {
+		const served: number[] = [];
+		for (const features of [{}, FEATURES]) {
+			const bench = await createFleet(features);
+			const load = await startLoad(bench, bench.proxies);
+			await load.observe(500);
+			const {done, outcomes, maxInFlight, overMs} = await load.observe(2000);
+			await load.stop();
+			served.push(done);
+			expect(Object.keys(outcomes)).to.deep.equal(['done']);
+			expect(features.scheduling ? maxInFlight <= TOTAL_ROOM && overMs === 0 : maxInFlight > TOTAL_ROOM).to.equal(true);
+		}
+
+		expect(served[1]).to.be.at.least(served[0]! * 0.97);
+	});
+
+	for (const [name, {fail, mostLost = 0, mayExceed = false}] of Object.entries(FAILURES)) {
+		/**
+		 * Guards against callers of healthy hosts that are refused, or wait, for longer than the failure takes to be noticed, against places of the budget that stay with a pool host which has
+		 * failed, and against an endpoint that gets more than its budget because two hosts allocate it.
+		 */
+		it(`are served through the other pool hosts where ${name}`, async () => {
 			const bench = await createFleet();
 			const poolHosts = getPoolHosts(bench);
-			const l = await startLoad(bench, bench.proxies.filter(p => !poolHosts.includes(p)));
-			const before = await l.observe(1000);
-			fault(bench, poolHosts);
-			const during = await l.observe(1500);
-			const after = await l.observe(1000);
-			console.log(name, before, during, after, getPoolHosts(bench).map(p => [p.name, ...(p.kernel.get('endpointRooms')?.list() ?? []).map(x => `${x.endpointId} ${x.limit} ${x.isGranted} ${x.isAllocator}`)].join(' ')));
+			expect(poolHosts.map(({availabilityZone}) => availabilityZone)).to.deep.equal(['zone-0', 'zone-0', 'zone-0']);
+			const load = await startLoad(bench, bench.proxies.filter(proxy => !poolHosts.includes(proxy)));
+			await load.observe(500);
+			const before = await load.observe(1000);
+			fail(bench, poolHosts);
+			const during = await load.observe(1200);
+			const after = await load.observe(1000);
 			bench.system.resume(poolHosts[0]!);
-			await l.stop();
-		}
-	});
+			await load.stop();
+			const {done, ...lost} = during.outcomes;
+			expect(Object.values(lost).reduce((sum, count) => sum + count, 0), JSON.stringify(lost)).to.be.at.most(mostLost);
+			expect(Object.keys(after.outcomes)).to.deep.equal(['done']);
+			// One place of the budget stays with a pool host that is listed but silent.
+			expect(after.done).to.be.at.least(before.done * 0.9);
+			expect(after.maxMs).to.be.at.most(200);
+			expect(mayExceed || (during.overMs <= 100 && after.overMs === 0), `${during.overMs} ${after.overMs}`).to.equal(true);
+		});
+	}
 });
