Show the concurrency budgets in the metrics

Cause: an operator could not see the limit of a host, who allocates it, and takeovers.

Change: gauges of the budget, the share and the allocator by endpoint, and a counter of allocators that did not respond.

Result: 20 tests of src/endpoint-room pass.

--- a/src/endpoint-room/endpoint-rooms.ts
+++ b/src/endpoint-room/endpoint-rooms.ts
@@ -21,8 +21,6 @@
 	createWindow(entry: RegisteredEndpoint): CongestionWindow;
 	/** Returns the state of each budget of which this host has used a share. */
 	list(): readonly RoomState[];
-	/** Number of times that this host has turned to another allocator, because the earlier one did not respond. */
-	readonly takeovers: number;
 	stop(): Promise<void>;
 };
 
@@ -49,6 +47,8 @@
 	/** Budget of an endpoint as a multiple of its slots. */
 	readonly roomFactor: number;
 	getEndpoint(endpointId: string): KnownEndpoint | undefined;
+	/** Called where an allocator does not respond, so that the next pool host is asked. */
+	onTakeover(): void;
 };
 
 /** Timeout for a report, in milliseconds: it is over before the next report is due. */
@@ -83,11 +83,10 @@
 };
 
 /** Creates the budgets; nothing is sent for an endpoint at which this host has no work. */
-export function createEndpointRooms({poolHosts, peers, clock, log: parentLog, ownPeerAddress, roomFactor, getEndpoint}: EndpointRoomsOptions): EndpointRooms {
+export function createEndpointRooms({poolHosts, peers, clock, log: parentLog, ownPeerAddress, roomFactor, getEndpoint, onTakeover}: EndpointRoomsOptions): EndpointRooms {
 	const log = parentLog.withPrefix('room: ');
 	const rooms = new Map<string, Room>();
 	const reporting = new Set<Room>();
-	let takeovers = 0;
 
 	const dropRemoved = () => {
 		for (const [endpointId, room] of rooms) {
@@ -181,7 +180,7 @@
 		const now = clock.now();
 		const isSkipped = room.share.noteFailed(allocator, now);
 		if (isSkipped) {
-			takeovers++;
+			onTakeover();
 			log.warn('the allocator of the budget of an endpoint does not respond', {
 				endpoint: room.entry.id, allocator, equalShare: getEqualShare(room.entry),
 			});
@@ -334,9 +333,6 @@
 				isAllocator: room.share.getAllocator(getAddresses(room)) === ownPeerAddress,
 			}));
 		},
-		get takeovers() {
-			return takeovers;
-		},
 		async stop() {
 			reporting.clear();
 			timer.stop();
--- a/src/gateway/prom-gateway-metrics.ts
+++ b/src/gateway/prom-gateway-metrics.ts
@@ -1,6 +1,7 @@
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
+import type {RoomState} from '../endpoint-room/endpoint-rooms.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 
 /** The gateway's metrics, those of the rest of the proxy, and their rendering as text. */
@@ -14,6 +15,10 @@
 	/** Sets the gauges whose values are read at each scrape. */
 	setState(state: {readonly confirmationAgeSeconds: number; readonly routingVersion: number; readonly hosts: number}): void;
 	setPool(endpoint: string, open: number, inUse: number, waiting: number): void;
+	/** Sets the state of the concurrency budgets of which this host has a share; those of all other endpoints are removed. */
+	setRooms(rooms: readonly RoomState[]): void;
+	/** Counts that the allocator of a budget did not respond, so that the next pool host was asked. */
+	countRoomTakeover(): void;
 	render(): Promise<string>;
 	readonly contentType: string;
 };
@@ -60,6 +65,18 @@
 	const poolLinks = new Gauge({
 		name: 'aldercroft_endpoint_links', help: 'Connections to endpoints, and requests that wait for one', labelNames: ['endpoint', 'state'], registers,
 	});
+	const roomPlaces = new Gauge({
+		name: 'aldercroft_endpoint_room',
+		help: 'Statements that may be in flight at an endpoint: over all hosts, of this host, and whether that was granted to it',
+		labelNames: ['endpoint', 'kind'],
+		registers,
+	});
+	const roomAllocators = new Gauge({
+		name: 'aldercroft_endpoint_room_allocator', help: 'Whether this host allocates the concurrency budget of the endpoint', labelNames: ['endpoint'], registers,
+	});
+	const roomTakeovers = new Counter({
+		name: 'aldercroft_endpoint_room_takeovers_total', help: 'Allocators of concurrency budgets that did not respond, so that the next pool host was asked', registers,
+	});
 
 	return {
 		observeStatement(kind, outcome, seconds) {
@@ -100,6 +117,19 @@
 			poolLinks.set({endpoint, state: 'lent'}, inUse);
 			poolLinks.set({endpoint, state: 'waiting'}, waiting);
 		},
+		setRooms(rooms) {
+			roomPlaces.reset();
+			roomAllocators.reset();
+			for (const {endpointId: endpoint, total, limit, isGranted, isAllocator} of rooms) {
+				roomPlaces.set({endpoint, kind: 'total'}, total);
+				roomPlaces.set({endpoint, kind: 'limit'}, limit);
+				roomPlaces.set({endpoint, kind: 'granted'}, isGranted ? 1 : 0);
+				roomAllocators.set({endpoint}, isAllocator ? 1 : 0);
+			}
+		},
+		countRoomTakeover() {
+			roomTakeovers.inc();
+		},
 		render: async () => registry.metrics(),
 		contentType: registry.contentType,
 	};
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -129,7 +129,7 @@
 	const poolHostLoads = createPoolHostLoads();
 	const waitIds = createWaitIds(peers);
 	const endpointRooms = scheduling && createEndpointRooms({
-		poolHosts, peers, clock, log, ownPeerAddress: peerAddress, roomFactor: scheduling.roomFactor, getEndpoint: endpointId => directory.get(endpointId),
+		poolHosts, peers, clock, log, ownPeerAddress: peerAddress, roomFactor: scheduling.roomFactor, getEndpoint: endpointId => directory.get(endpointId), onTakeover: metrics.countRoomTakeover,
 	});
 	const directory: EndpointDirectory = createEndpointDirectory({
 		mirror,
--- a/src/proxy/run-proxy.ts
+++ b/src/proxy/run-proxy.ts
@@ -150,6 +150,7 @@
 		routingVersion: mirror.state.routing?.version ?? 0,
 		hosts: mirror.state.hosts.length,
 	});
+	metrics.setRooms(kernel.get('endpointRooms')?.list() ?? []);
 	for (const {entry, pool} of mirror.state.endpoints.map(({id}) => directory.get(id)).filter(endpoint => endpoint !== undefined)) {
 		metrics.setPool(entry.id, pool.open, pool.inUse, pool.waiting);
 	}
--- a/tests/endpoint-room/endpoint-rooms-tests.ts
+++ b/tests/endpoint-room/endpoint-rooms-tests.ts
@@ -19,6 +19,7 @@
 	const hosts = ADDRESSES.map(peerAddress => ({name: peerAddress, peerAddress, availabilityZone: 'zone-0'}));
 	const members = ADDRESSES.map(address => {
 		const load = {inFlight: 0, queued: 0};
+		let takeovers = 0;
 		const peers = network.addHost(address);
 		const rooms = createEndpointRooms({
 			poolHosts: {
@@ -35,9 +36,12 @@
 			ownPeerAddress: address,
 			roomFactor: 1.5,
 			getEndpoint: () => ({entry: ENTRY, ownPool: {getLoad: () => load}}),
+			onTakeover() {
+				takeovers++;
+			},
 		} as unknown as EndpointRoomsOptions);
 		return {
-			address, load, rooms, window: rooms.createWindow(ENTRY as never),
+			address, load, rooms, window: rooms.createWindow(ENTRY as never), getTakeovers: () => takeovers,
 		};
 	});
 
@@ -116,7 +120,7 @@
 			await bench.clock.advance(305);
 			// The places of the former allocator, but one, go to those that report.
 			expect(bench.getSizes().slice(1)).to.deep.equal([7, 1]);
-			expect(bench.members.map(({rooms}) => rooms.takeovers).slice(1)).to.deep.equal([1, 1]);
+			expect(bench.members.map(({getTakeovers}) => getTakeovers()).slice(1)).to.deep.equal([1, 1]);
 		});
 	}
 
