Watch a primary from outside the zone of its pool hosts

Cause: pool hosts alone watch a primary. With scheduling they are all in its zone, so that a failure of the zone left no host that watches: while the entry of the lost primary stayed in the store no successor came within 12 s, and where the entry had gone it came 2 s later than without scheduling (6.9 s against 4.85 s).

Change: MonitorLayout adds one host more than there are pool hosts, in other zones. They send their heartbeats through the pool hosts and, after 100 ms, on a connection of their own.

--- a/src/connection-sharing/shared-pool.ts
+++ b/src/connection-sharing/shared-pool.ts
@@ -1,6 +1,7 @@
 import {createEndpointHealth, Suspicion, type EndpointHealth} from '../links/endpoint-health.js';
 import type {EndpointCommand, EndpointRequest, EndpointStatus} from '../links/endpoint-link.js';
 import type {EndpointPool, AcquireRequest} from '../links/endpoint-pool.js';
+import {throwUnexpectedAnswer} from '../links/link-errors.js';
 import type {SessionLink} from '../links/link-session.js';
 import type {UnreachableHosts} from '../membership/unreachable-hosts.js';
 import {isPeerError} from '../peers/peer-errors.js';
@@ -8,6 +9,7 @@
 import type {Random} from '../random/random.js';
 import type {RegisteredEndpoint} from '../routes/routing.js';
 import type {Clock} from '../time/clock.js';
+import {withinMs} from '../time/deadline.js';
 import {CheckoutRefusal, type CheckoutExchange, type CheckoutLoad} from './checkout-calls.js';
 import {createCheckoutOpener, type CheckoutResult} from './checkout-opener.js';
 import type {HostWatch} from './host-watch.js';
@@ -48,6 +50,9 @@
 	readonly random: Random;
 };
 
+/** Time after which a command that no pool host has answered is sent on a connection of this host's own as well, in milliseconds: some round trips between regions. */
+const COMMAND_HEDGE_DELAY_MS = 100;
+
 /** An endpoint that no pool host reaches is suspected for this long, in milliseconds; then pool hosts are asked again. */
 const UNREACHABLE_RETRY_DELAY_MS = 250;
 
@@ -60,6 +65,7 @@
 export function createSharedPool({entry, ownPool, poolHosts, unreachable, peers, clock, ownPeerAddress, scheduling}: SharedPoolOptions): EndpointPool {
 	const checkouts = new Map<SessionLink, RemoteLink>();
 	const received = createEndpointHealth();
+	const createdAt = clock.now();
 	let unreachableUntil = Number.NEGATIVE_INFINITY;
 	let waiting = 0;
 	const order: PoolHostOrder = scheduling
@@ -74,7 +80,8 @@
 	const sharedHealth: EndpointHealth = {
 		...received,
 		get lastReceivedAt() {
-			return received.lastReceivedAt;
+			// A host that watches the primary without connections to it sends a heartbeat through the pool hosts also where it has had no other traffic.
+			return received.lastReceivedAt ?? (scheduling && createdAt);
 		},
 		get awaitingSince() {
 			return undefined;
@@ -87,6 +94,10 @@
 		received.noteReceived(clock.now());
 	};
 
+	const noteUnreachable = () => {
+		unreachableUntil = clock.now() + UNREACHABLE_RETRY_DELAY_MS;
+	};
+
 	const getPoolHosts = (workspace: string | undefined) => order.getAddresses(poolHosts.getHosts(entry), workspace, clock.now());
 
 	const getRemotePoolHosts = (workspace: string | undefined) => {
@@ -125,6 +136,47 @@
 		}
 	};
 
+	const sendCommandViaAny = async (command: EndpointCommand, until: number): Promise<EndpointStatus | undefined> => {
+		for (const poolHost of getPoolHosts(undefined)) {
+			const status = await sendCommandVia(poolHost, command, Math.min(POOL_HOST_WAIT_MS + POOL_HOST_ROUND_TRIP_MS, until - clock.now()));
+			if (status) {
+				noteReceived();
+				return status;
+			}
+		}
+
+		return undefined;
+	};
+
+	/**
+	 * Sends a command through the pool hosts and, where none has responded soon, on a connection of this host's own as well. Guards against a primary that is taken for lost because its
+	 * pool hosts, which are few and in one zone, are frozen or without power.
+	 */
+	const sendCommandHedged = async (command: EndpointCommand, until: number): Promise<EndpointStatus> => {
+		const viaPoolHosts = sendCommandViaAny(command, until);
+		const first = await withinMs(clock, Math.min(COMMAND_HEDGE_DELAY_MS, until - clock.now()), viaPoolHosts);
+		if (!first.timedOut && first.value) {
+			return first.value;
+		}
+
+		const own = ownPool.sendCommand(command, Math.max(1, until - clock.now())).then(status => {
+			noteReceived();
+			return status;
+		});
+		const either = Promise.any([own, viaPoolHosts.then(status => status ?? throwUnexpectedAnswer(entry.id, command.kind))]);
+		try {
+			const {timedOut} = await withinMs(clock, until - clock.now(), either);
+			if (timedOut) {
+				noteUnreachable();
+			}
+
+			return await either;
+		} catch {
+			noteUnreachable();
+			return own;
+		}
+	};
+
 	/**
 	 * Asks each pool host once, up to the first that grants a checkout. Where none does, resolves with `Busy` if one of them was busy, else with the first reason of those that refused, or
 	 * with undefined where none gave one; a stopping pool host counts as one that did not answer.
@@ -152,10 +204,6 @@
 		return refusal;
 	};
 
-	const noteUnreachable = () => {
-		unreachableUntil = clock.now() + UNREACHABLE_RETRY_DELAY_MS;
-	};
-
 	/** Runs a read on a connection of this host; resolves with undefined where none came free. */
 	const runOnOwn = async (acquireRequest: AcquireRequest, needed: CheckoutExchange['needed'], request: EndpointRequest) => {
 		const own = await ownPool.acquire({...acquireRequest, until: Math.min(acquireRequest.until, clock.now() + OWN_WAIT_MS)});
@@ -273,15 +321,11 @@
 			}
 
 			const until = clock.now() + timeoutMs;
-			for (const poolHost of getPoolHosts(undefined)) {
-				const status = await sendCommandVia(poolHost, command, Math.min(POOL_HOST_WAIT_MS + POOL_HOST_ROUND_TRIP_MS, until - clock.now()));
-				if (status) {
-					noteReceived();
-					return status;
-				}
+			if (scheduling) {
+				return sendCommandHedged(command, until);
 			}
 
-			return ownPool.sendCommand(command, Math.max(1, until - clock.now()));
+			return await sendCommandViaAny(command, until) ?? ownPool.sendCommand(command, Math.max(1, until - clock.now()));
 		},
 		maintain() {
 			ownPool.maintain();
--- a/src/connection-sharing/single-place-acquire.ts
+++ b/src/connection-sharing/single-place-acquire.ts
@@ -124,6 +124,10 @@
 				const until = Math.min(acquireRequest.until, clock.now() + OWN_WAIT_MS);
 				const own = await ownPool.acquire({...acquireRequest, until});
 				// The own pool gives up before the deadline where it suspects the endpoint.
+				if (own === undefined && clock.now() < until) {
+					onUnreachable();
+				}
+
 				if (own !== undefined || clock.now() < until) {
 					return own;
 				}
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -18,6 +18,7 @@
 import type {LinkOpener} from '../links/endpoint-link.js';
 import {EndpointZoneLayout} from '../connection-sharing/endpoint-zone-layout.js';
 import {createHostWatch} from '../connection-sharing/host-watch.js';
+import {MonitorLayout} from '../connection-sharing/monitor-layout.js';
 import {createPoolHostLoads, type PoolHostLoads} from '../connection-sharing/pool-host-loads.js';
 import {createPoolHosts, type PoolHosts} from '../connection-sharing/pool-hosts.js';
 import {createCheckoutServer, type CheckoutServer} from '../connection-sharing/checkout-server.js';
@@ -118,12 +119,15 @@
 	const primaryWork = createPrimaryWork(clock);
 	const cutOffs = createCutOffs();
 	const {scheduling, zoneRegions} = parts.features ?? {};
+	const layout = scheduling ? new EndpointZoneLayout({poolHosts: scheduling.poolHosts, zoneRegions}) : new SpreadLayout();
 	const poolHosts = createPoolHosts({
-		mirror,
-		hostName,
-		availabilityZone: parts.availabilityZone,
-		layout: scheduling ? new EndpointZoneLayout({poolHosts: scheduling.poolHosts, zoneRegions}) : new SpreadLayout(),
+		mirror, hostName, availabilityZone: parts.availabilityZone, layout,
 	});
+	const monitors = scheduling
+		? createPoolHosts({
+			mirror, hostName, availabilityZone: parts.availabilityZone, layout: new MonitorLayout(new EndpointZoneLayout({poolHosts: scheduling.poolHosts, zoneRegions})),
+		})
+		: poolHosts;
 	const unreachable = createUnreachableHosts();
 	const hostWatch = scheduling && createHostWatch({peers, clock});
 	const poolHostLoads = createPoolHostLoads();
@@ -188,7 +192,7 @@
 		store,
 		mirror,
 		directory,
-		poolHosts,
+		poolHosts: monitors,
 		primaryLeases,
 		primaryWork,
 		cutOffs,
--- a/tests/proxy/scheduling-tests.ts
+++ b/tests/proxy/scheduling-tests.ts
@@ -83,6 +83,9 @@
 	};
 }
 
+/** Time within which a new primary is promoted after its zone has failed, in milliseconds. */
+const MAX_ZONE_LOSS_MS = 5500;
+
 /** A failure of pool hosts, and what callers may observe while it begins. */
 type Failure = {
 	fail(bench: ProxyBench, poolHosts: readonly SimulatedProxy[]): void;
@@ -208,4 +211,36 @@
 			expect(mayExceed || (during.overMs <= 100 && after.overMs === 0), `${during.overMs} ${after.overMs}`).to.equal(true);
 		});
 	}
+
+	/**
+	 * A zone fails with the primary, all its pool hosts and all other hosts there. The hosts that have seen the primary last are gone; if only pool hosts watched it, it would be replaced once
+	 * they had been removed from the list of hosts, some 6 s later.
+	 */
+	it('get a new primary soon where the zone of the primary and of its pool hosts fails', async () => {
+		const bench = await createFleet();
+		const lost = bench.getPrimary();
+		for (const proxy of bench.proxies.filter(({availabilityZone}) => availabilityZone === lost.availabilityZone)) {
+			bench.system.powerOff(proxy);
+		}
+
+		bench.group.crash(lost);
+		const failedAt = bench.clock.now();
+		while (bench.getPrimary() === lost && bench.clock.now() - failedAt < 12_000) {
+			await bench.clock.advance(50);
+		}
+
+		expect(bench.clock.now() - failedAt).to.be.at.most(MAX_ZONE_LOSS_MS);
+	});
+
+	/** The three pool hosts of a healthy primary are frozen together. The hosts that watch it would take it for lost if they observed it through its pool hosts only. */
+	it('keep their primary where all its pool hosts are frozen', async () => {
+		const bench = await createFleet();
+		const primary = bench.getPrimary();
+		for (const poolHost of getPoolHosts(bench)) {
+			bench.system.suspend(poolHost);
+		}
+
+		await bench.clock.advance(6000);
+		expect([bench.getPrimary(), bench.system.orders.length]).to.deep.equal([primary, 0]);
+	});
 });
