--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -13,12 +13,19 @@
 import {createHostRegistration, type HostRegistration} from '../leadership/register-host.js';
 import {replacePrimary} from '../leadership/replace-primary.js';
 import {createStoreRestores} from '../leadership/store-restores.js';
+import {createEndpointRooms, type EndpointRooms} from '../endpoint-room/endpoint-rooms.js';
 import {createEndpointDirectory, type EndpointDirectory} from '../links/endpoint-directory.js';
 import type {LinkOpener} from '../links/endpoint-link.js';
+import {EndpointZoneLayout} from '../connection-sharing/endpoint-zone-layout.js';
+import {createHostWatch} from '../connection-sharing/host-watch.js';
+import {MonitorLayout} from '../connection-sharing/monitor-layout.js';
+import {createPoolHostLoads, type PoolHostLoads} from '../connection-sharing/pool-host-loads.js';
 import {createPoolHosts, type PoolHosts} from '../connection-sharing/pool-hosts.js';
 import {createCheckoutServer, type CheckoutServer} from '../connection-sharing/checkout-server.js';
 import {createSampleFetcher} from '../connection-sharing/sample-fetcher.js';
 import {createSharedPool} from '../connection-sharing/shared-pool.js';
+import {createWaitIds} from '../connection-sharing/wait-ids.js';
+import {SpreadLayout} from '../connection-sharing/spread-layout.js';
 import type {Log} from '../log/log.js';
 import {createUnreachableHosts} from '../membership/unreachable-hosts.js';
 import {guardGenerations} from '../mirror/guard-generations.js';
@@ -48,6 +55,9 @@
 		hostRegistration: HostRegistration;
 		endpointDirectory: EndpointDirectory;
 		poolHosts: PoolHosts;
+		poolHostLoads: PoolHostLoads;
+		/** Registered with scheduling only. */
+		endpointRooms: EndpointRooms;
 		rateLimiter: RateLimiter;
 		checkoutServer: CheckoutServer;
 		proxyMetrics: ProxyMetrics;
@@ -108,16 +118,34 @@
 	const knowledge = createPlacementKnowledge();
 	const primaryWork = createPrimaryWork(clock);
 	const cutOffs = createCutOffs();
-	const poolHosts = createPoolHosts({mirror, hostName, availabilityZone: parts.availabilityZone});
+	const {scheduling, zoneRegions} = parts.features ?? {};
+	const layout = scheduling ? new EndpointZoneLayout({poolHosts: scheduling.poolHosts, zoneRegions}) : new SpreadLayout();
+	const poolHosts = createPoolHosts({
+		mirror, hostName, availabilityZone: parts.availabilityZone, layout,
+	});
+	const monitors = scheduling
+		? createPoolHosts({
+			mirror, hostName, availabilityZone: parts.availabilityZone, layout: new MonitorLayout(new EndpointZoneLayout({poolHosts: scheduling.poolHosts, zoneRegions})),
+		})
+		: poolHosts;
 	const unreachable = createUnreachableHosts();
-	const directory = createEndpointDirectory({
+	const hostWatch = scheduling && createHostWatch({peers, clock});
+	const poolHostLoads = createPoolHostLoads();
+	const waitIds = createWaitIds(peers);
+	const endpointRooms = scheduling && createEndpointRooms({
+		poolHosts, peers, clock, log, ownPeerAddress: peerAddress, roomFactor: scheduling.roomFactor, getEndpoint: endpointId => directory.get(endpointId), onTakeover: metrics.countRoomTakeover,
+	});
+	const directory: EndpointDirectory = createEndpointDirectory({
 		mirror,
 		opener,
 		clock,
 		log,
 		getSharing: entry => ({hosts: poolHosts.countHosts(entry), isPoolHost: poolHosts.isPoolHost(entry)}),
+		createWindow: endpointRooms?.createWindow,
 		sharePool: (entry, ownPool) => createSharedPool({
-			entry, ownPool, poolHosts, unreachable, peers, clock, ownPeerAddress: peerAddress,
+			entry, ownPool, poolHosts, unreachable, peers, clock, ownPeerAddress: peerAddress, scheduling: hostWatch && {
+				loads: poolHostLoads, hostWatch, waitIds, random,
+			},
 		}),
 		getMinPosition({id, group}) {
 			const record = mirror.state.leadership.get(group);
@@ -135,6 +163,7 @@
 		elapsedClock,
 		random,
 		log,
+		hostWatch,
 		getMaxIdleMs: () => getMaxTransactionIdleMs(mirror.state.routing),
 	});
 	const sampleFetcher = createSampleFetcher({
@@ -163,7 +192,7 @@
 		store,
 		mirror,
 		directory,
-		poolHosts,
+		poolHosts: monitors,
 		primaryLeases,
 		primaryWork,
 		cutOffs,
@@ -215,6 +244,7 @@
 		rateLimiter,
 		availabilityZone: parts.availabilityZone,
 		placement: parts.placement ?? new CostBasedPlacement(),
+		isScheduled: scheduling !== undefined,
 	});
 
 	mirror.onChange(() => {
@@ -223,7 +253,9 @@
 			knowledge.getSamples(record.group).applyTermStart(record);
 		}
 
-		knowledge.keepOnly(new Set(mirror.state.endpoints.map(({id}) => id)));
+		const endpointIds = new Set(mirror.state.endpoints.map(({id}) => id));
+		knowledge.keepOnly(endpointIds);
+		poolHostLoads.keepOnly(endpointIds);
 		void registration.ensureRegistered();
 	});
 
@@ -235,6 +267,11 @@
 	kernel.register('peers', peers);
 	kernel.register('endpointDirectory', directory);
 	kernel.register('poolHosts', poolHosts);
+	if (endpointRooms) {
+		kernel.register('endpointRooms', endpointRooms);
+	}
+
+	kernel.register('poolHostLoads', poolHostLoads);
 	kernel.register('checkoutServer', checkoutServer);
 	kernel.register('rateLimiter', rateLimiter);
 	kernel.register('primaryLeases', primaryLeases);
