Measure round trips and bytes between regions, and register the time to the store

Cause: nothing told how far another region is, how full the link to it is, or what is sent over it. Position samples prefer pool hosts of the own region.

--- a/src/bench/news-spread.ts
+++ b/src/bench/news-spread.ts
@@ -2,6 +2,7 @@
 	Experiment, ExperimentOptions, ExperimentResult, Measure, Variant,
 } from './experiment.js';
 import {createMirrorFleet, createRouting, type MirrorFleet} from './news-spread/mirror-fleet.js';
+import {measureRegions} from './news-spread/measure-regions.js';
 import {createMeasure} from './statistics.js';
 
 /** Sends store updates to fleets of several sizes, in virtual time. */
@@ -14,6 +15,10 @@
 /** Numbers of hosts and availability zones: those of the users' deployments, and the size for which the system is designed. */
 const SIZES = [[9, 4], [68, 3], [195, 6], [900, 7]] as const;
 
+/** Numbers of hosts in two regions with three zones each, and widths of the small hosts' links in megabits per second. */
+const REGIONAL_SIZES = [86, 300, 900] as const;
+const SMALL_MBITS = [2, 7] as const;
+
 const STEADY_STATE_MS = 7000;
 
 const ROUTES = 34;
@@ -26,6 +31,18 @@
 		variants.push({name: `${hostCount} hosts in ${zoneCount} zones`, measures: await measureFleet(hostCount, zoneCount)});
 	}
 
+	for (const hostCount of REGIONAL_SIZES) {
+		for (const smallMbits of SMALL_MBITS) {
+			for (const isInForce of [false, true]) {
+				report(`${hostCount} hosts in two regions, ${smallMbits} Mbit/s, ${isInForce ? 'by regions' : 'as before'}`);
+				variants.push({
+					name: `${hostCount} hosts in two regions, small hosts with ${smallMbits} Mbit/s, ${isInForce ? 'tree by regions' : 'tree by names'}`,
+					measures: await measureRegions({hostCount, smallMbits, isInForce}),
+				});
+			}
+		}
+	}
+
 	return {
 		name: newsSpread.name,
 		description: newsSpread.description,
--- a/src/connection-sharing/sample-fetcher.ts
+++ b/src/connection-sharing/sample-fetcher.ts
@@ -1,3 +1,4 @@
+import type {HostRecord} from '../leadership/leadership-record.js';
 import type {UnreachableHosts} from '../membership/unreachable-hosts.js';
 import {isPeerError} from '../peers/peer-errors.js';
 import type {Peers} from '../peers/peers.js';
@@ -25,6 +26,8 @@
 	readonly unreachable: UnreachableHosts;
 	readonly clock: Clock;
 	readonly elapsedClock: ElapsedClock;
+	/** Orders pool hosts by preference; their own order where it is undefined. */
+	prefer?(hosts: readonly HostRecord[]): readonly HostRecord[];
 };
 
 /** Timeout for fetching a sample, in milliseconds: about twenty times the latency between zones; a read waits for it. */
@@ -34,13 +37,13 @@
 const RETRY_DELAY_MS = 250;
 
 /** Creates a fetcher. */
-export function createSampleFetcher({peers, poolHosts, knowledge, unreachable, clock, elapsedClock}: SampleFetcherOptions): SampleFetcher {
+export function createSampleFetcher({peers, poolHosts, knowledge, unreachable, clock, elapsedClock, prefer = hosts => hosts}: SampleFetcherOptions): SampleFetcher {
 	const inFlight = new Map<string, Promise<boolean>>();
 	const notBefore = new Map<string, number>();
 
 	const callPoolHost = async (group: string, primaryId: string): Promise<boolean> => {
 		const now = clock.now();
-		const poolHost = poolHosts.getHosts({id: primaryId, group}).find(({peerAddress}) => !unreachable.has(peerAddress, now));
+		const poolHost = prefer(poolHosts.getHosts({id: primaryId, group})).find(({peerAddress}) => !unreachable.has(peerAddress, now));
 		if (!poolHost) {
 			return false;
 		}
--- a/src/gateway/prom-gateway-metrics.ts
+++ b/src/gateway/prom-gateway-metrics.ts
@@ -7,6 +7,8 @@
 export type ProxyMetrics = GatewayMetrics & {
 	/** Counts a call to the platform that ended. */
 	countPlatformCall(call: string, result: string): void;
+	/** Counts bytes that were sent to another region. */
+	countRegionBytes(purpose: string, bytes: number): void;
 	/** Sets the store generation of the platform's last answer. */
 	setStoreGeneration(generation: number): void;
 	/** Observes the duration of one part of replacing a group's primary. */
@@ -50,6 +52,9 @@
 	const platformCalls = new Counter({
 		name: 'aldercroft_store_calls_total', help: 'Calls to the platform, by result', labelNames: ['call', 'result'], registers,
 	});
+	const regionBytes = new Counter({
+		name: 'aldercroft_region_bytes_total', help: 'Bytes between regions that this host sent, and answers of endpoints that it received, by purpose', labelNames: ['purpose'], registers,
+	});
 	const storeGeneration = new Gauge({name: 'aldercroft_store_generation', help: 'Times that the store has come back from a copy, as it says', registers});
 	const replacementSeconds = new Histogram({
 		name: 'aldercroft_replacement_seconds', help: 'Parts of replacing a primary', labelNames: ['part'], buckets: REPLACEMENT_BUCKETS, registers,
@@ -84,6 +89,9 @@
 		countPlatformCall(call, result) {
 			platformCalls.inc({call, result});
 		},
+		countRegionBytes(purpose, bytes) {
+			regionBytes.inc({purpose}, bytes);
+		},
 		setStoreGeneration(generation) {
 			storeGeneration.set(generation);
 		},
--- a/src/leadership/register-host.ts
+++ b/src/leadership/register-host.ts
@@ -29,6 +29,8 @@
 	readonly clock: Clock;
 	readonly elapsedClock: ElapsedClock;
 	readonly random: Random;
+	/** Resolves with the round-trip time to the store in milliseconds, which is registered with the host; undefined if it is unknown. No time is registered where this is absent. */
+	measureStoreRtt?(): Promise<number | undefined>;
 };
 
 const STORE_TIMEOUT_MS = 900;
@@ -43,12 +45,13 @@
 const REREGISTRATION_MS_PER_HOST = 10;
 
 /** Creates the registration. */
-export function createHostRegistration({store, mirror, log: parentLog, host, clock, elapsedClock, random}: HostRegistrationOptions): HostRegistration {
+export function createHostRegistration({store, mirror, log: parentLog, host, clock, elapsedClock, random, measureStoreRtt}: HostRegistrationOptions): HostRegistration {
 	const log = parentLog.withPrefix('hosts: ');
 	let busy = false;
 	/** Elapsed time at which this process registered the host as a new one; undefined if the host was already known. */
 	let registeredAt: number | undefined;
 	let wasListed = false;
+	let isMeasured = false;
 	let writtenAt: number | undefined;
 
 	const findOwnRecord = () => mirror.state.hosts.find(({name}) => name === host.name);
@@ -79,21 +82,26 @@
 	const register = async () => {
 		const record = findOwnRecord();
 		const wasKnown = record?.peerAddress === host.peerAddress && (!record.gone || isKnownToAll(elapsedClock.elapsed()));
-		const value = {...host, generation: getGeneration(mirror.state.revision)};
+		const storeRttMs = await measureStoreRtt?.();
+		const value = {...host, ...(storeRttMs !== undefined && {storeRttMs}), generation: getGeneration(mirror.state.revision)};
 		await attempt('this host is registered', async () => {
 			await store.putRecord(RecordKind.Hosts, {name: host.name, version: record?.version ?? 0, value}, STORE_TIMEOUT_MS);
 			writtenAt = elapsedClock.elapsed();
+			isMeasured = true;
 			registeredAt = wasKnown ? registeredAt : elapsedClock.elapsed();
 		});
 	};
 
+	/** Whether a record describes the host as the layout of the tree needs it. One that an earlier version registered does not, and is written again, once for each process. */
+	const isDescribed = ({capacity, storeRttMs}: HostRecord) => !measureStoreRtt || isMeasured || (storeRttMs !== undefined && capacity === host.capacity);
+
 	return {
 		async ensureRegistered() {
 			const record = findOwnRecord();
 			const isUpToDate = isListed(record);
 			wasListed ||= isUpToDate;
 			const isUnderWay = writtenAt !== undefined && elapsedClock.elapsed() - writtenAt < VISIBLE_WITHIN_MS;
-			if (busy || (isUpToDate && isInCurrentGeneration(record!, mirror.state.revision)) || isUnderWay || mirror.state.revision === 0) {
+			if (busy || (isUpToDate && isInCurrentGeneration(record!, mirror.state.revision) && isDescribed(record!)) || isUnderWay || mirror.state.revision === 0) {
 				return;
 			}
 
--- a/src/mirror/change-feed-source.ts
+++ b/src/mirror/change-feed-source.ts
@@ -11,6 +11,8 @@
 	getParent(now: number): string | undefined;
 	/** Excludes a host that did not respond from the choice for a while. */
 	avoid(address: string, now: number): void;
+	/** Whether this host has just excluded a host, so that it has to find out soon whether the next one responds; always false for the layout by names. */
+	isRecovering(now: number): boolean;
 	/** Has this host read the store itself for a while, since the host that it polled may not let it wait. */
 	noteDeclined(address: string, now: number): void;
 	/** Whether this host reads the store only since another has declined its request, while it is not the first in its own copy's tree. */
@@ -30,10 +32,14 @@
 /** Number of hosts of another region that have to be excluded until the whole region is: its hosts are usually lost together, and each costs a timeout. */
 const MAX_AVOIDED_IN_REGION = 2;
 
+/** Time after an exclusion for which a host is recovering, in milliseconds: two hosts that lead in different regions may be lost at once. */
+const RECOVERING_MS = 1000;
+
 /** Creates the choice for `host`. */
 export function createChangeFeedSource(copy: MirrorCopy, host: HostRecord, seeds: readonly string[], log: Log, layout: HostTreeLayout): ChangeFeedSource {
 	/** End of each exclusion in steady time, by address. */
 	const avoidedUntil = new Map<string, number>();
+	let lastAvoidedAt = Number.NEGATIVE_INFINITY;
 	let declinedUntil = Number.NEGATIVE_INFINITY;
 	let polled: string | undefined;
 	let known: {readonly hosts: readonly HostRecord[]; readonly responsive: readonly HostRecord[]; readonly tree: HostTree} | undefined;
@@ -107,6 +113,7 @@
 
 			return now < declinedUntil ? undefined : notePolled(getTreeWithoutAvoided(now).getParent(host));
 		},
+		isRecovering: now => layout.sendsPlace && now < lastAvoidedAt + RECOVERING_MS,
 		noteDeclined(address, now) {
 			log.info('the host that is polled for store updates has declined; the store is read', {peer: address, revision: formatQualified(copy.state.revision)});
 			declinedUntil = now + DECLINED_MS;
@@ -115,6 +122,7 @@
 		avoid(address, now) {
 			log.info('the host that is polled for store updates does not respond', {peer: address, revision: formatQualified(copy.state.revision)});
 			avoidedUntil.set(address, now + AVOID_MS);
+			lastAvoidedAt = now;
 			treeWithoutAvoided = undefined;
 		},
 		getTree: () => getKnown().tree,
--- a/src/mirror/store-mirror.ts
+++ b/src/mirror/store-mirror.ts
@@ -218,7 +218,7 @@
 
 	const pollParent = async (parent: string) => {
 		const overdue = isOverdue();
-		const polled = feedClient.poll(parent, overdue ? OVERDUE_HOLD_MS : POLL_HOLD_MS);
+		const polled = feedClient.poll(parent, overdue || source.isRecovering(clock.now()) ? OVERDUE_HOLD_MS : POLL_HOLD_MS);
 		if (overdue) {
 			const first = await withinMs(clock, OVERDUE_WAIT_MS, polled);
 			if (first.timedOut || !first.value?.isNew) {
--- a/src/peers/create-peers.ts
+++ b/src/peers/create-peers.ts
@@ -24,11 +24,16 @@
 	readonly limits?: Partial<PeerLimits>;
 };
 
+/** Called with the size of a message to the host at `ip:port`; a response has the kind of its call. */
+export type SentListener = (address: string, kind: string, bytes: number) => void;
+
 /** Peers with their life cycle and counters. */
 export type LivePeers = Peers & Required<Service> & {
 	/** This host's `ip:port`; with port 0, known once started. */
 	readonly address: string;
 	readonly figures: Readonly<PeerFigures>;
+	/** Calls `listener` with the size of each call and response that is sent, in bytes; there is one listener. */
+	observeSent(listener: SentListener): void;
 };
 
 /**
@@ -48,6 +53,7 @@
 	const outgoingLinks = new Set<PeerLink>();
 	const incomingLinks = new Set<IncomingLink>();
 	let handshakes = 0;
+	let onSent: SentListener | undefined;
 	let accepting = true;
 	let calling = true;
 
@@ -67,6 +73,9 @@
 			limits,
 			clock,
 			figures,
+			onSent(kind, bytes) {
+				onSent?.(peerAddress, kind, bytes);
+			},
 			onLeaving: removeLink,
 			onClose(reason) {
 				removeLink();
@@ -106,7 +115,15 @@
 		}
 
 		const link = createIncomingLink({
-			channel, peer, handlers, limits, clock, onClose() {
+			channel,
+			peer,
+			handlers,
+			limits,
+			clock,
+			onSent(kind, bytes) {
+				onSent?.(peer.address, kind, bytes);
+			},
+			onClose() {
 				incomingLinks.delete(link);
 			},
 		});
@@ -122,6 +139,9 @@
 			return transport.address;
 		},
 		figures,
+		observeSent(listener) {
+			onSent = listener;
+		},
 		handle: handlers.handle,
 		async call(peerAddress, kind, req, timeoutMs) {
 			if (!calling) {
--- a/src/peers/incoming-link.ts
+++ b/src/peers/incoming-link.ts
@@ -28,6 +28,8 @@
 	readonly handlers: PeerHandlers;
 	readonly limits: PeerLimits;
 	readonly clock: Clock;
+	/** Called with the size of each response that is sent, in bytes, and the kind of its call. */
+	onSent(kind: string, bytes: number): void;
 	/** Called once when the link has ended. */
 	onClose(): void;
 };
@@ -54,14 +56,18 @@
 	let lastReceivedAt = clock.now();
 	let onIdle: (() => void) | undefined;
 
-	const write = (frame: PeerFrame) => {
+	const write = (frame: PeerFrame, kind?: string) => {
 		// A caller that reads no responses would otherwise fill this host's memory.
 		if (writer.bufferedBytes > limits.maxBufferedBytes) {
 			channel.terminate();
 			return;
 		}
 
-		writer.write({bytes: encodeFrame(frame, limits.maxFrameBytes), claim: () => true});
+		const bytes = encodeFrame(frame, limits.maxFrameBytes);
+		writer.write({bytes, claim: () => true});
+		if (kind !== undefined) {
+			options.onSent(kind, bytes.length);
+		}
 	};
 
 	const respond = async (call: CallFrame) => {
@@ -75,7 +81,7 @@
 		running++;
 		try {
 			const res = await handler(call.req, peer);
-			write({type: FrameType.Response, id: call.id, res});
+			write({type: FrameType.Response, id: call.id, res}, call.kind);
 		} catch (err) {
 			// Also for a response that cannot be encoded, since its caller would otherwise wait for its whole timeout.
 			write({type: FrameType.Failure, id: call.id, reason: getReason(err)});
--- a/src/peers/peer-link.ts
+++ b/src/peers/peer-link.ts
@@ -29,6 +29,8 @@
 	readonly limits: PeerLimits;
 	readonly clock: Clock;
 	readonly figures: PeerFigures;
+	/** Called with the size of each call that is sent, in bytes. */
+	onSent(kind: string, bytes: number): void;
 	/** Called when the peer takes no more calls: pending calls continue, and later ones need another link. */
 	onLeaving(): void;
 	/** Called once when the link has closed. */
@@ -250,7 +252,7 @@
 					const bytes = encodeFrame({
 						type: FrameType.Call, id: call.id, kind, req,
 					}, limits.maxFrameBytes);
-					writer.write({bytes, claim: () => claim(call)});
+					writer.write({bytes, claim: () => claim(call, bytes.length)});
 				} catch (err) {
 					pending.take(call.id)?.reject(createCallError(address, kind, (err as Error).message, false));
 					return;
@@ -266,8 +268,12 @@
 	 * Guards against a call that runs although its caller was told that it was never sent: the frame of a call that
 	 * timed out while it waited for the link is dropped.
 	 */
-	function claim(call: PendingCall): boolean {
+	function claim(call: PendingCall, bytes: number): boolean {
 		call.written = pending.has(call.id);
+		if (call.written) {
+			options.onSent(call.kind, bytes);
+		}
+
 		return call.written;
 	}
 }
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -25,8 +25,7 @@
 import type {MetadataStore} from '../mirror/metadata-store.js';
 import {createStoreMirror, type StoreMirror} from '../mirror/store-mirror.js';
 import type {LivePeers} from '../peers/create-peers.js';
-import {RegionLayout} from '../regions/region-layout.js';
-import {createTopology} from '../regions/topology.js';
+import {createRegions, type Regions} from '../regions/regions.js';
 import {createPlacementKnowledge} from '../placement/placement-knowledge.js';
 import {getHigherFloor, clampToTermStart} from '../placement/position-samples.js';
 import {CostBasedPlacement, type ReadPlacement} from '../placement/read-placement.js';
@@ -86,21 +85,34 @@
 
 /** Creates the parts of a proxy and registers them with a kernel. Nothing runs before the kernel is started. */
 export function createProxy(parts: ProxyParts): Kernel {
-	const {clock, elapsedClock, random, log, metrics, orders, opener, peers, hostName, peerAddress, incarnation} = parts;
+	const {clock, elapsedClock, random, log, metrics, orders, hostName, peerAddress, incarnation} = parts;
 	const kernel = createKernel();
-	const store = guardGenerations(parts.store);
+	const zoneRegions = parts.features?.zoneRegions;
+	const regions: Regions | undefined = zoneRegions && createRegions({
+		zoneRegions,
+		availabilityZone: parts.availabilityZone,
+		peers: parts.peers,
+		store: parts.store,
+		opener: parts.opener,
+		elapsedClock,
+		log,
+		getHosts: () => mirror.state.hosts,
+		getEndpoints: () => mirror.state.endpoints,
+		countBytes: metrics.countRegionBytes,
+	});
+	const {peers, opener} = regions ?? parts;
+	const store = guardGenerations(regions?.store ?? parts.store);
 	const host: HostRecord = {
 		name: hostName, peerAddress, availabilityZone: parts.availabilityZone, capacity: parts.features?.scheduling?.capacity,
 	};
-	const topology = parts.features?.zoneRegions && createTopology(parts.features.zoneRegions, parts.availabilityZone);
-	const mirror = createStoreMirror({
+	const mirror: StoreMirror = createStoreMirror({
 		store,
 		peers,
 		clock,
 		elapsedClock,
 		log,
 		host,
-		layout: topology && new RegionLayout(topology),
+		layout: regions?.layout,
 		seeds: parts.seeds,
 		getChanging: () => leadershipWatch.getChanging(),
 		getUnfenced: now => primaryLeases.getUnfenced(now),
@@ -142,7 +154,7 @@
 		getMaxIdleMs: () => getMaxTransactionIdleMs(mirror.state.routing),
 	});
 	const sampleFetcher = createSampleFetcher({
-		peers, poolHosts, knowledge, clock, elapsedClock, unreachable,
+		peers, poolHosts, knowledge, clock, elapsedClock, unreachable, prefer: regions?.preferNear,
 	});
 	const issuer = createTokenIssuer({getLimit: workspace => mirror.state.routing?.workspaces.get(workspace)?.limit});
 	const tokenSource = createTokenSource({
@@ -161,7 +173,7 @@
 	});
 	const storeRestores = createStoreRestores({mirror, elapsedClock});
 	const registration: HostRegistration = createHostRegistration({
-		store, mirror, log, clock, elapsedClock, random, host,
+		store, mirror, log, clock, elapsedClock, random, host, measureStoreRtt: regions?.measureStoreRtt,
 	});
 	const leadershipWatch: LeadershipWatch = createLeadershipWatch({
 		store,
@@ -250,5 +262,9 @@
 	}));
 	kernel.register('gateway', gateway);
 	kernel.register('storeMirror', mirror);
+	if (regions) {
+		kernel.register('regions', regions);
+	}
+
 	return kernel;
 }
--- /dev/null
+++ b/src/regions/counted-opener.ts
@@ -0,0 +1,59 @@
+import type {EndpointRequest, LinkOpener} from '../links/endpoint-link.js';
+import type {EndpointAnswer} from '../statements/statement-answer.js';
+
+/** Bytes of a request or an answer besides its texts: ids, state, position and signature. */
+const FRAMING_BYTES = 90;
+
+/**
+ * Wraps the opener of connections to endpoints so that the bytes of statements and answers are counted on those to other regions.
+ *
+ * `getFarZone` returns the zone of an endpoint of another region, undefined for one of this host's region; `onBytes` is called with that zone.
+ */
+export function countStatements(opener: LinkOpener, getFarZone: (endpointId: string) => string | undefined, onBytes: (zone: string, bytes: number) => void): LinkOpener {
+	return {
+		async open(target, timeoutMs, listener) {
+			const link = await opener.open(target, timeoutMs, listener);
+			const zone = getFarZone(target.endpointId);
+			if (zone === undefined) {
+				return link;
+			}
+
+			const count = (bytes: number) => {
+				onBytes(zone, bytes);
+			};
+
+			return {
+				...link,
+				get pending() {
+					return link.pending;
+				},
+				get closed() {
+					return link.closed;
+				},
+				async exchange(req) {
+					count(getRequestBytes(req));
+					const answer = await link.exchange(req);
+					count(getAnswerBytes(answer));
+					return answer;
+				},
+			};
+		},
+	};
+}
+
+function getRequestBytes({command}: EndpointRequest): number {
+	if (command.kind === 'run') {
+		return FRAMING_BYTES + command.text.length;
+	}
+
+	return command.kind === 'execute' ? FRAMING_BYTES + command.name.length + command.args.length : FRAMING_BYTES;
+}
+
+function getAnswerBytes({rows}: EndpointAnswer): number {
+	let bytes = FRAMING_BYTES;
+	for (const row of rows) {
+		bytes += row.length + 1;
+	}
+
+	return bytes;
+}
