Test store updates in two regions under faults

Cause: nothing showed that copies which differ about the region of the root, or regions that lose each other, do not stop updates.

--- a/tests/mirror/change-feed-schedules-tests.ts
+++ b/tests/mirror/change-feed-schedules-tests.ts
@@ -2,6 +2,8 @@
 import {
 	createMirrorFleet, createRouting, type MirrorFleet, type MirrorHost,
 } from '../../src/bench/news-spread/mirror-fleet.js';
+import type {HostRecord} from '../../src/leadership/leadership-record.js';
+import {RecordKind} from '../../src/mirror/metadata-store.js';
 import {createSeededRandom} from '../../src/random/seeded-random.js';
 import type {Random} from '../../src/random/random.js';
 
@@ -57,7 +59,31 @@
 	},
 };
 
-const pickFault = (random: Random) => Object.values(FAULTS)[Math.floor(random.fraction() * Object.keys(FAULTS).length)]!;
+/** Faults of a fleet in two regions, in addition. */
+const REGIONAL_FAULTS: Readonly<Record<string, Fault>> = {
+	...FAULTS,
+	cutRegions({network, hosts}) {
+		const isEast = ({zone}: MirrorHost) => zone < `zone-${ZONES / 2}`;
+		for (const inside of hosts.filter(host => isEast(host))) {
+			for (const outside of hosts.filter(host => !isEast(host))) {
+				network.setFaultsBetween(inside.address, outside.address, {cut: true});
+			}
+		}
+	},
+	/** Registers other round-trip times to the store, one host after another, so that copies differ about the region of the root. */
+	moveRoot({store, hosts, clock}, random) {
+		const nearZone = pick(hosts, random).zone;
+		void (async () => {
+			for (const {name, zone} of hosts) {
+				const record = store.getRecord(RecordKind.Hosts, name);
+				await store.getClient(name).putRecord(RecordKind.Hosts, {...record!, value: {...record!.value as HostRecord, storeRttMs: zone === nearZone ? 5 : 20}}, 300).catch(() => undefined);
+				await clock.sleep(20);
+			}
+		})();
+	},
+};
+
+const pickFault = (faults: Readonly<Record<string, Fault>>, random: Random) => Object.values(faults)[Math.floor(random.fraction() * Object.keys(faults).length)]!;
 
 /** Versions of the configuration, with the times at which they were written to the store. */
 type Written = ReadonlyArray<{readonly at: number; readonly version: number}>;
@@ -67,10 +93,10 @@
 }
 
 describe('random schedules of store updates among hosts', () => {
-	function doTest(seed: number) {
-		it(`never show a copy older than its confirmation, nor one that goes back: seed ${seed}`, async () => {
+	function doTest(seed: number, isRegional = false) {
+		it(`never show a copy older than its confirmation, nor one that goes back${isRegional ? ', in two regions' : ''}: seed ${seed}`, async () => {
 			const random = createSeededRandom(seed);
-			const fleet = createMirrorFleet({hostCount: HOSTS, zoneCount: ZONES});
+			const fleet = createMirrorFleet({hostCount: HOSTS, zoneCount: ZONES, ...(isRegional && {regional: {isInForce: true, smallMbits: 7}})});
 			const startedAt = fleet.clock.now();
 			const written: Array<{at: number; version: number}> = [];
 			const write = (version: number) => {
@@ -100,7 +126,7 @@
 
 			for (let ms = 0; ms < FAULTS_MS; ms += STEP_MS) {
 				if (random.fraction() < 0.12) {
-					pickFault(random)(fleet, random);
+					pickFault(isRegional ? REGIONAL_FAULTS : FAULTS, random)(fleet, random);
 				}
 
 				if (random.fraction() < 0.08) {
@@ -124,5 +150,6 @@
 
 	for (let seed = 1; seed <= 25; seed++) {
 		doTest(seed);
+		doTest(seed, true);
 	}
 });
