--- a/src/platform/http-metadata-store.ts
+++ b/src/platform/http-metadata-store.ts
@@ -22,6 +22,8 @@
 	readonly log: Log;
 	/** Called after each call with its result, for the metrics. */
 	onCall(call: string, result: string): void;
+	/** Called with the size of each request and its response together, in bytes. */
+	onBytes?(bytes: number): void;
 	/** Called with the store generation of each response, for the metrics. */
 	onGeneration(generation: number): void;
 };
@@ -57,7 +59,7 @@
 type StoreResponse = HttpResponse & {readonly generation: number};
 
 /** Creates an HTTP client of the platform's metadata store. */
-export function createHttpMetadataStore({address, clock, log: parentLog, onCall, onGeneration}: HttpMetadataStoreOptions): MetadataStore {
+export function createHttpMetadataStore({address, clock, log: parentLog, onCall, onBytes, onGeneration}: HttpMetadataStoreOptions): MetadataStore {
 	const httpClient = createHttpClient({baseUrl: `http://${address}`, clock});
 	const log = parentLog.withPrefix('store: ');
 	const unusableEntries = createUnusableEntryLog(log);
@@ -76,6 +78,7 @@
 		try {
 			const res = await httpClient.exchange(req);
 			onCall(call, String(res.status));
+			onBytes?.(getExchangeBytes(req, res));
 			if (res.status === Status.TooMany || res.status >= Status.ServerError) {
 				throwPlatformSilent(req.what, new Error(`HTTP status ${res.status}`));
 			}
@@ -213,3 +216,11 @@
 
 /** Control characters that another writer may have put into a string. JSON does not allow them unescaped, so one such entry would make the whole list unreadable. */
 const CONTROL_CHARACTERS = /\p{Cc}/gv;
+
+/** Bytes of the headers of a request and its response. */
+const HEADER_BYTES = 400;
+
+function getExchangeBytes({body}: HttpRequest, {headers, text}: HttpResponse): number {
+	const sent = body === undefined ? 0 : JSON.stringify(body).length;
+	return HEADER_BYTES + sent + Number(headers['content-length'] ?? text.length);
+}
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -66,6 +66,8 @@
 	readonly log: Log;
 	readonly metrics: ProxyMetrics;
 	readonly store: MetadataStore;
+	/** Calls `listener` with the bytes of each call to the store; absent where they are not known. */
+	observeStoreBytes?(listener: (bytes: number) => void): void;
 	readonly orders: PromotionOrders;
 	readonly opener: LinkOpener;
 	readonly peers: LivePeers;
@@ -101,6 +103,10 @@
 		getEndpoints: () => mirror.state.endpoints,
 		countBytes: metrics.countRegionBytes,
 	});
+	if (regions) {
+		parts.observeStoreBytes?.(regions.noteStoreBytes);
+	}
+
 	const {peers, opener} = regions ?? parts;
 	const store = guardGenerations(regions?.store ?? parts.store);
 	const host: HostRecord = {
--- a/src/proxy/main.ts
+++ b/src/proxy/main.ts
@@ -34,6 +34,7 @@
 		metrics.countPlatformCall(call, result);
 	};
 
+	let onStoreBytes: ((bytes: number) => void) | undefined;
 	const [peerHost = '', peerPort] = settings.peerAddress.split(':');
 	return {
 		clock,
@@ -42,8 +43,18 @@
 		log,
 		metrics,
 		store: createHttpMetadataStore({
-			address: settings.storeAddress, clock, log, onCall, onGeneration: metrics.setStoreGeneration,
+			address: settings.storeAddress,
+			clock,
+			log,
+			onCall,
+			onBytes(bytes) {
+				onStoreBytes?.(bytes);
+			},
+			onGeneration: metrics.setStoreGeneration,
 		}),
+		observeStoreBytes(listener) {
+			onStoreBytes = listener;
+		},
 		orders: createHttpPromotionOrders({address: settings.ordersAddress, clock, onCall}),
 		opener: createTcpLinkOpener({clock, hostName: settings.hostName}),
 		peers: createWsPeers({
--- a/src/regions/regions.ts
+++ b/src/regions/regions.ts
@@ -32,6 +32,8 @@
 	preferNear<T extends {readonly availabilityZone: string}>(items: readonly T[]): readonly T[];
 	/** Resolves with the rounded round-trip time to the store in milliseconds, which is measured by one call if no call was; undefined if the store does not respond. */
 	measureStoreRtt(): Promise<number | undefined>;
+	/** Counts the bytes of a call to the store, if the store lies in another region. */
+	noteStoreBytes(bytes: number): void;
 	readonly peers: LivePeers;
 	readonly store: MetadataStore;
 	readonly opener: LinkOpener;
@@ -66,6 +68,9 @@
 /** The purpose under which bytes of statements and their answers are counted; bytes between hosts are counted under the kind of call. */
 const STATEMENTS = 'statements';
 
+/** The purpose under which bytes of calls to the store are counted. */
+const STORE = 'store';
+
 /** Creates the regions of a proxy. */
 export function createRegions(options: RegionsOptions): Regions {
 	const {elapsedClock, countBytes} = options;
@@ -157,8 +162,26 @@
 			const ms = storeRoundTrip.getMinMs(elapsedClock.elapsed());
 			return ms === undefined ? undefined : roundStoreRtt(ms);
 		},
+		noteStoreBytes(bytes) {
+			const nearest = getNearestHost(options.getHosts());
+			if (nearest && !topology.isNear(nearest.availabilityZone)) {
+				countBytes(STORE, bytes);
+			}
+		},
 		peers,
 		store,
 		opener,
 	};
 }
+
+/** Returns the host that registered the smallest round-trip time to the store; undefined if none did. */
+function getNearestHost(hosts: readonly HostRecord[]): HostRecord | undefined {
+	let nearest: HostRecord | undefined;
+	for (const host of hosts) {
+		if (host.storeRttMs !== undefined && !host.gone && host.storeRttMs < (nearest?.storeRttMs ?? Number.POSITIVE_INFINITY)) {
+			nearest = host;
+		}
+	}
+
+	return nearest;
+}
