Count a region as lost only after a call that a running host answers at once

Cause: statements time out at full endpoints too, so two of them could make a busy region count as lost. Change: at least one heartbeat, poll or other quick call must have been silent since the last answer.

--- a/src/regions/measured-peers.ts
+++ b/src/regions/measured-peers.ts
@@ -10,8 +10,8 @@
 export type PeerCallListener = {
 	onCall(address: string): void;
 	onAnswer(address: string): void;
-	/** Called where a call got no answer in time. */
-	onSilence(address: string): void;
+	/** Called where a call got no answer in time; `isProof` is whether a running host answers such a call at once. */
+	onSilence(address: string, isProof: boolean): void;
 	/** Called with the round-trip time of a call that was answered at once, in milliseconds. */
 	onRoundTrip(address: string, ms: number): void;
 };
@@ -30,7 +30,7 @@
 			try {
 				res = await peers.call(address, kind, req, timeoutMs);
 			} catch (err) {
-				onSilence(address);
+				onSilence(address, kind === 'mirror-confirm' || QUICK_CALLS.has(kind));
 				throw err;
 			}
 
--- a/src/regions/region-contact.ts
+++ b/src/regions/region-contact.ts
@@ -2,8 +2,8 @@
 export type RegionContact = {
 	/** Notes that a host or an endpoint of the region has answered. */
 	noteAnswer(now: number): void;
-	/** Notes that a host or an endpoint of the region, named by `target`, has not answered in time. */
-	noteSilence(target: string, now: number): void;
+	/** Notes that a host or an endpoint of the region, named by `target`, has not answered in time. `isProof` is whether the call is one that a running host answers at once. */
+	noteSilence(target: string, isProof: boolean, now: number): void;
 	/** Returns whether the region counts as lost. */
 	isLost(now: number): boolean;
 };
@@ -20,18 +20,22 @@
 /** Creates the contact with a region that counts as answering. */
 export function createRegionContact(): RegionContact {
 	const silentAt = new Map<string, number>();
+	let isProved = false;
 	let answeredAt = Number.NEGATIVE_INFINITY;
 
 	return {
 		noteAnswer(now) {
 			answeredAt = now;
+			isProved = false;
 			silentAt.clear();
 		},
-		noteSilence(target, now) {
+		// Statements also time out where endpoints are overloaded, so only a call that is answered at once proves that the way is lost.
+		noteSilence(target, isProof, now) {
+			isProved ||= isProof;
 			silentAt.set(target, now);
 		},
 		isLost(now) {
-			if (silentAt.size < MIN_SILENT_TARGETS || now - answeredAt < LOST_AFTER_MS) {
+			if (!isProved || silentAt.size < MIN_SILENT_TARGETS || now - answeredAt < LOST_AFTER_MS) {
 				return false;
 			}
 
--- a/src/regions/region-links.ts
+++ b/src/regions/region-links.ts
@@ -12,8 +12,8 @@
 	noteCrossing(zone: string, now: number): void;
 	/** Notes that a host or an endpoint in `zone` has answered. */
 	noteAnswer(zone: string, now: number): void;
-	/** Notes that one, named by `target`, has not answered in time. */
-	noteSilence(zone: string, target: string, now: number): void;
+	/** Notes that one, named by `target`, has not answered in time. `isProof` is whether the call is one that a running host answers at once. */
+	noteSilence(zone: string, target: string, isProof: boolean, now: number): void;
 	/** Returns whether the region of `zone` counts as lost; has the link measured in that case, so that its return is noticed. */
 	isLost(zone: string, now: number): boolean;
 	/** Returns whether any other region counts as lost. */
@@ -111,10 +111,10 @@
 				}
 			}
 		},
-		noteSilence(zone, target, now) {
+		noteSilence(zone, target, isProof, now) {
 			const region = topology.getRegion(zone);
 			if (region !== topology.ownRegion) {
-				getContact(region).noteSilence(target, now);
+				getContact(region).noteSilence(target, isProof, now);
 				updateLost(region, now);
 				// A second host is asked at once, since one silent target proves nothing about its region.
 				noteCrossing(zone, now);
--- a/src/regions/regions.ts
+++ b/src/regions/regions.ts
@@ -97,10 +97,10 @@
 				links.noteAnswer(zone, elapsedClock.elapsed());
 			}
 		},
-		onSilence(address) {
+		onSilence(address, isProof) {
 			const zone = hostZones.getZone(address);
 			if (zone !== undefined) {
-				links.noteSilence(zone, address, elapsedClock.elapsed());
+				links.noteSilence(zone, address, isProof, elapsedClock.elapsed());
 			}
 		},
 		onRoundTrip(address, ms) {
@@ -138,7 +138,7 @@
 			links.noteAnswer(zone, elapsedClock.elapsed());
 		},
 		onSilence(zone, endpointId) {
-			links.noteSilence(zone, endpointId, elapsedClock.elapsed());
+			links.noteSilence(zone, endpointId, false, elapsedClock.elapsed());
 		},
 	});
 
