--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -5,7 +5,7 @@
 import {createFailoverLease, type FailoverLease} from '../leadership/failover-lease.js';
 import {createUnresponsiveHosts} from '../leadership/unresponsive-hosts.js';
 import {createHostLivenessCheck, type HostLivenessCheck} from '../leadership/host-liveness.js';
-import {createPrimaryLeases, type PrimaryLeases} from '../leadership/primary-leases.js';
+import {createPrimaryLeases, PRIMARY_LEASE_MS, type PrimaryLeases} from '../leadership/primary-leases.js';
 import {createLeadershipWatch, type LeadershipWatch} from '../leadership/leadership-watch.js';
 import {createPrimaryWork} from '../leadership/primary-work.js';
 import {LeadershipPhase, type HostRecord} from '../leadership/leadership-record.js';
@@ -32,6 +32,8 @@
 import type {MetadataStore} from '../mirror/metadata-store.js';
 import {createStoreMirror, type StoreMirror} from '../mirror/store-mirror.js';
 import type {LivePeers} from '../peers/create-peers.js';
+import {createRegionalCutOffs} from '../regions/regional-cut-offs.js';
+import {createRegions, type Regions} from '../regions/regions.js';
 import {createPlacementKnowledge} from '../placement/placement-knowledge.js';
 import {getHigherFloor, clampToTermStart} from '../placement/position-samples.js';
 import {CostBasedPlacement, type ReadPlacement} from '../placement/read-placement.js';
@@ -74,6 +76,8 @@
 	readonly log: Log;
 	readonly metrics: ProxyMetrics;
 	readonly store: MetadataStore;
+	/** Calls `listener` with the bytes of each call to the store; absent where they are not known. */
+	observeStoreBytes?(listener: (bytes: number) => void): void;
 	readonly orders: PromotionOrders;
 	readonly opener: LinkOpener;
 	readonly peers: LivePeers;
@@ -94,19 +98,38 @@
 
 /** Creates the parts of a proxy and registers them with a kernel. Nothing runs before the kernel is started. */
 export function createProxy(parts: ProxyParts): Kernel {
-	const {clock, elapsedClock, random, log, metrics, orders, opener, peers, hostName, peerAddress, incarnation} = parts;
+	const {clock, elapsedClock, random, log, metrics, orders, hostName, peerAddress, incarnation} = parts;
 	const kernel = createKernel();
-	const store = guardGenerations(parts.store);
+	const zoneRegions = parts.features?.zoneRegions;
+	const regions: Regions | undefined = zoneRegions && createRegions({
+		zoneRegions,
+		availabilityZone: parts.availabilityZone,
+		peers: parts.peers,
+		store: parts.store,
+		opener: parts.opener,
+		elapsedClock,
+		log,
+		getHosts: () => mirror.state.hosts,
+		getEndpoints: () => mirror.state.endpoints,
+		countBytes: metrics.countRegionBytes,
+	});
+	if (regions) {
+		parts.observeStoreBytes?.(regions.noteStoreBytes);
+	}
+
+	const {peers, opener} = regions ?? parts;
+	const store = guardGenerations(regions?.store ?? parts.store);
 	const host: HostRecord = {
 		name: hostName, peerAddress, availabilityZone: parts.availabilityZone, capacity: parts.features?.scheduling?.capacity,
 	};
-	const mirror = createStoreMirror({
+	const mirror: StoreMirror = createStoreMirror({
 		store,
 		peers,
 		clock,
 		elapsedClock,
 		log,
 		host,
+		layout: regions?.layout,
 		seeds: parts.seeds,
 		getChanging: () => leadershipWatch.getChanging(),
 		getUnfenced: now => primaryLeases.getUnfenced(now),
@@ -117,8 +140,22 @@
 	const primaryLeases: PrimaryLeases = createPrimaryLeases({mirror, ownPeerAddress: peerAddress, isKnownToAll: at => registration.isKnownToAll(at)});
 	const knowledge = createPlacementKnowledge();
 	const primaryWork = createPrimaryWork(clock);
-	const cutOffs = createCutOffs();
-	const {scheduling, zoneRegions} = parts.features ?? {};
+	const ownCutOffs = createCutOffs();
+	const cutOffs = regions
+		? createRegionalCutOffs(ownCutOffs, {
+			isPrimaryLost(group) {
+				const record = mirror.state.leadership.get(group);
+				const zone = record && regions.getEndpointZone(record.primaryId);
+				return zone !== undefined && regions.links.isLost(zone, elapsedClock.elapsed());
+			},
+			isIsolated(group) {
+				const now = elapsedClock.elapsed();
+				const isUnconfirmed = mirror.confirmedAt !== undefined && now - mirror.confirmedAt > PRIMARY_LEASE_MS;
+				return isUnconfirmed && regions.links.isAnyLost(now) && primaryLeases.get(group, now) === undefined;
+			},
+		})
+		: ownCutOffs;
+	const scheduling = parts.features?.scheduling;
 	const layout = scheduling ? new EndpointZoneLayout({poolHosts: scheduling.poolHosts, zoneRegions}) : new SpreadLayout();
 	const poolHosts = createPoolHosts({
 		mirror, hostName, availabilityZone: parts.availabilityZone, layout,
@@ -167,7 +204,7 @@
 		getMaxIdleMs: () => getMaxTransactionIdleMs(mirror.state.routing),
 	});
 	const sampleFetcher = createSampleFetcher({
-		peers, poolHosts, knowledge, clock, elapsedClock, unreachable,
+		peers, poolHosts, knowledge, clock, elapsedClock, unreachable, prefer: regions?.preferNear,
 	});
 	const issuer = createTokenIssuer({getLimit: workspace => mirror.state.routing?.workspaces.get(workspace)?.limit});
 	const tokenSource = createTokenSource({
@@ -186,7 +223,7 @@
 	});
 	const storeRestores = createStoreRestores({mirror, elapsedClock});
 	const registration: HostRegistration = createHostRegistration({
-		store, mirror, log, clock, elapsedClock, random, host,
+		store, mirror, log, clock, elapsedClock, random, host, measureStoreRtt: regions?.measureStoreRtt,
 	});
 	const leadershipWatch: LeadershipWatch = createLeadershipWatch({
 		store,
@@ -221,6 +258,8 @@
 			log,
 			hostName,
 			ownPeerAddress: peerAddress,
+			availabilityZone: parts.availabilityZone,
+			getSuccessorDistance: regions?.getSuccessorDistance,
 			onReplaced(_group, times) {
 				for (const [part, ms] of Object.entries(times)) {
 					metrics.observeReplacement(part, ms / 1000);
@@ -283,5 +322,9 @@
 	}));
 	kernel.register('gateway', gateway);
 	kernel.register('storeMirror', mirror);
+	if (regions) {
+		kernel.register('regions', regions);
+	}
+
 	return kernel;
 }
