--- a/src/admission/create-admission.ts
+++ b/src/admission/create-admission.ts
@@ -2,6 +2,8 @@
 import type {Refusal} from '../refusals/refusal.js';
 import type {Clock} from '../time/clock.js';
 import {createRetryAfterSlots} from '../refusals/retry-after-slots.js';
+import {createLatestStartTimer} from '../scheduling/latest-start-timer.js';
+import {createServiceTime} from '../scheduling/service-time.js';
 import {AdaptiveLimit} from './adaptive-limit.js';
 import type {Admission, AdmissionResult, AdmissionRequest} from './admission.js';
 import {
@@ -10,9 +12,7 @@
 import {createClassQueues, WORK_CLASSES, type QueuedRequest} from './class-queues.js';
 import {createClassShares, type Shares} from './class-shares.js';
 import type {ConcurrencyLimit} from './concurrency-limit.js';
-import {createLatestStartTimer} from './latest-start-timer.js';
 import {DeadlineOrder, type QueueOrder} from './queue-order.js';
-import {createServiceTime} from './service-time.js';
 import {createWaitPrediction, type QueueState} from './wait-prediction.js';
 
 /** Options of {@link createAdmission}. */
@@ -47,7 +47,7 @@
 	const limit = options.limit ?? new AdaptiveLimit(slots, owners);
 	const queues = createClassQueues(options.order ?? new DeadlineOrder());
 	const shares = createClassShares(options.shares);
-	const serviceTime = createServiceTime(options.initialServiceMs ?? INITIAL_SERVICE_MS);
+	const serviceTime = createServiceTime<WorkClass>(options.initialServiceMs ?? INITIAL_SERVICE_MS);
 	const prediction = createWaitPrediction(shares, serviceTime);
 	const retryDelays = {deadline: createRetryAfterSlots(), interactive: createRetryAfterSlots(), background: createRetryAfterSlots()};
 	let running = 0;
--- a/src/admission/wait-prediction.ts
+++ b/src/admission/wait-prediction.ts
@@ -1,6 +1,7 @@
 import type {WorkClass} from '../groups/group-config.js';
+import {createPredictionCorrection} from '../scheduling/prediction-correction.js';
+import type {ServiceTime} from '../scheduling/service-time.js';
 import type {ClassShares} from './class-shares.js';
-import type {ServiceTime} from './service-time.js';
 
 /** Predicts how long requests wait for a slot. */
 export type WaitPrediction = {
@@ -27,15 +28,6 @@
 /** A server that releases no slot for this many predicted intervals is taken to be slower than measured. */
 const STALL_TURNS = 3;
 
-/** Weight of the newest wait in the learned correction. */
-const LEARNING_WEIGHT = 0.05;
-
-/** Wait in milliseconds that the correction starts from as if it had been predicted exactly: the weight of the model at the start. */
-const INITIAL_WAIT_MS = 20;
-
-const MIN_CORRECTION = 0.5;
-const MAX_CORRECTION = 4;
-
 /**
  * Creates a prediction that has learned nothing yet.
  *
@@ -43,14 +35,8 @@
  * out (requests that overtake with an earlier deadline, classes that start or stop waiting) is learned as the ratio between
  * measured waits and the model's estimates.
  */
-export function createWaitPrediction(shares: ClassShares, serviceTime: ServiceTime): WaitPrediction {
-	const createWaits = () => ({modelMs: INITIAL_WAIT_MS, waitedMs: INITIAL_WAIT_MS});
-	const learned = {deadline: createWaits(), interactive: createWaits(), background: createWaits()};
-
-	const getCorrection = (workClass: WorkClass) => {
-		const {modelMs, waitedMs} = learned[workClass];
-		return Math.min(MAX_CORRECTION, Math.max(MIN_CORRECTION, waitedMs / modelMs));
-	};
+export function createWaitPrediction(shares: ClassShares, serviceTime: ServiceTime<WorkClass>): WaitPrediction {
+	const correction = createPredictionCorrection<WorkClass>();
 
 	const getTurnMs = (workClass: WorkClass, {limit, isContended, stalledMs}: QueueState) => {
 		const slotFraction = isContended ? Math.max(MIN_SLOT_FRACTION, shares.getShare(workClass)) : 1;
@@ -61,11 +47,7 @@
 
 	return {
 		getTurnMs,
-		predictMs: (workClass, position, state) => (position + 1) * getTurnMs(workClass, state) * getCorrection(workClass),
-		learn(workClass, modelMs, waitedMs) {
-			const waits = learned[workClass];
-			waits.modelMs += LEARNING_WEIGHT * (modelMs - waits.modelMs);
-			waits.waitedMs += LEARNING_WEIGHT * (waitedMs - waits.waitedMs);
-		},
+		predictMs: (workClass, position, state) => (position + 1) * getTurnMs(workClass, state) * correction.get(workClass),
+		learn: correction.learn,
 	};
 }
--- a/src/admission/latest-start-timer.ts
+++ b/src/scheduling/latest-start-timer.ts
@@ -1,11 +1,12 @@
 import type {Clock} from '../time/clock.js';
+import {createSleepAlarm} from '../time/sleep-alarm.js';
 
 /**
- * Fires when the first waiting request passes its latest start time: the last moment at which it could start and still meet
- * its deadline.
+ * One timer for all waiting requests. It fires at the earliest time at which something changes without an event: a request
+ * passes its latest start time, the last moment at which it could start and still meet its deadline, or a check is due.
  */
 export type LatestStartTimer = {
-	/** Starts the timer, or brings it forward, for the latest start time of a request that was just queued. */
+	/** Starts the timer, or brings it forward, for a time that was just added. */
 	schedule(at: number): void;
 	/** Fires at once if the timer runs; it then stops where no request waits any more. */
 	fireNow(): void;
@@ -14,7 +15,7 @@
 /** Options of {@link createLatestStartTimer}. */
 export type LatestStartTimerOptions = {
 	readonly clock: Clock;
-	/** Returns the earliest of the waiting requests' latest start times; undefined where none waits. */
+	/** Returns the earliest time at which something changes; undefined where no request waits. */
 	getNextAt(): number | undefined;
 	/** Called when the timer fires. */
 	onDue(now: number): void;
@@ -27,13 +28,13 @@
 export function createLatestStartTimer({clock, getNextAt, onDue}: LatestStartTimerOptions): LatestStartTimer {
 	/** Time at which the timer fires; undefined while it is stopped. */
 	let wakeAt: number | undefined;
-	let sleep = new AbortController();
+	let sleep = createSleepAlarm();
 
 	const run = async () => {
 		wakeAt = getNextAt();
 		while (wakeAt !== undefined) {
-			sleep = new AbortController();
-			await clock.sleep(Math.max(MIN_SLEEP_MS, Math.ceil(wakeAt - clock.now())), sleep.signal);
+			sleep = createSleepAlarm();
+			await clock.sleep(Math.max(MIN_SLEEP_MS, Math.ceil(wakeAt - clock.now())), sleep);
 			onDue(clock.now());
 			wakeAt = getNextAt();
 		}
