Split the endpoint pool into connections and a queue of requests

Change: pool-connections.ts holds what is open, idle or being opened; arrival-queue.ts the earlier polled wait, created by ArrivalOrder; WaiterOrder creates the queue of a pool. Result: the tests of src/links and src/connection-sharing pass unchanged.

--- a/src/links/create-endpoint-pool.ts
+++ b/src/links/create-endpoint-pool.ts
@@ -1,327 +1,30 @@
-import {AnswerCode} from '../statements/statement-answer.js';
-import {createSleepAlarm} from '../time/sleep-alarm.js';
-import {createCongestionWindow} from './congestion-window.js';
-import {createEndpointHealth} from './endpoint-health.js';
-import type {LinkListener} from './endpoint-link.js';
-import type {EndpointPool, EndpointPoolOptions, AcquireRequest} from './endpoint-pool.js';
-import {createIdleLinks} from './idle-links.js';
-import {createLinkBudget} from './link-budget.js';
-import {getUnservedWaiters, type Waiter} from './choose-waiter.js';
-import {LongestIdlePolicy} from './connection-policy.js';
-import {isLinkRefused} from './link-errors.js';
-import {createSessionLink, type SessionLink} from './link-session.js';
-import {heldPositionAtOpen, openCheckedLink} from './open-checked-link.js';
+import type {EndpointPool, EndpointPoolOptions} from './endpoint-pool.js';
+import {createPoolConnections} from './pool-connections.js';
+import type {RequestQueue} from './request-queue.js';
 import {ArrivalOrder} from './waiter-order.js';
-import {createWorkspaceUsage} from './workspace-usage.js';
-
-/**
- * Timeout for opening a connection, in milliseconds. Opening takes 12 ms and a slot of the endpoint, so it queues behind
- * statements; a caller's own statement is bounded at about 1,000 ms.
- */
-const OPEN_TIMEOUT_MS = 1500;
 
 /** Creates a pool without connections. */
 export function createEndpointPool(options: EndpointPoolOptions): EndpointPool {
-	const {target, clock, log, getLimits} = options;
-	const health = createEndpointHealth();
-	const budget = createLinkBudget(getLimits);
-	const congestion = options.window ?? createCongestionWindow();
-	const waiterOrder = options.order ?? new ArrivalOrder();
-	const connections = options.connections ?? new LongestIdlePolicy();
-	const all = new Set<SessionLink>();
-	const inTransactions = new Set<SessionLink>();
-	const idle = createIdleLinks();
-	let waiters: Waiter[] = [];
-	const usage = createWorkspaceUsage();
-	let order = 0;
-	/** Whether an idle connection is being closed to be replaced by a new one at once. */
-	let isEvicting = false;
-	let retired = false;
-	let refusedSince: number | undefined;
-	let suspectRetriedAt = Number.NEGATIVE_INFINITY;
-
-	const noteIfNothingPending = () => {
-		if (usage.opening === 0 && ![...all].some(({link}) => link.pending > 0)) {
-			health.noteNothingPending();
-		}
-	};
-
-	const listener: LinkListener = {
-		onSent() {
-			health.noteSent(clock.now());
+	const {target, clock, log} = options;
+	const connections = createPoolConnections({
+		...options,
+		onOpened(sessionLink, openMs) {
+			queue.noteOpened(sessionLink, openMs);
 		},
-		onReceived() {
-			health.noteReceived(clock.now());
-			noteIfNothingPending();
+		onClosed() {
+			queue.noteClosed();
 		},
-		onAnswered(isRejected) {
-			if (isRejected) {
-				congestion.noteRejected(countInFlight(), clock.now());
-			} else {
-				congestion.noteServed();
-			}
+		onRefused() {
+			queue.failAll();
 		},
-	};
-
-	/** Counts connections that serve single statements or are being opened; one that is idle in a transaction takes no slot of the endpoint. */
-	const countInFlight = () => all.size - idle.size - inTransactions.size + usage.opening;
-
-	/** Opens a connection and keeps it in the pool until it closes. */
-	const openLink = async (timeoutMs: number, workspace: string | undefined) => {
-		usage.noteOpening(workspace);
-		listener.onSent();
-		let opened = false;
-		try {
-			const link = await openCheckedLink(options, workspace, timeoutMs, listener);
-			const sessionLink = createSessionLink(link, workspace);
-			all.add(sessionLink);
-			link.onClose(() => {
-				all.delete(sessionLink);
-				inTransactions.delete(sessionLink);
-				if (!isEvicting) {
-					openForWaiters();
-				}
-			});
-			opened = true;
-			return sessionLink;
-		} catch (err) {
-			noteOpenFailed(err);
-			throw err;
-		} finally {
-			usage.noteOpeningEnded(workspace);
-			if (opened) {
-				noteIfNothingPending();
-			}
-		}
-	};
-
-	/**
-	 * Guards single statements against idle transactions: where no further connection may be opened, transactions leave one connection to single statements. A hundred
-	 * callers that each idled in a transaction for 3 s took every connection of a primary, and reads and writes of 15 ms waited until their deadline.
-	 */
-	const mayAcquire = ({single}: AcquireRequest, inFlight = countInFlight()) => {
-		if (inFlight >= congestion.size) {
-			return false;
-		}
-
-		const left = all.size - inTransactions.size - 1;
-		return single || left > 0 || all.size <= 1 || budget.mayOpen(clock.now(), all.size + usage.opening);
-	};
-
-	/**
-	 * Guards against connections to an incarnation of the endpoint that lost its log. They were opened to what seemed a replica, before this host knew that the
-	 * previous incarnation is recorded as the primary. A primary's own connections that are older than its promotion are also reopened, once.
-	 */
-	const cutStaleIdle = ({minPosition}: AcquireRequest) => {
-		idle.cutWhere(({link}) => !heldPositionAtOpen(link, minPosition));
-	};
-
-	const noteAcquired = (sessionLink: SessionLink, {single}: AcquireRequest) => {
-		usage.noteAcquired(sessionLink.workspace);
-		if (!single) {
-			inTransactions.add(sessionLink);
-		}
-
-		return sessionLink;
-	};
-
-	const takeIdle = (request: AcquireRequest) => {
-		cutStaleIdle(request);
-		const taken = mayAcquire(request) ? idle.take(request.values, request.workspace) : undefined;
-		return taken && noteAcquired(taken, request);
-	};
-
-	const assignTo = (waiter: Waiter, sessionLink: SessionLink) => {
-		if (heldPositionAtOpen(sessionLink.link, waiter.minPosition)) {
-			waiters = waiters.filter(other => other !== waiter);
-			waiter.resolve(noteAcquired(sessionLink, waiter));
-		} else {
-			sessionLink.link.cut();
-		}
-	};
-
-	/** Returns the waiters that may acquire a connection which is neither acquired nor idle. */
-	const getWaitersFor = ({link}: SessionLink) => waiters.filter(request => !link.closed && mayAcquire(request, countInFlight() - 1));
-
-	const assignOrKeepIdle = (sessionLink: SessionLink) => {
-		const waiter = waiterOrder.choose(getWaitersFor(sessionLink), sessionLink.workspace, usage.count, clock.now());
-		if (waiter) {
-			assignTo(waiter, sessionLink);
-			return;
-		}
-
-		idle.add(sessionLink, clock.now());
-		openForWaiters();
-	};
-
-	/**
-	 * Assigns a new connection to a waiter of the workspace for which it was opened, if there is one. Guards against opening connections in an endless loop: assigned
-	 * to the waiter whose turn it is by then, of another workspace, the connection would have to be closed again unused.
-	 */
-	const assignOpened = (sessionLink: SessionLink) => {
-		const own = waiterOrder.getNext(getWaitersFor(sessionLink).filter(({workspace}) => workspace === sessionLink.workspace), usage.count, clock.now());
-		if (own) {
-			assignTo(own, sessionLink);
-		} else {
-			assignOrKeepIdle(sessionLink);
-		}
-	};
-
-	/** Assigns an idle connection that was held back from a transaction, once another one may be opened. */
-	const serveIdle = () => {
-		const waiter = waiters.find(request => mayAcquire(request) && idle.has(request.workspace));
-		const sessionLink = waiter && idle.take(waiter.values, waiter.workspace);
-		if (sessionLink) {
-			assignTo(waiter, sessionLink);
-		}
-	};
-
-	const failWaiters = () => {
-		for (const waiter of waiters.splice(0)) {
-			waiter.resolve(undefined);
-		}
-	};
-
-	const noteOpenFailed = (err: unknown) => {
-		const now = clock.now();
-		if (isLinkRefused(err) && (err.code === AnswerCode.TooManyConnections || err.code === AnswerCode.Overloaded)) {
-			health.noteReceived(now);
-			budget.noteRejected(now);
-			return;
-		}
-
-		if (!isLinkRefused(err) || err.code === AnswerCode.WrongEndpoint) {
-			health.noteRefused(now);
-		}
-
-		if (refusedSince === undefined) {
-			refusedSince = now;
-			log.warn('an endpoint refuses sessions', {
-				endpoint: target.endpointId, group: target.group, reason: (err as Error).message, open: all.size,
-			});
-		}
-
-		// Waiters fail at once, since another endpoint may serve them.
-		if (all.size === 0) {
-			failWaiters();
-		}
-	};
-
-	const openOne = async (workspace: string | undefined) => {
-		try {
-			const sessionLink = await openLink(OPEN_TIMEOUT_MS, workspace);
-			noteOpened();
-			if (retired) {
-				sessionLink.link.close();
-				return;
-			}
-
-			assignOpened(sessionLink);
-		} catch (err) {
-			log.debug('a connection was not opened', {endpoint: target.endpointId, reason: (err as Error).message});
-		}
-	};
-
-	const noteOpened = () => {
-		if (refusedSince !== undefined) {
-			log.info('an endpoint accepts sessions again', {endpoint: target.endpointId, group: target.group, afterMs: Math.round(clock.now() - refusedSince)});
-			refusedSince = undefined;
-		}
-	};
-
-	/** Returns the waiter whose turn it is, out of those for which no connection is being opened. */
-	const getUnserved = () => waiterOrder.getNext(getUnservedWaiters(waiters.filter(request => mayAcquire(request)), usage.openingFor), usage.count, clock.now());
-
-	/**
-	 * Closes an idle connection of another workspace, so that one can be opened for this workspace; returns whether there was one. Guards a workspace that has no
-	 * connection while others hold all of them: none of those can serve it.
-	 */
-	const evictIdle = (workspace: string | undefined) => {
-		const evicted = connections.chooseEvicted(idle.all, workspace, clock.now());
-		if (!evicted) {
-			return false;
-		}
-
-		idle.remove(evicted);
-		isEvicting = true;
-		evicted.sessionLink.link.close();
-		isEvicting = false;
-		return true;
-	};
-
-	/** Returns whether one more may be opened. Beyond the share only one is opened at a time: the endpoint would reject hosts that open many at once. */
-	const mayOpenAnother = (open: number) => budget.mayOpen(clock.now(), open) && (usage.opening === 0 || open < budget.share);
-
-	const openForWaiters = () => {
-		for (let next = getUnserved(); next && !retired; next = getUnserved()) {
-			const open = all.size + usage.opening;
-			const isWithinShare = open < budget.share && mayOpenAnother(open);
-			if (!isWithinShare && !(mayOpenAnother(open - 1) && evictIdle(next.workspace)) && !mayOpenAnother(open)) {
-				return;
-			}
-
-			void openOne(next.workspace);
-		}
-	};
-
-	/**
-	 * Opens a connection to a suspected endpoint from time to time. Guards against an endpoint that was unreachable for a while and is never tried again: no read is sent
-	 * to one that refused or was silent, so no traffic would show that it answers again.
-	 */
-	const retrySuspect = () => {
-		const now = clock.now();
-		if (retired || usage.opening > 0 || now - suspectRetriedAt < SUSPECT_RETRY_INTERVAL_MS || !health.getSuspicion(now)) {
-			return;
-		}
-
-		suspectRetriedAt = now;
-		void openOne(undefined);
-	};
-
-	const trim = () => {
-		const now = clock.now();
-		let open = all.size;
-		while (idle.size > 0 && open > budget.kept) {
-			const oldest = idle.takeOldest(now - connections.getIdleTimeoutMs(open <= budget.share));
-			if (!oldest) {
-				return;
-			}
-
-			oldest.link.close();
-			open--;
-		}
-	};
-
-	/** Waits for a connection, and keeps trying to open one while the endpoint rejects connections. */
-	const wait = async (request: AcquireRequest): Promise<SessionLink | undefined> => {
-		const alarm = createSleepAlarm();
-		let assigned: SessionLink | undefined;
-		let done = false;
-		const waiter: Waiter = {
-			...request,
-			order: order++,
-			since: clock.now(),
-			resolve(sessionLink) {
-				assigned = sessionLink;
-				done = true;
-				alarm.abort();
-			},
-		};
-		waiters.push(waiter);
-		waiters.sort((left, right) => left.priority - right.priority || left.order - right.order);
-		// A request that waits at a silent endpoint may be served elsewhere, for example by the endpoint's successor.
-		while (!done && clock.now() < request.until && !retired && !health.getSuspicion(clock.now())) {
-			serveIdle();
-			openForWaiters();
-			await clock.sleep(Math.min(WAITER_POLL_INTERVAL_MS, request.until - clock.now()), alarm);
-		}
-
-		if (!done) {
-			waiters = waiters.filter(other => other !== waiter);
-		}
-
-		return assigned;
-	};
+		onAnswered() {
+			queue.noteAnswered();
+		},
+	});
+	const queue: RequestQueue = (options.order ?? new ArrivalOrder()).createQueue({
+		target, clock, log, connections,
+	});
+	const {all, idle, health} = connections;
 
 	return {
 		target,
@@ -330,36 +33,29 @@
 			return all.size - idle.size;
 		},
 		get waiting() {
-			return waiters.length;
+			return queue.size;
 		},
 		get open() {
 			return all.size;
 		},
-		getLoad: () => ({
-			limit: congestion.size, inFlight: countInFlight(), queued: waiters.length, serviceMs: 0, waitMs: 0,
+		getLoad: now => ({
+			limit: connections.limit, inFlight: connections.inFlight, queued: queue.size, serviceMs: queue.serviceMs, waitMs: queue.predictWaitMs(now),
 		}),
 		async acquire(request) {
-			if (retired) {
-				return undefined;
-			}
-
-			return takeIdle(request) ?? wait(request);
+			return connections.retired ? undefined : queue.acquire(request);
 		},
 		release(sessionLink) {
-			usage.noteReleased(sessionLink.workspace);
-			inTransactions.delete(sessionLink);
-			if (sessionLink.link.closed) {
-				openForWaiters();
-				return;
-			}
-
-			if (retired) {
+			const {closed} = sessionLink.link;
+			connections.noteReleased(sessionLink);
+			if (connections.retired && !closed) {
 				sessionLink.link.close();
 				return;
 			}
 
-			assignOrKeepIdle(sessionLink);
-			trim();
+			queue.noteReleased(sessionLink);
+			if (!closed) {
+				connections.trim();
+			}
 		},
 		async sendCommand(command, timeoutMs) {
 			const open = idle.newest ?? [...all].find(({link}) => !link.closed);
@@ -367,27 +63,18 @@
 				return open.link.readStatus({command});
 			}
 
-			const sessionLink = await openLink(timeoutMs, undefined);
+			const sessionLink = await connections.openLink(timeoutMs, undefined);
 			const status = await sessionLink.link.readStatus({command});
-			assignOrKeepIdle(sessionLink);
+			queue.keep(sessionLink);
 			return status;
 		},
 		maintain() {
-			trim();
-			retrySuspect();
+			connections.trim();
+			connections.retrySuspect();
 		},
 		retire() {
-			retired = true;
-			failWaiters();
-			for (const {link} of idle.takeAll()) {
-				link.close();
-			}
+			connections.retire();
+			queue.failAll();
 		},
 	};
 }
-
-/** Interval at which a suspected endpoint is tried again, in milliseconds: a try costs it nothing, and a network cut lasts seconds. */
-const SUSPECT_RETRY_INTERVAL_MS = 1000;
-
-/** Interval at which a waiter checks whether a connection may be opened, in milliseconds. */
-const WAITER_POLL_INTERVAL_MS = 30;
