Schedule the requests of a pool by urgency, and refuse those that would start too late

Cause: callers of 83 workspaces compete for too few slots. The most urgent route loses as much as the least urgent one, and refused statements first wait for up to twice their target. Change: with the feature scheduling, UrgencyOrder orders the requests of each pool by priority level with least shares, by time left and by slot time used by workspace. Openings of connections are charged as work. Waits are predicted; requests that would start too late are refused at once with a spaced retry-after. The gateway sets the latest start and the weight, which also go over the wire.

--- a/src/connection-sharing/checkout-calls.ts
+++ b/src/connection-sharing/checkout-calls.ts
@@ -1,4 +1,4 @@
-import type {QueueRefusal} from '../links/endpoint-pool.js';
+import type {AcquireRequest, QueueRefusal} from '../links/endpoint-pool.js';
 import type {EndpointCommand, EndpointRequest, EndpointStatus} from '../links/endpoint-link.js';
 import type {PreparedShape} from '../statements/statement.js';
 import type {EndpointLoad} from '../links/endpoint-load.js';
@@ -33,6 +33,10 @@
 	readonly values: ReadonlyArray<readonly [string, string]>;
 	/** Workspace whose connections may serve the request; undefined where there are no workspaces. */
 	readonly workspace?: string;
+	/** Weight of the workspace among those of one priority level, above 0 and at most 1; 1 where it is undefined. */
+	readonly weight?: number;
+	/** Name of the prepared statement that the connection is for, where it is known. */
+	readonly statement?: string;
 	/** Time in which the operation has to start to be within its latency target, in milliseconds; undefined where it has none. */
 	readonly startInMs?: number;
 	/** Whether the connection serves one statement that leaves no transaction open. */
@@ -72,6 +76,12 @@
 	readonly epoch?: number;
 };
 
+/** Returns the part of a checkout request that schedules it, with relative times, at the steady time `now`. */
+export function getScheduleOnWire({startBy, weight, statement}: AcquireRequest, now: number): Pick<CheckoutRequest, 'startInMs' | 'weight' | 'statement'> {
+	// Without scheduling none is set, and the message stays as it was.
+	return startBy === undefined && weight === undefined && statement === undefined ? {} : {startInMs: startBy === undefined ? undefined : startBy - now, weight, statement};
+}
+
 declare module '../peers/peer-calls.js' {
 	interface PeerCalls {
 		'loan-open': {req: CheckoutRequest; res: CheckoutResponse};
--- a/src/connection-sharing/checkout-server.ts
+++ b/src/connection-sharing/checkout-server.ts
@@ -1,4 +1,5 @@
 import {LinkError} from '../links/link-errors.js';
+import type {QueueRefusal} from '../links/endpoint-pool.js';
 import type {EndpointDirectory, KnownEndpoint} from '../links/endpoint-directory.js';
 import type {SessionLink} from '../links/link-session.js';
 import type {PrimaryLeases} from '../leadership/primary-leases.js';
@@ -119,7 +120,8 @@
 		}
 	};
 
-	const openCheckout = async ({endpointId, priority, waitMs, values, workspace, single, least: minPosition}: CheckoutRequest, remoteHost: string): Promise<CheckoutResponse> => {
+	const openCheckout = async (req: CheckoutRequest, remoteHost: string, isRead = false): Promise<CheckoutResponse> => {
+		const {endpointId, priority, waitMs, startInMs, values, workspace, weight, statement, single, least: minPosition} = req;
 		const endpoint = directory.get(endpointId);
 		if (retired) {
 			return {refused: CheckoutRefusal.Stopping};
@@ -130,8 +132,22 @@
 		}
 
 		const {ownPool} = endpoint;
+		const now = clock.now();
+		let queue: QueueRefusal | undefined;
 		const sessionLink = await ownPool.acquire({
-			priority, until: clock.now() + waitMs, values: new Map(values), workspace, single, minPosition,
+			priority,
+			until: now + waitMs,
+			startBy: startInMs === undefined ? undefined : now + startInMs,
+			values: new Map(values),
+			workspace,
+			weight,
+			statement,
+			single,
+			read: isRead ? {} : undefined,
+			minPosition,
+			onRefused(refusal) {
+				queue = refusal;
+			},
 		});
 		if (retired) {
 			// The host was ordered to stop during the wait: a transaction would begin on a host that is about to end.
@@ -142,6 +158,10 @@
 			return {refused: CheckoutRefusal.Stopping};
 		}
 
+		if (!sessionLink && queue) {
+			return {refused: CheckoutRefusal.Hopeless, queue};
+		}
+
 		if (!sessionLink) {
 			return {refused: ownPool.health.getSuspicion(clock.now()) ? CheckoutRefusal.Unreachable : CheckoutRefusal.Busy};
 		}
@@ -220,7 +240,7 @@
 	};
 
 	const run = async (req: CheckoutRun, remoteHost: string) => {
-		const granted = await openCheckout(req, remoteHost);
+		const granted = await openCheckout(req, remoteHost, true);
 		if ('refused' in granted) {
 			return granted;
 		}
--- a/src/connection-sharing/remote-read.ts
+++ b/src/connection-sharing/remote-read.ts
@@ -12,7 +12,7 @@
 import {withinMs} from '../time/deadline.js';
 import type {Clock} from '../time/clock.js';
 import {POOL_HOST_WAIT_MS, POOL_HOST_ROUND_TRIP_MS} from './pool-host-timeouts.js';
-import {CheckoutRefusal, type CheckoutExchange} from './checkout-calls.js';
+import {CheckoutRefusal, getScheduleOnWire, type CheckoutExchange} from './checkout-calls.js';
 import {createCloseState} from './close-state.js';
 import {createPendingSession} from './pending-session.js';
 
@@ -62,6 +62,7 @@
 				priority: acquireRequest.priority,
 				waitMs,
 				values: [...acquireRequest.values],
+				...getScheduleOnWire(acquireRequest, clock.now()),
 				workspace: acquireRequest.workspace,
 				single: true,
 				least: acquireRequest.minPosition,
@@ -93,6 +94,14 @@
 		let refusal: CheckoutRefusal | undefined;
 		for (const poolHost of options.getPoolHosts()) {
 			const run = await runAt(poolHost, neededNow, request);
+			if (run && 'refused' in run && run.refused === CheckoutRefusal.Hopeless) {
+				if (run.queue) {
+					acquireRequest.onRefused?.(run.queue);
+				}
+
+				return run.refused;
+			}
+
 			if (run && 'refused' in run) {
 				if (run.refused === CheckoutRefusal.Stopping) {
 					unreachable.add(poolHost, clock.now());
@@ -125,7 +134,7 @@
 				options.onUnreachable();
 			}
 
-			if (run === CheckoutRefusal.Unreachable || run === CheckoutRefusal.NoLease) {
+			if (run === CheckoutRefusal.Unreachable || run === CheckoutRefusal.NoLease || run === CheckoutRefusal.Hopeless) {
 				return DID_NOT_RUN;
 			}
 
--- a/src/connection-sharing/shared-pool.ts
+++ b/src/connection-sharing/shared-pool.ts
@@ -11,7 +11,7 @@
 import {createRemoteLink, type RemoteLink} from './remote-link.js';
 import type {PoolHosts} from './pool-hosts.js';
 import {POOL_HOST_WAIT_MS, POOL_HOST_ROUND_TRIP_MS} from './pool-host-timeouts.js';
-import {CheckoutRefusal, type CheckoutExchange} from './checkout-calls.js';
+import {CheckoutRefusal, getScheduleOnWire, type CheckoutExchange} from './checkout-calls.js';
 import {createRemoteRead} from './remote-read.js';
 
 /** What a shared pool needs. */
@@ -101,12 +101,17 @@
 				priority: acquireRequest.priority,
 				waitMs,
 				values: [...acquireRequest.values],
+				...getScheduleOnWire(acquireRequest, clock.now()),
 				workspace: acquireRequest.workspace,
 				single: acquireRequest.single,
 				least: acquireRequest.minPosition,
 			}, waitMs + POOL_HOST_ROUND_TRIP_MS);
 			unreachable.delete(poolHost);
 			if ('refused' in response) {
+				if (response.queue) {
+					acquireRequest.onRefused?.(response.queue);
+				}
+
 				return response.refused;
 			}
 
@@ -165,6 +170,10 @@
 				continue;
 			}
 
+			if (result === CheckoutRefusal.Hopeless) {
+				return result;
+			}
+
 			refusal = result === CheckoutRefusal.Busy ? result : refusal ?? result;
 		}
 
@@ -218,6 +227,10 @@
 				continue;
 			}
 
+			if (result === CheckoutRefusal.Hopeless) {
+				return undefined;
+			}
+
 			if (result === CheckoutRefusal.Unreachable) {
 				noteUnreachable();
 				return undefined;
--- a/src/gateway/acquire-link.ts
+++ b/src/gateway/acquire-link.ts
@@ -13,6 +13,7 @@
 import type {Workspace} from '../workspaces/workspace.js';
 import type {GatewayParts} from './gateway-parts.js';
 import type {QueueTimeout} from './queue-timeout.js';
+import {scheduleRequest} from './schedule-request.js';
 import type {SessionMemory} from './session-memory.js';
 import type {StatementTrace} from './statement-trace.js';
 
@@ -46,6 +47,8 @@
 	readonly single?: boolean;
 	/** Whether it is for a single read, which may run more than once. */
 	readonly reads?: boolean;
+	/** Name of the prepared statement that it is for; undefined where the statement is not prepared or not known yet. */
+	readonly statement?: string;
 	/** Ids of endpoints that have been tried already. */
 	readonly excluded?: ReadonlySet<string>;
 	/** Whether the caller still waits for the result. */
@@ -114,7 +117,7 @@
 
 		const until = Math.min(req.until, req.queueTimeout.start(parts.clock.now()));
 		const acquired = await acquireAt(parts, {...req, until}, endpoint, lease);
-		if (req.queueTimeout.isOver(parts.clock.now()) || acquired) {
+		if (acquired ?? hasEnded(parts, req)) {
 			return acquired;
 		}
 
@@ -141,13 +144,14 @@
 		const chosen = parts.placement.choose(candidates.filter(({endpointId}) => !timedOutEndpoints.has(endpointId)));
 		const endpoint = chosen && parts.directory.get(chosen.endpointId);
 		if (!endpoint) {
-			if (timedOutEndpoints.size > 0) {
+			if (timedOutEndpoints.size > 0 && !req.trace.queueRefusal) {
 				timedOutEndpoints.clear();
 				await nextTurn();
 				continue;
 			}
 
-			if ((req.excluded?.size ?? 0) > 0 || isIsolatedTooLong(parts, startedAt)) {
+			if (timedOutEndpoints.size > 0 || (req.excluded?.size ?? 0) > 0 || isIsolatedTooLong(parts, startedAt)) {
+				// Where each endpoint refused at once, none can serve the read in time.
 				return undefined;
 			}
 
@@ -161,13 +165,13 @@
 		}
 
 		const queueUntil = Math.min(req.until, req.queueTimeout.start(parts.clock.now()));
-		const until = candidates.length > 1 ? Math.min(queueUntil, parts.clock.now() + MAX_WAIT_AT_ONE_ENDPOINT_MS) : queueUntil;
+		const until = getWaitUntil(parts, queueUntil, candidates.length);
 		const acquired = await acquireAt(parts, {...req, until}, endpoint, chosen.isPrimary ? lease : undefined, chosen.isPrimary ? undefined : floor);
 		if (req.queueTimeout.isOver(parts.clock.now()) || acquired) {
 			return acquired;
 		}
 
-		if (parts.clock.now() >= until) {
+		if (hasNoConnectionInTime(parts, req, until)) {
 			timedOutEndpoints.add(endpoint.entry.id);
 			continue;
 		}
@@ -179,6 +183,21 @@
 	return undefined;
 }
 
+/** Whether the endpoint that was asked last had no connection until then, or knows that it will have none. */
+function hasNoConnectionInTime({clock}: GatewayParts, {trace}: LinkRequest, until: number): boolean {
+	return clock.now() >= until || trace.queueRefusal !== undefined;
+}
+
+/** Whether the request has no time left to queue, or the pool that was asked last knows that it cannot serve the request in time. */
+function hasEnded({clock}: GatewayParts, {queueTimeout, trace}: LinkRequest): boolean {
+	return queueTimeout.isOver(clock.now()) || trace.queueRefusal !== undefined;
+}
+
+/** Returns the steady time until which a read waits at one endpoint. With scheduling it keeps its place in the queue there, whose pool refuses it at once where it would wait too long. */
+function getWaitUntil({clock, features}: GatewayParts, queueUntil: number, candidates: number): number {
+	return candidates > 1 && !features.scheduling ? Math.min(queueUntil, clock.now() + MAX_WAIT_AT_ONE_ENDPOINT_MS) : queueUntil;
+}
+
 /**
  * Requests a position of the group's primary from a host that uses the primary more often, so that a replica can serve the read. Returns undefined where
  * no host has one.
@@ -228,6 +247,7 @@
 async function acquireAt(parts: GatewayParts, req: LinkRequest, endpoint: KnownEndpoint, lease?: PrimaryLease, floor?: LogPosition): Promise<AcquiredLink | undefined> {
 	const {pool} = endpoint;
 	const requestedAt = parts.clock.now();
+	req.trace.queueRefusal = undefined;
 	const sessionLink = await pool.acquire({
 		priority: req.route.priority,
 		until: req.until,
@@ -236,6 +256,7 @@
 		single: req.single ?? false,
 		read: req.reads ? {epoch: lease?.epoch} : undefined,
 		minPosition: lease?.start,
+		...scheduleRequest(parts, req, pool, requestedAt),
 	});
 	if (!sessionLink) {
 		return undefined;
@@ -263,6 +284,10 @@
 		state: SessionState.Idle,
 		release() {
 			endWork?.();
+			if (!req.single) {
+				parts.operationTimes.observe(req.route.name, parts.clock.now() - requestedAt - waitedMs, !sessionLink.link.closed);
+			}
+
 			// Guards against running the next caller's statement inside this transaction, in case the endpoint kept it open.
 			if (acquired.state !== SessionState.Idle) {
 				sessionLink.link.cut();
--- a/src/gateway/caller-session.ts
+++ b/src/gateway/caller-session.ts
@@ -1,4 +1,5 @@
 import type {RetryBudget} from '../retries/retry-budget.js';
+import {getPreparedName} from '../links/link-session.js';
 import type {Route} from '../routes/routing.js';
 import {
 	Access, SessionState, type IdentifiedStatement, type Statement,
@@ -171,6 +172,7 @@
 			statement,
 			req: {
 				route, memory, workspace: admission.workspace, arrivedAt, until, queueTimeout: createQueueTimeout(route), single: true, isWanted, trace: newTrace(admission.workspace),
+				statement: shape.prepared && getPreparedName(shape.prepared),
 			},
 		};
 		return shape.access === Access.Read ? runRead(parts, getBudget(route.group), single) : runWrite(parts, single);
--- a/src/gateway/caller-transaction.ts
+++ b/src/gateway/caller-transaction.ts
@@ -101,7 +101,7 @@
 			const linkRequest = {...req, until, excluded};
 			const candidate = await (readOnly ? acquireForRead(parts, linkRequest) : acquirePrimary(parts, linkRequest));
 			if (!candidate) {
-				if (excluded.size === 0) {
+				if (excluded.size === 0 || req.trace.queueRefusal) {
 					return undefined;
 				}
 
@@ -181,7 +181,7 @@
 			}
 
 			if (!acquired) {
-				return fail(AnswerCode.Overloaded, 'no endpoint could begin the transaction; nothing ran', RETRY_AFTER_MS);
+				return fail(AnswerCode.Overloaded, 'no endpoint could begin the transaction; nothing ran', req.trace.queueRefusal?.retryAfterMs ?? RETRY_AFTER_MS);
 			}
 
 			wrote ||= shape.access === Access.Write;
@@ -210,7 +210,7 @@
 			const ending = acquired;
 			if (!ending) {
 				acquired = await begin(until);
-				return acquired ? this.commit(id, until) : fail(AnswerCode.Overloaded, 'no endpoint could begin the transaction; nothing ran', RETRY_AFTER_MS);
+				return acquired ? this.commit(id, until) : fail(AnswerCode.Overloaded, 'no endpoint could begin the transaction; nothing ran', req.trace.queueRefusal?.retryAfterMs ?? RETRY_AFTER_MS);
 			}
 
 			// A replaced primary may still commit. Before a commit is sent, a rollback still has a certain outcome.
--- a/src/gateway/gateway-parts.ts
+++ b/src/gateway/gateway-parts.ts
@@ -7,6 +7,8 @@
 import type {StoreMirror} from '../mirror/store-mirror.js';
 import type {PlacementKnowledge} from '../placement/placement-knowledge.js';
 import type {ReadPlacement} from '../placement/read-placement.js';
+import type {ProxyFeatures} from '../proxy/proxy-features.js';
+import type {ServiceTime} from '../scheduling/service-time.js';
 import type {Clock} from '../time/clock.js';
 import type {ElapsedClock} from '../time/elapsed-clock.js';
 import type {CallerAccess} from '../workspaces/caller-access.js';
@@ -30,4 +32,8 @@
 	readonly rateLimiter: RateLimiter;
 	readonly availabilityZone: string;
 	readonly placement: ReadPlacement;
+	/** Features that the deployment asks for. */
+	readonly features: ProxyFeatures;
+	/** Smoothed times of transactions from their begin to their end, by route. */
+	readonly operationTimes: ServiceTime<string>;
 };
--- a/src/gateway/prom-gateway-metrics.ts
+++ b/src/gateway/prom-gateway-metrics.ts
@@ -1,10 +1,12 @@
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
+import type {SchedulingMetrics} from '../scheduling/scheduling-metrics.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
+import {createPromSchedulingMetrics} from './prom-scheduling-metrics.js';
 
 /** The gateway's metrics, those of the rest of the proxy, and their rendering as text. */
-export type ProxyMetrics = GatewayMetrics & {
+export type ProxyMetrics = GatewayMetrics & SchedulingMetrics & {
 	/** Counts a call to the platform that ended. */
 	countPlatformCall(call: string, result: string): void;
 	/** Sets the store generation of the platform's last answer. */
@@ -62,6 +64,7 @@
 	});
 
 	return {
+		...createPromSchedulingMetrics(registry),
 		observeStatement(kind, outcome, seconds) {
 			statements.inc({kind, outcome});
 			statementSeconds.observe({kind}, seconds);
--- a/src/gateway/run-read.ts
+++ b/src/gateway/run-read.ts
@@ -57,6 +57,10 @@
 	/** Whether the queue timeout has passed with no try under way; a try under way is awaited, since its answer may be ready. */
 	const hasQueueTimedOut = () => underWay.size === 0 && lastReason === AnswerCode.Overloaded && single.req.queueTimeout.isOver(clock.now());
 
+	/** Whether another round is of no use: no endpoint may be used, or the last one that was asked knows that it cannot serve the read in time. */
+	const isOver = () => excluded.size === 0 || single.req.trace.queueRefusal !== undefined;
+	const getRetryAfterMs = () => single.req.trace.queueRefusal?.retryAfterMs ?? RETRY_AFTER_MS;
+
 	while (clock.now() < until && single.req.isWanted() && !hasQueueTimedOut()) {
 		const acquired = await acquireForRead(parts, {
 			...single.req, reads: true, excluded, until: underWay.size > 0 ? clock.now() : until,
@@ -64,7 +68,7 @@
 		if (acquired) {
 			underWay.add(startTry(parts, acquired, single));
 		} else if (underWay.size === 0) {
-			if (excluded.size === 0) {
+			if (isOver()) {
 				break;
 			}
 
@@ -95,7 +99,7 @@
 		}
 	}
 
-	return refuse(AnswerCode.Overloaded, `${lastReason}; the read left nothing behind`, RETRY_AFTER_MS);
+	return refuse(AnswerCode.Overloaded, `${lastReason}; the read left nothing behind`, getRetryAfterMs());
 }
 
 /** Pause before endpoints that were all tried are tried again, in milliseconds: about the usual lag of a replica. */
--- a/src/gateway/run-write.ts
+++ b/src/gateway/run-write.ts
@@ -62,7 +62,7 @@
 		return answer;
 	}
 
-	return refuse(AnswerCode.Overloaded, `${lastReason}; the write was not run`, RETRY_AFTER_MS);
+	return refuse(AnswerCode.Overloaded, `${lastReason}; the write was not run`, req.trace.queueRefusal?.retryAfterMs ?? RETRY_AFTER_MS);
 }
 
 /** Errors that prove that the endpoint did not run the write. */
--- a/src/gateway/statement-trace.ts
+++ b/src/gateway/statement-trace.ts
@@ -1,3 +1,4 @@
+import type {QueueRefusal} from '../links/endpoint-pool.js';
 import type {LogPosition} from '../terms/log-position.js';
 
 /** How a statement, or its transaction, was routed, for log lines. */
@@ -12,6 +13,8 @@
 	epoch?: number;
 	/** Log position that the replica used last had to have reached. */
 	floor?: LogPosition;
+	/** Why the last pool that was asked refused at once; undefined where none did. */
+	queueRefusal?: QueueRefusal;
 };
 
 /** Creates an empty trace. */
--- a/src/links/endpoint-directory.ts
+++ b/src/links/endpoint-directory.ts
@@ -8,6 +8,7 @@
 import type {EndpointPool} from './endpoint-pool.js';
 import type {LinkOpener} from './endpoint-link.js';
 import type {LinkLimits} from './link-budget.js';
+import type {WaiterOrder} from './waiter-order.js';
 
 /** An endpoint that may be connected to. */
 export type KnownEndpoint = {
@@ -38,6 +39,8 @@
 	getSharing(entry: RegisteredEndpoint): Pick<LinkLimits, 'hosts' | 'isPoolHost'>;
 	/** Creates the pool that requests use on top of this host's own connections. */
 	sharePool(entry: RegisteredEndpoint, ownPool: EndpointPool): EndpointPool;
+	/** Creates the order in which the requests of one pool wait; that of arrival where it is undefined. */
+	createOrder?(): WaiterOrder;
 	/** Returns the position that an endpoint's log holds at least in this incarnation, as far as this host knows. */
 	getMinPosition(entry: RegisteredEndpoint): LogPosition | undefined;
 };
@@ -64,7 +67,8 @@
 };
 
 /** Creates an empty directory. */
-export function createEndpointDirectory({mirror, opener, clock, log: parentLog, getSharing, sharePool, getMinPosition}: EndpointDirectoryOptions): EndpointDirectory {
+export function createEndpointDirectory(options: EndpointDirectoryOptions): EndpointDirectory {
+	const {mirror, opener, clock, log: parentLog, getSharing, sharePool, getMinPosition} = options;
 	const log = parentLog.withPrefix('endpoints: ');
 	const tracked = new Map<string, TrackedEndpoint>();
 	/** Cache of endpoints by group, filled on demand since the last update: each read asks for a list, and a fleet has thousands of endpoints. */
@@ -79,6 +83,7 @@
 			getMinPosition: () => getMinPosition(entry),
 			clock,
 			log,
+			order: options.createOrder?.(),
 			getLimits: () => ({
 				maxConnections: mirror.state.routing?.groups.get(entry.group)?.maxConnections ?? DEFAULT_MAX_CONNECTIONS,
 				...getSharing(entry),
--- a/src/links/endpoint-pool.ts
+++ b/src/links/endpoint-pool.ts
@@ -22,6 +22,10 @@
 	readonly values: ReadonlyMap<string, string>;
 	/** Workspace whose connections may serve the request; undefined where there are no workspaces. */
 	readonly workspace?: string;
+	/** Weight of the workspace among those of one priority level, above 0 and at most 1; 1 where it is undefined. */
+	readonly weight?: number;
+	/** Name of the prepared statement that the connection is for, where it is known; its usual time is expected of the request. */
+	readonly statement?: string;
 	/** Whether the connection serves one statement that leaves no transaction open. */
 	readonly single: boolean;
 	/** Set where the connection serves one read, which is sent at once and may run more than once; `epoch` is that of the primary lease under which the read goes to a primary. */
--- a/src/links/pool-connections.ts
+++ b/src/links/pool-connections.ts
@@ -2,13 +2,14 @@
 import {createCongestionWindow} from './congestion-window.js';
 import {LongestIdlePolicy, type ConnectionPolicy} from './connection-policy.js';
 import {createEndpointHealth, type EndpointHealth} from './endpoint-health.js';
-import type {LinkListener} from './endpoint-link.js';
+import type {EndpointLink, LinkListener} from './endpoint-link.js';
 import type {EndpointPoolOptions, AcquireRequest} from './endpoint-pool.js';
 import {createIdleLinks, type IdleLinks} from './idle-links.js';
 import {createLinkBudget, type LinkBudget} from './link-budget.js';
 import {isLinkRefused} from './link-errors.js';
 import {createSessionLink, type SessionLink} from './link-session.js';
 import {heldPositionAtOpen, openCheckedLink} from './open-checked-link.js';
+import {createSlotMeter, type SlotMeter} from './slot-meter.js';
 import {createWorkspaceUsage, type WorkspaceUsage} from './workspace-usage.js';
 
 /** The connections of a pool: what is open, idle, in use or being opened, and whether more may be. */
@@ -20,7 +21,10 @@
 	readonly usage: WorkspaceUsage;
 	/** The open connections. */
 	readonly all: ReadonlySet<SessionLink>;
-	/** Number of connections that serve single statements or are being opened; one that is idle in a transaction takes no slot of the endpoint. */
+	/**
+	 * Number of connections that serve single statements or are being opened; one that is idle in a transaction takes no slot of the endpoint. Where the order counts transactions, those that
+	 * have a statement in flight are included.
+	 */
 	readonly inFlight: number;
 	/** Number of connections in transactions. */
 	readonly inTransactions: number;
@@ -35,6 +39,8 @@
 	/** Notes that a request acquired a connection, and returns the connection. */
 	noteAcquired(sessionLink: SessionLink, request: AcquireRequest): SessionLink;
 	noteReleased(sessionLink: SessionLink): void;
+	/** Returns the time for which the connection has had requests at the endpoint since it was acquired, in milliseconds. */
+	getBusyMs(sessionLink: SessionLink): number;
 	/** Begins to open a connection for a workspace, as far as the budget allows, closing an idle one where that is needed; returns whether it began. */
 	tryOpen(workspace: string | undefined): boolean;
 	/** Opens a connection for a command of the host's own, and keeps it in the pool until it closes. */
@@ -77,6 +83,7 @@
 	const policy = options.connections ?? new LongestIdlePolicy();
 	const all = new Set<SessionLink>();
 	const inTransactions = new Set<SessionLink>();
+	const meters = new Map<SessionLink, SlotMeter>();
 	const idle = createIdleLinks();
 	const usage = createWorkspaceUsage();
 	/** Whether an idle connection is being closed to be replaced by a new one at once. */
@@ -91,7 +98,22 @@
 		}
 	};
 
-	const countInFlight = () => all.size - idle.size - inTransactions.size + usage.opening;
+	const countsTransactions = options.order?.countsTransactions ?? false;
+
+	const countInFlight = () => all.size - idle.size - inTransactions.size + usage.opening + (countsTransactions ? countBusyTransactions() : 0);
+
+	/**
+	 * Counts the transactions that have a statement at the endpoint, which take a slot there without having queued for it here, and those whose first statement is on its way. Guards against
+	 * starting as many transactions as there are connections at one moment, because none has sent anything yet.
+	 */
+	const countBusyTransactions = () => {
+		let busy = 0;
+		for (const sessionLink of inTransactions) {
+			busy += sessionLink.link.pending > 0 || (meters.get(sessionLink)?.isUnused ?? false) ? 1 : 0;
+		}
+
+		return busy;
+	};
 
 	const listener: LinkListener = {
 		onSent() {
@@ -117,12 +139,17 @@
 		usage.noteOpening(workspace);
 		listener.onSent();
 		let opened = false;
+		const opening: {link?: EndpointLink} = {};
+		const meter = createSlotMeter(listener, () => clock.now(), () => opening.link?.pending ?? 0);
 		try {
-			const link = await openCheckedLink(options, workspace, timeoutMs, listener);
+			const link: EndpointLink = await openCheckedLink(options, workspace, timeoutMs, meter.listener);
+			opening.link = link;
 			const sessionLink = createSessionLink(link, workspace);
 			all.add(sessionLink);
+			meters.set(sessionLink, meter);
 			link.onClose(() => {
 				all.delete(sessionLink);
+				meters.delete(sessionLink);
 				inTransactions.delete(sessionLink);
 				if (!isEvicting) {
 					options.onClosed();
@@ -164,6 +191,7 @@
 
 	const noteAcquired = (sessionLink: SessionLink, {single}: AcquireRequest) => {
 		usage.noteAcquired(sessionLink.workspace);
+		meters.get(sessionLink)?.reset();
 		if (!single) {
 			inTransactions.add(sessionLink);
 		}
@@ -269,6 +297,7 @@
 			usage.noteReleased(sessionLink.workspace);
 			inTransactions.delete(sessionLink);
 		},
+		getBusyMs: sessionLink => meters.get(sessionLink)?.getBusyMs(clock.now()) ?? 0,
 		tryOpen(workspace) {
 			const open = all.size + usage.opening;
 			const isWithinShare = open < budget.share && mayOpenAnother(open);
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -30,6 +30,8 @@
 import {CostBasedPlacement, type ReadPlacement} from '../placement/read-placement.js';
 import type {Random} from '../random/random.js';
 import {getMaxTransactionIdleMs} from '../routes/routing.js';
+import {createServiceTime} from '../scheduling/service-time.js';
+import {UrgencyOrder} from '../scheduling/urgency-order.js';
 import type {Clock} from '../time/clock.js';
 import type {ElapsedClock} from '../time/elapsed-clock.js';
 import {createCallerAccess} from '../workspaces/caller-access.js';
@@ -82,13 +84,17 @@
 	readonly placement?: ReadPlacement;
 };
 
+/** Expected time of a transaction from its begin to its end until one was measured, in milliseconds: a few statements with their round trips. */
+const INITIAL_OPERATION_MS = 50;
+
 /** Creates the parts of a proxy and registers them with a kernel. Nothing runs before the kernel is started. */
 export function createProxy(parts: ProxyParts): Kernel {
 	const {clock, elapsedClock, random, log, metrics, orders, opener, peers, hostName, peerAddress, incarnation} = parts;
 	const kernel = createKernel();
+	const scheduling = parts.features?.scheduling;
 	const store = guardGenerations(parts.store);
 	const host: HostRecord = {
-		name: hostName, peerAddress, availabilityZone: parts.availabilityZone, capacity: parts.features?.scheduling?.capacity,
+		name: hostName, peerAddress, availabilityZone: parts.availabilityZone, capacity: scheduling?.capacity,
 	};
 	const mirror = createStoreMirror({
 		store,
@@ -115,6 +121,7 @@
 		opener,
 		clock,
 		log,
+		createOrder: scheduling && (() => new UrgencyOrder(scheduling.leastShare, metrics)),
 		getSharing: entry => ({hosts: poolHosts.countHosts(entry), isPoolHost: poolHosts.isPoolHost(entry)}),
 		sharePool: (entry, ownPool) => createSharedPool({
 			entry, ownPool, poolHosts, unreachable, peers, clock, ownPeerAddress: peerAddress,
@@ -215,6 +222,8 @@
 		rateLimiter,
 		availabilityZone: parts.availabilityZone,
 		placement: parts.placement ?? new CostBasedPlacement(),
+		features: parts.features ?? {},
+		operationTimes: createServiceTime(INITIAL_OPERATION_MS),
 	});
 
 	mirror.onChange(() => {
