Drop waiting requests whose callers have left, and learn waits from refused requests too

Cause: the correction of predicted waits was learned only from requests that were served, so less urgent ones waited long before they were refused; a request whose caller had left took a place. Change: refusals of waiting requests are learned from, with a correction of its own for workspaces above the average; AcquireRequest.isWanted; place-filler.ts is split from scheduled-queue.ts.

--- a/src/bench/statement-scheduling/simulate-contention.ts
+++ b/src/bench/statement-scheduling/simulate-contention.ts
@@ -5,7 +5,9 @@
 import {createSeededRandom} from '../../random/seeded-random.js';
 import {createVirtualClock} from '../../stand-ins/time/virtual-clock.js';
 import {createBusyEndpoint} from '../workspace-links/busy-endpoint.js';
-import {CONTENDED_ROUTES, WORKSPACE_COUNT, type ContendedRoute, type LoadShape} from './contended-load.js';
+import {
+	CONTENDED_ROUTES, WORKSPACE_COUNT, type ContendedRoute, type LoadShape,
+} from './contended-load.js';
 
 /** One operation of a caller. Times in milliseconds. */
 export type ContendedOutcome = {
--- a/src/gateway/schedule-request.ts
+++ b/src/gateway/schedule-request.ts
@@ -3,7 +3,7 @@
 import type {LinkRequest} from './acquire-link.js';
 
 /** What a pool needs to know to schedule a request. */
-type Schedule = Pick<AcquireRequest, 'startBy' | 'weight' | 'statement' | 'onRefused'>;
+type Schedule = Pick<AcquireRequest, 'startBy' | 'weight' | 'statement' | 'isWanted' | 'onRefused'>;
 
 /** Maximum share of the latency target that an operation is expected to take: where it usually takes longer, it still has some time to wait. */
 const MAX_SERVICE_SHARE = 0.9;
@@ -27,6 +27,7 @@
 		startBy: route.targetLatencyMs === 0 ? undefined : arrivedAt + startWithinMs,
 		weight: workspace && getWorkspaceWeight(workspace.priority),
 		statement: req.statement,
+		isWanted: () => req.isWanted(),
 		onRefused(refusal) {
 			trace.queueRefusal = refusal;
 		},
--- a/src/links/endpoint-pool.ts
+++ b/src/links/endpoint-pool.ts
@@ -34,6 +34,8 @@
 	readonly minPosition?: LogPosition;
 	/** Steady time by which the operation has to start to be within its latency target; undefined where it has none. */
 	readonly startBy?: number;
+	/** Whether the caller still waits; a request whose caller has left ends its wait without a connection. Taken for true where it is undefined. */
+	isWanted?(): boolean;
 	/** Called, before the request resolves without a connection, where the pool knows at once that there will be none in time. */
 	onRefused?(refusal: QueueRefusal): void;
 };
--- /dev/null
+++ b/src/scheduling/place-filler.ts
@@ -0,0 +1,138 @@
+import type {SessionLink} from '../links/link-session.js';
+import type {PoolConnections} from '../links/pool-connections.js';
+import type {ScheduledRequest} from './scheduled-request.js';
+import type {UrgencyOrder} from './urgency-order.js';
+
+/** Fills the free places of a pool with waiting requests. */
+export type PlaceFiller = {
+	/** Fills the free places at the steady time `now`: with the request whose turn it is where its workspace has an idle connection, else by opening one for it. */
+	fill(now: number): void;
+	/** Gives a request an idle connection of its workspace; returns whether there is one. */
+	tryServe(waiter: ScheduledRequest | undefined, now: number): boolean;
+};
+
+/** What a place filler needs. */
+export type PlaceFillerOptions = {
+	readonly connections: PoolConnections;
+	readonly order: UrgencyOrder;
+	readonly waiting: Iterable<ScheduledRequest> & {readonly size: number};
+	/** Returns the expected time for opening a connection, in milliseconds. */
+	getOpeningMs(): number;
+	/** Called with a request that gets a connection; removes it from those that wait. */
+	onConnection(waiter: ScheduledRequest, sessionLink: SessionLink, now: number): void;
+	/** Called with a request whose caller has left; removes it from those that wait. */
+	onUnwanted(waiter: ScheduledRequest): void;
+	/** Called where a connection is being opened for a request, which goes on waiting. */
+	onOpening(next: ScheduledRequest, now: number): void;
+};
+
+/**
+ * Creates the place filler of a pool.
+ *
+ * It responds to many workspaces that share few connections and places: a place is given to the request whose turn it is, and is never left free while some request can use it.
+ */
+export function createPlaceFiller({connections, order, waiting, getOpeningMs, onConnection, onUnwanted, onOpening}: PlaceFillerOptions): PlaceFiller {
+	const {idle, usage, policy} = connections;
+	/** Set while places are being filled, with whether something changed meanwhile. */
+	let filling: {again: boolean} | undefined;
+
+	/** Returns the workspaces that have an idle connection; asked once for all waiting requests, since a pool has up to 50 of either. */
+	const getIdleWorkspaces = () => {
+		const workspaces = new Set<string | undefined>();
+		for (const {sessionLink} of idle.all) {
+			if (!sessionLink.link.closed) {
+				workspaces.add(sessionLink.workspace);
+			}
+		}
+
+		return workspaces;
+	};
+
+	/** Returns a request that an idle connection serves now, instead of opening one for the request whose turn it is. */
+	const getBypass = (next: ScheduledRequest, idleWorkspaces: ReadonlySet<string | undefined>, now: number) => idleWorkspaces.size === 0
+		? undefined
+		: order.getNext(waiting, now, waiter => idleWorkspaces.has(waiter.request.workspace) && order.mayBypass(waiter, next, getOpeningMs(), now) && connections.mayAcquire(waiter.request));
+
+	const tryServe = (waiter: ScheduledRequest | undefined, now: number) => {
+		const sessionLink = waiter && connections.takeIdle(waiter.request);
+		if (sessionLink) {
+			onConnection(waiter, sessionLink, now);
+		}
+
+		return sessionLink !== undefined;
+	};
+
+	const countWaiting = (workspace: string | undefined) => {
+		let count = 0;
+		for (const {request} of waiting) {
+			count += request.workspace === workspace ? 1 : 0;
+		}
+
+		return count;
+	};
+
+	/** Whether a connection is being opened for each waiting request of the workspace. */
+	const isCovered = (workspace: string | undefined) => countWaiting(workspace) <= usage.openingFor.filter(other => other === workspace).length;
+
+	/** Fills the free places: with the request whose turn it is where its workspace has an idle connection, else by opening one for it. */
+	const fillPlaces = (now: number) => {
+		if (waiting.size === 0 || !connections.mayAcquire({single: true})) {
+			return;
+		}
+
+		/** What can be opened no more during this call; only idle connections serve the requests concerned. */
+		const exhausted = {all: false, workspaces: new Set<string | undefined>()};
+		let {inFlight} = connections;
+		let idleWorkspaces = getIdleWorkspaces();
+		const mayServe = ({request}: ScheduledRequest) => ((!exhausted.all && !exhausted.workspaces.has(request.workspace)) || idleWorkspaces.has(request.workspace))
+			&& connections.mayAcquire(request, inFlight);
+		while (waiting.size > 0 && (!exhausted.all || idleWorkspaces.size > 0) && !connections.retired && connections.mayAcquire({single: true}, inFlight)) {
+			const next = order.getNext(waiting, now, mayServe);
+			if (!next) {
+				return;
+			}
+
+			if (next.request.isWanted?.() === false) {
+				onUnwanted(next);
+				continue;
+			}
+
+			if (tryServe(next, now) || tryServe(getBypass(next, idleWorkspaces, now), now)) {
+				({inFlight} = connections);
+				idleWorkspaces = getIdleWorkspaces();
+				continue;
+			}
+
+			const {workspace} = next.request;
+			if (isCovered(workspace) || !policy.isOpeningUseful(workspace, usage.count(workspace), now)) {
+				exhausted.workspaces.add(workspace);
+			} else if (connections.tryOpen(workspace)) {
+				onOpening(next, now);
+				({inFlight} = connections);
+				idleWorkspaces = getIdleWorkspaces();
+			} else {
+				exhausted.all = true;
+			}
+		}
+	};
+
+	/**
+	 * Fills the free places. Guards against serving one request twice: a connection that is cut while a place is filled reports its end at once, which would fill places within the fill.
+	 */
+	const fill = (now: number) => {
+		if (filling) {
+			filling.again = true;
+			return;
+		}
+
+		filling = {again: true};
+		while (filling.again) {
+			filling.again = false;
+			fillPlaces(now);
+		}
+
+		filling = undefined;
+	};
+
+	return {fill, tryServe};
+}
--- a/src/scheduling/scheduled-queue.ts
+++ b/src/scheduling/scheduled-queue.ts
@@ -3,6 +3,7 @@
 import type {SessionLink} from '../links/link-session.js';
 import type {RequestQueue, RequestQueueParts} from '../links/request-queue.js';
 import {createLatestStartTimer} from './latest-start-timer.js';
+import {createPlaceFiller} from './place-filler.js';
 import {createQueueRefusals, type RefusalForecast} from './queue-refusals.js';
 import {createRequestTimes} from './request-times.js';
 import type {ScheduledRequest} from './scheduled-request.js';
@@ -27,7 +28,7 @@
 const CHECK_INTERVAL_MS = 10;
 
 /** Maximum interval between two checks while requests wait, in milliseconds: the limit may have grown, or a connection that the endpoint rejected may be tried again. */
-const MAX_CHECK_INTERVAL_MS = 50;
+const MAX_CHECK_INTERVAL_MS = 20;
 
 /** A check that is this late, in milliseconds, shows that the process was suspended: no answer could be received in that time. */
 const SUSPENDED_AFTER_MS = 250;
@@ -55,8 +56,6 @@
 	let timerDueAt: number | undefined;
 	/** Whether requests have arrived or started since the last check, so that others may have to wait longer. */
 	let isCheckDue = false;
-	/** Set while places are being filled, with whether something changed meanwhile. */
-	let dispatching: {again: boolean} | undefined;
 
 	/** Returns the number of requests that can be in flight: what the limit allows, or as many as there can be connections. */
 	const countPlaces = () => {
@@ -95,89 +94,34 @@
 	};
 
 	const startWaiter = (waiter: ScheduledRequest, sessionLink: SessionLink, now: number) => {
-		const {request, since, modelWaitMs, predictedWaitMs, serviceMs} = waiter;
+		const {
+			request, since, modelWaitMs, predictedWaitMs, serviceMs, correctionClass,
+		} = waiter;
 		remove(waiter);
-		forecast.learn(request.priority, modelWaitMs, now - since);
+		forecast.learn(correctionClass, modelWaitMs, now - since);
 		metrics?.observeScheduledWait(request.priority, predictedWaitMs / 1000, (now - since) / 1000);
 		waiter.resolve(start(request, sessionLink, serviceMs, now));
 	};
 
-	const hasIdle = (workspace: string | undefined) => idle.all.some(({sessionLink}) => sessionLink.workspace === workspace && !sessionLink.link.closed);
-
-	/** Returns a request that an idle connection serves now, instead of opening one for the request whose turn it is. */
-	const getBypass = (next: ScheduledRequest, now: number) => idle.size === 0
-		? undefined
-		: order.getNext(waiting, now, waiter => order.mayBypass(waiter, next, times.openingMs, now) && hasIdle(waiter.request.workspace) && connections.mayAcquire(waiter.request));
-
-	const tryServe = (waiter: ScheduledRequest | undefined, now: number) => {
-		const sessionLink = waiter && connections.takeIdle(waiter.request);
-		if (sessionLink) {
-			startWaiter(waiter, sessionLink, now);
-		}
-
-		return sessionLink !== undefined;
-	};
-
-	const countWaiting = (workspace: string | undefined) => {
-		let count = 0;
-		for (const {request} of waiting) {
-			count += request.workspace === workspace ? 1 : 0;
-		}
-
-		return count;
-	};
-
-	/** Whether a connection is being opened for each waiting request of the workspace. */
-	const isCovered = (workspace: string | undefined) => countWaiting(workspace) <= usage.openingFor.filter(other => other === workspace).length;
-
-	/** Fills the free places: with the request whose turn it is where its workspace has an idle connection, else by opening one for it. */
-	const fillPlaces = (now: number) => {
-		/** What can be opened no more during this call; only idle connections serve the requests concerned. */
-		const exhausted = {all: false, workspaces: new Set<string | undefined>()};
-		let {inFlight} = connections;
-		const mayServe = ({request}: ScheduledRequest) => connections.mayAcquire(request, inFlight)
-			&& ((!exhausted.all && !exhausted.workspaces.has(request.workspace)) || hasIdle(request.workspace));
-		while (waiting.size > 0 && (!exhausted.all || idle.size > 0) && !connections.retired && connections.mayAcquire({single: true}, inFlight)) {
-			const next = order.getNext(waiting, now, mayServe);
-			if (!next) {
-				return;
-			}
-
-			if (tryServe(next, now) || tryServe(getBypass(next, now), now)) {
-				({inFlight} = connections);
-				continue;
-			}
-
-			const {workspace} = next.request;
-			if (isCovered(workspace) || !policy.isOpeningUseful(workspace, usage.count(workspace), now)) {
-				exhausted.workspaces.add(workspace);
-			} else if (connections.tryOpen(workspace)) {
-				order.complete(order.charge(next, times.openingMs, now), times.openingMs, now);
-				progressAt = now;
-				({inFlight} = connections);
-			} else {
-				exhausted.all = true;
-			}
-		}
+	/** Ends the wait of a request whose caller has left, so that it takes no place. */
+	const abandon = (waiter: ScheduledRequest) => {
+		remove(waiter);
+		waiter.resolve(undefined);
 	};
 
-	/**
-	 * Fills the free places. Guards against serving one request twice: a connection that is cut while a place is filled reports its end at once, which would fill places within the fill.
-	 */
-	const dispatch = (now: number) => {
-		if (dispatching) {
-			dispatching.again = true;
-			return;
-		}
-
-		dispatching = {again: true};
-		while (dispatching.again) {
-			dispatching.again = false;
-			fillPlaces(now);
-		}
-
-		dispatching = undefined;
-	};
+	const places = createPlaceFiller({
+		connections,
+		order,
+		waiting,
+		getOpeningMs: () => times.openingMs,
+		onConnection: startWaiter,
+		onUnwanted: abandon,
+		onOpening(next, now) {
+			order.complete(order.charge(next, times.openingMs, now), times.openingMs, now);
+			progressAt = now;
+		},
+	});
+	const {fill: dispatch, tryServe} = places;
 
 	const failAll = () => {
 		for (const waiter of waiting) {
@@ -201,7 +145,9 @@
 		checkedAt = now;
 		isCheckDue = false;
 		for (const waiter of waiting) {
-			if (waiter.request.until <= now) {
+			if (waiter.request.isWanted?.() === false) {
+				abandon(waiter);
+			} else if (waiter.request.until <= now) {
 				refuse(waiter, RefusalCause.Expired, 0, now);
 			}
 		}
@@ -209,6 +155,8 @@
 		// A free place is used whatever the prediction says; otherwise a recovery of the endpoint would not be noticed.
 		if (!wasSuspended && waiting.size > 0 && !connections.mayAcquire({single: true})) {
 			for (const {waiter, waitMs} of forecast.findHopeless([...waiting], getState(now), now)) {
+				// Without these, the correction would be learned only from requests that were served, whose waits are shorter.
+				forecast.learn(waiter.correctionClass, waiter.modelWaitMs, now - waiter.since + waitMs);
 				refuse(waiter, RefusalCause.Overtaken, waitMs, now);
 			}
 		}
@@ -255,13 +203,21 @@
 		}
 
 		const waiter: ScheduledRequest = {
-			request, order: arrivals++, since: now, serviceMs: times.getExpectedMs(request), modelWaitMs: times.openingMs, predictedWaitMs: times.openingMs, resolve,
+			request,
+			order: arrivals++,
+			since: now,
+			serviceMs: times.getExpectedMs(request),
+			modelWaitMs: times.openingMs,
+			predictedWaitMs: times.openingMs,
+			correctionClass: request.priority * 2,
+			resolve,
 		};
 		const isFull = !connections.mayAcquire({single: true});
 		if (isFull) {
-			const {modelMs, waitMs} = forecast.predict(waiter, waiting, getState(now), now);
+			const {modelMs, waitMs, correctionClass} = forecast.predict(waiter, waiting, getState(now), now);
 			waiter.modelWaitMs = modelMs;
 			waiter.predictedWaitMs = waitMs;
+			waiter.correctionClass = correctionClass;
 			if (now + waitMs > request.until) {
 				refuse(waiter, RefusalCause.Predicted, waitMs, now);
 				return;
--- a/src/scheduling/scheduled-request.ts
+++ b/src/scheduling/scheduled-request.ts
@@ -12,6 +12,8 @@
 	readonly serviceMs: number;
 	/** Wait that the model estimated on arrival, before any correction, in milliseconds. */
 	modelWaitMs: number;
+	/** Class of requests whose learned correction applies to it. */
+	correctionClass: number;
 	/** Wait that was predicted on arrival, in milliseconds. */
 	predictedWaitMs: number;
 	/** Ends the wait with a connection, or with undefined where there is none. */
--- a/src/scheduling/wait-forecast.ts
+++ b/src/scheduling/wait-forecast.ts
@@ -15,7 +15,12 @@
 };
 
 /** A wait as the model estimates it, and with the learned correction, in milliseconds. */
-export type PredictedWait = {readonly modelMs: number; readonly waitMs: number};
+export type PredictedWait = {
+	readonly modelMs: number;
+	readonly waitMs: number;
+	/** Class of requests whose correction was used, to learn from the real wait. */
+	readonly correctionClass: number;
+};
 
 /** Predicts how long the requests of a scheduled queue wait. */
 export type WaitForecast = {
@@ -26,7 +31,7 @@
 	/** Returns the time in which the queue of a level and of those above it is served, in milliseconds. */
 	predictDrainMs(level: number, waiting: Iterable<ScheduledRequest>, state: PoolState, now: number): number;
 	/** Learns from a request that waited. */
-	learn(level: number, modelMs: number, waitedMs: number): void;
+	learn(correctionClass: number, modelMs: number, waitedMs: number): void;
 };
 
 /** An endpoint that releases no place for this many predicted intervals is taken to be slower than measured. */
@@ -85,6 +90,8 @@
 			const others = new Map<string | undefined, {workMs: number; readonly factor: number}>();
 			let aheadMs = 0;
 			let ownMs = 0;
+			let peers = 0;
+			let peersUsedMs = 0;
 			for (const waiter of waiting) {
 				const {request} = waiter;
 				levels.add(request.priority);
@@ -92,6 +99,11 @@
 					continue;
 				}
 
+				if (request.priority === level) {
+					peers++;
+					peersUsedMs += order.getUsedMs(request.workspace, now);
+				}
+
 				const workMs = getWork(waiter, state);
 				const otherInTime = isInTime(waiter, now);
 				if (request.priority < level || (otherInTime && !inTime)) {
@@ -117,7 +129,10 @@
 			}
 
 			const modelMs = estimate(aheadMs + ownMs, getFraction(level, levels, state.places, now), state);
-			return {modelMs, waitMs: modelMs * correction.get(level)};
+			// Later arrivals of quieter workspaces overtake the requests of those that have used more than the average.
+			const isOvertaken = peers > 0 && order.getUsedMs(workspace, now) * peers > peersUsedMs;
+			const correctionClass = (level * 2) + (isOvertaken ? 1 : 0);
+			return {modelMs, waitMs: modelMs * correction.get(correctionClass), correctionClass};
 		},
 		findHopeless(waiting, state, now) {
 			const levels = getLevels(waiting);
@@ -132,7 +147,7 @@
 					fraction = getFraction(level, levels, state.places, now);
 				}
 
-				const waitMs = estimate(aheadMs, fraction, state) * correction.get(level);
+				const waitMs = estimate(aheadMs, fraction, state) * correction.get(waiter.correctionClass);
 				if (now + waitMs > waiter.request.until) {
 					hopeless.push({waiter, waitMs});
 				} else {
@@ -148,7 +163,7 @@
 				aheadMs += waiter.request.priority <= level ? getWork(waiter, state) : 0;
 			}
 
-			return estimate(aheadMs, getFraction(level, getLevels(waiting), state.places, now), state) * correction.get(level);
+			return estimate(aheadMs, getFraction(level, getLevels(waiting), state.places, now), state) * correction.get(level * 2);
 		},
 		learn: correction.learn,
 	};
