--- a/src/bench/experiments.ts
+++ b/src/bench/experiments.ts
@@ -7,6 +7,7 @@
 import {overload} from './overload.js';
 import {rateLimits} from './rate-limits.js';
 import {replicaShare} from './replica-share.js';
+import {statementScheduling} from './statement-scheduling.js';
 import {storeRestore} from './store-restore.js';
 import {workspaceLinks} from './workspace-links.js';
 import {siteLoad} from './site-load.js';
@@ -24,6 +25,7 @@
 	[replicaShare.name]: replicaShare,
 	[siteLoad.name]: siteLoad,
 	[pooling.name]: pooling,
+	[statementScheduling.name]: statementScheduling,
 	[storeRestore.name]: storeRestore,
 	[workspaceLinks.name]: workspaceLinks,
 };
