Look at free places and idle connections once for all waiting requests

Cause: a release asked for the idle connections once for each waiting request. Change: the place filler takes the state of the pool once for each place that it fills; an answer counts as progress of the endpoint.

--- a/src/scheduling/place-filler.ts
+++ b/src/scheduling/place-filler.ts
@@ -26,6 +26,8 @@
 	onOpening(next: ScheduledRequest, now: number): void;
 };
 
+const NO_WORKSPACES: ReadonlySet<string | undefined> = new Set();
+
 /**
  * Creates the place filler of a pool.
  *
@@ -48,10 +50,19 @@
 		return workspaces;
 	};
 
+	/** Returns whether there is a free place, for any request and for a transaction, and who has an idle connection. */
+	const getFree = () => {
+		const mayServe = !connections.retired && waiting.size > 0 && connections.mayAcquire({single: true});
+		return {mayServe, mayBegin: mayServe && connections.mayAcquire({single: false}), idleWorkspaces: mayServe ? getIdleWorkspaces() : NO_WORKSPACES};
+	};
+
 	/** Returns a request that an idle connection serves now, instead of opening one for the request whose turn it is. */
-	const getBypass = (next: ScheduledRequest, idleWorkspaces: ReadonlySet<string | undefined>, now: number) => idleWorkspaces.size === 0
-		? undefined
-		: order.getNext(waiting, now, waiter => idleWorkspaces.has(waiter.request.workspace) && order.mayBypass(waiter, next, getOpeningMs(), now) && connections.mayAcquire(waiter.request));
+	const getBypass = (next: ScheduledRequest, {mayBegin, idleWorkspaces}: ReturnType<typeof getFree>, now: number) => {
+		const openingMs = getOpeningMs();
+		return idleWorkspaces.size === 0
+			? undefined
+			: order.getNext(waiting, now, waiter => (waiter.request.single || mayBegin) && idleWorkspaces.has(waiter.request.workspace) && order.mayBypass(waiter, next, openingMs, now));
+	};
 
 	const tryServe = (waiter: ScheduledRequest | undefined, now: number) => {
 		const sessionLink = waiter && connections.takeIdle(waiter.request);
@@ -76,17 +87,12 @@
 
 	/** Fills the free places: with the request whose turn it is where its workspace has an idle connection, else by opening one for it. */
 	const fillPlaces = (now: number) => {
-		if (waiting.size === 0 || !connections.mayAcquire({single: true})) {
-			return;
-		}
-
 		/** What can be opened no more during this call; only idle connections serve the requests concerned. */
 		const exhausted = {all: false, workspaces: new Set<string | undefined>()};
-		let {inFlight} = connections;
-		let idleWorkspaces = getIdleWorkspaces();
-		const mayServe = ({request}: ScheduledRequest) => ((!exhausted.all && !exhausted.workspaces.has(request.workspace)) || idleWorkspaces.has(request.workspace))
-			&& connections.mayAcquire(request, inFlight);
-		while (waiting.size > 0 && (!exhausted.all || idleWorkspaces.size > 0) && !connections.retired && connections.mayAcquire({single: true}, inFlight)) {
+		let free = getFree();
+		const mayServe = ({request}: ScheduledRequest) => (request.single || free.mayBegin)
+			&& ((!exhausted.all && !exhausted.workspaces.has(request.workspace)) || free.idleWorkspaces.has(request.workspace));
+		while (waiting.size > 0 && free.mayServe && (!exhausted.all || free.idleWorkspaces.size > 0)) {
 			const next = order.getNext(waiting, now, mayServe);
 			if (!next) {
 				return;
@@ -97,9 +103,8 @@
 				continue;
 			}
 
-			if (tryServe(next, now) || tryServe(getBypass(next, idleWorkspaces, now), now)) {
-				({inFlight} = connections);
-				idleWorkspaces = getIdleWorkspaces();
+			if (tryServe(next, now) || tryServe(getBypass(next, free, now), now)) {
+				free = getFree();
 				continue;
 			}
 
@@ -108,8 +113,7 @@
 				exhausted.workspaces.add(workspace);
 			} else if (connections.tryOpen(workspace)) {
 				onOpening(next, now);
-				({inFlight} = connections);
-				idleWorkspaces = getIdleWorkspaces();
+				free = getFree();
 			} else {
 				exhausted.all = true;
 			}
--- a/src/scheduling/scheduled-queue.ts
+++ b/src/scheduling/scheduled-queue.ts
@@ -49,7 +49,7 @@
 	const forecast = createWaitForecast(order);
 	const refusals = createQueueRefusals(target, log, metrics);
 	let arrivals = 0;
-	/** Steady time at which a place was last taken or released. */
+	/** Steady time at which a place was last taken or released, or the endpoint last answered. */
 	let progressAt = clock.now();
 	let checkedAt = Number.NEGATIVE_INFINITY;
 	/** Steady time at which the timer is to fire next. */
@@ -307,6 +307,8 @@
 			dispatch(clock.now());
 		},
 		noteAnswered() {
+			// The answer may be that to a transaction's statement, which releases no place here but shows that the endpoint makes progress.
+			progressAt = clock.now();
 			if (waiting.size > 0) {
 				dispatch(clock.now());
 			}
