--- a/src/connection-sharing/checkout-opener.ts
+++ b/src/connection-sharing/checkout-opener.ts
@@ -4,7 +4,7 @@
 import type {Peers} from '../peers/peers.js';
 import type {Clock} from '../time/clock.js';
 import {
-	type CheckoutRefusal, type CheckoutLoad, type CheckoutRequest, type CheckoutResponse,
+	getScheduleOnWire, type CheckoutRefusal, type CheckoutLoad, type CheckoutRequest, type CheckoutResponse,
 } from './checkout-calls.js';
 import {POOL_HOST_ROUND_TRIP_MS} from './pool-host-timeouts.js';
 import type {PoolHostWait} from './pool-host-wait.js';
@@ -103,7 +103,7 @@
 		waitMs,
 		values: [...request.values],
 		workspace: request.workspace,
-		...(request.startBy !== undefined && {startInMs: request.startBy - now}),
+		...getScheduleOnWire(request, now),
 		...(waitId !== undefined && {waitId}),
 		single: request.single,
 		least: request.minPosition,
--- a/src/connection-sharing/checkout-server.ts
+++ b/src/connection-sharing/checkout-server.ts
@@ -1,4 +1,5 @@
 import {LinkError} from '../links/link-errors.js';
+import type {QueueRefusal} from '../links/endpoint-pool.js';
 import type {EndpointDirectory, KnownEndpoint} from '../links/endpoint-directory.js';
 import type {SessionLink} from '../links/link-session.js';
 import type {PrimaryLeases} from '../leadership/primary-leases.js';
@@ -124,7 +125,7 @@
 		}
 	};
 
-	const openCheckout = async (request: CheckoutRequest, remoteHost: string): Promise<CheckoutResponse> => {
+	const openCheckout = async (request: CheckoutRequest, remoteHost: string, isRead = false): Promise<CheckoutResponse> => {
 		const endpoint = directory.get(request.endpointId);
 		if (retired) {
 			return {refused: CheckoutRefusal.Stopping};
@@ -135,7 +136,7 @@
 		}
 
 		const {ownPool} = endpoint;
-		const {sessionLink, refusal} = await places.wait(ownPool, request, remoteHost);
+		const {sessionLink, refusal} = await places.wait(ownPool, {...request, isRead}, remoteHost);
 		if (retired) {
 			// The host was ordered to stop during the wait: a transaction would begin on a host that is about to end.
 			if (sessionLink) {
@@ -227,7 +228,7 @@
 	};
 
 	const run = async (req: CheckoutRun, remoteHost: string) => {
-		const granted = await openCheckout(req, remoteHost);
+		const granted = await openCheckout(req, remoteHost, true);
 		if ('refused' in granted) {
 			return granted;
 		}
--- a/src/connection-sharing/endpoint-zone-layout.ts
+++ b/src/connection-sharing/endpoint-zone-layout.ts
@@ -44,6 +44,11 @@
 		this.#zoneRegions = zoneRegions;
 	}
 
+	/** Connections are shared even where each host could keep some of its own: statements can be ordered only where they wait together. */
+	isShared(liveHosts: number): boolean {
+		return liveHosts > this.#poolHosts;
+	}
+
 	prepare(live: readonly HostRecord[]): PoolHostSelector {
 		const hashed = live.map((host): HashedRecord => ({host, hash: hashName(host.name), capacity: host.capacity ?? 1}));
 		this.#zones = this.#groupByZone(hashed);
--- a/src/connection-sharing/monitor-layout.ts
+++ b/src/connection-sharing/monitor-layout.ts
@@ -15,6 +15,10 @@
 		this.#poolHosts = poolHosts;
 	}
 
+	isShared(liveHosts: number, connections: number): boolean {
+		return this.#poolHosts.isShared(liveHosts, connections);
+	}
+
 	prepare(live: readonly HostRecord[], ownZone: string): PoolHostSelector {
 		const select = this.#poolHosts.prepare(live, ownZone);
 		const ranking = createHostRanking(live);
--- a/src/connection-sharing/pool-host-layout.ts
+++ b/src/connection-sharing/pool-host-layout.ts
@@ -7,8 +7,10 @@
 /** Selects the pool hosts of an endpoint that accepts `connections` connections; every host computes the same set from the same list. */
 export type PoolHostSelector = (endpoint: EndpointKey, connections: number) => readonly HostRecord[];
 
-/** Decides where the pool hosts of endpoints are whose connections are too few for every host. */
+/** Decides which hosts keep connections to an endpoint. */
 export interface PoolHostLayout {
+	/** Returns whether only some of `liveHosts` hosts keep connections to an endpoint that accepts `connections`; otherwise all of them do. */
+	isShared(liveHosts: number, connections: number): boolean;
 	/** Prepares the selection out of the live hosts; called after each change of the hosts. `ownZone` is the zone of this host. */
 	prepare(live: readonly HostRecord[], ownZone: string): PoolHostSelector;
 }
--- a/src/connection-sharing/pool-hosts.ts
+++ b/src/connection-sharing/pool-hosts.ts
@@ -23,17 +23,10 @@
 	readonly mirror: StoreMirror;
 	readonly hostName: string;
 	readonly availabilityZone: string;
-	readonly minShare?: number;
 	/** Where the pool hosts are; by default they are spread over all zones. */
 	readonly layout?: PoolHostLayout;
 };
 
-/**
- * Minimum share of an endpoint's connections with which each host keeps its own: a host with one connection is blocked by a single transaction, and with less than one each, hosts cause each
- * other's connections to be rejected.
- */
-const MIN_SHARE = 2;
-
 type Selection = {
 	readonly shared: boolean;
 	readonly all: readonly HostRecord[];
@@ -42,7 +35,7 @@
 };
 
 /** Creates the selection. Every host computes the same from its mirror; where mirrors differ, more hosts keep connections for a while. */
-export function createPoolHosts({mirror, hostName, availabilityZone, minShare = MIN_SHARE, layout = new SpreadLayout()}: PoolHostsOptions): PoolHosts {
+export function createPoolHosts({mirror, hostName, availabilityZone, layout = new SpreadLayout()}: PoolHostsOptions): PoolHosts {
 	let hostCache: {readonly hosts: readonly HostRecord[]; readonly routing: unknown; readonly selectSome: PoolHostSelector; readonly live: readonly HostRecord[]} | undefined;
 	let selections = new Map<string, Selection>();
 
@@ -64,10 +57,10 @@
 	const select = (endpoint: EndpointKey): Selection => {
 		const {live, selectSome} = getLiveHosts();
 		const connections = (mirror.state.routing?.groups.get(endpoint.group)?.maxConnections ?? 0) - RESERVED_CONNECTIONS;
-		const isEnoughForAll = live.length * minShare <= Math.max(connections, minShare);
-		const all = isEnoughForAll ? live : selectSome(endpoint, connections);
+		const shared = layout.isShared(live.length, connections);
+		const all = shared ? selectSome(endpoint, connections) : live;
 		return {
-			shared: !isEnoughForAll, all, names: new Set(all.map(({name}) => name)), endpointZone: endpoint.availabilityZone,
+			shared, all, names: new Set(all.map(({name}) => name)), endpointZone: endpoint.availabilityZone,
 		};
 	};
 
--- a/src/connection-sharing/remote-read.ts
+++ b/src/connection-sharing/remote-read.ts
@@ -106,15 +106,15 @@
 		let refusal: CheckoutRefusal | undefined;
 		for (const poolHost of options.getPoolHosts()) {
 			const run = await runAt(poolHost, neededNow, request);
-			if (run && 'refused' in run) {
-				if (run.refused === CheckoutRefusal.Hopeless) {
-					if (run.queue) {
-						acquireRequest.onRefused?.(run.queue);
-					}
-
-					return run.refused;
+			if (run && 'refused' in run && run.refused === CheckoutRefusal.Hopeless) {
+				if (run.queue) {
+					acquireRequest.onRefused?.(run.queue);
 				}
 
+				return run.refused;
+			}
+
+			if (run && 'refused' in run) {
 				if (run.refused === CheckoutRefusal.Stopping) {
 					unreachable.add(poolHost, clock.now());
 				} else {
--- a/src/connection-sharing/shared-pool.ts
+++ b/src/connection-sharing/shared-pool.ts
@@ -198,6 +198,10 @@
 				continue;
 			}
 
+			if (result === CheckoutRefusal.Hopeless) {
+				return result;
+			}
+
 			refusal = result === CheckoutRefusal.Busy ? result : refusal ?? result;
 		}
 
@@ -248,6 +252,10 @@
 				continue;
 			}
 
+			if (result === CheckoutRefusal.Hopeless) {
+				return undefined;
+			}
+
 			if (result === CheckoutRefusal.Unreachable) {
 				noteUnreachable();
 				return undefined;
--- a/src/connection-sharing/spread-layout.ts
+++ b/src/connection-sharing/spread-layout.ts
@@ -5,8 +5,18 @@
 /** Connections to an endpoint that each pool host has as its share: enough for some statements beside a few open transactions. */
 const POOL_HOST_SHARE = 4;
 
+/**
+ * Minimum share of an endpoint's connections with which each host keeps its own: a host with one connection is blocked by a single transaction, and with less than one each, hosts cause each
+ * other's connections to be rejected.
+ */
+const MIN_SHARE = 2;
+
 /** Spreads the pool hosts of each endpoint over all zones, those of this host's zone first, so that each host has some nearby. */
 export class SpreadLayout implements PoolHostLayout {
+	isShared(liveHosts: number, connections: number): boolean {
+		return liveHosts * MIN_SHARE > Math.max(connections, MIN_SHARE);
+	}
+
 	prepare(live: readonly HostRecord[], ownZone: string): PoolHostSelector {
 		const names = new Set([ownZone, ...live.map(({availabilityZone}) => availabilityZone).toSorted()]);
 		const rankings = [...names].map(zone => createHostRanking(live.filter(({availabilityZone}) => availabilityZone === zone)));
--- a/src/connection-sharing/waiting-places.ts
+++ b/src/connection-sharing/waiting-places.ts
@@ -7,11 +7,17 @@
 /** The requests of remote hosts that wait in the pools of this host. */
 export type WaitingPlaces = {
 	/** Waits in a pool on behalf of a remote host; resolves without a connection where there is none in time, or the remote host no longer waits. */
-	wait(pool: EndpointPool, request: CheckoutRequest, remoteHost: string): Promise<WaitResult>;
+	wait(pool: EndpointPool, request: RemoteRequest, remoteHost: string): Promise<WaitResult>;
 	/** Gives up the place of the request to which the remote host gave that id, if it waits. */
 	abandon(waitId: string, remoteHost: string): void;
 };
 
+/** A request of a remote host. */
+export type RemoteRequest = CheckoutRequest & {
+	/** Whether it is for one read, which runs as soon as there is a connection. */
+	readonly isRead?: boolean;
+};
+
 /** The result of a wait. */
 export type WaitResult = {
 	readonly sessionLink?: SessionLink;
@@ -43,7 +49,7 @@
 	 * Waits until the remote host is found to have failed, or says that it no longer waits, or the endpoint does not respond here. Guards against places that are kept for nobody: a connection would be
 	 * acquired, and possibly opened, for each of them, while requests behind them wait.
 	 */
-	const waitWatched = async (pool: EndpointPool, request: CheckoutRequest, remoteHost: string, watch: HostWatch): Promise<WaitResult> => {
+	const waitWatched = async (pool: EndpointPool, request: RemoteRequest, remoteHost: string, watch: HostWatch): Promise<WaitResult> => {
 		const isStalled = () => clock.now() - (pool.health.awaitingSince ?? Number.POSITIVE_INFINITY) > STALLED_AFTER_MS;
 		if (isStalled()) {
 			return {};
@@ -109,13 +115,18 @@
 	};
 }
 
-function toAcquireRequest({priority, waitMs, startInMs, values, workspace, single, least: minPosition}: CheckoutRequest, now: number) {
+function toAcquireRequest({
+	priority, waitMs, startInMs, values, workspace, weight, statement, isRead, single, least: minPosition,
+}: RemoteRequest, now: number) {
 	return {
 		priority,
 		until: now + waitMs,
 		values: new Map(values),
 		workspace,
+		weight,
+		statement,
 		single,
+		read: isRead ? {} : undefined,
 		minPosition,
 		...(startInMs !== undefined && {startBy: now + startInMs}),
 	};
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -39,6 +39,8 @@
 import {CostBasedPlacement, type ReadPlacement} from '../placement/read-placement.js';
 import type {Random} from '../random/random.js';
 import {getMaxTransactionIdleMs} from '../routes/routing.js';
+import {createServiceTime} from '../scheduling/service-time.js';
+import {UrgencyOrder} from '../scheduling/urgency-order.js';
 import type {Clock} from '../time/clock.js';
 import type {ElapsedClock} from '../time/elapsed-clock.js';
 import {createCallerAccess} from '../workspaces/caller-access.js';
@@ -96,10 +98,14 @@
 	readonly placement?: ReadPlacement;
 };
 
+/** Expected time of a transaction from its begin to its end until one was measured, in milliseconds: a few statements with their round trips. */
+const INITIAL_OPERATION_MS = 50;
+
 /** Creates the parts of a proxy and registers them with a kernel. Nothing runs before the kernel is started. */
 export function createProxy(parts: ProxyParts): Kernel {
 	const {clock, elapsedClock, random, log, metrics, orders, hostName, peerAddress, incarnation} = parts;
 	const kernel = createKernel();
+	const scheduling = parts.features?.scheduling;
 	const zoneRegions = parts.features?.zoneRegions;
 	const regions: Regions | undefined = zoneRegions && createRegions({
 		zoneRegions,
@@ -120,7 +126,7 @@
 	const {peers, opener} = regions ?? parts;
 	const store = guardGenerations(regions?.store ?? parts.store);
 	const host: HostRecord = {
-		name: hostName, peerAddress, availabilityZone: parts.availabilityZone, capacity: parts.features?.scheduling?.capacity,
+		name: hostName, peerAddress, availabilityZone: parts.availabilityZone, capacity: scheduling?.capacity,
 	};
 	const mirror: StoreMirror = createStoreMirror({
 		store,
@@ -155,7 +161,6 @@
 			},
 		})
 		: ownCutOffs;
-	const scheduling = parts.features?.scheduling;
 	const layout = scheduling ? new EndpointZoneLayout({poolHosts: scheduling.poolHosts, zoneRegions}) : new SpreadLayout();
 	const poolHosts = createPoolHosts({
 		mirror, hostName, availabilityZone: parts.availabilityZone, layout,
@@ -177,6 +182,7 @@
 		opener,
 		clock,
 		log,
+		createOrder: scheduling && (() => new UrgencyOrder(scheduling.leastShare, metrics)),
 		getSharing: entry => ({hosts: poolHosts.countHosts(entry), isPoolHost: poolHosts.isPoolHost(entry)}),
 		createWindow: endpointRooms?.createWindow,
 		sharePool: (entry, ownPool) => createSharedPool({
@@ -283,7 +289,8 @@
 		rateLimiter,
 		availabilityZone: parts.availabilityZone,
 		placement: parts.placement ?? new CostBasedPlacement(),
-		isScheduled: scheduling !== undefined,
+		features: parts.features ?? {},
+		operationTimes: createServiceTime(INITIAL_OPERATION_MS),
 	});
 
 	mirror.onChange(() => {
