Close the connections that are expected to be used last

Cause: with 83 workspaces before an endpoint with 56 connections, the connection that was idle longest was closed and one was opened for each waiter.

Change: ExpectedUsePolicy closes the idle connection with the lowest rate of use by its workspace's decayed request rate, lets a request wait for its workspace's own connection where that is released soon, gives idle connections to waiters before it opens one, and leaves a third of the connections free while idle. It is in force with `scheduling` only; LongestIdlePolicy decides as before. Metrics of requests, openings, evictions and rejections, and one summary line in 10 s for each pool.

--- a/src/bench/workspace-links/busy-endpoint.ts
+++ b/src/bench/workspace-links/busy-endpoint.ts
@@ -77,11 +77,13 @@
 			},
 			async exchange({command}): Promise<EndpointAnswer> {
 				pending++;
+				listener.onSent();
 				await clock.sleep(oneWayMs);
 				const hasRun = await occupySlot(command.kind === 'run' ? Number(command.text) : 1);
 				await clock.sleep(oneWayMs);
 				pending--;
 				listener.onAnswered(!hasRun);
+				listener.onReceived();
 				return {rows: [], end: hasRun ? {kind: 'complete'} : {kind: 'error', code: AnswerCode.Overloaded, text: ''}, state: SessionState.Idle};
 			},
 			async readStatus() {
--- a/src/gateway/prom-gateway-metrics.ts
+++ b/src/gateway/prom-gateway-metrics.ts
@@ -1,6 +1,8 @@
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
+import type {ConnectionMetrics} from '../links/connection-metrics.js';
+import {createPromConnectionMetrics} from '../links/prom-connection-metrics.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 
 /** The gateway's metrics, those of the rest of the proxy, and their rendering as text. */
@@ -14,6 +16,8 @@
 	/** Sets the gauges whose values are read at each scrape. */
 	setState(state: {readonly confirmationAgeSeconds: number; readonly routingVersion: number; readonly hosts: number}): void;
 	setPool(endpoint: string, open: number, inUse: number, waiting: number): void;
+	/** Returns the metrics of this host's connections to an endpoint. They are registered with the first call, so that a proxy that does not use them does not show them. */
+	getConnectionMetrics(endpoint: string): ConnectionMetrics;
 	render(): Promise<string>;
 	readonly contentType: string;
 };
@@ -61,6 +65,8 @@
 		name: 'aldercroft_endpoint_links', help: 'Connections to endpoints, and requests that wait for one', labelNames: ['endpoint', 'state'], registers,
 	});
 
+	let getConnectionMetrics: ReturnType<typeof createPromConnectionMetrics> | undefined;
+
 	return {
 		observeStatement(kind, outcome, seconds) {
 			statements.inc({kind, outcome});
@@ -100,6 +106,10 @@
 			poolLinks.set({endpoint, state: 'lent'}, inUse);
 			poolLinks.set({endpoint, state: 'waiting'}, waiting);
 		},
+		getConnectionMetrics(endpoint) {
+			getConnectionMetrics ??= createPromConnectionMetrics(registry);
+			return getConnectionMetrics(endpoint);
+		},
 		render: async () => registry.metrics(),
 		contentType: registry.contentType,
 	};
--- a/src/links/create-endpoint-pool.ts
+++ b/src/links/create-endpoint-pool.ts
@@ -7,8 +7,8 @@
 import {createIdleLinks} from './idle-links.js';
 import {createLinkBudget} from './link-budget.js';
 import {getUnservedWaiters, type Waiter} from './choose-waiter.js';
-import {LongestIdlePolicy} from './connection-policy.js';
-import {isLinkRefused} from './link-errors.js';
+import {LongestIdlePolicy, type ConnectionPolicy} from './connection-policy.js';
+import {isLimitReached, isLinkRefused} from './link-errors.js';
 import {createSessionLink, type SessionLink} from './link-session.js';
 import {heldPositionAtOpen, openCheckedLink} from './open-checked-link.js';
 import {ArrivalOrder} from './waiter-order.js';
@@ -27,7 +27,7 @@
 	const budget = createLinkBudget(getLimits);
 	const congestion = options.window ?? createCongestionWindow();
 	const waiterOrder = options.order ?? new ArrivalOrder();
-	const connections = options.connections ?? new LongestIdlePolicy();
+	const connections: ConnectionPolicy = options.connections ?? new LongestIdlePolicy();
 	const all = new Set<SessionLink>();
 	const inTransactions = new Set<SessionLink>();
 	const idle = createIdleLinks();
@@ -68,14 +68,18 @@
 
 	/** Opens a connection and keeps it in the pool until it closes. */
 	const openLink = async (timeoutMs: number, workspace: string | undefined) => {
+		const startedAt = clock.now();
 		usage.noteOpening(workspace);
+		connections.events?.noteOpening(workspace);
 		listener.onSent();
 		let opened = false;
 		try {
 			const link = await openCheckedLink(options, workspace, timeoutMs, listener);
 			const sessionLink = createSessionLink(link, workspace);
 			all.add(sessionLink);
+			connections.events?.noteOpened(sessionLink, clock.now() - startedAt, clock.now());
 			link.onClose(() => {
+				connections.events?.noteClosed(sessionLink);
 				all.delete(sessionLink);
 				inTransactions.delete(sessionLink);
 				if (!isEvicting) {
@@ -85,6 +89,7 @@
 			opened = true;
 			return sessionLink;
 		} catch (err) {
+			connections.events?.noteOpenFailed(workspace, isLimitReached(err), clock.now());
 			noteOpenFailed(err);
 			throw err;
 		} finally {
@@ -118,6 +123,7 @@
 
 	const noteAcquired = (sessionLink: SessionLink, {single}: AcquireRequest) => {
 		usage.noteAcquired(sessionLink.workspace);
+		connections.events?.noteAcquired(sessionLink, single, clock.now());
 		if (!single) {
 			inTransactions.add(sessionLink);
 		}
@@ -184,7 +190,7 @@
 
 	const noteOpenFailed = (err: unknown) => {
 		const now = clock.now();
-		if (isLinkRefused(err) && (err.code === AnswerCode.TooManyConnections || err.code === AnswerCode.Overloaded)) {
+		if (isLimitReached(err)) {
 			health.noteReceived(now);
 			budget.noteRejected(now);
 			return;
@@ -229,15 +235,19 @@
 		}
 	};
 
-	/** Returns the waiter whose turn it is, out of those for which no connection is being opened. */
-	const getUnserved = () => waiterOrder.getNext(getUnservedWaiters(waiters.filter(request => mayAcquire(request)), usage.openingFor), usage.count, clock.now());
+	/** Returns the waiter whose turn it is, out of those for which a connection is to be opened and none is under way. */
+	const getUnserved = (denied: ReadonlySet<string | undefined>) => {
+		const now = clock.now();
+		const unserved = getUnservedWaiters(waiters.filter(request => mayAcquire(request) && !denied.has(request.workspace)), usage.openingFor);
+		return waiterOrder.getNext(connections.chooseOpenings(unserved, now), usage.count, now);
+	};
 
 	/**
 	 * Closes an idle connection of another workspace, so that one can be opened for this workspace; returns whether there was one. Guards a workspace that has no
 	 * connection while others hold all of them: none of those can serve it.
 	 */
 	const evictIdle = (workspace: string | undefined) => {
-		const evicted = connections.chooseEvicted(idle.all, workspace, clock.now());
+		const evicted = connections.chooseEvicted(idle.all, workspace, budget, clock.now());
 		if (!evicted) {
 			return false;
 		}
@@ -253,14 +263,26 @@
 	const mayOpenAnother = (open: number) => budget.mayOpen(clock.now(), open) && (usage.opening === 0 || open < budget.share);
 
 	const openForWaiters = () => {
-		for (let next = getUnserved(); next && !retired; next = getUnserved()) {
+		const denied = new Set<string | undefined>();
+		for (let next = getUnserved(denied); next && !retired; next = getUnserved(denied)) {
+			const own = connections.sparesOpenings ? idle.take(next.values, next.workspace) : undefined;
+			if (own) {
+				assignTo(next, own);
+				continue;
+			}
+
 			const open = all.size + usage.opening;
-			const isWithinShare = open < budget.share && mayOpenAnother(open);
-			if (!isWithinShare && !(mayOpenAnother(open - 1) && evictIdle(next.workspace)) && !mayOpenAnother(open)) {
+			const isFree = open < connections.getOpenedFreely(budget) && mayOpenAnother(open);
+			if (isFree || (mayOpenAnother(open - 1) && evictIdle(next.workspace)) || mayOpenAnother(open)) {
+				void openOne(next.workspace);
+				continue;
+			}
+
+			if (!connections.sparesOpenings || idle.size === 0 || denied.size >= MAX_PASSED_OVER) {
 				return;
 			}
 
-			void openOne(next.workspace);
+			denied.add(next.workspace);
 		}
 	};
 
@@ -281,13 +303,9 @@
 	const trim = () => {
 		const now = clock.now();
 		let open = all.size;
-		while (idle.size > 0 && open > budget.kept) {
-			const oldest = idle.takeOldest(now - connections.getIdleTimeoutMs(open <= budget.share));
-			if (!oldest) {
-				return;
-			}
-
-			oldest.link.close();
+		for (let expired = connections.chooseExpired(idle.all, open, budget, now); expired; expired = connections.chooseExpired(idle.all, open, budget, now)) {
+			idle.remove(expired);
+			expired.sessionLink.link.close();
 			open--;
 		}
 	};
@@ -343,10 +361,12 @@
 				return undefined;
 			}
 
+			connections.events?.noteRequested(request.workspace, clock.now());
 			return takeIdle(request) ?? wait(request);
 		},
 		release(sessionLink) {
 			usage.noteReleased(sessionLink.workspace);
+			connections.events?.noteReleased(sessionLink, clock.now());
 			inTransactions.delete(sessionLink);
 			if (sessionLink.link.closed) {
 				openForWaiters();
@@ -373,6 +393,7 @@
 			return status;
 		},
 		maintain() {
+			connections.events?.maintain(clock.now());
 			trim();
 			retrySuspect();
 		},
@@ -391,3 +412,6 @@
 
 /** Interval at which a waiter checks whether a connection may be opened, in milliseconds. */
 const WAITER_POLL_INTERVAL_MS = 30;
+
+/** Maximum number of workspaces that are passed over at once because no connection may be opened for them, so that the cost stays bounded where many wait. */
+const MAX_PASSED_OVER = 4;
--- a/src/links/endpoint-directory.ts
+++ b/src/links/endpoint-directory.ts
@@ -4,6 +4,7 @@
 import type {RegisteredEndpoint} from '../routes/routing.js';
 import type {LogPosition} from '../terms/log-position.js';
 import type {Clock} from '../time/clock.js';
+import type {ConnectionPolicy} from './connection-policy.js';
 import {createEndpointPool} from './create-endpoint-pool.js';
 import type {EndpointPool} from './endpoint-pool.js';
 import type {LinkOpener} from './endpoint-link.js';
@@ -38,6 +39,8 @@
 	getSharing(entry: RegisteredEndpoint): Pick<LinkLimits, 'hosts' | 'isPoolHost'>;
 	/** Creates the pool that requests use on top of this host's own connections. */
 	sharePool(entry: RegisteredEndpoint, ownPool: EndpointPool): EndpointPool;
+	/** Creates the policy by which this host's connections to an endpoint are opened and closed; the pool's default where it is undefined. */
+	createConnectionPolicy?(entry: RegisteredEndpoint): ConnectionPolicy;
 	/** Returns the position that an endpoint's log holds at least in this incarnation, as far as this host knows. */
 	getMinPosition(entry: RegisteredEndpoint): LogPosition | undefined;
 };
@@ -64,7 +67,9 @@
 };
 
 /** Creates an empty directory. */
-export function createEndpointDirectory({mirror, opener, clock, log: parentLog, getSharing, sharePool, getMinPosition}: EndpointDirectoryOptions): EndpointDirectory {
+export function createEndpointDirectory({
+	mirror, opener, clock, log: parentLog, getSharing, sharePool, createConnectionPolicy, getMinPosition,
+}: EndpointDirectoryOptions): EndpointDirectory {
 	const log = parentLog.withPrefix('endpoints: ');
 	const tracked = new Map<string, TrackedEndpoint>();
 	/** Cache of endpoints by group, filled on demand since the last update: each read asks for a list, and a fleet has thousands of endpoints. */
@@ -79,6 +84,7 @@
 			getMinPosition: () => getMinPosition(entry),
 			clock,
 			log,
+			connections: createConnectionPolicy?.(entry),
 			getLimits: () => ({
 				maxConnections: mirror.state.routing?.groups.get(entry.group)?.maxConnections ?? DEFAULT_MAX_CONNECTIONS,
 				...getSharing(entry),
--- a/src/links/idle-links.ts
+++ b/src/links/idle-links.ts
@@ -21,8 +21,6 @@
 	readonly all: readonly IdleLink[];
 	/** Removes a connection. */
 	remove(link: IdleLink): void;
-	/** Removes and returns the connection that has been idle longest, if it became idle before the steady time `before`. */
-	takeOldest(before: number): SessionLink | undefined;
 	takeAll(): readonly SessionLink[];
 	/** Cuts the connections for which this returns true, and removes all closed ones. */
 	cutWhere(isUnwanted: (sessionLink: SessionLink) => boolean): void;
@@ -54,7 +52,6 @@
 		remove(link) {
 			idle = idle.filter(other => other !== link);
 		},
-		takeOldest: before => idle[0] && idle[0].since < before ? idle.shift()!.sessionLink : undefined,
 		takeAll: () => idle.splice(0).map(({sessionLink}) => sessionLink),
 		cutWhere(isUnwanted) {
 			for (const {sessionLink} of idle) {
--- a/src/links/link-errors.ts
+++ b/src/links/link-errors.ts
@@ -1,5 +1,5 @@
 import ModernError from 'modern-errors';
-import type {AnswerCode} from '../statements/statement-answer.js';
+import {AnswerCode} from '../statements/statement-answer.js';
 
 /** Base class of the errors of a link to an endpoint. */
 export const LinkError = ModernError.subclass('LinkError');
@@ -17,6 +17,11 @@
 	return err instanceof LinkRefusedError;
 }
 
+/** Returns whether the endpoint refused a session because it has too many connections, or too much work waits. */
+export function isLimitReached(err: unknown): boolean {
+	return isLinkRefused(err) && (err.code === AnswerCode.TooManyConnections || err.code === AnswerCode.Overloaded);
+}
+
 /** @internal */
 export function createLinkLost(address: string, why: string, cause?: unknown): Error {
 	return new LinkLostError(`the link to ${address} was lost: ${why}`, {cause});
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -15,6 +15,7 @@
 import {createStoreRestores} from '../leadership/store-restores.js';
 import {createEndpointDirectory, type EndpointDirectory} from '../links/endpoint-directory.js';
 import type {LinkOpener} from '../links/endpoint-link.js';
+import {ExpectedUsePolicy} from '../links/expected-use-policy.js';
 import {createPoolHosts, type PoolHosts} from '../connection-sharing/pool-hosts.js';
 import {createCheckoutServer, type CheckoutServer} from '../connection-sharing/checkout-server.js';
 import {createSampleFetcher} from '../connection-sharing/sample-fetcher.js';
@@ -119,6 +120,12 @@
 		sharePool: (entry, ownPool) => createSharedPool({
 			entry, ownPool, poolHosts, unreachable, peers, clock, ownPeerAddress: peerAddress,
 		}),
+		createConnectionPolicy: parts.features?.scheduling && (({id, group}) => new ExpectedUsePolicy({
+			metrics: metrics.getConnectionMetrics(id),
+			onSummary(summary) {
+				log.info('endpoints: connections were opened', {endpoint: id, group, ...summary});
+			},
+		})),
 		getMinPosition({id, group}) {
 			const record = mirror.state.leadership.get(group);
 			const isPrimary = record?.phase === LeadershipPhase.Steady && record.primaryId === id;
