--- a/src/links/connection-policy.ts
+++ b/src/links/connection-policy.ts
@@ -18,8 +18,8 @@
 	chooseEvicted(idle: readonly IdleLink[], workspace: string | undefined, budget: LinkBudget, now: number): IdleLink | undefined;
 	/** Returns an idle connection that is closed because it has been idle for too long, where `open` connections are open; undefined where there is none. */
 	chooseExpired(idle: readonly IdleLink[], open: number, budget: LinkBudget, now: number): IdleLink | undefined;
-	/** Returns how many connections are opened without an idle one being closed first. */
-	getOpenedFreely(budget: LinkBudget): number;
+	/** Returns up to how many connections are opened without an idle one being closed first. */
+	getOpenedFreely(budget: LinkBudget, now: number): number;
 }
 
 /** What happens to the connections of a pool; times are steady times in milliseconds. */
--- a/src/links/connection-use.ts
+++ b/src/links/connection-use.ts
@@ -10,6 +10,8 @@
 	readonly openMs: number;
 	/** Steady time at which the endpoint last rejected a connection. */
 	readonly rejectedAt: number;
+	/** Whether the last opening that ended was rejected by the endpoint. */
+	readonly isRejecting: boolean;
 	/** Returns the expected times until the workspace's connections in use are released, in milliseconds, the soonest first. */
 	getRemainingMs(workspace: string | undefined, now: number): readonly number[];
 	/** Returns the smoothed time for which a single statement of the workspace holds a connection, in milliseconds. */
@@ -61,6 +63,7 @@
 	const unused = new Map<SessionLink, number>();
 	const transactions = new Map<string | undefined, number>();
 	let openMs = INITIAL_OPEN_MS;
+	let isRejecting = false;
 	let rejectedAt = Number.NEGATIVE_INFINITY;
 	let inInterval = createCounts();
 	let summarizedAt: number | undefined;
@@ -115,6 +118,9 @@
 		get rejectedAt() {
 			return rejectedAt;
 		},
+		get isRejecting() {
+			return isRejecting;
+		},
 		getRemainingMs: (workspace, now) => held.getRemainingMs(workspace, single => demand.getHeldMs(workspace, single), now),
 		getHeldMs: workspace => demand.getHeldMs(workspace, true),
 		getUseRate: (workspace, count, now) => demand.getUseRate(workspace, count, now),
@@ -148,6 +154,7 @@
 			metrics.countOpening(cause);
 		},
 		noteOpened(sessionLink, tookMs, now) {
+			isRejecting = false;
 			known.add(sessionLink.workspace);
 			unused.set(sessionLink, now);
 			openMs += OPEN_SMOOTHING * (tookMs - openMs);
@@ -155,6 +162,7 @@
 		noteOpenFailed(workspace, isLimitReached, now) {
 			change(counts, workspace, -1);
 			if (isLimitReached) {
+				isRejecting = true;
 				rejectedAt = now;
 				inInterval.rejected++;
 				metrics.countRejection();
--- a/src/links/create-endpoint-pool.ts
+++ b/src/links/create-endpoint-pool.ts
@@ -262,6 +262,9 @@
 	/** Returns whether one more may be opened. Beyond the share only one is opened at a time: the endpoint would reject hosts that open many at once. */
 	const mayOpenAnother = (open: number) => budget.mayOpen(clock.now(), open) && (usage.opening === 0 || open < budget.share);
 
+	/** Returns whether one may be opened in place of an idle one. That adds none, but by default it is limited as others are. */
+	const mayReplaceOne = (open: number) => connections.sparesOpenings ? budget.mayOpen(clock.now(), open - 1) : mayOpenAnother(open - 1);
+
 	const openForWaiters = () => {
 		const denied = new Set<string | undefined>();
 		for (let next = getUnserved(denied); next && !retired; next = getUnserved(denied)) {
@@ -272,8 +275,8 @@
 			}
 
 			const open = all.size + usage.opening;
-			const isFree = open < connections.getOpenedFreely(budget) && mayOpenAnother(open);
-			if (isFree || (mayOpenAnother(open - 1) && evictIdle(next.workspace)) || mayOpenAnother(open)) {
+			const isFree = open < connections.getOpenedFreely(budget, clock.now()) && mayOpenAnother(open);
+			if (isFree || (mayReplaceOne(open) && evictIdle(next.workspace)) || mayOpenAnother(open)) {
 				void openOne(next.workspace);
 				continue;
 			}
--- a/src/links/expected-use-policy.ts
+++ b/src/links/expected-use-policy.ts
@@ -48,10 +48,16 @@
 const UNUSED_MS = 1000;
 
 /**
- * Time after a rejected opening during which no connection is closed for another workspace, in milliseconds. Guards against losing connections one by one while others have
+ * Time after a rejected opening during which one is opened only in place of an idle one, in milliseconds. Guards against a
+ * workspace that is never served because other hosts have used up the endpoint's limit, while this host has idle connections.
+ */
+const REJECTION_EFFECT_MS = 1000;
+
+/**
+ * Minimum interval between two closed connections while openings are rejected, in milliseconds. Guards against losing connections one after the other while other hosts have
  * reached the endpoint's limit: each closed one could be replaced by one of another host.
  */
-const REJECTION_PAUSE_MS = 250;
+const REJECTED_INTERVAL_MS = 250;
 
 /**
  * Closes the connection that is expected to be used last, by the request rates of the workspaces, and opens none where one of the workspace's own is expected to be released sooner.
@@ -61,6 +67,8 @@
 export class ExpectedUsePolicy implements ConnectionPolicy {
 	readonly events: ConnectionUse;
 	readonly #options: ExpectedUseOptions;
+	/** Steady time at which a connection was last closed for another workspace. */
+	#evictedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(options: ExpectedUseOptions) {
 		this.#options = options;
@@ -90,7 +98,7 @@
 	}
 
 	chooseEvicted(idle: readonly IdleLink[], workspace: string | undefined, budget: LinkBudget, now: number): IdleLink | undefined {
-		if (now - this.events.rejectedAt < REJECTION_PAUSE_MS) {
+		if (this.events.isRejecting && now - this.#evictedAt < REJECTED_INTERVAL_MS) {
 			return undefined;
 		}
 
@@ -102,6 +110,7 @@
 		const limit = PROTECTED_FACTOR * this.events.getUseRate(workspace, 1, now);
 		if (least.useRate < limit || this.#needsTurn(workspace, limit, budget, now)) {
 			this.events.noteEvicted(EvictionCause.OtherWorkspace);
+			this.#evictedAt = now;
 			return least.link;
 		}
 
@@ -126,8 +135,8 @@
 		return expired;
 	}
 
-	getOpenedFreely(budget: LinkBudget): number {
-		return getFraction(budget, this.#options.freelyFraction ?? FREELY_FRACTION);
+	getOpenedFreely(budget: LinkBudget, now: number): number {
+		return now - this.events.rejectedAt < REJECTION_EFFECT_MS ? 0 : getFraction(budget, this.#options.freelyFraction ?? FREELY_FRACTION);
 	}
 
 	/** Returns the connection that is used least often, the one that has been idle longest where several are. */
