Report who waited for connections, and which endpoint was the cause

Cause: a statement that was refused while it waited had been sent to no endpoint, so that its log line named none, and its wait was not counted.

Change: the trace of a statement notes the endpoints that gave it no connection (`unservedMs`) and the queue that refused it (`refusedBy`, `queueReason`, `predictedWaitMs`, `retryAfterMs`, `queued`, `limit`), which the gateway takes from `onRefused`. `aldercroft report` lists waits by database, workspace and endpoint (count, p50, p99), and for each endpoint what was refused or late because of it. The decisions of the gateway are the same; lines of statements without such a wait are too.

--- a/src/gateway/acquire-link.ts
+++ b/src/gateway/acquire-link.ts
@@ -14,7 +14,7 @@
 import type {GatewayParts} from './gateway-parts.js';
 import type {QueueTimeout} from './queue-timeout.js';
 import type {SessionMemory} from './session-memory.js';
-import type {StatementTrace} from './statement-trace.js';
+import {noteQueueRefusal, noteUnserved, type StatementTrace} from './statement-trace.js';
 
 /** A connection to an endpoint, acquired for one statement or transaction. */
 export type AcquiredLink = {
@@ -236,12 +236,16 @@
 		single: req.single ?? false,
 		read: req.reads ? {epoch: lease?.epoch} : undefined,
 		minPosition: lease?.start,
+		onRefused(refusal) {
+			noteQueueRefusal(req.trace, endpoint.entry.id, refusal);
+		},
 	});
+	const waitedMs = parts.clock.now() - requestedAt;
 	if (!sessionLink) {
+		noteUnserved(req.trace, endpoint.entry.id, waitedMs);
 		return undefined;
 	}
 
-	const waitedMs = parts.clock.now() - requestedAt;
 	parts.metrics.observeLinkWait(waitedMs / 1000);
 	req.trace.linkWaitMs += waitedMs;
 	// The lease may have expired, or the caller may have left, during the wait.
--- a/src/links/endpoint-pool.ts
+++ b/src/links/endpoint-pool.ts
@@ -41,6 +41,10 @@
 	readonly retryAfterMs: number;
 	/** Wait that was predicted for the request, in milliseconds. */
 	readonly predictedWaitMs: number;
+	/** Number of requests that waited in the pool; undefined where the pool does not say. */
+	readonly queued?: number;
+	/** Number of statements that the pool could have in flight at the endpoint; undefined where the pool does not say. */
+	readonly limit?: number;
 };
 
 /** The connections of this host to one endpoint. */
--- a/src/reports/fleet-report.ts
+++ b/src/reports/fleet-report.ts
@@ -1,4 +1,5 @@
 import {parseLogEvent, type LogEvent} from './log-event.js';
+import {createWaitReporter, type WaitReport} from './wait-report.js';
 
 /** Number of occurrences by cause. */
 export type Counts = Readonly<Record<string, number>>;
@@ -55,6 +56,8 @@
 	/** Retries by reason. */
 	readonly retries: Counts;
 	readonly lateAnswers: number;
+	/** Who waited for connections, out of the statements that were refused or answered late, and because of which endpoints. */
+	readonly waits: WaitReport;
 	/** Commits and writes with an unknown outcome, by kind. */
 	readonly unknownOutcomes: Counts;
 	readonly primaryChanges: readonly PrimaryChange[];
@@ -101,6 +104,7 @@
 		unknown: new Map<string, number>(),
 		leftOut: new Map<string, number>(),
 	};
+	const waits = createWaitReporter();
 	const reasons = new Map<string, string>();
 	const primaryChanges: PrimaryChange[] = [];
 	const configurations = new Map<number, Spread>();
@@ -209,6 +213,7 @@
 				return;
 			}
 
+			waits.add(event);
 			hosts.add(event.host);
 			from = Math.min(from, event.at);
 			to = Math.max(to, event.at);
@@ -231,6 +236,7 @@
 			refusalsByDatabase: toCounts(counts.database),
 			refusalsByWorkspace: toCounts(counts.workspace),
 			retries: toCounts(counts.retry),
+			waits: waits.getReport(),
 			unknownOutcomes: toCounts(counts.unknown),
 			primaryChanges: primaryChanges.toSorted((left, right) => left.at - right.at),
 			configurations: [...configurations].map(([version, spread]) => ({
--- a/src/reports/format-report.ts
+++ b/src/reports/format-report.ts
@@ -1,4 +1,5 @@
 import type {Counts, FleetReport} from './fleet-report.js';
+import type {EndpointCause, WaitSummary} from './wait-report.js';
 
 /** Maximum number of lines in each list of the text. The JSON output has all of them. */
 const MAX_SHOWN = 12;
@@ -14,6 +15,11 @@
 		...formatCounts('tried again', report.retries),
 		...formatCounts('outcome unknown', report.unknownOutcomes),
 		`answered late: ${report.lateAnswers}`,
+		...formatWaits('waited for connections, by database', report.waits.databases),
+		...formatWaits('waited for connections, by workspace', report.waits.workspaces),
+		...formatWaits('waited for connections, by endpoint', report.waits.endpoints),
+		...formatList('refused or late because of an endpoint', report.waits.causes.map(cause => formatCause(cause))),
+		...(report.waits.leftOut > 0 ? [`left out of the waits and causes: ${report.waits.leftOut}`] : []),
 		`stops begun: ${report.stopsBegun}, ended: ${report.stopsEnded}`,
 		...formatList('changes of primary', report.primaryChanges.map(change => formatChange(change))),
 		...formatList('configurations', report.configurations.map(({version, hosts, firstAt, lastAt}) => `version ${version}: ${hosts} hosts within ${Math.round(lastAt - firstAt)} ms`)),
@@ -22,6 +28,29 @@
 	].join('\n');
 }
 
+function formatWaits(title: string, waits: readonly WaitSummary[]): readonly string[] {
+	return formatList(title, waits.map(({name, count, p50Ms, p99Ms}) => `${String(count).padStart(7)}  ${name}: p50 ${p50Ms} ms, p99 ${p99Ms} ms`));
+}
+
+function formatCause({endpoint, refused, late, waitedMs, reasons, workspaces, databases, predictedWaitMs, queued, limit}: EndpointCause): string {
+	const queue = predictedWaitMs === undefined ? '' : `; queue at most ${queued ?? '?'} at limit ${limit ?? '?'}, predicted wait at most ${predictedWaitMs} ms`;
+	return [
+		`${endpoint}: ${refused} refused, ${late} late, ${waitedMs} ms waited${queue}`,
+		...formatParts('reasons', reasons),
+		...formatParts('workspaces', workspaces),
+		...formatParts('databases', databases),
+	].join('; ');
+}
+
+/** Maximum number of names that are listed for one endpoint in the text. */
+const MAX_PARTS = 4;
+
+function formatParts(title: string, counts: Counts): readonly string[] {
+	const parts = Object.entries(counts);
+	const more = parts.length - MAX_PARTS;
+	return parts.length === 0 ? [] : [`${title}: ${parts.slice(0, MAX_PARTS).map(([name, count]) => `${name} ${count}`).join(', ')}${more > 0 ? ` and ${more} more` : ''}`];
+}
+
 function formatSpan({from, to}: FleetReport): string {
 	return from === undefined || to === undefined ? '' : `, ${formatTime(from)} to ${formatTime(to)}`;
 }
