--- a/src/gateway/prom-gateway-metrics.ts
+++ b/src/gateway/prom-gateway-metrics.ts
@@ -1,6 +1,8 @@
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
+import type {ConnectionMetrics} from '../links/connection-metrics.js';
+import {createPromConnectionMetrics} from '../links/prom-connection-metrics.js';
 import type {RoomState} from '../endpoint-room/endpoint-rooms.js';
 import type {SchedulingMetrics} from '../scheduling/scheduling-metrics.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
@@ -23,6 +25,8 @@
 	setRooms(rooms: readonly RoomState[]): void;
 	/** Counts that the allocator of a budget did not respond, so that the next pool host was asked. */
 	countRoomTakeover(): void;
+	/** Returns the metrics of this host's connections to an endpoint. They are registered with the first call, so that a proxy that does not use them does not show them. */
+	getConnectionMetrics(endpoint: string): ConnectionMetrics;
 	render(): Promise<string>;
 	readonly contentType: string;
 };
@@ -85,6 +89,8 @@
 		name: 'aldercroft_endpoint_room_takeovers_total', help: 'Allocators of concurrency budgets that did not respond, so that the next pool host was asked', registers,
 	});
 
+	let getConnectionMetrics: ReturnType<typeof createPromConnectionMetrics> | undefined;
+
 	return {
 		...createPromSchedulingMetrics(registry),
 		observeStatement(kind, outcome, seconds) {
@@ -141,6 +147,10 @@
 		countRoomTakeover() {
 			roomTakeovers.inc();
 		},
+		getConnectionMetrics(endpoint) {
+			getConnectionMetrics ??= createPromConnectionMetrics(registry);
+			return getConnectionMetrics(endpoint);
+		},
 		render: async () => registry.metrics(),
 		contentType: registry.contentType,
 	};
--- a/src/gateway/schedule-request.ts
+++ b/src/gateway/schedule-request.ts
@@ -3,7 +3,7 @@
 import type {LinkRequest} from './acquire-link.js';
 
 /** What a pool needs to know to schedule a request. */
-type Schedule = Pick<AcquireRequest, 'startBy' | 'weight' | 'statement' | 'isWanted' | 'onRefused'>;
+type Schedule = Pick<AcquireRequest, 'startBy' | 'weight' | 'statement' | 'isWanted'>;
 
 /** Maximum share of the latency target that an operation is expected to take: where it usually takes longer, it still has some time to wait. */
 const MAX_SERVICE_SHARE = 0.9;
@@ -19,7 +19,7 @@
 		return {};
 	}
 
-	const {route, workspace, trace} = req;
+	const {route, workspace} = req;
 	const arrivedAt = now - (parts.elapsedClock.elapsed() - req.arrivedAt);
 	const serviceMs = req.single ? getStatementMs(parts, pool, now) : parts.operationTimes.getClassMeanMs(route.name);
 	const startWithinMs = route.targetLatencyMs - Math.min(serviceMs, route.targetLatencyMs * MAX_SERVICE_SHARE);
@@ -28,9 +28,6 @@
 		weight: workspace && getWorkspaceWeight(workspace.priority),
 		statement: req.statement,
 		isWanted: () => req.isWanted(),
-		onRefused(refusal) {
-			trace.queueRefusal = refusal;
-		},
 	};
 }
 
--- a/src/links/arrival-queue.ts
+++ b/src/links/arrival-queue.ts
@@ -10,9 +10,12 @@
 /** Interval at which a waiter checks whether a connection may be opened, in milliseconds. */
 const WAITER_POLL_INTERVAL_MS = 30;
 
+/** Maximum number of workspaces that are passed over at once because no connection may be opened for them, so that the cost stays bounded where many wait. */
+const MAX_PASSED_OVER = 4;
+
 /** Creates a queue whose requests wait until their time is over, by priority, then by connections in use of the workspace, then in order of arrival. */
 export function createArrivalQueue({clock, connections}: RequestQueueParts): RequestQueue {
-	const {idle, usage, health, mayAcquire} = connections;
+	const {idle, usage, health, policy, mayAcquire} = connections;
 	let waiters: Waiter[] = [];
 	let order = 0;
 
@@ -48,13 +51,25 @@
 		}
 	};
 
-	/** Returns the waiter whose turn it is, out of those for which no connection is being opened. */
-	const getUnserved = () => getNextWaiter(getUnservedWaiters(waiters.filter(request => mayAcquire(request)), usage.openingFor), usage.count);
+	/** Returns the waiter whose turn it is, out of those for which a connection is to be opened and none is under way. */
+	const getUnserved = (denied: ReadonlySet<string | undefined>) => {
+		const unserved = getUnservedWaiters(waiters.filter(request => mayAcquire(request) && !denied.has(request.workspace)), usage.openingFor);
+		return getNextWaiter(policy.chooseOpenings(unserved, clock.now()), usage.count);
+	};
 
 	const openForWaiters = () => {
-		let next = getUnserved();
-		while (next && !connections.retired && connections.tryOpen(next.workspace)) {
-			next = getUnserved();
+		const denied = new Set<string | undefined>();
+		for (let next = getUnserved(denied); next && !connections.retired; next = getUnserved(denied)) {
+			const own = policy.sparesOpenings ? idle.take(next.values, next.workspace) : undefined;
+			if (own) {
+				assignTo(next, own);
+			} else if (!connections.tryOpen(next.workspace)) {
+				if (!policy.sparesOpenings || idle.size === 0 || denied.size >= MAX_PASSED_OVER) {
+					return;
+				}
+
+				denied.add(next.workspace);
+			}
 		}
 	};
 
--- a/src/links/create-endpoint-pool.ts
+++ b/src/links/create-endpoint-pool.ts
@@ -42,7 +42,12 @@
 			limit: connections.limit, inFlight: connections.inFlight, queued: queue.size, serviceMs: queue.serviceMs, waitMs: queue.predictWaitMs(now),
 		}),
 		async acquire(request) {
-			return connections.retired ? undefined : queue.acquire(request);
+			if (connections.retired) {
+				return undefined;
+			}
+
+			connections.policy.events?.noteRequested(request.workspace, clock.now());
+			return queue.acquire(request);
 		},
 		release(sessionLink) {
 			const {closed} = sessionLink.link;
@@ -69,6 +74,7 @@
 			return status;
 		},
 		maintain() {
+			connections.policy.events?.maintain(clock.now());
 			connections.trim();
 			connections.retrySuspect();
 		},
--- a/src/links/endpoint-directory.ts
+++ b/src/links/endpoint-directory.ts
@@ -5,6 +5,7 @@
 import type {LogPosition} from '../terms/log-position.js';
 import type {Clock} from '../time/clock.js';
 import type {CongestionWindow} from './congestion-window.js';
+import type {ConnectionPolicy} from './connection-policy.js';
 import {createEndpointPool} from './create-endpoint-pool.js';
 import type {EndpointPool} from './endpoint-pool.js';
 import type {LinkOpener} from './endpoint-link.js';
@@ -44,6 +45,8 @@
 	sharePool(entry: RegisteredEndpoint, ownPool: EndpointPool): EndpointPool;
 	/** Creates the order in which the requests of one pool wait; that of arrival where it is undefined. */
 	createOrder?(): WaiterOrder;
+	/** Creates the policy by which this host's connections to an endpoint are opened and closed; the pool's default where it is undefined. */
+	createConnectionPolicy?(entry: RegisteredEndpoint): ConnectionPolicy;
 	/** Returns the position that an endpoint's log holds at least in this incarnation, as far as this host knows. */
 	getMinPosition(entry: RegisteredEndpoint): LogPosition | undefined;
 };
@@ -71,7 +74,7 @@
 
 /** Creates an empty directory. */
 export function createEndpointDirectory(options: EndpointDirectoryOptions): EndpointDirectory {
-	const {mirror, opener, clock, log: parentLog, getSharing, createWindow, sharePool, getMinPosition} = options;
+	const {mirror, opener, clock, log: parentLog, getSharing, createWindow, sharePool, createConnectionPolicy, getMinPosition} = options;
 	const log = parentLog.withPrefix('endpoints: ');
 	const tracked = new Map<string, TrackedEndpoint>();
 	/** Cache of endpoints by group, filled on demand since the last update: each read asks for a list, and a fleet has thousands of endpoints. */
@@ -88,6 +91,7 @@
 			log,
 			window: createWindow?.(entry),
 			order: options.createOrder?.(),
+			connections: createConnectionPolicy?.(entry),
 			getLimits: () => ({
 				maxConnections: mirror.state.routing?.groups.get(entry.group)?.maxConnections ?? DEFAULT_MAX_CONNECTIONS,
 				...getSharing(entry),
--- a/src/links/pool-connections.ts
+++ b/src/links/pool-connections.ts
@@ -6,7 +6,7 @@
 import type {EndpointPoolOptions, AcquireRequest} from './endpoint-pool.js';
 import {createIdleLinks, type IdleLinks} from './idle-links.js';
 import {createLinkBudget, type LinkBudget} from './link-budget.js';
-import {isLinkRefused} from './link-errors.js';
+import {isLimitReached, isLinkRefused} from './link-errors.js';
 import {createSessionLink, type SessionLink} from './link-session.js';
 import {heldPositionAtOpen, openCheckedLink} from './open-checked-link.js';
 import {createSlotMeter, type SlotMeter} from './slot-meter.js';
@@ -80,7 +80,7 @@
 	const health = createEndpointHealth();
 	const budget = createLinkBudget(getLimits);
 	const congestion = options.window ?? createCongestionWindow();
-	const policy = options.connections ?? new LongestIdlePolicy();
+	const policy: ConnectionPolicy = options.connections ?? new LongestIdlePolicy();
 	const all = new Set<SessionLink>();
 	const inTransactions = new Set<SessionLink>();
 	const meters = new Map<SessionLink, SlotMeter>();
@@ -136,7 +136,9 @@
 
 	/** Opens a connection and keeps it in the pool until it closes. */
 	const openLink = async (timeoutMs: number, workspace: string | undefined) => {
+		const startedAt = clock.now();
 		usage.noteOpening(workspace);
+		policy.events?.noteOpening(workspace);
 		listener.onSent();
 		let opened = false;
 		const opening: {link?: EndpointLink} = {};
@@ -147,7 +149,9 @@
 			const sessionLink = createSessionLink(link, workspace);
 			all.add(sessionLink);
 			meters.set(sessionLink, meter);
+			policy.events?.noteOpened(sessionLink, clock.now() - startedAt, clock.now());
 			link.onClose(() => {
+				policy.events?.noteClosed(sessionLink);
 				all.delete(sessionLink);
 				meters.delete(sessionLink);
 				inTransactions.delete(sessionLink);
@@ -158,6 +162,7 @@
 			opened = true;
 			return sessionLink;
 		} catch (err) {
+			policy.events?.noteOpenFailed(workspace, isLimitReached(err), clock.now());
 			noteOpenFailed(err);
 			throw err;
 		} finally {
@@ -191,6 +196,7 @@
 
 	const noteAcquired = (sessionLink: SessionLink, {single}: AcquireRequest) => {
 		usage.noteAcquired(sessionLink.workspace);
+		policy.events?.noteAcquired(sessionLink, single, clock.now());
 		meters.get(sessionLink)?.reset();
 		if (!single) {
 			inTransactions.add(sessionLink);
@@ -201,7 +207,7 @@
 
 	const noteOpenFailed = (err: unknown) => {
 		const now = clock.now();
-		if (isLinkRefused(err) && (err.code === AnswerCode.TooManyConnections || err.code === AnswerCode.Overloaded)) {
+		if (isLimitReached(err)) {
 			health.noteReceived(now);
 			budget.noteRejected(now);
 			return;
@@ -252,7 +258,7 @@
 	 * connection while others hold all of them: none of those can serve it.
 	 */
 	const evictIdle = (workspace: string | undefined) => {
-		const evicted = policy.chooseEvicted(idle.all, workspace, clock.now());
+		const evicted = policy.chooseEvicted(idle.all, workspace, budget, clock.now());
 		if (!evicted) {
 			return false;
 		}
@@ -267,6 +273,9 @@
 	/** Returns whether one more may be opened. Beyond the share only one is opened at a time: the endpoint would reject hosts that open many at once. */
 	const mayOpenAnother = (open: number) => budget.mayOpen(clock.now(), open) && (usage.opening === 0 || open < budget.share);
 
+	/** Returns whether one may be opened in place of an idle one. That adds none, but by default it is limited as others are. */
+	const mayReplaceOne = (open: number) => policy.sparesOpenings ? budget.mayOpen(clock.now(), open - 1) : mayOpenAnother(open - 1);
+
 	return {
 		health,
 		budget,
@@ -295,13 +304,14 @@
 		noteAcquired,
 		noteReleased(sessionLink) {
 			usage.noteReleased(sessionLink.workspace);
+			policy.events?.noteReleased(sessionLink, clock.now());
 			inTransactions.delete(sessionLink);
 		},
 		getBusyMs: sessionLink => meters.get(sessionLink)?.getBusyMs(clock.now()) ?? 0,
 		tryOpen(workspace) {
 			const open = all.size + usage.opening;
-			const isWithinShare = open < budget.share && mayOpenAnother(open);
-			if (retired || (!isWithinShare && !(mayOpenAnother(open - 1) && evictIdle(workspace)) && !mayOpenAnother(open))) {
+			const isFree = open < policy.getOpenedFreely(budget, clock.now()) && mayOpenAnother(open);
+			if (retired || (!isFree && !(mayReplaceOne(open) && evictIdle(workspace)) && !mayOpenAnother(open))) {
 				return false;
 			}
 
@@ -312,13 +322,9 @@
 		trim() {
 			const now = clock.now();
 			let open = all.size;
-			while (idle.size > 0 && open > budget.kept) {
-				const oldest = idle.takeOldest(now - policy.getIdleTimeoutMs(open <= budget.share));
-				if (!oldest) {
-					return;
-				}
-
-				oldest.link.close();
+			for (let expired = policy.chooseExpired(idle.all, open, budget, now); expired; expired = policy.chooseExpired(idle.all, open, budget, now)) {
+				idle.remove(expired);
+				expired.sessionLink.link.close();
 				open--;
 			}
 		},
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -20,6 +20,7 @@
 import {createHostWatch} from '../connection-sharing/host-watch.js';
 import {MonitorLayout} from '../connection-sharing/monitor-layout.js';
 import {createPoolHostLoads, type PoolHostLoads} from '../connection-sharing/pool-host-loads.js';
+import {ExpectedUsePolicy} from '../links/expected-use-policy.js';
 import {createPoolHosts, type PoolHosts} from '../connection-sharing/pool-hosts.js';
 import {createCheckoutServer, type CheckoutServer} from '../connection-sharing/checkout-server.js';
 import {createSampleFetcher} from '../connection-sharing/sample-fetcher.js';
@@ -190,6 +191,12 @@
 				loads: poolHostLoads, hostWatch, waitIds, random,
 			},
 		}),
+		createConnectionPolicy: parts.features?.scheduling && (({id, group}) => new ExpectedUsePolicy({
+			metrics: metrics.getConnectionMetrics(id),
+			onSummary(summary) {
+				log.info('endpoints: connections were opened', {endpoint: id, group, ...summary});
+			},
+		})),
 		getMinPosition({id, group}) {
 			const record = mirror.state.leadership.get(group);
 			const isPrimary = record?.phase === LeadershipPhase.Steady && record.primaryId === id;
--- a/src/scheduling/place-filler.ts
+++ b/src/scheduling/place-filler.ts
@@ -73,18 +73,13 @@
 		return sessionLink !== undefined;
 	};
 
-	const countWaiting = (workspace: string | undefined) => {
-		let count = 0;
-		for (const {request} of waiting) {
-			count += request.workspace === workspace ? 1 : 0;
-		}
-
-		return count;
+	/** Returns whether a connection is to be opened for a waiting request of the workspace: one that has none under way, and would wait too long for one of the workspace's own. */
+	const needsOpening = (workspace: string | undefined, now: number) => {
+		const ofWorkspace = [...waiting].map(({request}) => request).filter(request => request.workspace === workspace);
+		const opening = usage.openingFor.filter(other => other === workspace).length;
+		return policy.chooseOpenings(ofWorkspace.slice(opening), now).length > 0;
 	};
 
-	/** Whether a connection is being opened for each waiting request of the workspace. */
-	const isCovered = (workspace: string | undefined) => countWaiting(workspace) <= usage.openingFor.filter(other => other === workspace).length;
-
 	/** Fills the free places: with the request whose turn it is where its workspace has an idle connection, else by opening one for it. */
 	const fillPlaces = (now: number) => {
 		/** What can be opened no more during this call; only idle connections serve the requests concerned. */
@@ -109,7 +104,7 @@
 			}
 
 			const {workspace} = next.request;
-			if (isCovered(workspace) || !policy.isOpeningUseful(workspace, usage.count(workspace), now)) {
+			if (!needsOpening(workspace, now)) {
 				exhausted.workspaces.add(workspace);
 			} else if (connections.tryOpen(workspace)) {
 				onOpening(next, now);
--- a/src/scheduling/scheduled-queue.ts
+++ b/src/scheduling/scheduled-queue.ts
@@ -42,7 +42,7 @@
  * It responds to more work than the endpoint can run. Waiters do not poll: arrivals, releases, openings and one timer drive the queue.
  */
 export function createScheduledQueue({target, clock, log, connections, order, metrics}: ScheduledQueueOptions): RequestQueue {
-	const {idle, usage, health, policy} = connections;
+	const {idle, usage, health} = connections;
 	const waiting = new Set<ScheduledRequest>();
 	const running = new Map<SessionLink, RunningRequest>();
 	const times = createRequestTimes();
@@ -262,7 +262,6 @@
 		async acquire(request) {
 			const now = clock.now();
 			order.noteLevel(request.priority);
-			policy.noteRequested(request.workspace, now);
 			const sessionLink = connections.takeIdle(request);
 			if (sessionLink) {
 				metrics?.observeScheduledWait(request.priority, 0, 0);
@@ -280,7 +279,6 @@
 				const usedMs = ended.request.single ? heldMs : connections.getBusyMs(sessionLink);
 				order.complete(ended.charge, usedMs, now);
 				times.observe(ended.request, usedMs, !sessionLink.link.closed);
-				policy.noteHeld(sessionLink.workspace, heldMs, now);
 			}
 
 			progressAt = now;
