Place reads by their expected time to the response

Cause: hosts placed reads by their own load only, so a group's primary was full while its idle replicas lagged, and refusals outlasted the lag.

Change: with the scheduling feature, CompletionTimePlacement chooses by round trip, predicted wait, service time, catch-up at the replica's measured rate and connection opening. Outliers are ejected from reads, second attempts come out of the retry budget, and refusals carry the retry-after and the predicted wait of the pool that refused. Without the feature the earlier path runs.

--- a/src/connection-sharing/remote-read.ts
+++ b/src/connection-sharing/remote-read.ts
@@ -167,6 +167,7 @@
 
 	return {
 		link,
+		isSentAhead: true,
 		// The pool host sets the values, since it knows which ones its connection has.
 		matches: () => true,
 		getName: getPreparedName,
--- a/src/gateway/acquire-link.ts
+++ b/src/gateway/acquire-link.ts
@@ -4,7 +4,7 @@
 import {PRIMARY_LEASE_MS, type PrimaryLease} from '../leadership/primary-leases.js';
 import {CONFIRM_INTERVAL_MS} from '../mirror/store-mirror.js';
 import type {ReadCandidate} from '../placement/choose-endpoint.js';
-import {predictCatchUp} from '../placement/catch-up.js';
+import {getCompletionMs} from '../placement/completion-time-placement.js';
 import {getHigherFloor, clampToTermStart} from '../placement/position-samples.js';
 import {ReadPolicy, type Route} from '../routes/routing.js';
 import {SessionState} from '../statements/statement.js';
@@ -13,8 +13,9 @@
 import type {Workspace} from '../workspaces/workspace.js';
 import type {GatewayParts} from './gateway-parts.js';
 import type {QueueTimeout} from './queue-timeout.js';
+import {getReadCandidates} from './read-candidates.js';
 import type {SessionMemory} from './session-memory.js';
-import type {StatementTrace} from './statement-trace.js';
+import type {StatementTrace, TracedRefusal} from './statement-trace.js';
 
 /** A connection to an endpoint, acquired for one statement or transaction. */
 export type AcquiredLink = {
@@ -24,6 +25,8 @@
 	readonly lease?: PrimaryLease;
 	/** Log position that a replica must have reached; undefined at the primary. */
 	readonly floor?: LogPosition;
+	/** Wait that was predicted at a pool host to which the request is sent without a connection, in milliseconds; 0 where a connection was acquired. */
+	readonly predictedWaitMs: number;
 	/** State of the connection after the last answer on it. */
 	state: SessionState;
 	/** Returns the connection to its pool, which drops it where it has ended; cuts it first where a transaction is still open on it. */
@@ -38,6 +41,10 @@
 	readonly workspace?: Workspace;
 	/** Elapsed time by which the first byte of the statement, or of its transaction, had arrived. */
 	readonly arrivedAt: number;
+	/** Steady time by which it has to be answered to be within its route's latency target. */
+	readonly targetAt: number;
+	/** Prepared shape of a single statement; undefined where it has none. */
+	readonly shape?: string;
 	/** Steady time after which a connection is of no more use. */
 	readonly until: number;
 	/** How long it may queue for a connection. */
@@ -68,6 +75,13 @@
  */
 const MAX_WAIT_AT_ONE_ENDPOINT_MS = 100;
 
+/** A read waits at one endpoint for up to this many times its predicted wait: predictions are too short as often as too long. */
+const PREDICTED_WAIT_FACTOR = 2;
+
+/** Bounds of the retry-after of a read that no endpoint can serve in time, in milliseconds: the loads that it depends on are known for one second. */
+const MIN_HOPELESS_RETRY_MS = 50;
+const MAX_HOPELESS_RETRY_MS = 1000;
+
 /** Maximum wait before leases and endpoints are checked again, in milliseconds. */
 const RECHECK_MS = 50;
 
@@ -113,8 +127,8 @@
 		}
 
 		const until = Math.min(req.until, req.queueTimeout.start(parts.clock.now()));
-		const acquired = await acquireAt(parts, {...req, until}, endpoint, lease);
-		if (req.queueTimeout.isOver(parts.clock.now()) || acquired) {
+		const acquired = await acquireAt(parts, {...req, until}, {endpoint, lease});
+		if (acquired ?? req.trace.refusal ?? req.queueTimeout.isOver(parts.clock.now())) {
 			return acquired;
 		}
 
@@ -134,13 +148,23 @@
 	const startedAt = parts.clock.now();
 	/** Ids of endpoints that had no free connection in time; cleared once none is left to try. */
 	const timedOutEndpoints = new Set<string>();
+	/** Ids of endpoints whose pools refused the read. */
+	const refusedBy = new Set<string>();
 	while (req.isWanted() && parts.clock.now() < req.until) {
 		const lease = parts.primaryLeases.get(req.route.group, parts.elapsedClock.elapsed());
 		const floor = getFloor(parts, req) ?? await fetchFloor(parts, req, lease);
-		const candidates = getCandidates(parts, req, lease, floor);
-		const chosen = parts.placement.choose(candidates.filter(({endpointId}) => !timedOutEndpoints.has(endpointId)));
+		const candidates = getReadCandidates(parts, req, lease, floor);
+		const left = candidates.filter(({endpointId}) => !timedOutEndpoints.has(endpointId) && !refusedBy.has(endpointId));
+		const chosen = parts.placement.choose(left, getTimeLeft(parts, req));
 		const endpoint = chosen && parts.directory.get(chosen.endpointId);
 		if (!endpoint) {
+			// A read whose primary is being replaced may still be served, so it is refused only where its primary is known.
+			const isPrimaryKnown = parts.estimates !== undefined && candidates.some(({isPrimary}) => isPrimary);
+			if (refusedBy.size > 0 || (isPrimaryKnown && timedOutEndpoints.size === 0)) {
+				req.trace.refusal ??= createHopelessRefusal(parts, req, candidates);
+				return undefined;
+			}
+
 			if (timedOutEndpoints.size > 0) {
 				timedOutEndpoints.clear();
 				await nextTurn();
@@ -155,18 +179,20 @@
 			continue;
 		}
 
-		if (chosen.catchUpMs > 0) {
-			// Sent now, the read would be refused because the replica has not reached the floor, at the cost of a round trip.
-			await parts.clock.sleep(Math.min(chosen.catchUpMs + CATCH_UP_MARGIN_MS, req.until - parts.clock.now()));
-		}
-
+		await prepareToSend(parts, req, chosen);
 		const queueUntil = Math.min(req.until, req.queueTimeout.start(parts.clock.now()));
-		const until = candidates.length > 1 ? Math.min(queueUntil, parts.clock.now() + MAX_WAIT_AT_ONE_ENDPOINT_MS) : queueUntil;
-		const acquired = await acquireAt(parts, {...req, until}, endpoint, chosen.isPrimary ? lease : undefined, chosen.isPrimary ? undefined : floor);
+		const until = candidates.length > 1 ? Math.min(queueUntil, parts.clock.now() + getMaxWaitMs(chosen)) : queueUntil;
+		const role = chosen.isPrimary ? {lease} : {floor};
+		const acquired = await acquireAt(parts, {...req, until}, {endpoint, ...role, predictedWaitMs: chosen.estimate?.waitMs});
 		if (req.queueTimeout.isOver(parts.clock.now()) || acquired) {
 			return acquired;
 		}
 
+		if (req.trace.refusal) {
+			refusedBy.add(endpoint.entry.id);
+			continue;
+		}
+
 		if (parts.clock.now() >= until) {
 			timedOutEndpoints.add(endpoint.entry.id);
 			continue;
@@ -179,6 +205,38 @@
 	return undefined;
 }
 
+/** Notes the choice of an endpoint for a read, and waits until that is predicted to hold the read's floor. */
+async function prepareToSend({estimates, clock, elapsedClock}: GatewayParts, {route, until}: LinkRequest, chosen: ReadCandidate) {
+	estimates?.noteChosen(chosen, route.group, clock.now(), elapsedClock.elapsed());
+	if (chosen.catchUpMs > 0 && !chosen.estimate?.isTrial) {
+		// Sent now, the read would be refused because the replica has not reached the floor, at the cost of a round trip.
+		await clock.sleep(Math.min(chosen.catchUpMs + CATCH_UP_MARGIN_MS, until - clock.now()));
+	}
+}
+
+/** Returns the time that a read has left, where reads are placed by it. */
+function getTimeLeft({estimates, clock}: GatewayParts, {targetAt, until}: LinkRequest) {
+	const now = clock.now();
+	return estimates && {targetMs: targetAt - now, limitMs: until - now};
+}
+
+/** Returns how long a read waits for a connection to an endpoint while another could serve it, in milliseconds. */
+function getMaxWaitMs({estimate}: ReadCandidate): number {
+	// A predicted wait may be as long as the request's own time allows: a request that leaves its queue early loses its place.
+	return Math.max(MAX_WAIT_AT_ONE_ENDPOINT_MS, estimate ? estimate.waitMs * PREDICTED_WAIT_FACTOR : 0);
+}
+
+/** Returns the refusal of a read that no candidate can serve in time. */
+function createHopelessRefusal(parts: GatewayParts, {until}: LinkRequest, candidates: readonly ReadCandidate[]): TracedRefusal {
+	const predictedWaitMs = Math.min(...candidates.map(candidate => getCompletionMs(candidate)));
+	const excessMs = Number.isFinite(predictedWaitMs) ? predictedWaitMs - (until - parts.clock.now()) : MAX_HOPELESS_RETRY_MS;
+	return {
+		reason: 'no endpoint can serve the read in time',
+		predictedWaitMs: Number.isFinite(predictedWaitMs) ? predictedWaitMs : MAX_HOPELESS_RETRY_MS,
+		retryAfterMs: Math.min(MAX_HOPELESS_RETRY_MS, Math.max(MIN_HOPELESS_RETRY_MS, excessMs)),
+	};
+}
+
 /**
  * Requests a position of the group's primary from a host that uses the primary more often, so that a replica can serve the read. Returns undefined where
  * no host has one.
@@ -200,34 +258,17 @@
 	return floor && record ? clampToTermStart(floor, record) : floor;
 }
 
-function getCandidates(parts: GatewayParts, req: LinkRequest, lease: PrimaryLease | undefined, floor: LogPosition | undefined): ReadCandidate[] {
-	const now = parts.clock.now();
-	const candidates: ReadCandidate[] = [];
-	for (const {entry, pool} of parts.directory.list(req.route.group)) {
-		const isPrimary = entry.id === lease?.primaryId;
-		const usable = isPrimary ? true : (floor !== undefined && !entry.leaving);
-		if (!usable || (req.excluded?.has(entry.id) ?? false) || pool.health.getSuspicion(now)) {
-			continue;
-		}
-
-		const stats = parts.knowledge.getStats(entry.id);
-		candidates.push({
-			endpointId: entry.id,
-			isPrimary,
-			sameZone: entry.availabilityZone === parts.availabilityZone,
-			load: pool.inUse + pool.waiting,
-			slots: entry.slots,
-			serviceMs: stats.serviceMs,
-			catchUpMs: isPrimary || !floor ? 0 : predictCatchUp(parts.knowledge.getSamples(entry.group), stats, floor, parts.elapsedClock.elapsed()),
-		});
-	}
-
-	return candidates;
-}
+type AcquireTarget = {
+	readonly endpoint: KnownEndpoint;
+	readonly lease?: PrimaryLease;
+	readonly floor?: LogPosition;
+	readonly predictedWaitMs?: number;
+};
 
-async function acquireAt(parts: GatewayParts, req: LinkRequest, endpoint: KnownEndpoint, lease?: PrimaryLease, floor?: LogPosition): Promise<AcquiredLink | undefined> {
+async function acquireAt(parts: GatewayParts, req: LinkRequest, {endpoint, lease, floor, predictedWaitMs = 0}: AcquireTarget): Promise<AcquiredLink | undefined> {
 	const {pool} = endpoint;
 	const requestedAt = parts.clock.now();
+	req.trace.refusal = undefined;
 	const sessionLink = await pool.acquire({
 		priority: req.route.priority,
 		until: req.until,
@@ -236,6 +277,13 @@
 		single: req.single ?? false,
 		read: req.reads ? {epoch: lease?.epoch} : undefined,
 		minPosition: lease?.start,
+		startBy: getStartBy(parts, req),
+		onRefused(refusal) {
+			const load = parts.estimates?.getLoad(endpoint, parts.clock.now());
+			req.trace.refusal = {
+				...refusal, endpoint: endpoint.entry.id, queued: load?.queued, limit: load?.limit,
+			};
+		},
 	});
 	if (!sessionLink) {
 		return undefined;
@@ -254,12 +302,15 @@
 	req.trace.endpoints.push(endpoint.entry.id);
 	req.trace.epoch = lease?.epoch;
 	req.trace.floor = floor;
+	// A read that goes to a pool host without a connection waits there, which counts to its time until the answer.
+	const isSentAhead = sessionLink.isSentAhead === true;
 	const endWork = lease ? parts.primaryWork.begin(lease.group) : undefined;
 	const acquired: AcquiredLink = {
 		endpoint,
 		sessionLink,
 		lease,
 		floor,
+		predictedWaitMs: isSentAhead ? predictedWaitMs : 0,
 		state: SessionState.Idle,
 		release() {
 			endWork?.();
@@ -274,6 +325,15 @@
 	return acquired;
 }
 
+/** Returns the time by which a statement has to start to be answered within its target, where requests are ordered by it. */
+function getStartBy({estimates}: GatewayParts, {targetAt, route, shape}: LinkRequest): number | undefined {
+	if (!estimates || route.targetLatencyMs === 0) {
+		return undefined;
+	}
+
+	return targetAt - estimates.getUsualMs({group: route.group, database: route.database, shape});
+}
+
 async function waitForChange({primaryLeases, clock}: GatewayParts, {until}: LinkRequest) {
 	const alarm = createSleepAlarm();
 	await Promise.race([primaryLeases.changed(alarm), clock.sleep(Math.min(RECHECK_MS, until - clock.now()), alarm)]);
--- a/src/gateway/caller-session.ts
+++ b/src/gateway/caller-session.ts
@@ -82,6 +82,9 @@
 
 	const getRoute = () => transactionRoute ?? mirror.state.routing?.routes.get(memory.database);
 
+	/** Returns the time by which a statement that arrives now is answered within its route's target. */
+	const getTargetAt = ({targetLatencyMs}: Route) => targetLatencyMs === 0 ? Number.POSITIVE_INFINITY : clock.now() + targetLatencyMs;
+
 	const newTrace = (workspace?: Workspace) => {
 		trace = createStatementTrace(workspace?.name);
 		return trace;
@@ -107,6 +110,7 @@
 		}
 
 		const arrivedAt = elapsedClock.elapsed();
+		const targetAt = getTargetAt(route);
 		const admission = await admitOperation(parts, memory.fingerprint, route);
 		if (!admission.admitted) {
 			newTrace(admission.workspace);
@@ -121,7 +125,7 @@
 			beginId: id,
 			readOnly,
 			req: {
-				route, memory, workspace, arrivedAt, queueTimeout: createQueueTimeout(route), isWanted, trace: newTrace(workspace),
+				route, memory, workspace, arrivedAt, targetAt, queueTimeout: createQueueTimeout(route), isWanted, trace: newTrace(workspace),
 			},
 		});
 		return DONE;
@@ -144,6 +148,7 @@
 		}
 
 		const arrivedAt = elapsedClock.elapsed();
+		const targetAt = getTargetAt(route);
 		const plan = getStopPlan();
 		const until = Math.min(clock.now() + route.statementTimeoutMs, (plan?.answerBy ?? Number.POSITIVE_INFINITY) - FINAL_ANSWER_MARGIN_MS);
 		if (transaction) {
@@ -170,10 +175,20 @@
 			id,
 			statement,
 			req: {
-				route, memory, workspace: admission.workspace, arrivedAt, until, queueTimeout: createQueueTimeout(route), single: true, isWanted, trace: newTrace(admission.workspace),
+				route,
+				memory,
+				workspace: admission.workspace,
+				arrivedAt,
+				targetAt,
+				until,
+				queueTimeout: createQueueTimeout(route),
+				single: true,
+				shape: shape.prepared?.shape,
+				isWanted,
+				trace: newTrace(admission.workspace),
 			},
 		};
-		return shape.access === Access.Read ? runRead(parts, getBudget(route.group), single) : runWrite(parts, single);
+		return shape.access === Access.Read ? runRead(parts, getBudget(route.group), single) : runWrite(parts, getBudget(route.group), single);
 	};
 
 	const commit = async (id: string): Promise<StatementResult> => {
--- a/src/gateway/caller-transaction.ts
+++ b/src/gateway/caller-transaction.ts
@@ -30,7 +30,7 @@
 	readonly req: Omit<LinkRequest, 'until'>;
 };
 
-/** Retry-after of a transaction that found no endpoint, in milliseconds: a third of a promotion. */
+/** Retry-after of a transaction that found no endpoint, where no pool gave one, in milliseconds: a third of a promotion. */
 const RETRY_AFTER_MS = 400;
 
 /** Timeout of a rollback, in milliseconds; after it the connection is cut, which rolls back as well. */
@@ -72,7 +72,7 @@
 			return;
 		}
 
-		void exchangeWithin(parts, ending, {id, command: {kind: 'rollback'}}, ROLLBACK_TIMEOUT_MS).then(answer => {
+		void exchangeWithin(parts, ending, {id, command: {kind: 'rollback'}}, {timeoutMs: ROLLBACK_TIMEOUT_MS}).then(answer => {
 			if (!answer) {
 				log.debug('a rollback was not answered; its connection is cut', {id: beginId, group});
 			}
@@ -94,6 +94,8 @@
 		rollBackAtEndpoint();
 	};
 
+	const failUnbegun = () => fail(AnswerCode.Overloaded, 'no endpoint could begin the transaction; nothing ran', req.trace.refusal?.retryAfterMs ?? RETRY_AFTER_MS);
+
 	/** Begins the transaction at an endpoint. Returns undefined where no endpoint accepted it in time. */
 	const begin = async (until: number): Promise<AcquiredLink | undefined> => {
 		const excluded = new Set<string>();
@@ -101,7 +103,7 @@
 			const linkRequest = {...req, until, excluded};
 			const candidate = await (readOnly ? acquireForRead(parts, linkRequest) : acquirePrimary(parts, linkRequest));
 			if (!candidate) {
-				if (excluded.size === 0) {
+				if (excluded.size === 0 || req.trace.refusal) {
 					return undefined;
 				}
 
@@ -113,7 +115,7 @@
 			candidate.sessionLink.adapt({values: req.memory.values});
 			const answer = await exchangeWithin(parts, candidate, {
 				id: beginId, command: {kind: 'begin', readOnly}, floor: candidate.floor,
-			}, until - clock.now());
+			}, {timeoutMs: until - clock.now()});
 			if (answer?.end.kind === 'complete') {
 				return candidate;
 			}
@@ -139,7 +141,7 @@
 	/** Commits, again where the endpoint refused for overload: the commit did not run then, and the transaction is still open there. */
 	const commitAtEndpoint = async (ending: AcquiredLink, id: string, until: number) => {
 		for (;;) {
-			const answer = await exchangeWithin(parts, ending, {id, command: {kind: 'commit'}}, until - clock.now());
+			const answer = await exchangeWithin(parts, ending, {id, command: {kind: 'commit'}}, {timeoutMs: until - clock.now()});
 			const mayRepeat = answer !== undefined && isOverloaded(answer) && answer.state === SessionState.Open;
 			if (!mayRepeat || clock.now() + MIN_COMMIT_RETRY_MS >= until) {
 				return answer;
@@ -181,7 +183,7 @@
 			}
 
 			if (!acquired) {
-				return fail(AnswerCode.Overloaded, 'no endpoint could begin the transaction; nothing ran', RETRY_AFTER_MS);
+				return failUnbegun();
 			}
 
 			wrote ||= shape.access === Access.Write;
@@ -210,7 +212,7 @@
 			const ending = acquired;
 			if (!ending) {
 				acquired = await begin(until);
-				return acquired ? this.commit(id, until) : fail(AnswerCode.Overloaded, 'no endpoint could begin the transaction; nothing ran', RETRY_AFTER_MS);
+				return acquired ? this.commit(id, until) : failUnbegun();
 			}
 
 			// A replaced primary may still commit. Before a commit is sent, a rollback still has a certain outcome.
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,5 +1,7 @@
+import type {StatementKey} from '../endpoint-load/service-times.js';
 import {LinkError} from '../links/link-errors.js';
 import type {EndpointRequest} from '../links/endpoint-link.js';
+import {ObservedOutcome} from '../outliers/group-outliers.js';
 import {
 	type Access, SessionState, type PreparedShape, type Statement,
 } from '../statements/statement.js';
@@ -9,6 +11,13 @@
 import type {AcquiredLink} from './acquire-link.js';
 import type {SessionMemory} from './session-memory.js';
 
+/** A request without an answer counts against its endpoint where it had at least this time, and this many times the usual time of its statement, in milliseconds. */
+const MIN_LOST_MS = 150;
+const LOST_FACTOR = 6;
+
+/** Minimum share of the time until an answer that counts as the time of the statement, whatever wait was predicted. */
+const MIN_SERVICE_SHARE = 0.2;
+
 /** A statement that an endpoint has to run. */
 export type EndpointStatement = Extract<Statement, {kind: 'run' | 'execute'}>;
 
@@ -38,17 +47,26 @@
 	const command = statement.kind === 'run'
 		? {kind: 'run', text: statement.text} as const
 		: {kind: 'execute', name: prepared ? acquired.sessionLink.getName(prepared) : statement.name, args: statement.args} as const;
-	return exchangeWithin(parts, acquired, {id, command, floor}, timeoutMs);
+	return exchangeWithin(parts, acquired, {id, command, floor}, {timeoutMs, statement: {group: acquired.endpoint.entry.group, database: memory.database, shape: prepared?.shape}});
 }
 
+/** How a request is sent. */
+export type ExchangeOptions = {
+	readonly timeoutMs: number;
+	/** The statement that is sent; undefined for begin, commit and rollback. */
+	readonly statement?: StatementKey;
+};
+
 /** Sends a request. Resolves with the answer, or cuts the connection and resolves with undefined where no whole answer came in `timeoutMs` milliseconds. */
-export async function exchangeWithin(parts: GatewayParts, acquired: AcquiredLink, req: EndpointRequest, timeoutMs: number): Promise<EndpointAnswer | undefined> {
-	const {clock, elapsedClock, knowledge, primaryLeases} = parts;
+export async function exchangeWithin(parts: GatewayParts, acquired: AcquiredLink, req: EndpointRequest, {timeoutMs, statement}: ExchangeOptions): Promise<EndpointAnswer | undefined> {
+	const {clock, elapsedClock, knowledge, primaryLeases, estimates} = parts;
 	const {lease, endpoint} = acquired;
 	const sentAt = clock.now();
 	const sampledAt = elapsedClock.elapsed();
 	const isSample = lease !== undefined && primaryLeases.holds(lease, sampledAt);
+	const noteSentEnded = estimates?.noteSent(endpoint.entry.id, sentAt);
 	let answer: EndpointAnswer | undefined;
+	let isReset = false;
 	try {
 		const bounded = await withinMs(clock, timeoutMs, acquired.sessionLink.link.exchange(req));
 		answer = bounded.timedOut ? undefined : bounded.value;
@@ -56,17 +74,44 @@
 		if (!(err instanceof LinkError)) {
 			throw err;
 		}
+
+		isReset = true;
+	} finally {
+		noteSentEnded?.();
 	}
 
 	if (!answer) {
+		noteEnded(isReset ? ObservedOutcome.Reset : getLostOutcome());
 		acquired.sessionLink.link.cut();
 		return undefined;
 	}
 
 	acquired.state = answer.state;
 	noteAnswer(answer);
+	noteEnded(getOutcome(answer), answer);
 	return answer;
 
+	/** An endpoint that had little time for its answer has not failed. */
+	function getLostOutcome() {
+		const enoughMs = Math.max(MIN_LOST_MS, acquired.predictedWaitMs + (LOST_FACTOR * (statement && estimates ? estimates.getUsualMs(statement) : 0)));
+		return timeoutMs >= enoughMs ? ObservedOutcome.Lost : undefined;
+	}
+
+	function noteEnded(outcome: ObservedOutcome | undefined, ended?: EndpointAnswer) {
+		const now = clock.now();
+		estimates?.noteEnded({
+			entry: endpoint.entry,
+			outcome,
+			statement,
+			tookMs: Math.max(now - sentAt - acquired.predictedWaitMs, (now - sentAt) * MIN_SERVICE_SHARE),
+			laggingFloor: ended?.end.kind === 'error' && ended.end.code === AnswerCode.Lagging ? req.floor : undefined,
+			held: lease === undefined && ended?.state === SessionState.Idle ? ended.position : undefined,
+			samples: knowledge.getSamples(endpoint.entry.group),
+			now,
+			elapsed: elapsedClock.elapsed(),
+		});
+	}
+
 	function noteAnswer({end, position, state}: EndpointAnswer) {
 		const stats = knowledge.getStats(endpoint.entry.id);
 		const isLagging = end.kind === 'error' && end.code === AnswerCode.Lagging;
@@ -84,3 +129,12 @@
 		}
 	}
 }
+
+/** Returns what an answer tells about its endpoint; undefined where that is nothing, as for a refusal. */
+function getOutcome({end}: EndpointAnswer): ObservedOutcome | undefined {
+	if (end.kind === 'complete') {
+		return ObservedOutcome.Answered;
+	}
+
+	return end.code === AnswerCode.Failed || end.code === AnswerCode.TimedOut ? ObservedOutcome.Failed : undefined;
+}
--- a/src/gateway/gateway-parts.ts
+++ b/src/gateway/gateway-parts.ts
@@ -6,7 +6,10 @@
 import type {Log} from '../log/log.js';
 import type {StoreMirror} from '../mirror/store-mirror.js';
 import type {PlacementKnowledge} from '../placement/placement-knowledge.js';
+import type {ReadEstimates} from '../placement/read-estimates.js';
 import type {ReadPlacement} from '../placement/read-placement.js';
+import type {RegionCrossings} from '../placement/round-trips.js';
+import type {Random} from '../random/random.js';
 import type {Clock} from '../time/clock.js';
 import type {ElapsedClock} from '../time/elapsed-clock.js';
 import type {CallerAccess} from '../workspaces/caller-access.js';
@@ -30,4 +33,9 @@
 	readonly rateLimiter: RateLimiter;
 	readonly availabilityZone: string;
 	readonly placement: ReadPlacement;
+	readonly random: Random;
+	/** Estimates of the time to the response of endpoints; undefined where reads are placed by this host's own load. */
+	readonly estimates?: ReadEstimates;
+	/** Bounds the reads that cross between regions; undefined where nothing does. */
+	readonly crossings?: RegionCrossings;
 };
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -44,7 +44,9 @@
 			return known;
 		}
 
-		const budget = createRetryBudget({share: SECOND_TRY_SHARE, floorPerSecond: SECOND_TRIES_PER_SECOND}, clock.now());
+		const budget = createRetryBudget({
+			share: SECOND_TRY_SHARE, floorPerSecond: SECOND_TRIES_PER_SECOND, shrinksWithRefusals: parts.estimates !== undefined,
+		}, clock.now());
 		budgets.set(group, budget);
 		return budget;
 	};
--- a/src/gateway/prom-gateway-metrics.ts
+++ b/src/gateway/prom-gateway-metrics.ts
@@ -1,10 +1,11 @@
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
+import type {PlacementMetrics} from '../placement/placement-metrics.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 
 /** The gateway's metrics, those of the rest of the proxy, and their rendering as text. */
-export type ProxyMetrics = GatewayMetrics & {
+export type ProxyMetrics = GatewayMetrics & PlacementMetrics & {
 	/** Counts a call to the platform that ended. */
 	countPlatformCall(call: string, result: string): void;
 	/** Sets the store generation of the platform's last answer. */
@@ -60,8 +61,26 @@
 	const poolLinks = new Gauge({
 		name: 'aldercroft_endpoint_links', help: 'Connections to endpoints, and requests that wait for one', labelNames: ['endpoint', 'state'], registers,
 	});
+	const ejections = new Counter({
+		name: 'aldercroft_ejections_total', help: 'Endpoints ejected from reads, by the reason', labelNames: ['reason'], registers,
+	});
+	const catchUpError = new Histogram({
+		name: 'aldercroft_catch_up_error_seconds', help: 'Time between the predicted and the observed moment at which a replica reached a floor', buckets: STATEMENT_BUCKETS, registers,
+	});
+	const loadAge = new Histogram({
+		name: 'aldercroft_load_view_age_seconds', help: 'Age of the newest load report of an endpoint when a read was sent to it', buckets: STATEMENT_BUCKETS, registers,
+	});
 
 	return {
+		countEjection(reason) {
+			ejections.inc({reason});
+		},
+		observeCatchUpError(seconds) {
+			catchUpError.observe(seconds);
+		},
+		observeLoadAge(seconds) {
+			loadAge.observe(seconds);
+		},
 		observeStatement(kind, outcome, seconds) {
 			statements.inc({kind, outcome});
 			statementSeconds.observe({kind}, seconds);
--- a/src/gateway/run-read.ts
+++ b/src/gateway/run-read.ts
@@ -21,7 +21,7 @@
 const HEDGE_DELAY_FACTOR = 6;
 const MIN_HEDGE_DELAY_MS = 150;
 
-/** Retry-after of a read that found no endpoint, in milliseconds: time for two confirmations of the leadership records. */
+/** Retry-after of a read that found no endpoint, where no pool gave one, in milliseconds: time for two confirmations of the leadership records. */
 const RETRY_AFTER_MS = 300;
 
 type TryOutcome =
@@ -35,6 +35,8 @@
 	const excluded = new Set<string>();
 	const {until, route} = single.req;
 	const underWay = new Set<Promise<TryOutcome>>();
+	/** Where reads are placed by load, each further attempt takes part of the group's retry budget; else only one beside an attempt under way does. */
+	const isBudgeted = parts.estimates !== undefined;
 	let lastReason: string = AnswerCode.Overloaded;
 	budget.noteFresh(clock.now());
 
@@ -64,7 +66,7 @@
 		if (acquired) {
 			underWay.add(startTry(parts, acquired, single));
 		} else if (underWay.size === 0) {
-			if (excluded.size === 0) {
+			if (excluded.size === 0 || single.req.trace.refusal) {
 				break;
 			}
 
@@ -77,6 +79,7 @@
 		const hedgeDelayMs = acquired ? getHedgeDelayMs(parts, acquired) : until - clock.now();
 		const outcome = await waitForOutcome(parts, underWay, Math.min(hedgeDelayMs, until - clock.now()));
 		if (outcome?.kind === 'answer') {
+			budget.noteTry(false, clock.now());
 			return outcome.answer;
 		}
 
@@ -86,7 +89,14 @@
 			id: single.id, group: route.group, endpoint: acquired?.endpoint.entry.id, reason: lastReason, floor: acquired?.floor, leftMs: Math.round(until - clock.now()),
 		});
 		metrics.countRetry(lastReason);
-		if (!outcome && !budget.take(clock.now())) {
+		// A read that a pool refused has reached no endpoint, so another attempt adds no load there.
+		const isSecondAttempt = !outcome || (isBudgeted && !single.req.trace.refusal);
+		budget.noteTry(lastReason === AnswerCode.Overloaded, clock.now());
+		if (isSecondAttempt && !budget.take(clock.now())) {
+			if (underWay.size === 0) {
+				break;
+			}
+
 			// The retry budget is used up, so no second endpoint gets the read; wait for the answer until the statement's timeout.
 			const late = await waitForOutcome(parts, underWay, until - clock.now());
 			if (late?.kind === 'answer') {
@@ -95,7 +105,7 @@
 		}
 	}
 
-	return refuse(AnswerCode.Overloaded, `${lastReason}; the read left nothing behind`, RETRY_AFTER_MS);
+	return refuse(AnswerCode.Overloaded, `${lastReason}; the read left nothing behind`, single.req.trace.refusal?.retryAfterMs ?? RETRY_AFTER_MS);
 }
 
 /** Pause before endpoints that were all tried are tried again, in milliseconds: about the usual lag of a replica. */
--- a/src/gateway/run-write.ts
+++ b/src/gateway/run-write.ts
@@ -1,3 +1,4 @@
+import type {RetryBudget} from '../retries/retry-budget.js';
 import {AnswerCode} from '../statements/statement-answer.js';
 import {exchangeStatement} from './exchange.js';
 import type {GatewayParts} from './gateway-parts.js';
@@ -6,7 +7,7 @@
 import type {SingleStatement} from './run-read.js';
 import {refuse, type StatementResult} from './statement-result.js';
 
-/** Retry-after of a write that found no primary, in milliseconds: a third of a promotion. */
+/** Retry-after of a write that found no primary, where no pool gave one, in milliseconds: a third of a promotion. */
 const RETRY_AFTER_MS = 400;
 
 /** Delay before a refused write is sent again, in milliseconds: the time of a few statements. */
@@ -16,15 +17,19 @@
  * Runs a write outside a transaction. Sends it again only where the endpoint reported that it did not run: a
  * write without an answer may have taken effect, and would be applied twice.
  */
-export async function runWrite(parts: GatewayParts, single: SingleStatement): Promise<StatementResult> {
+export async function runWrite(parts: GatewayParts, budget: RetryBudget, single: SingleStatement): Promise<StatementResult> {
 	const {clock, log, metrics, mirror} = parts;
 	const {id, statement, req} = single;
 	const {group} = req.route;
+	/** Where reads and writes are placed by load, a second attempt takes part of the group's retry budget. */
+	const retries = parts.estimates && budget;
 	let lastReason = 'no primary could be used';
+	retries?.noteFresh(clock.now());
 
 	while (clock.now() < req.until && req.isWanted() && !req.queueTimeout.isOver(clock.now())) {
 		const acquired = await acquirePrimary(parts, req);
 		if (!acquired) {
+			lastReason = req.trace.refusal?.reason ?? lastReason;
 			break;
 		}
 
@@ -43,12 +48,18 @@
 			log.info('a write did not run and is tried again', {
 				id, group, endpoint: acquired.endpoint.entry.id, reason: lastReason, leftMs: Math.round(req.until - clock.now()),
 			});
+			retries?.noteTry(lastReason === AnswerCode.Overloaded, clock.now());
+			if (retries && !retries.take(clock.now())) {
+				break;
+			}
+
 			metrics.countRetry(lastReason);
 			mirror.confirmSoon();
 			await clock.sleep(BUSY_PAUSE_MS);
 			continue;
 		}
 
+		retries?.noteTry(false, clock.now());
 		if (answer.end.kind === 'complete') {
 			if (lease && !await mayAcknowledge(parts, lease, id)) {
 				return refuse(AnswerCode.OutcomeUnknown, 'the primary may have been replaced before it wrote');
@@ -62,7 +73,7 @@
 		return answer;
 	}
 
-	return refuse(AnswerCode.Overloaded, `${lastReason}; the write was not run`, RETRY_AFTER_MS);
+	return refuse(AnswerCode.Overloaded, `${lastReason}; the write was not run`, req.trace.refusal?.retryAfterMs ?? RETRY_AFTER_MS);
 }
 
 /** Errors that prove that the endpoint did not run the write. */
--- a/src/links/link-session.ts
+++ b/src/links/link-session.ts
@@ -14,6 +14,8 @@
 	readonly link: EndpointLink;
 	/** The workspace for which the connection was opened, the only one that may use it; undefined where it was opened for none. */
 	readonly workspace?: string;
+	/** Whether a request on it waits at a pool host for a connection, which is chosen only when the request is sent. */
+	readonly isSentAhead?: boolean;
 	/** Returns whether exactly these values are set, so that the connection can be used without a change. */
 	matches(values: ReadonlyMap<string, string>): boolean;
 	/** Sends the commands that set up the session for the next statement; the endpoint answers in order, so the statement may follow at once. */
--- a/src/placement/choose-endpoint.ts
+++ b/src/placement/choose-endpoint.ts
@@ -11,6 +11,28 @@
 	readonly serviceMs: number;
 	/** Predicted time until it holds the read's floor, in milliseconds. */
 	readonly catchUpMs: number;
+	/** Estimate of its time to the response; undefined where reads are placed without one. */
+	readonly estimate?: CompletionEstimate;
+};
+
+/** Parts of the expected time to the response of an endpoint, and what limits its use. Times are in milliseconds. */
+export type CompletionEstimate = {
+	readonly roundTripMs: number;
+	/** Predicted wait for a connection and a place. */
+	readonly waitMs: number;
+	readonly serviceMs: number;
+	/** Time for opening a connection, where none is open. */
+	readonly openMs: number;
+	/** Whether the wait is known from a recent report, so that a read may be refused because of it. */
+	readonly isKnown: boolean;
+	/** Age of the newest load report; Infinity where there is none, 0 at a pool host of the endpoint. */
+	readonly loadAgeMs: number;
+	/** Whether it uses less than half of its concurrency budget. */
+	readonly isIdle: boolean;
+	/** Share of the reads that it may get where another endpoint can serve them, from 0 to 1. */
+	readonly share: number;
+	/** Whether it is closed, and may get a single read that shows whether it still is. */
+	readonly isTrial: boolean;
 };
 
 /** Extra round-trip time to an endpoint in another zone, in milliseconds: 1 to 3 each way at the users' sites, less the time within a zone. */
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -36,6 +36,7 @@
 import {createRateLimiter, type RateLimiter} from '../workspaces/rate-limiter.js';
 import {createTokenIssuer} from '../workspaces/token-issuer.js';
 import {createTokenSource} from '../workspaces/token-source.js';
+import {createPlacementFeature} from './placement-feature.js';
 import type {ProxyFeatures} from './proxy-features.js';
 
 declare module '../kernel/service-map.js' {
@@ -199,6 +200,9 @@
 			},
 		}, replacement),
 	});
+	const placementFeature = parts.features?.scheduling && createPlacementFeature({
+		availabilityZone: parts.availabilityZone, poolHosts, metrics, log, random,
+	});
 	const gateway = createGateway({
 		clock,
 		elapsedClock,
@@ -214,7 +218,9 @@
 		access,
 		rateLimiter,
 		availabilityZone: parts.availabilityZone,
-		placement: parts.placement ?? new CostBasedPlacement(),
+		random,
+		placement: parts.placement ?? placementFeature?.placement ?? new CostBasedPlacement(),
+		estimates: placementFeature?.estimates,
 	});
 
 	mirror.onChange(() => {
@@ -223,7 +229,9 @@
 			knowledge.getSamples(record.group).applyTermStart(record);
 		}
 
-		knowledge.keepOnly(new Set(mirror.state.endpoints.map(({id}) => id)));
+		const endpointIds = new Set(mirror.state.endpoints.map(({id}) => id));
+		knowledge.keepOnly(endpointIds);
+		placementFeature?.keepOnly(endpointIds);
 		void registration.ensureRegistered();
 	});
 
--- a/src/retries/retry-budget.ts
+++ b/src/retries/retry-budget.ts
@@ -8,6 +8,8 @@
 export type RetryBudget = {
 	/** Records a fresh request: the first try of a request. */
 	noteFresh(now: number): void;
+	/** Records whether a try was refused for overload; only budgets with `shrinksWithRefusals` depend on it. */
+	noteTry(wasRefused: boolean, now: number): void;
 	/** Takes a retry of that cost (default 1) from the budget; returns false and takes nothing where less is left. */
 	take(now: number, cost?: number): boolean;
 	/** Returns what is left of the budget. */
@@ -32,12 +34,20 @@
 	readonly floorPerSecond?: number;
 	/** Time constant with which unused retries expire, in milliseconds; default 10,000. */
 	readonly keepMs?: number;
+	/**
+	 * Whether the share shrinks by the share of tries that were refused for overload; default false. A retry of a group that refuses most tries is refused as
+	 * well, and takes the place of a fresh request.
+	 */
+	readonly shrinksWithRefusals?: boolean;
 };
 
 const DEFAULT_SHARE = 0.1;
 const DEFAULT_FLOOR_PER_SECOND = 0.5;
 const DEFAULT_KEEP_MS = 10_000;
 
+/** Weight of the newest try in the share of refused tries: some 50 tries count, so that the share follows an overload within a second. */
+const REFUSED_WEIGHT = 0.02;
+
 /** Creates the budget of one group, with as many retries as the minimum rate yields in one time constant. */
 export function createRetryBudget(options: RetryBudgetOptions, now: number): RetryBudget {
 	const share = options.share ?? DEFAULT_SHARE;
@@ -47,6 +57,7 @@
 	/** Number of fresh requests, with exponential decay by the time constant. */
 	let freshCount = 0;
 	let decayedTo = now;
+	let refusedShare = 0;
 
 	const decay = (until: number) => {
 		if (until <= decayedTo) {
@@ -60,8 +71,11 @@
 		decayedTo = until;
 	};
 
+	/** Returns the retries for a fresh request. */
+	const getShare = () => options.shrinksWithRefusals ? share * (1 - refusedShare) : share;
+
 	const getNextAfterMs = () => {
-		const incomePerMs = (share * freshCount / keepMs) + floorPerMs;
+		const incomePerMs = (getShare() * freshCount / keepMs) + floorPerMs;
 		return left >= 1 ? 0 : Math.ceil((1 - left) / incomePerMs);
 	};
 
@@ -69,7 +83,10 @@
 		noteFresh(at) {
 			decay(at);
 			freshCount++;
-			left += share;
+			left += getShare();
+		},
+		noteTry(wasRefused) {
+			refusedShare += REFUSED_WEIGHT * ((wasRefused ? 1 : 0) - refusedShare);
 		},
 		take(at, cost = 1) {
 			decay(at);
