Refuse reads of replicas that lag at the hosts that see their answers

Cause: with 86 hosts each sees a group's replicas less than twice a second.

Change: a link refuses a read whose floor its endpoint is known not to have reached, lets one read through every 50 ms, and adds the predicted time to the refusal. Gateways wait at most 100 ms for a replica before they choose anew, and refresh the primary's position meanwhile. Each second attempt takes part of the retry budget.

--- a/src/bench/site-load/placements.ts
+++ b/src/bench/site-load/placements.ts
@@ -1,16 +1,51 @@
 import {MAX_CATCH_UP_MS, type ReadCandidate} from '../../placement/choose-endpoint.js';
-import {CostBasedPlacement, type ReadPlacement} from '../../placement/read-placement.js';
+import {CompletionTimePlacement, getCompletionMs} from '../../placement/completion-time-placement.js';
+import {CostBasedPlacement, type ReadPlacement, type ReadTimeLeft} from '../../placement/read-placement.js';
+import type {ProxyFeatures} from '../../proxy/proxy-features.js';
+import type {Random} from '../../random/random.js';
 import type {PlainServer} from '../../stand-ins/plain-group/plain-server.js';
 
 /** A policy for placing reads; each host creates a placement of its own. */
 export type PlacementPolicy = {
 	readonly name: string;
-	create(findServer: (id: string) => PlainServer): ReadPlacement;
+	create(findServer: (id: string) => PlainServer, random: Random): ReadPlacement;
+	/** Features of each proxy; none by default. */
+	readonly features?: ProxyFeatures;
 };
 
 /** The product's placement. */
 export const COST_BASED: PlacementPolicy = {name: 'load, lag and zone weighed', create: () => new CostBasedPlacement()};
 
+const SCHEDULING: ProxyFeatures = {
+	scheduling: {
+		capacity: 1, poolHosts: 3, roomFactor: 1.5, leastShare: 0.1,
+	},
+};
+
+/** The product's placement where callers compete for endpoints. */
+export const COMPLETION_TIME: PlacementPolicy = {
+	name: 'time to response', create: (_, random) => new CompletionTimePlacement(random), features: SCHEDULING,
+};
+
+/** The same without the random choice among candidates of similar times: each host takes the one with the lowest expected time. */
+export const LOWEST_TIME: PlacementPolicy = {
+	name: 'time to response, always the lowest', create: () => new LowestTimePlacement(), features: SCHEDULING,
+};
+
+/** The earlier placement by cost, with the feature's predictions of catch-up and its outliers. */
+export const COST_BASED_WITH_ESTIMATES: PlacementPolicy = {
+	name: 'load, lag and zone weighed, with estimates', create: () => new CostBasedPlacement(), features: SCHEDULING,
+};
+
+/** Takes the lowest expected time, whatever the role of the endpoint. */
+class LowestTimePlacement implements ReadPlacement {
+	choose(candidates: readonly ReadCandidate[], timeLeft?: ReadTimeLeft): ReadCandidate | undefined {
+		const trial = candidates.find(({estimate}) => estimate?.isTrial);
+		const timed = candidates.filter(candidate => getCompletionMs(candidate) <= (timeLeft?.limitMs ?? Number.POSITIVE_INFINITY));
+		return trial ?? timed.toSorted((left, right) => getCompletionMs(left) - getCompletionMs(right))[0];
+	}
+}
+
 /** Places every read at the primary, like a proxy that does not know replicas. */
 class PrimaryPlacement implements ReadPlacement {
 	choose(candidates: readonly ReadCandidate[]): ReadCandidate | undefined {
--- a/src/bench/site-load/simulate-site.ts
+++ b/src/bench/site-load/simulate-site.ts
@@ -1,7 +1,9 @@
+import type {Log} from '../../log/log.js';
 import {createSeededRandom} from '../../random/seeded-random.js';
 import {createSimulatedProxies, type SimulatedProxiesOptions} from '../../stand-ins/proxies/simulated-proxies.js';
 import {createVirtualClock} from '../../stand-ins/time/virtual-clock.js';
 import type {ReadCandidate} from '../../placement/choose-endpoint.js';
+import type {ReadTimeLeft} from '../../placement/read-placement.js';
 import type {PlacementPolicy} from './placements.js';
 import {createSiteCallers, type RequestOutcome} from './site-callers.js';
 import type {RequestShape, SiteShape} from './site-shapes.js';
@@ -30,7 +32,7 @@
 const SLOW_STATEMENT_FACTOR = 5;
 
 /** Simulates a day at a site with one policy for placing reads; the same seed yields the same requests. */
-export async function simulateSite(site: SiteShape, day: readonly SitePhase[], policy: PlacementPolicy, seed: number): Promise<SiteRun> {
+export async function simulateSite(site: SiteShape, day: readonly SitePhase[], policy: PlacementPolicy, seed: number, log?: Log): Promise<SiteRun> {
 	const clock = createVirtualClock();
 	const workRandom = createSeededRandom(seed + 1);
 	const placed = {reads: 0, near: 0, replicas: 0};
@@ -44,11 +46,12 @@
 
 	const getOneWayMs = (hostZone: string | undefined, serverZone: string) => hostZone === serverZone ? site.crossZoneOneWayMs * SAME_ZONE_LATENCY_PART : site.crossZoneOneWayMs;
 
+	const placementRandom = createSeededRandom(seed + 2);
 	const createPlacement: SimulatedProxiesOptions['createPlacement'] = () => {
-		const placement = policy.create(id => system.groups.flatMap(({servers}) => servers).find(server => server.id === id)!);
+		const placement = policy.create(id => system.groups.flatMap(({servers}) => servers).find(server => server.id === id)!, placementRandom);
 		return {
-			choose(candidates: readonly ReadCandidate[]) {
-				const chosen = placement.choose(candidates);
+			choose(candidates: readonly ReadCandidate[], timeLeft?: ReadTimeLeft) {
+				const chosen = placement.choose(candidates, timeLeft);
 				placed.reads += chosen ? 1 : 0;
 				placed.near += chosen?.sameZone ? 1 : 0;
 				placed.replicas += chosen && !chosen.isPrimary ? 1 : 0;
@@ -75,6 +78,8 @@
 		})),
 		routes: site.requests.flatMap(shape => Array.from({length: site.groups}, (_, group) => createRoute(shape, group))),
 		createPlacement,
+		features: policy.features,
+		log,
 	});
 	for (let i = 1; i <= site.hosts; i++) {
 		await clock.runUntil(system.startProxy(`entry-${i}`));
@@ -96,7 +101,7 @@
 	return {outcomes: callers.outcomes, begunAt, placed};
 }
 
-function createRoute({name, policy, maxReadAgeMs, deadlineMs, targetLatencyMs: targetMs, value: fullValue}: RequestShape, group: number) {
+function createRoute({name, policy, maxReadAgeMs, deadlineMs, targetLatencyMs: targetMs, value: fullValue, priority}: RequestShape, group: number) {
 	return {
 		name: `${name}-${group}`,
 		database: `${name}-${group}`,
@@ -105,6 +110,6 @@
 		maxReadAgeMs,
 		statementTimeoutMs: deadlineMs,
 		targetLatencyMs: targetMs,
-		priority: fullValue > 1 ? 1 : 2,
+		priority: priority ?? (fullValue > 1 ? 1 : 2),
 	};
 }
--- a/src/bench/site-load/site-phases.ts
+++ b/src/bench/site-load/site-phases.ts
@@ -1,3 +1,4 @@
+import type {PlainServer} from '../../stand-ins/plain-group/plain-server.js';
 import type {SimulatedProxies} from '../../stand-ins/proxies/simulated-proxies.js';
 
 /** A phase of a simulated day, with the faults in it. */
@@ -91,3 +92,54 @@
 		name: 'after the crash', lengthMs: 2000, rate: 1, begin: noop, end: noop,
 	},
 ];
+
+/** Replication lag beyond what any route allows, in milliseconds. */
+const EXCESSIVE_LAG_MS = 3000;
+
+/** Time by which a slow endpoint exceeds the others, in milliseconds, and the share of reads that a failing endpoint fails. */
+const VERY_SLOW_MS = 250;
+const FAIL_SHARE = 0.4;
+
+const getReplicasOfFirst = (system: SimulatedProxies) => getReplicas(system).filter(server => system.groups[0]!.servers.includes(server));
+
+function createPhase(name: string, lengthMs: number, rate: number, apply: (replicas: PlainServer[], isBeginning: boolean) => void = noop): SitePhase {
+	return {
+		name,
+		lengthMs,
+		rate,
+		begin(system) {
+			apply(getReplicasOfFirst(system), true);
+		},
+		end(system) {
+			apply(getReplicasOfFirst(system), false);
+		},
+	};
+}
+
+/** A day on which all replicas of one group lag by more than the routes allow under load, while the other groups have room. */
+export const LAG_DAY: readonly SitePhase[] = [
+	createPhase('calm', 3000, 1),
+	createPhase('all replicas of one group behind', 6000, 1.6, (replicas, isBeginning) => {
+		for (const server of replicas) {
+			server.lagMs = isBeginning ? EXCESSIVE_LAG_MS : 20;
+		}
+	}),
+	createPhase('after the lag', 5000, 1.6),
+];
+
+/** A day on which one replica of a group is slow, and later one fails part of its reads. */
+export const OUTLIER_DAY: readonly SitePhase[] = [
+	createPhase('calm', 3000, 1),
+	createPhase('one replica very slow', 8000, 1.3, (replicas, isBeginning) => {
+		for (const [i, server] of replicas.entries()) {
+			server.slowMs = isBeginning && i === 0 ? VERY_SLOW_MS : 0;
+		}
+	}),
+	createPhase('after the slow replica', 3000, 1.3),
+	createPhase('one replica fails part of its reads', 8000, 1.3, (replicas, isBeginning) => {
+		for (const [i, server] of replicas.entries()) {
+			server.failShare = isBeginning && i === 0 ? FAIL_SHARE : 0;
+		}
+	}),
+	createPhase('after the failing replica', 3000, 1.3),
+];
--- a/src/bench/site-load/site-shapes.ts
+++ b/src/bench/site-load/site-shapes.ts
@@ -17,6 +17,8 @@
 	/** Time within which a response earns `lateValue`, in milliseconds from the first attempt. */
 	readonly deadlineMs: number;
 	readonly value: number;
+	/** Priority of the route; by default 1 where the full value is above 1, else 2. */
+	readonly priority?: number;
 	readonly lateValue: number;
 	/** Maximum number of retries after refusals. */
 	readonly retries: number;
@@ -95,3 +97,31 @@
 		},
 	],
 };
+
+/** Parcels: many hosts, each of which sends few statements to a group; a third of the groups of the deployment, at its load for each group. */
+export const PARCELS: SiteShape = {
+	name: 'parcels',
+	hosts: 86,
+	zones: 6,
+	groups: 2,
+	servers: 3,
+	slots: 6,
+	connections: 53,
+	lagMs: 20,
+	promoteMs: 1000,
+	crossZoneOneWayMs: 0.9,
+	requests: [
+		{
+			name: 'booking', policy: ReadPolicy.Primary, maxReadAgeMs: 0, writeShare: 0.2, transactionShare: 0.25, perSecond: 45, workMs: 9.3,
+			targetLatencyMs: 402, deadlineMs: 2514, value: 2, lateValue: 0.6, priority: 1, retries: 2, opensSession: false,
+		},
+		{
+			name: 'collection', policy: ReadPolicy.OwnWrites, maxReadAgeMs: 2500, writeShare: 0.12, transactionShare: 0.12, perSecond: 210, workMs: 28,
+			targetLatencyMs: 802, deadlineMs: 2507, value: 2, lateValue: 0.3, priority: 2, retries: 2, opensSession: false,
+		},
+		{
+			name: 'tracking', policy: ReadPolicy.Bounded, maxReadAgeMs: 1500, writeShare: 0, transactionShare: 0.1, perSecond: 45, workMs: 47,
+			targetLatencyMs: 1002, deadlineMs: 6013, value: 1, lateValue: 0.3, retries: 2, opensSession: false,
+		},
+	],
+};
--- a/src/endpoint-load/service-times.ts
+++ b/src/endpoint-load/service-times.ts
@@ -27,16 +27,17 @@
 const USUAL_WEIGHT = 0.1;
 
 /** Weight of the newest time in the factor of an endpoint. */
-const FACTOR_WEIGHT = 0.2;
+const FACTOR_WEIGHT = 0.3;
 
-/** A time counts as at most this many times the usual one: 3 in 100 statements take seven times as long, and must not make an endpoint appear slow. */
-const MAX_RELATIVE_TIME = 4;
+/** A time counts as at most this many times the usual one: a single statement that waited for seconds must not close an endpoint for long. */
+const MAX_RELATIVE_TIME = 10;
 
 /**
  * Time constant with which the factor of an endpoint returns to 1, in milliseconds. Guards against an endpoint that was slow for a moment and is never read
- * again: without reads nothing would show that it has recovered.
+ * again: without reads nothing would show that it has recovered. A host of a large fleet reads an endpoint
+ * about once in two seconds, so a shorter time would forget each answer before the next.
  */
-const FACTOR_DECAY_MS = 2000;
+const FACTOR_DECAY_MS = 5000;
 
 /** Maximum number of statements whose times are kept; more of them share the time of their database, so that memory stays bounded. */
 const MAX_STATEMENTS = 500;
--- a/src/gateway/acquire-link.ts
+++ b/src/gateway/acquire-link.ts
@@ -5,7 +5,6 @@
 import {CONFIRM_INTERVAL_MS} from '../mirror/store-mirror.js';
 import type {ReadCandidate} from '../placement/choose-endpoint.js';
 import {getCompletionMs} from '../placement/completion-time-placement.js';
-import {getHigherFloor, clampToTermStart} from '../placement/position-samples.js';
 import {ReadPolicy, type Route} from '../routes/routing.js';
 import {SessionState} from '../statements/statement.js';
 import type {LogPosition} from '../terms/log-position.js';
@@ -14,6 +13,7 @@
 import type {GatewayParts} from './gateway-parts.js';
 import type {QueueTimeout} from './queue-timeout.js';
 import {getReadCandidates} from './read-candidates.js';
+import {fetchFloor, getFloor, refreshSamples} from './read-floors.js';
 import type {SessionMemory} from './session-memory.js';
 import type {StatementTrace, TracedRefusal} from './statement-trace.js';
 
@@ -60,24 +60,18 @@
 	readonly trace: StatementTrace;
 };
 
-/**
- * Floors are chosen this much newer than the maximum read age requires, in milliseconds. The hosts' clocks differ in rate, but by far
- * less than this over the seconds of a read age.
- */
-const FLOOR_MARGIN_MS = 5;
-
 /** Time added to the predicted catch-up time of a replica for which a read waits, in milliseconds. */
 const CATCH_UP_MARGIN_MS = 5;
 
+/** Maximum wait for a replica to catch up before the choice of the endpoint is made anew, in milliseconds. */
+const MAX_CATCH_UP_WAIT_MS = 100;
+
 /**
  * Maximum wait for a connection to one endpoint while another could serve the read, in milliseconds: the time of a few statements. Guards against a read
  * that waits until its timeout for a primary whose connections are all in transactions, while a replica is idle.
  */
 const MAX_WAIT_AT_ONE_ENDPOINT_MS = 100;
 
-/** A read waits at one endpoint for up to this many times its predicted wait: predictions are too short as often as too long. */
-const PREDICTED_WAIT_FACTOR = 2;
-
 /** Bounds of the retry-after of a read that no endpoint can serve in time, in milliseconds: the loads that it depends on are known for one second. */
 const MIN_HOPELESS_RETRY_MS = 50;
 const MAX_HOPELESS_RETRY_MS = 1000;
@@ -154,6 +148,7 @@
 		const lease = parts.primaryLeases.get(req.route.group, parts.elapsedClock.elapsed());
 		const floor = getFloor(parts, req) ?? await fetchFloor(parts, req, lease);
 		const candidates = getReadCandidates(parts, req, lease, floor);
+		refreshSamples(parts, lease, candidates);
 		const left = candidates.filter(({endpointId}) => !timedOutEndpoints.has(endpointId) && !refusedBy.has(endpointId));
 		const chosen = parts.placement.choose(left, getTimeLeft(parts, req));
 		const endpoint = chosen && parts.directory.get(chosen.endpointId);
@@ -179,9 +174,12 @@
 			continue;
 		}
 
-		await prepareToSend(parts, req, chosen);
+		if (await waitForCatchUp(parts, req, chosen)) {
+			continue;
+		}
+
 		const queueUntil = Math.min(req.until, req.queueTimeout.start(parts.clock.now()));
-		const until = candidates.length > 1 ? Math.min(queueUntil, parts.clock.now() + getMaxWaitMs(chosen)) : queueUntil;
+		const until = candidates.length > 1 ? Math.min(queueUntil, parts.clock.now() + getMaxWaitMs(chosen, left)) : queueUntil;
 		const role = chosen.isPrimary ? {lease} : {floor};
 		const acquired = await acquireAt(parts, {...req, until}, {endpoint, ...role, predictedWaitMs: chosen.estimate?.waitMs});
 		if (req.queueTimeout.isOver(parts.clock.now()) || acquired) {
@@ -205,13 +203,23 @@
 	return undefined;
 }
 
-/** Notes the choice of an endpoint for a read, and waits until that is predicted to hold the read's floor. */
-async function prepareToSend({estimates, clock, elapsedClock}: GatewayParts, {route, until}: LinkRequest, chosen: ReadCandidate) {
-	estimates?.noteChosen(chosen, route.group, clock.now(), elapsedClock.elapsed());
+/**
+ * Waits until a replica is predicted to hold the read's floor. Returns whether the endpoint has to be chosen anew, since it was waited for no longer than a prediction
+ * may be relied on: a replica whose lag ends is readmitted at once, while reads that wait for the earlier prediction would come late.
+ */
+async function waitForCatchUp({estimates, clock, elapsedClock}: GatewayParts, {route, until}: LinkRequest, chosen: ReadCandidate): Promise<boolean> {
 	if (chosen.catchUpMs > 0 && !chosen.estimate?.isTrial) {
 		// Sent now, the read would be refused because the replica has not reached the floor, at the cost of a round trip.
-		await clock.sleep(Math.min(chosen.catchUpMs + CATCH_UP_MARGIN_MS, until - clock.now()));
+		const catchUpMs = chosen.catchUpMs + CATCH_UP_MARGIN_MS;
+		const isReevaluated = estimates !== undefined && catchUpMs > MAX_CATCH_UP_WAIT_MS;
+		await clock.sleep(Math.min(isReevaluated ? MAX_CATCH_UP_WAIT_MS : catchUpMs, until - clock.now()));
+		if (isReevaluated) {
+			return true;
+		}
 	}
+
+	estimates?.noteChosen(chosen, route.group, clock.now(), elapsedClock.elapsed());
+	return false;
 }
 
 /** Returns the time that a read has left, where reads are placed by it. */
@@ -220,10 +228,15 @@
 	return estimates && {targetMs: targetAt - now, limitMs: until - now};
 }
 
-/** Returns how long a read waits for a connection to an endpoint while another could serve it, in milliseconds. */
-function getMaxWaitMs({estimate}: ReadCandidate): number {
-	// A predicted wait may be as long as the request's own time allows: a request that leaves its queue early loses its place.
-	return Math.max(MAX_WAIT_AT_ONE_ENDPOINT_MS, estimate ? estimate.waitMs * PREDICTED_WAIT_FACTOR : 0);
+/** Returns how long a read waits for a connection to an endpoint while others could serve it, in milliseconds. */
+function getMaxWaitMs(chosen: ReadCandidate, candidates: readonly ReadCandidate[]): number {
+	if (!chosen.estimate?.isKnown) {
+		return MAX_WAIT_AT_ONE_ENDPOINT_MS;
+	}
+
+	// A request that leaves its queue loses its place, so it stays until another endpoint would have answered.
+	const others = candidates.filter(other => other !== chosen);
+	return Math.max(MAX_WAIT_AT_ONE_ENDPOINT_MS, Math.min(...others.map(other => getCompletionMs(other))));
 }
 
 /** Returns the refusal of a read that no candidate can serve in time. */
@@ -237,27 +250,6 @@
 	};
 }
 
-/**
- * Requests a position of the group's primary from a host that uses the primary more often, so that a replica can serve the read. Returns undefined where
- * no host has one.
- */
-async function fetchFloor(parts: GatewayParts, req: LinkRequest, lease: PrimaryLease | undefined): Promise<LogPosition | undefined> {
-	if (!lease || !await parts.sampleFetcher.fetch(lease.group, lease.primaryId)) {
-		return undefined;
-	}
-
-	return getFloor(parts, req);
-}
-
-/** Returns the log position that a replica must have reached to serve the read; undefined where no known position is recent enough for the route. */
-function getFloor({knowledge, mirror}: GatewayParts, {route, memory, arrivedAt}: LinkRequest): LogPosition | undefined {
-	const sampled = knowledge.getSamples(route.group).getFloor(arrivedAt - route.maxReadAgeMs + FLOOR_MARGIN_MS);
-	const own = route.policy === ReadPolicy.OwnWrites ? memory.floors.get(route.group) : undefined;
-	const floor = sampled && getHigherFloor(sampled, own);
-	const record = mirror.state.leadership.get(route.group);
-	return floor && record ? clampToTermStart(floor, record) : floor;
-}
-
 type AcquireTarget = {
 	readonly endpoint: KnownEndpoint;
 	readonly lease?: PrimaryLease;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -105,8 +105,8 @@
 			statement,
 			tookMs: Math.max(now - sentAt - acquired.predictedWaitMs, (now - sentAt) * MIN_SERVICE_SHARE),
 			laggingFloor: ended?.end.kind === 'error' && ended.end.code === AnswerCode.Lagging ? req.floor : undefined,
+			reachedInMs: ended?.reachedInMs,
 			held: lease === undefined && ended?.state === SessionState.Idle ? ended.position : undefined,
-			samples: knowledge.getSamples(endpoint.entry.group),
 			now,
 			elapsed: elapsedClock.elapsed(),
 		});
--- a/src/gateway/read-candidates.ts
+++ b/src/gateway/read-candidates.ts
@@ -20,10 +20,9 @@
 		}
 
 		const elapsed = parts.elapsedClock.elapsed();
-		const samples = parts.knowledge.getSamples(entry.group);
 		if (parts.estimates) {
 			const candidate = parts.estimates.getCandidate(endpoint, {
-				isPrimary, floor, statement: {group: entry.group, database: req.route.database, shape: req.shape}, samples, now, elapsed,
+				isPrimary, floor, statement: {group: entry.group, database: req.route.database, shape: req.shape}, now, elapsed,
 			});
 			if (candidate) {
 				candidates.push(candidate);
@@ -40,7 +39,7 @@
 			load: pool.inUse + pool.waiting,
 			slots: entry.slots,
 			serviceMs: stats.serviceMs,
-			catchUpMs: isPrimary || !floor ? 0 : predictCatchUp(samples, stats, floor, elapsed),
+			catchUpMs: isPrimary || !floor ? 0 : predictCatchUp(parts.knowledge.getSamples(entry.group), stats, floor, elapsed),
 		});
 	}
 
--- a/src/gateway/run-read.ts
+++ b/src/gateway/run-read.ts
@@ -5,6 +5,7 @@
 import {exchangeStatement, type EndpointStatement} from './exchange.js';
 import type {GatewayParts} from './gateway-parts.js';
 import {acquireForRead, type AcquiredLink, type LinkRequest} from './acquire-link.js';
+import {createSecondAttempts} from './second-attempts.js';
 import {refuse, type StatementResult} from './statement-result.js';
 
 /** A statement outside a transaction. */
@@ -27,7 +28,7 @@
 type TryOutcome =
 	| {readonly kind: 'answer'; readonly answer: EndpointAnswer}
 	/** There was no answer, or the endpoint did not run the read; another endpoint may. */
-	| {readonly kind: 'again'; readonly reason: string};
+	| {readonly kind: 'again'; readonly reason: string; readonly reachedInMs?: number};
 
 /** Runs a read outside a transaction. Sends it to a further endpoint where one does not answer, since a read may run twice. */
 export async function runRead(parts: GatewayParts, budget: RetryBudget, single: SingleStatement): Promise<StatementResult> {
@@ -35,25 +36,29 @@
 	const excluded = new Set<string>();
 	const {until, route} = single.req;
 	const underWay = new Set<Promise<TryOutcome>>();
-	/** Where reads are placed by load, each further attempt takes part of the group's retry budget; else only one beside an attempt under way does. */
-	const isBudgeted = parts.estimates !== undefined;
 	let lastReason: string = AnswerCode.Overloaded;
-	budget.noteFresh(clock.now());
+	const attempts = createSecondAttempts(parts, budget, single.req.trace);
+	attempts.noteArrived();
 
 	/**
 	 * Notes an endpoint that was tried, and pauses where it had been tried before. Guards against a read that only one endpoint may serve, such as the primary:
 	 * refused at once each time, it would be sent there in a busy loop until its timeout.
 	 */
-	const noteTried = async (endpointId: string | undefined) => {
-		if (endpointId === undefined) {
-			return;
-		}
+	const noteTried = async (acquired: AcquiredLink | undefined, outcome: TryOutcome | undefined) => {
+		const endpoint = acquired?.endpoint.entry.id;
+		// A replica whose catch-up is predicted is a candidate again at the predicted time.
+		const isPredicted = outcome?.kind === 'again' && outcome.reachedInMs !== undefined;
+		if (endpoint !== undefined && !isPredicted) {
+			if (excluded.has(endpoint)) {
+				await clock.sleep(Math.min(ROUND_PAUSE_MS, until - clock.now()));
+			}
 
-		if (excluded.has(endpointId)) {
-			await clock.sleep(Math.min(ROUND_PAUSE_MS, until - clock.now()));
+			excluded.add(endpoint);
 		}
 
-		excluded.add(endpointId);
+		log.info('a read is tried again', {
+			id: single.id, group: route.group, endpoint, reason: lastReason, floor: acquired?.floor, leftMs: Math.round(until - clock.now()),
+		});
 	};
 
 	/** Whether the queue timeout has passed with no try under way; a try under way is awaited, since its answer may be ready. */
@@ -79,20 +84,14 @@
 		const hedgeDelayMs = acquired ? getHedgeDelayMs(parts, acquired) : until - clock.now();
 		const outcome = await waitForOutcome(parts, underWay, Math.min(hedgeDelayMs, until - clock.now()));
 		if (outcome?.kind === 'answer') {
-			budget.noteTry(false, clock.now());
+			attempts.noteAnswered();
 			return outcome.answer;
 		}
 
 		lastReason = outcome?.reason ?? 'an endpoint took long';
-		await noteTried(acquired?.endpoint.entry.id);
-		log.info('a read is tried again', {
-			id: single.id, group: route.group, endpoint: acquired?.endpoint.entry.id, reason: lastReason, floor: acquired?.floor, leftMs: Math.round(until - clock.now()),
-		});
+		await noteTried(acquired, outcome);
 		metrics.countRetry(lastReason);
-		// A read that a pool refused has reached no endpoint, so another attempt adds no load there.
-		const isSecondAttempt = !outcome || (isBudgeted && !single.req.trace.refusal);
-		budget.noteTry(lastReason === AnswerCode.Overloaded, clock.now());
-		if (isSecondAttempt && !budget.take(clock.now())) {
+		if (!attempts.mayTryAgain(lastReason, !outcome)) {
 			if (underWay.size === 0) {
 				break;
 			}
@@ -105,7 +104,11 @@
 		}
 	}
 
-	return refuse(AnswerCode.Overloaded, `${lastReason}; the read left nothing behind`, single.req.trace.refusal?.retryAfterMs ?? RETRY_AFTER_MS);
+	return refuseRead(single, lastReason);
+}
+
+function refuseRead({req: {trace}}: SingleStatement, reason: string): StatementResult {
+	return refuse(AnswerCode.Overloaded, `${trace.refusal?.reason ?? reason}; the read left nothing behind`, trace.refusal?.retryAfterMs ?? RETRY_AFTER_MS);
 }
 
 /** Pause before endpoints that were all tried are tried again, in milliseconds: about the usual lag of a replica. */
@@ -139,7 +142,7 @@
 	}
 
 	if (answer.end.kind === 'error' && RETRIED_CODES.has(answer.end.code)) {
-		return {kind: 'again', reason: answer.end.code};
+		return {kind: 'again', reason: answer.end.code, reachedInMs: answer.reachedInMs};
 	}
 
 	if (answer.end.kind === 'complete') {
--- a/src/gateway/run-write.ts
+++ b/src/gateway/run-write.ts
@@ -5,6 +5,7 @@
 import {mayAcknowledge} from './acknowledge-commit.js';
 import {acquirePrimary} from './acquire-link.js';
 import type {SingleStatement} from './run-read.js';
+import {createWriteAttempts} from './second-attempts.js';
 import {refuse, type StatementResult} from './statement-result.js';
 
 /** Retry-after of a write that found no primary, where no pool gave one, in milliseconds: a third of a promotion. */
@@ -21,10 +22,9 @@
 	const {clock, log, metrics, mirror} = parts;
 	const {id, statement, req} = single;
 	const {group} = req.route;
-	/** Where reads and writes are placed by load, a second attempt takes part of the group's retry budget. */
-	const retries = parts.estimates && budget;
+	const attempts = createWriteAttempts(parts, budget, req.trace);
 	let lastReason = 'no primary could be used';
-	retries?.noteFresh(clock.now());
+	attempts.noteArrived();
 
 	while (clock.now() < req.until && req.isWanted() && !req.queueTimeout.isOver(clock.now())) {
 		const acquired = await acquirePrimary(parts, req);
@@ -48,8 +48,7 @@
 			log.info('a write did not run and is tried again', {
 				id, group, endpoint: acquired.endpoint.entry.id, reason: lastReason, leftMs: Math.round(req.until - clock.now()),
 			});
-			retries?.noteTry(lastReason === AnswerCode.Overloaded, clock.now());
-			if (retries && !retries.take(clock.now())) {
+			if (!attempts.mayTryAgain(lastReason, false)) {
 				break;
 			}
 
@@ -59,7 +58,7 @@
 			continue;
 		}
 
-		retries?.noteTry(false, clock.now());
+		attempts.noteAnswered();
 		if (answer.end.kind === 'complete') {
 			if (lease && !await mayAcknowledge(parts, lease, id)) {
 				return refuse(AnswerCode.OutcomeUnknown, 'the primary may have been replaced before it wrote');
--- a/src/placement/read-estimates.ts
+++ b/src/placement/read-estimates.ts
@@ -10,8 +10,7 @@
 import type {LogPosition} from '../terms/log-position.js';
 import type {ReadCandidate} from './choose-endpoint.js';
 import type {PlacementMetrics} from './placement-metrics.js';
-import type {PositionSamples} from './position-samples.js';
-import {createReplicaProgress, type ReplicaProgress} from './replica-progress.js';
+import {createReplicaAdmission, type ReplicaAdmission} from './replica-admission.js';
 import type {RoundTrips} from './round-trips.js';
 
 /** Estimates the time to the response of each endpoint, from the loads that pool hosts report and from this host's own observations. */
@@ -40,7 +39,6 @@
 	/** Log position that a replica must have reached. */
 	readonly floor: LogPosition | undefined;
 	readonly statement: StatementKey;
-	readonly samples: PositionSamples;
 	readonly now: number;
 	readonly elapsed: number;
 };
@@ -56,9 +54,10 @@
 	readonly tookMs: number;
 	/** The floor below which a replica refused it; undefined where it did not. */
 	readonly laggingFloor: LogPosition | undefined;
+	/** Predicted time until the replica holds that floor, in milliseconds. */
+	readonly reachedInMs: number | undefined;
 	/** Position that the endpoint reported. */
 	readonly held: LogPosition | undefined;
-	readonly samples: PositionSamples;
 	readonly now: number;
 	readonly elapsed: number;
 };
@@ -88,12 +87,12 @@
 export function createReadEstimates({availabilityZone, loads, serviceTimes, roundTrips, metrics, log: parentLog, getOwnLoad}: ReadEstimatesOptions): ReadEstimates {
 	const log = parentLog.withPrefix('placement: ');
 	const outliers = new Map<string, GroupOutliers>();
-	const progress = new Map<string, ReplicaProgress>();
+	const admissions = new Map<string, ReplicaAdmission>();
 	/** The endpoints and the primary that the outliers of each group were told last. */
 	const told = new Map<string, {readonly endpoints: readonly KnownEndpoint[]; readonly primaryId: string | undefined}>();
 
 	const getOutliers = (group: string) => getOrCreate(outliers, group, createGroupOutliers);
-	const getProgress = (endpointId: string) => getOrCreate(progress, endpointId, createReplicaProgress);
+	const getAdmission = (endpointId: string) => getOrCreate(admissions, endpointId, createReplicaAdmission);
 
 	const getLoad = (endpoint: KnownEndpoint, now: number, serviceMs: number) => loads.get(endpoint.entry.id, now, {
 		slots: endpoint.entry.slots, serviceMs, own: getOwnLoad(endpoint, now),
@@ -112,39 +111,39 @@
 		});
 	};
 
-	const noteProgress = ({entry, laggingFloor, held, samples, elapsed}: ObservedEnd) => {
+	const noteProgress = ({entry, laggingFloor, reachedInMs, held, elapsed}: ObservedEnd) => {
 		if (!held && !laggingFloor) {
 			return;
 		}
 
-		const replica = getProgress(entry.id);
+		const replica = getAdmission(entry.id);
 		const wasClosed = replica.closed;
-		const errorMs = held && replica.note(elapsed, held, samples);
+		const errorMs = held && replica.note(elapsed, held);
 		if (errorMs !== undefined) {
 			metrics.observeCatchUpError(Math.abs(errorMs) / 1000);
 		}
 
 		if (laggingFloor) {
-			replica.noteLagging(elapsed, laggingFloor, samples);
+			replica.noteLagging(elapsed, laggingFloor, reachedInMs);
 		}
 
 		if (replica.closed !== wasClosed) {
 			log.info(wasClosed ? 'a replica has reached the floor again' : 'a replica is behind the floor of a read', {
-				endpoint: entry.id, group: entry.group, floor: laggingFloor, held, predictionErrorMs: errorMs === undefined ? undefined : Math.round(errorMs),
+				endpoint: entry.id, group: entry.group, floor: laggingFloor, held, reachedInMs, predictionErrorMs: errorMs === undefined ? undefined : Math.round(errorMs),
 			});
 		}
 	};
 
 	return {
-		getCandidate(endpoint, {isPrimary, floor, statement, samples, now, elapsed}) {
+		getCandidate(endpoint, {isPrimary, floor, statement, now, elapsed}) {
 			const {entry, pool, ownPool} = endpoint;
 			const standing = getOutliers(entry.group).getStanding(entry.id, now);
 			if (!isPrimary && !standing.usable) {
 				return undefined;
 			}
 
-			const replica = getProgress(entry.id);
-			const catchUp = isPrimary || !floor ? {catchUpMs: 0, isTrial: false} : replica.predict(elapsed, floor, samples);
+			const replica = getAdmission(entry.id);
+			const catchUp = isPrimary || !floor ? {catchUpMs: 0, isTrial: false} : replica.predict(elapsed, floor);
 			const serviceMs = serviceTimes.getUsualMs(statement) * serviceTimes.getFactor(entry.id, now);
 			const load = getLoad(endpoint, now, serviceMs);
 			const observed = pool.inUse + pool.waiting;
@@ -192,7 +191,7 @@
 
 			if (estimate?.isTrial) {
 				getOutliers(group).noteTrial(endpointId, now);
-				getProgress(endpointId).noteTrial(elapsed);
+				getAdmission(endpointId).noteTrial(elapsed);
 				log.debug('a read tries an endpoint again', {endpoint: endpointId, group});
 			}
 		},
@@ -212,9 +211,9 @@
 		},
 		keepOnly(endpointIds) {
 			serviceTimes.keepOnly(endpointIds);
-			for (const endpointId of progress.keys()) {
+			for (const endpointId of admissions.keys()) {
 				if (!endpointIds.has(endpointId)) {
-					progress.delete(endpointId);
+					admissions.delete(endpointId);
 				}
 			}
 		},
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -110,10 +110,13 @@
 	const primaryWork = createPrimaryWork(clock);
 	const cutOffs = createCutOffs();
 	const poolHosts = createPoolHosts({mirror, hostName, availabilityZone: parts.availabilityZone});
+	const placementFeature = parts.features?.scheduling && createPlacementFeature({
+		availabilityZone: parts.availabilityZone, opener, elapsedClock, poolHosts, metrics, log, random,
+	});
 	const unreachable = createUnreachableHosts();
 	const directory = createEndpointDirectory({
 		mirror,
-		opener,
+		opener: placementFeature?.opener ?? opener,
 		clock,
 		log,
 		getSharing: entry => ({hosts: poolHosts.countHosts(entry), isPoolHost: poolHosts.isPoolHost(entry)}),
@@ -200,9 +203,6 @@
 			},
 		}, replacement),
 	});
-	const placementFeature = parts.features?.scheduling && createPlacementFeature({
-		availabilityZone: parts.availabilityZone, poolHosts, metrics, log, random,
-	});
 	const gateway = createGateway({
 		clock,
 		elapsedClock,
--- a/src/stand-ins/plain-group/plain-group.ts
+++ b/src/stand-ins/plain-group/plain-group.ts
@@ -101,6 +101,7 @@
 		frozenUntil: 0,
 		answersToLose: 0,
 		commitsToReject: 0,
+		failShare: 0,
 		log: [],
 		sessions: new Set(),
 	}));
--- a/src/stand-ins/plain-group/plain-server.ts
+++ b/src/stand-ins/plain-group/plain-server.ts
@@ -48,6 +48,8 @@
 	frozenUntil: number;
 	/** Number of coming answers that are lost after their statement ran. */
 	answersToLose: number;
+	/** Share of the reads that fail, from 0 to 1; they fail at even intervals. */
+	failShare: number;
 	/** Number of coming commits that are rejected for lack of a slot, which leaves their transactions open. */
 	commitsToReject: number;
 	readonly log: LogEntry[];
@@ -86,6 +88,9 @@
 
 /** Creates an executor. */
 export function createPlainExecutor({clock, getServiceMs, observer}: PlainExecutorOptions): PlainExecutor {
+	/** Fraction of the next failure of a read, by server. */
+	const unfailed = new Map<PlainServer, number>();
+
 	const getState = (session: PlainSession) => session.transaction ? SessionState.Open : SessionState.Idle;
 
 	const answer = (session: PlainSession, end: AnswerEnd, rows: readonly string[] = []): EndpointAnswer => ({
@@ -122,6 +127,12 @@
 	const read = (session: PlainSession, id: string, item: string) => {
 		const {server} = session;
 		const now = clock.now();
+		const failures = (unfailed.get(server) ?? 0) + server.failShare;
+		unfailed.set(server, failures % 1);
+		if (failures >= 1) {
+			return refuse(session, AnswerCode.Failed);
+		}
+
 		observer.onRead({
 			id, server, end: getVisibleEnd(server.log, now), workspace: session.workspace,
 		});
--- a/src/statements/statement-answer.ts
+++ b/src/statements/statement-answer.ts
@@ -53,6 +53,8 @@
 	readonly state: SessionState;
 	/** End of the endpoint's log when it answered; undefined where it did not report it. */
 	readonly position?: LogPosition;
+	/** Predicted time until the endpoint holds the floor for which it refused a read as lagging, in milliseconds; undefined where none is predicted. */
+	readonly reachedInMs?: number;
 };
 
 /** Whether the endpoint refused for overload; nothing ran then. */
