--- a/src/stand-ins/metadata-store/in-memory-metadata-store.ts
+++ b/src/stand-ins/metadata-store/in-memory-metadata-store.ts
@@ -1,6 +1,7 @@
 import {RecordKind, type MetadataStore, type StoredRecord} from '../../mirror/metadata-store.js';
 import {getWithinGeneration, qualifyByGeneration} from '../../mirror/store-generation.js';
 import {PlatformConflictError, throwPlatformSilent, throwVersionConflict} from '../../object-store/platform-errors.js';
+import {decodeEndpoint, storeObjectSchema} from '../../platform/store-schemas.js';
 import type {Random} from '../../random/random.js';
 import type {RegisteredEndpoint, Routing} from '../../routes/routing.js';
 import type {Clock} from '../../time/clock.js';
@@ -35,6 +36,8 @@
 	setRouting(routing: Routing): void;
 	/** Writes the registered endpoints, and raises the revision. */
 	setEndpoints(endpoints: readonly RegisteredEndpoint[]): void;
+	/** Writes entries beside the registered endpoints as another program does, which may be of any form, and raises the revision. */
+	setForeignEntries(entries: readonly unknown[]): void;
 	getRecord(kind: RecordKind, name: string): StoredRecord | undefined;
 	/** Returns a copy of the store's current contents. */
 	takeBackup(): StoreBackup;
@@ -63,6 +66,7 @@
 	let generation = 0;
 	let routing: Routing | undefined;
 	let endpoints: readonly RegisteredEndpoint[] = [];
+	let foreignEntries: readonly unknown[] = [];
 	let calls = 0;
 
 	const getFaults = (hostName: string) => faultsByHost.get(hostName) ?? faultsByHost.get(undefined) ?? NO_FAULTS;
@@ -118,6 +122,14 @@
 		revision++;
 	};
 
+	/** Returns the endpoints, with those that foreign entries define. */
+	const listEndpoints = (): readonly RegisteredEndpoint[] => foreignEntries.length === 0
+		? endpoints
+		: [...endpoints, ...foreignEntries.flatMap(entry => {
+			const object = storeObjectSchema.safeParse(entry);
+			return (object.data && decodeEndpoint(object.data)) ?? [];
+		})];
+
 	const rewriteNewer = (lastRouting: Routing | undefined, lastEndpoints: readonly RegisteredEndpoint[]) => {
 		if (lastRouting && lastRouting.version > (routing?.version ?? 0)) {
 			setRouting(lastRouting);
@@ -146,7 +158,7 @@
 		getClient: hostName => ({
 			getRevision: async timeoutMs => call(hostName, 'get revision', timeoutMs, () => qualify(revision)),
 			readRouting: async timeoutMs => call(hostName, 'read routing', timeoutMs, () => ({revision: qualify(revision), content: routing})),
-			listEndpoints: async timeoutMs => call(hostName, 'list endpoints', timeoutMs, () => ({revision: qualify(revision), content: endpoints})),
+			listEndpoints: async timeoutMs => call(hostName, 'list endpoints', timeoutMs, () => ({revision: qualify(revision), content: listEndpoints()})),
 			listRecords: async (kind, timeoutMs) => call(hostName, `list ${kind}`, timeoutMs, () => ({
 				revision: qualify(revision), content: [...records.get(kind)!.values()].map(record => qualifyRecord(record)),
 			})),
@@ -164,6 +176,10 @@
 		}),
 		setRouting,
 		setEndpoints,
+		setForeignEntries(entries) {
+			foreignEntries = entries;
+			revision++;
+		},
 		takeBackup: () => ({
 			revision, routing, endpoints, records: new Map([...records].map(([kind, byName]) => [kind, new Map(byName)])),
 		}),
