--- a/src/bench/site-load/site-phases.ts
+++ b/src/bench/site-load/site-phases.ts
@@ -1,3 +1,4 @@
+import {applyReceived} from '../../stand-ins/plain-group/plain-log.js';
 import type {PlainServer} from '../../stand-ins/plain-group/plain-server.js';
 import type {SimulatedProxies} from '../../stand-ins/proxies/simulated-proxies.js';
 
@@ -102,16 +103,16 @@
 
 const getReplicasOfFirst = (system: SimulatedProxies) => getReplicas(system).filter(server => system.groups[0]!.servers.includes(server));
 
-function createPhase(name: string, lengthMs: number, rate: number, apply: (replicas: PlainServer[], isBeginning: boolean) => void = noop): SitePhase {
+function createPhase(name: string, lengthMs: number, rate: number, apply: (replicas: PlainServer[], isBeginning: boolean, now: number) => void = noop): SitePhase {
 	return {
 		name,
 		lengthMs,
 		rate,
 		begin(system) {
-			apply(getReplicasOfFirst(system), true);
+			apply(getReplicasOfFirst(system), true, system.clock.now());
 		},
 		end(system) {
-			apply(getReplicasOfFirst(system), false);
+			apply(getReplicasOfFirst(system), false, system.clock.now());
 		},
 	};
 }
@@ -119,9 +120,12 @@
 /** A day on which all replicas of one group lag by more than the routes allow under load, while the other groups have room. */
 export const LAG_DAY: readonly SitePhase[] = [
 	createPhase('calm', 3000, 1),
-	createPhase('all replicas of one group behind', 6000, 1.6, (replicas, isBeginning) => {
+	createPhase('all replicas of one group behind', 6000, 1.6, (replicas, isBeginning, now) => {
 		for (const server of replicas) {
 			server.lagMs = isBeginning ? EXCESSIVE_LAG_MS : 20;
+			if (!isBeginning) {
+				applyReceived(server.log, now);
+			}
 		}
 	}),
 	createPhase('after the lag', 5000, 1.6),
--- a/src/stand-ins/plain-group/plain-log.ts
+++ b/src/stand-ins/plain-group/plain-log.ts
@@ -52,3 +52,12 @@
 		log.push({commit, visibleAt: Math.max(visibleAt, log.at(-1)?.visibleAt ?? 0)});
 	}
 }
+
+/** Makes all entries that a log has received visible at `now`, as on a replica that has caught up. */
+export function applyReceived(log: LogEntry[], now: number): void {
+	for (const [i, {commit, visibleAt}] of log.entries()) {
+		if (visibleAt > now) {
+			log[i] = {commit, visibleAt: now};
+		}
+	}
+}
