--- a/src/connection-sharing/least-load-order.ts
+++ b/src/connection-sharing/least-load-order.ts
@@ -3,8 +3,8 @@
 import {getUnitWeight, hashName} from '../membership/rendezvous.js';
 import type {UnreachableHosts} from '../membership/unreachable-hosts.js';
 import type {Random} from '../random/random.js';
+import type {LoadReports} from '../endpoint-load/load-reports.js';
 import type {HostWatch} from './host-watch.js';
-import type {PoolHostLoads} from './pool-host-loads.js';
 import type {PoolHostOrder} from './pool-host-order.js';
 
 /** What the order takes into account. */
@@ -13,7 +13,7 @@
 	readonly ownPeerAddress: string;
 	readonly unreachable: UnreachableHosts;
 	readonly hostWatch: Pick<HostWatch, 'isSilent'>;
-	readonly loads: PoolHostLoads;
+	readonly loads: LoadReports;
 	readonly random: Random;
 	/** Returns the load of this host's own pool, for the case that this host is one of the pool hosts. */
 	getOwnLoad(now: number): EndpointLoad;
@@ -100,7 +100,7 @@
 			return getOwnLoad(now);
 		}
 
-		const received = loads.get(endpointId, address);
+		const received = loads.list(endpointId).find(({poolHost}) => poolHost === address);
 		return received && now - received.receivedAt < MAX_LOAD_AGE_MS ? received.load : undefined;
 	}
 }
--- a/src/connection-sharing/shared-pool.ts
+++ b/src/connection-sharing/shared-pool.ts
@@ -10,12 +10,12 @@
 import type {RegisteredEndpoint} from '../routes/routing.js';
 import type {Clock} from '../time/clock.js';
 import {withinMs} from '../time/deadline.js';
+import type {RecordedLoadReports} from '../endpoint-load/load-reports.js';
 import {CheckoutRefusal, type CheckoutExchange, type CheckoutLoad} from './checkout-calls.js';
 import {createCheckoutOpener, type CheckoutResult} from './checkout-opener.js';
 import type {HostWatch} from './host-watch.js';
 import {LeastLoadOrder} from './least-load-order.js';
 import {NearFirstOrder} from './near-first-order.js';
-import type {PoolHostLoads} from './pool-host-loads.js';
 import type {PoolHostOrder} from './pool-host-order.js';
 import type {PoolHosts} from './pool-hosts.js';
 import {POOL_HOST_WAIT_MS, POOL_HOST_ROUND_TRIP_MS} from './pool-host-timeouts.js';
@@ -44,7 +44,7 @@
 
 /** What shared pools need with scheduling, the same for all endpoints. */
 export type SharedPoolScheduling = {
-	readonly loads: PoolHostLoads;
+	readonly loads: RecordedLoadReports;
 	readonly hostWatch: HostWatch;
 	readonly waitIds: WaitIds;
 	readonly random: Random;
@@ -107,7 +107,7 @@
 
 	const noteResponse = (poolHost: string, {load}: CheckoutLoad) => {
 		if (load) {
-			scheduling?.loads.note(entry.id, poolHost, load, clock.now());
+			scheduling?.loads.note(entry.id, {poolHost, load, receivedAt: clock.now()});
 		}
 	};
 
--- a/src/gateway/acquire-link.ts
+++ b/src/gateway/acquire-link.ts
@@ -4,8 +4,7 @@
 import {PRIMARY_LEASE_MS, type PrimaryLease} from '../leadership/primary-leases.js';
 import {CONFIRM_INTERVAL_MS} from '../mirror/store-mirror.js';
 import type {ReadCandidate} from '../placement/choose-endpoint.js';
-import {predictCatchUp} from '../placement/catch-up.js';
-import {getHigherFloor, clampToTermStart} from '../placement/position-samples.js';
+import {getCompletionMs} from '../placement/completion-time-placement.js';
 import {ReadPolicy, type Route} from '../routes/routing.js';
 import {SessionState} from '../statements/statement.js';
 import type {LogPosition} from '../terms/log-position.js';
@@ -13,9 +12,13 @@
 import type {Workspace} from '../workspaces/workspace.js';
 import type {GatewayParts} from './gateway-parts.js';
 import type {QueueTimeout} from './queue-timeout.js';
+import {getReadCandidates} from './read-candidates.js';
+import {fetchFloor, getFloor, refreshSamples} from './read-floors.js';
 import {scheduleRequest} from './schedule-request.js';
 import type {SessionMemory} from './session-memory.js';
-import {noteQueueRefusal, noteUnserved, type StatementTrace} from './statement-trace.js';
+import {
+	noteQueueRefusal, noteUnserved, type StatementTrace, type TracedRefusal,
+} from './statement-trace.js';
 
 /** A connection to an endpoint, acquired for one statement or transaction. */
 export type AcquiredLink = {
@@ -25,6 +28,8 @@
 	readonly lease?: PrimaryLease;
 	/** Log position that a replica must have reached; undefined at the primary. */
 	readonly floor?: LogPosition;
+	/** Wait that was predicted at a pool host to which the request is sent without a connection, in milliseconds; 0 where a connection was acquired. */
+	readonly predictedWaitMs: number;
 	/** State of the connection after the last answer on it. */
 	state: SessionState;
 	/** Returns the connection to its pool, which drops it where it has ended; cuts it first where a transaction is still open on it. */
@@ -39,6 +44,8 @@
 	readonly workspace?: Workspace;
 	/** Elapsed time by which the first byte of the statement, or of its transaction, had arrived. */
 	readonly arrivedAt: number;
+	/** Steady time by which it has to be answered to be within its route's latency target. */
+	readonly targetAt: number;
 	/** Steady time after which a connection is of no more use. */
 	readonly until: number;
 	/** How long it may queue for a connection. */
@@ -56,21 +63,22 @@
 	readonly trace: StatementTrace;
 };
 
-/**
- * Floors are chosen this much newer than the maximum read age requires, in milliseconds. The hosts' clocks differ in rate, but by far
- * less than this over the seconds of a read age.
- */
-const FLOOR_MARGIN_MS = 5;
-
 /** Time added to the predicted catch-up time of a replica for which a read waits, in milliseconds. */
 const CATCH_UP_MARGIN_MS = 5;
 
+/** Maximum wait for a replica to catch up before the choice of the endpoint is made anew, in milliseconds. */
+const MAX_CATCH_UP_WAIT_MS = 100;
+
 /**
  * Maximum wait for a connection to one endpoint while another could serve the read, in milliseconds: the time of a few statements. Guards against a read
  * that waits until its timeout for a primary whose connections are all in transactions, while a replica is idle.
  */
 const MAX_WAIT_AT_ONE_ENDPOINT_MS = 100;
 
+/** Bounds of the retry-after of a read that no endpoint can serve in time, in milliseconds: the loads that it depends on are known for one second. */
+const MIN_HOPELESS_RETRY_MS = 50;
+const MAX_HOPELESS_RETRY_MS = 1000;
+
 /** Maximum wait before leases and endpoints are checked again, in milliseconds. */
 const RECHECK_MS = 50;
 
@@ -116,8 +124,8 @@
 		}
 
 		const until = Math.min(req.until, req.queueTimeout.start(parts.clock.now()));
-		const acquired = await acquireAt(parts, {...req, until}, endpoint, lease);
-		if (acquired ?? hasEnded(parts, req)) {
+		const acquired = await acquireAt(parts, {...req, until}, {endpoint, lease});
+		if (acquired ?? req.trace.queueRefusal ?? req.queueTimeout.isOver(parts.clock.now())) {
 			return acquired;
 		}
 
@@ -137,14 +145,25 @@
 	const startedAt = parts.clock.now();
 	/** Ids of endpoints that had no free connection in time; cleared once none is left to try. */
 	const timedOutEndpoints = new Set<string>();
+	/** Ids of endpoints whose pools refused the read. */
+	const refusedBy = new Set<string>();
 	while (req.isWanted() && parts.clock.now() < req.until) {
 		const lease = parts.primaryLeases.get(req.route.group, parts.elapsedClock.elapsed());
 		const floor = getFloor(parts, req) ?? await fetchFloor(parts, req, lease);
-		const candidates = getCandidates(parts, req, lease, floor);
-		const chosen = parts.placement.choose(candidates.filter(({endpointId}) => !timedOutEndpoints.has(endpointId)));
+		const candidates = getReadCandidates(parts, req, lease, floor);
+		refreshSamples(parts, lease, candidates);
+		const left = candidates.filter(({endpointId}) => !timedOutEndpoints.has(endpointId) && !refusedBy.has(endpointId));
+		const chosen = parts.placement.choose(left, getTimeLeft(parts, req));
 		const endpoint = chosen && parts.directory.get(chosen.endpointId);
 		if (!endpoint) {
-			if (timedOutEndpoints.size > 0 && !req.trace.queueRefusal) {
+			// A read whose primary is being replaced may still be served, so it is refused only where its primary is known.
+			const isPrimaryKnown = parts.estimates !== undefined && candidates.some(({isPrimary}) => isPrimary);
+			if (refusedBy.size > 0 || (isPrimaryKnown && timedOutEndpoints.size === 0)) {
+				req.trace.queueRefusal ??= createHopelessRefusal(parts, req, candidates);
+				return undefined;
+			}
+
+			if (timedOutEndpoints.size > 0) {
 				timedOutEndpoints.clear();
 				await nextTurn();
 				continue;
@@ -159,19 +178,24 @@
 			continue;
 		}
 
-		if (chosen.catchUpMs > 0) {
-			// Sent now, the read would be refused because the replica has not reached the floor, at the cost of a round trip.
-			await parts.clock.sleep(Math.min(chosen.catchUpMs + CATCH_UP_MARGIN_MS, req.until - parts.clock.now()));
+		if (await waitForCatchUp(parts, req, chosen)) {
+			continue;
 		}
 
 		const queueUntil = Math.min(req.until, req.queueTimeout.start(parts.clock.now()));
-		const until = getWaitUntil(parts, queueUntil, candidates.length);
-		const acquired = await acquireAt(parts, {...req, until}, endpoint, chosen.isPrimary ? lease : undefined, chosen.isPrimary ? undefined : floor);
+		const until = candidates.length > 1 ? Math.min(queueUntil, parts.clock.now() + getMaxWaitMs(chosen, left)) : queueUntil;
+		const role = chosen.isPrimary ? {lease} : {floor};
+		const acquired = await acquireAt(parts, {...req, until}, {endpoint, ...role, predictedWaitMs: chosen.estimate?.waitMs});
 		if (req.queueTimeout.isOver(parts.clock.now()) || acquired) {
 			return acquired;
 		}
 
-		if (hasNoConnectionInTime(parts, req, until)) {
+		if (req.trace.queueRefusal) {
+			refusedBy.add(endpoint.entry.id);
+			continue;
+		}
+
+		if (parts.clock.now() >= until) {
 			timedOutEndpoints.add(endpoint.entry.id);
 			continue;
 		}
@@ -183,68 +207,61 @@
 	return undefined;
 }
 
-/** Whether the endpoint that was asked last had no connection until then, or knows that it will have none. */
-function hasNoConnectionInTime({clock}: GatewayParts, {trace}: LinkRequest, until: number): boolean {
-	return clock.now() >= until || trace.queueRefusal !== undefined;
-}
-
-/** Whether the request has no time left to queue, or the pool that was asked last knows that it cannot serve the request in time. */
-function hasEnded({clock}: GatewayParts, {queueTimeout, trace}: LinkRequest): boolean {
-	return queueTimeout.isOver(clock.now()) || trace.queueRefusal !== undefined;
-}
-
-/** Returns the steady time until which a read waits at one endpoint. With scheduling it keeps its place in the queue there, whose pool refuses it at once where it would wait too long. */
-function getWaitUntil({clock, features}: GatewayParts, queueUntil: number, candidates: number): number {
-	return candidates > 1 && !features.scheduling ? Math.min(queueUntil, clock.now() + MAX_WAIT_AT_ONE_ENDPOINT_MS) : queueUntil;
-}
-
 /**
- * Requests a position of the group's primary from a host that uses the primary more often, so that a replica can serve the read. Returns undefined where
- * no host has one.
+ * Waits until a replica is predicted to hold the read's floor. Returns whether the endpoint has to be chosen anew, since it was waited for no longer than a prediction
+ * may be relied on: a replica whose lag ends is readmitted at once, while reads that wait for the earlier prediction would come late.
  */
-async function fetchFloor(parts: GatewayParts, req: LinkRequest, lease: PrimaryLease | undefined): Promise<LogPosition | undefined> {
-	if (!lease || !await parts.sampleFetcher.fetch(lease.group, lease.primaryId)) {
-		return undefined;
+async function waitForCatchUp({estimates, clock, elapsedClock}: GatewayParts, {route, until}: LinkRequest, chosen: ReadCandidate): Promise<boolean> {
+	if (chosen.catchUpMs > 0 && !chosen.estimate?.isTrial) {
+		// Sent now, the read would be refused because the replica has not reached the floor, at the cost of a round trip.
+		const catchUpMs = chosen.catchUpMs + CATCH_UP_MARGIN_MS;
+		const isReevaluated = estimates !== undefined && catchUpMs > MAX_CATCH_UP_WAIT_MS;
+		await clock.sleep(Math.min(isReevaluated ? MAX_CATCH_UP_WAIT_MS : catchUpMs, until - clock.now()));
+		if (isReevaluated) {
+			return true;
+		}
 	}
 
-	return getFloor(parts, req);
+	estimates?.noteChosen(chosen, route.group, clock.now(), elapsedClock.elapsed());
+	return false;
 }
 
-/** Returns the log position that a replica must have reached to serve the read; undefined where no known position is recent enough for the route. */
-function getFloor({knowledge, mirror}: GatewayParts, {route, memory, arrivedAt}: LinkRequest): LogPosition | undefined {
-	const sampled = knowledge.getSamples(route.group).getFloor(arrivedAt - route.maxReadAgeMs + FLOOR_MARGIN_MS);
-	const own = route.policy === ReadPolicy.OwnWrites ? memory.floors.get(route.group) : undefined;
-	const floor = sampled && getHigherFloor(sampled, own);
-	const record = mirror.state.leadership.get(route.group);
-	return floor && record ? clampToTermStart(floor, record) : floor;
+/** Returns the time that a read has left, where reads are placed by it. */
+function getTimeLeft({estimates, clock}: GatewayParts, {targetAt, until}: LinkRequest) {
+	const now = clock.now();
+	return estimates && {targetMs: targetAt - now, limitMs: until - now};
 }
 
-function getCandidates(parts: GatewayParts, req: LinkRequest, lease: PrimaryLease | undefined, floor: LogPosition | undefined): ReadCandidate[] {
-	const now = parts.clock.now();
-	const candidates: ReadCandidate[] = [];
-	for (const {entry, pool} of parts.directory.list(req.route.group)) {
-		const isPrimary = entry.id === lease?.primaryId;
-		const usable = isPrimary ? true : (floor !== undefined && !entry.leaving);
-		if (!usable || (req.excluded?.has(entry.id) ?? false) || pool.health.getSuspicion(now)) {
-			continue;
-		}
-
-		const stats = parts.knowledge.getStats(entry.id);
-		candidates.push({
-			endpointId: entry.id,
-			isPrimary,
-			sameZone: entry.availabilityZone === parts.availabilityZone,
-			load: pool.inUse + pool.waiting,
-			slots: entry.slots,
-			serviceMs: stats.serviceMs,
-			catchUpMs: isPrimary || !floor ? 0 : predictCatchUp(parts.knowledge.getSamples(entry.group), stats, floor, parts.elapsedClock.elapsed()),
-		});
+/** Returns how long a read waits for a connection to an endpoint while others could serve it, in milliseconds. */
+function getMaxWaitMs(chosen: ReadCandidate, candidates: readonly ReadCandidate[]): number {
+	if (!chosen.estimate?.isKnown) {
+		return MAX_WAIT_AT_ONE_ENDPOINT_MS;
 	}
 
-	return candidates;
+	// A request that leaves its queue loses its place, so it stays until another endpoint would have answered.
+	const others = candidates.filter(other => other !== chosen);
+	return Math.max(MAX_WAIT_AT_ONE_ENDPOINT_MS, Math.min(...others.map(other => getCompletionMs(other))));
 }
 
-async function acquireAt(parts: GatewayParts, req: LinkRequest, endpoint: KnownEndpoint, lease?: PrimaryLease, floor?: LogPosition): Promise<AcquiredLink | undefined> {
+/** Returns the refusal of a read that no candidate can serve in time. */
+function createHopelessRefusal(parts: GatewayParts, {until}: LinkRequest, candidates: readonly ReadCandidate[]): TracedRefusal {
+	const predictedWaitMs = Math.min(...candidates.map(candidate => getCompletionMs(candidate)));
+	const excessMs = Number.isFinite(predictedWaitMs) ? predictedWaitMs - (until - parts.clock.now()) : MAX_HOPELESS_RETRY_MS;
+	return {
+		reason: 'no endpoint can serve the read in time',
+		predictedWaitMs: Number.isFinite(predictedWaitMs) ? predictedWaitMs : MAX_HOPELESS_RETRY_MS,
+		retryAfterMs: Math.min(MAX_HOPELESS_RETRY_MS, Math.max(MIN_HOPELESS_RETRY_MS, excessMs)),
+	};
+}
+
+type AcquireTarget = {
+	readonly endpoint: KnownEndpoint;
+	readonly lease?: PrimaryLease;
+	readonly floor?: LogPosition;
+	readonly predictedWaitMs?: number;
+};
+
+async function acquireAt(parts: GatewayParts, req: LinkRequest, {endpoint, lease, floor, predictedWaitMs = 0}: AcquireTarget): Promise<AcquiredLink | undefined> {
 	const {pool} = endpoint;
 	const requestedAt = parts.clock.now();
 	req.trace.queueRefusal = undefined;
@@ -279,12 +296,15 @@
 	req.trace.endpoints.push(endpoint.entry.id);
 	req.trace.epoch = lease?.epoch;
 	req.trace.floor = floor;
+	// A read that goes to a pool host without a connection waits there, which counts to its time until the answer.
+	const isSentAhead = sessionLink.isSentAhead === true;
 	const endWork = lease ? parts.primaryWork.begin(lease.group) : undefined;
 	const acquired: AcquiredLink = {
 		endpoint,
 		sessionLink,
 		lease,
 		floor,
+		predictedWaitMs: isSentAhead ? predictedWaitMs : 0,
 		state: SessionState.Idle,
 		release() {
 			endWork?.();
--- a/src/gateway/prom-gateway-metrics.ts
+++ b/src/gateway/prom-gateway-metrics.ts
@@ -5,11 +5,12 @@
 import {createPromConnectionMetrics} from '../links/prom-connection-metrics.js';
 import type {RoomState} from '../endpoint-room/endpoint-rooms.js';
 import type {SchedulingMetrics} from '../scheduling/scheduling-metrics.js';
+import type {PlacementMetrics} from '../placement/placement-metrics.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import {createPromSchedulingMetrics} from './prom-scheduling-metrics.js';
 
 /** The gateway's metrics, those of the rest of the proxy, and their rendering as text. */
-export type ProxyMetrics = GatewayMetrics & SchedulingMetrics & {
+export type ProxyMetrics = GatewayMetrics & PlacementMetrics & SchedulingMetrics & {
 	/** Counts a call to the platform that ended. */
 	countPlatformCall(call: string, result: string): void;
 	/** Counts bytes that were sent to another region. */
@@ -88,11 +89,29 @@
 	const roomTakeovers = new Counter({
 		name: 'aldercroft_endpoint_room_takeovers_total', help: 'Allocators of concurrency budgets that did not respond, so that the next pool host was asked', registers,
 	});
+	const ejections = new Counter({
+		name: 'aldercroft_ejections_total', help: 'Endpoints ejected from reads, by the reason', labelNames: ['reason'], registers,
+	});
+	const catchUpError = new Histogram({
+		name: 'aldercroft_catch_up_error_seconds', help: 'Time between the predicted and the observed moment at which a replica reached a floor', buckets: STATEMENT_BUCKETS, registers,
+	});
+	const loadAge = new Histogram({
+		name: 'aldercroft_load_view_age_seconds', help: 'Age of the newest load report of an endpoint when a read was sent to it', buckets: STATEMENT_BUCKETS, registers,
+	});
 
 	let getConnectionMetrics: ReturnType<typeof createPromConnectionMetrics> | undefined;
 
 	return {
 		...createPromSchedulingMetrics(registry),
+		countEjection(reason) {
+			ejections.inc({reason});
+		},
+		observeCatchUpError(seconds) {
+			catchUpError.observe(seconds);
+		},
+		observeLoadAge(seconds) {
+			loadAge.observe(seconds);
+		},
 		observeStatement(kind, outcome, seconds) {
 			statements.inc({kind, outcome});
 			statementSeconds.observe({kind}, seconds);
--- a/src/gateway/run-read.ts
+++ b/src/gateway/run-read.ts
@@ -5,6 +5,7 @@
 import {exchangeStatement, type EndpointStatement} from './exchange.js';
 import type {GatewayParts} from './gateway-parts.js';
 import {acquireForRead, type AcquiredLink, type LinkRequest} from './acquire-link.js';
+import {createSecondAttempts} from './second-attempts.js';
 import {refuse, type StatementResult} from './statement-result.js';
 
 /** A statement outside a transaction. */
@@ -21,13 +22,13 @@
 const HEDGE_DELAY_FACTOR = 6;
 const MIN_HEDGE_DELAY_MS = 150;
 
-/** Retry-after of a read that found no endpoint, in milliseconds: time for two confirmations of the leadership records. */
+/** Retry-after of a read that found no endpoint, where no pool gave one, in milliseconds: time for two confirmations of the leadership records. */
 const RETRY_AFTER_MS = 300;
 
 type TryOutcome =
 	| {readonly kind: 'answer'; readonly answer: EndpointAnswer}
 	/** There was no answer, or the endpoint did not run the read; another endpoint may. */
-	| {readonly kind: 'again'; readonly reason: string};
+	| {readonly kind: 'again'; readonly reason: string; readonly reachedInMs?: number};
 
 /** Runs a read outside a transaction. Sends it to a further endpoint where one does not answer, since a read may run twice. */
 export async function runRead(parts: GatewayParts, budget: RetryBudget, single: SingleStatement): Promise<StatementResult> {
@@ -36,22 +37,28 @@
 	const {until, route} = single.req;
 	const underWay = new Set<Promise<TryOutcome>>();
 	let lastReason: string = AnswerCode.Overloaded;
-	budget.noteFresh(clock.now());
+	const attempts = createSecondAttempts(parts, budget, single.req.trace);
+	attempts.noteArrived();
 
 	/**
 	 * Notes an endpoint that was tried, and pauses where it had been tried before. Guards against a read that only one endpoint may serve, such as the primary:
 	 * refused at once each time, it would be sent there in a busy loop until its timeout.
 	 */
-	const noteTried = async (endpointId: string | undefined) => {
-		if (endpointId === undefined) {
-			return;
-		}
+	const noteTried = async (acquired: AcquiredLink | undefined, outcome: TryOutcome | undefined) => {
+		const endpoint = acquired?.endpoint.entry.id;
+		// A replica whose catch-up is predicted is a candidate again at the predicted time.
+		const isPredicted = outcome?.kind === 'again' && outcome.reachedInMs !== undefined;
+		if (endpoint !== undefined && !isPredicted) {
+			if (excluded.has(endpoint)) {
+				await clock.sleep(Math.min(ROUND_PAUSE_MS, until - clock.now()));
+			}
 
-		if (excluded.has(endpointId)) {
-			await clock.sleep(Math.min(ROUND_PAUSE_MS, until - clock.now()));
+			excluded.add(endpoint);
 		}
 
-		excluded.add(endpointId);
+		log.info('a read is tried again', {
+			id: single.id, group: route.group, endpoint, reason: lastReason, floor: acquired?.floor, leftMs: Math.round(until - clock.now()),
+		});
 	};
 
 	/** Whether the queue timeout has passed with no try under way; a try under way is awaited, since its answer may be ready. */
@@ -68,7 +75,7 @@
 		if (acquired) {
 			underWay.add(startTry(parts, acquired, single));
 		} else if (underWay.size === 0) {
-			if (isOver()) {
+			if (excluded.size === 0 || single.req.trace.queueRefusal) {
 				break;
 			}
 
@@ -81,16 +88,18 @@
 		const hedgeDelayMs = acquired ? getHedgeDelayMs(parts, acquired) : until - clock.now();
 		const outcome = await waitForOutcome(parts, underWay, Math.min(hedgeDelayMs, until - clock.now()));
 		if (outcome?.kind === 'answer') {
+			attempts.noteAnswered();
 			return outcome.answer;
 		}
 
 		lastReason = outcome?.reason ?? 'an endpoint took long';
-		await noteTried(acquired?.endpoint.entry.id);
-		log.info('a read is tried again', {
-			id: single.id, group: route.group, endpoint: acquired?.endpoint.entry.id, reason: lastReason, floor: acquired?.floor, leftMs: Math.round(until - clock.now()),
-		});
+		await noteTried(acquired, outcome);
 		metrics.countRetry(lastReason);
-		if (!outcome && !budget.take(clock.now())) {
+		if (!attempts.mayTryAgain(lastReason, !outcome)) {
+			if (underWay.size === 0) {
+				break;
+			}
+
 			// The retry budget is used up, so no second endpoint gets the read; wait for the answer until the statement's timeout.
 			const late = await waitForOutcome(parts, underWay, until - clock.now());
 			if (late?.kind === 'answer') {
@@ -99,7 +108,11 @@
 		}
 	}
 
-	return refuse(AnswerCode.Overloaded, `${lastReason}; the read left nothing behind`, getRetryAfterMs());
+	return refuseRead(single, lastReason);
+}
+
+function refuseRead({req: {trace}}: SingleStatement, reason: string): StatementResult {
+	return refuse(AnswerCode.Overloaded, `${trace.queueRefusal?.reason ?? reason}; the read left nothing behind`, trace.queueRefusal?.retryAfterMs ?? RETRY_AFTER_MS);
 }
 
 /** Pause before endpoints that were all tried are tried again, in milliseconds: about the usual lag of a replica. */
@@ -133,7 +146,7 @@
 	}
 
 	if (answer.end.kind === 'error' && RETRIED_CODES.has(answer.end.code)) {
-		return {kind: 'again', reason: answer.end.code};
+		return {kind: 'again', reason: answer.end.code, reachedInMs: answer.reachedInMs};
 	}
 
 	if (answer.end.kind === 'complete') {
--- a/src/gateway/run-write.ts
+++ b/src/gateway/run-write.ts
@@ -1,12 +1,14 @@
+import type {RetryBudget} from '../retries/retry-budget.js';
 import {AnswerCode} from '../statements/statement-answer.js';
 import {exchangeStatement} from './exchange.js';
 import type {GatewayParts} from './gateway-parts.js';
 import {mayAcknowledge} from './acknowledge-commit.js';
 import {acquirePrimary} from './acquire-link.js';
 import type {SingleStatement} from './run-read.js';
+import {createWriteAttempts} from './second-attempts.js';
 import {refuse, type StatementResult} from './statement-result.js';
 
-/** Retry-after of a write that found no primary, in milliseconds: a third of a promotion. */
+/** Retry-after of a write that found no primary, where no pool gave one, in milliseconds: a third of a promotion. */
 const RETRY_AFTER_MS = 400;
 
 /** Delay before a refused write is sent again, in milliseconds: the time of a few statements. */
@@ -16,15 +18,18 @@
  * Runs a write outside a transaction. Sends it again only where the endpoint reported that it did not run: a
  * write without an answer may have taken effect, and would be applied twice.
  */
-export async function runWrite(parts: GatewayParts, single: SingleStatement): Promise<StatementResult> {
+export async function runWrite(parts: GatewayParts, budget: RetryBudget, single: SingleStatement): Promise<StatementResult> {
 	const {clock, log, metrics, mirror} = parts;
 	const {id, statement, req} = single;
 	const {group} = req.route;
+	const attempts = createWriteAttempts(parts, budget, req.trace);
 	let lastReason = 'no primary could be used';
+	attempts.noteArrived();
 
 	while (clock.now() < req.until && req.isWanted() && !req.queueTimeout.isOver(clock.now())) {
 		const acquired = await acquirePrimary(parts, req);
 		if (!acquired) {
+			lastReason = req.trace.queueRefusal?.reason ?? lastReason;
 			break;
 		}
 
@@ -43,12 +48,17 @@
 			log.info('a write did not run and is tried again', {
 				id, group, endpoint: acquired.endpoint.entry.id, reason: lastReason, leftMs: Math.round(req.until - clock.now()),
 			});
+			if (!attempts.mayTryAgain(lastReason, false)) {
+				break;
+			}
+
 			metrics.countRetry(lastReason);
 			mirror.confirmSoon();
 			await clock.sleep(BUSY_PAUSE_MS);
 			continue;
 		}
 
+		attempts.noteAnswered();
 		if (answer.end.kind === 'complete') {
 			if (lease && !await mayAcknowledge(parts, lease, id)) {
 				return refuse(AnswerCode.OutcomeUnknown, 'the primary may have been replaced before it wrote');
--- a/src/gateway/schedule-request.ts
+++ b/src/gateway/schedule-request.ts
@@ -21,7 +21,7 @@
 
 	const {route, workspace} = req;
 	const arrivedAt = now - (parts.elapsedClock.elapsed() - req.arrivedAt);
-	const serviceMs = req.single ? getStatementMs(parts, pool, now) : parts.operationTimes.getClassMeanMs(route.name);
+	const serviceMs = req.single ? getStatementMs(parts, req, pool, now) : parts.operationTimes.getClassMeanMs(route.name);
 	const startWithinMs = route.targetLatencyMs - Math.min(serviceMs, route.targetLatencyMs * MAX_SERVICE_SHARE);
 	return {
 		startBy: route.targetLatencyMs === 0 ? undefined : arrivedAt + startWithinMs,
@@ -36,7 +36,7 @@
 	return 1 / (1 + Math.max(0, priority));
 }
 
-function getStatementMs({knowledge}: GatewayParts, pool: EndpointPool, now: number) {
-	const {serviceMs} = pool.getLoad(now);
-	return serviceMs > 0 ? serviceMs : knowledge.getStats(pool.target.endpointId).serviceMs;
+/** Returns the usual time of the statement; from the pool's load where nothing is known by statement. */
+function getStatementMs({estimates}: GatewayParts, {route, statement}: LinkRequest, pool: EndpointPool, now: number) {
+	return estimates?.getUsualMs({group: route.group, database: route.database, shape: statement}) ?? pool.getLoad(now).serviceMs;
 }
--- a/src/gateway/statement-trace.ts
+++ b/src/gateway/statement-trace.ts
@@ -12,13 +12,16 @@
 	/** Total time in milliseconds for which it waited at each endpoint without getting a connection. */
 	readonly unserved: Map<string, number>;
 	/** The last queue that refused it before its time was over, and the endpoint of that queue; undefined where none did. */
-	queueRefusal?: QueueRefusal & {readonly endpoint: string};
+	queueRefusal?: TracedRefusal;
 	/** Epoch of the lease under which a primary was used last. */
 	epoch?: number;
 	/** Log position that the replica used last had to have reached. */
 	floor?: LogPosition;
 };
 
+/** A refusal of a queue; the endpoint of the queue is undefined where no endpoint could serve the statement. */
+export type TracedRefusal = QueueRefusal & {readonly endpoint?: string};
+
 /** Creates an empty trace. */
 export function createStatementTrace(workspace?: string): StatementTrace {
 	return {
@@ -49,7 +52,7 @@
 	};
 }
 
-function describeQueueRefusal({endpoint, reason, predictedWaitMs, retryAfterMs, queued, limit}: QueueRefusal & {readonly endpoint: string}) {
+function describeQueueRefusal({endpoint, reason, predictedWaitMs, retryAfterMs, queued, limit}: TracedRefusal) {
 	return {
 		refusedBy: endpoint, queueReason: reason, predictedWaitMs: Math.round(predictedWaitMs), retryAfterMs: Math.round(retryAfterMs), queued, limit,
 	};
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -16,10 +16,10 @@
 import {createEndpointRooms, type EndpointRooms} from '../endpoint-room/endpoint-rooms.js';
 import {createEndpointDirectory, type EndpointDirectory} from '../links/endpoint-directory.js';
 import type {LinkOpener} from '../links/endpoint-link.js';
+import {createLoadReports, type LoadReports} from '../endpoint-load/load-reports.js';
 import {EndpointZoneLayout} from '../connection-sharing/endpoint-zone-layout.js';
 import {createHostWatch} from '../connection-sharing/host-watch.js';
 import {MonitorLayout} from '../connection-sharing/monitor-layout.js';
-import {createPoolHostLoads, type PoolHostLoads} from '../connection-sharing/pool-host-loads.js';
 import {ExpectedUsePolicy} from '../links/expected-use-policy.js';
 import {createPoolHosts, type PoolHosts} from '../connection-sharing/pool-hosts.js';
 import {createCheckoutServer, type CheckoutServer} from '../connection-sharing/checkout-server.js';
@@ -48,6 +48,7 @@
 import {createRateLimiter, type RateLimiter} from '../workspaces/rate-limiter.js';
 import {createTokenIssuer} from '../workspaces/token-issuer.js';
 import {createTokenSource} from '../workspaces/token-source.js';
+import {createPlacementFeature} from './placement-feature.js';
 import type {ProxyFeatures} from './proxy-features.js';
 
 declare module '../kernel/service-map.js' {
@@ -60,7 +61,7 @@
 		hostRegistration: HostRegistration;
 		endpointDirectory: EndpointDirectory;
 		poolHosts: PoolHosts;
-		poolHostLoads: PoolHostLoads;
+		loadReports: LoadReports;
 		/** Registered with scheduling only. */
 		endpointRooms: EndpointRooms;
 		rateLimiter: RateLimiter;
@@ -162,6 +163,7 @@
 			},
 		})
 		: ownCutOffs;
+	const loadReports = createLoadReports();
 	const layout = scheduling ? new EndpointZoneLayout({poolHosts: scheduling.poolHosts, zoneRegions}) : new SpreadLayout();
 	const poolHosts = createPoolHosts({
 		mirror, hostName, availabilityZone: parts.availabilityZone, layout,
@@ -171,16 +173,18 @@
 			mirror, hostName, availabilityZone: parts.availabilityZone, layout: new MonitorLayout(new EndpointZoneLayout({poolHosts: scheduling.poolHosts, zoneRegions})),
 		})
 		: poolHosts;
+	const placementFeature = scheduling && createPlacementFeature({
+		availabilityZone: parts.availabilityZone, opener, elapsedClock, poolHosts, metrics, log, random, reports: loadReports, roundTrips: regions && {getMs: zone => regions.roundTrips.getMs(zone, elapsedClock.elapsed())},
+	});
 	const unreachable = createUnreachableHosts();
 	const hostWatch = scheduling && createHostWatch({peers, clock});
-	const poolHostLoads = createPoolHostLoads();
 	const waitIds = createWaitIds(peers);
 	const endpointRooms = scheduling && createEndpointRooms({
 		poolHosts, peers, clock, log, ownPeerAddress: peerAddress, roomFactor: scheduling.roomFactor, getEndpoint: endpointId => directory.get(endpointId), onTakeover: metrics.countRoomTakeover,
 	});
 	const directory: EndpointDirectory = createEndpointDirectory({
 		mirror,
-		opener,
+		opener: placementFeature?.opener ?? opener,
 		clock,
 		log,
 		createOrder: scheduling && (() => new UrgencyOrder(scheduling.leastShare, metrics)),
@@ -188,7 +192,7 @@
 		createWindow: endpointRooms?.createWindow,
 		sharePool: (entry, ownPool) => createSharedPool({
 			entry, ownPool, poolHosts, unreachable, peers, clock, ownPeerAddress: peerAddress, scheduling: hostWatch && {
-				loads: poolHostLoads, hostWatch, waitIds, random,
+				loads: loadReports, hostWatch, waitIds, random,
 			},
 		}),
 		createConnectionPolicy: parts.features?.scheduling && (({id, group}) => new ExpectedUsePolicy({
@@ -295,7 +299,10 @@
 		access,
 		rateLimiter,
 		availabilityZone: parts.availabilityZone,
-		placement: parts.placement ?? new CostBasedPlacement(),
+		random,
+		placement: parts.placement ?? placementFeature?.placement ?? new CostBasedPlacement(),
+		estimates: placementFeature?.estimates,
+		crossings: regions && {getShare: zone => regions.links.getCrossingShare(zone, elapsedClock.elapsed())},
 		features: parts.features ?? {},
 		operationTimes: createServiceTime(INITIAL_OPERATION_MS),
 	});
@@ -308,7 +315,8 @@
 
 		const endpointIds = new Set(mirror.state.endpoints.map(({id}) => id));
 		knowledge.keepOnly(endpointIds);
-		poolHostLoads.keepOnly(endpointIds);
+		loadReports.keepOnly(endpointIds);
+		placementFeature?.keepOnly(endpointIds);
 		void registration.ensureRegistered();
 	});
 
@@ -324,7 +332,7 @@
 		kernel.register('endpointRooms', endpointRooms);
 	}
 
-	kernel.register('poolHostLoads', poolHostLoads);
+	kernel.register('loadReports', loadReports);
 	kernel.register('checkoutServer', checkoutServer);
 	kernel.register('rateLimiter', rateLimiter);
 	kernel.register('primaryLeases', primaryLeases);
--- a/tests/connection-sharing/single-place-tests.ts
+++ b/tests/connection-sharing/single-place-tests.ts
@@ -2,7 +2,7 @@
 import type {CheckoutRequest} from '../../src/connection-sharing/checkout-calls.js';
 import {createHostWatch} from '../../src/connection-sharing/host-watch.js';
 import {LeastLoadOrder} from '../../src/connection-sharing/least-load-order.js';
-import {createPoolHostLoads} from '../../src/connection-sharing/pool-host-loads.js';
+import {createLoadReports} from '../../src/endpoint-load/load-reports.js';
 import {createSharedPool, type SharedPoolOptions} from '../../src/connection-sharing/shared-pool.js';
 import {createWaitIds} from '../../src/connection-sharing/wait-ids.js';
 import {createWaitingPlaces} from '../../src/connection-sharing/waiting-places.js';
@@ -43,7 +43,7 @@
 	}
 
 	const peers: Peers = network.addHost('own:7000');
-	const loads = createPoolHostLoads();
+	const loads = createLoadReports();
 	const pool = createSharedPool({
 		entry: {id: 'i-1', group: 'nights'},
 		ownPool: {acquire: async () => undefined},
@@ -88,7 +88,7 @@
 			expect(await use(bench, makeRequest({...own, startBy: 400}))).to.equal(true);
 			expect(bench.calls.length, bench.calls.join(' ')).to.equal(1);
 			expect([bench.requests[0]!.waitMs, bench.requests[0]!.startInMs]).to.deep.equal([900, 400]);
-			expect(bench.loads.get('i-1', bench.calls[0]!.split(' ')[1]!)?.load).to.deep.equal(IDLE);
+			expect(bench.loads.list('i-1').find(({poolHost}) => poolHost === bench.calls[0]!.split(' ')[1])?.load).to.deep.equal(IDLE);
 		});
 
 		/** A request whose pool host knows that it is hopeless would else ask all others, which are as busy, before its caller is told. */
@@ -192,7 +192,7 @@
 
 describe('the order of pool hosts with scheduling', () => {
 	const unreachable = createUnreachableHosts();
-	const loads = createPoolHostLoads();
+	const loads = createLoadReports();
 	const createOrder = (ownPeerAddress = 'own:7000') => new LeastLoadOrder({
 		endpointId: 'i-1', ownPeerAddress, unreachable, hostWatch: {isSilent: () => false}, loads, random: createSeededRandom(3), getOwnLoad: () => IDLE,
 	});
@@ -217,7 +217,7 @@
 
 	/** Guards against statements that go to the busiest pool host as often as to the others, and against a load that counts for ever after its host fell silent. */
 	it('prefers the less loaded of two without a workspace, while the load is recent', () => {
-		loads.note('i-1', 'a:7000', {...IDLE, inFlight: 4, queued: 9}, 5000);
+		loads.note('i-1', {poolHost: 'a:7000', load: {...IDLE, inFlight: 4, queued: 9}, receivedAt: 5000});
 		const order = createOrder();
 		const countFirst = (now: number) => Array.from({length: 300}, () => order.getAddresses(HOSTS, undefined, now)[0]).filter(first => first === 'a:7000').length;
 		expect(countFirst(5100)).to.equal(0);
