Tell copies apart that lack members of a host's record

Cause: a host of an earlier version drops storeRttMs from records that it passes on. Copies with and without it had the same digest, so the member stayed missing, and hosts could disagree about the root for as long as the record did not change. Change: the digest of the hosts' records includes capacity and storeRttMs where they are present; tests of compact contents. Digests of fleets without these members are as before.

--- a/src/mirror/contents-id.ts
+++ b/src/mirror/contents-id.ts
@@ -33,10 +33,18 @@
 		routing: routing?.version ?? 0,
 		endpoints: getDigest(endpoints.map(endpoint => JSON.stringify(Object.entries(endpoint).toSorted(([left], [right]) => compare(left, right))))),
 		leadership: getDigest(duty ? [...records, `/duty ${duty.version}`] : records),
-		hosts: getDigest(hosts.map(({name, version}) => `${name} ${version}`)),
+		hosts: getDigest(hosts.map(host => describeHost(host))),
 	};
 }
 
+/**
+ * Describes a host's record by its version, and by the members that a host of an earlier version drops when it passes the record on. Guards against a copy that lacks them
+ * and counts as equal, so that its host would take another one for the root for as long as the record does not change.
+ */
+function describeHost({name, version, capacity, storeRttMs}: MirrorState['hosts'][number]): string {
+	return [name, version, ...(capacity === undefined ? [] : [`capacity=${capacity}`]), ...(storeRttMs === undefined ? [] : [`rtt=${storeRttMs}`])].join(' ');
+}
+
 /** Returns whether two identifiers stand for the same contents. */
 export function isSameContents(left: ContentsId, right: ContentsId): boolean {
 	return left.routing === right.routing && left.endpoints === right.endpoints && left.leadership === right.leadership && left.hosts === right.hosts;
--- a/tests/mirror/contents-tests.ts
+++ b/tests/mirror/contents-tests.ts
@@ -59,6 +59,14 @@
 		expect(applyStateDifference(base, getContentsId(base), incomplete, 2)).to.equal(undefined);
 	});
 
+	/** A host of an earlier version passes on records without the members that it does not know. A copy without them counted as equal would never be completed. */
+	it('include members of a record that a host of an earlier version dropped', () => {
+		const whole = createState(2, {a: 1});
+		const next = {...whole, hosts: whole.hosts.map(host => ({...host, storeRttMs: 5}))};
+		const difference = getStateDifference(whole, getContentsId(whole), next, getContentsId(next));
+		expect(applyStateDifference(whole, getContentsId(whole), difference, 2)?.hosts[0]?.storeRttMs).to.equal(5);
+	});
+
 	it('keep the identity of unchanged parts', () => {
 		const copy = createMirrorCopy(createSilentLog());
 		copy.adopt(createState(1, {a: 1, b: 1}));
@@ -110,4 +118,28 @@
 	doTest('empty', () => new Uint8Array(0));
 	doTest('damaged', bytes => bytes?.map(byte => byte ^ 0x55));
 	doTest('the first one again', () => createLarge().first.bytes);
+
+	/** Hosts of the same region receive a large change one from another. Each would compress it again, at the cost of its third of a core. */
+	it('in compact form is compressed, sent in small pieces, and forwarded as it was received', async () => {
+		const sender = createContentsSender();
+		const next = createState(1, {a: 1}, 1700);
+		sender.addContents(next, getContentsId(next));
+		const first = sender.getFirstPiece(EMPTY_ID, true);
+		expect([first.size < 20_000, first.bytes.length]).to.deep.equal([true, 8192]);
+		const forwarder = createContentsSender();
+		const received = await createContentsReceiver(createPiecePeers(sender.getPiece), createSilentLog(), forwarder.keep).receive('a:7000', first);
+		forwarder.addContents(next, getContentsId(next));
+		const forwarded = forwarder.getFirstPiece(EMPTY_ID, true);
+		expect(received).to.deep.equal(await createContentsReceiver(createPiecePeers(forwarder.getPiece), createSilentLog()).receive('b:7000', forwarded));
+		expect(forwarded.bytes).to.deep.equal(first.bytes);
+	});
+
+	it('in compact form that is damaged is not applied', async () => {
+		const sender = createContentsSender();
+		const next = createState(1, {a: 1}, 1700);
+		sender.addContents(next, getContentsId(next));
+		const first = sender.getFirstPiece(EMPTY_ID, true);
+		const peers = createPiecePeers((key, offset) => sender.getPiece(key, offset)?.toReversed());
+		expect(await createContentsReceiver(peers, createSilentLog()).receive('a:7000', first)).to.equal(undefined);
+	});
 });
