Let statements wait for a successor that is being promoted, also where the former primary's region is lost

Cause: statements were refused at once while a primary was being replaced, although its successor was often ready in their time. Change: a lost region counts only while the group's record is steady.

--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -135,7 +135,8 @@
 		? createRegionalCutOffs(ownCutOffs, {
 			isPrimaryLost(group) {
 				const record = mirror.state.leadership.get(group);
-				const zone = record && regions.getEndpointZone(record.primaryId);
+				// While the primary is being replaced, a successor that this host reaches may be ready soon.
+				const zone = record?.phase === LeadershipPhase.Steady ? regions.getEndpointZone(record.primaryId) : undefined;
 				return zone !== undefined && regions.links.isLost(zone, elapsedClock.elapsed());
 			},
 			isIsolated(group) {
