Learn the further wait of refused requests without the correction itself

Refused requests were learned from with a further wait that held the learned correction, so the correction fed itself up to its maximum, and requests were refused for seconds after a surge had ended. Change: the further wait counts as the model estimates it.

--- a/src/scheduling/wait-forecast.ts
+++ b/src/scheduling/wait-forecast.ts
@@ -22,12 +22,15 @@
 	readonly correctionClass: number;
 };
 
+/** A waiting request that would start too late, with its further wait as the model estimates it, and with the learned correction, in milliseconds. */
+export type HopelessRequest = Omit<PredictedWait, 'correctionClass'> & {readonly waiter: ScheduledRequest};
+
 /** Predicts how long the requests of a scheduled queue wait. */
 export type WaitForecast = {
 	/** Predicts the wait of one request from what would be served before it, whether it is in the queue or not. */
 	predict(subject: Pick<ScheduledRequest, 'request' | 'order'>, waiting: Iterable<ScheduledRequest>, state: PoolState, now: number): PredictedWait;
 	/** Returns the waiting requests that would start after their time, with their waits: the least urgent ones, since what is refused delays nobody. */
-	findHopeless(waiting: readonly ScheduledRequest[], state: PoolState, now: number): ReadonlyArray<{readonly waiter: ScheduledRequest; readonly waitMs: number}>;
+	findHopeless(waiting: readonly ScheduledRequest[], state: PoolState, now: number): readonly HopelessRequest[];
 	/** Returns the time in which the queue of a level and of those above it is served, in milliseconds. */
 	predictDrainMs(level: number, waiting: Iterable<ScheduledRequest>, state: PoolState, now: number): number;
 	/** Learns from a request that waited. */
@@ -137,7 +140,7 @@
 		findHopeless(waiting, state, now) {
 			const levels = getLevels(waiting);
 			const sorted = rankByTurn(waiting, order, state, now);
-			const hopeless: Array<{waiter: ScheduledRequest; waitMs: number}> = [];
+			const hopeless: HopelessRequest[] = [];
 			let aheadMs = 0;
 			let level: number | undefined;
 			let fraction = 1;
@@ -147,9 +150,10 @@
 					fraction = getFraction(level, levels, state.places, now);
 				}
 
-				const waitMs = estimate(aheadMs, fraction, state) * correction.get(waiter.correctionClass);
+				const modelMs = estimate(aheadMs, fraction, state);
+				const waitMs = modelMs * correction.get(waiter.correctionClass);
 				if (now + waitMs >= waiter.request.until) {
-					hopeless.push({waiter, waitMs});
+					hopeless.push({waiter, modelMs, waitMs});
 				} else {
 					aheadMs += getWork(waiter, state);
 				}
