--- a/src/bench/workspace-links.ts
+++ b/src/bench/workspace-links.ts
@@ -41,7 +41,7 @@
 	'expected use, opened whenever none is free': {patience: 0},
 	'expected use, patience 1': {patience: 1},
 	'expected use, patience 8': {patience: 8},
-	'expected use, rates of 10 s': {timeConstantMs: 10_000},
+	'expected use, rates of 30 s': {timeConstantMs: 30_000},
 	'expected use, whole share kept': {freelyFraction: 1, keptFraction: 1},
 	'expected use, whole share opened': {freelyFraction: 1},
 	'expected use, two thirds opened': {freelyFraction: 2 / 3},
--- a/src/links/workspace-demand.ts
+++ b/src/links/workspace-demand.ts
@@ -17,8 +17,8 @@
 	dropUnused(now: number): void;
 };
 
-/** Default time constant of the decay of the rates, in milliseconds. With 10 s, rarely used workspaces could not be told from each other, and more connections were reopened. */
-const TIME_CONSTANT_MS = 30_000;
+/** Default time constant of the decay of the rates, in milliseconds. With 30 s no fewer connections were opened, and a surge of some seconds would have its effect for longer. */
+const TIME_CONSTANT_MS = 10_000;
 
 /** Fraction by which a new held time changes the smoothed one. */
 const HELD_SMOOTHING = 0.1;
