Never assign a connection that was reset while idle

Cause: a pool that gives idle connections to waiters before it opens one could assign one that the endpoint had ended in the meantime; the statement would have been lost.

Change: closed connections are dropped there, and not chosen for eviction.

--- a/src/links/create-endpoint-pool.ts
+++ b/src/links/create-endpoint-pool.ts
@@ -265,10 +265,20 @@
 	/** Returns whether one may be opened in place of an idle one. That adds none, but by default it is limited as others are. */
 	const mayReplaceOne = (open: number) => connections.sparesOpenings ? budget.mayOpen(clock.now(), open - 1) : mayOpenAnother(open - 1);
 
+	/** Removes and returns an idle connection of the request's workspace that is still open. */
+	const takeOwnIdle = ({values, workspace}: AcquireRequest) => {
+		let taken = idle.take(values, workspace);
+		while (taken?.link.closed) {
+			taken = idle.take(values, workspace);
+		}
+
+		return taken;
+	};
+
 	const openForWaiters = () => {
 		const denied = new Set<string | undefined>();
 		for (let next = getUnserved(denied); next && !retired; next = getUnserved(denied)) {
-			const own = connections.sparesOpenings ? idle.take(next.values, next.workspace) : undefined;
+			const own = connections.sparesOpenings ? takeOwnIdle(next) : undefined;
 			if (own) {
 				assignTo(next, own);
 				continue;
--- a/src/links/expected-use-policy.ts
+++ b/src/links/expected-use-policy.ts
@@ -105,7 +105,7 @@
 			return undefined;
 		}
 
-		const least = this.#getLeastUsed(idle.filter(({sessionLink}) => sessionLink.workspace !== workspace && !this.events.isUnused(sessionLink, now - UNUSED_MS)), now);
+		const least = this.#getLeastUsed(idle.filter(({sessionLink}) => sessionLink.workspace !== workspace && !sessionLink.link.closed && !this.events.isUnused(sessionLink, now - UNUSED_MS)), now);
 		if (!least) {
 			return undefined;
 		}
--- a/tests/links/expected-use-policy-tests.ts
+++ b/tests/links/expected-use-policy-tests.ts
@@ -2,13 +2,14 @@
 import {createBusyEndpoint} from '../../src/bench/workspace-links/busy-endpoint.js';
 import {COMPETING_WORKSPACES, SILENT_CONNECTION_METRICS} from '../../src/bench/workspace-links/competing-workspaces.js';
 import {simulatePoolHosts} from '../../src/bench/workspace-links/simulate-pool-hosts.js';
+import type {CongestionWindow} from '../../src/links/congestion-window.js';
 import {createEndpointPool} from '../../src/links/create-endpoint-pool.js';
 import {ExpectedUsePolicy} from '../../src/links/expected-use-policy.js';
 import {createSilentLog} from '../../src/log/silent-log.js';
 import {createVirtualClock} from '../../src/stand-ins/time/virtual-clock.js';
 
 /** Creates a pool with a share of 18 connections to an endpoint with four slots; `maxConnections` is the endpoint's real limit. */
-function createBench(maxConnections = 56) {
+function createBench(maxConnections = 56, window?: CongestionWindow) {
 	const clock = createVirtualClock(undefined, {drainRounds: 1});
 	const endpoint = createBusyEndpoint({
 		clock, slots: 4, queue: 32, maxConnections, openMs: 12, oneWayMs: 0.5,
@@ -25,6 +26,7 @@
 		opener: endpoint.opener,
 		clock,
 		log: createSilentLog(),
+		window,
 		connections: new ExpectedUsePolicy({
 			metrics: {...SILENT_CONNECTION_METRICS, countOpening: count, countEviction: count},
 			onSummary: summary => summaries.push(summary),
@@ -163,6 +165,19 @@
 		expect(bench.causes).to.deep.equal(['first', 'reopened']);
 	});
 
+	/** The endpoint ended an idle connection while a request of its workspace waited for the concurrency limit; sent on that connection, the statement would be lost. */
+	it('are not assigned to a waiting request once they were reset while idle', async () => {
+		const bench = createBench(56, {size: 1, noteServed() {}, noteRejected() {}}); // eslint-disable-line @typescript-eslint/no-empty-function
+		const idle = await bench.clock.runUntil(bench.acquire('north'));
+		bench.pool.release(idle!);
+		const south = await bench.clock.runUntil(bench.acquire('south'));
+		const waiting = bench.acquire('north');
+		idle!.link.cut();
+		bench.pool.release(south!);
+		const assigned = await bench.clock.runUntil(waiting);
+		expect(assigned?.link.closed).to.equal(false);
+	});
+
 	/** A caller idles in a transaction for seconds; a statement of its workspace must not wait for that connection. */
 	it('are opened beside one that is idle in a transaction', async () => {
 		const bench = createBench();
