--- a/src/links/arrival-queue.ts
+++ b/src/links/arrival-queue.ts
@@ -57,10 +57,20 @@
 		return getNextWaiter(policy.chooseOpenings(unserved, clock.now()), usage.count);
 	};
 
+	/** Removes and returns an idle connection of the request's workspace that is still open. */
+	const takeOwnIdle = ({values, workspace}: AcquireRequest) => {
+		let taken = idle.take(values, workspace);
+		while (taken?.link.closed) {
+			taken = idle.take(values, workspace);
+		}
+
+		return taken;
+	};
+
 	const openForWaiters = () => {
 		const denied = new Set<string | undefined>();
 		for (let next = getUnserved(denied); next && !connections.retired; next = getUnserved(denied)) {
-			const own = policy.sparesOpenings ? idle.take(next.values, next.workspace) : undefined;
+			const own = policy.sparesOpenings ? takeOwnIdle(next) : undefined;
 			if (own) {
 				assignTo(next, own);
 			} else if (!connections.tryOpen(next.workspace)) {
