Refuse reads that no endpoint can serve in time, and describe the placement

Cause: a read waited for a lagging replica until its deadline where the load of the replica was unknown, and attempts that no endpoint saw used up the retry budget.

--- a/src/bench/site-load.ts
+++ b/src/bench/site-load.ts
@@ -2,11 +2,17 @@
 import type {
 	Experiment, ExperimentOptions, ExperimentResult, Measure, Plot, PlotSeries, Variant,
 } from './experiment.js';
-import {BASELINE_PLACEMENTS, COST_BASED, type PlacementPolicy} from './site-load/placements.js';
+import {
+	BASELINE_PLACEMENTS, COMPLETION_TIME, COST_BASED, COST_BASED_WITH_ESTIMATES, LOWEST_TIME, type PlacementPolicy,
+} from './site-load/placements.js';
+import {createFaultMeasures, FAULT_DAYS} from './site-load/fault-measures.js';
 import {simulateSite, type SiteRun} from './site-load/simulate-site.js';
 import type {RequestOutcome} from './site-load/site-callers.js';
-import {FILINGS, SLEEP_LOGS, type SiteShape} from './site-load/site-shapes.js';
+import {
+	FILINGS, PARCELS, SLEEP_LOGS, type SiteShape,
+} from './site-load/site-shapes.js';
 import {SITE_DAY} from './site-load/site-phases.js';
+import {getCredit} from './site-load/credit.js';
 import {createMeasure} from './statistics.js';
 
 /** Simulates the requests of both sites during bursts and with slow, lagging and crashed servers, for each read placement, in virtual time. */
@@ -42,6 +48,18 @@
 		});
 	}
 
+	for (const placement of [COST_BASED, COMPLETION_TIME, LOWEST_TIME, COST_BASED_WITH_ESTIMATES]) {
+		for (const {name, day} of FAULT_DAYS) {
+			const results: SiteRun[] = [];
+			for (const seed of options.seeds) {
+				results.push(await simulateSite(PARCELS, day, placement, seed));
+			}
+
+			measures.set(placement, [...measures.get(placement) ?? [], ...createFaultMeasures(name, day, results)]);
+			options.report(`${PARCELS.name}, ${name}: ${placement.name}: credit ${results.map(({outcomes}) => getCredit(outcomes).toFixed(3)).join(' ')}`);
+		}
+	}
+
 	const [product, ...others] = [...measures].map(([{name}, list]): Variant => ({name, measures: list}));
 	return {
 		name: siteLoad.name,
@@ -54,20 +72,6 @@
 	};
 }
 
-/** Returns the credit that requests earned by their response times, as a share (0 to 1) of the maximum; 1 if there are no requests. */
-export function getCredit(outcomes: readonly RequestOutcome[]): number {
-	let earned = 0;
-	let total = 0;
-	for (const {shape, tookMs} of outcomes) {
-		total += shape.value;
-		if (tookMs !== undefined && tookMs <= shape.deadlineMs) {
-			earned += tookMs <= shape.targetLatencyMs ? shape.value : shape.lateValue;
-		}
-	}
-
-	return total === 0 ? 1 : earned / total;
-}
-
 function createMeasures(site: SiteShape, results: readonly SiteRun[]): readonly Measure[] {
 	const measure = (name: string, unit: string, get: (result: SiteRun) => number) => createMeasure(`${site.name}: ${name}`, unit, results.map(result => get(result)));
 	return [
--- a/src/connection-sharing/remote-read.ts
+++ b/src/connection-sharing/remote-read.ts
@@ -39,7 +39,9 @@
 /** Timeout for a heartbeat of a pool host whose answer is late, in milliseconds. */
 const HEARTBEAT_TIMEOUT_MS = 150;
 
-const DID_NOT_RUN: EndpointAnswer = {rows: [], end: {kind: 'error', code: AnswerCode.Overloaded, text: 'no lender had a connection; nothing ran'}, state: SessionState.Idle};
+const DID_NOT_RUN: EndpointAnswer = {
+	rows: [], end: {kind: 'error', code: AnswerCode.Overloaded, text: 'no lender had a connection; nothing ran'}, state: SessionState.Idle, unsent: true,
+};
 
 type Run = PeerCalls['loan-run']['res'];
 
--- a/src/gateway/acquire-link.ts
+++ b/src/gateway/acquire-link.ts
@@ -11,11 +11,12 @@
 import {createSleepAlarm} from '../time/sleep-alarm.js';
 import type {Workspace} from '../workspaces/workspace.js';
 import type {GatewayParts} from './gateway-parts.js';
+import {createHopelessRefusal} from './hopeless-refusal.js';
 import type {QueueTimeout} from './queue-timeout.js';
 import {getReadCandidates} from './read-candidates.js';
 import {fetchFloor, getFloor, refreshSamples} from './read-floors.js';
 import type {SessionMemory} from './session-memory.js';
-import type {StatementTrace, TracedRefusal} from './statement-trace.js';
+import type {StatementTrace} from './statement-trace.js';
 
 /** A connection to an endpoint, acquired for one statement or transaction. */
 export type AcquiredLink = {
@@ -72,10 +73,6 @@
  */
 const MAX_WAIT_AT_ONE_ENDPOINT_MS = 100;
 
-/** Bounds of the retry-after of a read that no endpoint can serve in time, in milliseconds: the loads that it depends on are known for one second. */
-const MIN_HOPELESS_RETRY_MS = 50;
-const MAX_HOPELESS_RETRY_MS = 1000;
-
 /** Maximum wait before leases and endpoints are checked again, in milliseconds. */
 const RECHECK_MS = 50;
 
@@ -153,25 +150,13 @@
 		const chosen = parts.placement.choose(left, getTimeLeft(parts, req));
 		const endpoint = chosen && parts.directory.get(chosen.endpointId);
 		if (!endpoint) {
-			// A read whose primary is being replaced may still be served, so it is refused only where its primary is known.
-			const isPrimaryKnown = parts.estimates !== undefined && candidates.some(({isPrimary}) => isPrimary);
-			if (refusedBy.size > 0 || (isPrimaryKnown && timedOutEndpoints.size === 0)) {
-				req.trace.refusal ??= createHopelessRefusal(parts, req, candidates);
-				return undefined;
-			}
-
-			if (timedOutEndpoints.size > 0) {
-				timedOutEndpoints.clear();
-				await nextTurn();
+			if (await waitForCandidate(parts, req, {
+				startedAt, timedOutEndpoints, refusedBy, candidates,
+			})) {
 				continue;
 			}
 
-			if ((req.excluded?.size ?? 0) > 0 || isIsolatedTooLong(parts, startedAt)) {
-				return undefined;
-			}
-
-			await waitForChange(parts, req);
-			continue;
+			return undefined;
 		}
 
 		if (await waitForCatchUp(parts, req, chosen)) {
@@ -222,10 +207,44 @@
 	return false;
 }
 
+type ReadWithoutEndpoint = {
+	readonly startedAt: number;
+	readonly timedOutEndpoints: Set<string>;
+	readonly refusedBy: ReadonlySet<string>;
+	readonly candidates: readonly ReadCandidate[];
+};
+
+/** Waits where no endpoint can serve a read now; returns false where the read has to be given up, with its refusal in the trace where that is known to be due to load. */
+async function waitForCandidate(parts: GatewayParts, req: LinkRequest, {startedAt, timedOutEndpoints, refusedBy, candidates}: ReadWithoutEndpoint): Promise<boolean> {
+	// A read whose primary is being replaced may still be served, so it is refused only where its primary is known.
+	const isPrimaryKnown = parts.estimates !== undefined && candidates.some(({isPrimary}) => isPrimary);
+	if (refusedBy.size > 0 || (isPrimaryKnown && timedOutEndpoints.size === 0)) {
+		req.trace.refusal ??= createHopelessRefusal(candidates, req.until, parts.clock.now());
+		return false;
+	}
+
+	if (timedOutEndpoints.size > 0) {
+		timedOutEndpoints.clear();
+		await nextTurn();
+		return true;
+	}
+
+	if ((req.excluded?.size ?? 0) > 0 || isIsolatedTooLong(parts, startedAt)) {
+		return false;
+	}
+
+	await waitForChange(parts, req);
+	return true;
+}
+
 /** Returns the time that a read has left, where reads are placed by it. */
-function getTimeLeft({estimates, clock}: GatewayParts, {targetAt, until}: LinkRequest) {
+function getTimeLeft({estimates, clock}: GatewayParts, {targetAt, until, queueTimeout}: LinkRequest) {
+	if (!estimates) {
+		return undefined;
+	}
+
 	const now = clock.now();
-	return estimates && {targetMs: targetAt - now, limitMs: until - now};
+	return {targetMs: targetAt - now, limitMs: Math.min(until, queueTimeout.start(now)) - now};
 }
 
 /** Returns how long a read waits for a connection to an endpoint while others could serve it, in milliseconds. */
@@ -239,17 +258,6 @@
 	return Math.max(MAX_WAIT_AT_ONE_ENDPOINT_MS, Math.min(...others.map(other => getCompletionMs(other))));
 }
 
-/** Returns the refusal of a read that no candidate can serve in time. */
-function createHopelessRefusal(parts: GatewayParts, {until}: LinkRequest, candidates: readonly ReadCandidate[]): TracedRefusal {
-	const predictedWaitMs = Math.min(...candidates.map(candidate => getCompletionMs(candidate)));
-	const excessMs = Number.isFinite(predictedWaitMs) ? predictedWaitMs - (until - parts.clock.now()) : MAX_HOPELESS_RETRY_MS;
-	return {
-		reason: 'no endpoint can serve the read in time',
-		predictedWaitMs: Number.isFinite(predictedWaitMs) ? predictedWaitMs : MAX_HOPELESS_RETRY_MS,
-		retryAfterMs: Math.min(MAX_HOPELESS_RETRY_MS, Math.max(MIN_HOPELESS_RETRY_MS, excessMs)),
-	};
-}
-
 type AcquireTarget = {
 	readonly endpoint: KnownEndpoint;
 	readonly lease?: PrimaryLease;
--- a/src/gateway/run-read.ts
+++ b/src/gateway/run-read.ts
@@ -28,7 +28,7 @@
 type TryOutcome =
 	| {readonly kind: 'answer'; readonly answer: EndpointAnswer}
 	/** There was no answer, or the endpoint did not run the read; another endpoint may. */
-	| {readonly kind: 'again'; readonly reason: string; readonly reachedInMs?: number};
+	| {readonly kind: 'again'; readonly reason: string; readonly reachedInMs?: number; readonly unsent?: true};
 
 /** Runs a read outside a transaction. Sends it to a further endpoint where one does not answer, since a read may run twice. */
 export async function runRead(parts: GatewayParts, budget: RetryBudget, single: SingleStatement): Promise<StatementResult> {
@@ -37,7 +37,7 @@
 	const {until, route} = single.req;
 	const underWay = new Set<Promise<TryOutcome>>();
 	let lastReason: string = AnswerCode.Overloaded;
-	const attempts = createSecondAttempts(parts, budget, single.req.trace);
+	const attempts = createSecondAttempts(parts, budget);
 	attempts.noteArrived();
 
 	/**
@@ -91,7 +91,7 @@
 		lastReason = outcome?.reason ?? 'an endpoint took long';
 		await noteTried(acquired, outcome);
 		metrics.countRetry(lastReason);
-		if (!attempts.mayTryAgain(lastReason, !outcome)) {
+		if (!attempts.mayTryAgain(outcome?.reason, outcome?.unsent === true)) {
 			if (underWay.size === 0) {
 				break;
 			}
@@ -142,7 +142,9 @@
 	}
 
 	if (answer.end.kind === 'error' && RETRIED_CODES.has(answer.end.code)) {
-		return {kind: 'again', reason: answer.end.code, reachedInMs: answer.reachedInMs};
+		return {
+			kind: 'again', reason: answer.end.code, reachedInMs: answer.reachedInMs, unsent: answer.unsent,
+		};
 	}
 
 	if (answer.end.kind === 'complete') {
--- a/src/gateway/run-write.ts
+++ b/src/gateway/run-write.ts
@@ -22,7 +22,7 @@
 	const {clock, log, metrics, mirror} = parts;
 	const {id, statement, req} = single;
 	const {group} = req.route;
-	const attempts = createWriteAttempts(parts, budget, req.trace);
+	const attempts = createWriteAttempts(parts, budget);
 	let lastReason = 'no primary could be used';
 	attempts.noteArrived();
 
@@ -48,7 +48,7 @@
 			log.info('a write did not run and is tried again', {
 				id, group, endpoint: acquired.endpoint.entry.id, reason: lastReason, leftMs: Math.round(req.until - clock.now()),
 			});
-			if (!attempts.mayTryAgain(lastReason, false)) {
+			if (!attempts.mayTryAgain(lastReason, answer.unsent === true)) {
 				break;
 			}
 
--- a/src/placement/completion-time-placement.ts
+++ b/src/placement/completion-time-placement.ts
@@ -50,8 +50,8 @@
 			hasReplica(preferred) && admitted.length === 0 ? preferred : admitted,
 			inTarget,
 			timed.filter(({ms}) => ms <= limitMs),
-			// An estimate that no recent report supports must not refuse a read: its result would never be corrected.
-			timed.filter(({candidate: {estimate}}) => !estimate?.isKnown),
+			// A wait that no recent report supports must not refuse a read: the figure would never be corrected.
+			timed.filter(({candidate: {catchUpMs, estimate}}) => !estimate?.isKnown && catchUpMs <= limitMs),
 		];
 		return this.chooseNearBest(choices.find(choice => choice.length > 0) ?? []);
 	}
--- a/src/placement/gate-replicas.ts
+++ b/src/placement/gate-replicas.ts
@@ -56,6 +56,7 @@
 					state: SessionState.Idle,
 					position: progress.held,
 					reachedInMs: toFinite(reachedInMs),
+					unsent: true,
 				};
 			}
 
--- a/src/statements/statement-answer.ts
+++ b/src/statements/statement-answer.ts
@@ -55,6 +55,8 @@
 	readonly position?: LogPosition;
 	/** Predicted time until the endpoint holds the floor for which it refused a read as lagging, in milliseconds; undefined where none is predicted. */
 	readonly reachedInMs?: number;
+	/** Set where a proxy answered in place of the endpoint, so that the request took none of the endpoint's time as far as is known. */
+	readonly unsent?: true;
 };
 
 /** Whether the endpoint refused for overload; nothing ran then. */
--- a/tests/bench/site-load-tests.ts
+++ b/tests/bench/site-load-tests.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {getCredit} from '../../src/bench/site-load.js';
+import {getCredit} from '../../src/bench/site-load/credit.js';
 import {FIXED_PENALTIES, COST_BASED, type PlacementPolicy} from '../../src/bench/site-load/placements.js';
 import {simulateSite} from '../../src/bench/site-load/simulate-site.js';
 import {SLEEP_LOGS} from '../../src/bench/site-load/site-shapes.js';
