--- a/src/connection-sharing/remote-read.ts
+++ b/src/connection-sharing/remote-read.ts
@@ -44,7 +44,9 @@
 /** Timeout for a read at a pool host, in milliseconds: the sender of a read bounds it by a far shorter time. */
 const RUN_TIMEOUT_MS = 8000;
 
-const DID_NOT_RUN: EndpointAnswer = {rows: [], end: {kind: 'error', code: AnswerCode.Overloaded, text: 'no lender had a connection; nothing ran'}, state: SessionState.Idle};
+const DID_NOT_RUN: EndpointAnswer = {
+	rows: [], end: {kind: 'error', code: AnswerCode.Overloaded, text: 'no lender had a connection; nothing ran'}, state: SessionState.Idle, unsent: true,
+};
 
 type Run = PeerCalls['loan-run']['res'];
 
