Send a request that can run at once also to an endpoint that is quiet

Cause: while one slow statement alone was in flight, a pool host refused all requests because the endpoint sent nothing, and so no answer could show that it was alive.

Change: a request is refused for that reason only where it would have to wait.

--- a/src/connection-sharing/waiting-places.ts
+++ b/src/connection-sharing/waiting-places.ts
@@ -45,7 +45,7 @@
 	 */
 	const waitWatched = async (pool: EndpointPool, request: CheckoutRequest, remoteHost: string, watch: HostWatch): Promise<WaitResult> => {
 		const isStalled = () => clock.now() - (pool.health.awaitingSince ?? Number.POSITIVE_INFINITY) > STALLED_AFTER_MS;
-		if (isStalled()) {
+		if (isStalled() && isFull(pool, clock.now())) {
 			return {};
 		}
 
@@ -109,6 +109,15 @@
 	};
 }
 
+/**
+ * Returns whether a new request would have to wait. One that can run at once is sent also where the endpoint has not responded for a while: its answer shows that only a slow statement was in
+ * flight.
+ */
+function isFull(pool: EndpointPool, now: number): boolean {
+	const {inFlight, limit} = pool.getLoad(now);
+	return inFlight >= limit;
+}
+
 function toAcquireRequest({priority, waitMs, startInMs, values, workspace, single, least: minPosition}: CheckoutRequest, now: number) {
 	return {
 		priority,
--- a/tests/connection-sharing/single-place-tests.ts
+++ b/tests/connection-sharing/single-place-tests.ts
@@ -166,6 +166,25 @@
 		expect(sessionLink).to.not.equal(undefined);
 	});
 
+	/**
+	 * One statement takes long and nothing else is in flight, so that the endpoint sends nothing. If requests were not sent for that reason, no answer could show that it is alive. They leave only
+	 * where they would have to wait, as at a pool host that is cut off from the endpoint.
+	 */
+	it('is refused where the endpoint has not responded for a while, but only if there is none free', async () => {
+		const clock = createVirtualClock(1000);
+		const places = createWaitingPlaces({clock, hostWatch: createHostWatch({peers: createPeerNetwork(clock).addHost('own:7000'), clock})});
+		const granted: boolean[] = [];
+		for (const inFlight of [1, 4]) {
+			const pool = {health: {awaitingSince: 700}, getLoad: () => ({...IDLE, inFlight}), acquire: async () => ({})} as unknown as EndpointPool;
+			const {sessionLink} = await clock.runUntil(places.wait(pool, {
+				endpointId: 'i-1', priority: 1, waitMs: 300, values: [], single: true,
+			}, 'remote:7000'));
+			granted.push(sessionLink !== undefined);
+		}
+
+		expect(granted).to.deep.equal([true, false]);
+	});
+
 	/** Guards against connections that are acquired, and opened, for hosts that have died or whose callers have left, and a connection that is lost to the pool if it comes later. */
 	for (const [name, end, withinMs] of [
 		['the remote host has died', ({network}) => {
