Keep no place of a budget for a pool host that is known to have failed

Cause: the allocator kept one place for each listed pool host, so that an endpoint got 5 of 6 statements until the list of hosts had changed, for as long as the store is down.

Change: no place is kept for a host that does not respond to the allocator.

--- a/src/endpoint-room/endpoint-rooms.ts
+++ b/src/endpoint-room/endpoint-rooms.ts
@@ -47,6 +47,8 @@
 	/** Budget of an endpoint as a multiple of its slots. */
 	readonly roomFactor: number;
 	getEndpoint(endpointId: string): KnownEndpoint | undefined;
+	/** Returns whether the host at `ip:port` did not respond to this host recently; no place of a budget is kept for it. */
+	isFailed(peerAddress: string): boolean;
 	/** Called where an allocator does not respond, so that the next pool host is asked. */
 	onTakeover(): void;
 };
@@ -83,7 +85,7 @@
 };
 
 /** Creates the budgets; nothing is sent for an endpoint at which this host has no work. */
-export function createEndpointRooms({poolHosts, peers, clock, log: parentLog, ownPeerAddress, roomFactor, getEndpoint, onTakeover}: EndpointRoomsOptions): EndpointRooms {
+export function createEndpointRooms({poolHosts, peers, clock, log: parentLog, ownPeerAddress, roomFactor, getEndpoint, isFailed, onTakeover}: EndpointRoomsOptions): EndpointRooms {
 	const log = parentLog.withPrefix('room: ');
 	const rooms = new Map<string, Room>();
 	const reporting = new Set<Room>();
@@ -150,6 +152,12 @@
 		return {inFlight: load?.inFlight ?? 0, queued: load?.queued ?? 0};
 	};
 
+	/** Returns the share that this host, as the allocator, grants to a host that has just reported. */
+	const getShare = (room: Room, host: string, now: number) => {
+		const running = getAddresses(room).filter(address => !room.share.isSkipped(address) && (address === ownPeerAddress || !isFailed(address)));
+		return room.reports.getShare(host, running, room.total, now);
+	};
+
 	const noteAllocator = (room: Room, allocator: string) => {
 		if (room.allocator !== undefined && room.allocator !== allocator) {
 			log.info('another pool host allocates the budget of an endpoint', {
@@ -217,7 +225,7 @@
 		const until = sentAt + (everyMs * GRANT_INTERVALS);
 		if (allocator === ownPeerAddress) {
 			room.reports.note(ownPeerAddress, {...demand, everyMs}, sentAt);
-			room.share.noteGranted(room.reports.getShare(ownPeerAddress, addresses, room.total, sentAt), until);
+			room.share.noteGranted(getShare(room, ownPeerAddress, sentAt), until);
 			return;
 		}
 
@@ -302,7 +310,7 @@
 		const addresses = getAddresses(room);
 		room.reports.note(host, reported, now);
 		const isAllocator = room.share.getAllocator(addresses) === ownPeerAddress || !room.share.isGranted(now);
-		return {limit: isAllocator ? room.reports.getShare(host, addresses, room.total, now) : getEqualShare(room.entry)};
+		return {limit: isAllocator ? getShare(room, host, now) : getEqualShare(room.entry)};
 	};
 
 	peers.handle('room-report', async (reported, from) => grant(reported, from.address));
--- a/src/endpoint-room/room-reports.ts
+++ b/src/endpoint-room/room-reports.ts
@@ -6,7 +6,7 @@
 export type RoomReports = {
 	/** Notes the report of the host at `ip:port`. */
 	note(host: string, report: Pick<RoomReport, 'inFlight' | 'queued' | 'everyMs'>, now: number): void;
-	/** Returns the share of a host that has just reported, out of a budget of `total`; `poolHosts` are the addresses of all pool hosts of the endpoint. */
+	/** Returns the share of a host that has just reported, out of a budget of `total`; `poolHosts` are the addresses of the pool hosts for which a place is kept. */
 	getShare(host: string, poolHosts: readonly string[], total: number, now: number): number;
 };
 
--- a/src/endpoint-room/room-share.ts
+++ b/src/endpoint-room/room-share.ts
@@ -6,6 +6,8 @@
 	isGranted(now: number): boolean;
 	/** Returns the `ip:port` of the allocator: the first of the pool hosts, in order of rank, that is not skipped. */
 	getAllocator(poolHosts: readonly string[]): string | undefined;
+	/** Returns whether the pool host did not respond as the allocator, and has not responded to a probe since. */
+	isSkipped(poolHost: string): boolean;
 	/** Returns a pool host ranked before the allocator that was skipped and is due to be asked whether it responds again; undefined where there is none. */
 	takeProbe(poolHosts: readonly string[], now: number): string | undefined;
 	/** Notes a grant in response to a report, in force until the steady time `until`. */
@@ -50,6 +52,7 @@
 		getLimit: (equalShare, now) => isGranted(now) ? grant!.limit : equalShare,
 		isGranted,
 		getAllocator: poolHosts => poolHosts.find(poolHost => !skips.has(poolHost)) ?? poolHosts[0],
+		isSkipped: poolHost => skips.has(poolHost),
 		takeProbe(poolHosts, now) {
 			for (const poolHost of poolHosts) {
 				const skipped = skips.get(poolHost);
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -133,7 +133,15 @@
 	const poolHostLoads = createPoolHostLoads();
 	const waitIds = createWaitIds(peers);
 	const endpointRooms = scheduling && createEndpointRooms({
-		poolHosts, peers, clock, log, ownPeerAddress: peerAddress, roomFactor: scheduling.roomFactor, getEndpoint: endpointId => directory.get(endpointId), onTakeover: metrics.countRoomTakeover,
+		poolHosts,
+		peers,
+		clock,
+		log,
+		ownPeerAddress: peerAddress,
+		roomFactor: scheduling.roomFactor,
+		getEndpoint: endpointId => directory.get(endpointId),
+		isFailed: address => unreachable.has(address, clock.now()) || hostWatch?.isSilent(address) === true,
+		onTakeover: metrics.countRoomTakeover,
 	});
 	const directory: EndpointDirectory = createEndpointDirectory({
 		mirror,
