Check waiting requests without the learned correction, and bring the timer forward without a check

Cause: the timer ran a check, which sorts, whenever an arrival brought it forward. Change: bringing the timer forward only shortens its sleep. The correction applies on arrival only; checks of waiting requests use the estimate, which is made anew each time.

--- a/src/scheduling/latest-start-timer.ts
+++ b/src/scheduling/latest-start-timer.ts
@@ -29,13 +29,19 @@
 	/** Time at which the timer fires; undefined while it is stopped. */
 	let wakeAt: number | undefined;
 	let sleep = createSleepAlarm();
+	/** Whether the sleep was ended only to sleep for a shorter time. */
+	let isBroughtForward = false;
 
 	const run = async () => {
 		wakeAt = getNextAt();
 		while (wakeAt !== undefined) {
 			sleep = createSleepAlarm();
+			isBroughtForward = false;
 			await clock.sleep(Math.max(MIN_SLEEP_MS, Math.ceil(wakeAt - clock.now())), sleep);
-			onDue(clock.now());
+			if (!isBroughtForward) {
+				onDue(clock.now());
+			}
+
 			wakeAt = getNextAt();
 		}
 	};
@@ -45,10 +51,13 @@
 			if (wakeAt === undefined) {
 				void run();
 			} else if (at < wakeAt) {
+				wakeAt = at;
+				isBroughtForward = true;
 				sleep.abort();
 			}
 		},
 		fireNow() {
+			isBroughtForward = false;
 			sleep.abort();
 		},
 	};
--- a/src/scheduling/scheduled-queue.ts
+++ b/src/scheduling/scheduled-queue.ts
@@ -162,12 +162,11 @@
 		// A free place is used whatever the prediction says; otherwise a recovery of the endpoint would not be noticed.
 		if (!wasSuspended && waiting.size > 0 && !connections.mayAcquire({single: true})) {
 			const learnedClasses = new Set<number>();
-			for (const {waiter, modelMs, waitMs} of forecast.findHopeless([...waiting], getState(now), now)) {
+			for (const {waiter, waitMs} of forecast.findHopeless([...waiting], getState(now), now)) {
 				// Without these, the correction would be learned only from requests that were served, whose waits are shorter. Requests that are refused together have one cause and count once.
-				// The further wait counts without the correction: learned from itself, the correction rose to its maximum, and requests were refused for seconds after an overload.
 				if (!learnedClasses.has(waiter.correctionClass)) {
 					learnedClasses.add(waiter.correctionClass);
-					learn(waiter, now - waiter.since + modelMs);
+					learn(waiter, now - waiter.since + waitMs);
 				}
 
 				refuse(waiter, RefusalCause.Overtaken, waitMs, now);
--- a/src/scheduling/wait-forecast.ts
+++ b/src/scheduling/wait-forecast.ts
@@ -22,14 +22,17 @@
 	readonly correctionClass: number;
 };
 
-/** A waiting request that would start too late, with its further wait as the model estimates it, and with the learned correction, in milliseconds. */
-export type HopelessRequest = Omit<PredictedWait, 'correctionClass'> & {readonly waiter: ScheduledRequest};
+/** A waiting request that would start too late, with its further wait in milliseconds. */
+export type HopelessRequest = {readonly waiter: ScheduledRequest; readonly waitMs: number};
 
 /** Predicts how long the requests of a scheduled queue wait. */
 export type WaitForecast = {
 	/** Predicts the wait of one request from what would be served before it, whether it is in the queue or not. */
 	predict(subject: Pick<ScheduledRequest, 'request' | 'order'>, waiting: Iterable<ScheduledRequest>, state: PoolState, now: number): PredictedWait;
-	/** Returns the waiting requests that would start after their time, with their waits: the least urgent ones, since what is refused delays nobody. */
+	/**
+	 * Returns the waiting requests that would start after their time: the least urgent ones, since what is refused delays nobody. The estimate goes without the correction, since it is made anew as others arrive:
+	 * with it, queues were cut so short that less urgent requests took places which urgent ones had been refused.
+	 */
 	findHopeless(waiting: readonly ScheduledRequest[], state: PoolState, now: number): readonly HopelessRequest[];
 	/** Returns the time in which the queue of a level and of those above it is served, in milliseconds. */
 	predictDrainMs(level: number, waiting: Iterable<ScheduledRequest>, state: PoolState, now: number): number;
@@ -150,10 +153,9 @@
 					fraction = getFraction(level, levels, state.places, now);
 				}
 
-				const modelMs = estimate(aheadMs, fraction, state);
-				const waitMs = modelMs * correction.get(waiter.correctionClass);
+				const waitMs = estimate(aheadMs, fraction, state);
 				if (now + waitMs >= waiter.request.until) {
-					hopeless.push({waiter, modelMs, waitMs});
+					hopeless.push({waiter, waitMs});
 				} else {
 					aheadMs += getWork(waiter, state);
 				}
