--- a/src/connection-sharing/endpoint-zone-layout.ts
+++ b/src/connection-sharing/endpoint-zone-layout.ts
@@ -1,6 +1,8 @@
 import type {HostRecord} from '../leadership/leadership-record.js';
 import {getUnitWeight, hashName, type NameHash} from '../membership/rendezvous.js';
-import type {EndpointKey, PoolHostLayout, PoolHostSelector} from './pool-host-layout.js';
+import {
+	areTooFew, type EndpointKey, type PoolHostLayout, type PoolHostSelector,
+} from './pool-host-layout.js';
 
 type HashedRecord = {
 	readonly host: HostRecord;
@@ -44,9 +46,8 @@
 		this.#zoneRegions = zoneRegions;
 	}
 
-	/** Connections are shared even where each host could keep some of its own: statements can be ordered only where they wait together. */
-	isShared(liveHosts: number): boolean {
-		return liveHosts > this.#poolHosts;
+	isShared(liveHosts: number, connections: number): boolean {
+		return liveHosts > this.#poolHosts && areTooFew(connections, liveHosts);
 	}
 
 	prepare(live: readonly HostRecord[]): PoolHostSelector {
--- a/src/connection-sharing/pool-host-layout.ts
+++ b/src/connection-sharing/pool-host-layout.ts
@@ -14,3 +14,14 @@
 	/** Prepares the selection out of the live hosts; called after each change of the hosts. `ownZone` is the zone of this host. */
 	prepare(live: readonly HostRecord[], ownZone: string): PoolHostSelector;
 }
+
+/**
+ * Minimum share of an endpoint's connections with which each host keeps its own: a host with one connection is blocked by a single transaction, and with less than one each, hosts cause each
+ * other's connections to be rejected.
+ */
+const MIN_SHARE = 2;
+
+/** Returns whether the connections are too few for every one of the hosts to keep some of its own. */
+export function areTooFew(connections: number, hosts: number): boolean {
+	return hosts * MIN_SHARE > Math.max(connections, MIN_SHARE);
+}
--- a/src/connection-sharing/spread-layout.ts
+++ b/src/connection-sharing/spread-layout.ts
@@ -1,20 +1,16 @@
 import type {HostRecord} from '../leadership/leadership-record.js';
 import {createHostRanking} from '../membership/host-ranking.js';
-import type {EndpointKey, PoolHostLayout, PoolHostSelector} from './pool-host-layout.js';
+import {
+	areTooFew, type EndpointKey, type PoolHostLayout, type PoolHostSelector,
+} from './pool-host-layout.js';
 
 /** Connections to an endpoint that each pool host has as its share: enough for some statements beside a few open transactions. */
 const POOL_HOST_SHARE = 4;
 
-/**
- * Minimum share of an endpoint's connections with which each host keeps its own: a host with one connection is blocked by a single transaction, and with less than one each, hosts cause each
- * other's connections to be rejected.
- */
-const MIN_SHARE = 2;
-
 /** Spreads the pool hosts of each endpoint over all zones, those of this host's zone first, so that each host has some nearby. */
 export class SpreadLayout implements PoolHostLayout {
 	isShared(liveHosts: number, connections: number): boolean {
-		return liveHosts * MIN_SHARE > Math.max(connections, MIN_SHARE);
+		return areTooFew(connections, liveHosts);
 	}
 
 	prepare(live: readonly HostRecord[], ownZone: string): PoolHostSelector {
--- a/src/gateway/read-floors.ts
+++ b/src/gateway/read-floors.ts
@@ -12,8 +12,8 @@
  */
 const FLOOR_MARGIN_MS = 5;
 
-/** Age from which the newest position of a primary is refreshed while a replica has to catch up, in milliseconds. */
-const SAMPLE_REFRESH_MS = 200;
+/** Minimum age of the newest known position of a primary at which a newer one is fetched, in milliseconds. At 200 ms, 81 hosts would fetch up to 400 positions a second for one lagging group. */
+const SAMPLE_REFRESH_MS = 1000;
 
 /**
  * Requests a position of the group's primary from a host that uses the primary more often, so that a replica can serve the read. Returns undefined where
