--- a/src/links/create-endpoint-pool.ts
+++ b/src/links/create-endpoint-pool.ts
@@ -3,9 +3,6 @@
 import type {RequestQueue} from './request-queue.js';
 import {ArrivalOrder} from './waiter-order.js';
 
-/** Time for which a predicted wait is used again, in milliseconds: the load goes with each response, and a prediction looks at the whole queue. */
-const LOAD_CACHE_MS = 10;
-
 /** Creates a pool without connections. */
 export function createEndpointPool(options: EndpointPoolOptions): EndpointPool {
 	const {target, clock, log} = options;
@@ -28,9 +25,6 @@
 		target, clock, log, connections,
 	});
 	const {all, idle, health} = connections;
-	/** The last predicted wait, and the steady time of its prediction. */
-	let waitMs = 0;
-	let predictedAt = Number.NEGATIVE_INFINITY;
 
 	return {
 		target,
@@ -44,16 +38,9 @@
 		get open() {
 			return all.size;
 		},
-		getLoad(now) {
-			if (queue.size === 0 || now - predictedAt >= LOAD_CACHE_MS) {
-				predictedAt = queue.size === 0 ? Number.NEGATIVE_INFINITY : now;
-				waitMs = queue.predictWaitMs(now);
-			}
-
-			return {
-				limit: connections.limit, inFlight: connections.inFlight, queued: queue.size, serviceMs: queue.serviceMs, waitMs,
-			};
-		},
+		getLoad: now => ({
+			limit: connections.limit, inFlight: connections.inFlight, queued: queue.size, serviceMs: queue.serviceMs, waitMs: queue.predictWaitMs(now),
+		}),
 		async acquire(request) {
 			if (connections.retired) {
 				return undefined;
