--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -47,7 +47,10 @@
 	const command = statement.kind === 'run'
 		? {kind: 'run', text: statement.text} as const
 		: {kind: 'execute', name: prepared ? acquired.sessionLink.getName(prepared) : statement.name, args: statement.args} as const;
-	return exchangeWithin(parts, acquired, {id, command, floor}, {timeoutMs, statement: {group: acquired.endpoint.entry.group, database: memory.database, shape: prepared && acquired.sessionLink.getName(prepared)}});
+	return exchangeWithin(parts, acquired, {id, command, floor}, {
+		timeoutMs,
+		statement: {group: acquired.endpoint.entry.group, database: memory.database, shape: prepared && acquired.sessionLink.getName(prepared)},
+	});
 }
 
 /** How a request is sent. */
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -175,7 +175,15 @@
 		})
 		: poolHosts;
 	const placementFeature = scheduling && createPlacementFeature({
-		availabilityZone: parts.availabilityZone, opener, elapsedClock, poolHosts, metrics, log, random, reports: loadReports, roundTrips: regions && {getMs: zone => regions.roundTrips.getMs(zone, elapsedClock.elapsed())},
+		availabilityZone: parts.availabilityZone,
+		opener,
+		elapsedClock,
+		poolHosts,
+		metrics,
+		log,
+		random,
+		reports: loadReports,
+		roundTrips: regions && {getMs: zone => regions.roundTrips.getMs(zone, elapsedClock.elapsed())},
 	});
 	const unreachable = createUnreachableHosts();
 	const hostWatch = scheduling && createHostWatch({peers, clock});
--- a/src/scheduling/queue-refusals.ts
+++ b/src/scheduling/queue-refusals.ts
@@ -70,6 +70,8 @@
 				reason: REASONS[cause],
 				retryAfterMs: getSlots(request.priority).take(forecast.drainMs, forecast.turnMs, now),
 				predictedWaitMs: forecast.waitMs,
+				queued: forecast.queued,
+				limit: forecast.limit,
 			};
 			metrics?.countQueueRefusal(request.priority, cause);
 			logRefusal(waiter, cause, refusal, forecast, now);
