Wait for lists of the store, and meter connections, only where the features ask for it

Two changes took effect without the features: lists of the store that keep arriving got more time, and each connection had a meter.

Change: both only with scheduling or regions.

--- a/src/links/pool-connections.ts
+++ b/src/links/pool-connections.ts
@@ -142,13 +142,17 @@
 		listener.onSent();
 		let opened = false;
 		const opening: {link?: EndpointLink} = {};
-		const meter = createSlotMeter(listener, () => clock.now(), () => opening.link?.pending ?? 0);
+		// Only an order that counts transactions asks for the time for which a connection was in use.
+		const meter = countsTransactions ? createSlotMeter(listener, () => clock.now(), () => opening.link?.pending ?? 0) : undefined;
 		try {
-			const link: EndpointLink = await openCheckedLink(options, workspace, timeoutMs, meter.listener);
+			const link: EndpointLink = await openCheckedLink(options, workspace, timeoutMs, meter?.listener ?? listener);
 			opening.link = link;
 			const sessionLink = createSessionLink(link, workspace);
 			all.add(sessionLink);
-			meters.set(sessionLink, meter);
+			if (meter) {
+				meters.set(sessionLink, meter);
+			}
+
 			policy.events?.noteOpened(sessionLink, clock.now() - startedAt, clock.now());
 			link.onClose(() => {
 				policy.events?.noteClosed(sessionLink);
--- a/src/proxy/main.ts
+++ b/src/proxy/main.ts
@@ -34,6 +34,7 @@
 		metrics.countPlatformCall(call, result);
 	};
 
+	const features = getProxyFeatures(settings, commandLine);
 	let onStoreBytes: ((bytes: number) => void) | undefined;
 	const [peerHost = '', peerPort] = settings.peerAddress.split(':');
 	return {
@@ -47,6 +48,7 @@
 			clock,
 			log,
 			onCall,
+			waitsWhileReceiving: features.scheduling !== undefined || features.zoneRegions !== undefined,
 			onBytes(bytes) {
 				onStoreBytes?.(bytes);
 			},
@@ -65,7 +67,7 @@
 		peerAddress: settings.peerAddress,
 		seeds: settings.seeds,
 		revokeWithinMs: settings.revokeWithinMs,
-		features: getProxyFeatures(settings, commandLine),
+		features,
 		incarnation: createRequestId(clock.wall(), random),
 	};
 }
