--- a/src/leadership/leadership-calls.ts
+++ b/src/leadership/leadership-calls.ts
@@ -16,6 +16,26 @@
 	readonly demand?: number;
 };
 
+/** Why a host does not begin a replacement that it was asked for. */
+export const DeclineReason = {
+	/** The host is stopping; another host begins the replacement. */
+	Stopping: 'stopping',
+	/** Not every host that goes on without the store knows this one yet. */
+	NewHost: 'new-host',
+	/** The group's record is another one here than where the request was decided on. */
+	OtherRecord: 'other-record',
+} as const;
+
+/** One of the reasons in {@link DeclineReason}. */
+export type DeclineReason = typeof DeclineReason[keyof typeof DeclineReason];
+
+/** Response to a request to replace a primary. */
+export type ReplaceResponse = {
+	readonly taken: boolean;
+	/** Present where it was not taken. */
+	readonly declined?: DeclineReason;
+};
+
 declare module '../peers/peer-calls.js' {
 	interface PeerCalls {
 		/** Responds once the lease is given up. */
@@ -23,7 +43,7 @@
 		/** Returns whether the called host reaches an endpoint. */
 		'lead-opinion': {req: {readonly endpointId: string}; res: {readonly reachable: boolean}};
 		/** Requests the failover coordinator to replace a primary that is lost, leaving or no longer registered. */
-		'lead-replace': {req: {readonly group: string; readonly epoch: number; readonly reason: string}; res: {readonly taken: boolean}};
+		'lead-replace': {req: {readonly group: string; readonly epoch: number; readonly reason: string}; res: ReplaceResponse};
 		/** Notifies a host that a record was changed; the receiver requests the change from the sender. */
 		'lead-changed': {req: {readonly group: string}; res: {readonly heard: true}};
 	}
--- a/src/leadership/leadership-watch.ts
+++ b/src/leadership/leadership-watch.ts
@@ -16,6 +16,7 @@
 import {createFenceCheck} from './fence-check.js';
 import type {PrimaryLeases} from './primary-leases.js';
 import {createFirstRecord} from './first-record.js';
+import {DeclineReason} from './leadership-calls.js';
 import {isInCurrentGeneration, LeadershipPhase, type LeadershipRecord} from './leadership-record.js';
 import {createPrimaryReachability, ReachVerdict} from './primary-reachability.js';
 import type {PrimaryWork} from './primary-work.js';
@@ -269,6 +270,19 @@
 		}
 	};
 
+	const getDeclineReason = (record: LeadershipRecord | undefined, epoch: number): DeclineReason | undefined => {
+		if (replacements.retired) {
+			return DeclineReason.Stopping;
+		}
+
+		if (!options.mayReplace()) {
+			return DeclineReason.NewHost;
+		}
+
+		const isSame = record?.epoch === epoch && record.phase === LeadershipPhase.Steady && isInCurrentGeneration(record, mirror.state.revision);
+		return isSame ? undefined : DeclineReason.OtherRecord;
+	};
+
 	peers.handle('lead-revoke', async ({group, epoch, settleMs, wantsDemand}) => {
 		const demand = wantsDemand ? {demand: options.primaryWork.getRate(group)} : {};
 		primaryLeases.pause(group, epoch);
@@ -283,8 +297,9 @@
 	});
 	peers.handle('lead-replace', async ({group, epoch, reason}) => {
 		const record = mirror.state.leadership.get(group);
-		if (replacements.retired || !options.mayReplace() || record?.epoch !== epoch || record.phase !== LeadershipPhase.Steady || !isInCurrentGeneration(record, mirror.state.revision)) {
-			return {taken: false};
+		const declined = getDeclineReason(record, epoch);
+		if (!record || declined) {
+			return {taken: false, declined};
 		}
 
 		(async () => {
--- a/src/leadership/replacements.ts
+++ b/src/leadership/replacements.ts
@@ -59,8 +59,8 @@
 
 	const ask = async (holder: string, address: string, {group, reason}: Replacement, epoch: number) => {
 		try {
-			const {taken} = await peers.call(address, 'lead-replace', {group, epoch, reason}, LEADERSHIP_CALL_TIMEOUT_MS);
-			log.info('the failover coordinator was asked to replace a primary', {group, holder, taken});
+			const {taken, declined} = await peers.call(address, 'lead-replace', {group, epoch, reason}, LEADERSHIP_CALL_TIMEOUT_MS);
+			log.info('the failover coordinator was asked to replace a primary', {group, holder, taken, declined});
 		} catch (err) {
 			if (!isPeerError(err)) {
 				throw err;
