Hand the failover lease over when its holder stops

Cause: a stopping host declined new replacements, yet kept and renewed the failover lease until its own one had ended, and left it behind at its end. Nobody else may act before the lease has expired, 3.2 s after its last renewal.

Now a stopping host releases the lease as soon as it performs no replacement: one conditional update that marks the record as released, after which any host may acquire it, under a higher token. It is released shortly before the end of the process as well, where a replacement is still under way: from 800 ms before its end the host gives no order, and the next host continues the replacement at once instead of after 3.4 s without progress.

Why there are no two holders: a host drops its own right before the release is sent; a renewal that was sent before a release is ignored when its response comes; the release is conditional on the version, so that neither it nor a renewal takes effect late over another holder's record; and it is refused while an order is in flight, or for as long as the lease would have lasted after an order without a response.

--- a/src/leadership/leadership-calls.ts
+++ b/src/leadership/leadership-calls.ts
@@ -45,7 +45,7 @@
 		/** Requests the failover coordinator to replace a primary that is lost, leaving or no longer registered. */
 		'lead-replace': {req: {readonly group: string; readonly epoch: number; readonly reason: string}; res: ReplaceResponse};
 		/** Notifies a host that a record was changed; the receiver requests the change from the sender. */
-		'lead-changed': {req: {readonly group: string}; res: {readonly heard: true}};
+		'lead-changed': {req: Record<string, never>; res: {readonly heard: true}};
 	}
 }
 
--- a/src/leadership/leadership-record.ts
+++ b/src/leadership/leadership-record.ts
@@ -37,6 +37,8 @@
 	readonly token: number;
 	/** Number of renewals, so that a renewal changes the record. */
 	readonly renewals: number;
+	/** Set once the holder has ended its lease ahead of time: any host may acquire the lease at once. */
+	readonly released?: boolean;
 };
 
 /** The stored registration of a proxy. */
@@ -88,7 +90,7 @@
 });
 
 const failoverLeaseSchema: z.ZodType<FailoverLeaseRecord> = z.object({
-	holder: z.string(), incarnation: z.string(), token: z.int(), renewals: z.int(),
+	holder: z.string(), incarnation: z.string(), token: z.int(), renewals: z.int(), released: z.boolean().optional(),
 });
 
 const hostSchema: z.ZodType<HostRecord> = z.object({
--- a/src/leadership/leadership-watch.ts
+++ b/src/leadership/leadership-watch.ts
@@ -29,9 +29,9 @@
 export type LeadershipWatch = {
 	/** Returns the groups that this host is changing, or whose leadership it knows to have changed since its copy of the store. */
 	getChanging(): readonly string[];
-	/** Stops beginning replacements, since this host is stopping; other hosts begin them. */
-	retire(): void;
-	/** Whether this host is replacing a primary. It should finish: another host would first have to wait until the failover lease ends. */
+	/** Leaves replacements to the other hosts, since this host is stopping and ends at the steady time `endsAt`. */
+	retire(endsAt: number): void;
+	/** Whether this host is replacing a primary or handing over the failover lease. It should finish: another host would first have to wait until that lease ends. */
 	readonly replacing: boolean;
 	start(): Promise<void>;
 	stop(): Promise<void>;
@@ -117,7 +117,7 @@
 	};
 
 	const replacements = createReplacements({
-		failoverLease, mirror, peers, log, ownPeerAddress: options.ownPeerAddress, mayReplace: options.mayReplace, replace: options.replace,
+		failoverLease, mirror, peers, clock, log, ownPeerAddress: options.ownPeerAddress, mayReplace: options.mayReplace, replace: options.replace,
 	});
 	const unresolvedGroups = createUnresolvedGroups({
 		failoverLease,
@@ -333,7 +333,7 @@
 	return {
 		retire: replacements.retire,
 		get replacing() {
-			return replacements.changing.size > 0;
+			return replacements.active;
 		},
 		getChanging: () => [...replacements.changing, ...primaryLeases.getOutdated()],
 		async start() {
--- a/src/leadership/promote-best.ts
+++ b/src/leadership/promote-best.ts
@@ -5,12 +5,9 @@
 	getMinTerm, isNeverReplaced, rankSuccessors, type SuccessorCandidate,
 } from './choose-successor.js';
 import {LeadershipPhase, type LeadershipRecord} from './leadership-record.js';
-import {ORDER_EFFECT_MS, OrderOutcome} from './promotion-orders.js';
+import {ORDER_EFFECT_MS, ORDER_TIMEOUT_MS, OrderOutcome} from './promotion-orders.js';
 import {RETRY_MS, type ReplacePrimaryParts} from './replace-parts.js';
 
-/** Timeout of a promotion order, in milliseconds; the response usually takes 13. */
-const ORDER_TIMEOUT_MS = 600;
-
 /** Interval at which a promoted endpoint is asked whether it is primary, in milliseconds; a promotion takes 600 to 1,000. */
 const PROMOTION_POLL_INTERVAL_MS = 40;
 
@@ -109,18 +106,15 @@
 		return undefined;
 	}
 
-	const token = failoverLease.getToken(ORDER_TIMEOUT_MS);
-	if (token === undefined) {
-		return undefined;
-	}
-
-	const outcome = await orders.promote({
-		group, endpointId, holder: hostName, token,
-	}, ORDER_TIMEOUT_MS);
-	log.info('an endpoint was ordered to lead', {
-		group, endpoint: endpointId, fence: token, outcome,
+	return failoverLease.giveOrder(ORDER_TIMEOUT_MS, async token => {
+		const outcome = await orders.promote({
+			group, endpointId, holder: hostName, token,
+		}, ORDER_TIMEOUT_MS);
+		log.info('an endpoint was ordered to lead', {
+			group, endpoint: endpointId, fence: token, outcome,
+		});
+		return outcome;
 	});
-	return outcome;
 }
 
 /** The conditions under which an endpoint's status proves that an order took effect, or that the endpoint was primary before and remains so. */
--- a/src/leadership/promotion-orders.ts
+++ b/src/leadership/promotion-orders.ts
@@ -19,6 +19,9 @@
  */
 export const ORDER_EFFECT_MS = 1500;
 
+/** Timeout of a promotion order, in milliseconds; the response usually takes 13. */
+export const ORDER_TIMEOUT_MS = 600;
+
 /** An order to make an endpoint the primary of its group. */
 export type PromotionOrder = {
 	readonly group: string;
--- a/src/leadership/replace-primary.ts
+++ b/src/leadership/replace-primary.ts
@@ -1,11 +1,11 @@
 import {getGeneration, getNextInGeneration} from '../mirror/store-generation.js';
-import {LEADERSHIP_CALL_TIMEOUT_MS} from './leadership-calls.js';
 import {PRIMARY_LEASE_MS} from './primary-leases.js';
 import {isInCurrentGeneration, LeadershipPhase} from './leadership-record.js';
 import {
 	restoreReplicas, gatherCandidates, keepFenced, liftFences, waitForCatchUp,
 } from './ask-endpoints.js';
 import {createLeaseRevocation} from './lease-revocation.js';
+import {notifyOtherHosts} from './notify-other-hosts.js';
 import {promoteBestCandidate} from './promote-best.js';
 import {ORDER_EFFECT_MS} from './promotion-orders.js';
 import type {ReplacePrimaryParts} from './replace-parts.js';
@@ -155,7 +155,7 @@
 		return false;
 	}
 
-	await notifyOtherHosts(parts, group);
+	notifyOtherHosts(parts);
 	await Promise.all(revocation.silent.map(async host => parts.unresponsiveHosts.mark(host)));
 	const [markMs, revokeMs, chooseMs, promoteMs, settleMs] = marks.slice(1).map((at, i) => Math.round(at - marks[i]!)) as [number, number, number, number, number];
 	const times = {
@@ -175,16 +175,3 @@
 		liftFences(parts, group, record.primaryId);
 	}
 }
-
-/** Notifies the other hosts that a record was changed, so that they request it. */
-async function notifyOtherHosts({mirror, peers, ownPeerAddress}: ReplacePrimaryParts, group: string) {
-	for (const host of mirror.state.hosts) {
-		if (host.peerAddress !== ownPeerAddress) {
-			peers.call(host.peerAddress, 'lead-changed', {group}, LEADERSHIP_CALL_TIMEOUT_MS).catch(ignoreUndelivered);
-		}
-	}
-}
-
-/** Ignores a notification that was not delivered: the host finds the change with its next confirmation. */
-function ignoreUndelivered(): void {} // eslint-disable-line @typescript-eslint/no-empty-function
-
--- a/src/leadership/unresolved-groups.ts
+++ b/src/leadership/unresolved-groups.ts
@@ -53,11 +53,12 @@
 		await replacements.begin({group, reason, planned: false});
 	};
 
-	/** Continues a change whose host died before it was complete. */
+	/** Continues a change whose host died before it was complete, or handed it over. */
 	const checkChanging = async (record: Versioned<LeadershipRecord>) => {
 		const isOwn = record.changedBy === options.hostName;
 		const waitMs = isOwn ? options.retryDelayMs : STALLED_AFTER_MS;
-		if (getUnchangedMs(record) > waitMs && failoverLease.getOtherHolder() === undefined) {
+		const isStalled = getUnchangedMs(record) > waitMs || failoverLease.wasReleasedBy(record.changedBy);
+		if (isStalled && failoverLease.getOtherHolder() === undefined) {
 			await begin(record.group, 'an earlier change was not finished');
 		}
 	};
--- a/src/proxy/leave.ts
+++ b/src/proxy/leave.ts
@@ -30,7 +30,7 @@
 export async function leave({gateway, leadershipWatch, checkoutServer, callerPort, clock, log, graceMs}: LeaveOptions): Promise<void> {
 	const startedAt = clock.now();
 	const plan = createStopPlan(startedAt, graceMs);
-	// If a replacement were abandoned half way, its group would have no primary until another host had waited for the failover lease to expire.
+	// If a replacement were abandoned half way, or the failover lease were kept, other hosts would have to wait for that lease to expire.
 	const isUnderWay = () => gateway.sessions > 0 || checkoutServer.checkouts > 0 || leadershipWatch.replacing;
 	const waitForSessions = async (until: number) => {
 		while (isUnderWay() && clock.now() < until) {
@@ -38,7 +38,7 @@
 		}
 	};
 
-	leadershipWatch.retire();
+	leadershipWatch.retire(plan.endBy);
 	checkoutServer.retire();
 	gateway.stop(plan);
 	await clock.sleep(plan.rotatedOutAt - startedAt);
--- a/src/stand-ins/proxies/simulated-proxies.ts
+++ b/src/stand-ins/proxies/simulated-proxies.ts
@@ -65,6 +65,8 @@
 	readonly maxDelayMs: number;
 	/** Share of orders that are processed without a response. */
 	readonly loseShare: number;
+	/** Name of a proxy whose orders the platform refuses. */
+	readonly refusedFrom?: string;
 };
 
 /** Options of a simulated system. */
@@ -207,6 +209,10 @@
 			return OrderOutcome.Unknown;
 		}
 
+		if (orderFaults?.refusedFrom === proxy.name) {
+			return OrderOutcome.Refused;
+		}
+
 		orders.push(order);
 		const outcome = groups.find(({name}) => name === order.group)?.promote(order.endpointId) ?? OrderOutcome.Refused;
 		if (isLost) {
--- a/tests/leadership/ask-endpoints-tests.ts
+++ b/tests/leadership/ask-endpoints-tests.ts
@@ -2,6 +2,7 @@
 import {gatherCandidates, keepFenced} from '../../src/leadership/ask-endpoints.js';
 import {replacePrimary} from '../../src/leadership/replace-primary.js';
 import type {ReplacePrimaryParts} from '../../src/leadership/replace-parts.js';
+import type {OrderOutcome} from '../../src/leadership/promotion-orders.js';
 import type {EndpointCommand, EndpointStatus} from '../../src/links/endpoint-link.js';
 import {createSilentLog} from '../../src/log/silent-log.js';
 import {createVirtualClock} from '../../src/stand-ins/time/virtual-clock.js';
@@ -39,7 +40,9 @@
 		hostName: 'entry-1',
 		ownPeerAddress: 'entry-1:7000',
 		directory: {list: () => endpoints, get: (id: string) => endpoints.find(({entry}) => entry.id === id)},
-		failoverLease: {take: async () => true, getToken: () => 1, getOtherHolder: () => undefined},
+		failoverLease: {
+			take: async () => true, getToken: () => 1, giveOrder: async (_ms: number, give: (token: number) => Promise<OrderOutcome>) => give(1), getOtherHolder: () => undefined,
+		},
 		primaryLeases: {pause: () => undefined, revoke: () => undefined},
 		primaryWork: {drain: async () => undefined},
 		unresponsiveHosts: {mark: async () => undefined, sweep: async () => undefined},
--- a/tests/leadership/failover-lease-tests.ts
+++ b/tests/leadership/failover-lease-tests.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import {createFailoverLease, FAILOVER_LEASE_MS, type FailoverLease} from '../../src/leadership/failover-lease.js';
+import {OrderOutcome} from '../../src/leadership/promotion-orders.js';
 import {createSilentLog} from '../../src/log/silent-log.js';
 import {createStoreMirror, type StoreMirror} from '../../src/mirror/store-mirror.js';
 import {createSeededRandom} from '../../src/random/seeded-random.js';
@@ -164,4 +165,93 @@
 		fixture.store.restore(fixture.store.takeBackup());
 		expect([await fixture.take(lease), lease.getToken(100)]).to.deep.equal([false, undefined]);
 	});
+
+	/** Guards against a wait for the end of a lease that its holder no longer needs. */
+	it('is acquired at once by another host once it is released, with a higher token', async () => {
+		const fixture = createFixture();
+		const first = await fixture.create('a', '1');
+		const second = await fixture.create('b', '1');
+		await fixture.take(first.lease);
+		expect(await fixture.clock.runUntil(first.lease.release())).to.equal(true);
+		await fixture.confirm(second.mirror);
+		expect([second.lease.getOtherHolder(), second.lease.wasReleasedBy('a'), first.lease.getToken(1)]).to.deep.equal([undefined, true, undefined]);
+		expect([await fixture.take(second.lease), second.lease.getToken(100), second.lease.wasReleasedBy('a')]).to.deep.equal([true, 2, false]);
+	});
+
+	/** Guards against an order of the former holder that is carried out after one of the next holder. */
+	it('is not released while an order is in flight, or after one that got no response', async () => {
+		const fixture = createFixture();
+		const {lease} = await fixture.create('a', '1');
+		await fixture.take(lease);
+		let answer!: (outcome: OrderOutcome) => void;
+		const ordered = lease.giveOrder(600, async () => new Promise(resolve => {
+			answer = resolve;
+		}));
+		expect(await fixture.clock.runUntil(lease.release())).to.equal(false);
+		answer(OrderOutcome.Unknown);
+		await ordered;
+		expect([await fixture.clock.runUntil(lease.release()), lease.getToken(100)]).to.deep.equal([false, 1]);
+	});
+
+	it('is released once its order was answered', async () => {
+		const fixture = createFixture();
+		const {lease} = await fixture.create('a', '1');
+		await fixture.take(lease);
+		await lease.giveOrder(600, async () => OrderOutcome.Accepted);
+		expect(await fixture.clock.runUntil(lease.release())).to.equal(true);
+	});
+
+	/** Guards against two holders: the response to a renewal arrives after the release, when another host may hold the lease. */
+	it('is not held after its release by a renewal that was sent before', async () => {
+		const fixture = createFixture();
+		const {lease} = await fixture.create('a', '1');
+		await fixture.take(lease);
+		const renewed = lease.take();
+		const released = lease.release();
+		expect([await fixture.clock.runUntil(renewed), await fixture.clock.runUntil(released), lease.getToken(1)]).to.deep.equal([false, true, undefined]);
+		const second = await fixture.create('b', '1');
+		expect(await fixture.take(second.lease)).to.equal(true);
+	});
+
+	/** Guards against an order under a lease whose release the store has executed without a response. */
+	it('gives no token once its release was requested, whether or not that is known to be stored', async () => {
+		const fixture = createFixture();
+		const {lease} = await fixture.create('a', '1');
+		await fixture.take(lease);
+		fixture.store.setFaults('a', {silent: true});
+		const released = lease.release();
+		expect(lease.getToken(1)).to.equal(undefined);
+		expect(await fixture.clock.runUntil(released)).to.equal(false);
+	});
+
+	it('is known to be released where the response was lost', async () => {
+		const fixture = createFixture();
+		const {lease} = await fixture.create('a', '1');
+		await fixture.take(lease);
+		fixture.store.setFaults('a', {loseShare: 1});
+		expect([await fixture.clock.runUntil(lease.release()), lease.wasReleasedBy('a')]).to.deep.equal([true, true]);
+	});
+
+	it('is neither acquired nor used for an order once it is closed, and can still be released', async () => {
+		const fixture = createFixture();
+		const {lease} = await fixture.create('a', '1');
+		await fixture.take(lease);
+		lease.close();
+		expect([await fixture.take(lease), lease.getToken(1), await fixture.clock.runUntil(lease.release())]).to.deep.equal([false, undefined, true]);
+	});
+
+	/** Guards against two holders: the backup contains a release, and another host has acquired the lease since. */
+	it('is not acquired from a restored record of its release while another host holds it', async () => {
+		const fixture = createFixture();
+		const first = await fixture.create('a', '1');
+		const second = await fixture.create('b', '1');
+		await fixture.take(first.lease);
+		await fixture.clock.runUntil(first.lease.release());
+		const backup = fixture.store.takeBackup();
+		await fixture.confirm(second.mirror);
+		await fixture.take(second.lease);
+		fixture.store.restore(backup);
+		await fixture.confirm(first.mirror);
+		expect([await fixture.take(first.lease), second.lease.getToken(100) !== undefined]).to.deep.equal([false, true]);
+	});
 });
--- a/tests/leadership/promote-best-tests.ts
+++ b/tests/leadership/promote-best-tests.ts
@@ -45,7 +45,9 @@
 		clock,
 		log: createSilentLog(),
 		hostName: 'entry-1',
-		failoverLease: {getToken: () => 1, take: async () => true, getOtherHolder: () => undefined},
+		failoverLease: {
+			getToken: () => 1, take: async () => true, giveOrder: async (_ms: number, give: (token: number) => Promise<OrderOutcome>) => give(1), getOtherHolder: () => undefined,
+		},
 		directory: {get: (endpointId: string) => ({pool: {sendCommand: async () => ask(endpointId)}})},
 		orders: {
 			async promote({endpointId}: {readonly endpointId: string}) {
--- /dev/null
+++ b/tests/proxy/stopping-coordinator-tests.ts
@@ -0,0 +1,80 @@
+import {expect} from 'chai';
+import {createCoordinatorBench} from './coordinator-bench.js';
+
+/** Time after its announcement within which a leaving primary gets new work at most, in milliseconds. */
+const DRAIN_MS = 7000;
+
+describe('a failover coordinator that is stopped', () => {
+	/** Guards against primaries that stay in use beyond their bound, because a stopping coordinator declines to replace them and keeps the failover lease. */
+	it('does not keep other leaving primaries in use while it finishes a replacement', async () => {
+		const bench = await createCoordinatorBench();
+		await bench.clock.runUntil(bench.stop(bench.system.proxies.at(-1)!, true));
+		await bench.drain('nights');
+		const coordinator = await bench.waitForCoordinator('nights');
+		await bench.clock.advance(200);
+		void bench.stop(coordinator);
+		const draining = await bench.drain('rosters');
+		await bench.clock.advance(DRAIN_MS + 3000);
+		expect(bench.getLastWorkMs(draining)).to.be.lessThan(DRAIN_MS);
+		expect(await bench.waitForSuccessor('rosters', draining)).to.be.lessThan(DRAIN_MS + 4000);
+	});
+
+	/** Guards against a wait for the end of a lease whose holder has ended. */
+	it('lets the next host replace a primary at once', async () => {
+		const bench = await createCoordinatorBench();
+		const first = await bench.drain('nights');
+		const coordinator = await bench.waitForCoordinator('nights');
+		await bench.waitForSuccessor('nights', first);
+		const stopped = bench.stop(coordinator);
+		await bench.clock.advance(100);
+		const draining = await bench.drain('rosters');
+		expect(await bench.waitForSuccessor('rosters', draining)).to.be.lessThan(3000);
+		await bench.clock.runUntil(stopped);
+	});
+
+	/** Guards against a group that is left in change until its host's lease has expired and the change counts as stalled. */
+	it('hands a replacement over that it cannot complete before its end', async () => {
+		const bench = await createCoordinatorBench();
+		await bench.clock.runUntil(bench.stop(bench.system.proxies.at(-1)!, true));
+		const first = await bench.drain('nights');
+		const coordinator = await bench.waitForCoordinator('nights');
+		bench.system.setOrderFaults({maxDelayMs: 0, loseShare: 0, refusedFrom: coordinator.name});
+		const stoppedAt = bench.clock.now();
+		await bench.clock.runUntil(bench.stop(coordinator));
+		const successor = await bench.waitForCoordinator('nights');
+		expect([successor.name === coordinator.name, bench.clock.now() - stoppedAt < 6000]).to.deep.equal([false, true]);
+		expect(await bench.waitForSuccessor('nights', first)).to.be.lessThan(13_000);
+	});
+
+	/** Guards against coordinators that are stopped one after the other, each of which keeps the next group waiting. */
+	it('leaves no group without a coordinator where its successor is stopped as well', async () => {
+		const bench = await createCoordinatorBench({groups: ['nights', 'rosters', 'bands']});
+		await bench.clock.runUntil(bench.stop(bench.system.proxies.at(-1)!, true));
+		await bench.drain('nights');
+		const coordinator = await bench.waitForCoordinator('nights');
+		void bench.stop(coordinator);
+		const second = await bench.drain('rosters');
+		const successor = await bench.waitForCoordinator('rosters');
+		expect(successor.name).to.not.equal(coordinator.name);
+		void bench.stop(successor);
+		const third = await bench.drain('bands');
+		await bench.waitForSuccessor('bands', third);
+		expect([bench.getLastWorkMs(second) < DRAIN_MS, bench.getLastWorkMs(third) < DRAIN_MS]).to.deep.equal([true, true]);
+	});
+
+	/** Guards against two holders where the release of the lease is not answered. */
+	it('keeps the lease to its end where it does not reach the store', async () => {
+		const bench = await createCoordinatorBench();
+		const first = await bench.drain('nights');
+		const coordinator = await bench.waitForCoordinator('nights');
+		await bench.waitForSuccessor('nights', first);
+		bench.system.store.setFaults(coordinator.name, {silent: true});
+		const stopped = bench.stop(coordinator);
+		const draining = await bench.drain('rosters');
+		const tookMs = await bench.waitForSuccessor('rosters', draining);
+		await bench.clock.runUntil(stopped);
+		expect(tookMs).to.be.within(3000, 6000);
+		const tokens = bench.system.orders.map(({token}) => token);
+		expect(tokens).to.deep.equal(tokens.toSorted((left, right) => left - right));
+	});
+});
