Let a stopping host replace a primary where no other host does

What callers saw, in a test: three hosts are replaced at once, the new one has registered less than 9 s ago and may not replace primaries yet, and a primary crashes. Each stopping host left it to the others, and writes failed for 13.7 s.

Now it leaves a group to the others for 1.5 s while anybody could acquire the failover lease (a copy of the store is 0.7 s old at most, and hosts try every 0.4 s), and then begins itself, unless the replacement would be interrupted by its own end.

--- a/src/leadership/replacements.ts
+++ b/src/leadership/replacements.ts
@@ -8,6 +8,7 @@
 import {notifyOtherHosts} from './notify-other-hosts.js';
 import {ORDER_TIMEOUT_MS} from './promotion-orders.js';
 import type {Replacement} from './replace-primary.js';
+import {createStopTurn} from './stop-turn.js';
 
 /** The primary replacements that this host is performing, and the functions that begin one. */
 export type Replacements = {
@@ -54,11 +55,25 @@
 export function createReplacements(options: ReplacementsOptions): Replacements {
 	const {failoverLease, mirror, peers, clock, log} = options;
 	const changing = new Set<string>();
+	const stopTurn = createStopTurn();
 	let endsAt: number | undefined;
 	let handOvers = 0;
 
 	const hasOthers = () => mirror.state.hosts.some(host => !host.gone && host.peerAddress !== options.ownPeerAddress);
 
+	/** Whether a stopping host leaves a replacement to the other hosts. */
+	const isLeftToOthers = ({group}: Replacement) => {
+		if (endsAt === undefined || !hasOthers()) {
+			return false;
+		}
+
+		const epoch = mirror.state.leadership.get(group)?.epoch ?? 0;
+		const isLeaseFree = changing.size === 0 && failoverLease.getOtherHolder() === undefined;
+		return !stopTurn.isDue({
+			group, epoch, isLeaseFree, endsAt,
+		}, clock.now());
+	};
+
 	/**
 	 * Prevents a group from being left without a replacement while the lease of a host that has ended runs out: no other host may act before that, and a primary that
 	 * is leaving would stay in use.
@@ -95,7 +110,7 @@
 			return true;
 		}
 
-		if ((endsAt !== undefined && hasOthers()) || !options.mayReplace()) {
+		if (isLeftToOthers(replacement) || !options.mayReplace()) {
 			return false;
 		}
 
--- a/tests/proxy/stopping-coordinator-tests.ts
+++ b/tests/proxy/stopping-coordinator-tests.ts
@@ -62,6 +62,19 @@
 		expect([bench.getLastWorkMs(second) < DRAIN_MS, bench.getLastWorkMs(third) < DRAIN_MS]).to.deep.equal([true, true]);
 	});
 
+	/** Guards against a lost primary that nobody replaces, because stopping hosts leave it to a new one that may not replace primaries yet. */
+	it('replaces a lost primary itself where no other host may', async () => {
+		const bench = await createCoordinatorBench({proxies: 3});
+		const old = [...bench.system.proxies];
+		await bench.clock.runUntil(bench.startProxy('a new host'));
+		const stops = old.map(async proxy => bench.stop(proxy, true));
+		const lost = bench.system.groups[0]!.latestPrimary;
+		bench.system.groups[0]!.crash(lost);
+		const crashedAt = bench.clock.now();
+		expect(await bench.waitForSuccessor('nights', {server: lost, since: crashedAt})).to.be.lessThan(5000);
+		await bench.clock.runUntil(Promise.all(stops));
+	});
+
 	/** Guards against two holders where the release of the lease is not answered. */
 	it('keeps the lease to its end where it does not reach the store', async () => {
 		const bench = await createCoordinatorBench();
