Give a leaving endpoint no new work once its announced time is over

What callers saw: nothing bounded how long the recorded primary went on to get new work after its announcement that it is leaving, so each delay of its replacement (a lease that has to expire, no successor, the store away) went beyond the 7 s within which it may end, and what was under way then had no outcome. acquirePrimary sent to it however long ago the announcement was.

The platform states the time in its settings (`bounds.drainMs`), which the proxy did not read. It does now, and from that time less 250 ms on a host sends no single statement and begins no transaction there; open transactions go on. The time counts from the last confirmed copy of the store without the announcement, so that a late copy shortens it. A host that has never seen the endpoint serve cannot tell how long it has been leaving and gives it no work, as the other path of the product decides already; both use the same record (moved to src/membership). The check is repeated after a wait for a connection, also at a pool host.

Operators: a log line of the leadership watch with the reason that is known, `leavingPrimary` in the line of a refused statement, the reason in the refusal, and the gauge aldercroft_leaving_primaries.

--- a/src/connection-sharing/checkout-server.ts
+++ b/src/connection-sharing/checkout-server.ts
@@ -227,13 +227,16 @@
 		return epoch === undefined || (lease?.epoch === epoch && lease.primaryId === endpointId);
 	};
 
+	/** Whether a read may still be sent after its wait here; the endpoint may have become due to leave meanwhile. */
+	const mayRun = (req: CheckoutRun) => holdsLease(req) && directory.mayTakeWork(req.endpointId, elapsedClock.elapsed());
+
 	const run = async (req: CheckoutRun, remoteHost: string) => {
 		const granted = await openCheckout(req, remoteHost, true);
 		if ('refused' in granted) {
 			return granted;
 		}
 
-		if (!holdsLease(req)) {
+		if (!mayRun(req)) {
 			end(checkouts.get(granted.loan)!, false);
 			return {refused: CheckoutRefusal.NoLease};
 		}
--- a/src/gateway/acquire-link.ts
+++ b/src/gateway/acquire-link.ts
@@ -95,6 +95,11 @@
 	return isIsolated && clock.now() - waitingSince > ISOLATED_WAIT_MS;
 }
 
+/** Guards against new work at an endpoint that has announced its end long ago: it would be cut off without an outcome. */
+function mayTakeWork({directory, elapsedClock}: GatewayParts, {entry}: KnownEndpoint): boolean {
+	return directory.mayTakeWork(entry.id, elapsedClock.elapsed());
+}
+
 /**
  * Acquires a connection to the primary, once this host has a lease on one that answers. Returns undefined where there was no connection in time, or only other
  * hosts reach the primary.
@@ -113,7 +118,9 @@
 			return undefined;
 		}
 
-		if (!lease || !endpoint || endpoint.pool.health.getSuspicion(parts.clock.now())) {
+		const isLeaving = endpoint !== undefined && !mayTakeWork(parts, endpoint);
+		if (!lease || !endpoint || isLeaving || endpoint.pool.health.getSuspicion(parts.clock.now())) {
+			req.trace.leavingPrimary = isLeaving ? endpoint.entry.id : undefined;
 			await waitForChange(parts, req);
 			continue;
 		}
@@ -291,13 +298,14 @@
 
 	parts.metrics.observeLinkWait(waitedMs / 1000);
 	req.trace.linkWaitMs += waitedMs;
-	// The lease may have expired, or the caller may have left, during the wait.
+	// The lease may have expired, the endpoint may have become due to leave, or the caller may have left, during the wait.
 	const stillHolds = !lease || parts.primaryLeases.get(lease.group, parts.elapsedClock.elapsed())?.epoch === lease.epoch;
-	if (!stillHolds || !req.isWanted()) {
+	if (!stillHolds || !mayTakeWork(parts, endpoint) || !req.isWanted()) {
 		pool.release(sessionLink);
 		return undefined;
 	}
 
+	req.trace.leavingPrimary = undefined;
 	req.trace.endpoints.push(endpoint.entry.id);
 	req.trace.epoch = lease?.epoch;
 	req.trace.floor = floor;
--- a/src/gateway/prom-gateway-metrics.ts
+++ b/src/gateway/prom-gateway-metrics.ts
@@ -20,7 +20,7 @@
 	/** Observes the duration of one part of replacing a group's primary. */
 	observeReplacement(part: string, seconds: number): void;
 	/** Sets the gauges whose values are read at each scrape. */
-	setState(state: {readonly confirmationAgeSeconds: number; readonly routingVersion: number; readonly hosts: number}): void;
+	setState(state: ProxyState): void;
 	setPool(endpoint: string, open: number, inUse: number, waiting: number): void;
 	/** Sets the state of the concurrency budgets of which this host has a share; those of all other endpoints are removed. */
 	setRooms(rooms: readonly RoomState[]): void;
@@ -32,6 +32,17 @@
 	readonly contentType: string;
 };
 
+/** The state of a proxy that its gauges show. */
+export type ProxyState = {
+	readonly confirmationAgeSeconds: number;
+	readonly routingVersion: number;
+	readonly hosts: number;
+	/** Number of groups whose recorded primary is leaving. */
+	readonly leavingPrimaries: number;
+	/** Number of those that get no new work any more. */
+	readonly unusablePrimaries: number;
+};
+
 /** Upper bounds of the buckets for the times of a statement, in seconds. */
 const STATEMENT_BUCKETS = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6];
 
@@ -74,6 +85,9 @@
 	const confirmationAge = new Gauge({name: 'aldercroft_evidence_age_seconds', help: 'Time since the copy of the store was last confirmed', registers});
 	const routingVersion = new Gauge({name: 'aldercroft_routing_version', help: 'Version of the configuration in force', registers});
 	const hosts = new Gauge({name: 'aldercroft_hosts', help: 'Proxies that are registered', registers});
+	const leavingPrimaries = new Gauge({
+		name: 'aldercroft_leaving_primaries', help: 'Groups whose recorded primary is leaving, by whether it still gets new work', labelNames: ['work'], registers,
+	});
 	const poolLinks = new Gauge({
 		name: 'aldercroft_endpoint_links', help: 'Connections to endpoints, and requests that wait for one', labelNames: ['endpoint', 'state'], registers,
 	});
@@ -147,6 +161,8 @@
 			confirmationAge.set(state.confirmationAgeSeconds);
 			routingVersion.set(state.routingVersion);
 			hosts.set(state.hosts);
+			leavingPrimaries.set({work: 'taken'}, state.leavingPrimaries - state.unusablePrimaries);
+			leavingPrimaries.set({work: 'refused'}, state.unusablePrimaries);
 		},
 		setPool(endpoint, open, inUse, waiting) {
 			poolLinks.set({endpoint, state: 'open'}, open);
--- a/src/gateway/read-candidates.ts
+++ b/src/gateway/read-candidates.ts
@@ -14,7 +14,7 @@
 	for (const endpoint of endpoints) {
 		const {entry, pool} = endpoint;
 		const isPrimary = entry.id === lease?.primaryId;
-		const usable = isPrimary ? true : (floor !== undefined && !entry.leaving);
+		const usable = isPrimary ? parts.directory.mayTakeWork(entry.id, parts.elapsedClock.elapsed()) : (floor !== undefined && !entry.leaving);
 		if (!usable || (req.excluded?.has(entry.id) ?? false) || pool.health.getSuspicion(now)) {
 			continue;
 		}
--- a/src/gateway/run-write.ts
+++ b/src/gateway/run-write.ts
@@ -29,7 +29,7 @@
 	while (clock.now() < req.until && req.isWanted() && !req.queueTimeout.isOver(clock.now())) {
 		const acquired = await acquirePrimary(parts, req);
 		if (!acquired) {
-			lastReason = req.trace.queueRefusal?.reason ?? lastReason;
+			lastReason = req.trace.queueRefusal?.reason ?? (req.trace.leavingPrimary === undefined ? lastReason : 'the primary is leaving and has no successor yet');
 			break;
 		}
 
--- a/src/gateway/statement-trace.ts
+++ b/src/gateway/statement-trace.ts
@@ -13,6 +13,8 @@
 	readonly unserved: Map<string, number>;
 	/** The last queue that refused it before its time was over, and the endpoint of that queue; undefined where none did. */
 	queueRefusal?: TracedRefusal;
+	/** The primary that could not be used because it has been leaving for too long; undefined where that was not so at the last try. */
+	leavingPrimary?: string;
 	/** Epoch of the lease under which a primary was used last. */
 	epoch?: number;
 	/** Log position that the replica used last had to have reached. */
@@ -40,13 +42,14 @@
 }
 
 /** Returns the fields of a trace for a log line. Those of a refusing queue, and of endpoints that gave no connection, are there only where there was one. */
-export function describeTrace({workspace, endpoints, linkWaitMs, unserved, queueRefusal, epoch, floor}: StatementTrace) {
+export function describeTrace({workspace, endpoints, linkWaitMs, unserved, queueRefusal, leavingPrimary, epoch, floor}: StatementTrace) {
 	return {
 		workspace,
 		endpoints,
 		linkWaitMs: Math.round(linkWaitMs),
 		...(unserved.size > 0 && {unservedMs: Object.fromEntries([...unserved].map(([endpoint, ms]) => [endpoint, Math.round(ms)]))}),
 		...(queueRefusal && describeQueueRefusal(queueRefusal)),
+		...(leavingPrimary !== undefined && {leavingPrimary}),
 		usedEpoch: epoch,
 		floor,
 	};
--- a/src/leadership/leadership-watch.ts
+++ b/src/leadership/leadership-watch.ts
@@ -80,6 +80,8 @@
 type GroupWatch = {
 	busy: boolean;
 	suspectedSince?: number;
+	/** The leaving primary that was logged as one that gets no new work. */
+	unusablePrimary?: string;
 	notBefore: number;
 };
 
@@ -156,6 +158,7 @@
 		const now = clock.now();
 		const {health} = endpoint.pool;
 		if (endpoint.entry.leaving) {
+			noteUnusable(record, watch);
 			if (hasSuccessor(group, primaryId)) {
 				await waitForTurn(record);
 				if (!isCurrent(record)) {
@@ -213,6 +216,16 @@
 		}
 	};
 
+	/** Logs that a leaving primary gets no new work any more, since callers are refused until it is replaced. */
+	const noteUnusable = ({group, primaryId, epoch}: LeadershipRecord, watch: GroupWatch) => {
+		if (watch.unusablePrimary !== primaryId && !directory.mayTakeWork(primaryId, elapsedClock.elapsed())) {
+			watch.unusablePrimary = primaryId;
+			log.warn('a leaving primary gets no new work and is not replaced yet', {
+				group, endpoint: primaryId, epoch, hasSuccessor: hasSuccessor(group, primaryId), failoverCoordinator: failoverLease.getOtherHolder(),
+			});
+		}
+	};
+
 	const hasSuccessor = (group: string, primaryId: string) => directory.list(group).some(({entry, pool}) =>
 		entry.id !== primaryId && !entry.leaving && !pool.health.getSuspicion(clock.now()));
 
--- a/src/links/endpoint-directory.ts
+++ b/src/links/endpoint-directory.ts
@@ -1,4 +1,5 @@
 import type {Log} from '../log/log.js';
+import {createLeavingEndpoints} from '../membership/leaving-endpoints.js';
 import {formatQualified, getGeneration} from '../mirror/store-generation.js';
 import type {StoreMirror} from '../mirror/store-mirror.js';
 import type {RegisteredEndpoint} from '../routes/routing.js';
@@ -25,6 +26,8 @@
 export type EndpointDirectory = {
 	get(endpointId: string): KnownEndpoint | undefined;
 	list(group: string): readonly KnownEndpoint[];
+	/** Whether an endpoint may be given new work at the elapsed time `now`: it is not leaving, or has announced that too recently to end soon. */
+	mayTakeWork(endpointId: string, now: number): boolean;
 	/** Applies the mirror's current state at the steady time `now`. */
 	update(now: number): void;
 	/** Closes all connections. */
@@ -37,6 +40,8 @@
 	readonly opener: LinkOpener;
 	readonly clock: Clock;
 	readonly log: Log;
+	/** Time from the announcement of an endpoint that it is leaving until it gets no new work, in milliseconds; unlimited without it. */
+	readonly maxLeavingMs?: number;
 	/** Returns how many hosts share the endpoint's connections, and whether this host is one of them. */
 	getSharing(entry: RegisteredEndpoint): Pick<LinkLimits, 'hosts' | 'isPoolHost'>;
 	/** Creates the window that bounds what this host has in flight at the endpoint; by default the pool's own. */
@@ -60,6 +65,9 @@
 /** Interval at which missing endpoints and idle connections are checked without a new list, in milliseconds: a tenth of the time after which a missing endpoint is removed. */
 const UPDATE_INTERVAL_MS = 250;
 
+/** Time by which the last new work is sent to a leaving endpoint before it may end, in milliseconds: it takes a few round trips, and may wait for the sending host. */
+const LAST_WORK_MARGIN_MS = 250;
+
 /** Maximum number of endpoints in one update that are each logged in a line of their own. */
 const MAX_LOGGED_INDIVIDUALLY = 3;
 
@@ -68,6 +76,8 @@
 
 type TrackedEndpoint = KnownEndpoint & {
 	missingSince?: number;
+	/** Elapsed time until which the store has certainly not had the endpoint's announcement that it is leaving; undefined where it was never seen to serve. */
+	readonly servingAt?: number;
 	/** Store generation that last showed the endpoint as leaving. */
 	readonly leavingGeneration?: number;
 };
@@ -77,6 +87,7 @@
 	const {mirror, opener, clock, log: parentLog, getSharing, createWindow, sharePool, createConnectionPolicy, getMinPosition} = options;
 	const log = parentLog.withPrefix('endpoints: ');
 	const tracked = new Map<string, TrackedEndpoint>();
+	const leavingEndpoints = createLeavingEndpoints((options.maxLeavingMs ?? Number.POSITIVE_INFINITY) - LAST_WORK_MARGIN_MS);
 	/** Cache of endpoints by group, filled on demand since the last update: each read asks for a list, and a fleet has thousands of endpoints. */
 	let byGroup = new Map<string, readonly KnownEndpoint[]>();
 	let updatedFrom: readonly RegisteredEndpoint[] | undefined;
@@ -98,7 +109,7 @@
 			}),
 		});
 		tracked.set(entry.id, {
-			entry, ownPool, pool: sharePool(entry, ownPool), leavingGeneration: entry.leaving ? getGeneration(mirror.state.revision) : undefined,
+			entry, ownPool, pool: sharePool(entry, ownPool), leavingGeneration: entry.leaving ? getGeneration(mirror.state.revision) : undefined, servingAt: noteLeaving(entry),
 		});
 	};
 
@@ -118,6 +129,16 @@
 		}
 	};
 
+	/**
+	 * Counts the time since an endpoint's announcement from the last confirmation of a copy that does not have it. Guards against an end that comes too late where
+	 * the announcement reaches this host late.
+	 */
+	const noteLeaving = ({id, leaving}: RegisteredEndpoint) => {
+		const servingAt = leaving ? tracked.get(id)?.servingAt : mirror.confirmedAt;
+		leavingEndpoints.note(id, leaving, servingAt ?? Number.NEGATIVE_INFINITY);
+		return servingAt;
+	};
+
 	/**
 	 * Adds or updates an entry; returns whether it is new.
 	 *
@@ -137,8 +158,9 @@
 		const generation = getGeneration(mirror.state.revision);
 		const leavingGeneration = entry.leaving ? generation : known.leavingGeneration;
 		const isNoticeLost = leavingGeneration !== undefined && leavingGeneration < generation;
+		const current = isNoticeLost ? {...entry, leaving: true} : entry;
 		tracked.set(entry.id, {
-			entry: isNoticeLost ? {...entry, leaving: true} : entry, ownPool: known.ownPool, pool: known.pool, leavingGeneration,
+			entry: current, ownPool: known.ownPool, pool: known.pool, leavingGeneration, servingAt: noteLeaving(current),
 		});
 		return false;
 	};
@@ -149,6 +171,7 @@
 		if (isFollowed || now - known.missingSince > MISSING_AFTER_MS) {
 			known.pool.retire();
 			tracked.delete(known.entry.id);
+			leavingEndpoints.forget(known.entry.id);
 			log.info('an endpoint was removed', {
 				endpoint: known.entry.id, group: known.entry.group, missingMs: Math.round(now - known.missingSince), isFollowed,
 			});
@@ -162,6 +185,7 @@
 			byGroup.set(group, listed);
 			return listed;
 		},
+		mayTakeWork: (endpointId, now) => !leavingEndpoints.isGraceOver(endpointId, now),
 		update(now) {
 			if (mirror.state.endpoints === updatedFrom && now - updatedAt < UPDATE_INTERVAL_MS) {
 				return;
--- a/src/owners/group-owner.ts
+++ b/src/owners/group-owner.ts
@@ -7,6 +7,7 @@
 import {EndpointOrder, type EndpointConfig, type GroupConfig} from '../groups/group-config.js';
 import {createGroupKnowledge} from '../groups/create-group-knowledge.js';
 import type {GroupKnowledge} from '../groups/group-knowledge.js';
+import {createLeavingEndpoints} from '../membership/leaving-endpoints.js';
 import type {Random} from '../random/random.js';
 import type {Clock} from '../time/clock.js';
 import {createBarrier} from './barrier.js';
@@ -14,7 +15,6 @@
 import {getPoolLimit} from './connection-budget.js';
 import {createGroupChanges} from './group-changes.js';
 import type {EndpointParts, GroupParts} from './group-parts.js';
-import {createLeavingEndpoints} from './leaving-endpoints.js';
 import {PredictedPlacement} from './predicted-placement.js';
 import {createReadPath, type ReadPath} from './read-path.js';
 import {createRunningWork} from './running-work.js';
@@ -22,6 +22,9 @@
 import {createWriteGate} from './write-gate.js';
 import {createWritePath, type WritePath} from './write-path.js';
 
+/** How long a leaving primary may still be given work while its successor is prepared, in milliseconds. */
+const LEAVING_GRACE_MS = 700;
+
 /** Owns one database group on this host: its connections, what is known of its endpoints, and its read and write paths. */
 export type GroupOwner = {
 	readonly parts: GroupParts;
@@ -68,7 +71,7 @@
 	const changes = createGroupChanges(clock);
 	const knowledge = notifyOnChange(createGroupKnowledge({getGroup}), changes.notify);
 	const writeGate = createWriteGate(clock);
-	const leaving = createLeavingEndpoints();
+	const leaving = createLeavingEndpoints(LEAVING_GRACE_MS);
 	const running = createRunningWork();
 	const createdAt = clock.now();
 
--- a/src/platform/boot-settings.ts
+++ b/src/platform/boot-settings.ts
@@ -19,6 +19,8 @@
 	readonly ordersAddress: string;
 	/** Time after which no host may accept a revoked key any more, in milliseconds; undefined if there is no such bound. */
 	readonly revokeWithinMs?: number;
+	/** Time from the announcement of an endpoint that it is leaving until it gets no new work, in milliseconds; undefined if there is no such bound. */
+	readonly maxLeavingMs?: number;
 	/** Region of each availability zone. */
 	readonly zoneRegions: Readonly<Record<string, string>>;
 	/** Whether the platform expects callers to compete for endpoints. */
@@ -61,6 +63,7 @@
 	/** Whether the bound on revocation also applies to hosts that are cut off from the store. */
 	'bounds.revokeStrict': z.enum(['true', 'false'], 'must be true or false').default('false'),
 	'bounds.revokeMs': z.coerce.number().positive().optional(),
+	'bounds.drainMs': z.coerce.number().positive().optional(),
 });
 
 /** Parses the text of the settings file. Throws BootSettingsError, which names every invalid field. */
@@ -83,6 +86,7 @@
 		storeAddress: fields['platform.address'],
 		ordersAddress: fields['cloud.address'],
 		revokeWithinMs: fields['bounds.revokeStrict'] === 'true' ? fields['bounds.revokeMs'] : undefined,
+		maxLeavingMs: fields['bounds.drainMs'],
 		zoneRegions: getZoneRegions(lines),
 		isContended: fields.contracts.split(',').includes(CONTENTION_CONTRACT),
 		capacity: fields['limits.cpuShare'] * fields['limits.cores'],
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -94,6 +94,8 @@
 	readonly incarnation: string;
 	/** Time after which no host may accept a revoked key, in milliseconds; undefined where there is no bound. */
 	readonly revokeWithinMs?: number;
+	/** Time from the announcement of an endpoint that it is leaving until it gets no new work, in milliseconds; undefined where there is no bound. */
+	readonly maxLeavingMs?: number;
 	/** Features that this deployment asks for; none by default. */
 	readonly features?: ProxyFeatures;
 	/** Chooses where reads run; by load, lag and zone where it is undefined. */
@@ -204,6 +206,7 @@
 		opener: placementFeature?.opener ?? opener,
 		clock,
 		log,
+		maxLeavingMs: parts.maxLeavingMs,
 		createOrder: scheduling && (() => new UrgencyOrder(scheduling.leastShare, metrics)),
 		getSharing: entry => ({hosts: poolHosts.countHosts(entry), isPoolHost: poolHosts.isPoolHost(entry)}),
 		createWindow: endpointRooms?.createWindow,
--- a/src/proxy/main.ts
+++ b/src/proxy/main.ts
@@ -67,6 +67,7 @@
 		peerAddress: settings.peerAddress,
 		seeds: settings.seeds,
 		revokeWithinMs: settings.revokeWithinMs,
+		maxLeavingMs: settings.maxLeavingMs,
 		features,
 		incarnation: createRequestId(clock.wall(), random),
 	};
--- a/src/proxy/run-proxy.ts
+++ b/src/proxy/run-proxy.ts
@@ -145,10 +145,13 @@
 	const mirror = kernel.getOrThrow('storeMirror');
 	const directory = kernel.getOrThrow('endpointDirectory');
 	const {elapsed} = kernel.getOrThrow('elapsedClock');
+	const leaving = [...mirror.state.leadership.values()].map(({primaryId}) => primaryId).filter(id => directory.get(id)?.entry.leaving);
 	metrics.setState({
 		confirmationAgeSeconds: mirror.confirmedAt === undefined ? -1 : (elapsed() - mirror.confirmedAt) / 1000,
 		routingVersion: mirror.state.routing?.version ?? 0,
 		hosts: mirror.state.hosts.length,
+		leavingPrimaries: leaving.length,
+		unusablePrimaries: leaving.filter(id => !directory.mayTakeWork(id, elapsed())).length,
 	});
 	metrics.setRooms(kernel.get('endpointRooms')?.list() ?? []);
 	for (const {entry, pool} of mirror.state.endpoints.map(({id}) => directory.get(id)).filter(endpoint => endpoint !== undefined)) {
--- a/src/stand-ins/proxies/simulated-proxies.ts
+++ b/src/stand-ins/proxies/simulated-proxies.ts
@@ -78,6 +78,8 @@
 	readonly workspaces?: readonly Workspace[];
 	/** Time after which hosts may not honour a revoked key, in milliseconds. */
 	readonly revokeWithinMs?: number;
+	/** Time from the announcement of an endpoint that it is leaving until it gets no new work, in milliseconds; unlimited without it. */
+	readonly maxLeavingMs?: number;
 	readonly log?: Log;
 	/** Maximum delay before an order arrives at the platform, in milliseconds; default 10. */
 	readonly maxOrderDelayMs?: number;
@@ -279,6 +281,7 @@
 				seeds: [],
 				incarnation: `${name}/${earlierStarts}`,
 				revokeWithinMs: options.revokeWithinMs,
+				maxLeavingMs: options.maxLeavingMs,
 				placement: options.createPlacement?.(proxy),
 				features: options.features,
 			});
--- a/tests/connection-sharing/checkout-server-tests.ts
+++ b/tests/connection-sharing/checkout-server-tests.ts
@@ -71,7 +71,7 @@
 				handlers.set(kind, handler);
 			},
 		},
-		directory: {get: () => ({entry: {id: 'i-1', group: 'nights'}, ownPool})},
+		directory: {get: () => ({entry: {id: 'i-1', group: 'nights'}, ownPool}), mayTakeWork: () => true},
 		primaryLeases: {get: () => lease},
 		clock,
 		elapsedClock: {elapsed: () => clock.now()},
--- a/tests/gateway/pool-refusal-tests.ts
+++ b/tests/gateway/pool-refusal-tests.ts
@@ -79,7 +79,7 @@
 		mirror: {confirmedAt: elapsed(), state: {leadership: new Map()}, confirmSoon() {}}, // eslint-disable-line @typescript-eslint/no-empty-function
 		primaryLeases: {get: () => lease, changed: async () => clock.sleep(10_000)},
 		cutOffs: {isCutOff: () => false},
-		directory: {list: () => endpoints, get: (id: string) => endpoints.find(({entry}) => entry.id === id)},
+		directory: {list: () => endpoints, get: (id: string) => endpoints.find(({entry}) => entry.id === id), mayTakeWork: () => true},
 		knowledge,
 		features: {
 			scheduling: {
--- a/tests/platform/boot-settings-tests.ts
+++ b/tests/platform/boot-settings-tests.ts
@@ -28,6 +28,7 @@
 			ordersAddress: '10.200.0.160:8783',
 			graceMs: 6000,
 			revokeWithinMs: undefined,
+			maxLeavingMs: undefined,
 			zoneRegions: {},
 			isContended: false,
 			capacity: 1,
@@ -39,6 +40,10 @@
 		expect({zoneRegions, capacity, isContended}).to.deep.equal({zoneRegions: {'hall-a': 'north', 'hall-b': 'south'}, capacity: 1.35, isContended: true});
 	});
 
+	it('takes the time after which a leaving endpoint gets no new work from bounds.drainMs', () => {
+		expect(parseBootSettings(`${GOOD}bounds.drainMs=7000\n`).maxLeavingMs).to.equal(7000);
+	});
+
 	it('takes the bound on revocation only if bounds.revokeStrict is true', () => {
 		expect(parseBootSettings(`${GOOD}bounds.revokeStrict=true\nbounds.revokeMs=5000\n`).revokeWithinMs).to.equal(5000);
 		expect(parseBootSettings(`${GOOD}bounds.revokeStrict=false\nbounds.revokeMs=5000\n`).revokeWithinMs).to.equal(undefined);
@@ -59,6 +64,7 @@
 	doTest('names an invalid number', text => text.replace('graceS=6', 'graceS=soon'), /bounds\.graceS is wrong/v);
 	doTest('quotes a line without a name and a value', text => `${text}nonsense\n`, /no name and value: nonsense/v);
 	doTest('names every invalid field at once', text => text.replace(/zone=.*\n/v, '').replace('graceS=6', 'graceS=0'), /zone is wrong.*; bounds\.graceS is wrong/v);
+	doTest('names a bound on leaving that is no time', text => `${text}bounds.drainMs=-1\n`, /bounds\.drainMs is wrong/v);
 	doTest('names a field with an unknown choice', text => `${text}bounds.revokeStrict=maybe\n`, /bounds\.revokeStrict is wrong: must be true or false/v);
 	doTest('rejects an empty file', () => '', /nodeName is wrong/v);
 });
--- a/tests/proxy/coordinator-bench.ts
+++ b/tests/proxy/coordinator-bench.ts
@@ -76,7 +76,7 @@
 	const system = createSimulatedProxies({
 		clock, seed: 1, groups: groups.map(name => ({
 			name, zones: ['zone-0', 'zone-1', 'zone-2'], observer, promoteMs,
-		})), routes, log,
+		})), routes, maxLeavingMs, log,
 	});
 
 	const getGroup = (name: string): PlainGroup => system.groups.find(group => group.name === name)!;
--- a/tests/proxy/proxy-bench.ts
+++ b/tests/proxy/proxy-bench.ts
@@ -49,11 +49,13 @@
 	/** Where it is defined, all routes need a key. */
 	readonly workspaces?: readonly Workspace[];
 	readonly revokeWithinMs?: number;
+	readonly maxLeavingMs?: number;
 	readonly features?: ProxyFeatures;
 };
 
 /** Creates a bench whose proxies know the group's primary. */
-export async function createProxyBench({proxies: count = 3, lagMs, maxConnections, slots, promoteMs, log, workspaces, revokeWithinMs, features}: ProxyBenchOptions = {}): Promise<ProxyBench> {
+export async function createProxyBench(options: ProxyBenchOptions = {}): Promise<ProxyBench> {
+	const {proxies: count = 3, lagMs, maxConnections, slots, promoteMs, log, workspaces, revokeWithinMs, maxLeavingMs, features} = options;
 	const clock = createVirtualClock();
 	const ran: string[] = [];
 	const system = createSimulatedProxies({
@@ -78,6 +80,7 @@
 		routes: ROUTES.map(route => ({...route, needsKey: workspaces !== undefined})),
 		workspaces,
 		revokeWithinMs,
+		maxLeavingMs,
 		features,
 		log,
 	});
--- a/tests/proxy/stopping-coordinator-tests.ts
+++ b/tests/proxy/stopping-coordinator-tests.ts
@@ -91,3 +91,60 @@
 		expect(tokens).to.deep.equal(tokens.toSorted((left, right) => left - right));
 	});
 });
+
+describe('a primary that is leaving', () => {
+	const createBench = async () => createCoordinatorBench({groups: ['nights'], maxLeavingMs: DRAIN_MS});
+
+	/** Guards against new work that an endpoint cuts off when it ends, because nobody could replace it in time. */
+	it('gets no new work after its bound where it has no successor', async () => {
+		const bench = await createBench();
+		const [group] = bench.system.groups;
+		for (const replica of group!.servers.slice(1)) {
+			group!.crash(replica);
+		}
+
+		const draining = await bench.drain('nights');
+		await bench.clock.advance(DRAIN_MS + 3000);
+		expect(bench.getLastWorkMs(draining)).to.be.within(DRAIN_MS - 1500, DRAIN_MS);
+	});
+
+	/** Guards against new work at a leaving primary while the store is away and nothing can be replaced. */
+	it('gets no new work after its bound where the store is away', async () => {
+		const bench = await createBench();
+		const draining = await bench.drain('nights');
+		await bench.clock.advance(700);
+		bench.system.store.setFaults(undefined, {silent: true});
+		await bench.clock.advance(DRAIN_MS + 1000);
+		expect(bench.getLastWorkMs(draining)).to.be.lessThan(DRAIN_MS);
+	});
+
+	/** Guards against a bound that counts anew at a host that was started after the announcement. */
+	it('gets no new work from a host that has never seen it serve', async () => {
+		const bench = await createBench();
+		const [group] = bench.system.groups;
+		for (const replica of group!.servers.slice(1)) {
+			group!.crash(replica);
+		}
+
+		const draining = await bench.drain('nights');
+		await bench.clock.advance(DRAIN_MS);
+		await bench.startProxy('entry-9');
+		await bench.clock.advance(5000);
+		expect(bench.getLastWorkMs(draining)).to.be.lessThan(DRAIN_MS);
+	});
+
+	it('is in use again where it no longer leaves', async () => {
+		const bench = await createBench();
+		const [group] = bench.system.groups;
+		for (const replica of group!.servers.slice(1)) {
+			group!.crash(replica);
+		}
+
+		const draining = await bench.drain('nights');
+		await bench.clock.advance(DRAIN_MS + 1000);
+		draining.server.leaving = false;
+		bench.system.registerEndpoints();
+		await bench.clock.advance(2000);
+		expect(bench.getLastWorkMs(draining)).to.be.greaterThan(DRAIN_MS + 1000);
+	});
+});
