Play stops, releases and the handed-over lease in the random checks

`--lease`, also of `npm run check:random`, plays schedules of the lease alone on three hosts: takes, renewals, orders in transit, releases, suspensions, restarts and the store's faults; two holders at once or a falling token break them.

--- a/tests/lead-check/leadership-callers.ts
+++ b/tests/lead-check/leadership-callers.ts
@@ -67,6 +67,7 @@
 
 async function readOnce(world: World, proxy: SimulatedProxy, caller: ScriptedCaller, route: Route, own: readonly string[]) {
 	const id = createId();
+	world.drains?.noteSingle(id);
 	world.history.requireRead(id, createRequirement(world, route, own));
 	const answer = await unlessKilled(proxy, caller.ask(id, READ));
 	if (answer?.end.kind === 'complete') {
@@ -83,6 +84,7 @@
 
 async function writeOnce(world: World, proxy: SimulatedProxy, caller: ScriptedCaller, own: string[]) {
 	const id = createId();
+	world.drains?.noteSingle(id);
 	const answer = await unlessKilled(proxy, caller.ask(id, {kind: 'run', access: Access.Write, text: `WRITE item ${id}`}));
 	recordEnd(world, id, answer, own);
 	return answer !== undefined;
--- a/tests/lead-check/leadership-faults.ts
+++ b/tests/lead-check/leadership-faults.ts
@@ -1,5 +1,6 @@
 import type {SimulatedProxy} from '../../src/stand-ins/proxies/simulated-proxies.js';
 import {pick, type World} from './leadership-world.js';
+import {PLANNED_WORK} from './leadership-stops.js';
 import type {LeadershipScheduleOptions} from './run-leadership-schedule.js';
 
 /** Maximum number of fault kinds in a swarm, which is a small random subset of all kinds. */
@@ -13,11 +14,14 @@
 }
 
 /** Injects faults one after the other, some of which overlap. */
-export async function injectFaults(world: World, until: number, {swarms = false, emptyRestarts = false, restores = false}: Pick<LeadershipScheduleOptions, 'swarms' | 'emptyRestarts' | 'restores'>) {
+export async function injectFaults(world: World, until: number, options: LeadershipScheduleOptions) {
 	const {clock, random} = world;
+	const {swarms = false, emptyRestarts = false, restores = false, stops = false} = options;
+	world.faultsEndAt = until;
 	// These kinds are listed separately, because one more common kind would change the schedule of every seed that is kept in the tests.
-	const commonFaults = swarms ? pickSwarm(world) : COMMON_FAULTS;
-	const faults = [...commonFaults, ...(emptyRestarts ? [restartEmpty, restartEmpty] : []), ...(restores ? [restoreBackup, restoreBackup, restoreBackup] : [])];
+	const commonFaults = world.drains ? FAULTS_BESIDE_STOPS : (swarms ? pickSwarm(world) : COMMON_FAULTS);
+	const planned = stops ? Array.from({length: PLANNED_SHARE}, () => PLANNED_WORK).flat() : [];
+	const faults = [...commonFaults, ...planned, ...(emptyRestarts ? [restartEmpty, restartEmpty] : []), ...(restores ? [restoreBackup, restoreBackup, restoreBackup] : [])];
 	while (clock.now() < until && !world.stopped) {
 		await clock.sleep(100 + (900 * random.fraction()));
 		if (clock.now() < until) {
@@ -27,7 +31,7 @@
 }
 
 /** Starts a fault that lasts about `ms` milliseconds. */
-type Fault = (world: World, ms: number) => void;
+export type Fault = (world: World, ms: number) => void;
 
 function pickRunningProxy(world: World): SimulatedProxy | undefined {
 	const running = world.system.proxies.filter(({killed}) => !killed);
@@ -38,7 +42,7 @@
 	void clock.sleep(ms).then(action);
 }
 
-const FAULTS: Readonly<Record<string, Fault>> = {
+const FAULTS = {
 	crashServer(world, ms) {
 		const group = world.system.groups[0]!;
 		const server = world.random.fraction() < 0.7 ? group.latestPrimary : pick(world, group.servers);
@@ -170,9 +174,15 @@
 			world.system.registerEndpoints();
 		});
 	},
-};
+} satisfies Readonly<Record<string, Fault>>;
 
-const COMMON_FAULTS = Object.values(FAULTS);
+const COMMON_FAULTS: readonly Fault[] = Object.values(FAULTS);
+
+/** Number of times that each kind of planned work is listed among the kinds of faults. */
+const PLANNED_SHARE = 4;
+
+/** Faults that keep no proxy from the store and from its peers, so that each learns in time which servers are leaving. */
+const FAULTS_BESIDE_STOPS: readonly Fault[] = [FAULTS.killProxy, FAULTS.crashServer, FAULTS.lagReplica];
 
 /** Faults that delay statements in progress, so that they run at a primary that has been superseded in the meantime. */
 const DELAY_FAULTS: readonly Fault[] = [freezeServer, slowServer, slowOrders];
--- a/tests/lead-check/leadership-history.ts
+++ b/tests/lead-check/leadership-history.ts
@@ -30,6 +30,7 @@
 	recordUnknown(): void;
 	/** Returns whether any commit took effect under this id. */
 	wroteAnything(id: string): boolean;
+	addViolation(description: string): void;
 	/** Checks the guarantees that can only be checked at the end. */
 	finish(orders: readonly PromotionOrder[]): void;
 };
@@ -99,6 +100,7 @@
 
 	return {
 		violations,
+		addViolation,
 		figures,
 		setGroup(next) {
 			group = next;
--- a/tests/lead-check/leadership-world.ts
+++ b/tests/lead-check/leadership-world.ts
@@ -2,6 +2,7 @@
 import {ReadPolicy, type Route} from '../../src/routes/routing.js';
 import type {SimulatedProxies} from '../../src/stand-ins/proxies/simulated-proxies.js';
 import type {VirtualClock} from '../../src/stand-ins/time/virtual-clock.js';
+import type {DrainWatch} from './drain-watch.js';
 import type {LeadershipHistory} from './leadership-history.js';
 
 /** The simulated system of a schedule. */
@@ -12,6 +13,12 @@
 	readonly clock: VirtualClock;
 	/** Names of the proxies. */
 	readonly proxies: readonly string[];
+	/** Checks the new work of leaving servers; undefined where faults may keep proxies from learning of them. */
+	readonly drains?: DrainWatch;
+	/** Time after which a leaving server gets no new work, in milliseconds; undefined without a bound. */
+	readonly maxLeavingMs?: number;
+	/** Virtual time at which the last fault is injected. */
+	faultsEndAt: number;
 	stopped: boolean;
 	served: number;
 };
--- a/tests/lead-check/main.ts
+++ b/tests/lead-check/main.ts
@@ -3,7 +3,8 @@
  *
  * `--trouble-ms MS` sets how long faults are injected, `--callers N` the number of callers per proxy. `--swarms` gives each
  * schedule only a few kinds of faults. `--crowded` runs more proxies than each endpoint has connections for. `--rebirths`
- * lets servers restart empty. `--returns` restores the store from a backup. `--log` prints the proxies' log lines, each after
+ * lets servers restart empty. `--returns` restores the store from a backup. `--stops` stops proxies in order and releases
+ * primaries. `--lease` plays schedules of the failover lease alone, `--first` being the seed of all of them. `--log` prints the proxies' log lines, each after
  * its virtual time. `--without NAME` removes a guard first and ends with the first schedule that violates a guarantee;
  * `--without all` does so for each guard in turn.
  */
@@ -14,6 +15,7 @@
 import {parseArgs} from 'node:util';
 import {bundlePlayer} from './bundle-player.js';
 import {getMissingGuardOrThrow, MISSING_GUARDS, type MissingGuard} from './missing-guards.js';
+import {playLeases} from './play-leases-in-process.js';
 import {
 	createTotals, TOTALS_PREFIX, type PlayOptions, type PlayTotals,
 } from './play-options.js';
@@ -29,6 +31,8 @@
 		crowded: {type: 'boolean', default: false},
 		rebirths: {type: 'boolean', default: false},
 		returns: {type: 'boolean', default: false},
+		stops: {type: 'boolean', default: false},
+		lease: {type: 'boolean', default: false},
 		log: {type: 'boolean', default: false},
 		without: {type: 'string'},
 	},
@@ -62,6 +66,7 @@
 		largeFleet: values.crowded,
 		emptyRestarts: values.rebirths,
 		restores: values.returns,
+		stops: values.stops,
 		log: values.log,
 	};
 	const child = spawn(process.execPath, [search.player, JSON.stringify(options)], {stdio: ['ignore', 'pipe', 'inherit']});
@@ -116,12 +121,27 @@
 	return search;
 }
 
+/** Returns the number of the first schedule that a program without the guard breaks; undefined if it breaks none. */
+async function findFirstBroken(guard: MissingGuard): Promise<number | undefined> {
+	if (guard.isOfLease) {
+		const {schedules, counterexample} = await playLeases({runs: count, seed: first, guard});
+		return counterexample && schedules;
+	}
+
+	const {firstBroken} = await playAll(guard);
+	return firstBroken === undefined ? undefined : firstBroken - first + 1;
+}
+
 if (values.without) {
 	const guards = values.without === 'all' ? MISSING_GUARDS : [getMissingGuardOrThrow(values.without)];
 	for (const guard of guards) {
-		const {firstBroken} = await playAll(guard);
-		console.log(`without ${guard.without}: ${firstBroken === undefined ? `none broken in ${count}` : `broken by schedule ${firstBroken - first + 1}`}`);
+		const broken = await findFirstBroken(guard);
+		console.log(`without ${guard.without}: ${broken === undefined ? `none broken in ${count}` : `broken by schedule ${broken}`}`);
 	}
+} else if (values.lease) {
+	const report = await playLeases({runs: count, seed: first});
+	console.log(TOTALS_PREFIX + JSON.stringify(report));
+	process.exitCode = report.counterexample ? 1 : 0;
 } else {
 	const {totals} = await playAll();
 	console.log(TOTALS_PREFIX + JSON.stringify(totals));
--- a/tests/lead-check/missing-guards.ts
+++ b/tests/lead-check/missing-guards.ts
@@ -13,6 +13,8 @@
 	/** Description of the removed guard. */
 	readonly without: string;
 	readonly changes: readonly SourceChange[];
+	/** Whether schedules of the failover lease alone show its absence; else those of whole proxies do. */
+	readonly isOfLease?: true;
 };
 
 const inLeadership = (file: string, from: string, to: string): SourceChange => ({file: `src/leadership/${file}`, from, to});
@@ -207,6 +209,29 @@
 		without: 'tokens higher than all those of earlier store generations',
 		changes: [inLeadership('failover-lease.ts', 'getNextInGeneration(generation, record?.token ?? 0)', '(record?.token ?? 0) + 1')],
 	},
+	{
+		name: 'release-in-order',
+		without: 'the check of orders in flight before the failover lease is released',
+		changes: [inLeadership('failover-lease.ts', 'if (!isHeld(now) || mayBeOrdered(now)) {', 'if (!isHeld(now)) {')],
+		isOfLease: true,
+	},
+	{
+		name: 'renewal-after-release',
+		without: 'the check of a renewal\'s response for a release in the meantime',
+		changes: [inLeadership('failover-lease.ts', 'if (releases !== releasesBefore) {', 'if (releases < 0) {')],
+		isOfLease: true,
+	},
+	{
+		name: 'drop-before-release',
+		without: 'the end of the holder\'s own right before its release is sent',
+		changes: [inLeadership('failover-lease.ts', '\t\t\theld = undefined;\n\t\t\treleases++;\n', '\t\t\treleases++;\n')],
+		isOfLease: true,
+	},
+	{
+		name: 'leaving-bound',
+		without: 'the bound on new work at a leaving endpoint',
+		changes: [{file: 'src/links/endpoint-directory.ts', from: '!leavingEndpoints.isGraceOver(endpointId, now)', to: 'endpointId !== \'\' && now > 0'}],
+	},
 	{
 		name: 'versions-of-before',
 		without: 'the check of conditions on versions of an earlier store generation',
--- a/tests/lead-check/play-options.ts
+++ b/tests/lead-check/play-options.ts
@@ -9,6 +9,7 @@
 	readonly largeFleet: boolean;
 	readonly emptyRestarts: boolean;
 	readonly restores: boolean;
+	readonly stops: boolean;
 	/** Prints the proxies' log lines, each after its virtual time. */
 	readonly log: boolean;
 };
--- a/tests/lead-check/run-leadership-schedule.ts
+++ b/tests/lead-check/run-leadership-schedule.ts
@@ -2,6 +2,8 @@
 import {createSeededRandom} from '../../src/random/seeded-random.js';
 import {createSimulatedProxies} from '../../src/stand-ins/proxies/simulated-proxies.js';
 import {createVirtualClock} from '../../src/stand-ins/time/virtual-clock.js';
+import type {PlainObserver} from '../../src/stand-ins/plain-group/plain-server.js';
+import {createDrainWatch, type DrainWatch} from './drain-watch.js';
 import {runCaller} from './leadership-callers.js';
 import {createLeadershipHistory, type LeadershipHistory} from './leadership-history.js';
 import {healAllFaults, injectFaults} from './leadership-faults.js';
@@ -33,8 +35,13 @@
 	readonly emptyRestarts?: boolean;
 	/** Whether the store is restored from a backup at times. */
 	readonly restores?: boolean;
+	/** Whether proxies are ordered to stop and primaries released; in every second schedule among few other faults, so that the new work of leaving servers can be judged. */
+	readonly stops?: boolean;
 };
 
+/** Time after which leaving servers get no new work, in milliseconds: shorter than a replacement that waits for primary leases to expire. */
+const MAX_LEAVING_MS = 4000;
+
 const DEFAULT_LENGTH_MS = 15_000;
 const QUIET_MS = 14_000;
 
@@ -48,26 +55,44 @@
 const CHECK_INTERVAL_MS = 250;
 const DEFAULT_CALLERS_PER_PROXY = 2;
 
+function joinObservers(observer: PlainObserver, drains: DrainWatch): PlainObserver {
+	return {
+		...observer,
+		onRead(read) {
+			observer.onRead(read);
+			drains.observer.onRead(read);
+		},
+		onCommit(commit, server, id, workspace) {
+			observer.onCommit(commit, server, id, workspace);
+			drains.observer.onCommit(commit, server, id, workspace);
+		},
+	};
+}
+
 /** Runs a random schedule of faults against the real leadership code. The same seed gives the same schedule. */
 export async function runLeadershipSchedule(seed: number, options: LeadershipScheduleOptions = {}): Promise<ScheduleOutcome> {
 	const clock = createVirtualClock(undefined, {drainRounds: CLOCK_SETTLE_ROUNDS});
 	const startedAt = clock.now();
 	const history = createLeadershipHistory(() => clock.now());
 	const random = createSeededRandom(seed);
+	const maxLeavingMs = options.stops ? MAX_LEAVING_MS : undefined;
+	const drains = options.stops && seed % 2 === 0 ? createDrainWatch(() => clock.now(), MAX_LEAVING_MS, history.addViolation) : undefined;
+	const observer = drains ? joinObservers(history.observer, drains) : history.observer;
 	const system = createSimulatedProxies({
 		clock,
 		seed,
 		groups: [{
-			name: GROUP, zones: ['zone-0', 'zone-1', 'zone-2'], observer: history.observer, promoteMs: 600 + (400 * random.fraction()), lagMs: 20 + (60 * random.fraction()), replicateMs: REPLICATE_MS,
+			name: GROUP, zones: ['zone-0', 'zone-1', 'zone-2'], observer, promoteMs: 600 + (400 * random.fraction()), lagMs: 20 + (60 * random.fraction()), replicateMs: REPLICATE_MS,
 			maxConnections: options.largeFleet ? LARGE_FLEET_CONNECTIONS : undefined,
 		}],
 		routes: ROUTES,
+		maxLeavingMs,
 		log: options.createLog?.(() => clock.now() - startedAt),
 		maxOrderDelayMs: 30,
 	});
 	history.setGroup(system.groups[0]!);
 	const world: World = {
-		system, history, random, clock, proxies: options.largeFleet ? LARGE_FLEET : PROXIES, stopped: false, served: 0,
+		system, history, random, clock, proxies: options.largeFleet ? LARGE_FLEET : PROXIES, drains, maxLeavingMs, faultsEndAt: Number.POSITIVE_INFINITY, stopped: false, served: 0,
 	};
 	for (const name of world.proxies) {
 		const starting = system.startProxy(name);
--- a/tests/random-check/main.ts
+++ b/tests/random-check/main.ts
@@ -2,11 +2,14 @@
  * Runs many random schedules: `npm run check:random -- --runs N --seed S`.
  *
  * `--guard NAME` removes a guard first, to show that the check detects its absence; `--guard all` does so for each in turn.
- * `--replay JSON` runs one schedule in the printed format.
+ * `--replay JSON` runs one schedule in the printed format. `--lease` runs schedules of the failover lease instead, also with a guard of
+ * `tests/lead-check/missing-guards.ts` removed.
  */
 import process from 'node:process';
 import {parseArgs} from 'node:util';
 import {createSystemClock} from '../../src/time/system-clock.js';
+import {getMissingGuardOrThrow, MISSING_GUARDS} from '../lead-check/missing-guards.js';
+import {playLeases} from '../lead-check/play-leases-in-process.js';
 import {checkSchedules, type CheckReport, type Counterexample} from './check-schedules.js';
 import {getGuardBreakOrThrow, GUARD_BREAKS, type GuardBreak} from './guard-breaks.js';
 import {runSchedule} from './run-schedule.js';
@@ -18,6 +21,7 @@
 		seed: {type: 'string', default: '1'},
 		guard: {type: 'string'},
 		replay: {type: 'string'},
+		lease: {type: 'boolean', default: false},
 	},
 });
 
@@ -73,7 +77,26 @@
 	return name === 'all' ? GUARD_BREAKS : [getGuardBreakOrThrow(name)];
 }
 
-for (const guardBreak of getGuardBreaks(values.guard)) {
+/** Runs schedules of the failover lease, with each guard of it removed in turn if the name is `all`; resolves to whether the whole program broke none. */
+async function checkLease(): Promise<boolean> {
+	const guards = values.guard === 'all' ? MISSING_GUARDS.filter(({isOfLease}) => isOfLease) : [values.guard === undefined ? undefined : getMissingGuardOrThrow(values.guard)];
+	let isGood = true;
+	for (const guard of guards) {
+		const {schedules, figures, counterexample} = await playLeases({runs: Number(values.runs), seed: Number(values.seed), guard});
+		console.log(guard ? `\nwithout ${guard.name}: ${guard.without}` : 'the failover lease');
+		console.log(`schedules ${schedules}, orders ${figures.orders}, releases ${figures.releases}, hand-overs ${figures.handOvers}`);
+		console.log(counterexample ? `violated: ${counterexample.violations.join('; ')}\nschedule: ${JSON.stringify(counterexample.schedule)}` : 'no violation');
+		isGood &&= guard !== undefined || counterexample === undefined;
+	}
+
+	return isGood;
+}
+
+if (values.lease && !await checkLease()) {
+	process.exitCode = 1;
+}
+
+for (const guardBreak of values.lease ? [] : getGuardBreaks(values.guard)) {
 	const isGood = values.replay
 		? await replay(JSON.parse(values.replay) as Schedule, guardBreak)
 		: await checkOnce(guardBreak);
