Show on related paths that a stopping host keeps nobody waiting

The host that reads the store for all ends just before a primary drains: it is replaced within 3 s as otherwise. Every pool host of a primary is leaving: a remote host's write is done within 100 ms on a connection of its own.

--- a/tests/proxy/connection-sharing-tests.ts
+++ b/tests/proxy/connection-sharing-tests.ts
@@ -149,6 +149,24 @@
 		expect(await bench.ask(caller, 'WRITE night 42')).to.equal('done idle');
 	});
 
+	/** Guards against callers that are refused because each pool host of an endpoint leaves its connections to others. */
+	it('are replaced by connections of its own where every pool host is leaving', async () => {
+		const bench = await createFleet();
+		const remoteHost = getRemoteHost(bench);
+		const caller = await bench.open(remoteHost, 'sync');
+		await bench.ask(caller, 'WRITE night 41');
+		const {id} = bench.getPrimary();
+		for (const {kernel} of bench.proxies) {
+			if (kernel.getOrThrow('poolHosts').isPoolHost({id, group: 'nights'})) {
+				kernel.getOrThrow('checkoutServer').retire();
+			}
+		}
+
+		const askedAt = bench.clock.now();
+		expect(await bench.ask(caller, 'WRITE night 42')).to.equal('done idle');
+		expect(bench.clock.now() - askedAt).to.be.lessThan(100);
+	});
+
 	/**
 	 * A pool host is ordered to stop while a transaction of another host's caller uses one of its connections. If the transaction went on until the pool host's
 	 * end, the commit could be cut off with it, and its outcome would be unknown. Ended before, the transaction is rolled back for certain and reported so.
--- a/tests/proxy/stopping-coordinator-tests.ts
+++ b/tests/proxy/stopping-coordinator-tests.ts
@@ -92,6 +92,17 @@
 	});
 });
 
+describe('a stopping host with another duty', () => {
+	/** Guards against late news of a leaving primary, because the host that reads the store for all others ends just then. */
+	it('does not delay the replacement of a primary where it reads the store for all', async () => {
+		const bench = await createCoordinatorBench();
+		const reader = bench.system.proxies.find(({kernel}) => kernel.getOrThrow('storeMirror').readsForAll)!;
+		await bench.clock.runUntil(bench.stop(reader));
+		const draining = await bench.drain('rosters');
+		expect(await bench.waitForSuccessor('rosters', draining)).to.be.lessThan(3000);
+	});
+});
+
 describe('a primary that is leaving', () => {
 	const createBench = async () => createCoordinatorBench({groups: ['nights'], maxLeavingMs: DRAIN_MS});
 
