--- a/src/leadership/stop-turn.ts
+++ b/src/leadership/stop-turn.ts
@@ -18,7 +18,7 @@
 /** Time within which another host begins a replacement if there is one that may, in milliseconds: its copy of the store is 700 ms old at most, and it tries every 400 ms. */
 export const OTHERS_BEGIN_WITHIN_MS = 1500;
 
-/** Time that a replacement takes at least, in milliseconds; one that would be interrupted by the host's end is not begun. */
+/** Time that a replacement takes at least, in milliseconds: a promotion of 1,000 and the revocation before it; one that would be interrupted by the host's end is not begun. */
 const MIN_REPLACEMENT_MS = 1500;
 
 /** Creates the decision for a host that has begun nothing since its order to stop. */
--- a/src/membership/leaving-endpoints.ts
+++ b/src/membership/leaving-endpoints.ts
@@ -26,7 +26,7 @@
 				return undefined;
 			}
 
-			// Guards against a grace period that starts again at each new owner: an owner that has never seen the
+			// Guards against a grace period that starts again at each new host: a host that has never seen the
 			// endpoint serve cannot tell how long it has been leaving, and grants no grace.
 			const known = leavingSince.get(endpoint) ?? (served.has(endpoint) ? since : -Infinity);
 			leavingSince.set(endpoint, known);
--- a/tests/proxy/leaving-primary-tests.ts
+++ b/tests/proxy/leaving-primary-tests.ts
@@ -28,7 +28,9 @@
 
 /** Advances the clock until shortly before the first of the proxies gives the primary no new work any more. */
 async function advanceToBound({clock, getPrimary}: ProxyBench, proxies: readonly SimulatedProxy[]) {
+	const until = clock.now() + MAX_LEAVING_MS;
 	while (proxies.every(({kernel}) => kernel.getOrThrow('endpointDirectory').mayTakeWork(getPrimary().id, clock.now() + BEFORE_BOUND_MS))) {
+		expect(clock.now(), 'the bound has not come').to.be.lessThan(until);
 		await clock.advance(5);
 	}
 }
