--- a/review/stand-ins-2/deployment.mjs
+++ b/review/stand-ins-2/deployment.mjs
@@ -58,6 +58,11 @@
 	thawSlackMs: 300,
 };
 
+/** Further bounds of a site whose callers have keys. */
+const TENANT_BOUNDS = {
+	revokeStrict: true, revokeMs: 5000, quotaWindowS: 5, quotaOverage: 0.1, quotaSlack: 20,
+};
+
 /** Opens the record of a run: each line starts with the milliseconds since its start. */
 export function openRecord(file) {
 	const stream = createWriteStream(file);
@@ -107,7 +112,7 @@
  * Starts a small deployment on loopback: the store, the service for promotions and three servers of one service in this process, and proxies as processes, each at an
  * address of its own. Resolves once all proxies are ready.
  */
-export async function startDeployment({proxies: proxyCount, record, onPromoted = () => undefined, onRead = () => undefined, group: groupSettings = {}}) {
+export async function startDeployment({proxies: proxyCount, record, onPromoted = () => undefined, onRead = () => undefined, group: groupSettings = {}, tenants}) {
 	const settings = {...SERVER_SETTINGS, ...groupSettings};
 	const platformHost = `${NETWORK}.90.1`;
 	const [storePort, cloudPort] = await findFreePorts(platformHost, 2);
@@ -125,11 +130,12 @@
 	store.put('config', 'main', {
 		revision: 7,
 		routes: ROUTES.map(route => ({
-			...route, name: `r-${route.host}`, pathPrefix: '/', backend: SERVICE, maxAttempts: 2,
+			...route, name: `r-${route.host}`, pathPrefix: '/', backend: SERVICE, maxAttempts: 2, ...(tenants && {allowAnonymous: false}),
 		})),
 		backends: [{
 			name: SERVICE, healthPath: '/health', maxConnections: settings.maxConnections, protocol: 'h1', tls: false, syncReplicas: settings.syncReplicas,
 		}],
+		...(tenants && {tenants}),
 		limits: {
 			maxHeaderBytes: 16_384, maxBodyBytes: 262_144, headerTimeoutMs: 3000, idleTimeoutMs: 15_000, txIdleMs: 3000,
 		},
@@ -174,11 +180,11 @@
 			'discovery=platform',
 			'entry=vip',
 			`heartbeatMs=${settings.heartbeatMs}`,
-			'contracts=base,drain,config,cost,recover,sql,platform',
+			`contracts=base,drain,config,cost,recover,sql,${tenants ? 'tenants,quota,' : ''}platform`,
 			'faultTolerance.machines=2',
 			'faultTolerance.zones=0',
 			'faultTolerance.regions=0',
-			...Object.entries(BOUNDS).map(([bound, value]) => `bounds.${bound}=${value}`),
+			...Object.entries({...BOUNDS, ...(tenants && TENANT_BOUNDS)}).map(([bound, value]) => `bounds.${bound}=${value}`),
 			`platform.address=${platformHost}:${storePort}`,
 			'platform.form=objects',
 			'platform.writesPerS=400',
@@ -225,6 +231,18 @@
 		throw new Error(`${name} was not ready within ${READY_TIMEOUT_MS} ms`);
 	};
 
+	// Ends the proxies also where the run itself is ended early.
+	process.once('exit', () => {
+		for (const {child} of proxies) {
+			child?.kill('SIGKILL');
+		}
+	});
+	for (const signal of ['SIGINT', 'SIGTERM']) {
+		process.once(signal, () => {
+			process.exit(2);
+		});
+	}
+
 	const endChild = async ({child}) => {
 		if (child && child.exitCode === null && child.signalCode === null) {
 			child.kill('SIGKILL');
