--- a/review/stand-ins-2/platform.mjs
+++ b/review/stand-ins-2/platform.mjs
@@ -13,6 +13,7 @@
 export async function startStore(host, port) {
 	const kinds = new Map();
 	let revision = 1;
+	const readWaiters = [];
 
 	const getKind = kind => {
 		const objects = kinds.get(kind) ?? new Map();
@@ -103,6 +104,10 @@
 	const server = createServer((req, res) => {
 		handle(req).then(([status, body]) => {
 			res.writeHead(status, {'content-type': 'application/json'}).end(JSON.stringify(body));
+			const waiters = req.method === 'GET' ? readWaiters.splice(0) : [];
+			for (const resolve of waiters) {
+				resolve();
+			}
 		}, () => {
 			res.writeHead(400).end('{}');
 		});
@@ -113,6 +118,10 @@
 		put: write,
 		remove,
 		get: (kind, name) => getKind(kind).get(name),
+		/** Resolves at the next answer to a reading call. */
+		whenRead: async () => new Promise(resolve => {
+			readWaiters.push(resolve);
+		}),
 		stop() {
 			server.closeAllConnections();
 			server.close();
