--- a/src/connection-sharing/shared-pool.ts
+++ b/src/connection-sharing/shared-pool.ts
@@ -323,6 +323,10 @@
 			checkouts.delete(sessionLink);
 			checkout.release();
 		},
+		async greet(timeoutMs) {
+			await ownPool.greet(timeoutMs);
+			noteReceived();
+		},
 		async sendCommand(command, timeoutMs) {
 			if (isPoolHost()) {
 				return ownPool.sendCommand(command, timeoutMs);
--- a/src/gateway/acknowledge-commit.ts
+++ b/src/gateway/acknowledge-commit.ts
@@ -1,3 +1,4 @@
+import type {AcknowledgedCommit} from '../leadership/acknowledged-commits.js';
 import type {PrimaryLease} from '../leadership/primary-leases.js';
 import {createSleepAlarm} from '../time/sleep-alarm.js';
 import type {GatewayParts} from './gateway-parts.js';
@@ -17,9 +18,10 @@
  * has expired, so the host requests a new confirmation: the same epoch proves that there was no replacement, a later one leaves
  * the outcome unknown.
  */
-export async function mayAcknowledge(parts: GatewayParts, lease: PrimaryLease, id: string): Promise<boolean> {
-	const {primaryLeases, elapsedClock, clock, mirror, log, metrics} = parts;
+export async function mayAcknowledge(parts: GatewayParts, lease: PrimaryLease, id: string, commit: AcknowledgedCommit): Promise<boolean> {
+	const {primaryLeases, elapsedClock, clock, mirror, log, metrics, acknowledgedCommits} = parts;
 	if (primaryLeases.holds(lease, elapsedClock.elapsed())) {
+		acknowledgedCommits.note(lease.group, commit);
 		return true;
 	}
 
@@ -30,6 +32,7 @@
 		await Promise.race([primaryLeases.changed(alarm), clock.sleep(until - clock.now(), alarm)]);
 		alarm.abort();
 		if (primaryLeases.holds(lease, elapsedClock.elapsed())) {
+			acknowledgedCommits.note(lease.group, commit);
 			log.info('a commit is acknowledged under a renewed lease', {id, group: lease.group, epoch: lease.epoch});
 			metrics.countCommitRecheck('kept');
 			return true;
--- a/src/gateway/acquire-link.ts
+++ b/src/gateway/acquire-link.ts
@@ -12,6 +12,7 @@
 import type {Workspace} from '../workspaces/workspace.js';
 import type {GatewayParts} from './gateway-parts.js';
 import {createHopelessRefusal} from './hopeless-refusal.js';
+import {getUnprovenRefusal} from './unproven-refusal.js';
 import type {QueueTimeout} from './queue-timeout.js';
 import {getReadCandidates} from './read-candidates.js';
 import {fetchFloor, getFloor, refreshSamples} from './read-floors.js';
@@ -118,6 +119,12 @@
 			return undefined;
 		}
 
+		const unprovenRefusal = lease ? undefined : getUnprovenRefusal(parts.mirror.state.leadership.get(req.route.group));
+		if (unprovenRefusal) {
+			req.trace.queueRefusal = unprovenRefusal;
+			return undefined;
+		}
+
 		const isLeaving = endpoint !== undefined && !mayTakeWork(parts, endpoint);
 		if (!lease || !endpoint || isLeaving || endpoint.pool.health.getSuspicion(parts.clock.now())) {
 			req.trace.leavingPrimary = isLeaving ? endpoint.entry.id : undefined;
--- a/src/gateway/caller-transaction.ts
+++ b/src/gateway/caller-transaction.ts
@@ -94,7 +94,10 @@
 		rollBackAtEndpoint();
 	};
 
-	const failUnbegun = () => fail(AnswerCode.Overloaded, 'no endpoint could begin the transaction; nothing ran', req.trace.queueRefusal?.retryAfterMs ?? RETRY_AFTER_MS);
+	const failUnbegun = () => {
+		const {reason = 'no endpoint could begin the transaction', retryAfterMs = RETRY_AFTER_MS} = req.trace.queueRefusal ?? {};
+		return fail(AnswerCode.Overloaded, `${reason}; nothing ran`, retryAfterMs);
+	};
 
 	/** Begins the transaction at an endpoint. Returns undefined where no endpoint accepted it in time. */
 	const begin = async (until: number): Promise<AcquiredLink | undefined> => {
@@ -223,6 +226,7 @@
 
 			acquired = undefined;
 			committing = true;
+			const before = parts.knowledge.getSamples(group).getNewest()?.position;
 			const answer = await commitAtEndpoint(ending, id, until);
 			ending.release();
 			if (!answer) {
@@ -238,7 +242,7 @@
 				return answer;
 			}
 
-			if (ending.lease && !await mayAcknowledge(parts, ending.lease, id)) {
+			if (ending.lease && !await mayAcknowledge(parts, ending.lease, id, {position: answer.position, before})) {
 				return fail(AnswerCode.OutcomeUnknown, 'the primary may have been replaced before it committed');
 			}
 
--- a/src/gateway/gateway-parts.ts
+++ b/src/gateway/gateway-parts.ts
@@ -1,4 +1,5 @@
 import type {EndpointDirectory} from '../links/endpoint-directory.js';
+import type {AcknowledgedCommits} from '../leadership/acknowledged-commits.js';
 import type {CutOffs} from '../leadership/cut-offs.js';
 import type {PrimaryLeases} from '../leadership/primary-leases.js';
 import type {PrimaryWork} from '../leadership/primary-work.js';
@@ -29,6 +30,7 @@
 	readonly directory: EndpointDirectory;
 	readonly knowledge: PlacementKnowledge;
 	readonly primaryWork: PrimaryWork;
+	readonly acknowledgedCommits: AcknowledgedCommits;
 	readonly cutOffs: CutOffs;
 	readonly sampleFetcher: SampleFetcher;
 	readonly access: CallerAccess;
--- a/src/gateway/prom-gateway-metrics.ts
+++ b/src/gateway/prom-gateway-metrics.ts
@@ -17,6 +17,8 @@
 	countRegionBytes(purpose: string, bytes: number): void;
 	/** Sets the store generation of the platform's last answer. */
 	setStoreGeneration(generation: number): void;
+	/** Sets the endpoints whose response a change of a group's primary waits for; with none once it waits for none. */
+	setAwaitedEndpoints(group: string, endpointIds: readonly string[]): void;
 	/** Observes the duration of one part of replacing a group's primary. */
 	observeReplacement(part: string, seconds: number): void;
 	/** Sets the gauges whose values are read at each scrape. */
@@ -82,6 +84,9 @@
 	const replacementSeconds = new Histogram({
 		name: 'aldercroft_replacement_seconds', help: 'Parts of replacing a primary', labelNames: ['part'], buckets: REPLACEMENT_BUCKETS, registers,
 	});
+	const awaitedEndpoints = new Gauge({
+		name: 'aldercroft_awaited_endpoints', help: 'Endpoints without whose response no primary can be promoted, by group', labelNames: ['group', 'endpoint'], registers,
+	});
 	const confirmationAge = new Gauge({name: 'aldercroft_evidence_age_seconds', help: 'Time since the copy of the store was last confirmed', registers});
 	const routingVersion = new Gauge({name: 'aldercroft_routing_version', help: 'Version of the configuration in force', registers});
 	const hosts = new Gauge({name: 'aldercroft_hosts', help: 'Proxies that are registered', registers});
@@ -113,6 +118,8 @@
 		name: 'aldercroft_load_view_age_seconds', help: 'Age of the newest load report of an endpoint when a read was sent to it', buckets: STATEMENT_BUCKETS, registers,
 	});
 
+	/** Ids of the endpoints that are awaited, by group. */
+	const awaited = new Map<string, readonly string[]>();
 	let getConnectionMetrics: ReturnType<typeof createPromConnectionMetrics> | undefined;
 
 	return {
@@ -157,6 +164,16 @@
 		observeReplacement(part, seconds) {
 			replacementSeconds.observe({part}, seconds);
 		},
+		setAwaitedEndpoints(group, endpointIds) {
+			for (const endpoint of awaited.get(group) ?? []) {
+				awaitedEndpoints.remove({group, endpoint});
+			}
+
+			awaited.set(group, endpointIds);
+			for (const endpoint of endpointIds) {
+				awaitedEndpoints.set({group, endpoint}, 1);
+			}
+		},
 		setState(state) {
 			confirmationAge.set(state.confirmationAgeSeconds);
 			routingVersion.set(state.routingVersion);
--- a/src/gateway/run-write.ts
+++ b/src/gateway/run-write.ts
@@ -34,6 +34,7 @@
 		}
 
 		const {lease} = acquired;
+		const before = parts.knowledge.getSamples(group).getNewest()?.position;
 		const answer = await exchangeStatement(parts, acquired, req.memory, {id, statement, timeoutMs: req.until - clock.now()});
 		acquired.release();
 		if (!answer) {
@@ -60,7 +61,7 @@
 
 		attempts.noteAnswered();
 		if (answer.end.kind === 'complete') {
-			if (lease && !await mayAcknowledge(parts, lease, id)) {
+			if (lease && !await mayAcknowledge(parts, lease, id, {position: answer.position, before})) {
 				return refuse(AnswerCode.OutcomeUnknown, 'the primary may have been replaced before it wrote');
 			}
 
--- a/src/leadership/first-record.ts
+++ b/src/leadership/first-record.ts
@@ -5,6 +5,7 @@
 import {getGeneration, getNextInGeneration} from '../mirror/store-generation.js';
 import type {StoreMirror} from '../mirror/store-mirror.js';
 import type {Clock} from '../time/clock.js';
+import {getReplicaSet} from './proven-successors.js';
 import {getLeadershipName, LeadershipPhase, type LeadershipRecord} from './leadership-record.js';
 
 /** Writes the first record of a group. */
@@ -58,7 +59,8 @@
 			const record: LeadershipRecord = {
 				group, primaryId: leader.entry.id, term: status.term, epoch: getNextInGeneration(generation, 0), phase: LeadershipPhase.Steady, start: status.received, changedBy: hostName, generation,
 			};
-			await store.putRecord(RecordKind.Leadership, {name: getLeadershipName(group), version: 0, value: record}, STORE_TIMEOUT_MS);
+			const replicaSet = getReplicaSet({mirror, directory}, record);
+			await store.putRecord(RecordKind.Leadership, {name: getLeadershipName(group), version: 0, value: {...record, ...(replicaSet && {replicaSet})}}, STORE_TIMEOUT_MS);
 			log.info('a group has a primary for the first time', {group, primary: record.primaryId, term: record.term});
 			await mirror.confirm();
 		},
--- a/src/leadership/leadership-calls.ts
+++ b/src/leadership/leadership-calls.ts
@@ -1,3 +1,5 @@
+import type {CommitReport} from './acknowledged-commits.js';
+
 /** Requests a host to give up its lease of a group, before its primary is replaced. */
 export type RevokeRequest = {
 	readonly group: string;
@@ -7,6 +9,8 @@
 	readonly settleMs: number;
 	/** Whether the response has to state the demand of the host's callers. */
 	readonly wantsDemand?: true;
+	/** Whether the response has to report the commits that the host has acknowledged. */
+	readonly wantsCommits?: true;
 };
 
 /** Response of a host that has given up its lease. */
@@ -14,6 +18,8 @@
 	readonly revoked: true;
 	/** Statements per second that the host ran at the group's primary lately, where the request asks for them. */
 	readonly demand?: number;
+	/** Where the request asks for it and the host knows the positions of all commits that it acknowledged. */
+	readonly commits?: CommitReport;
 };
 
 /** Why a host does not begin a replacement that it was asked for. */
--- a/src/leadership/leadership-record.ts
+++ b/src/leadership/leadership-record.ts
@@ -1,6 +1,7 @@
 import * as z from 'zod';
 import {getGeneration} from '../mirror/store-generation.js';
 import type {LogPosition} from '../terms/log-position.js';
+import type {ReplicaSet} from './replica-set.js';
 
 /** Whether a group has a primary that may be used, or its primary is being replaced. */
 export const LeadershipPhase = {
@@ -26,6 +27,12 @@
 	readonly changedBy: string;
 	/** Store generation in which the record was last written; absent means 0. */
 	readonly generation?: number;
+	/** The endpoints that may have confirmed commits; absent if the primary has waited for no replica. */
+	readonly replicaSet?: ReplicaSet;
+	/** Ids of the endpoints of which one or more must respond before any can be promoted; absent if that is not so. */
+	readonly awaited?: readonly string[];
+	/** A log up to this position holds every acknowledged commit; absent if that is not known, and in the steady phase. */
+	readonly required?: LogPosition;
 };
 
 /** The stored failover lease: its holder may replace primaries. */
@@ -87,6 +94,12 @@
 	start: positionSchema,
 	changedBy: z.string(),
 	generation: z.int().optional(),
+	replicaSet: z.object({
+		syncReplicas: z.int().positive(),
+		members: z.array(z.object({endpointId: z.string(), address: z.string(), leaving: z.literal(true).optional()})),
+	}).optional(),
+	awaited: z.array(z.string()).optional(),
+	required: positionSchema.optional(),
 });
 
 const failoverLeaseSchema: z.ZodType<FailoverLeaseRecord> = z.object({
--- a/src/leadership/leadership-watch.ts
+++ b/src/leadership/leadership-watch.ts
@@ -11,6 +11,7 @@
 import type {Clock} from '../time/clock.js';
 import type {ElapsedClock} from '../time/elapsed-clock.js';
 import {createSleepAlarm} from '../time/sleep-alarm.js';
+import type {CommitReport} from './acknowledged-commits.js';
 import type {CutOffs} from './cut-offs.js';
 import type {FailoverLease} from './failover-lease.js';
 import {createFenceCheck} from './fence-check.js';
@@ -23,6 +24,7 @@
 import {createRecordRewriter} from './rewrite-record.js';
 import type {Replacement} from './replace-primary.js';
 import {createReplacements} from './replacements.js';
+import {createReplicaSetUpkeep} from './replica-set-upkeep.js';
 import {createUnresolvedGroups} from './unresolved-groups.js';
 
 /** Monitors the primaries of all groups and replaces those that are lost or leaving. */
@@ -56,6 +58,8 @@
 	readonly ownPeerAddress: string;
 	/** Whether this host may begin a replacement: all hosts that it has to wait for must know it. */
 	mayReplace(): boolean;
+	/** Reports the commits of a group that this host has acknowledged; undefined if it cannot tell. */
+	reportCommits(group: string): CommitReport | undefined;
 	replace(replacement: Replacement): Promise<boolean>;
 };
 
@@ -95,6 +99,9 @@
 	const firstRecord = createFirstRecord({
 		store, mirror, directory, clock, log, hostName: options.hostName,
 	});
+	const replicaSetUpkeep = createReplicaSetUpkeep({
+		store, mirror, directory, clock, random, log,
+	});
 	const fenceCheck = createFenceCheck({
 		directory, primaryLeases, clock, elapsedClock, log, readsForAll: () => mirror.readsForAll, countHosts: () => mirror.state.hosts.length,
 	});
@@ -246,6 +253,7 @@
 		if (!record) {
 			await firstRecord.create(group);
 		} else if (record.phase === LeadershipPhase.Steady && isInCurrentGeneration(record, mirror.state.revision)) {
+			replicaSetUpkeep.check(record);
 			await Promise.all([checkSteadyGroup(record, watch), fenceCheck.check(record)]);
 		} else {
 			await unresolvedGroups.check(record);
@@ -296,13 +304,15 @@
 		return isSame ? undefined : DeclineReason.OtherRecord;
 	};
 
-	peers.handle('lead-revoke', async ({group, epoch, settleMs, wantsDemand}) => {
+	peers.handle('lead-revoke', async ({group, epoch, settleMs, wantsDemand, wantsCommits}) => {
 		const demand = wantsDemand ? {demand: options.primaryWork.getRate(group)} : {};
 		primaryLeases.pause(group, epoch);
 		await options.primaryWork.drain(group, settleMs);
 		primaryLeases.revoke(group, epoch);
 		log.info('the lease of a group was given up', {group, epoch, settleMs});
-		return {revoked: true as const, ...demand};
+		// Reported after the lease has ended, so that nothing is acknowledged later.
+		const commits = wantsCommits && options.reportCommits(group);
+		return {revoked: true as const, ...demand, ...(commits && {commits})};
 	});
 	peers.handle('lead-changed', async (_req, from) => {
 		void mirror.confirmWithPeer(from.address);
--- a/src/leadership/lease-revocation.ts
+++ b/src/leadership/lease-revocation.ts
@@ -1,17 +1,26 @@
 import {withinMs} from '../time/deadline.js';
 import type {Versioned} from '../mirror/mirror-state.js';
 import {isPeerError} from '../peers/peer-errors.js';
+import type {LogPosition} from '../terms/log-position.js';
 import {LEADERSHIP_CALL_TIMEOUT_MS} from './leadership-calls.js';
+import {
+	getAcknowledgedEnd, getExceededPosition, type CommitReport, type ReceivedReport,
+} from './acknowledged-commits.js';
 import type {HostRecord, LeadershipRecord} from './leadership-record.js';
+import {getSyncReplicas} from './proven-successors.js';
 import {RETRY_MS, type ReplacePrimaryParts} from './replace-parts.js';
 import type {ZoneDemand} from './successor-distance.js';
 
 /** The revocation of all leases below a record's epoch, on every host. */
 export type LeaseRevocation = {
+	/** A position above which some host has acknowledged a commit; undefined if none has reported one. */
+	readonly exceeded: LogPosition | undefined;
 	/** Hosts that have not responded yet. */
 	readonly silent: ReadonlyArray<Versioned<HostRecord>>;
 	/** Demand at the group's primary by zone, as stated by the hosts that have responded; empty where it does not count. */
 	readonly demand: ZoneDemand;
+	/** A position at or above all commits that any host has acknowledged; undefined if not every host has reported what is needed to tell. */
+	readonly acknowledgedEnd: LogPosition | undefined;
 	/** Requests the hosts that have not responded yet, including this one, to give up their leases. */
 	request(): Promise<void>;
 	/**
@@ -34,8 +43,15 @@
 	let isOwnRevoked = false;
 	const demand = new Map<string, number>();
 	const wantsDemand = parts.getSuccessorDistance !== undefined;
+	const wantsCommits = getSyncReplicas(parts, changing) > 0;
+	const reports: Array<ReceivedReport | undefined> = [];
+	let listedAt = 0;
 	const mayLackHosts = parts.storeRestores.mayLackHosts(elapsedClock.elapsed());
 
+	const noteReport = (report: CommitReport | undefined, askedAt: number) => {
+		reports.push(report && {askedAt, receivedAt: elapsedClock.elapsed(), report});
+	};
+
 	const noteDemand = (zone: string, rate: number | undefined) => {
 		demand.set(zone, (demand.get(zone) ?? 0) + (rate ?? 0));
 	};
@@ -49,17 +65,25 @@
 		await primaryWork.drain(group, settleMs);
 		primaryLeases.revoke(group, epoch);
 		isOwnRevoked = true;
+		if (wantsCommits) {
+			noteReport(parts.reportCommits?.(group), elapsedClock.elapsed());
+		}
 	};
 
 	const requestOne = async (host: Versioned<HostRecord>) => {
+		const askedAt = elapsedClock.elapsed();
 		try {
 			const res = await parts.peers.call(host.peerAddress, 'lead-revoke', {
-				group, epoch, settleMs, ...(wantsDemand && {wantsDemand}),
+				group, epoch, settleMs, ...(wantsDemand && {wantsDemand}), ...(wantsCommits && {wantsCommits}),
 			}, settleMs + LEADERSHIP_CALL_TIMEOUT_MS);
 			if (wantsDemand) {
 				noteDemand(host.availabilityZone, res.demand);
 			}
 
+			if (wantsCommits) {
+				noteReport(res.commits, askedAt);
+			}
+
 			return undefined;
 		} catch (err) {
 			if (!isPeerError(err)) {
@@ -74,6 +98,7 @@
 		if (!hosts) {
 			hosts = await listOtherHosts(parts);
 			silent = hosts?.filter(host => !host.gone) ?? [];
+			listedAt = elapsedClock.elapsed();
 		}
 
 		const results = await Promise.all(silent.map(async host => requestOne(host)));
@@ -89,6 +114,13 @@
 		get silent() {
 			return silent;
 		},
+		get exceeded() {
+			return getExceededPosition(reports.filter(report => report !== undefined));
+		},
+		get acknowledgedEnd() {
+			const isComplete = hosts !== undefined && silent.length === 0 && !hosts.some(host => host.gone) && isOwnRevoked && !mayLackHosts && !reports.includes(undefined);
+			return isComplete ? getAcknowledgedEnd(reports.filter(report => report !== undefined), listedAt) : undefined;
+		},
 		request,
 		async wait(endsAt) {
 			while ((!hosts || silent.length > 0) && elapsedClock.elapsed() < endsAt) {
--- a/src/leadership/primary-reachability.ts
+++ b/src/leadership/primary-reachability.ts
@@ -1,4 +1,4 @@
-import type {EndpointDirectory} from '../links/endpoint-directory.js';
+import type {EndpointDirectory, KnownEndpoint} from '../links/endpoint-directory.js';
 import {SILENT_AFTER_MS, Suspicion} from '../links/endpoint-health.js';
 import {LinkError} from '../links/link-errors.js';
 import type {PoolHosts} from '../connection-sharing/pool-hosts.js';
@@ -61,6 +61,15 @@
 /** Without responses from most hosts a primary counts as lost only after this time, in milliseconds: longer than hosts take to restart, or than a network partition usually lasts. */
 const MAJORITY_NOT_REQUIRED_AFTER_MS = 8000;
 
+/** Resolves once either promise does; rejects as the first of them if both reject. */
+async function getFirst(left: Promise<unknown>, right: Promise<unknown>): Promise<unknown> {
+	try {
+		return await Promise.any([left, right]);
+	} catch {
+		return left;
+	}
+}
+
 /** Creates the reachability checks and responds to those of other hosts. */
 export function createPrimaryReachability({mirror, directory, poolHosts, peers, clock, log, ownPeerAddress}: PrimaryReachabilityOptions): PrimaryReachability {
 	/** Probes in progress, by endpoint. */
@@ -68,6 +77,12 @@
 	/** Time at which a probe last failed, by endpoint. */
 	const failedAt = new Map<string, number>();
 
+	/**
+	 * Whether the endpoint may owe answers because its commits wait for replicas: then only new connections show whether it is alive. Guards against the
+	 * replacement of a primary whose replicas receive nothing for a while.
+	 */
+	const waitsForReplicas = ({entry}: KnownEndpoint) => (mirror.state.routing?.groups.get(entry.group)?.syncReplicas ?? 0) > 0;
+
 	const probeAnew = async (endpointId: string): Promise<boolean> => {
 		const endpoint = directory.get(endpointId);
 		if (!endpoint) {
@@ -76,7 +91,8 @@
 
 		try {
 			const askedAt = clock.now();
-			await withinMs(clock, PROBE_TIMEOUT_MS, endpoint.pool.sendCommand({kind: 'status'}, PROBE_TIMEOUT_MS));
+			const status = endpoint.pool.sendCommand({kind: 'status'}, PROBE_TIMEOUT_MS);
+			await withinMs(clock, PROBE_TIMEOUT_MS, waitsForReplicas(endpoint) ? getFirst(status, endpoint.pool.greet(PROBE_TIMEOUT_MS)) : status);
 			return (endpoint.pool.health.lastReceivedAt ?? 0) >= askedAt;
 		} catch (err) {
 			if (!(err instanceof LinkError)) {
@@ -114,8 +130,9 @@
 	};
 
 	const isReachable = async (endpointId: string) => {
-		const health = directory.get(endpointId)?.pool.health;
-		if (health?.getSuspicion(clock.now()) === Suspicion.Silent) {
+		const endpoint = directory.get(endpointId);
+		const health = endpoint?.pool.health;
+		if (endpoint && !waitsForReplicas(endpoint) && health?.getSuspicion(clock.now()) === Suspicion.Silent) {
 			// The endpoint has owed this host a response for long already; a probe would only lengthen the time without a primary.
 			return false;
 		}
--- a/src/leadership/replace-parts.ts
+++ b/src/leadership/replace-parts.ts
@@ -5,6 +5,7 @@
 import type {Peers} from '../peers/peers.js';
 import type {Clock} from '../time/clock.js';
 import type {ElapsedClock} from '../time/elapsed-clock.js';
+import type {CommitReport} from './acknowledged-commits.js';
 import type {FailoverLease} from './failover-lease.js';
 import type {SuccessorDistance} from './successor-distance.js';
 import type {UnresponsiveHosts} from './unresponsive-hosts.js';
@@ -34,8 +35,12 @@
 	readonly getSuccessorDistance?: SuccessorDistance;
 	/** Availability zone of this host. */
 	readonly availabilityZone: string;
+	/** Reports the commits of a group that this host has acknowledged, after it has given up its lease; undefined if it cannot tell. */
+	reportCommits?(group: string): CommitReport | undefined;
 	/** Called after a replacement with the duration of each part. */
 	onReplaced(group: string, times: ReplacementTimes): void;
+	/** Called with the ids of the endpoints whose response a change of primary waits for; with none once it waits for none. */
+	onAwaited?(group: string, endpointIds: readonly string[]): void;
 };
 
 /** Durations of the parts of a replacement, in milliseconds. */
--- a/src/leadership/replace-primary.ts
+++ b/src/leadership/replace-primary.ts
@@ -1,11 +1,16 @@
+import type {Versioned} from '../mirror/mirror-state.js';
 import {getGeneration, getNextInGeneration} from '../mirror/store-generation.js';
 import {PRIMARY_LEASE_MS} from './primary-leases.js';
-import {isInCurrentGeneration, LeadershipPhase} from './leadership-record.js';
+import {isInCurrentGeneration, LeadershipPhase, type LeadershipRecord} from './leadership-record.js';
 import {
 	restoreReplicas, gatherCandidates, keepFenced, liftFences, waitForCatchUp,
 } from './ask-endpoints.js';
-import {createLeaseRevocation} from './lease-revocation.js';
+import type {SuccessorCandidate} from './choose-successor.js';
+import {createLeaseRevocation, type LeaseRevocation} from './lease-revocation.js';
 import {notifyOtherHosts} from './notify-other-hosts.js';
+import {
+	gatherProvenSuccessors, getReplicaSet, getSyncReplicas, hasProvableSuccessor,
+} from './proven-successors.js';
 import {promoteBestCandidate} from './promote-best.js';
 import {ORDER_EFFECT_MS} from './promotion-orders.js';
 import type {ReplacePrimaryParts} from './replace-parts.js';
@@ -81,11 +86,16 @@
 	// A record of an earlier store generation may be out of date: another primary may have been promoted since, as in an unfinished change.
 	const before = isInCurrentGeneration(held, revision) ? held : {...held, phase: LeadershipPhase.Changing};
 
+	if (planned && getSyncReplicas(parts, before) > 0 && !await hasProvableSuccessor(parts, before)) {
+		log.info('a primary that still serves is not replaced: no replica is known to hold every acknowledged commit', {group, primary: before.primaryId});
+		return false;
+	}
+
 	log.info('a primary is replaced', {
 		group, reason, planned, primary: before.primaryId, epoch: before.epoch, term: before.term, version: before.version,
 	});
 	const changing = await updateRecord(parts, {
-		...before, epoch: getNextInGeneration(generation, before.epoch), phase: LeadershipPhase.Changing, changedBy: parts.hostName, generation,
+		...before, epoch: getNextInGeneration(generation, before.epoch), phase: LeadershipPhase.Changing, changedBy: parts.hostName, generation, replicaSet: getReplicaSet(parts, before),
 	}, before.version, giveUpAt);
 	if (!changing) {
 		log.info('another host changed the record first', {group, epoch: before.epoch});
@@ -116,8 +126,6 @@
 	}
 
 	log.info('endpoints were asked for a successor', {group, byTime, candidates: all.map(({endpointId, leaving, status}) => ({endpointId, leaving, ...status}))});
-	const former = planned ? all.filter(({endpointId}) => endpointId === before.primaryId) : [];
-	const others = all.filter(candidate => !former.includes(candidate));
 	// Checked after the fences are set: a host that rewrites the record for the primary in a store that is restored later finds them.
 	if (!await isStillStored(parts, changing, giveUpAt)) {
 		log.warn('the record of a change is no longer stored', {group, epoch: changing.epoch});
@@ -125,7 +133,15 @@
 		return false;
 	}
 
-	const candidates = byTime ? await keepFenced(parts, others, before) : others;
+	const proven = await findSuccessors(parts, {
+		changing, before, planned, byTime, all, revocation,
+	}, giveUpAt);
+	if (!proven) {
+		abandonChange(parts, group);
+		return false;
+	}
+
+	const {candidates, former} = proven;
 	mark();
 	const {getSuccessorDistance} = parts;
 	const getDistance = getSuccessorDistance && ((endpointId: string) => getSuccessorDistance(endpointId, revocation.demand, before.primaryId, elapsedClock.elapsed()));
@@ -142,13 +158,14 @@
 		return false;
 	}
 
+	const {awaited: _, required: __, ...settled} = proven.changing;
 	const steady = await updateRecord(parts, {
-		...changing,
+		...settled,
 		primaryId: leading.endpointId,
 		term: leading.status.term,
 		phase: LeadershipPhase.Steady,
 		start: leading.endpointId === before.primaryId && leading.status.term === before.term ? before.start : leading.status.received,
-	}, changing.version, giveUpAt);
+	}, proven.changing.version, giveUpAt);
 	mark();
 	restoreReplicas(parts, leading, before);
 	if (!steady) {
@@ -168,6 +185,41 @@
 	return true;
 }
 
+type AskedEndpoints = {
+	readonly changing: Versioned<LeadershipRecord>;
+	readonly before: LeadershipRecord;
+	readonly planned: boolean;
+	/** Whether leases may have ended only by expiring. */
+	readonly byTime: boolean;
+	/** The endpoints that were fenced, or that are primary. */
+	readonly all: readonly SuccessorCandidate[];
+	readonly revocation: LeaseRevocation;
+};
+
+/** Finds the endpoints that may be promoted, once all leases have ended; resolves to undefined if none is proven to hold every acknowledged commit. */
+async function findSuccessors(parts: ReplacePrimaryParts, {changing, before, planned, byTime, all, revocation}: AskedEndpoints, until: number) {
+	const isFormer = ({endpointId}: SuccessorCandidate) => planned && endpointId === before.primaryId;
+	const others = all.filter(candidate => !isFormer(candidate));
+	const fenced = byTime ? await keepFenced(parts, others, before) : others;
+	if (getSyncReplicas(parts, before) === 0 || (byTime && fenced.length === 0)) {
+		return {changing, candidates: fenced, former: all.filter(candidate => isFormer(candidate))};
+	}
+
+	const proven = await gatherProvenSuccessors(parts, {
+		changing,
+		before,
+		silentId: planned ? undefined : before.primaryId,
+		unfenced: new Set(others.filter(candidate => !fenced.includes(candidate)).map(({endpointId}) => endpointId)),
+		acknowledgedEnd: revocation.acknowledgedEnd,
+		exceeded: revocation.exceeded,
+	}, until);
+	return proven && {
+		changing: proven.changing,
+		candidates: proven.candidates.filter(candidate => !isFormer(candidate)),
+		former: proven.candidates.filter(candidate => isFormer(candidate)),
+	};
+}
+
 /** Abandons a change whose record is lost. If another host is changing the group by now, that host lifts the fences. */
 function abandonChange(parts: ReplacePrimaryParts, group: string) {
 	const record = parts.mirror.state.leadership.get(group);
--- a/src/links/create-endpoint-pool.ts
+++ b/src/links/create-endpoint-pool.ts
@@ -1,4 +1,5 @@
 import type {EndpointPool, EndpointPoolOptions} from './endpoint-pool.js';
+import type {SessionLink} from './link-session.js';
 import {createPoolConnections} from './pool-connections.js';
 import type {RequestQueue} from './request-queue.js';
 import {ArrivalOrder} from './waiter-order.js';
@@ -25,6 +26,8 @@
 		target, clock, log, connections,
 	});
 	const {all, idle, health} = connections;
+	/** The connection that was last opened for a command. */
+	let commandLink: SessionLink | undefined;
 
 	return {
 		target,
@@ -63,16 +66,23 @@
 			}
 		},
 		async sendCommand(command, timeoutMs) {
-			const open = idle.newest ?? [...all].find(({link}) => !link.closed);
+			const mayStall = options.waitsForReplicas?.() ?? false;
+			// A commit that waits for replicas delays all later answers on its connection.
+			const open = idle.newest ?? [...all].find(({link}) => !link.closed && !(mayStall && link.pending > 0)) ?? (commandLink?.link.closed === false ? commandLink : undefined);
 			if (open) {
 				return open.link.readStatus({command});
 			}
 
 			const sessionLink = await connections.openLink(timeoutMs, undefined);
+			commandLink = sessionLink;
 			const status = await sessionLink.link.readStatus({command});
 			queue.keep(sessionLink);
 			return status;
 		},
+		async greet(timeoutMs) {
+			const {link} = await connections.openLink(timeoutMs, undefined);
+			link.close();
+		},
 		maintain() {
 			connections.policy.events?.maintain(clock.now());
 			connections.trim();
--- a/src/links/endpoint-directory.ts
+++ b/src/links/endpoint-directory.ts
@@ -103,6 +103,7 @@
 			window: createWindow?.(entry),
 			order: options.createOrder?.(),
 			connections: createConnectionPolicy?.(entry),
+			waitsForReplicas: () => (mirror.state.routing?.groups.get(entry.group)?.syncReplicas ?? 0) > 0,
 			getLimits: () => ({
 				maxConnections: mirror.state.routing?.groups.get(entry.group)?.maxConnections ?? DEFAULT_MAX_CONNECTIONS,
 				...getSharing(entry),
--- a/src/links/endpoint-pool.ts
+++ b/src/links/endpoint-pool.ts
@@ -71,6 +71,8 @@
 	release(sessionLink: SessionLink): void;
 	/** Sends a command of the host's own, on any open connection or a new one, and resolves with the endpoint's status. */
 	sendCommand(command: EndpointRequest['command'], timeoutMs: number): Promise<EndpointStatus>;
+	/** Opens a connection and closes it again; rejects with LinkError where the endpoint does not accept it in time. */
+	greet(timeoutMs: number): Promise<void>;
 	/** Closes connections that have been idle for too long, so that other hosts can open them, and tries a suspected endpoint again. */
 	maintain(): void;
 	/** Closes idle connections; no more are opened, and acquired ones are closed once they are released. */
@@ -90,6 +92,8 @@
 	/** Decides which connections are opened and closed; by default the one that was idle longest is closed. */
 	readonly connections?: ConnectionPolicy;
 	getLimits(): LinkLimits;
+	/** Whether the endpoint's commits wait for other endpoints, for as long as those take. */
+	waitsForReplicas?(): boolean;
 	/** Returns the position that the endpoint's log holds at least; undefined where nothing is known of its log. */
 	getMinPosition(): LogPosition | undefined;
 };
--- a/src/platform/store-schemas.ts
+++ b/src/platform/store-schemas.ts
@@ -61,6 +61,8 @@
 		name: z.string(),
 		/** The limit of each server, for the connections of all callers together. */
 		maxConnections: z.number(),
+		/** How many replicas must have received a commit before the primary acknowledges it; it does not wait for them to apply it. */
+		syncReplicas: z.int().nonnegative().default(0),
 	})),
 	/** The workspaces, which are decoded one by one so that one unreadable entry does not hide the others; omitted if callers have no keys. */
 	tenants: z.array(z.unknown()).default([]),
@@ -102,7 +104,7 @@
 	return {
 		version: revision,
 		routes: new Map(routes.map(route => [route.host, decodeRoute(route, hasWorkspaces)])),
-		groups: new Map(backends.map(({name, maxConnections}) => [name, {name, maxConnections}])),
+		groups: new Map(backends.map(({name, maxConnections, syncReplicas}) => [name, {name, maxConnections, ...(syncReplicas > 0 && {syncReplicas})}])),
 		workspaces: decodeWorkspaces(tenants, onUnusable),
 		idleTransactionMs: limits.txIdleMs,
 	};
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -1,6 +1,7 @@
 import {createGateway, type Gateway} from '../gateway/gateway.js';
 import type {ProxyMetrics} from '../gateway/prom-gateway-metrics.js';
 import {createKernel, type Kernel} from '../kernel/kernel.js';
+import {createAcknowledgedCommits} from '../leadership/acknowledged-commits.js';
 import {createCutOffs} from '../leadership/cut-offs.js';
 import {createFailoverLease, type FailoverLease} from '../leadership/failover-lease.js';
 import {createUnresponsiveHosts} from '../leadership/unresponsive-hosts.js';
@@ -262,6 +263,8 @@
 	const registration: HostRegistration = createHostRegistration({
 		store, mirror, log, clock, elapsedClock, random, host, measureStoreRtt: regions?.measureStoreRtt,
 	});
+	const acknowledgedCommits = createAcknowledgedCommits(() => elapsedClock.elapsed());
+	const reportCommits = (group: string) => acknowledgedCommits.report(group, knowledge.getSamples(group).getNewest());
 	const leadershipWatch: LeadershipWatch = createLeadershipWatch({
 		store,
 		mirror,
@@ -279,6 +282,7 @@
 		hostName,
 		ownPeerAddress: peerAddress,
 		mayReplace: () => registration.isKnownToAll(elapsedClock.elapsed()),
+		reportCommits,
 		replace: async replacement => replacePrimary({
 			store,
 			mirror,
@@ -297,6 +301,8 @@
 			ownPeerAddress: peerAddress,
 			availabilityZone: parts.availabilityZone,
 			getSuccessorDistance: regions?.getSuccessorDistance,
+			reportCommits,
+			onAwaited: metrics.setAwaitedEndpoints,
 			onReplaced(_group, times) {
 				for (const [part, ms] of Object.entries(times)) {
 					metrics.observeReplacement(part, ms / 1000);
@@ -314,6 +320,7 @@
 		directory,
 		knowledge,
 		primaryWork,
+		acknowledgedCommits,
 		cutOffs,
 		sampleFetcher,
 		access,
--- a/src/routes/routing.ts
+++ b/src/routes/routing.ts
@@ -37,6 +37,8 @@
 	readonly name: string;
 	/** Maximum number of connections that each of the group's endpoints accepts from all hosts together. */
 	readonly maxConnections: number;
+	/** Number of replicas that must have received a commit before the primary acknowledges it; absent counts as 0. */
+	readonly syncReplicas?: number;
 };
 
 /** One complete version of the configuration. */
--- a/src/stand-ins/plain-group/plain-group.ts
+++ b/src/stand-ins/plain-group/plain-group.ts
@@ -7,7 +7,7 @@
 import {AnswerCode, isOverloaded, type EndpointAnswer} from '../../statements/statement-answer.js';
 import type {Clock} from '../../time/clock.js';
 import {createServiceSlots} from '../database/service-slots.js';
-import {alignLog, getVisibleEnd} from './plain-log.js';
+import {alignLog, getVisibleEnd, type PlainCommit} from './plain-log.js';
 import {
 	createPlainExecutor, type PlainObserver, type PlainServer, type PlainSession,
 } from './plain-server.js';
@@ -54,6 +54,8 @@
 	readonly promoteMs?: number;
 	readonly replicateMs?: number;
 	readonly maxConnections?: number;
+	/** Number of replicas that must have received a commit before it is acknowledged; default 0. */
+	readonly syncReplicas?: number;
 	/** Returns the one-way latency between a host and a server in the given availability zones, in milliseconds. */
 	getLatencyMs?(hostZone: string | undefined, serverZone: string): number;
 };
@@ -83,7 +85,6 @@
 export function createPlainGroup(options: PlainGroupOptions): PlainGroup {
 	const {clock, name, observer} = options;
 	const maxConnections = options.maxConnections ?? DEFAULT_MAX_CONNECTIONS;
-	const executor = createPlainExecutor({clock, observer, getServiceMs: options.getServiceMs ?? (() => options.serviceMs ?? DEFAULT_SERVICE_MS)});
 	const servers = options.zones.map((availabilityZone, i): PlainServer => ({
 		id: `${name}-${i + 1}`,
 		incarnation: 0,
@@ -95,6 +96,7 @@
 		running: true,
 		leaving: false,
 		cutFromGroup: false,
+		deaf: false,
 		lagMs: options.lagMs ?? DEFAULT_LAG_MS,
 		slowMs: 0,
 		slots: options.slots === undefined ? undefined : createServiceSlots(options.slots),
@@ -109,9 +111,26 @@
 	let term = 1;
 	let stopped = false;
 
+	const isHeld = (other: PlainServer, commit: PlainCommit) => other.log[commit.position - 1]?.commit === commit;
+
+	/** Waits for the replicas' receipt. A commit that its own server rolled back is never acknowledged. */
+	const whenReceived = async (commit: PlainCommit, server: PlainServer) => {
+		while (servers.filter(other => other !== server && isHeld(other, commit)).length < options.syncReplicas!) {
+			if (stopped || !isHeld(server, commit)) {
+				await NEVER;
+			}
+
+			await clock.sleep(options.replicateMs ?? DEFAULT_REPLICATION_INTERVAL_MS);
+		}
+	};
+
+	const executor = createPlainExecutor({
+		clock, observer, getServiceMs: options.getServiceMs ?? (() => options.serviceMs ?? DEFAULT_SERVICE_MS), whenReceived: options.syncReplicas ? whenReceived : undefined,
+	});
+
 	const replicateTo = (server: PlainServer) => {
 		const isResponsive = ({running, frozenUntil}: PlainServer) => running && frozenUntil <= clock.now();
-		const isConnected = latestPrimary.role === EndpointRole.Primary && isResponsive(server) && isResponsive(latestPrimary) && !server.cutFromGroup && !latestPrimary.cutFromGroup;
+		const isConnected = latestPrimary.role === EndpointRole.Primary && isResponsive(server) && isResponsive(latestPrimary) && !server.deaf && !server.cutFromGroup && !latestPrimary.cutFromGroup;
 		if (server === latestPrimary || !isConnected) {
 			server.connectedToSuccessorSince = undefined;
 			return;
--- a/src/stand-ins/plain-group/plain-server.ts
+++ b/src/stand-ins/plain-group/plain-server.ts
@@ -38,6 +38,8 @@
 	leaving: boolean;
 	/** Whether replication from and to the server is cut. */
 	cutFromGroup: boolean;
+	/** Whether it receives no commits. */
+	deaf: boolean;
 	/** Time from the receipt of a commit until reads on this server see it, in milliseconds. */
 	lagMs: number;
 	/** Time added to each statement, in milliseconds. */
@@ -77,6 +79,8 @@
 	/** Returns the time that a statement takes, in milliseconds. */
 	getServiceMs(text: string): number;
 	readonly observer: PlainObserver;
+	/** Resolves once enough replicas have received a commit for it to be acknowledged; undefined where none has to. */
+	whenReceived?(commit: PlainCommit, server: PlainServer): Promise<void>;
 };
 
 /** Resolves once a server is not frozen. */
@@ -87,7 +91,7 @@
 }
 
 /** Creates an executor. */
-export function createPlainExecutor({clock, getServiceMs, observer}: PlainExecutorOptions): PlainExecutor {
+export function createPlainExecutor({clock, getServiceMs, observer, whenReceived}: PlainExecutorOptions): PlainExecutor {
 	/** Fraction of the next failure of a read, by server. */
 	const unfailed = new Map<PlainServer, number>();
 
@@ -260,6 +264,20 @@
 		}
 	};
 
+	/** Performs a request; where it committed, waits for the replicas, which takes a slot. */
+	const performAndWait = async (session: PlainSession, req: EndpointRequest) => {
+		const {server} = session;
+		const before = server.log.length;
+		const performed = perform(session, req);
+		if (whenReceived && server.log.length > before) {
+			await server.slots?.acquire();
+			await whenReceived(server.log.at(-1)!.commit, server);
+			server.slots?.release();
+		}
+
+		return performed;
+	};
+
 	return {
 		async execute(session, req) {
 			const {server, transaction} = session;
@@ -279,7 +297,7 @@
 				return refuse(session, AnswerCode.Aborted);
 			}
 
-			return isBehind(session, req.floor) ? refuse(session, AnswerCode.Lagging) : perform(session, req);
+			return isBehind(session, req.floor) ? refuse(session, AnswerCode.Lagging) : performAndWait(session, req);
 		},
 	};
 }
--- a/src/stand-ins/proxies/simulated-proxies.ts
+++ b/src/stand-ins/proxies/simulated-proxies.ts
@@ -123,7 +123,7 @@
 	const routing: Routing = {
 		version: 1,
 		routes: new Map(options.routes.map(route => [route.database, route])),
-		groups: new Map(options.groups.map(group => [group.name, {name: group.name, maxConnections: group.maxConnections ?? 22}])),
+		groups: new Map(options.groups.map(group => [group.name, {name: group.name, maxConnections: group.maxConnections ?? 22, syncReplicas: group.syncReplicas}])),
 		workspaces: new Map(options.workspaces?.map(workspace => [workspace.name, workspace])),
 		idleTransactionMs: 3000,
 	};
--- a/tests/gateway/acknowledge-commit-tests.ts
+++ b/tests/gateway/acknowledge-commit-tests.ts
@@ -9,6 +9,8 @@
 	group: 'g', primaryId: 'p', term: 1, epoch: 1, start: {term: 1, position: 0},
 };
 
+const COMMIT = {position: {term: 1, position: 5}, before: {term: 1, position: 3}};
+
 /**
  * A primary that was replaced goes on committing until it is notified. Its answer to a commit may reach a proxy that was
  * suspended, or cut off from the store, after it sent the commit. If the proxy acknowledged that commit, every later read
@@ -29,6 +31,7 @@
 			const startedAt = clock.now();
 			const elapsed = () => clock.now() - startedAt;
 			const rechecks: string[] = [];
+			const noted: unknown[] = [];
 			const parts = {
 				clock,
 				elapsedClock: {elapsed},
@@ -39,14 +42,20 @@
 						rechecks.push(outcome);
 					},
 				},
+				acknowledgedCommits: {
+					note(group: string, commit: unknown) {
+						noted.push([group, commit]);
+					},
+				},
 				primaryLeases: {
 					holds: (_lease: PrimaryLease, now: number) => now < times.holdsUntil || now >= (times.holdsFrom ?? Number.POSITIVE_INFINITY),
 					isSuperseded: () => elapsed() >= (times.supersededFrom ?? Number.POSITIVE_INFINITY),
 					changed: async (signal: AbortSignal) => clock.sleep(50, signal),
 				},
 			} as unknown as GatewayParts;
-			expect(await clock.runUntil(mayAcknowledge(parts, LEASE, 'c1'))).to.equal(expected);
+			expect(await clock.runUntil(mayAcknowledge(parts, LEASE, 'c1', COMMIT))).to.equal(expected);
 			expect(elapsed()).to.equal(tookMs);
+			expect(noted, 'what a successor has to hold').to.deep.equal(expected ? [[LEASE.group, COMMIT]] : []);
 			expect(rechecks).to.deep.equal(times.holdsUntil > 0 ? [] : [expected ? 'kept' : 'unknown']);
 		});
 	}
--- a/tests/lead-check/leadership-check-tests.ts
+++ b/tests/lead-check/leadership-check-tests.ts
@@ -29,6 +29,10 @@
 		doTest(seed, 'proxies are ordered to stop and primaries released', {lengthMs: 10_000, callersPerProxy: 1, stops: true});
 	}
 
+	for (const seed of [21, 72, 127, 1163]) {
+		doTest(seed, 'the primary waits for a replica, and replicas are deaf or cut off', {waitsForReplica: true});
+	}
+
 	// Seeds that once failed, each with the cause.
 	doTest(3, 'the stand-in made the entries that a replica had received visible out of order');
 	doTest(5, 'a host that continued the replacement begun by a dead one kept the former primary, though another had been promoted');
--- a/tests/lead-check/leadership-faults.ts
+++ b/tests/lead-check/leadership-faults.ts
@@ -16,12 +16,18 @@
 /** Injects faults one after the other, some of which overlap. */
 export async function injectFaults(world: World, until: number, options: LeadershipScheduleOptions) {
 	const {clock, random} = world;
-	const {swarms = false, emptyRestarts = false, restores = false, stops = false} = options;
+	const {swarms = false, emptyRestarts = false, restores = false, stops = false, waitsForReplica = false} = options;
 	world.faultsEndAt = until;
 	// These kinds are listed separately, because one more common kind would change the schedule of every seed that is kept in the tests.
 	const commonFaults = world.drains ? FAULTS_BESIDE_STOPS : (swarms ? pickSwarm(world) : COMMON_FAULTS);
 	const planned = stops ? Array.from({length: PLANNED_SHARE}, () => PLANNED_WORK).flat() : [];
-	const faults = [...commonFaults, ...planned, ...(emptyRestarts ? [restartEmpty, restartEmpty] : []), ...(restores ? [restoreBackup, restoreBackup, restoreBackup] : [])];
+	const faults = [
+		...commonFaults,
+		...planned,
+		...(emptyRestarts ? [restartEmpty, restartEmpty] : []),
+		...(restores ? [restoreBackup, restoreBackup, restoreBackup] : []),
+		...(waitsForReplica ? REPLICA_FAULTS : []),
+	];
 	while (clock.now() < until && !world.stopped) {
 		await clock.sleep(100 + (900 * random.fraction()));
 		if (clock.now() < until) {
@@ -239,6 +245,41 @@
 	});
 }
 
+function pickReplica(world: World) {
+	const group = world.system.groups[0]!;
+	return pick(world, group.servers.filter(server => server !== group.latestPrimary));
+}
+
+/** A replica receives nothing. */
+function deafReplica(world: World, ms: number) {
+	const server = pickReplica(world);
+	server.deaf = true;
+	later(world, 2 * ms, () => {
+		server.deaf = false;
+	});
+}
+
+/** A replica is cut off from all proxies, and the primary crashes soon after in half of the cases. */
+function cutReplica(world: World, ms: number) {
+	const server = pickReplica(world);
+	for (const {cutFrom} of world.system.proxies) {
+		cutFrom.add(server.id);
+	}
+
+	later(world, 1000 + ms, () => {
+		for (const {cutFrom} of world.system.proxies) {
+			cutFrom.delete(server.id);
+		}
+	});
+	if (world.random.fraction() < 0.5) {
+		later(world, 500 * world.random.fraction(), () => {
+			FAULTS.crashServer(world, ms);
+		});
+	}
+}
+
+const REPLICA_FAULTS: readonly Fault[] = [deafReplica, deafReplica, deafReplica, cutReplica, cutReplica, cutReplica];
+
 /** Ends all faults. */
 export function healAllFaults({system}: World) {
 	system.store.heal();
@@ -251,6 +292,7 @@
 		server.answersToLose = 0;
 		server.slowMs = 0;
 		server.frozenUntil = 0;
+		server.deaf = false;
 		if (!server.running) {
 			system.groups[0]!.restart(server);
 		}
--- a/tests/lead-check/leadership-history.ts
+++ b/tests/lead-check/leadership-history.ts
@@ -55,8 +55,14 @@
 	return isHeldBy(server, commit) && server.log[commit.position - 1]!.visibleAt <= now;
 }
 
+/** Options of a history. */
+export type LeadershipHistoryOptions = {
+	/** Whether a promoted server must hold every acknowledged commit, since replicas received them first. */
+	readonly losesNothing?: boolean;
+};
+
 /** Creates an empty history. */
-export function createLeadershipHistory(getNow: () => number): LeadershipHistory {
+export function createLeadershipHistory(getNow: () => number, options: LeadershipHistoryOptions = {}): LeadershipHistory {
 	const commits = new Map<string, ExecutedCommit[]>();
 	const acknowledged = new Map<string, {readonly commit: PlainCommit; readonly at: number}>();
 	const refused = new Set<string>();
@@ -120,6 +126,9 @@
 				for (const {commit} of acknowledged.values()) {
 					if (!kept.has(commit)) {
 						rolledBack.add(commit);
+						if (options.losesNothing) {
+							addViolation(`${server.id} was promoted without the acknowledged commit ${commit.term}.${commit.position}`);
+						}
 					}
 				}
 			},
--- a/tests/lead-check/main.ts
+++ b/tests/lead-check/main.ts
@@ -4,7 +4,7 @@
  * `--trouble-ms MS` sets how long faults are injected, `--callers N` the number of callers per proxy. `--swarms` gives each
  * schedule only a few kinds of faults. `--crowded` runs more proxies than each endpoint has connections for. `--rebirths`
  * lets servers restart empty. `--returns` restores the store from a backup. `--stops` stops proxies in order and releases
- * primaries. `--lease` plays schedules of the failover lease alone, `--first` being the seed of all of them. `--log` prints the proxies' log lines, each after
+ * primaries. `--sync` lets the primary wait for one replica, and replicas be deaf or cut off. `--lease` plays schedules of the failover lease alone, `--first` being the seed of all of them. `--log` prints the proxies' log lines, each after
  * its virtual time. `--without NAME` removes a guard first and ends with the first schedule that violates a guarantee;
  * `--without all` does so for each guard in turn.
  */
@@ -32,6 +32,7 @@
 		rebirths: {type: 'boolean', default: false},
 		returns: {type: 'boolean', default: false},
 		stops: {type: 'boolean', default: false},
+		sync: {type: 'boolean', default: false},
 		lease: {type: 'boolean', default: false},
 		log: {type: 'boolean', default: false},
 		without: {type: 'string'},
@@ -49,6 +50,8 @@
 type Search = {
 	readonly player: string;
 	readonly untilBroken: boolean;
+	/** Whether the guard that is missing matters only where the primary waits for a replica. */
+	readonly waitsForReplica: boolean;
 	readonly children: Set<ChildProcess>;
 	readonly totals: PlayTotals;
 	/** Seed of the first schedule reported as violating a guarantee. */
@@ -67,6 +70,7 @@
 		emptyRestarts: values.rebirths,
 		restores: values.returns,
 		stops: values.stops,
+		waitsForReplica: values.sync || search.waitsForReplica,
 		log: values.log,
 	};
 	const child = spawn(process.execPath, [search.player, JSON.stringify(options)], {stdio: ['ignore', 'pipe', 'inherit']});
@@ -98,7 +102,7 @@
 
 async function playAll(guard?: MissingGuard): Promise<Search> {
 	const search: Search = {
-		player: await bundlePlayer(guard), untilBroken: guard !== undefined, children: new Set(), totals: createTotals(),
+		player: await bundlePlayer(guard), untilBroken: guard !== undefined, waitsForReplica: guard?.isOfReplicas ?? false, children: new Set(), totals: createTotals(),
 	};
 	let next = first;
 	const work = async () => {
--- a/tests/lead-check/missing-guards.ts
+++ b/tests/lead-check/missing-guards.ts
@@ -15,6 +15,8 @@
 	readonly changes: readonly SourceChange[];
 	/** Whether schedules of the failover lease alone show its absence; else those of whole proxies do. */
 	readonly isOfLease?: true;
+	/** Whether only schedules in which the primary waits for a replica show its absence. */
+	readonly isOfReplicas?: true;
 };
 
 const inLeadership = (file: string, from: string, to: string): SourceChange => ({file: `src/leadership/${file}`, from, to});
@@ -22,6 +24,32 @@
 
 /** The guards of leadership, the gateway and the mirror, and two properties of the stand-ins on which they rely; each is removed on its own. */
 export const MISSING_GUARDS: readonly MissingGuard[] = [
+	{
+		name: 'proven-successor',
+		without: 'the proof that a successor holds every acknowledged commit',
+		isOfReplicas: true,
+		changes: [inLeadership('proven-successors.ts', 'getLowest([proof.required, acknowledgedEnd, record.required])', 'getLowest([{term: 0, position: 0}])')],
+	},
+	{
+		name: 'remembered-members',
+		without: 'the stored members of a replica set: only registered endpoints count',
+		isOfReplicas: true,
+		changes: [inLeadership('proven-successors.ts', 'extendReplicaSet(replicaSet, {', 'extendReplicaSet(undefined, {')],
+	},
+	{
+		name: 'exceeded-position',
+		without: 'the comparison with positions that hosts know to be below acknowledged commits',
+		isOfReplicas: true,
+		changes: [inLeadership('proven-successors.ts', 'sufficient && exceeded ? getLaterLogPosition(sufficient, exceeded) : sufficient;', 'exceeded ? sufficient : sufficient;')],
+	},
+	{
+		name: 'newest-acknowledged',
+		without: 'the newest position that a host acknowledged: it reports the first one',
+		isOfReplicas: true,
+		changes: [
+			inLeadership('acknowledged-commits.ts', 'raise(newest, group, position);', 'newest.set(group, newest.get(group) ?? position);'),
+		],
+	},
 	{
 		name: 'elapsed-clock',
 		without: 'a clock that includes suspensions',
--- a/tests/lead-check/play-options.ts
+++ b/tests/lead-check/play-options.ts
@@ -10,6 +10,8 @@
 	readonly emptyRestarts: boolean;
 	readonly restores: boolean;
 	readonly stops: boolean;
+	/** Whether the primary waits for one replica. */
+	readonly waitsForReplica: boolean;
 	/** Prints the proxies' log lines, each after its virtual time. */
 	readonly log: boolean;
 };
--- a/tests/lead-check/play.ts
+++ b/tests/lead-check/play.ts
@@ -9,11 +9,11 @@
 });
 
 /** Runs the schedules given by the JSON argument. A schedule that violates a guarantee is printed at once, the totals at the end. */
-const {first, count, faultsMs, callersPerProxy, swarms, largeFleet, emptyRestarts, restores, stops, log} = JSON.parse(process.argv[2]!) as PlayOptions;
+const {first, count, faultsMs, callersPerProxy, swarms, largeFleet, emptyRestarts, restores, stops, waitsForReplica, log} = JSON.parse(process.argv[2]!) as PlayOptions;
 const totals = createTotals();
 for (let seed = first; seed < first + count; seed++) {
 	const {violations, servedAfterwards, figures, promotions} = await runLeadershipSchedule(seed, {
-		lengthMs: faultsMs, callersPerProxy, swarms, largeFleet, emptyRestarts, restores, stops, ...(log ? {createLog: createPrintedLog} : {}),
+		lengthMs: faultsMs, callersPerProxy, swarms, largeFleet, emptyRestarts, restores, stops, waitsForReplica, ...(log ? {createLog: createPrintedLog} : {}),
 	});
 	totals.schedules++;
 	totals.broken += violations.length > 0 ? 1 : 0;
--- a/tests/lead-check/run-leadership-schedule.ts
+++ b/tests/lead-check/run-leadership-schedule.ts
@@ -37,6 +37,8 @@
 	readonly restores?: boolean;
 	/** Whether proxies are ordered to stop and primaries released; in every second schedule among few other faults, so that the new work of leaving servers can be judged. */
 	readonly stops?: boolean;
+	/** Whether the primary waits for one replica, and replicas are deaf or cut off from all proxies at times. */
+	readonly waitsForReplica?: boolean;
 };
 
 /** Time after which leaving servers get no new work, in milliseconds: shorter than a replacement that waits for primary leases to expire. */
@@ -73,7 +75,7 @@
 export async function runLeadershipSchedule(seed: number, options: LeadershipScheduleOptions = {}): Promise<ScheduleOutcome> {
 	const clock = createVirtualClock(undefined, {drainRounds: CLOCK_SETTLE_ROUNDS});
 	const startedAt = clock.now();
-	const history = createLeadershipHistory(() => clock.now());
+	const history = createLeadershipHistory(() => clock.now(), {losesNothing: options.waitsForReplica});
 	const random = createSeededRandom(seed);
 	const maxLeavingMs = options.stops ? MAX_LEAVING_MS : undefined;
 	const drains = options.stops && seed % 2 === 0 ? createDrainWatch(() => clock.now(), MAX_LEAVING_MS, history.addViolation) : undefined;
@@ -83,7 +85,7 @@
 		seed,
 		groups: [{
 			name: GROUP, zones: ['zone-0', 'zone-1', 'zone-2'], observer, promoteMs: 600 + (400 * random.fraction()), lagMs: 20 + (60 * random.fraction()), replicateMs: REPLICATE_MS,
-			maxConnections: options.largeFleet ? LARGE_FLEET_CONNECTIONS : undefined,
+			maxConnections: options.largeFleet ? LARGE_FLEET_CONNECTIONS : undefined, syncReplicas: options.waitsForReplica ? 1 : undefined,
 		}],
 		routes: ROUTES,
 		maxLeavingMs,
--- a/tests/proxy/proxy-bench.ts
+++ b/tests/proxy/proxy-bench.ts
@@ -45,6 +45,7 @@
 	/** Number of statements that each server runs concurrently; unlimited without it. */
 	readonly slots?: number;
 	readonly promoteMs?: number;
+	readonly syncReplicas?: number;
 	readonly log?: Log;
 	/** Where it is defined, all routes need a key. */
 	readonly workspaces?: readonly Workspace[];
@@ -55,7 +56,7 @@
 
 /** Creates a bench whose proxies know the group's primary. */
 export async function createProxyBench(options: ProxyBenchOptions = {}): Promise<ProxyBench> {
-	const {proxies: count = 3, lagMs, maxConnections, slots, promoteMs, log, workspaces, revokeWithinMs, maxLeavingMs, features} = options;
+	const {proxies: count = 3, lagMs, maxConnections, slots, promoteMs, syncReplicas, log, workspaces, revokeWithinMs, maxLeavingMs, features} = options;
 	const clock = createVirtualClock();
 	const ran: string[] = [];
 	const system = createSimulatedProxies({
@@ -68,6 +69,7 @@
 			maxConnections,
 			slots,
 			promoteMs,
+			syncReplicas,
 			observer: {
 				onRead({id, server, workspace}) {
 					ran.push(`${server.id} read ${id}${workspace === undefined ? '' : ` for ${workspace}`}`);
