Wait for a large list of the store for as long as it keeps arriving

Each list of the store had 900 ms to arrive whole. 916 kB over 7 Mbit/s take 1.1 s, so the list was given up, its connection closed, and requested again from its beginning, for ever; nothing was confirmed meanwhile and all primary leases ended. A guard against this existed and was switched on only with scheduling or several regions; it ended at five timeouts, 4.5 s, which 1 MB over 2 Mbit/s with other traffic exceeds as well.

The store is silent if no byte arrives from it within the timeout, on whichever connection: a small response may have to wait behind a large one on a full link, up to three timeouts, after which its own connection counts as lost. A response has an end all the same: what arrives earns time at 64 kbit/s, so a store that trickles is given up soon.

--- a/src/object-store/http-client.ts
+++ b/src/object-store/http-client.ts
@@ -2,6 +2,7 @@
 import {
 	Agent, request, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage, type OutgoingHttpHeaders,
 } from 'node:http';
+import type {Socket} from 'node:net';
 import {buffer} from 'node:stream/consumers';
 import {promisify} from 'node:util';
 import {gunzip} from 'node:zlib';
@@ -21,7 +22,7 @@
 	readonly headers?: OutgoingHttpHeaders;
 	/** Timeout, in milliseconds. */
 	readonly timeoutMs: number;
-	/** Whether a response that keeps arriving gets more time: the request then fails after `timeoutMs` without a byte, and after a few times as long in any case. */
+	/** Whether a response that keeps arriving gets more time: the request then fails after `timeoutMs` without a byte, or where less than the minimum rate arrives. */
 	readonly waitsWhileReceiving?: boolean;
 };
 
@@ -48,10 +49,14 @@
 	readonly clock: Clock;
 };
 
+/** Minimum rate at which responses have to arrive, in bytes a millisecond: 64 kbit/s, a small part of any link. */
+const MIN_BYTES_PER_MS = 8;
+
 /**
- * Maximum duration of a request whose response keeps arriving, as a multiple of its timeout: a configuration of 500 KB takes 2 s over a link of 2 Mbit/s.
+ * Number of timeouts for which a response may wait behind others from the same server, which fill the link. A connection that was lost silently while others work is given
+ * up after that time.
  */
-const MAX_TIMEOUTS_WHILE_RECEIVING = 5;
+const MAX_TIMEOUTS_BEHIND_OTHERS = 3;
 
 /** Maximum number of idle connections: one in addition to that of the waiting watch. */
 const MAX_IDLE_CONNECTIONS = 2;
@@ -72,10 +77,15 @@
 		}
 	};
 
+	const meter = createReceiptMeter();
+
 	return {
 		async exchange(exchange) {
 			const req = openRequest(baseUrl, exchange, agent);
-			const bounded = await waitForResponse(clock, req, exchange).catch((err: unknown) => throwPlatformSilent(exchange.what, err));
+			req.once('socket', socket => {
+				meter.observe(socket);
+			});
+			const bounded = await waitForResponse({clock, meter}, req, exchange).catch((err: unknown) => throwPlatformSilent(exchange.what, err));
 			if (!bounded.timedOut) {
 				return bounded.value;
 			}
@@ -104,22 +114,60 @@
 	return req;
 }
 
+/** Counts the bytes that arrive on all connections to a server. */
+type ReceiptMeter = {
+	observe(socket: Socket): void;
+	/** Bytes that have arrived on all connections together. */
+	readonly total: number;
+};
+
+function createReceiptMeter(): ReceiptMeter {
+	const open = new Set<Socket>();
+	let closedTotal = 0;
+
+	return {
+		observe(socket) {
+			if (open.has(socket)) {
+				return;
+			}
+
+			open.add(socket);
+			socket.once('close', () => {
+				open.delete(socket);
+				closedTotal += socket.bytesRead;
+			});
+		},
+		get total() {
+			return closedTotal + [...open].reduce((sum, {bytesRead}) => sum + bytesRead, 0);
+		},
+	};
+}
+
 /**
  * Waits for the whole response.
  *
- * Guards against a large list that never arrives over a slow link: cut off at its timeout, it was requested again from the beginning, and the link stayed full.
+ * The server counts as silent if no byte arrives from it within the timeout, on whichever connection, and not because a response takes long: a large list over a slow link,
+ * given up at a fixed time, would be requested again from its beginning for ever. What arrives below the minimum rate has an end all the same.
  */
-async function waitForResponse(clock: Clock, req: ClientRequest, {timeoutMs, waitsWhileReceiving = false}: HttpRequest) {
+async function waitForResponse({clock, meter}: {readonly clock: Clock; readonly meter: ReceiptMeter}, req: ClientRequest, {timeoutMs, waitsWhileReceiving = false}: HttpRequest) {
 	const response = readResponse(req);
-	let received = 0;
-	for (let timeouts = 1; ; timeouts++) {
+	const startedAt = clock.now();
+	const startTotal = meter.total;
+	let [received, total, behindOthers] = [req.socket?.bytesRead ?? 0, startTotal, 0];
+	for (;;) {
 		const bounded = await withinMs(clock, timeoutMs, response);
-		const total = req.socket?.bytesRead ?? 0;
-		if (!bounded.timedOut || !waitsWhileReceiving || total === received || timeouts === MAX_TIMEOUTS_WHILE_RECEIVING) {
+		if (!bounded.timedOut || !waitsWhileReceiving) {
+			return bounded;
+		}
+
+		const [receivedNow, totalNow] = [req.socket?.bytesRead ?? 0, meter.total];
+		behindOthers = receivedNow === received ? behindOthers + 1 : 0;
+		const isTooSlow = clock.now() - startedAt > timeoutMs + ((totalNow - startTotal) / MIN_BYTES_PER_MS);
+		if (totalNow === total || behindOthers > MAX_TIMEOUTS_BEHIND_OTHERS || isTooSlow) {
 			return bounded;
 		}
 
-		received = total;
+		[received, total] = [receivedNow, totalNow];
 	}
 }
 
--- a/src/platform/http-metadata-store.ts
+++ b/src/platform/http-metadata-store.ts
@@ -20,8 +20,6 @@
 	readonly address: string;
 	readonly clock: Clock;
 	readonly log: Log;
-	/** Whether a list that keeps arriving gets more time than its timeout; by default it does not. */
-	readonly waitsWhileReceiving?: boolean;
 	/** Called after each call with its result, for the metrics. */
 	onCall(call: string, result: string): void;
 	/** Called with the size of each request and its response together, in bytes. */
@@ -61,7 +59,7 @@
 type StoreResponse = HttpResponse & {readonly generation: number};
 
 /** Creates an HTTP client of the platform's metadata store. */
-export function createHttpMetadataStore({address, clock, log: parentLog, onCall, onBytes, onGeneration, waitsWhileReceiving}: HttpMetadataStoreOptions): MetadataStore {
+export function createHttpMetadataStore({address, clock, log: parentLog, onCall, onBytes, onGeneration}: HttpMetadataStoreOptions): MetadataStore {
 	const httpClient = createHttpClient({baseUrl: `http://${address}`, clock});
 	const log = parentLog.withPrefix('store: ');
 	const unusableEntries = createUnusableEntryLog(log);
@@ -101,7 +99,7 @@
 		for (let after = ''; ;) {
 			const path = after === '' ? `/objects/${kind}` : `/objects/${kind}?after=${encodeURIComponent(after)}`;
 			const res = await exchange('list', {
-				what, method: 'GET', path, timeoutMs, waitsWhileReceiving,
+				what, method: 'GET', path, timeoutMs, waitsWhileReceiving: true,
 			});
 			const page = parse(what, res, storeListSchema);
 			// Later pages may include newer changes. The list as a whole is complete only up to the revision of its first page.
--- a/src/proxy/main.ts
+++ b/src/proxy/main.ts
@@ -48,7 +48,6 @@
 			clock,
 			log,
 			onCall,
-			waitsWhileReceiving: features.scheduling !== undefined || features.zoneRegions !== undefined,
 			onBytes(bytes) {
 				onStoreBytes?.(bytes);
 			},
--- a/tests/object-store/http-client-tests.ts
+++ b/tests/object-store/http-client-tests.ts
@@ -70,4 +70,43 @@
 	doTest('is given up at the timeout otherwise', sendSlowly, false, 'no answer');
 	doTest('is given up where nothing more arrives', sendHalf, true, 'no answer');
 	doTest('is given up after a few timeouts where it never ends', sendWithoutEnd, true, 'no answer');
+
+	it('is received whole in many times its timeout', async () => {
+		respond = async res => {
+			res.writeHead(200);
+			for (let i = 0; i < 10; i++) {
+				res.write('x'.repeat(4000));
+				await sleep(TIMEOUT_MS * 0.6);
+			}
+
+			res.end();
+		};
+
+		const {text} = await client.exchange({
+			what: 'list', method: 'GET', path: '/', timeoutMs: TIMEOUT_MS, waitsWhileReceiving: true,
+		});
+		expect(text).to.have.lengthOf(40_000);
+	});
+
+	it('is waited for while another response fills the link, and no longer', async () => {
+		respond = async res => {
+			res.writeHead(200);
+			if (res.req.url === '/large') {
+				for (let i = 0; i < 25; i++) {
+					res.write('x'.repeat(4000));
+					await sleep(TIMEOUT_MS / 3);
+				}
+
+				res.end();
+			} else if (res.req.url === '/late') {
+				await sleep(TIMEOUT_MS * 2);
+				res.end('here');
+			}
+		};
+
+		const ask = async (path: string) => client.exchange({
+			what: 'list', method: 'GET', path, timeoutMs: TIMEOUT_MS, waitsWhileReceiving: true,
+		}).then(({text}) => text.length, () => 'no answer');
+		expect(await Promise.all(['/large', '/late', '/lost'].map(async path => ask(path)))).to.deep.equal([100_000, 4, 'no answer']);
+	}).timeout(5000);
 });
--- a/tests/platform/http-metadata-store-tests.ts
+++ b/tests/platform/http-metadata-store-tests.ts
@@ -1,6 +1,7 @@
 import {createServer, type Server} from 'node:http';
 import {once} from 'node:events';
 import type {AddressInfo} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {createLineLog} from '../../src/log/line-log.js';
@@ -106,3 +107,31 @@
 		expect(await store.readRouting(1000)).to.deep.equal({revision: 9, content: undefined});
 	});
 });
+
+describe('HTTP metadata store behind a slow link', () => {
+	const TIMEOUT_MS = 200;
+	const PAGE = makePage(Array.from({length: 60}, (_, i) => makeItem(`i-${i}`, GOOD)));
+
+	it('reads a list that takes longer than its timeout: it would be read anew from its beginning for ever', async () => {
+		const server = createServer(async (_req, res) => {
+			for (let sent = 0; sent < PAGE.length; sent += 2000) {
+				res.write(PAGE.slice(sent, sent + 2000));
+				await sleep(TIMEOUT_MS / 3);
+			}
+
+			res.end();
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		const store = createHttpMetadataStore({
+			address: `127.0.0.1:${(server.address() as AddressInfo).port}`, clock: createSystemClock(), log: createLineLog(() => undefined), onCall: () => undefined, onGeneration: () => undefined,
+		});
+		try {
+			const {content} = await store.listEndpoints(TIMEOUT_MS);
+			expect(content).to.have.lengthOf(60);
+		} finally {
+			server.closeAllConnections();
+			server.close();
+		}
+	});
+});
