Confirm the copy of the store without waiting for a large configuration

While the host that reads for all received the configuration (1,700 routes over 2 Mbit/s), no primary lease was renewed anywhere; after 1.4 s every host was overdue, gave its source up after 500 ms, and read the store itself, the configuration included, again with each retry and beside the transfers still arriving. Links were full, small lists timed out ("no answer to list aldercroft-leadership"), links between hosts did not open within 1 s. Ruled out: the size of updates between hosts (11 KB, two pieces).

The small parts are confirmed as of their own request; the configuration is requested once at a time, kept while other reads go on, and left to the host that reads for all, or to one peer that it asks where it cannot. New work at primaries ends where the other parts have overtaken it by 3 s. A source that has sent a piece is not given up, and an update goes on behind the pieces that have arrived. An unknown database is refused as busy while a later configuration is known to be arriving. The other path's lists wait while they arrive as well.

--- a/src/gateway/acknowledge-commit.ts
+++ b/src/gateway/acknowledge-commit.ts
@@ -48,5 +48,5 @@
 
 /** Returns the age of the mirror's last confirmation, in milliseconds; undefined where there was none. */
 function getConfirmationAgeMs({mirror, elapsedClock}: GatewayParts) {
-	return mirror.confirmedAt === undefined ? undefined : Math.round(elapsedClock.elapsed() - mirror.confirmedAt);
+	return mirror.partsConfirmedAt === undefined ? undefined : Math.round(elapsedClock.elapsed() - mirror.partsConfirmedAt);
 }
--- a/src/gateway/acquire-link.ts
+++ b/src/gateway/acquire-link.ts
@@ -92,7 +92,7 @@
  * timeout: they would have no time left to try another host, which could serve them.
  */
 function isIsolatedTooLong({mirror, clock, elapsedClock}: GatewayParts, waitingSince: number): boolean {
-	const isIsolated = mirror.confirmedAt !== undefined && elapsedClock.elapsed() - mirror.confirmedAt > ISOLATED_AFTER_MS;
+	const isIsolated = mirror.partsConfirmedAt !== undefined && elapsedClock.elapsed() - mirror.partsConfirmedAt > ISOLATED_AFTER_MS;
 	return isIsolated && clock.now() - waitingSince > ISOLATED_WAIT_MS;
 }
 
--- a/src/gateway/observe-statement.ts
+++ b/src/gateway/observe-statement.ts
@@ -39,6 +39,6 @@
 		routing: mirror.state.routing?.version,
 		epoch: record?.epoch,
 		phase: record?.phase,
-		confirmedAgoMs: mirror.confirmedAt === undefined ? undefined : Math.round(elapsedClock.elapsed() - mirror.confirmedAt),
+		confirmedAgoMs: mirror.partsConfirmedAt === undefined ? undefined : Math.round(elapsedClock.elapsed() - mirror.partsConfirmedAt),
 	});
 }
--- a/src/gateway/open-session.ts
+++ b/src/gateway/open-session.ts
@@ -24,6 +24,9 @@
 /** Maximum wait for a route that may have just been added, in milliseconds: callers give up on a session that is not open after 2,000. */
 const MISSING_ROUTE_WAIT_MS = 1000;
 
+/** Time after which a caller may try again whose route may be in a configuration that is arriving, in milliseconds: 1 MB over 7 Mbit/s takes as long. */
+const ARRIVING_RETRY_AFTER_MS = 1200;
+
 /** Opens a session where its first request may open one. Resolves with the session's memory; undefined where the session was refused. */
 export async function openSession(parts: GatewayParts, req: CallerRequest | undefined, options: OpenSessionOptions): Promise<SessionMemory | undefined> {
 	const {clock, log, mirror} = parts;
@@ -59,6 +62,12 @@
 	}
 
 	const route = getRoute();
+	if (!route && !mirror.isRoutingComplete) {
+		log.info('a session was refused: no route has its name, and a later configuration is arriving', {database, routing: mirror.state.routing.version});
+		channel.refuse(AnswerCode.Overloaded, `retry-after-ms=${ARRIVING_RETRY_AFTER_MS} a later configuration is arriving at this host`);
+		return undefined;
+	}
+
 	if (!route) {
 		log.info('a session was refused: no route has its name', {database, routing: mirror.state.routing.version});
 		channel.refuse(AnswerCode.UnknownDatabase, 'no route has this name');
--- a/src/leadership/primary-leases.ts
+++ b/src/leadership/primary-leases.ts
@@ -1,7 +1,7 @@
 import type {SleepSignal} from '../time/sleep-alarm.js';
 import {MAX_WITHOUT_STORE_MS} from '../mirror/peer-confirmation.js';
 import type {UnfencedGroup} from '../mirror/mirror-calls.js';
-import type {StoreMirror} from '../mirror/store-mirror.js';
+import {MAX_ROUTING_LAG_MS, type StoreMirror} from '../mirror/store-mirror.js';
 import {isInCurrentGeneration, LeadershipPhase, type LeadershipRecord} from './leadership-record.js';
 
 /** The right of this host to use a primary for a limited time. */
@@ -74,14 +74,17 @@
 
 	mirror.onChange(() => {
 		for (const record of mirror.state.leadership.values()) {
-			if (record.phase === LeadershipPhase.Steady && mirror.confirmedAt !== undefined && isInCurrentGeneration(record, mirror.state.revision)) {
-				noteSteady(record, mirror.confirmedAt);
+			if (record.phase === LeadershipPhase.Steady && mirror.partsConfirmedAt !== undefined && isInCurrentGeneration(record, mirror.state.revision)) {
+				noteSteady(record, mirror.partsConfirmedAt);
 			}
 		}
 
 		notifyWaiters();
 	});
 
+	/** Guards against new work under routes that may have been dropped: a later configuration has not arrived for long. */
+	const isRoutingOverdue = () => (mirror.partsConfirmedAt ?? 0) - (mirror.confirmedAt ?? mirror.partsConfirmedAt ?? 0) > MAX_ROUTING_LAG_MS;
+
 	const isRegistered = () => mirror.state.hosts.some(host => host.peerAddress === ownPeerAddress && !host.gone);
 
 	const isUnexpired = (group: string, epoch: number, now: number) => {
@@ -111,7 +114,7 @@
 	return {
 		get(group, now) {
 			const record = getSteady(group, now);
-			return record && record.epoch >= (pausedBelow.get(group) ?? 0) ? record : undefined;
+			return record && !isRoutingOverdue() && record.epoch >= (pausedBelow.get(group) ?? 0) ? record : undefined;
 		},
 		holds({group, epoch}, now) {
 			// A record in the changing phase does not end a lease yet: the host that changes the group waits for this host, or until the lease has expired.
@@ -131,7 +134,7 @@
 			}
 		},
 		getUnfenced(now) {
-			const confirmedAt = mirror.confirmedAt ?? Number.POSITIVE_INFINITY;
+			const confirmedAt = mirror.partsConfirmedAt ?? Number.POSITIVE_INFINITY;
 			return [...lastSteady]
 				.filter(([, {askedAt}]) => askedAt > confirmedAt)
 				.map(([group, {epoch, askedAt}]) => ({group, epoch, ageMs: Math.max(0, now - askedAt)}));
--- a/src/links/endpoint-directory.ts
+++ b/src/links/endpoint-directory.ts
@@ -135,7 +135,7 @@
 	 * the announcement reaches this host late.
 	 */
 	const noteLeaving = ({id, leaving}: RegisteredEndpoint) => {
-		const servingAt = leaving ? tracked.get(id)?.servingAt : mirror.confirmedAt;
+		const servingAt = leaving ? tracked.get(id)?.servingAt : mirror.partsConfirmedAt;
 		leavingEndpoints.note(id, leaving, servingAt ?? Number.NEGATIVE_INFINITY);
 		return servingAt;
 	};
--- a/src/mirror/change-feed-client.ts
+++ b/src/mirror/change-feed-client.ts
@@ -22,8 +22,12 @@
 export type ChangeFeedClient = {
 	/** Requests a host's next update, for which that host holds the request up to `holdMs` milliseconds; undefined if it did not respond. */
 	poll(address: string, holdMs: number): Promise<PollResult | undefined>;
-	/** Has a host read the store before it responds; undefined if it did not respond. */
-	pollUrgently(address: string): Promise<PollResult | undefined>;
+	/** Has a host read the store before it responds, with the configuration if `readsRouting`; undefined if it did not respond. */
+	pollUrgently(address: string, readsRouting?: boolean): Promise<PollResult | undefined>;
+	/** Whether an update is being received in pieces. */
+	readonly isReceiving: boolean;
+	/** Number of pieces of updates that have arrived. */
+	readonly pieces: number;
 };
 
 /** What the client of the change feed needs. */
@@ -53,13 +57,14 @@
 	const receiver = createContentsReceiver(peers, log, keepUpdate);
 	/** Whether the last update could not be applied, so that the next request is for the full contents. */
 	let requestsFullUpdate = false;
+	let receiving = 0;
 
 	const createRequest = (urgent: boolean, holdMs: number): StoreUpdateRequest => {
 		const contents: ContentsId = requestsFullUpdate ? EMPTY_ID : copy.contentsId;
 		return {
 			revision: copy.state.revision,
 			contents,
-			ageMs: copy.confirmedAt === undefined ? undefined : elapsedClock.elapsed() - copy.confirmedAt,
+			ageMs: copy.partsConfirmedAt === undefined ? undefined : elapsedClock.elapsed() - copy.partsConfirmedAt,
 			urgent,
 			holdMs,
 			unheard: getSilent(),
@@ -74,7 +79,7 @@
 	const applyRevision = (revision: number, sentContents: ContentsId) => {
 		const isUnchanged = isSameContents(copy.contentsId, sentContents);
 		if (isUnchanged) {
-			copy.adopt({...copy.state, revision});
+			copy.adopt({...copy.state, revision}, 0);
 		}
 
 		return isUnchanged;
@@ -83,9 +88,16 @@
 	/** Whether the copy holds everything up to `revision`. A revision of an earlier generation proves nothing about the current one. */
 	const covers = (revision: number) => revision <= copy.state.revision && getGeneration(revision) === getGeneration(copy.state.revision);
 
+	/**
+	 * Whether the copy holds the configuration of the responding host, or a later one. It may hold all else up to the same revision without it, if it read the store meanwhile and
+	 * left the configuration to this update.
+	 */
+	const holdsRoutingOf = ({routing, update}: StoreUpdate) => routing === undefined ? update === undefined : copy.contentsId.routing >= routing;
+
 	/** Applies an update; resolves with whether the copy then holds everything that the responding host's copy does. */
 	const applyContents = async (address: string, {revision, update}: StoreUpdate, sentContents: ContentsId): Promise<boolean> => {
-		if (revision <= copy.state.revision) {
+		// An update to the revision held has a later configuration, which arrived there after the other parts.
+		if (revision < copy.state.revision || (revision === copy.state.revision && !update)) {
 			return covers(revision);
 		}
 
@@ -93,7 +105,10 @@
 			return applyRevision(revision, sentContents);
 		}
 
-		const difference = await receiver.receive(address, update);
+		receiving++;
+		const difference = await receiver.receive(address, update).finally(() => {
+			receiving--;
+		});
 		const isApplied = difference !== undefined && copy.adoptDifference(difference, revision);
 		requestsFullUpdate = difference !== undefined && !isApplied && revision > copy.state.revision;
 		if (requestsFullUpdate) {
@@ -109,13 +124,17 @@
 	 * Applies a confirmation and returns its time. The response was sent no earlier than `heldMs` after the request, so ages are subtracted from that earliest time, and
 	 * no confirmation is dated too late.
 	 */
-	const applyConfirmation = ({heldMs, ageMs, withoutStoreMs}: StoreUpdate, requestedAt: number) => {
+	const applyConfirmation = ({heldMs, ageMs, withoutStoreMs, wholeAgeMs}: StoreUpdate, requestedAt: number, hasRouting: boolean) => {
 		if (ageMs === undefined) {
 			return undefined;
 		}
 
 		const sentAt = requestedAt + heldMs;
 		copy.noteConfirmed(sentAt - ageMs, withoutStoreMs === undefined ? undefined : sentAt - withoutStoreMs);
+		if (hasRouting && wholeAgeMs !== undefined) {
+			copy.noteWholeConfirmed(sentAt - wholeAgeMs);
+		}
+
 		return sentAt - ageMs;
 	};
 
@@ -130,9 +149,14 @@
 			return {update, confirmed: false, isNew: false};
 		}
 
-		const before = copy.confirmedAt ?? Number.NEGATIVE_INFINITY;
+		const before = copy.partsConfirmedAt ?? Number.NEGATIVE_INFINITY;
 		const isComplete = await applyContents(address, update, sentContents);
-		const confirmedAt = isComplete ? applyConfirmation(update, requestedAt) : undefined;
+		const hasRouting = isComplete && holdsRoutingOf(update);
+		if (hasRouting && update.wholeAgeMs === undefined) {
+			copy.noteRoutingComplete(update.revision);
+		}
+
+		const confirmedAt = isComplete ? applyConfirmation(update, requestedAt, hasRouting) : undefined;
 		applyUnfenced(update.unfenced, requestedAt + update.heldMs);
 		return {
 			update,
@@ -157,7 +181,13 @@
 	};
 
 	return {
+		get isReceiving() {
+			return receiving > 0;
+		},
+		get pieces() {
+			return receiver.pieces;
+		},
 		poll: async (address, holdMs) => sendRequest(address, createRequest(false, holdMs)),
-		pollUrgently: async address => sendRequest(address, createRequest(true, URGENT_HOLD_MS)),
+		pollUrgently: async (address, readsRouting = false) => sendRequest(address, {...createRequest(true, URGENT_HOLD_MS), ...(readsRouting && {readsRouting})}),
 	};
 }
--- a/src/mirror/change-feed-server.ts
+++ b/src/mirror/change-feed-server.ts
@@ -2,7 +2,7 @@
 import type {Clock} from '../time/clock.js';
 import {withinMs} from '../time/deadline.js';
 import type {ElapsedClock} from '../time/elapsed-clock.js';
-import {isSameContents} from './contents-id.js';
+import {isSameContents, type ContentsId} from './contents-id.js';
 import {createContentsSender} from './contents-sender.js';
 import type {TreeHost} from './host-tree.js';
 import type {StoreUpdateRequest, StoreUpdate, UnfencedGroup} from './mirror-calls.js';
@@ -27,8 +27,8 @@
 	getChanging(): readonly string[];
 	/** Returns the groups whose primaries remain valid because their endpoints, queried after the copy was last confirmed, showed no fence. */
 	getUnfenced(now: number): readonly UnfencedGroup[];
-	/** Reads the store for an urgent request. */
-	readAfterNow(): Promise<boolean>;
+	/** Reads the store for an urgent request, with the configuration if `readsRouting`. */
+	readForOther(readsRouting: boolean): Promise<boolean>;
 	/** Returns whether this host may let a host at that place in the tree wait for updates. */
 	mayServe(place: TreeHost): boolean;
 	/** Called with each request. */
@@ -67,9 +67,13 @@
 		respond();
 	};
 
-	const hasUpdateFor = ({revision, ageMs}: StoreUpdateRequest) => {
-		const isYounger = copy.confirmedAt !== undefined && (ageMs === undefined || elapsedClock.elapsed() - copy.confirmedAt < ageMs - MIN_AGE_GAIN_MS);
-		return isYounger || copy.state.revision > revision;
+	/** Whether the copy is ahead of one of that revision. A large configuration may arrive after the other parts of its revision. */
+	const isAhead = (revision: number, {routing}: ContentsId) =>
+		copy.state.revision > revision || (copy.state.revision === revision && copy.contentsId.routing > routing);
+
+	const hasUpdateFor = ({revision, ageMs, contents}: StoreUpdateRequest) => {
+		const isYounger = copy.partsConfirmedAt !== undefined && (ageMs === undefined || elapsedClock.elapsed() - copy.partsConfirmedAt < ageMs - MIN_AGE_GAIN_MS);
+		return isYounger || isAhead(revision, contents);
 	};
 
 	const waitForUpdate = async (holdMs: number) => {
@@ -87,15 +91,17 @@
 	const getUpdate = (request: StoreUpdateRequest, receivedAt: number): StoreUpdate => {
 		const now = elapsedClock.elapsed();
 		const {state, contentsId} = copy;
-		const lacks = state.revision > request.revision && !isSameContents(contentsId, request.contents);
+		const lacks = isAhead(request.revision, request.contents) && !isSameContents(contentsId, request.contents);
 		return {
 			heldMs: now - receivedAt,
-			ageMs: getAge(copy.confirmedAt, now),
+			ageMs: getAge(copy.partsConfirmedAt, now),
 			withoutStoreMs: getAge(copy.storeConfirmedAt, now),
 			revision: state.revision,
+			routing: contentsId.routing,
 			...(lacks && {update: sender.getFirstPiece(request.contents, request.place !== undefined)}),
 			changing: options.getChanging(),
 			unfenced: options.getUnfenced(now),
+			...(!copy.isRoutingComplete && {wholeAgeMs: getAge(copy.confirmedAt, now)}),
 		};
 	};
 
@@ -109,7 +115,7 @@
 		}
 
 		if (request.urgent) {
-			await withinMs(clock, request.holdMs, options.readAfterNow());
+			await withinMs(clock, request.holdMs, options.readForOther(request.readsRouting ?? false));
 		} else if (!hasUpdateFor(request)) {
 			await waitForUpdate(request.holdMs);
 		}
--- a/src/mirror/mirror-calls.ts
+++ b/src/mirror/mirror-calls.ts
@@ -8,10 +8,12 @@
 	readonly revision: number;
 	/** Identifies the contents of that copy. */
 	readonly contents: ContentsId;
-	/** Age of that copy's last confirmation, in milliseconds; undefined if it has none. A younger confirmation is an update. */
+	/** Age of that copy's last confirmation but for its configuration, in milliseconds; undefined if it has none. A younger confirmation is an update. */
 	readonly ageMs?: number;
 	/** Whether the responding host reads the store first; otherwise the request is held until the next update. */
 	readonly urgent: boolean;
+	/** Whether an urgent request is also for the configuration, which may be large: the requesting host may not reach the store. */
+	readonly readsRouting?: true;
 	/** Maximum time to hold the request, in milliseconds; then it is answered without an update, so that the responding host is not taken to be dead. */
 	readonly holdMs: number;
 	/** Addresses of silent hosts: those that should have polled the requesting host, directly or through others, and did not. */
@@ -35,16 +37,23 @@
 export type StoreUpdate = {
 	/** Time for which the responding host held the request, in milliseconds. */
 	readonly heldMs: number;
-	/** Age of the last confirmation that the responding host's copy is complete, in milliseconds; undefined if it has none. */
+	/** Age of the last confirmation that the responding host's copy is complete but for its configuration, in milliseconds; undefined if it has none. */
 	readonly ageMs?: number;
 	/** Age of the last confirmation by the store itself, in milliseconds: hosts may have confirmed each other's copies since. */
 	readonly withoutStoreMs?: number;
 	readonly revision: number;
+	/** Version of the responding host's configuration; 0 if it has none, absent from hosts of earlier versions. */
+	readonly routing?: number;
 	/** First piece of the difference between the requesting host's contents and the responding host's; undefined if there is none. */
 	readonly update?: ContentsPiece;
 	/** Groups that the responding host is changing, or whose leadership it knows to have changed since its copy of the store. */
 	readonly changing: readonly string[];
 	readonly unfenced: readonly UnfencedGroup[];
+	/**
+	 * Age of the last confirmation of the responding host's copy with its configuration, in milliseconds. Present where that is not complete up to the revision, since a later one may
+	 * be arriving there.
+	 */
+	readonly wholeAgeMs?: number;
 	/** Set where the responding host may not let the requesting one wait, since the two could wait for each other; nothing else in the response counts then. */
 	readonly declined?: true;
 };
--- a/src/mirror/mirror-copy.ts
+++ b/src/mirror/mirror-copy.ts
@@ -1,4 +1,5 @@
 import type {Log} from '../log/log.js';
+import type {Routing} from '../routes/routing.js';
 import {
 	EMPTY_ID, getContentsId, isSameContents, type ContentsId,
 } from './contents-id.js';
@@ -15,15 +16,25 @@
 	readonly contentsId: ContentsId;
 	/** Elapsed time at which the last confirmation that the copy was complete was requested; undefined before the first. */
 	readonly confirmedAt: number | undefined;
-	/** The same for the last confirmation by the store itself, to this host or to a peer. */
+	/** The same for all parts but the configuration, which arrives later than the others where it is large and a link is slow. */
+	readonly partsConfirmedAt: number | undefined;
+	/** The same as {@link partsConfirmedAt} for the last confirmation by the store itself, to this host or to a peer. */
 	readonly storeConfirmedAt: number | undefined;
 	/** The same for the last confirmation by the store that the configuration is the latest. */
 	readonly routingConfirmedAt: number | undefined;
-	/** Applies what was read from the store, unless it is older than the copy. */
-	adopt(read: MirrorState): void;
+	/** Whether the configuration is complete up to the revision of the copy. */
+	readonly isRoutingComplete: boolean;
+	/** Applies what was read from the store, unless it is older than the copy; the configuration may be the one held, complete up to `routingRevision` only. */
+	adopt(read: MirrorState, routingRevision?: number): void;
+	/** Applies a configuration that is complete up to `revision`, and was requested from the store at the elapsed time `askedAt`. */
+	adoptRouting(routing: Routing | undefined, revision: number, askedAt: number): void;
+	/** Records that the configuration held is complete up to `revision`. */
+	noteRoutingComplete(revision: number): void;
+	/** Records that the copy with its configuration was complete at the elapsed time `at`, which may be earlier than the last confirmation of its other parts. */
+	noteWholeConfirmed(at: number): void;
 	/** Applies a difference from a peer whose copy is complete up to `revision`; returns false if it is older than the copy or does not match its contents. */
 	adoptDifference(difference: StateDifference, revision: number): boolean;
-	/** Records that the copy was complete at the elapsed time `at`, and that the store itself had confirmed it at `storeAt`. */
+	/** Records that the copy was complete at the elapsed time `at`, but for the configuration if that is not complete up to its revision, and that the store itself had confirmed it at `storeAt`. */
 	noteConfirmed(at: number, storeAt?: number): void;
 	/** Calls `listener` after each change of the contents. */
 	onContents(listener: (state: MirrorState, id: ContentsId) => void): void;
@@ -38,7 +49,9 @@
 	let state = EMPTY_STATE;
 	let contentsId = EMPTY_ID;
 	let confirmedAt: number | undefined;
+	let partsConfirmedAt: number | undefined;
 	let storeConfirmedAt: number | undefined;
+	let routingRevision = 0;
 
 	const routingConfirmation = createRoutingConfirmation();
 
@@ -59,6 +72,24 @@
 		});
 	};
 
+	const noteRoutingComplete = (revision: number) => {
+		routingRevision = Math.max(routingRevision, revision);
+	};
+
+	const isRoutingComplete = () => routingRevision >= state.revision;
+
+	const noteWholeConfirmed = (at: number) => {
+		if (partsConfirmedAt !== undefined) {
+			confirmedAt = Math.max(confirmedAt ?? 0, Math.min(at, partsConfirmedAt));
+		}
+	};
+
+	const notifyListeners = () => {
+		for (const listener of listeners) {
+			listener();
+		}
+	};
+
 	const replaceState = (read: MirrorState) => {
 		const before = state;
 		detectRestore(before, read);
@@ -86,17 +117,39 @@
 		get confirmedAt() {
 			return confirmedAt;
 		},
+		get partsConfirmedAt() {
+			return partsConfirmedAt;
+		},
 		get storeConfirmedAt() {
 			return storeConfirmedAt;
 		},
 		get routingConfirmedAt() {
 			return routingConfirmation.confirmedAt;
 		},
-		adopt(read) {
+		get isRoutingComplete() {
+			return isRoutingComplete();
+		},
+		noteRoutingComplete,
+		noteWholeConfirmed,
+		adoptRouting(routing, revision, askedAt) {
+			// One of an earlier generation was read before the store was restored.
+			if (getGeneration(revision) !== getGeneration(state.revision)) {
+				return;
+			}
+
+			noteRoutingComplete(revision);
+			replaceState({...state, routing});
+			routingConfirmation.noteConfirmed(askedAt, state.routing?.version ?? 0);
+			noteWholeConfirmed(askedAt);
+			notifyListeners();
+		},
+		adopt(read, completeRevision = read.revision) {
 			if (read.revision < state.revision) {
 				return;
 			}
 
+			noteRoutingComplete(completeRevision);
+
 			// Applied as a difference, so that unchanged parts stay the same objects: readers of the state detect changes by identity.
 			const difference = getStateDifference(state, contentsId, read, getContentsId(read));
 			replaceState(applyStateDifference(state, contentsId, difference, read.revision) ?? read);
@@ -108,7 +161,8 @@
 
 			const next = applyStateDifference(state, contentsId, difference, revision);
 			if (next) {
-				replaceState(next);
+				// The lists may hold changes beyond the revision, which the peer's need not hold.
+				replaceState(revision === state.revision ? {...state, routing: next.routing} : next);
 			}
 
 			return next !== undefined;
@@ -116,13 +170,17 @@
 		noteConfirmed(at, storeAt) {
 			if (storeAt !== undefined) {
 				storeConfirmedAt = Math.max(storeConfirmedAt ?? storeAt, storeAt);
-				routingConfirmation.noteConfirmed(storeAt, state.routing?.version ?? 0);
+				if (isRoutingComplete()) {
+					routingConfirmation.noteConfirmed(storeAt, state.routing?.version ?? 0);
+				}
 			}
 
-			confirmedAt = Math.max(confirmedAt ?? at, at);
-			for (const listener of listeners) {
-				listener();
+			partsConfirmedAt = Math.max(partsConfirmedAt ?? at, at);
+			if (isRoutingComplete()) {
+				confirmedAt = Math.max(confirmedAt ?? at, at);
 			}
+
+			notifyListeners();
 		},
 		onContents(listener) {
 			contentsListeners.push(listener);
--- a/src/mirror/peer-confirmation.ts
+++ b/src/mirror/peer-confirmation.ts
@@ -22,8 +22,8 @@
 	getChanging(): readonly string[];
 	/** Returns the addresses of all other hosts that are not marked as unresponsive, or of the other seeds if no host is known. */
 	getOthers(): readonly string[];
-	/** Sends one host an urgent request and applies its response; undefined if it did not respond. */
-	askPeer(address: string): Promise<{readonly update: StoreUpdate; readonly confirmed: boolean} | undefined>;
+	/** Sends one host an urgent request, for which it reads the configuration too if `readsRouting`, and applies its response; undefined if it did not respond. */
+	askPeer(address: string, readsRouting: boolean): Promise<{readonly update: StoreUpdate; readonly confirmed: boolean} | undefined>;
 };
 
 /**
@@ -37,6 +37,12 @@
 export function createPeerConfirmation(options: PeerConfirmationOptions): PeerConfirmation {
 	const {copy, elapsedClock, log} = options;
 	const choosePeers = createPeerChoice(options.ownPeerAddress);
+	let turn = 0;
+	/** The host that last confirmed by the store. */
+	let reachingPeer: string | undefined;
+
+	const withReachingPeer = (chosen: readonly string[], all: readonly string[]) =>
+		reachingPeer === undefined || chosen.includes(reachingPeer) || !all.includes(reachingPeer) ? chosen : [reachingPeer, ...chosen.slice(1)];
 
 	/**
 	 * Keeps traffic running in an outage of the store while no primary changes. A change of primary begins with an update of the store by a
@@ -58,12 +64,15 @@
 	return {
 		async confirm() {
 			const all = options.getOthers();
-			const others = choosePeers(all);
+			const others = withReachingPeer(choosePeers(all), all);
 			const askedAt = elapsedClock.elapsed();
 			const {revision} = copy.state;
-			const requests = others.map(async address => options.askPeer(address));
-			const firstConfirmed = Promise.any(requests.map(async request => {
+			// One at a time reads the configuration, which may be large: one that has reached the store, if any has.
+			const reading = reachingPeer !== undefined && others.includes(reachingPeer) ? reachingPeer : others[turn++ % Math.max(1, others.length)];
+			const requests = others.map(async address => options.askPeer(address, address === reading));
+			const firstConfirmed = Promise.any(requests.map(async (request, i) => {
 				const response = await request;
+				reachingPeer = response?.confirmed ? others[i] : (reachingPeer === others[i] ? undefined : reachingPeer);
 				return response?.confirmed === true || throwNotConfirmed();
 			}));
 			if (await firstConfirmed.catch(() => false)) {
--- a/src/mirror/store-mirror.ts
+++ b/src/mirror/store-mirror.ts
@@ -24,7 +24,9 @@
 	readonly state: MirrorState;
 	/** Elapsed time at which the last confirmation that the copy was complete was requested; undefined before the first. */
 	readonly confirmedAt: number | undefined;
-	/** The same for the last confirmation by the store itself, to this host or to a peer. */
+	/** The same for all parts but the configuration, which arrives later than the others where it is large and a link is slow. */
+	readonly partsConfirmedAt: number | undefined;
+	/** The same as {@link partsConfirmedAt} for the last confirmation by the store itself, to this host or to a peer. */
 	readonly storeConfirmedAt: number | undefined;
 	/** The same for the last confirmation by the store that the configuration is the latest. */
 	readonly routingConfirmedAt: number | undefined;
@@ -38,6 +40,8 @@
 	nextConfirmation(): Promise<void>;
 	/** Notifies the hosts that poll this one of the groups whose endpoints showed no fence. */
 	notifyUnfenced(): void;
+	/** Whether the configuration held is the latest as of the last confirmation; else a later one may be arriving. */
+	readonly isRoutingComplete: boolean;
 	/** Whether this host reads the store for all others. */
 	readonly readsForAll: boolean;
 	/** Returns the steady time at which a peer last polled this host; undefined if it never did. */
@@ -78,6 +82,9 @@
  */
 export const CONFIRM_INTERVAL_MS = 700;
 
+/** Time by which the configuration may lag behind the other parts of the copy while work begins under it, in milliseconds: the shortest time in which an accepted one has to be in force. */
+export const MAX_ROUTING_LAG_MS = 3000;
+
 /** Maximum time for which a poll is held, in milliseconds: one interval and the time for a read of the store. */
 const POLL_HOLD_MS = CONFIRM_INTERVAL_MS + 200;
 
@@ -93,6 +100,9 @@
 /** Time for which a host whose confirmation is overdue waits for the host that it polls before it reads the store itself, in milliseconds. */
 const OVERDUE_WAIT_MS = 250;
 
+/** Time for which a host leaves it to the host that it polls to provide a configuration, in milliseconds: a second before it may begin no more work under the one held. */
+const ROUTING_OVERDUE_MS = MAX_ROUTING_LAG_MS - 1000;
+
 /** Pause after a response without anything new, in milliseconds. */
 const NO_UPDATE_PAUSE_MS = 100;
 
@@ -112,6 +122,10 @@
 	let queued: Promise<boolean> | undefined;
 	let wake = createSleepAlarm();
 	let confirmationWaiters: Array<() => void> = [];
+	/** Reads under way for hosts that rely on this one for the configuration. */
+	let readsForOthers = 0;
+	/** Steady time at which the configuration was first found to be incomplete; undefined where it is complete. */
+	let routingIncompleteSince: number | undefined;
 
 	const reader = createStoreReader({
 		store,
@@ -119,7 +133,15 @@
 		elapsedClock,
 		log,
 		getRevision: () => copy.state.revision,
-		adopt: copy.adopt,
+		getRouting: () => copy.state.routing,
+		isRoutingComplete: () => copy.isRoutingComplete,
+		mayReadRouting: () => copy.state.routing === undefined || source.getParent(clock.now()) === undefined || readsForOthers > 0 || isRoutingOverdue(),
+		adopt(read, routingRevision = 0) {
+			copy.adopt(read, routingRevision);
+		},
+		adoptRouting(read, askedAt) {
+			copy.adoptRouting(read.content, read.revision, askedAt);
+		},
 		onConfirmed(askedAt) {
 			copy.noteConfirmed(askedAt, askedAt);
 		},
@@ -141,6 +163,15 @@
 		getSilent: () => getSilent(SILENT_AFTER_MS),
 		noteUnfenced: options.noteUnfenced,
 	});
+	/** Reads the store for a host that may not reach it. */
+	const readForOther = async (readsRouting: boolean) => {
+		const reads = readsRouting ? 1 : 0;
+		readsForOthers += reads;
+		return reader.readAfterNow().finally(() => {
+			readsForOthers -= reads;
+		});
+	};
+
 	const feedServer = createChangeFeedServer({
 		peers,
 		copy,
@@ -148,7 +179,7 @@
 		elapsedClock,
 		getChanging: options.getChanging,
 		getUnfenced: options.getUnfenced,
-		readAfterNow: reader.readAfterNow,
+		readForOther,
 		mayServe: place => layout.mayServe(host, place, source.getParent(clock.now()) === undefined),
 		onRequest(from, request) {
 			silentHosts.noteRequest(from, request.unheard, clock.now());
@@ -165,11 +196,12 @@
 	});
 
 	/** What the hosts that poll this one were last notified of. */
-	let lastSent: {readonly revision: number; readonly confirmedAt?: number} = {revision: 0};
+	let lastSent: {readonly revision: number; readonly routing?: number; readonly confirmedAt?: number} = {revision: 0};
 
 	copy.onChange(() => {
-		if (lastSent.revision !== copy.state.revision || lastSent.confirmedAt !== copy.confirmedAt) {
-			lastSent = {revision: copy.state.revision, confirmedAt: copy.confirmedAt};
+		const routing = copy.state.routing?.version;
+		if (lastSent.revision !== copy.state.revision || lastSent.routing !== routing || lastSent.confirmedAt !== copy.partsConfirmedAt) {
+			lastSent = {revision: copy.state.revision, routing, confirmedAt: copy.partsConfirmedAt};
 			feedServer.respond();
 		}
 
@@ -214,10 +246,34 @@
 		}
 	};
 
-	const isOverdue = () => copy.confirmedAt === undefined || elapsedClock.elapsed() - copy.confirmedAt > OVERDUE_MS;
+	const isOverdue = () => copy.partsConfirmedAt === undefined || elapsedClock.elapsed() - copy.partsConfirmedAt > OVERDUE_MS;
+
+	/**
+	 * Whether the configuration has been incomplete for long, was last confirmed long before the other parts, and does not arrive from another host either. Guards against a fleet
+	 * that waits for one host with a slow link, or with a lossy one to the store, to read a large configuration.
+	 */
+	const isRoutingOverdue = () => {
+		const now = clock.now();
+		const lagMs = (copy.partsConfirmedAt ?? 0) - (copy.confirmedAt ?? 0);
+		routingIncompleteSince = copy.isRoutingComplete ? undefined : (routingIncompleteSince ?? now);
+		return lagMs > ROUTING_OVERDUE_MS && now - (routingIncompleteSince ?? now) > ROUTING_OVERDUE_MS && !feedClient.isReceiving;
+	};
+
+	/** Waits for an update, and reads the store where its pieces take so long that the confirmation of the other parts is overdue. */
+	const waitForUpdate = async (polled: ReturnType<typeof feedClient.poll>) => {
+		for (;;) {
+			const bounded = await withinMs(clock, OVERDUE_MS, polled);
+			if (!bounded.timedOut) {
+				return bounded.value;
+			}
+
+			readUnscheduled();
+		}
+	};
 
 	const pollParent = async (parent: string) => {
 		const overdue = isOverdue();
+		const {pieces} = feedClient;
 		const polled = feedClient.poll(parent, overdue || source.isRecovering(clock.now()) ? OVERDUE_HOLD_MS : POLL_HOLD_MS);
 		if (overdue) {
 			const first = await withinMs(clock, OVERDUE_WAIT_MS, polled);
@@ -226,9 +282,12 @@
 			}
 		}
 
-		const result = await polled;
-		if (!result) {
+		const result = await waitForUpdate(polled);
+		if (!result && feedClient.pieces === pieces) {
 			source.avoid(parent, clock.now());
+		} else if (!result) {
+			// Something has arrived: the update goes on behind it at the next poll.
+			await clock.sleep(NO_UPDATE_PAUSE_MS, stopping);
 		} else if (result.update.declined) {
 			source.noteDeclined(parent, clock.now());
 		} else if (!result.isNew) {
@@ -245,6 +304,9 @@
 				await clock.sleep(CONFIRM_INTERVAL_MS, wake);
 			} else {
 				await pollParent(parent);
+				if (isRoutingOverdue()) {
+					readUnscheduled();
+				}
 			}
 
 			await nextTurn();
@@ -260,12 +322,18 @@
 		get confirmedAt() {
 			return copy.confirmedAt;
 		},
+		get partsConfirmedAt() {
+			return copy.partsConfirmedAt;
+		},
 		get storeConfirmedAt() {
 			return copy.storeConfirmedAt;
 		},
 		get routingConfirmedAt() {
 			return copy.routingConfirmedAt;
 		},
+		get isRoutingComplete() {
+			return copy.isRoutingComplete;
+		},
 		confirm,
 		confirmSoon() {
 			if (readsForAll()) {
--- a/src/mirror/store-reader.ts
+++ b/src/mirror/store-reader.ts
@@ -1,8 +1,10 @@
 import type {Log} from '../log/log.js';
+import type {Routing} from '../routes/routing.js';
 import type {Clock} from '../time/clock.js';
 import type {ElapsedClock} from '../time/elapsed-clock.js';
 import {throwPlatformSilent} from '../object-store/platform-errors.js';
-import {RecordKind, type MetadataStore} from './metadata-store.js';
+import {withinMs} from '../time/deadline.js';
+import {RecordKind, type AtRevision, type MetadataStore} from './metadata-store.js';
 import {decodeHosts, decodeLeadership, type MirrorState} from './mirror-state.js';
 import {formatQualified, getGeneration} from './store-generation.js';
 
@@ -20,8 +22,16 @@
 	readonly log: Log;
 	/** Returns the revision that the copy is complete up to. */
 	getRevision(): number;
-	/** Applies what was read. */
-	adopt(read: MirrorState): void;
+	/** Returns the configuration that the copy holds. */
+	getRouting(): Routing | undefined;
+	/** Whether the configuration is complete up to the revision of the copy. */
+	isRoutingComplete(): boolean;
+	/** Whether this host may read the configuration, which can be large, and does not leave that to another one. */
+	mayReadRouting(): boolean;
+	/** Applies what was read; the configuration is complete up to `routingRevision`, or the one held where that is undefined. */
+	adopt(read: MirrorState, routingRevision: number | undefined): void;
+	/** Applies a configuration that arrived after the other parts; it was requested at the elapsed time `askedAt`. */
+	adoptRouting(read: AtRevision<Routing | undefined>, askedAt: number): void;
 	/** Called when the copy is confirmed to have been complete at the elapsed time `askedAt` of the request. */
 	onConfirmed(askedAt: number): void;
 };
@@ -35,8 +45,19 @@
  */
 const PAUSE_AFTER_FAILURE_MS = 200;
 
+/**
+ * Time for which the other parts of the store wait for the configuration, in milliseconds, so that a change of several parts is applied at once where links are fast. After
+ * that they are applied without it: primary leases must not wait for a large configuration on a slow link. Shorter than the time after which peers are asked to read the store.
+ */
+const ROUTING_WAIT_MS = 100;
+
+type ArrivedRouting = AtRevision<Routing | undefined> & {readonly askedAt: number};
+
 /** Creates a reader that keeps one read in progress at a time. */
-export function createStoreReader({store, clock, elapsedClock, log, getRevision, adopt, onConfirmed}: StoreReaderOptions): StoreReader {
+export function createStoreReader(options: StoreReaderOptions): StoreReader {
+	const {store, clock, elapsedClock, log, getRevision, adopt, onConfirmed} = options;
+	/** The configuration that is arriving; a later read waits for it too, since requested twice it would take twice as long. */
+	let arriving: Promise<ArrivedRouting> | undefined;
 	let reading: Promise<boolean> | undefined;
 	let queued: Promise<boolean> | undefined;
 	let reached: boolean | undefined;
@@ -65,24 +86,66 @@
 		return current > getRevision();
 	};
 
-	const readAll = async () => {
+	const receiveRouting = async (): Promise<ArrivedRouting> => {
+		const askedAt = elapsedClock.elapsed();
+		try {
+			return {...await store.readRouting(STORE_TIMEOUT_MS), askedAt};
+		} finally {
+			arriving = undefined;
+		}
+	};
+
+	const readRouting = async (): Promise<ArrivedRouting> => {
+		arriving ??= receiveRouting();
+		return arriving;
+	};
+
+	const readRoutingLater = (routing: Promise<ArrivedRouting>) => {
+		routing.then(read => {
+			options.adoptRouting(read, read.askedAt);
+		}).catch((err: unknown) => {
+			log.warn('the configuration was not read', {reason: (err as Error).message, revision: formatQualified(getRevision())});
+		});
+	};
+
+	/** Returns the configuration if it arrives soon; undefined if it is read later. */
+	const readRoutingSoon = async (): Promise<ArrivedRouting | undefined> => {
+		const routing = readRouting();
+		const soon = await withinMs(clock, ROUTING_WAIT_MS, routing);
+		if (!soon.timedOut) {
+			return soon.value;
+		}
+
+		readRoutingLater(routing);
+		return undefined;
+	};
+
+	const completeRouting = async () => {
+		const routing = await readRoutingSoon();
+		if (routing) {
+			options.adoptRouting(routing, routing.askedAt);
+		}
+	};
+
+	const readAll = async (isFirst: boolean) => {
 		const [routing, endpoints, leadership, hosts] = await Promise.all([
-			store.readRouting(STORE_TIMEOUT_MS),
+			isFirst ? readRouting() : (options.mayReadRouting() ? readRoutingSoon() : undefined),
 			store.listEndpoints(STORE_TIMEOUT_MS),
 			store.listRecords(RecordKind.Leadership, STORE_TIMEOUT_MS),
 			store.listRecords(RecordKind.Hosts, STORE_TIMEOUT_MS),
 		]);
-		if (new Set([routing, endpoints, leadership, hosts].map(({revision}) => getGeneration(revision))).size > 1) {
+		const parts = [endpoints, leadership, hosts, ...(routing ? [routing] : [])];
+		if (new Set(parts.map(({revision}) => getGeneration(revision))).size > 1) {
 			throwPlatformSilent('read all', new Error('the store has come back from a copy meanwhile'));
 		}
 
 		adopt({
-			revision: Math.min(routing.revision, endpoints.revision, leadership.revision, hosts.revision),
-			routing: routing.content,
+			revision: Math.min(...parts.map(({revision}) => revision)),
+			routing: routing ? routing.content : options.getRouting(),
 			endpoints: endpoints.content,
 			...decodeLeadership(leadership.content),
 			hosts: decodeHosts(hosts.content),
-		});
+		}, routing?.revision);
 	};
 
 	const readStore = async () => {
@@ -96,7 +159,9 @@
 			const current = held === 0 ? undefined : await store.getRevision(STORE_TIMEOUT_MS);
 			// A revision not above the copy's proves that the copy was complete at the time of the request: each change raises it, and so does each store restore.
 			if (current === undefined || isBehind(current)) {
-				await readAll();
+				await readAll(current === undefined);
+			} else if (!options.isRoutingComplete() && options.mayReadRouting()) {
+				await completeRouting();
 			}
 
 			noteSuccess(held, current);
--- a/src/object-store/http-platform.ts
+++ b/src/object-store/http-platform.ts
@@ -54,7 +54,7 @@
 			const what = `list ${kind}`;
 			const path = `/v1/objects/${kind}?prefix=${encodeURIComponent(prefix)}`;
 			const res = await sendRequest({
-				what, method: 'GET', path, headers: COMPRESSED, timeoutMs,
+				what, method: 'GET', path, headers: COMPRESSED, timeoutMs, waitsWhileReceiving: true,
 			});
 			return parseResponse(what, res, platformListSchema);
 		},
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -162,7 +162,7 @@
 			},
 			isIsolated(group) {
 				const now = elapsedClock.elapsed();
-				const isUnconfirmed = mirror.confirmedAt !== undefined && now - mirror.confirmedAt > PRIMARY_LEASE_MS;
+				const isUnconfirmed = mirror.partsConfirmedAt !== undefined && now - mirror.partsConfirmedAt > PRIMARY_LEASE_MS;
 				return isUnconfirmed && regions.links.isAnyLost(now) && primaryLeases.get(group, now) === undefined;
 			},
 		})
--- a/tests/gateway/acknowledge-commit-tests.ts
+++ b/tests/gateway/acknowledge-commit-tests.ts
@@ -36,7 +36,7 @@
 				clock,
 				elapsedClock: {elapsed},
 				log: createSilentLog(),
-				mirror: {confirmSoon() {}, confirmedAt: 0}, // eslint-disable-line @typescript-eslint/no-empty-function
+				mirror: {confirmSoon() {}, partsConfirmedAt: 0}, // eslint-disable-line @typescript-eslint/no-empty-function
 				metrics: {
 					countCommitRecheck(outcome: string) {
 						rechecks.push(outcome);
--- a/tests/gateway/pool-refusal-tests.ts
+++ b/tests/gateway/pool-refusal-tests.ts
@@ -76,7 +76,7 @@
 		log: createSilentLog(),
 		random: createSeededRandom(1),
 		metrics: {countRetry() {}, observeLinkWait() {}}, // eslint-disable-line @typescript-eslint/no-empty-function
-		mirror: {confirmedAt: elapsed(), state: {leadership: new Map()}, confirmSoon() {}}, // eslint-disable-line @typescript-eslint/no-empty-function
+		mirror: {partsConfirmedAt: elapsed(), state: {leadership: new Map()}, confirmSoon() {}}, // eslint-disable-line @typescript-eslint/no-empty-function
 		primaryLeases: {get: () => lease, changed: async () => clock.sleep(10_000)},
 		cutOffs: {isCutOff: () => false},
 		directory: {list: () => endpoints, get: (id: string) => endpoints.find(({entry}) => entry.id === id), mayTakeWork: () => true},
--- a/tests/leadership/primary-leases-tests.ts
+++ b/tests/leadership/primary-leases-tests.ts
@@ -12,16 +12,16 @@
 /** Creates a mirror whose state a test sets. */
 function createSettableMirror() {
 	const listeners: Array<() => void> = [];
-	const held: {state: MirrorState; confirmedAt: number | undefined} = {state: EMPTY_STATE, confirmedAt: undefined};
+	const held: {state: MirrorState; partsConfirmedAt: number | undefined} = {state: EMPTY_STATE, partsConfirmedAt: undefined};
 	const mirror = {
 		get state() {
 			return held.state;
 		},
-		get confirmedAt() {
-			return held.confirmedAt;
+		get partsConfirmedAt() {
+			return held.partsConfirmedAt;
 		},
 		get storeConfirmedAt() {
-			return held.confirmedAt;
+			return held.partsConfirmedAt;
 		},
 		onChange(listener: () => void) {
 			listeners.push(listener);
@@ -42,7 +42,7 @@
 					group: 'g', primaryId: 'p', term: 1, epoch, phase, start: {term: 1, position: 0}, changedBy: 'x', version: epoch,
 				}]]),
 			};
-			held.confirmedAt = askedAt;
+			held.partsConfirmedAt = askedAt;
 			for (const listener of listeners) {
 				listener();
 			}
--- a/tests/mirror/store-reader-tests.ts
+++ b/tests/mirror/store-reader-tests.ts
@@ -27,6 +27,10 @@
 		elapsedClock: {elapsed: () => clock.now()},
 		log: createSilentLog(),
 		getRevision: () => held,
+		getRouting: () => undefined,
+		isRoutingComplete: () => true,
+		mayReadRouting: () => true,
+		adoptRouting: () => undefined,
 		adopt({revision: read}) {
 			adopted.push(read);
 		},
