Ask less of primaries that wait for replicas, and confirm the copy before a member departs

The replica set of a group is checked against a copy that is confirmed first: in an old one, an endpoint that is registered again would look departed. Only the host that reads for all asks endpoints for that. A new connection as a sign of life is opened only where the primary owes answers, not with each heartbeat of an idle group. A refusal names a server that is not registered where all known ones have reported.

--- a/src/gateway/unproven-refusal.ts
+++ b/src/gateway/unproven-refusal.ts
@@ -10,8 +10,9 @@
 		return undefined;
 	}
 
+	const awaited = record.awaited.length === 0 ? 'a server that is not registered' : record.awaited.join(' or ');
 	return {
-		reason: `no server that responds is known to hold every acknowledged commit; waiting for ${record.awaited.join(' or ')}`,
+		reason: `no server that responds is known to hold every acknowledged commit; waiting for ${awaited}`,
 		retryAfterMs: RETRY_AFTER_MS,
 		predictedWaitMs: RETRY_AFTER_MS,
 	};
--- a/src/leadership/primary-reachability.ts
+++ b/src/leadership/primary-reachability.ts
@@ -78,9 +78,13 @@
 	const failedAt = new Map<string, number>();
 
 	/**
-	 * Whether the endpoint may owe answers because its commits wait for replicas: then only new connections show whether it is alive. Guards against the
+	 * Whether the endpoint owes answers, perhaps because its commits wait for replicas: then only new connections show whether it is alive. Guards against the
 	 * replacement of a primary whose replicas receive nothing for a while.
 	 */
+	const mayStall = (endpoint: KnownEndpoint) => waitsForReplicas(endpoint) && owesAnswersFor(endpoint, EARLY_PROBE_AFTER_MS);
+
+	const owesAnswersFor = ({pool: {health: {awaitingSince}}}: KnownEndpoint, ms: number) => awaitingSince !== undefined && clock.now() - awaitingSince > ms;
+
 	const waitsForReplicas = ({entry}: KnownEndpoint) => (mirror.state.routing?.groups.get(entry.group)?.syncReplicas ?? 0) > 0;
 
 	const probeAnew = async (endpointId: string): Promise<boolean> => {
@@ -92,7 +96,7 @@
 		try {
 			const askedAt = clock.now();
 			const status = endpoint.pool.sendCommand({kind: 'status'}, PROBE_TIMEOUT_MS);
-			await withinMs(clock, PROBE_TIMEOUT_MS, waitsForReplicas(endpoint) ? getFirst(status, endpoint.pool.greet(PROBE_TIMEOUT_MS)) : status);
+			await withinMs(clock, PROBE_TIMEOUT_MS, mayStall(endpoint) ? getFirst(status, endpoint.pool.greet(PROBE_TIMEOUT_MS)) : status);
 			return (endpoint.pool.health.lastReceivedAt ?? 0) >= askedAt;
 		} catch (err) {
 			if (!(err instanceof LinkError)) {
@@ -218,8 +222,8 @@
 	};
 
 	const probeEarly = (endpointId: string) => {
-		const awaitingSince = directory.get(endpointId)?.pool.health.awaitingSince;
-		if (awaitingSince !== undefined && clock.now() - awaitingSince > EARLY_PROBE_AFTER_MS) {
+		const endpoint = directory.get(endpointId);
+		if (endpoint && owesAnswersFor(endpoint, EARLY_PROBE_AFTER_MS)) {
 			probe(endpointId).catch((err: unknown) => {
 				log.error('a probe failed', {err});
 			});
--- a/src/leadership/replica-set-upkeep.ts
+++ b/src/leadership/replica-set-upkeep.ts
@@ -67,7 +67,8 @@
 	/** Returns the set to write; undefined if the stored one is up to date. */
 	const getNext = async (record: Versioned<LeadershipRecord>) => {
 		const extended = getReplicaSet({mirror, directory}, record);
-		return extended === record.replicaSet ? withoutDeparted(record, extended!) : extended;
+		// A departure can wait for the host that reads for all, which then asks the endpoints alone.
+		return extended !== record.replicaSet || !mirror.readsForAll ? extended : withoutDeparted(record, extended!);
 	};
 
 	const write = async (group: string, version: number) => {
@@ -75,9 +76,14 @@
 			await clock.sleep(OTHER_HOSTS_WAIT_MS + (random.fraction() * OTHER_HOSTS_JITTER_MS));
 		}
 
+		// An endpoint that is missing in an old copy may be registered again.
+		if (!await mirror.confirm()) {
+			return;
+		}
+
 		const record = mirror.state.leadership.get(group);
 		const replicaSet = record?.version === version ? await getNext(record) : undefined;
-		if (!record || !replicaSet) {
+		if (!record || !replicaSet || replicaSet === record.replicaSet) {
 			return;
 		}
 
@@ -112,7 +118,7 @@
 				return;
 			}
 
-			if (getReplicaSet({mirror, directory}, record) === record.replicaSet && !hasDeparted(record)) {
+			if (getReplicaSet({mirror, directory}, record) === record.replicaSet && !(mirror.readsForAll && hasDeparted(record))) {
 				return;
 			}
 
