Let a host whose sources do not answer read the configuration itself

A host that is cut off from all others, but not from the store, confirmed the small parts itself and left a new configuration to sources that it could not reach, for 2 s and more (test, red: version 1 after 2.5 s). Where the confirmation is overdue and a source is excluded, its own reading of the store includes the configuration again.

--- a/src/mirror/change-feed-source.ts
+++ b/src/mirror/change-feed-source.ts
@@ -11,6 +11,8 @@
 	getParent(now: number): string | undefined;
 	/** Excludes a host that did not respond from the choice for a while. */
 	avoid(address: string, now: number): void;
+	/** Whether a host is excluded from the choice at the steady time `now`. */
+	isAvoiding(now: number): boolean;
 	/** Whether this host has just excluded a host, so that it has to find out soon whether the next one responds; always false for the layout by names. */
 	isRecovering(now: number): boolean;
 	/** Has this host read the store itself for a while, since the host that it polled may not let it wait. */
@@ -113,6 +115,7 @@
 
 			return now < declinedUntil ? undefined : notePolled(getTreeWithoutAvoided(now).getParent(host));
 		},
+		isAvoiding: now => [...avoidedUntil.values()].some(until => now < until),
 		isRecovering: now => layout.sendsPlace && now < lastAvoidedAt + RECOVERING_MS,
 		noteDeclined(address, now) {
 			log.info('the host that is polled for store updates has declined; the store is read', {peer: address, revision: formatQualified(copy.state.revision)});
--- a/src/mirror/store-mirror.ts
+++ b/src/mirror/store-mirror.ts
@@ -135,7 +135,7 @@
 		getRevision: () => copy.state.revision,
 		getRouting: () => copy.state.routing,
 		isRoutingComplete: () => copy.isRoutingComplete,
-		mayReadRouting: () => copy.state.routing === undefined || source.getParent(clock.now()) === undefined || readsForOthers > 0 || isRoutingOverdue(),
+		mayReadRouting: () => copy.state.routing === undefined || source.getParent(clock.now()) === undefined || readsForOthers > 0 || isFeedFailing() || isRoutingOverdue(),
 		adopt(read, routingRevision = 0) {
 			copy.adopt(read, routingRevision);
 		},
@@ -248,6 +248,9 @@
 
 	const isOverdue = () => copy.partsConfirmedAt === undefined || elapsedClock.elapsed() - copy.partsConfirmedAt > OVERDUE_MS;
 
+	/** Whether the hosts that this one polls do not confirm and one of them is excluded: it cannot wait for the configuration from them. */
+	const isFeedFailing = () => isOverdue() && source.isAvoiding(clock.now());
+
 	/**
 	 * Whether the configuration has been incomplete for long, was last confirmed long before the other parts, and does not arrive from another host either. Guards against a fleet
 	 * that waits for one host with a slow link, or with a lossy one to the store, to read a large configuration.
--- a/tests/mirror/large-configuration-tests.ts
+++ b/tests/mirror/large-configuration-tests.ts
@@ -89,7 +89,7 @@
 	};
 
 	return {
-		clock, store, mirrors, transfers, putHost, getMaxAge, stop,
+		clock, store, network, mirrors, transfers, putHost, getMaxAge, stop,
 	};
 }
 
@@ -146,6 +146,20 @@
 		expect(mirrors.map(({state}) => state.routing?.version)).to.deep.equal(names.map(() => 2));
 		stop();
 	});
+
+	it('is read by a host that is cut off from all others: nobody else can provide it', async () => {
+		const {store, mirrors, network, transfers, getMaxAge, stop} = await createFleet(0, ['a', 'b', 'c', 'd', 'e', 'f']);
+		transfers.isSlow = false;
+		for (const name of ['a', 'b', 'c', 'd', 'e']) {
+			network.setFaultsBetween('f:7000', `${name}:7000`, {cut: true});
+		}
+
+		await getMaxAge(1000);
+		store.setRouting(createRouting(2, 5));
+		await getMaxAge(2500);
+		expect(mirrors.at(-1)!.state.routing?.version).to.equal(2);
+		stop();
+	});
 });
 
 describe('an update that arrives in pieces', () => {
