--- a/tests/lead-check/missing-guards.ts
+++ b/tests/lead-check/missing-guards.ts
@@ -26,7 +26,16 @@
 export const MISSING_GUARDS: readonly MissingGuard[] = [
 	{
 		name: 'proven-successor',
-		without: 'the proof that a successor holds every acknowledged commit',
+		without: 'the proof that a successor holds every acknowledged commit, and the comparison with positions known to be below some',
+		isOfReplicas: true,
+		changes: [
+			inLeadership('proven-successors.ts', 'getLowest([proof.required, acknowledgedEnd, record.required])', 'getLowest([{term: 0, position: 0}])'),
+			inLeadership('proven-successors.ts', 'sufficient && exceeded ? getLaterLogPosition(sufficient, exceeded) : sufficient;', 'exceeded ? sufficient : sufficient;'),
+		],
+	},
+	{
+		name: 'replica-proof',
+		without: 'the proof alone',
 		isOfReplicas: true,
 		changes: [inLeadership('proven-successors.ts', 'getLowest([proof.required, acknowledgedEnd, record.required])', 'getLowest([{term: 0, position: 0}])')],
 	},
