Random schedules of versions and faults, red: added routes refused as unknown

Seeds may name hosts that are gone. Judged as the users' rules do: 3 s, for hosts that nothing disturbed for 4 s; 15 s for what is served while no host reaches the store.

It polls a host that has just started, is turned away as well and knows nothing, but answers.

--- a/src/gateway/open-session.ts
+++ b/src/gateway/open-session.ts
@@ -43,9 +43,10 @@
 	await waitForRouting(parts, options);
 	const getRoute = () => mirror.state.routing?.routes.get(database);
 	// A host that is stopping may end before this wait does; another host can serve the caller.
+	let timedOut = false;
 	if (!getRoute() && !getStopPlan()) {
 		// The mirror may lack a route that was just added. Its next confirmation comes without a call; a call for each unknown name would be charged to each host.
-		await withinMs(clock, MISSING_ROUTE_WAIT_MS, mirror.nextConfirmation());
+		({timedOut} = await withinMs(clock, MISSING_ROUTE_WAIT_MS, mirror.nextConfirmation()));
 	}
 
 	const plan = getStopPlan();
@@ -69,7 +70,9 @@
 	}
 
 	if (!route) {
-		log.info('a session was refused: no route has its name', {database, routing: mirror.state.routing.version});
+		log.info('a session was refused: no route has its name', {
+			database, routing: mirror.state.routing.version, storeConfirmedAgoMs: getStoreConfirmedAgoMs(parts), timedOut,
+		});
 		channel.refuse(AnswerCode.UnknownDatabase, 'no route has this name');
 		return undefined;
 	}
@@ -87,6 +90,11 @@
 	return memory;
 }
 
+/** Returns the age of the last confirmation by the store that the configuration is the latest, in milliseconds; undefined before the first. */
+function getStoreConfirmedAgoMs({mirror, elapsedClock}: GatewayParts): number | undefined {
+	return mirror.routingConfirmedAt === undefined ? undefined : Math.round(elapsedClock.elapsed() - mirror.routingConfirmedAt);
+}
+
 /** Waits for the first configuration. A host that has just started knows no routes yet, which must not be mistaken for a route that does not exist. */
 async function waitForRouting({clock, mirror}: GatewayParts, {channel, getStopPlan}: OpenSessionOptions) {
 	const until = clock.now() + ROUTING_WAIT_MS;
--- a/src/stand-ins/metadata-store/in-memory-metadata-store.ts
+++ b/src/stand-ins/metadata-store/in-memory-metadata-store.ts
@@ -48,6 +48,8 @@
 	restore(copy: StoreBackup, rewriteMs?: number): void;
 	/** Sets the faults for a host; without a name, for all hosts that have none of their own. */
 	setFaults(hostName: string | undefined, faults: Partial<StoreFaults>): void;
+	/** Removes the faults set for a host; without a name, those for all hosts that have none of their own. */
+	clearFaults(hostName: string | undefined): void;
 	/** Removes all faults. */
 	heal(): void;
 	/** Number of calls so far. */
@@ -207,6 +209,9 @@
 		setFaults(hostName, faults) {
 			faultsByHost.set(hostName, {...NO_FAULTS, ...faults});
 		},
+		clearFaults(hostName) {
+			faultsByHost.delete(hostName);
+		},
 		heal() {
 			faultsByHost.clear();
 		},
--- a/src/stand-ins/proxies/simulated-proxies.ts
+++ b/src/stand-ins/proxies/simulated-proxies.ts
@@ -83,6 +83,8 @@
 	readonly log?: Log;
 	/** Maximum delay before an order arrives at the platform, in milliseconds; default 10. */
 	readonly maxOrderDelayMs?: number;
+	/** Returns the names of the proxies that a proxy knows when it starts, which may have ended; none by default. */
+	getSeeds?(): readonly string[];
 	/** Number of availability zones, named from `zone-0`, to which hosts are assigned in turn; default 3. */
 	readonly zoneCount?: number;
 	/** Creates the read placement of a host, in place of the product's own. */
@@ -278,7 +280,7 @@
 				hostName: name,
 				availabilityZone: proxy.availabilityZone,
 				peerAddress,
-				seeds: [],
+				seeds: (options.getSeeds?.() ?? []).map(seed => `${seed}:7000`),
 				incarnation: `${name}/${earlierStarts}`,
 				revokeWithinMs: options.revokeWithinMs,
 				maxLeavingMs: options.maxLeavingMs,
