Refuse a database as unknown only where the store proves it

What callers saw: an added route was refused as unknown (NOSUCHDB) seconds after its version had been acknowledged.

Cause: that a database has no route was concluded from what a host holds, of whatever age. (1) openSession waited for the next confirmation and took any: one that a polled host merely repeated, one by which hosts that the store turns away confirm each other's copies, which shows that no primary changes but says nothing about the configuration, as the operator writes it without any host. (2) After 1 s without one it refused as unknown all the same. (3) A statement of an open session whose route had been dropped was refused as unknown without any check; the route may have been added again since.

Now an unknown database needs a confirmation that was requested from the store after the caller's request arrived (find-route.ts), for sessions, transactions and statements alike. A host without it refuses as busy, with a time to come back; after 150 ms where the store has confirmed nothing for 3.5 s. The copy's time of confirmation with its configuration counts confirmations by the store alone: the unanimous one covers the other parts only, as its name and claim say.

Tests that read the old, joint time read the one they mean now.

--- a/src/gateway/caller-session.ts
+++ b/src/gateway/caller-session.ts
@@ -13,6 +13,7 @@
 import {createCallerTransaction, type CallerTransaction} from './caller-transaction.js';
 import {getShape, type EndpointStatement} from './exchange.js';
 import {createGracefulClose, type GracefulClose} from './graceful-close.js';
+import {findRoute, type RouteLookup} from './find-route.js';
 import type {GatewayParts} from './gateway-parts.js';
 import {observeStatement} from './observe-statement.js';
 import {openSession, type OpenSessionOptions} from './open-session.js';
@@ -83,6 +84,11 @@
 
 	const getRoute = () => transactionRoute ?? mirror.state.routing?.routes.get(memory.database);
 
+	const lookUpRoute = async (): Promise<RouteLookup> => {
+		const route = getRoute();
+		return route ? {found: true, route} : findRoute(parts, memory.database, () => isWanted() && !getStopPlan());
+	};
+
 	/** Returns the time by which a statement that arrives now is answered within its route's target. */
 	const getTargetAt = ({targetLatencyMs}: Route) => targetLatencyMs === 0 ? Number.POSITIVE_INFINITY : clock.now() + targetLatencyMs;
 
@@ -100,11 +106,12 @@
 	const getState = (): SessionState => transaction ? (transaction.failed ? SessionState.Failed : SessionState.Open) : SessionState.Idle;
 
 	const begin = async (id: string, readOnly: boolean): Promise<StatementResult> => {
-		const route = getRoute();
-		if (!route) {
-			return refuse(AnswerCode.UnknownDatabase, 'no route has this name');
+		const found = await lookUpRoute();
+		if (!found.found) {
+			return found.refusal;
 		}
 
+		const {route} = found;
 		if (!mayBegin(getStopPlan(), route, clock.now())) {
 			newTrace();
 			return STOPPING;
@@ -143,11 +150,12 @@
 	};
 
 	const runStatement = async (id: string, statement: EndpointStatement): Promise<StatementResult> => {
-		const route = getRoute();
-		if (!route) {
-			return refuse(AnswerCode.UnknownDatabase, 'no route has this name');
+		const found = await lookUpRoute();
+		if (!found.found) {
+			return found.refusal;
 		}
 
+		const {route} = found;
 		const arrivedAt = elapsedClock.elapsed();
 		const targetAt = getTargetAt(route);
 		const plan = getStopPlan();
--- a/src/leadership/primary-leases.ts
+++ b/src/leadership/primary-leases.ts
@@ -83,7 +83,8 @@
 	});
 
 	/** Guards against new work under routes that may have been dropped: a later configuration has not arrived for long. */
-	const isRoutingOverdue = () => (mirror.partsConfirmedAt ?? 0) - (mirror.confirmedAt ?? mirror.partsConfirmedAt ?? 0) > MAX_ROUTING_LAG_MS;
+	const isRoutingOverdue = () => !mirror.isRoutingComplete
+		&& (mirror.partsConfirmedAt ?? 0) - (mirror.routingConfirmedAt ?? mirror.partsConfirmedAt ?? 0) > MAX_ROUTING_LAG_MS;
 
 	const isRegistered = () => mirror.state.hosts.some(host => host.peerAddress === ownPeerAddress && !host.gone);
 
--- a/src/mirror/change-feed-client.ts
+++ b/src/mirror/change-feed-client.ts
@@ -131,8 +131,8 @@
 
 		const sentAt = requestedAt + heldMs;
 		copy.noteConfirmed(sentAt - ageMs, withoutStoreMs === undefined ? undefined : sentAt - withoutStoreMs);
-		if (hasRouting && wholeAgeMs !== undefined) {
-			copy.noteWholeConfirmed(sentAt - wholeAgeMs);
+		if (hasRouting && wholeAgeMs !== undefined && wholeAgeMs !== Number.POSITIVE_INFINITY) {
+			copy.noteRoutingConfirmed(sentAt - wholeAgeMs);
 		}
 
 		return sentAt - ageMs;
--- a/src/mirror/change-feed-server.ts
+++ b/src/mirror/change-feed-server.ts
@@ -101,7 +101,7 @@
 			...(lacks && {update: sender.getFirstPiece(request.contents, request.place !== undefined)}),
 			changing: options.getChanging(),
 			unfenced: options.getUnfenced(now),
-			...(!copy.isRoutingComplete && {wholeAgeMs: getAge(copy.confirmedAt, now)}),
+			...(!copy.isRoutingComplete && {wholeAgeMs: getAge(copy.routingConfirmedAt, now) ?? Number.POSITIVE_INFINITY}),
 		};
 	};
 
--- a/src/mirror/mirror-calls.ts
+++ b/src/mirror/mirror-calls.ts
@@ -50,8 +50,8 @@
 	readonly changing: readonly string[];
 	readonly unfenced: readonly UnfencedGroup[];
 	/**
-	 * Age of the last confirmation of the responding host's copy with its configuration, in milliseconds. Present where that is not complete up to the revision, since a later one may
-	 * be arriving there.
+	 * Age of the last confirmation by the store that the responding host's configuration is the latest, in milliseconds. Present where that is not complete up to the revision, since a
+	 * later one may be arriving there; infinite before the first.
 	 */
 	readonly wholeAgeMs?: number;
 	/** Set where the responding host may not let the requesting one wait, since the two could wait for each other; nothing else in the response counts then. */
--- a/src/mirror/mirror-copy.ts
+++ b/src/mirror/mirror-copy.ts
@@ -14,13 +14,11 @@
 export type MirrorCopy = {
 	readonly state: MirrorState;
 	readonly contentsId: ContentsId;
-	/** Elapsed time at which the last confirmation that the copy was complete was requested; undefined before the first. */
-	readonly confirmedAt: number | undefined;
-	/** The same for all parts but the configuration, which arrives later than the others where it is large and a link is slow. */
+	/** Elapsed time at which the last confirmation that all parts but the configuration were complete was requested; undefined before the first. */
 	readonly partsConfirmedAt: number | undefined;
-	/** The same as {@link partsConfirmedAt} for the last confirmation by the store itself, to this host or to a peer. */
+	/** The same for the last confirmation by the store itself, to this host or to a peer. */
 	readonly storeConfirmedAt: number | undefined;
-	/** The same for the last confirmation by the store that the configuration is the latest. */
+	/** The same for the last confirmation by the store that the configuration is the latest. Hosts cannot confirm it together: the operator changes it without them. */
 	readonly routingConfirmedAt: number | undefined;
 	/** Whether the configuration is complete up to the revision of the copy. */
 	readonly isRoutingComplete: boolean;
@@ -30,11 +28,11 @@
 	adoptRouting(routing: Routing | undefined, revision: number, askedAt: number): void;
 	/** Records that the configuration held is complete up to `revision`. */
 	noteRoutingComplete(revision: number): void;
-	/** Records that the copy with its configuration was complete at the elapsed time `at`, which may be earlier than the last confirmation of its other parts. */
-	noteWholeConfirmed(at: number): void;
+	/** Records that the store had confirmed at the elapsed time `at` that the configuration held, or an earlier one, was the latest. */
+	noteRoutingConfirmed(at: number): void;
 	/** Applies a difference from a peer whose copy is complete up to `revision`; returns false if it is older than the copy or does not match its contents. */
 	adoptDifference(difference: StateDifference, revision: number): boolean;
-	/** Records that the copy was complete at the elapsed time `at`, but for the configuration if that is not complete up to its revision, and that the store itself had confirmed it at `storeAt`. */
+	/** Records that all parts but the configuration were complete at the elapsed time `at`, and that the store itself had confirmed them at `storeAt`: with the configuration, where that is complete up to their revision. */
 	noteConfirmed(at: number, storeAt?: number): void;
 	/** Calls `listener` after each change of the contents. */
 	onContents(listener: (state: MirrorState, id: ContentsId) => void): void;
@@ -48,7 +46,6 @@
 	const listeners: Array<() => void> = [];
 	let state = EMPTY_STATE;
 	let contentsId = EMPTY_ID;
-	let confirmedAt: number | undefined;
 	let partsConfirmedAt: number | undefined;
 	let storeConfirmedAt: number | undefined;
 	let routingRevision = 0;
@@ -78,10 +75,8 @@
 
 	const isRoutingComplete = () => routingRevision >= state.revision;
 
-	const noteWholeConfirmed = (at: number) => {
-		if (partsConfirmedAt !== undefined) {
-			confirmedAt = Math.max(confirmedAt ?? 0, Math.min(at, partsConfirmedAt));
-		}
+	const noteRoutingConfirmed = (at: number) => {
+		routingConfirmation.noteConfirmed(at, state.routing?.version ?? 0);
 	};
 
 	const notifyListeners = () => {
@@ -114,9 +109,6 @@
 		get contentsId() {
 			return contentsId;
 		},
-		get confirmedAt() {
-			return confirmedAt;
-		},
 		get partsConfirmedAt() {
 			return partsConfirmedAt;
 		},
@@ -130,7 +122,7 @@
 			return isRoutingComplete();
 		},
 		noteRoutingComplete,
-		noteWholeConfirmed,
+		noteRoutingConfirmed,
 		adoptRouting(routing, revision, askedAt) {
 			// One of an earlier generation was read before the store was restored.
 			if (getGeneration(revision) !== getGeneration(state.revision)) {
@@ -139,8 +131,7 @@
 
 			noteRoutingComplete(revision);
 			replaceState({...state, routing});
-			routingConfirmation.noteConfirmed(askedAt, state.routing?.version ?? 0);
-			noteWholeConfirmed(askedAt);
+			noteRoutingConfirmed(askedAt);
 			notifyListeners();
 		},
 		adopt(read, completeRevision = read.revision) {
@@ -171,15 +162,11 @@
 			if (storeAt !== undefined) {
 				storeConfirmedAt = Math.max(storeConfirmedAt ?? storeAt, storeAt);
 				if (isRoutingComplete()) {
-					routingConfirmation.noteConfirmed(storeAt, state.routing?.version ?? 0);
+					noteRoutingConfirmed(storeAt);
 				}
 			}
 
 			partsConfirmedAt = Math.max(partsConfirmedAt ?? at, at);
-			if (isRoutingComplete()) {
-				confirmedAt = Math.max(confirmedAt ?? at, at);
-			}
-
 			notifyListeners();
 		},
 		onContents(listener) {
--- a/src/mirror/store-mirror.ts
+++ b/src/mirror/store-mirror.ts
@@ -22,11 +22,9 @@
 /** A copy of the store's contents, with the time up to which it was confirmed to be complete. */
 export type StoreMirror = {
 	readonly state: MirrorState;
-	/** Elapsed time at which the last confirmation that the copy was complete was requested; undefined before the first. */
-	readonly confirmedAt: number | undefined;
-	/** The same for all parts but the configuration, which arrives later than the others where it is large and a link is slow. */
+	/** Elapsed time at which the last confirmation that all parts but the configuration were complete was requested; undefined before the first. */
 	readonly partsConfirmedAt: number | undefined;
-	/** The same as {@link partsConfirmedAt} for the last confirmation by the store itself, to this host or to a peer. */
+	/** The same for the last confirmation by the store itself, to this host or to a peer. */
 	readonly storeConfirmedAt: number | undefined;
 	/** The same for the last confirmation by the store that the configuration is the latest. */
 	readonly routingConfirmedAt: number | undefined;
@@ -257,7 +255,7 @@
 	 */
 	const isRoutingOverdue = () => {
 		const now = clock.now();
-		const lagMs = (copy.partsConfirmedAt ?? 0) - (copy.confirmedAt ?? 0);
+		const lagMs = (copy.partsConfirmedAt ?? 0) - (copy.routingConfirmedAt ?? 0);
 		routingIncompleteSince = copy.isRoutingComplete ? undefined : (routingIncompleteSince ?? now);
 		return lagMs > ROUTING_OVERDUE_MS && now - (routingIncompleteSince ?? now) > ROUTING_OVERDUE_MS && !feedClient.isReceiving;
 	};
@@ -322,9 +320,6 @@
 		get state() {
 			return copy.state;
 		},
-		get confirmedAt() {
-			return copy.confirmedAt;
-		},
 		get partsConfirmedAt() {
 			return copy.partsConfirmedAt;
 		},
--- a/src/proxy/run-proxy.ts
+++ b/src/proxy/run-proxy.ts
@@ -147,7 +147,7 @@
 	const {elapsed} = kernel.getOrThrow('elapsedClock');
 	const leaving = [...mirror.state.leadership.values()].map(({primaryId}) => primaryId).filter(id => directory.get(id)?.entry.leaving);
 	metrics.setState({
-		confirmationAgeSeconds: mirror.confirmedAt === undefined ? -1 : (elapsed() - mirror.confirmedAt) / 1000,
+		confirmationAgeSeconds: mirror.routingConfirmedAt === undefined ? -1 : (elapsed() - mirror.routingConfirmedAt) / 1000,
 		routingVersion: mirror.state.routing?.version ?? 0,
 		hosts: mirror.state.hosts.length,
 		leavingPrimaries: leaving.length,
--- a/tests/mirror/change-feed-client-tests.ts
+++ b/tests/mirror/change-feed-client-tests.ts
@@ -45,7 +45,7 @@
 	function doTest(what: string, update: Partial<StoreUpdate>, confirmedAt: number | undefined) {
 		it(what, async () => {
 			const {copy} = await poll(update);
-			expect(copy.confirmedAt).to.equal(confirmedAt);
+			expect(copy.partsConfirmedAt).to.equal(confirmedAt);
 		});
 	}
 
@@ -60,12 +60,12 @@
 	 */
 	it('no later revision if the contents have changed since the request', async () => {
 		const {copy, result} = await poll({revision: 20, ageMs: 0}, createState(15, ['a', 'b']));
-		expect([copy.state.revision, copy.confirmedAt, result?.confirmed]).to.deep.equal([15, undefined, false]);
+		expect([copy.state.revision, copy.partsConfirmedAt, result?.confirmed]).to.deep.equal([15, undefined, false]);
 	});
 
 	/** Guards against a copy of a restored store that counts as confirmed because other hosts, which still hold what was lost, confirm each other. */
 	it('no confirmation of an earlier generation', async () => {
 		const {copy, result} = await poll({revision: 20, ageMs: 0}, createState(qualifyByGeneration(1, 8), ['a']));
-		expect([copy.confirmedAt, result?.confirmed]).to.deep.equal([undefined, false]);
+		expect([copy.partsConfirmedAt, result?.confirmed]).to.deep.equal([undefined, false]);
 	});
 });
--- a/tests/mirror/change-feed-schedules-tests.ts
+++ b/tests/mirror/change-feed-schedules-tests.ts
@@ -110,7 +110,7 @@
 			const violations: string[] = [];
 			const check = () => {
 				for (const host of fleet.hosts) {
-					const {state, confirmedAt} = host.mirror;
+					const {state, routingConfirmedAt: confirmedAt} = host.mirror;
 					const version = state.routing?.version ?? 0;
 					if (confirmedAt !== undefined && version < getVersionAt(written, confirmedAt)) {
 						violations.push(`${host.name} holds ${version}, confirmed at ${confirmedAt}, when it was ${getVersionAt(written, confirmedAt)}`);
--- a/tests/mirror/change-feed-spread-tests.ts
+++ b/tests/mirror/change-feed-spread-tests.ts
@@ -53,7 +53,7 @@
 		const cutAt = bench.clock.now();
 		await bench.clock.advance(2500);
 		const ages = bench.hosts.map(({mirror}) => mirror.storeConfirmedAt!);
-		expect(Math.max(...ages)).to.be.at.most(Math.max(...bench.hosts.map(({mirror}) => mirror.confirmedAt!)));
+		expect(Math.max(...ages)).to.be.at.most(Math.max(...bench.hosts.map(({mirror}) => mirror.partsConfirmedAt!)));
 		expect(bench.hosts[0]!.mirror.storeConfirmedAt).to.equal(Math.max(...ages));
 		expect(bench.clock.now() - cutAt).to.equal(2500);
 		bench.stop();
--- a/tests/mirror/large-configuration-tests.ts
+++ b/tests/mirror/large-configuration-tests.ts
@@ -121,14 +121,14 @@
 	it('is not confirmed before it is here, and is known to be pending', async () => {
 		const {store, mirrors, getMaxAge, stop} = await createFleet(4000);
 		await getMaxAge(1000);
-		const before = mirrors.map(({confirmedAt}) => confirmedAt!);
+		const before = mirrors.map(({routingConfirmedAt}) => routingConfirmedAt!);
 		store.setRouting(createRouting(2, 5));
 		await getMaxAge(2000);
 		expect(mirrors.map(({isRoutingComplete}) => isRoutingComplete)).to.deep.equal(HOSTS.map(() => false));
-		expect(mirrors.map(({confirmedAt}, i) => confirmedAt! - before[i]!).every(ms => ms < 1000)).to.equal(true);
+		expect(mirrors.map(({routingConfirmedAt}, i) => routingConfirmedAt! - before[i]!).every(ms => ms < 1000)).to.equal(true);
 		await getMaxAge(3500);
 		expect(mirrors.map(({isRoutingComplete}) => isRoutingComplete)).to.deep.equal(HOSTS.map(() => true));
-		expect(mirrors.map(({confirmedAt}, i) => confirmedAt! - before[i]!).every(ms => ms > 2000)).to.equal(true);
+		expect(mirrors.map(({routingConfirmedAt}, i) => routingConfirmedAt! - before[i]!).every(ms => ms > 2000)).to.equal(true);
 		stop();
 	});
 
--- a/tests/mirror/store-mirror-tests.ts
+++ b/tests/mirror/store-mirror-tests.ts
@@ -54,7 +54,7 @@
 		store.setFaults(undefined, {responseMs: 200});
 		const askedAt = elapsedClock.elapsed();
 		expect(await confirm('a')).to.equal(true);
-		expect([mirrors.a.confirmedAt, elapsedClock.elapsed() >= askedAt + 200]).to.deep.equal([askedAt, true]);
+		expect([mirrors.a.routingConfirmedAt, elapsedClock.elapsed() >= askedAt + 200]).to.deep.equal([askedAt, true]);
 	});
 
 	it('applies changes', async () => {
@@ -83,7 +83,17 @@
 		store.setFaults(undefined, {refused: true});
 		const askedAt = elapsedClock.elapsed();
 		expect(await confirm('a')).to.equal(true);
-		expect(mirrors.a.confirmedAt).to.be.at.least(askedAt);
+		expect(mirrors.a.partsConfirmedAt).to.be.at.least(askedAt);
+	});
+
+	/** The operator changes the configuration without any host, so hosts that the store turns away cannot confirm it together. */
+	it('is not confirmed with its configuration by all hosts together', async () => {
+		const {store, confirm, mirrors, elapsedClock} = await createBench();
+		store.setFaults(undefined, {refused: true});
+		const turnedAwayAt = elapsedClock.elapsed();
+		expect(await confirm('a')).to.equal(true);
+		expect(mirrors.a.partsConfirmedAt).to.be.at.least(turnedAwayAt);
+		expect(mirrors.a.routingConfirmedAt).to.be.lessThan(turnedAwayAt);
 	});
 
 	/** The store goes down while a host replaces a primary: the other hosts' copies may be outdated already. */
--- /dev/null
+++ b/tests/proxy/unproven-route-tests.ts
@@ -0,0 +1,89 @@
+import {expect} from 'chai';
+import type {Route, Routing} from '../../src/routes/routing.js';
+import {createProxyBench, ROUTES, type ProxyBench} from './proxy-bench.js';
+
+const ADDED: Route = {...ROUTES[1]!, name: 'added', database: 'added'};
+
+function createRouting(version: number, routes: readonly Route[]): Routing {
+	return {
+		version, routes: new Map(routes.map(route => [route.database, route])), groups: new Map([['nights', {name: 'nights', maxConnections: 22}]]), workspaces: new Map(), idleTransactionMs: 3000,
+	};
+}
+
+/** Opens a session at a host and returns how it was refused and after which time, or that it was opened. */
+async function open({clock, open: openAt, system}: ProxyBench, host: string, database: string) {
+	const askedAt = clock.now();
+	const caller = await openAt(system.proxies.findLast(({name}) => name === host)!, database);
+	return {result: caller.refusal ?? 'opened', tookMs: clock.now() - askedAt, caller};
+}
+
+async function tryOpen(bench: ProxyBench, host: string, database: string) {
+	const {result} = await open(bench, host, database);
+	return result;
+}
+
+describe('a database without a route in the configuration that a host holds', () => {
+	it('is refused as unknown once the store has confirmed that, without a call of its own', async () => {
+		const bench = await createProxyBench({proxies: 3});
+		const before = bench.system.store.calls;
+		const {result, tookMs} = await open(bench, 'entry-3', 'never');
+		expect(result).to.equal('unknown-database');
+		expect(tookMs).to.be.at.most(1000);
+		expect(bench.system.store.calls - before).to.be.at.most(2);
+		bench.system.stop();
+	});
+
+	it('is served where its route was added just before', async () => {
+		const bench = await createProxyBench({proxies: 3});
+		bench.system.store.setRouting(createRouting(2, [...ROUTES, ADDED]));
+		expect(await tryOpen(bench, 'entry-3', 'added')).to.equal('opened');
+		bench.system.stop();
+	});
+
+	/** Hosts that the store turns away confirm together that no primary changes, which proves nothing about routes. */
+	it('is refused as busy while the store turns all hosts away: its route may have been added', async () => {
+		const bench = await createProxyBench({proxies: 3});
+		bench.system.store.setFaults(undefined, {refused: true});
+		bench.system.store.setRouting(createRouting(2, [...ROUTES, ADDED]));
+		await bench.clock.advance(3500);
+		for (const host of ['entry-1', 'entry-2', 'entry-3']) {
+			const {result, tookMs} = await open(bench, host, 'added');
+			expect(result).to.equal('overloaded');
+			expect(tookMs).to.be.at.most(1000);
+		}
+
+		bench.system.store.heal();
+		await bench.clock.advance(2000);
+		expect(await tryOpen(bench, 'entry-3', 'added')).to.equal('opened');
+		bench.system.stop();
+	});
+
+	it('is refused soon where the store has confirmed nothing for long: waiting would not help', async () => {
+		const bench = await createProxyBench({proxies: 3});
+		bench.system.store.setFaults(undefined, {silent: true});
+		await bench.clock.advance(5000);
+		const {result, tookMs} = await open(bench, 'entry-2', 'never');
+		expect([result, tookMs <= 150]).to.deep.equal(['overloaded', true]);
+		bench.system.stop();
+	});
+
+	/** A session outlives its route, and the route may have been added again in a version that its host has not learnt of. */
+	it('is refused as busy to a session that was open before its route was dropped, while the store turns all hosts away', async () => {
+		const bench = await createProxyBench({proxies: 3});
+		const {store} = bench.system;
+		store.setRouting(createRouting(2, [...ROUTES, ADDED]));
+		await bench.clock.advance(1500);
+		const {caller} = await open(bench, 'entry-3', 'added');
+		store.setRouting(createRouting(3, ROUTES));
+		await bench.clock.advance(1500);
+		store.setFaults(undefined, {refused: true});
+		store.setRouting(createRouting(4, [...ROUTES, ADDED]));
+		await bench.clock.advance(3500);
+		expect(await bench.ask(caller, 'READ a')).to.equal('overloaded idle');
+		expect(await bench.ask(caller, 'BEGIN')).to.equal('overloaded idle');
+		store.heal();
+		await bench.clock.advance(2000);
+		expect(await bench.ask(caller, 'READ a')).to.match(/^done/v);
+		bench.system.stop();
+	});
+});
