Leave a source of store updates that is behind, and ask peers where neither it nor the store answers

What callers saw: two of nine hosts refused added routes and served dropped ones for seconds, while all others were current.

Cause: a host that the store turns away relies on the host that it polls. Where that one has just started, is turned away too and knows nothing (its seeds are gone or turned away), it answers every poll, so it was never given up; and a host that does not read for all asked no peer. Both stayed behind until the store answered one of them.

Fix: where the confirmation is overdue and the store does not answer, the host asks peers, as the host that reads for all does, within the rate of readings outside the schedule. A polled host whose confirmation is two intervals older than this host's own is no source: another one is polled for 5 s.

Ruled out: giving up any source that does not confirm. In an outage all hosts would give up one after the other, and each would read the configuration itself.

--- a/src/mirror/change-feed-source.ts
+++ b/src/mirror/change-feed-source.ts
@@ -11,6 +11,8 @@
 	getParent(now: number): string | undefined;
 	/** Excludes a host that did not respond from the choice for a while. */
 	avoid(address: string, now: number): void;
+	/** Does the same to a host that responds, but whose copy was confirmed long before this host's. */
+	noteBehind(address: string, now: number): void;
 	/** Whether a host is excluded from the choice at the steady time `now`. */
 	isAvoiding(now: number): boolean;
 	/** Whether this host has just excluded a host, so that it has to find out soon whether the next one responds; always false for the layout by names. */
@@ -25,7 +27,7 @@
 	getOthers(): readonly string[];
 };
 
-/** Time for which a host that did not respond is excluded, in milliseconds; the tree without it determines the host to poll. */
+/** Time for which a host that did not respond, or was behind, is excluded, in milliseconds; the tree without it determines the host to poll. */
 const AVOID_MS = 5000;
 
 /** Time for which a host reads the store itself after a declined request, in milliseconds: two reads, after which its copy of the host records is the latest. */
@@ -100,6 +102,12 @@
 		return next;
 	};
 
+	const exclude = (address: string, now: number) => {
+		avoidedUntil.set(address, now + AVOID_MS);
+		lastAvoidedAt = now;
+		treeWithoutAvoided = undefined;
+	};
+
 	/** Returns the seed to poll while no host is known. Hosts are spread over the seeds; a seed polls only those before it in the list, so that seeds do not wait for each other in a cycle. */
 	const getSeed = (now: number) => {
 		const own = seeds.indexOf(host.peerAddress);
@@ -124,9 +132,11 @@
 		isDeclined: now => now < declinedUntil,
 		avoid(address, now) {
 			log.info('the host that is polled for store updates does not respond', {peer: address, revision: formatQualified(copy.state.revision)});
-			avoidedUntil.set(address, now + AVOID_MS);
-			lastAvoidedAt = now;
-			treeWithoutAvoided = undefined;
+			exclude(address, now);
+		},
+		noteBehind(address, now) {
+			log.info('the host that is polled for store updates is behind this one', {peer: address, revision: formatQualified(copy.state.revision)});
+			exclude(address, now);
 		},
 		getTree: () => getKnown().tree,
 		getOthers() {
--- a/src/mirror/store-mirror.ts
+++ b/src/mirror/store-mirror.ts
@@ -9,7 +9,7 @@
 import {createMirrorCopy} from './mirror-copy.js';
 import type {MetadataStore} from './metadata-store.js';
 import {NameOrderLayout, type HostTreeLayout} from './host-tree.js';
-import type {UnfencedGroup} from './mirror-calls.js';
+import type {StoreUpdate, UnfencedGroup} from './mirror-calls.js';
 import type {MirrorState} from './mirror-state.js';
 import {createChangeFeedServer} from './change-feed-server.js';
 import {createChangeFeedClient} from './change-feed-client.js';
@@ -237,14 +237,27 @@
 		return queued;
 	};
 
-	/** Reads the store outside the schedule, within the rate that all hosts share. It asks no peers to read in its place, since the host that reads for all does that. */
+	const isOverdue = () => copy.partsConfirmedAt === undefined || elapsedClock.elapsed() - copy.partsConfirmedAt > OVERDUE_MS;
+
+	/**
+	 * Reads the store outside the schedule, and asks peers where it does not answer and the host that is polled does not confirm either: that one may be alive and as little in touch
+	 * with the store, having just started for example.
+	 */
+	const confirmUnscheduled = async () => {
+		if (!await reader.readAfterNow() && isOverdue()) {
+			await peerConfirmation.confirm();
+		}
+	};
+
+	/** Reads the store outside the schedule, within the rate that all hosts share. */
 	const readUnscheduled = () => {
 		if (readRateLimiter.take(source.getOthers().length + 1, clock.now())) {
-			void reader.readAfterNow();
+			void confirmUnscheduled();
 		}
 	};
 
-	const isOverdue = () => copy.partsConfirmedAt === undefined || elapsedClock.elapsed() - copy.partsConfirmedAt > OVERDUE_MS;
+	/** Whether a polled host was confirmed so long before this one that it is no source of updates. */
+	const isBehind = ({ageMs}: StoreUpdate) => !isOverdue() && (ageMs === undefined || elapsedClock.elapsed() - copy.partsConfirmedAt! < ageMs - OVERDUE_MS);
 
 	/** Whether the hosts that this one polls do not confirm and one of them is excluded: it cannot wait for the configuration from them. */
 	const isFeedFailing = () => isOverdue() && source.isAvoiding(clock.now());
@@ -292,6 +305,10 @@
 		} else if (result.update.declined) {
 			source.noteDeclined(parent, clock.now());
 		} else if (!result.isNew) {
+			if (isBehind(result.update)) {
+				source.noteBehind(parent, clock.now());
+			}
+
 			await clock.sleep(NO_UPDATE_PAUSE_MS, stopping);
 		}
 	};
--- a/tests/proxy/unproven-route-tests.ts
+++ b/tests/proxy/unproven-route-tests.ts
@@ -3,6 +3,10 @@
 import {createProxyBench, ROUTES, type ProxyBench} from './proxy-bench.js';
 
 const ADDED: Route = {...ROUTES[1]!, name: 'added', database: 'added'};
+const ADDED_LATER: Route = {...ADDED, name: 'later', database: 'later'};
+
+/** Time after which a host is polled again that did not respond once, in milliseconds, and a second more. */
+const NO_LONGER_AVOIDED_MS = 6000;
 
 function createRouting(version: number, routes: readonly Route[]): Routing {
 	return {
@@ -86,4 +90,25 @@
 		expect(await bench.ask(caller, 'READ a')).to.match(/^done/v);
 		bench.system.stop();
 	});
+
+	/** Guards against a host that learns of nothing: the one it polls has just started, is turned away as well, and answers without knowing anything. */
+	it('has its route added soon at a host that polls one that knows nothing', async () => {
+		const bench = await createProxyBench({proxies: 6});
+		const {system, clock} = bench;
+		const {store} = system;
+		// Of the zone of entry-2 and entry-5, the second polls the first.
+		const parent = system.proxies.find(({name}) => name === 'entry-2')!;
+		system.kill(parent);
+		store.setFaults('entry-2', {refused: true});
+		store.setFaults('entry-5', {refused: true});
+		await clock.runUntil(system.startProxy('entry-2'));
+		await clock.advance(NO_LONGER_AVOIDED_MS);
+		store.setRouting(createRouting(2, [...ROUTES, ADDED]));
+		await clock.advance(3000);
+		expect(await tryOpen(bench, 'entry-5', 'added')).to.equal('opened');
+		store.setRouting(createRouting(3, [...ROUTES, ADDED, ADDED_LATER]));
+		await clock.advance(3000);
+		expect(await tryOpen(bench, 'entry-5', 'later')).to.equal('opened');
+		system.stop();
+	});
 });
