Begin no work under a configuration that may have been replaced for longer than it may

What callers saw (by the schedules and by reading): requests ran on a route that had been dropped. Only work at primaries ended where a later configuration had been arriving for 3 s; sessions, and reads at replicas, went on. Where the store confirmed nothing to any host they went on for ever.

Now a session, a transaction or a single statement begins under a route only while its configuration may be in force (find-route.ts): no later one has been known of for 3 s, and the store has confirmed it within configApplyMs + maxSkewMs, the longest bound that the users' rules give while the store is unstable. Otherwise the caller is refused as busy, with a time to come back. Transactions that have begun go on, as a change applies from the next one on.

--- a/src/gateway/caller-session.ts
+++ b/src/gateway/caller-session.ts
@@ -82,12 +82,13 @@
 
 	const isWanted = () => !channel.left && !givenUp;
 
+	/** Whether a statement may wait for the next confirmation of the configuration. */
+	const mayWait = () => isWanted() && !getStopPlan();
+
 	const getRoute = () => transactionRoute ?? mirror.state.routing?.routes.get(memory.database);
 
-	const lookUpRoute = async (): Promise<RouteLookup> => {
-		const route = getRoute();
-		return route ? {found: true, route} : findRoute(parts, memory.database, () => isWanted() && !getStopPlan());
-	};
+	const lookUpRoute = async (): Promise<RouteLookup> =>
+		transactionRoute ? {found: true, route: transactionRoute} : findRoute(parts, memory.database, mayWait);
 
 	/** Returns the time by which a statement that arrives now is answered within its route's target. */
 	const getTargetAt = ({targetLatencyMs}: Route) => targetLatencyMs === 0 ? Number.POSITIVE_INFINITY : clock.now() + targetLatencyMs;
--- a/src/gateway/gateway-parts.ts
+++ b/src/gateway/gateway-parts.ts
@@ -36,6 +36,8 @@
 	readonly access: CallerAccess;
 	readonly rateLimiter: RateLimiter;
 	readonly availabilityZone: string;
+	/** Time for which work may begin under a configuration that the store has not confirmed again, in milliseconds; unlimited where it is undefined. */
+	readonly maxRoutingAgeMs?: number;
 	readonly placement: ReadPlacement;
 	/** Features that the deployment asks for. */
 	readonly features: ProxyFeatures;
--- a/src/gateway/open-session.ts
+++ b/src/gateway/open-session.ts
@@ -36,7 +36,8 @@
 	const {database} = req;
 	await waitForRouting(parts, options);
 	// A host that is stopping may end before the wait for proof does; another host can serve the caller.
-	const found = mirror.state.routing && await findRoute(parts, database, () => !channel.left && !getStopPlan());
+	const isWanted = () => !channel.left && !getStopPlan();
+	const found = mirror.state.routing && await findRoute(parts, database, isWanted);
 	const plan = getStopPlan();
 	if (isPastAdmission(plan, clock.now()) || (plan && !found?.found)) {
 		log.info('a session was refused: the host is stopping', {database});
--- a/src/platform/boot-settings.ts
+++ b/src/platform/boot-settings.ts
@@ -19,6 +19,8 @@
 	readonly ordersAddress: string;
 	/** Time after which no host may accept a revoked key any more, in milliseconds; undefined if there is no such bound. */
 	readonly revokeWithinMs?: number;
+	/** Time for which work may begin under a configuration that the store has not confirmed again, in milliseconds; undefined if there is no such bound. */
+	readonly maxRoutingAgeMs?: number;
 	/** Time from the announcement of an endpoint that it is leaving until it gets no new work, in milliseconds; undefined if there is no such bound. */
 	readonly maxLeavingMs?: number;
 	/** Region of each availability zone. */
@@ -64,6 +66,10 @@
 	'bounds.revokeStrict': z.enum(['true', 'false'], 'must be true or false').default('false'),
 	'bounds.revokeMs': z.coerce.number().positive().optional(),
 	'bounds.drainMs': z.coerce.number().positive().optional(),
+	/** Time in which an accepted configuration has to be in force. */
+	'bounds.configApplyMs': z.coerce.number().positive().optional(),
+	/** Time by which that bound is longer while the store turns hosts away. It has nothing to do with clocks, despite its name. */
+	'bounds.maxSkewMs': z.coerce.number().nonnegative().default(0),
 });
 
 /** Parses the text of the settings file. Throws BootSettingsError, which names every invalid field. */
@@ -86,6 +92,7 @@
 		storeAddress: fields['platform.address'],
 		ordersAddress: fields['cloud.address'],
 		revokeWithinMs: fields['bounds.revokeStrict'] === 'true' ? fields['bounds.revokeMs'] : undefined,
+		maxRoutingAgeMs: getMaxRoutingAge(fields['bounds.configApplyMs'], fields['bounds.maxSkewMs']),
 		maxLeavingMs: fields['bounds.drainMs'],
 		zoneRegions: getZoneRegions(lines),
 		isContended: fields.contracts.split(',').includes(CONTENTION_CONTRACT),
@@ -94,6 +101,11 @@
 	};
 }
 
+/** Returns the time after which a configuration that the store has not confirmed again may not be relied on, whatever the store does. */
+function getMaxRoutingAge(applyMs: number | undefined, storeTroubleMs: number): number | undefined {
+	return applyMs === undefined ? undefined : applyMs + storeTroubleMs;
+}
+
 /** The contract under which callers compete for endpoints. */
 const CONTENTION_CONTRACT = 'pressure';
 
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -97,6 +97,8 @@
 	readonly revokeWithinMs?: number;
 	/** Time from the announcement of an endpoint that it is leaving until it gets no new work, in milliseconds; undefined where there is no bound. */
 	readonly maxLeavingMs?: number;
+	/** Time for which work may begin under a configuration that the store has not confirmed again, in milliseconds; unlimited where it is undefined. */
+	readonly maxRoutingAgeMs?: number;
 	/** Features that this deployment asks for; none by default. */
 	readonly features?: ProxyFeatures;
 	/** Chooses where reads run; by load, lag and zone where it is undefined. */
@@ -326,6 +328,7 @@
 		access,
 		rateLimiter,
 		availabilityZone: parts.availabilityZone,
+		maxRoutingAgeMs: parts.maxRoutingAgeMs,
 		random,
 		placement: parts.placement ?? placementFeature?.placement ?? new CostBasedPlacement(),
 		estimates: placementFeature?.estimates,
--- a/src/proxy/main.ts
+++ b/src/proxy/main.ts
@@ -66,6 +66,7 @@
 		peerAddress: settings.peerAddress,
 		seeds: settings.seeds,
 		revokeWithinMs: settings.revokeWithinMs,
+		maxRoutingAgeMs: settings.maxRoutingAgeMs,
 		maxLeavingMs: settings.maxLeavingMs,
 		features,
 		incarnation: createRequestId(clock.wall(), random),
--- a/src/stand-ins/proxies/simulated-proxies.ts
+++ b/src/stand-ins/proxies/simulated-proxies.ts
@@ -78,6 +78,8 @@
 	readonly workspaces?: readonly Workspace[];
 	/** Time after which hosts may not honour a revoked key, in milliseconds. */
 	readonly revokeWithinMs?: number;
+	/** Time for which work may begin under a configuration that the store has not confirmed again, in milliseconds; unlimited without it. */
+	readonly maxRoutingAgeMs?: number;
 	/** Time from the announcement of an endpoint that it is leaving until it gets no new work, in milliseconds; unlimited without it. */
 	readonly maxLeavingMs?: number;
 	readonly log?: Log;
@@ -284,6 +286,7 @@
 				incarnation: `${name}/${earlierStarts}`,
 				revokeWithinMs: options.revokeWithinMs,
 				maxLeavingMs: options.maxLeavingMs,
+				maxRoutingAgeMs: options.maxRoutingAgeMs,
 				placement: options.createPlacement?.(proxy),
 				features: options.features,
 			});
--- a/tests/configuration-check/main.ts
+++ b/tests/configuration-check/main.ts
@@ -1,7 +1,8 @@
 /**
  * Plays random schedules of versions and faults from the command line: `npm run check:configuration -- --first SEED --count N`.
  *
- * `--turned-away few|most|all` sets how many hosts the store turns away, `--length-ms MS` how long a schedule lasts. `--log` prints the
+ * `--turned-away few|most|all` sets how many hosts the store turns away, `--length-ms MS` how long a schedule lasts,
+ * `--max-age-ms MS` for how long work may begin under a configuration that the store has not confirmed again. `--log` prints the
  * proxies' log lines, each after its virtual time.
  */
 import process from 'node:process';
@@ -16,6 +17,7 @@
 		count: {type: 'string', default: '20'},
 		'turned-away': {type: 'string', default: TurnedAway.All},
 		'length-ms': {type: 'string', default: '40000'},
+		'max-age-ms': {type: 'string', default: '15000'},
 		log: {type: 'boolean', default: false},
 	},
 });
@@ -32,6 +34,7 @@
 	const {violations, figures, versions} = await runConfigurationSchedule(seed, {
 		turnedAway,
 		lengthMs: Number(values['length-ms']),
+		maxRoutingAgeMs: Number(values['max-age-ms']),
 		...(values.log && {
 			createLog: getNow => createLineLog((sentence, fields) => {
 				console.log(Math.round(getNow()), sentence, JSON.stringify(fields));
--- a/tests/configuration-check/run-configuration-schedule.ts
+++ b/tests/configuration-check/run-configuration-schedule.ts
@@ -42,6 +42,8 @@
 export type ConfigurationScheduleOptions = {
 	readonly turnedAway?: TurnedAway;
 	readonly lengthMs?: number;
+	/** Time for which work may begin under a configuration that the store has not confirmed again, in milliseconds. */
+	readonly maxRoutingAgeMs?: number;
 	/** Creates the proxies' log. The time is the virtual time since the schedule's start, in milliseconds. */
 	createLog?(getNow: () => number): Log;
 };
@@ -107,6 +109,7 @@
 		groups: [{
 			name: GROUP, zones: ['zone-0', 'zone-1', 'zone-2'], maxConnections: 60, observer: SILENT_OBSERVER,
 		}],
+		maxRoutingAgeMs: options.maxRoutingAgeMs ?? IN_FORCE_WITHOUT_STORE_MS,
 		routes: STABLE_DATABASES.map(database => createRoute(database)),
 		log: options.createLog?.(() => clock.now() - startedAt),
 	});
--- a/tests/platform/boot-settings-tests.ts
+++ b/tests/platform/boot-settings-tests.ts
@@ -28,6 +28,7 @@
 			ordersAddress: '10.200.0.160:8783',
 			graceMs: 6000,
 			revokeWithinMs: undefined,
+			maxRoutingAgeMs: undefined,
 			maxLeavingMs: undefined,
 			zoneRegions: {},
 			isContended: false,
@@ -44,6 +45,12 @@
 		expect(parseBootSettings(`${GOOD}bounds.drainMs=7000\n`).maxLeavingMs).to.equal(7000);
 	});
 
+	it('bounds the age of a configuration by the time to have one in force and what the store may add to it', () => {
+		expect(parseBootSettings(`${GOOD}bounds.configApplyMs=3000\nbounds.maxSkewMs=12000\n`).maxRoutingAgeMs).to.equal(15_000);
+		expect(parseBootSettings(`${GOOD}bounds.configApplyMs=3000\n`).maxRoutingAgeMs).to.equal(3000);
+		expect(parseBootSettings(`${GOOD}bounds.maxSkewMs=12000\n`).maxRoutingAgeMs).to.equal(undefined);
+	});
+
 	it('takes the bound on revocation only if bounds.revokeStrict is true', () => {
 		expect(parseBootSettings(`${GOOD}bounds.revokeStrict=true\nbounds.revokeMs=5000\n`).revokeWithinMs).to.equal(5000);
 		expect(parseBootSettings(`${GOOD}bounds.revokeStrict=false\nbounds.revokeMs=5000\n`).revokeWithinMs).to.equal(undefined);
@@ -65,6 +72,7 @@
 	doTest('quotes a line without a name and a value', text => `${text}nonsense\n`, /no name and value: nonsense/v);
 	doTest('names every invalid field at once', text => text.replace(/zone=.*\n/v, '').replace('graceS=6', 'graceS=0'), /zone is wrong.*; bounds\.graceS is wrong/v);
 	doTest('names a bound on leaving that is no time', text => `${text}bounds.drainMs=-1\n`, /bounds\.drainMs is wrong/v);
+	doTest('names a bound on the configuration that is no time', text => `${text}bounds.configApplyMs=soon\n`, /bounds\.configApplyMs is wrong/v);
 	doTest('names a field with an unknown choice', text => `${text}bounds.revokeStrict=maybe\n`, /bounds\.revokeStrict is wrong: must be true or false/v);
 	doTest('rejects an empty file', () => '', /nodeName is wrong/v);
 });
--- a/tests/proxy/proxy-bench.ts
+++ b/tests/proxy/proxy-bench.ts
@@ -51,12 +51,13 @@
 	readonly workspaces?: readonly Workspace[];
 	readonly revokeWithinMs?: number;
 	readonly maxLeavingMs?: number;
+	readonly maxRoutingAgeMs?: number;
 	readonly features?: ProxyFeatures;
 };
 
 /** Creates a bench whose proxies know the group's primary. */
 export async function createProxyBench(options: ProxyBenchOptions = {}): Promise<ProxyBench> {
-	const {proxies: count = 3, lagMs, maxConnections, slots, promoteMs, syncReplicas, log, workspaces, revokeWithinMs, maxLeavingMs, features} = options;
+	const {proxies: count = 3, lagMs, maxConnections, slots, promoteMs, syncReplicas, log, workspaces, revokeWithinMs, maxLeavingMs, maxRoutingAgeMs, features} = options;
 	const clock = createVirtualClock();
 	const ran: string[] = [];
 	const system = createSimulatedProxies({
@@ -83,6 +84,7 @@
 		workspaces,
 		revokeWithinMs,
 		maxLeavingMs,
+		maxRoutingAgeMs,
 		features,
 		log,
 	});
--- a/tests/proxy/unproven-route-tests.ts
+++ b/tests/proxy/unproven-route-tests.ts
@@ -112,3 +112,25 @@
 		system.stop();
 	});
 });
+
+describe('a route that a host holds', () => {
+	/** The operator may have dropped it meanwhile: the store may turn the hosts away and serve the operator. */
+	it('is not served once the store has confirmed no host for longer than the deployment allows, but in transactions that have begun', async () => {
+		const bench = await createProxyBench({proxies: 3, maxRoutingAgeMs: 5000});
+		const {caller: idle} = await open(bench, 'entry-2', 'review');
+		const {caller: inTransaction} = await open(bench, 'entry-2', 'review');
+		expect(await bench.ask(inTransaction, 'BEGIN READ')).to.equal('done open');
+		bench.system.store.setFaults(undefined, {refused: true});
+		await bench.clock.advance(2500);
+		expect(await bench.ask(inTransaction, 'READ a')).to.match(/^done/v);
+		await bench.clock.advance(2400);
+		expect(await bench.ask(inTransaction, 'READ a')).to.match(/^done/v);
+		expect(await tryOpen(bench, 'entry-2', 'review')).to.equal('overloaded');
+		expect(await bench.ask(idle, 'READ a')).to.equal('overloaded idle');
+		expect(await bench.ask(idle, 'BEGIN')).to.equal('overloaded idle');
+		bench.system.store.heal();
+		await bench.clock.advance(1500);
+		expect(await bench.ask(idle, 'READ a')).to.match(/^done/v);
+		bench.system.stop();
+	});
+});
