Refuse a key as unknown only where the store proves it

What callers saw: a session with a key that had just been added was refused as unauthenticated, by a host that the store turned away for as long as that lasted.

That no workspace has a key was concluded from the configuration held, at once and whatever its age.

Now the refusal needs a confirmation that was requested from the store after the request arrived; the caller waits for it as for a missing route. Without it the answer is the one of a host that cannot verify keys: busy, nothing is kept. In an open transaction nothing waits: its key was known when it began, and the version held shows that it has been revoked.

Looked at for the same cause: workspaces' limits (the issuer falls back on the limit that the request names), prepared names (the session's own memory), endpoints (no refusal says that one does not exist), checkouts from pool hosts.

Red before: 'is served where its key was added just before' and 'is refused as busy where its host cannot tell whether a workspace has received its key'.

--- a/src/gateway/admit-operation.ts
+++ b/src/gateway/admit-operation.ts
@@ -4,6 +4,7 @@
 import type {KeyFingerprint} from '../workspaces/key-index.js';
 import type {Workspace} from '../workspaces/workspace.js';
 import type {GatewayParts} from './gateway-parts.js';
+import {createProofWait} from './proof-wait.js';
 import {refuse, type RefusalResult} from './statement-result.js';
 
 /** Whether a caller's request is admitted, and the workspace for which it runs. */
@@ -19,8 +20,25 @@
 
 const OTHER_WORKSPACE = refuse(AnswerCode.Unauthenticated, 'the key is of another workspace now; nothing is kept');
 
-/** Admits a request where its caller's key is valid. */
-export function admitCaller({access, elapsedClock}: GatewayParts, fingerprint: KeyFingerprint, route: Route): Admission {
+/**
+ * Admits a request where its caller's key is valid. That no workspace has the key has to be proven, since one may have received it in a configuration that this host has not learnt of.
+ * @param isWanted Whether to wait for the proof.
+ */
+export async function admitCaller(parts: GatewayParts, fingerprint: KeyFingerprint, route: Route, isWanted: () => boolean): Promise<Admission> {
+	const wait = createProofWait(parts, isWanted);
+	for (;;) {
+		const admission = admitByKey(parts, fingerprint, route);
+		if (admission.admitted || admission.refusal !== UNKNOWN_KEY || wait.isConfirmed()) {
+			return admission;
+		}
+
+		if (!await wait.next()) {
+			return {admitted: false, refusal: UNVERIFIABLE};
+		}
+	}
+}
+
+function admitByKey({access, elapsedClock}: GatewayParts, fingerprint: KeyFingerprint, route: Route): Admission {
 	const verdict = access.authorize(fingerprint, route, elapsedClock.elapsed());
 	if (verdict.allowed) {
 		return {admitted: true, workspace: verdict.workspace};
@@ -34,7 +52,7 @@
  * transaction was begun; undefined where it still does.
  */
 export function refuseInTransaction(parts: GatewayParts, fingerprint: KeyFingerprint, route: Route, begunFor: Workspace | undefined): RefusalResult | undefined {
-	const admission = admitCaller(parts, fingerprint, route);
+	const admission = admitByKey(parts, fingerprint, route);
 	if (!admission.admitted) {
 		return admission.refusal;
 	}
@@ -43,8 +61,8 @@
 }
 
 /** Admits an operation where its caller's key is valid and the workspace is within its rate limit. */
-export async function admitOperation(parts: GatewayParts, fingerprint: KeyFingerprint, route: Route): Promise<Admission> {
-	const admission = admitCaller(parts, fingerprint, route);
+export async function admitOperation(parts: GatewayParts, fingerprint: KeyFingerprint, route: Route, isWanted: () => boolean): Promise<Admission> {
+	const admission = await admitCaller(parts, fingerprint, route, isWanted);
 	if (!admission.admitted || !admission.workspace) {
 		return admission;
 	}
--- a/src/gateway/caller-session.ts
+++ b/src/gateway/caller-session.ts
@@ -120,7 +120,7 @@
 
 		const arrivedAt = elapsedClock.elapsed();
 		const targetAt = getTargetAt(route);
-		const admission = await admitOperation(parts, memory.fingerprint, route);
+		const admission = await admitOperation(parts, memory.fingerprint, route, mayWait);
 		if (!admission.admitted) {
 			newTrace(admission.workspace);
 			return admission.refusal;
@@ -175,7 +175,7 @@
 			return STOPPING;
 		}
 
-		const admission = await admitOperation(parts, memory.fingerprint, route);
+		const admission = await admitOperation(parts, memory.fingerprint, route, mayWait);
 		if (!admission.admitted) {
 			newTrace(admission.workspace);
 			return admission.refusal;
--- a/src/gateway/open-session.ts
+++ b/src/gateway/open-session.ts
@@ -59,7 +59,7 @@
 
 	const {route} = found;
 	const memory = createSessionMemory(database, getFingerprint(req.key));
-	const admission = admitCaller(parts, memory.fingerprint, route);
+	const admission = await admitCaller(parts, memory.fingerprint, route, isWanted);
 	if (!admission.admitted) {
 		const {code, text} = admission.refusal.end;
 		log.info('a session was refused: its key is not valid', {database, code, routing: mirror.state.routing?.version});
--- a/tests/proxy/workspaces-tests.ts
+++ b/tests/proxy/workspaces-tests.ts
@@ -18,6 +18,11 @@
 
 const openFor = async (bench: ProxyBench, key: string, database = 'sync') => bench.open(bench.proxies[0]!, database, undefined, key);
 
+const getRefusal = async (bench: ProxyBench, key: string) => {
+	const {refusal} = await openFor(bench, key);
+	return refusal;
+};
+
 /** Writes a configuration with these workspaces. */
 function change({system}: ProxyBench, workspaces: readonly Workspace[]) {
 	const routing: Routing = {
@@ -93,6 +98,24 @@
 		expect(await bench.ask(caller, 'READ a')).to.equal('done - idle');
 	});
 
+	it('is served where its key was added just before', async () => {
+		const bench = await createBench();
+		change(bench, [...WORKSPACES, {name: 'east', keys: ['key-e'], priority: 0}]);
+		expect(await getRefusal(bench, 'key-e')).to.equal(undefined);
+	});
+
+	/** A host that the store turns away must not deny a key that the operator may have added since. */
+	it('is refused as busy where its host cannot tell whether a workspace has received its key', async () => {
+		const bench = await createBench({revokeWithinMs: undefined});
+		bench.system.store.setFaults(undefined, {refused: true});
+		change(bench, [...WORKSPACES, {name: 'east', keys: ['key-e'], priority: 0}]);
+		await bench.clock.advance(3500);
+		expect(await getRefusal(bench, 'key-e')).to.equal('overloaded');
+		bench.system.store.heal();
+		await bench.clock.advance(2000);
+		expect(await getRefusal(bench, 'key-e')).to.equal(undefined);
+	});
+
 	it('is refused over the rate limit of its workspace, before anything runs', async () => {
 		const bench = await createBench();
 		const caller = await openFor(bench, 'key-w');
