Leave out odd entries one by one, and never end or stand still for one

What users of systems like ours saw: one odd entry of another writer among those of the servers, nested very deeply, with a number too large or a port out of range; the machines that read the list ended, or stopped following it.

It can happen here: - nested deeply (some thousand levels): JSON.parse reads it, JSON.stringify for the log line of the skipped entry recurses and throws. Every reading of the servers failed from then on: hosts stopped following them. - a port out of range: net.connect and WebSocket throw at once, not as a lost link.

Now entries of servers, hosts, leadership, routes, groups, workspaces and limits are checked one by one when they are decoded: type, range, address, names, and whether an earlier one has the name. What fails is left out, logged and counted (aldercroft_unusable_entries_total) once, and again after a change. A configuration whose frame is none still leaves the version in force. A peer whose address is none is unreachable like any other. Settings name the field; a seed that is no address is ignored.

--- a/src/gateway/prom-gateway-metrics.ts
+++ b/src/gateway/prom-gateway-metrics.ts
@@ -13,6 +13,8 @@
 export type ProxyMetrics = GatewayMetrics & PlacementMetrics & SchedulingMetrics & {
 	/** Counts a call to the platform that ended. */
 	countPlatformCall(call: string, result: string): void;
+	/** Counts an entry of the store that was skipped. */
+	countUnusableEntry(kind: string): void;
 	/** Counts bytes that were sent to another region. */
 	countRegionBytes(purpose: string, bytes: number): void;
 	/** Sets the store generation of the platform's last answer. */
@@ -77,6 +79,9 @@
 	const platformCalls = new Counter({
 		name: 'aldercroft_store_calls_total', help: 'Calls to the platform, by result', labelNames: ['call', 'result'], registers,
 	});
+	const unusableEntries = new Counter({
+		name: 'aldercroft_unusable_entries_total', help: 'Entries of the store that were skipped, once for each of their changes, by kind', labelNames: ['kind'], registers,
+	});
 	const regionBytes = new Counter({
 		name: 'aldercroft_region_bytes_total', help: 'Bytes between regions that this host sent, and answers of endpoints that it received, by purpose', labelNames: ['purpose'], registers,
 	});
@@ -87,7 +92,7 @@
 	const awaitedEndpoints = new Gauge({
 		name: 'aldercroft_awaited_endpoints', help: 'Endpoints without whose response no primary can be promoted, by group', labelNames: ['group', 'endpoint'], registers,
 	});
-	const confirmationAge = new Gauge({name: 'aldercroft_evidence_age_seconds', help: 'Time since the copy of the store was last confirmed', registers});
+	const confirmationAge = new Gauge({name: 'aldercroft_evidence_age_seconds', help: 'Time since the store last confirmed that the configuration is the latest', registers});
 	const routingVersion = new Gauge({name: 'aldercroft_routing_version', help: 'Version of the configuration in force', registers});
 	const hosts = new Gauge({name: 'aldercroft_hosts', help: 'Proxies that are registered', registers});
 	const leavingPrimaries = new Gauge({
@@ -155,6 +160,9 @@
 		countPlatformCall(call, result) {
 			platformCalls.inc({call, result});
 		},
+		countUnusableEntry(kind) {
+			unusableEntries.inc({kind});
+		},
 		countRegionBytes(purpose, bytes) {
 			regionBytes.inc({purpose}, bytes);
 		},
--- a/src/leadership/leadership-record.ts
+++ b/src/leadership/leadership-record.ts
@@ -83,17 +83,22 @@
 	return GROUP_PREFIX + group;
 }
 
-const positionSchema = z.object({term: z.int(), position: z.int()});
+/** Above any count that a group or a lease reaches, and far enough below the largest safe integer for all that is added to it. */
+const MAX_COUNT = 2 ** 52;
+
+const countSchema = z.int().nonnegative().max(MAX_COUNT);
+
+const positionSchema = z.object({term: countSchema, position: countSchema});
 
 const leadershipSchema: z.ZodType<LeadershipRecord> = z.object({
 	group: z.string(),
 	primaryId: z.string(),
-	term: z.int(),
-	epoch: z.int(),
+	term: countSchema,
+	epoch: countSchema,
 	phase: z.enum(LeadershipPhase),
 	start: positionSchema,
 	changedBy: z.string(),
-	generation: z.int().optional(),
+	generation: countSchema.optional(),
 	replicaSet: z.object({
 		syncReplicas: z.int().positive(),
 		members: z.array(z.object({endpointId: z.string(), address: z.string(), leaving: z.literal(true).optional()})),
@@ -103,17 +108,27 @@
 });
 
 const failoverLeaseSchema: z.ZodType<FailoverLeaseRecord> = z.object({
-	holder: z.string(), incarnation: z.string(), token: z.int(), renewals: z.int(), released: z.boolean().optional(),
+	holder: z.string(), incarnation: z.string(), token: countSchema, renewals: countSchema, released: z.boolean().optional(),
 });
 
+const MAX_CORES = 10_000;
+const MAX_RTT_MS = 3_600_000;
+const MAX_PORT = 65_535;
+
+/** Whether a text can be the address of a host. */
+function isPeerAddress(address: string): boolean {
+	const [, port] = /^.+:(\d{1,5})$/v.exec(address) ?? [];
+	return port !== undefined && Number(port) > 0 && Number(port) <= MAX_PORT;
+}
+
 const hostSchema: z.ZodType<HostRecord> = z.object({
 	name: z.string(),
-	peerAddress: z.string(),
+	peerAddress: z.string().refine(isPeerAddress),
 	availabilityZone: z.string(),
-	capacity: z.number().positive().optional(),
-	storeRttMs: z.number().nonnegative().optional(),
+	capacity: z.number().positive().max(MAX_CORES).optional(),
+	storeRttMs: z.number().nonnegative().max(MAX_RTT_MS).optional(),
 	gone: z.boolean().optional(),
-	generation: z.int().optional(),
+	generation: countSchema.optional(),
 });
 
 /** Parses the record stored under a name; returns undefined if it is not a valid record of that group. */
@@ -127,9 +142,10 @@
 	return failoverLeaseSchema.safeParse(value).data;
 }
 
-/** Parses the record of a host; returns undefined if it is invalid. */
-export function parseHost(value: unknown): HostRecord | undefined {
-	return hostSchema.safeParse(value).data;
+/** Parses the record of a host stored under a name; returns undefined if it is not a valid record of that host. */
+export function parseHost(name: string, value: unknown): HostRecord | undefined {
+	const {data} = hostSchema.safeParse(value);
+	return data?.name === name ? data : undefined;
 }
 
 /**
--- a/src/mirror/mirror-state.ts
+++ b/src/mirror/mirror-state.ts
@@ -3,7 +3,7 @@
 	type FailoverLeaseRecord, type HostRecord, type LeadershipRecord,
 } from '../leadership/leadership-record.js';
 import type {RegisteredEndpoint, Routing} from '../routes/routing.js';
-import type {StoredRecord} from './metadata-store.js';
+import {RecordKind, type StoredRecord} from './metadata-store.js';
 import {getGeneration} from './store-generation.js';
 
 /** A record with the version that its next conditional update must name. */
@@ -30,6 +30,15 @@
 	return [...hosts, ...leadership.values()].some(record => !isInCurrentGeneration(record, revision));
 }
 
+/** Returns whether a record that the proxies keep can be decoded; what cannot be was written by another program. */
+export function isReadableRecord(kind: RecordKind, {name, value}: StoredRecord): boolean {
+	if (kind === RecordKind.Hosts) {
+		return parseHost(name, value) !== undefined;
+	}
+
+	return (name === FAILOVER_LEASE_NAME ? parseFailoverLease(value) : parseLeadership(name, value)) !== undefined;
+}
+
 /** Decodes the leadership records and the failover lease; unreadable ones are replaced by {@link getUnreadableLeadership} and {@link getUnreadableFailoverLease}. */
 export function decodeLeadership(records: readonly StoredRecord[]): Pick<MirrorState, 'leadership' | 'duty'> {
 	const leadership = new Map<string, Versioned<LeadershipRecord>>();
@@ -51,7 +60,7 @@
 
 /** Decodes the hosts' records; an unreadable one is taken for an unresponsive host, which may still hold primary leases and registers again. */
 export function decodeHosts(records: readonly StoredRecord[]): MirrorState['hosts'] {
-	return records.map(({name, version, value}) => ({...(parseHost(value) ?? getUnreadableHost(name)), version}));
+	return records.map(({name, version, value}) => ({...(parseHost(name, value) ?? getUnreadableHost(name)), version}));
 }
 
 /** Returns the later of two configurations: the one in force is never replaced by an earlier version. */
--- a/src/peers/ws-transport.ts
+++ b/src/peers/ws-transport.ts
@@ -4,6 +4,7 @@
 import {WebSocket, WebSocketServer} from 'ws';
 import type {Clock} from '../time/clock.js';
 import {withinMs} from '../time/deadline.js';
+import {throwPeerUnreachable} from './peer-errors.js';
 import type {ChannelListener, PeerChannel, PeerTransport} from './peer-transport.js';
 
 /** What the transport needs. */
@@ -45,7 +46,14 @@
 			const {port} = server.address() as AddressInfo;
 			address = `${options.hostAddress}:${port}`;
 		},
-		connect: address => createWsChannel(new WebSocket(`ws://${address}${PATH}`, socketOptions)),
+		connect(address) {
+			try {
+				return createWsChannel(new WebSocket(`ws://${address}${PATH}`, socketOptions));
+			} catch (err) {
+				// Thrown where the address is none, as in a record that another program wrote.
+				return throwPeerUnreachable(address, err);
+			}
+		},
 		async stop(ms) {
 			webSockets.close();
 			server.close();
--- a/src/platform/boot-settings.ts
+++ b/src/platform/boot-settings.ts
@@ -1,4 +1,5 @@
 import * as z from 'zod';
+import {isNetworkAddress, isPort, networkAddressSchema} from './network-address.js';
 import {throwBootSettingsInvalid, throwBootSettingsUnreadable} from './boot-errors.js';
 
 /** The settings that a proxy reads when it starts. */
@@ -36,7 +37,12 @@
 /** The environment variable in which the platform passes the path of the settings file. */
 export const BOOT_SETTINGS_VARIABLE = 'ALDERCROFT_BOOT';
 
-const address = z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/v, 'must be ip:port');
+const address = networkAddressSchema;
+
+/** Maximum of a bound, in seconds: a day, which fits into a timer. */
+const MAX_BOUND_S = 86_400;
+
+const MAX_CORES = 10_000;
 
 /** The fields under the platform's names; unknown keys are ignored. */
 const schema = z.object({
@@ -50,7 +56,7 @@
 	/** No program outside the proxies connects to it, so the links between proxies use it. */
 	'listen.control': address.optional(),
 	/** The first and last port of a range that is free for links between proxies. */
-	portRange: z.string().regex(/^\d+,\d+$/v, 'must be two ports'),
+	portRange: z.string().refine(text => text.split(',').length === 2 && text.split(',').every(port => isPort(port)), 'must be two ports'),
 	seeds: z.string().default(''),
 	'platform.address': address,
 	/** The service that promotes servers, despite its general name. */
@@ -58,18 +64,18 @@
 	/** The parts of the platform's rules that are in force. */
 	contracts: z.string().default(''),
 	/** Share of a core that the host may use. */
-	'limits.cpuShare': z.coerce.number().positive().default(1),
+	'limits.cpuShare': z.coerce.number().positive().max(MAX_CORES).default(1),
 	/** Speed of the core as a multiple of a usual one, despite the name. */
-	'limits.cores': z.coerce.number().positive().default(1),
-	'bounds.graceS': z.coerce.number().positive(),
+	'limits.cores': z.coerce.number().positive().max(MAX_CORES).default(1),
+	'bounds.graceS': z.coerce.number().positive().max(MAX_BOUND_S),
 	/** Whether the bound on revocation also applies to hosts that are cut off from the store. */
 	'bounds.revokeStrict': z.enum(['true', 'false'], 'must be true or false').default('false'),
-	'bounds.revokeMs': z.coerce.number().positive().optional(),
-	'bounds.drainMs': z.coerce.number().positive().optional(),
+	'bounds.revokeMs': z.coerce.number().positive().max(MAX_BOUND_S * 1000).optional(),
+	'bounds.drainMs': z.coerce.number().positive().max(MAX_BOUND_S * 1000).optional(),
 	/** Time in which an accepted configuration has to be in force. */
-	'bounds.configApplyMs': z.coerce.number().positive().optional(),
+	'bounds.configApplyMs': z.coerce.number().positive().max(MAX_BOUND_S * 1000).optional(),
 	/** Time by which that bound is longer while the store turns hosts away. It has nothing to do with clocks, despite its name. */
-	'bounds.maxSkewMs': z.coerce.number().nonnegative().default(0),
+	'bounds.maxSkewMs': z.coerce.number().nonnegative().max(MAX_BOUND_S * 1000).default(0),
 });
 
 /** Parses the text of the settings file. Throws BootSettingsError, which names every invalid field. */
@@ -88,7 +94,8 @@
 		callerAddress: fields['listen.front'],
 		readinessAddress: fields['listen.readiness'],
 		peerAddress: fields['listen.control'] ?? `${fields.ip}:${firstPort}`,
-		seeds: fields.seeds.split(',').filter(seed => seed !== ''),
+		// A seed that is no address, like one that has gone, is of no use; the others are.
+		seeds: fields.seeds.split(',').filter(seed => isNetworkAddress(seed)),
 		storeAddress: fields['platform.address'],
 		ordersAddress: fields['cloud.address'],
 		revokeWithinMs: fields['bounds.revokeStrict'] === 'true' ? fields['bounds.revokeMs'] : undefined,
--- a/src/platform/http-metadata-store.ts
+++ b/src/platform/http-metadata-store.ts
@@ -2,6 +2,7 @@
 import {
 	RecordKind, type MetadataStore, type StoredRecord,
 } from '../mirror/metadata-store.js';
+import {isReadableRecord} from '../mirror/mirror-state.js';
 import {getWithinGeneration, qualifyByGeneration} from '../mirror/store-generation.js';
 import {createHttpClient, type HttpResponse, type HttpRequest} from '../object-store/http-client.js';
 import {throwPlatformRefused, throwPlatformSilent, throwVersionConflict} from '../object-store/platform-errors.js';
@@ -9,10 +10,10 @@
 import type {Log} from '../log/log.js';
 import type {Clock} from '../time/clock.js';
 import {
-	decodeEndpoint, decodeRouting, storeListSchema, storeObjectSchema, type StoreObject,
+	decodeEndpoint, decodeRouting, namedObjectSchema, storeListSchema, storeObjectSchema, type StoreObject,
 } from './store-schemas.js';
 import {getStoreGeneration} from './store-generation-header.js';
-import {createUnusableEntryLog} from './unusable-entry-log.js';
+import {createUnusableEntryLog, type UnusableEntryReading} from './unusable-entry-log.js';
 
 /** Options of the client. */
 export type HttpMetadataStoreOptions = {
@@ -24,6 +25,8 @@
 	onCall(call: string, result: string): void;
 	/** Called with the size of each request and its response together, in bytes. */
 	onBytes?(bytes: number): void;
+	/** Called with the kind of each entry that cannot be used, once for each of its changes, for the metrics. */
+	onUnusableEntry?(kind: string): void;
 	/** Called with the store generation of each response, for the metrics. */
 	onGeneration(generation: number): void;
 };
@@ -38,9 +41,6 @@
 const CONFIGURATION_NAME = 'main';
 const ENDPOINT_KIND = 'servers';
 
-/** The kind under which the log names an unusable workspace of a configuration. */
-const WORKSPACE_ENTRY = 'workspace';
-
 /**
  * A kind without objects. Listing it is the cheapest linearizable request whose response carries the store's revision: 46 bytes,
  * against 2,500 for the list of nine servers.
@@ -58,11 +58,20 @@
 /** A response of the store and the store generation that it states. */
 type StoreResponse = HttpResponse & {readonly generation: number};
 
+/** A list as of one revision. */
+type ObjectList = {
+	readonly revision: number;
+	readonly generation: number;
+	readonly objects: readonly StoreObject[];
+	/** The unusable entries of this reading; those found by its reader are added before it ends. */
+	readonly unusable: UnusableEntryReading;
+};
+
 /** Creates an HTTP client of the platform's metadata store. */
-export function createHttpMetadataStore({address, clock, log: parentLog, onCall, onBytes, onGeneration}: HttpMetadataStoreOptions): MetadataStore {
+export function createHttpMetadataStore({address, clock, log: parentLog, onCall, onBytes, onUnusableEntry, onGeneration}: HttpMetadataStoreOptions): MetadataStore {
 	const httpClient = createHttpClient({baseUrl: `http://${address}`, clock});
 	const log = parentLog.withPrefix('store: ');
-	const unusableEntries = createUnusableEntryLog(log);
+	const unusableEntries = createUnusableEntryLog(log, onUnusableEntry);
 	let lastGeneration: number | undefined;
 
 	const noteGeneration = (generation: number) => {
@@ -92,12 +101,13 @@
 		}
 	};
 
-	const list = async (kind: string, timeoutMs: number): Promise<{revision: number; generation: number; objects: StoreObject[]}> => {
+	const list = async (kind: string, timeoutMs: number): Promise<ObjectList> => {
 		const objects: StoreObject[] = [];
+		const unusable = unusableEntries.beginReading(kind);
 		const what = `list ${kind}`;
 		let first: {readonly revision: number; readonly generation: number} | undefined;
 		for (let after = ''; ;) {
-			const path = after === '' ? `/objects/${kind}` : `/objects/${kind}?after=${encodeURIComponent(after)}`;
+			const path = after === '' ? `/objects/${kind}` : `/objects/${kind}?after=${encodeName(after)}`;
 			const res = await exchange('list', {
 				what, method: 'GET', path, timeoutMs, waitsWhileReceiving: true,
 			});
@@ -108,25 +118,22 @@
 				throwPlatformSilent(what, new Error('its pages come from two generations of the store'));
 			}
 
-			const decodable = page.items.map(item => decodeObject(kind, item)).filter(object => object !== undefined);
-			objects.push(...decodable);
+			for (const item of page.items) {
+				const object = storeObjectSchema.safeParse(item);
+				if (object.success) {
+					objects.push(object.data);
+				} else {
+					unusable.report(kind, item);
+				}
+			}
+
 			if (!page.hasMore) {
-				return {...first, objects};
+				return {...first, objects, unusable};
 			}
 
 			// The next page is requested by the last name of this one. Without a name the call fails, since a partial list must not pass for a complete one.
-			after = decodable.at(-1)?.meta.name ?? throwPlatformSilent(what, new Error('a page names no object'));
-		}
-	};
-
-	/** Decodes an item of a list; logs it and returns undefined if it is not an object of the store. */
-	const decodeObject = (kind: string, item: unknown): StoreObject | undefined => {
-		const object = storeObjectSchema.safeParse(item);
-		if (!object.success) {
-			unusableEntries.report(kind, item);
+			after = getLastName(page.items) ?? throwPlatformSilent(what, new Error('a page names no object'));
 		}
-
-		return object.data;
 	};
 
 	return {
@@ -135,34 +142,40 @@
 			return revision;
 		},
 		async readRouting(timeoutMs) {
-			const {revision, objects} = await list(CONFIGURATION_KIND, timeoutMs);
+			const {revision, objects, unusable} = await list(CONFIGURATION_KIND, timeoutMs);
 			const main = objects.find(object => object.meta.name === CONFIGURATION_NAME);
-			const routing = main && decodeRouting(main.spec, entry => {
-				unusableEntries.report(WORKSPACE_ENTRY, entry);
-			});
+			const routing = main && decodeRouting(main.spec, unusable.report);
 			if (main && !routing) {
-				unusableEntries.report(CONFIGURATION_KIND, {meta: main.meta});
+				unusable.report(CONFIGURATION_KIND, {meta: main.meta});
 			}
 
+			unusable.end();
 			return {revision, content: routing};
 		},
 		async listEndpoints(timeoutMs) {
-			const {revision, objects} = await list(ENDPOINT_KIND, timeoutMs);
-			const content: RegisteredEndpoint[] = [];
+			const {revision, objects, unusable} = await list(ENDPOINT_KIND, timeoutMs);
+			const content = new Map<string, RegisteredEndpoint>();
 			for (const object of objects) {
 				const endpoint = decodeEndpoint(object);
-				if (endpoint) {
-					content.push(endpoint);
+				if (endpoint && !content.has(endpoint.id)) {
+					content.set(endpoint.id, endpoint);
 				} else {
-					unusableEntries.report(ENDPOINT_KIND, object);
+					unusable.report(ENDPOINT_KIND, object);
 				}
 			}
 
-			return {revision, content};
+			unusable.end();
+			return {revision, content: [...content.values()]};
 		},
 		async listRecords(kind, timeoutMs) {
-			const {revision, generation, objects} = await list(KIND_NAMES[kind], timeoutMs);
-			return {revision, content: objects.map(object => toRecord(object, generation))};
+			const {revision, generation, objects, unusable} = await list(KIND_NAMES[kind], timeoutMs);
+			const content = objects.map(object => toRecord(object, generation));
+			for (const record of content.filter(each => !isReadableRecord(kind, each))) {
+				unusable.report(KIND_NAMES[kind], record);
+			}
+
+			unusable.end();
+			return {revision, content};
 		},
 		async putRecord(kind, {name, version, value}, timeoutMs) {
 			const what = `put ${kind} ${name}`;
@@ -193,6 +206,17 @@
 	};
 }
 
+/** Returns the name of the last item that has one, whatever else it holds. */
+function getLastName(items: readonly unknown[]): string | undefined {
+	const names = items.map(item => namedObjectSchema.safeParse(item).data?.meta.name);
+	return names.findLast(name => name !== undefined);
+}
+
+/** Encodes a name for a path. Half of a surrogate pair, which another writer may have put into a name, has no encoding. */
+function encodeName(name: string): string {
+	return encodeURIComponent(name.replaceAll(/\p{Surrogate}/gu, '\uFFFD'));
+}
+
 /** Whether a conditional write was rejected. A deleted record counts like one with another version, since the condition no longer holds either way. */
 function isConditionUnmet(res: HttpResponse) {
 	return res.status === Status.Conflict || res.status === Status.NotFound;
--- a/src/platform/store-schemas.ts
+++ b/src/platform/store-schemas.ts
@@ -3,8 +3,12 @@
 	ReadPolicy, type RegisteredEndpoint, type Route, type Routing,
 } from '../routes/routing.js';
 import {formatEndpointId} from './endpoint-identity.js';
+import {networkAddressSchema} from './network-address.js';
 import {decodeWorkspaces} from './workspace-schema.js';
 
+/** Validates the name of an item of a list, whatever else it holds. */
+export const namedObjectSchema = z.object({meta: z.object({name: z.string()})});
+
 /** Validates an object of the store; `spec` holds the content that its writer put there. */
 export const storeObjectSchema = z.object({
 	meta: z.object({
@@ -37,48 +41,77 @@
 	read_your_writes: ReadPolicy.OwnWrites,
 };
 
+/** A name that is a field of messages and part of paths. Blanks separate fields, and ends of lines end messages, so it contains none. */
+const fieldSchema = z.string().regex(/^[!-~]{1,200}$/v);
+
+/** The longest time that a timer can wait for, in milliseconds; a longer one would end at once. */
+const MAX_TIMER_MS = (2 ** 31) - 1;
+
+const timeSchema = z.number().nonnegative().max(MAX_TIMER_MS);
+const timeoutSchema = z.number().positive().max(MAX_TIMER_MS);
+
+const MAX_PRIORITY = 1000;
+const MAX_CONNECTIONS = 1_000_000;
+const MAX_SYNC_REPLICAS = 100;
+const MAX_SLOTS = 100_000;
+
 const routeSchema = z.object({
 	name: z.string(),
 	/** The database that callers name; it is not a host, despite the name. */
-	host: z.string(),
+	host: fieldSchema,
 	/** The read policy, not the kind of database. */
 	type: z.string(),
 	/** The timeout of one statement, not of the whole operation. */
-	timeoutMs: z.number(),
-	targetLatencyMs: z.number().default(0),
-	priority: z.number().default(0),
+	timeoutMs: timeoutSchema,
+	targetLatencyMs: timeSchema.default(0),
+	priority: z.number().nonnegative().max(MAX_PRIORITY).default(0),
 	/** The database group. */
-	backend: z.string(),
-	maxStalenessMs: z.number().default(0),
+	backend: fieldSchema,
+	maxStalenessMs: timeSchema.default(0),
 	/** Whether callers without a key are served too. */
 	allowAnonymous: z.boolean().default(false),
 });
 
+/** A database group. */
+const groupSchema = z.object({
+	name: fieldSchema,
+	/** The limit of each server, for the connections of all callers together. */
+	maxConnections: z.number().nonnegative().max(MAX_CONNECTIONS),
+	/** How many replicas must have received a commit before the primary acknowledges it; it does not wait for them to apply it. */
+	syncReplicas: z.int().nonnegative().max(MAX_SYNC_REPLICAS).default(0),
+});
+
+const limitsSchema = z.object({txIdleMs: timeoutSchema.default(DEFAULT_IDLE_TRANSACTION_MS)});
+
+/** The frame of a configuration. Its routes, groups and workspaces are decoded one by one, so that one unreadable entry does not hide the others. */
 const routingSchema = z.object({
-	revision: z.int(),
-	routes: z.array(routeSchema),
-	backends: z.array(z.object({
-		name: z.string(),
-		/** The limit of each server, for the connections of all callers together. */
-		maxConnections: z.number(),
-		/** How many replicas must have received a commit before the primary acknowledges it; it does not wait for them to apply it. */
-		syncReplicas: z.int().nonnegative().default(0),
-	})),
-	/** The workspaces, which are decoded one by one so that one unreadable entry does not hide the others; omitted if callers have no keys. */
+	revision: z.int().nonnegative(),
+	routes: z.array(z.unknown()),
+	/** The groups. */
+	backends: z.array(z.unknown()),
+	/** The workspaces; omitted if callers have no keys. */
 	tenants: z.array(z.unknown()).default([]),
-	limits: z.object({txIdleMs: z.number().default(DEFAULT_IDLE_TRANSACTION_MS)}),
+	limits: z.unknown(),
 });
 
+/** The kinds under which unusable entries of a configuration are reported. */
+const ConfigurationEntry = {
+	Route: 'route',
+	Group: 'group',
+	Workspace: 'workspace',
+	Limits: 'limits',
+} as const;
+
 /** The entry that a server writes about itself. An entry that lacks a field, or has one of another type, was not written by a server. */
 const endpointSchema = z.object({
 	/** The database group that it serves. */
-	backend: z.string().min(1),
-	address: z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/v),
+	backend: fieldSchema,
+	address: networkAddressSchema,
 	zone: z.string(),
 	/** The version of its software, not of the entry. */
 	revision: z.string(),
 	/** How many statements it runs at once, not how many connections it accepts. */
-	capacity: z.int().positive(),
+	capacity: z.int().positive().max(MAX_SLOTS),
 	state: z.enum(['ready', 'draining']),
 	coldRemainingMs: z.number(),
 	/** Increases with each heartbeat. */
@@ -86,30 +119,58 @@
 	/** The role that the server reports for itself. */
 	dbRole: z.enum(['primary', 'replica']),
 	/** Unix time of its start, in milliseconds; omitted by servers that get a new id with each start. */
-	born: z.int().optional(),
+	born: z.int().nonnegative().optional(),
 });
 
-/** The id of a server. It is a field of messages, where blanks separate the fields, so it contains no blank. */
-const serverIdSchema = z.string().regex(/^\S+$/v);
-
-/** Decodes the configuration. Returns undefined if it is invalid; the version in force then remains. */
-export function decodeRouting(spec: unknown, onUnusable: (workspace: unknown) => void): Routing | undefined {
+/**
+ * Decodes the configuration. An entry that cannot be decoded, or that names what an earlier one does, is passed to `onUnusable` with its kind and omitted. Returns undefined if the
+ * configuration as a whole is none; the version in force then remains.
+ */
+export function decodeRouting(spec: unknown, onUnusable: (kind: string, entry: unknown) => void): Routing | undefined {
 	const parsed = routingSchema.safeParse(spec);
 	if (!parsed.success) {
 		return undefined;
 	}
 
-	const {revision, routes, backends, tenants, limits} = parsed.data;
+	const {revision, routes, backends, tenants} = parsed.data;
 	const hasWorkspaces = tenants.length > 0;
+	const limits = limitsSchema.safeParse(parsed.data.limits);
+	if (!limits.success) {
+		onUnusable(ConfigurationEntry.Limits, parsed.data.limits);
+	}
+
+	const decodedRoutes = decodeByName(routes, routeSchema, ({host}) => host, entry => {
+		onUnusable(ConfigurationEntry.Route, entry);
+	});
+	const decodedGroups = decodeByName(backends, groupSchema, ({name}) => name, entry => {
+		onUnusable(ConfigurationEntry.Group, entry);
+	});
 	return {
 		version: revision,
-		routes: new Map(routes.map(route => [route.host, decodeRoute(route, hasWorkspaces)])),
-		groups: new Map(backends.map(({name, maxConnections, syncReplicas}) => [name, {name, maxConnections, ...(syncReplicas > 0 && {syncReplicas})}])),
-		workspaces: decodeWorkspaces(tenants, onUnusable),
-		idleTransactionMs: limits.txIdleMs,
+		routes: new Map(decodedRoutes.map(route => [route.host, decodeRoute(route, hasWorkspaces)])),
+		groups: new Map(decodedGroups.map(({name, maxConnections, syncReplicas}) => [name, {name, maxConnections, ...(syncReplicas > 0 && {syncReplicas})}])),
+		workspaces: decodeWorkspaces(tenants, entry => {
+			onUnusable(ConfigurationEntry.Workspace, entry);
+		}),
+		idleTransactionMs: limits.data?.txIdleMs ?? DEFAULT_IDLE_TRANSACTION_MS,
 	};
 }
 
+/** Decodes entries one by one; of several with one name only the first counts. */
+function decodeByName<T>(entries: readonly unknown[], schema: z.ZodType<T>, getName: (entry: T) => string, onUnusable: (entry: unknown) => void): readonly T[] {
+	const decoded = new Map<string, T>();
+	for (const entry of entries) {
+		const {data} = schema.safeParse(entry);
+		if (data === undefined || decoded.has(getName(data))) {
+			onUnusable(entry);
+		} else {
+			decoded.set(getName(data), data);
+		}
+	}
+
+	return [...decoded.values()];
+}
+
 function decodeRoute(route: z.infer<typeof routeSchema>, hasWorkspaces: boolean): Route {
 	return {
 		name: route.name,
@@ -128,7 +189,7 @@
 
 /** Decodes a server's entry; returns undefined if it is not a valid entry of a server. */
 export function decodeEndpoint({meta, spec}: StoreObject): RegisteredEndpoint | undefined {
-	const id = serverIdSchema.safeParse(meta.name);
+	const id = fieldSchema.safeParse(meta.name);
 	const entry = endpointSchema.safeParse(spec);
 	if (!id.success || !entry.success) {
 		return undefined;
--- a/src/platform/unusable-entry-log.ts
+++ b/src/platform/unusable-entry-log.ts
@@ -1,34 +1,45 @@
 import type {Log} from '../log/log.js';
+import {describeEntry} from './describe-entry.js';
 
-/** Logs objects of the store that cannot be decoded, for example because another program wrote them; each is logged once. */
+/** Logs and counts entries of the store that cannot be decoded, for example because another program wrote them: each once, and once more after it has changed. */
 export type UnusableEntryLog = {
-	/** Logs that an object of this kind is skipped, unless the same object was logged before. */
-	report(kind: string, object: unknown): void;
+	/** Begins a reading of a list. */
+	beginReading(list: string): UnusableEntryReading;
 };
 
-/** How many objects are remembered as logged. When there are more, all are forgotten, and an object may be logged again. */
-const MAX_REMEMBERED_ENTRIES = 200;
-
-/** How much of an object a log line shows, in characters. */
-const MAX_SHOWN_LENGTH = 200;
+/** The unusable entries of one reading of a list. */
+export type UnusableEntryReading = {
+	/** Reports that an entry of this kind is skipped. */
+	report(kind: string, entry: unknown): void;
+	/** Ends a reading that saw the whole list: what it did not report has gone, or can be used. */
+	end(): void;
+};
 
-/** Creates a log of unusable entries that has reported none so far. */
-export function createUnusableEntryLog(log: Log): UnusableEntryLog {
-	const reported = new Set<string>();
+/** Creates a log of unusable entries that has reported none so far; `onUnusable` is called for each line, for the metrics. */
+export function createUnusableEntryLog(log: Log, onUnusable?: (kind: string) => void): UnusableEntryLog {
+	/** Descriptions of the entries that were reported at the last reading, by list. */
+	const reported = new Map<string, ReadonlySet<string>>();
 
 	return {
-		report(kind, object) {
-			const text = `${kind} ${JSON.stringify(object)}`;
-			if (reported.has(text)) {
-				return;
-			}
+		beginReading(list) {
+			const known = reported.get(list) ?? new Set<string>();
+			const seen = new Set<string>();
 
-			if (reported.size >= MAX_REMEMBERED_ENTRIES) {
-				reported.clear();
-			}
+			return {
+				report(kind, entry) {
+					const description = describeEntry(entry);
+					const key = `${kind} ${description}`;
+					if (!known.has(key) && !seen.has(key)) {
+						log.warn('an entry cannot be used and is skipped', {kind, entry: description});
+						onUnusable?.(kind);
+					}
 
-			reported.add(text);
-			log.warn('an entry cannot be used and is skipped', {kind, entry: text.slice(kind.length + 1, kind.length + 1 + MAX_SHOWN_LENGTH)});
+					seen.add(key);
+				},
+				end() {
+					reported.set(list, seen);
+				},
+			};
 		},
 	};
 }
--- a/src/platform/workspace-schema.ts
+++ b/src/platform/workspace-schema.ts
@@ -1,14 +1,19 @@
 import * as z from 'zod';
 import type {Workspace} from '../workspaces/workspace.js';
 
+const MAX_PRIORITY = 1000;
+
+/** Operations per second that no workspace reaches. */
+const MAX_RATE = 1_000_000_000;
+
 /** A workspace as the operator writes it. Its name and keys are fields of messages, where blanks separate the fields, so they contain no blank. */
 const workspaceSchema = z.object({
 	name: z.string().regex(/^\S+$/v),
 	apiKeys: z.array(z.string().regex(/^\S+$/v)),
-	priority: z.number().default(0),
+	priority: z.number().nonnegative().max(MAX_PRIORITY).default(0),
 	/** Operations per second; omitted if the workspace has no limit. */
-	ratePerS: z.number().nonnegative().optional(),
-	burst: z.number().nonnegative().optional(),
+	ratePerS: z.number().nonnegative().max(MAX_RATE).optional(),
+	burst: z.number().nonnegative().max(MAX_RATE).optional(),
 });
 
 /**
--- a/src/proxy/main.ts
+++ b/src/proxy/main.ts
@@ -51,6 +51,7 @@
 			onBytes(bytes) {
 				onStoreBytes?.(bytes);
 			},
+			onUnusableEntry: metrics.countUnusableEntry,
 			onGeneration: metrics.setStoreGeneration,
 		}),
 		observeStoreBytes(listener) {
--- a/tests/peers/peer-links-tests.ts
+++ b/tests/peers/peer-links-tests.ts
@@ -1,6 +1,7 @@
 import {expect} from 'chai';
 import {createSilentLog} from '../../src/log/silent-log.js';
 import {createPeers, type LivePeers} from '../../src/peers/create-peers.js';
+import {isPeerError} from '../../src/peers/peer-errors.js';
 import {createWsTransport} from '../../src/peers/ws-transport.js';
 import {createSeededRandom} from '../../src/random/seeded-random.js';
 import {createPeerNetwork, type PeerNetwork} from '../../src/stand-ins/peers/in-memory-peers.js';
@@ -50,6 +51,18 @@
 		await other.stop();
 	});
 
+	function doTestAddress(address: string) {
+		it(`reports a peer whose address is ${address} as unreachable, as any that cannot be called`, async () => {
+			const err = await host.call(address, 'echo', 'first', 1000).catch((error: unknown) => error);
+			expect(isPeerError(err)).to.equal(true);
+		});
+	}
+
+	doTestAddress('10.1.0.9:99999');
+	doTestAddress('999.1.1.1:7000');
+	doTestAddress('a b:7000');
+	doTestAddress('nothing');
+
 	// The connection breaks in the middle of a response, of which half the rows would be shown. The call must fail at once as
 	// one that may have run, and the next one must get its complete response over a new link.
 	it('delivers no part of a truncated response', async () => {
--- a/tests/platform/http-metadata-store-tests.ts
+++ b/tests/platform/http-metadata-store-tests.ts
@@ -72,6 +72,67 @@
 	doTest('an entry whose start time is not a whole number', makeItem('x', {...GOOD, born: 17.5}));
 	doTest('an entry whose name contains a blank', makeItem('i 9', GOOD));
 	doTest('an item without a name', {spec: GOOD});
+	doTest('an entry whose port does not exist', makeItem('x', {...GOOD, address: '10.1.0.9:99999'}));
+	doTest('an entry whose port is zero', makeItem('x', {...GOOD, address: '10.1.0.9:0'}));
+	doTest('an entry whose address has a part above 255', makeItem('x', {...GOOD, address: '10.1.0.999:8080'}));
+	doTest('an entry whose address is that of many machines', makeItem('x', {...GOOD, address: '255.255.255.255:8080'}));
+	doTest('an entry whose capacity is too large', makeItem('x', {...GOOD, capacity: 9_007_199_254_740_991}));
+	doTest('an entry whose sequence is too large', makeItem('x', {...GOOD, sequence: 1e300}));
+	doTest('an entry whose group ends a line', makeItem('x', {...GOOD, backend: 'nights x\r\nQUERY'}));
+	doTest('an entry whose group has half of a surrogate pair', makeItem('x', {...GOOD, backend: '\uD800'}));
+	doTest('a second entry of the same name', makeItem('i-1', {...GOOD, zone: 'hall-b'}));
+
+	/** Guards against hosts that stop following the list: what was logged of an entry was written by a function that recurses. */
+	it('skips an entry that is nested very deeply, as value and in a member', async () => {
+		const nested = `${'['.repeat(100_000)}${']'.repeat(100_000)}`;
+		const page = makePage([makeItem('x', 'NESTED'), makeItem('y', {...GOOD, zone: 'NESTED'}), makeItem('i-1', GOOD)]);
+		const {content, lines} = await listServers(page.replaceAll('"NESTED"', nested));
+		expect(content.map(({id}) => id)).to.deep.equal(['i-1']);
+		expect(lines.filter(line => line.includes('is skipped'))).to.have.length(2);
+	});
+
+	it('logs each of many unusable entries once, however often they are read, and again after a change', async () => {
+		const lines: string[] = [];
+		const kinds: string[] = [];
+		const store = createHttpMetadataStore({
+			address, clock: createSystemClock(), log: createLineLog(line => lines.push(line)), onCall: () => undefined, onGeneration: () => undefined, onUnusableEntry: kind => kinds.push(kind),
+		});
+		const items = Array.from({length: 400}, (_, i) => makeItem(`x-${i}`, {odd: i}));
+		body = makePage(items);
+		await store.listEndpoints(1000);
+		await store.listEndpoints(1000);
+		expect(kinds).to.have.length(400);
+		body = makePage([...items.slice(0, 399), makeItem('x-399', {odd: 'changed'})]);
+		await store.listEndpoints(1000);
+		await store.listEndpoints(1000);
+		expect(kinds).to.have.length(401);
+		expect(lines.filter(line => line.includes('is skipped'))).to.have.length(401);
+	});
+
+	it('goes on behind a page of unusable entries', async () => {
+		const paths: string[] = [];
+		const pages = [
+			JSON.stringify({items: [{meta: {name: 'x', modRevision: 'new'}, spec: GOOD}], hasMore: true, storeRevision: 9}),
+			makePage([makeItem('y', GOOD)]),
+		];
+		const paged = createServer((req, res) => {
+			paths.push(req.url ?? '');
+			res.writeHead(200, {'content-type': 'application/json'}).end(pages[paths.length - 1]);
+		});
+		paged.listen(0, '127.0.0.1');
+		await once(paged, 'listening');
+		const store = createHttpMetadataStore({
+			address: `127.0.0.1:${(paged.address() as AddressInfo).port}`, clock: createSystemClock(), log: createLineLog(() => undefined), onCall: () => undefined, onGeneration: () => undefined,
+		});
+		try {
+			const {content} = await store.listEndpoints(1000);
+			expect(content.map(({id}) => id)).to.deep.equal(['y']);
+			expect(paths[1]).to.equal('/objects/servers?after=x');
+		} finally {
+			paged.closeAllConnections();
+			paged.close();
+		}
+	});
 
 	it('reads a page with control characters that JSON does not allow', async () => {
 		const {content} = await listServers(makePage([makeItem('i-1', GOOD), makeItem('x', 'A')]).replace('"A"', '"\u0001\u0002"'));
