Call no group unknown on a host that the store no longer answers

A host whose watches get no answer (cut off, turned away) went on calling added groups unknown, which callers do not repeat.

Now a group is unknown only while the store has answered within 6 s, the time in which an accepted change has to be in force on that path; otherwise the refusal is no-configuration, with a time to come back.

--- a/src/configuration/configuration.ts
+++ b/src/configuration/configuration.ts
@@ -26,6 +26,8 @@
 	readonly loaded: boolean;
 	/** The store revision up to which every change was received. */
 	readonly revision: number;
+	/** Returns the time since the store's last response, in milliseconds; Infinity before the first one. */
+	getStoreSilenceMs(now: number): number;
 };
 
 declare module '../kernel/service-map.js' {
--- a/src/configuration/create-configuration.ts
+++ b/src/configuration/create-configuration.ts
@@ -28,8 +28,6 @@
 	getEntry(name: string): GroupEntry | undefined;
 	/** Returns the entries in force above a version, including those of deleted groups, sorted by name. */
 	getEntries(since: number): readonly GroupEntry[];
-	/** Returns the time since the store's last response, in milliseconds; Infinity before the first one. */
-	getStoreSilenceMs(now: number): number;
 };
 
 /** The entries that a peer holds above a version. */
--- a/src/explanations/refusal-explanations.ts
+++ b/src/explanations/refusal-explanations.ts
@@ -50,7 +50,7 @@
 		advice: 'Ask for its outcome under the same request id, and report the host\'s log.',
 	},
 	[RefusalCode.NoConfiguration]: {
-		rule: 'a host that has no configuration yet takes no requests',
+		rule: 'a host that has no configuration yet takes no requests, and one whose configuration may not be the latest calls no group unknown',
 		notRun: NOTHING_SENT,
 		advice: 'Come back as told; where it lasts, check the platform and `show hosts`.',
 	},
--- a/src/routing/entry-refusals.ts
+++ b/src/routing/entry-refusals.ts
@@ -17,8 +17,11 @@
 	};
 }
 
-/** Returns the refusal for a group that is not configured, or that this host cannot know without a configuration. */
-export function refuseUnknownGroup(group: string, configuration: Configuration): Refusal {
+/** Time for which the store may be silent while a group that this host does not know counts as unknown, in milliseconds: an accepted change has to be in force by then. */
+const MAX_STORE_SILENCE_MS = 6000;
+
+/** Returns the refusal for a group that is not configured, or that this host cannot know: it has no configuration, or one of which the store may have a later version at the time `now`. */
+export function refuseUnknownGroup(group: string, configuration: Pick<Configuration, 'loaded' | 'revision' | 'getStoreSilenceMs'>, now: number): Refusal {
 	if (!configuration.loaded) {
 		return {
 			code: RefusalCode.NoConfiguration,
@@ -28,6 +31,15 @@
 		};
 	}
 
+	if (configuration.getStoreSilenceMs(now) > MAX_STORE_SILENCE_MS) {
+		return {
+			code: RefusalCode.NoConfiguration,
+			reason: 'this host cannot tell whether its configuration is the latest',
+			retryAfterMs: 1000,
+			facts: {configRevision: configuration.revision},
+		};
+	}
+
 	return {
 		code: RefusalCode.UnknownGroup,
 		reason: `there is no database group "${group}"`,
--- a/src/routing/received-request.ts
+++ b/src/routing/received-request.ts
@@ -88,7 +88,7 @@
 			}
 
 			if (!group) {
-				return {refusal: refuseUnknownGroup(received.group, configuration)};
+				return {refusal: refuseUnknownGroup(received.group, configuration, clock.now())};
 			}
 
 			const runsForMs = UNKEYED_KINDS.has(received.asked) ? 0 : received.deadlineAt - received.startedAt;
--- a/tests/golden/on-call-bench.ts
+++ b/tests/golden/on-call-bench.ts
@@ -130,6 +130,7 @@
 		offer: () => false,
 		onChange() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 		loaded: true,
+		getStoreSilenceMs: () => 0,
 		get revision() {
 			return store.revision;
 		},
--- a/tests/peers/peer-links-tests.ts
+++ b/tests/peers/peer-links-tests.ts
@@ -53,7 +53,7 @@
 
 	function doTestAddress(address: string) {
 		it(`reports a peer whose address is ${address} as unreachable, as any that cannot be called`, async () => {
-			const err = await host.call(address, 'echo', 'first', 1000).catch((error: unknown) => error);
+			const err = await host.call(address, 'echo', 'first', 1000).catch((err_: unknown) => err_);
 			expect(isPeerError(err)).to.equal(true);
 		});
 	}
--- a/tests/random-check/world.ts
+++ b/tests/random-check/world.ts
@@ -69,6 +69,7 @@
 	offer: () => false,
 	onChange() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 	loaded: true,
+	getStoreSilenceMs: () => 0,
 	revision: 1,
 };
 
