Answer requests that wait for proof within one interval

The wait is one interval between confirmations and the time for a read (0.9 s); a session is opened or refused within 1.8 s of its start, also where it waited for the first configuration of its host.

--- a/src/gateway/admit-operation.ts
+++ b/src/gateway/admit-operation.ts
@@ -4,7 +4,7 @@
 import type {KeyFingerprint} from '../workspaces/key-index.js';
 import type {Workspace} from '../workspaces/workspace.js';
 import type {GatewayParts} from './gateway-parts.js';
-import {createProofWait} from './proof-wait.js';
+import {createProofWait, type ProofWaitOptions} from './proof-wait.js';
 import {refuse, type RefusalResult} from './statement-result.js';
 
 /** Whether a caller's request is admitted, and the workspace for which it runs. */
@@ -20,12 +20,9 @@
 
 const OTHER_WORKSPACE = refuse(AnswerCode.Unauthenticated, 'the key is of another workspace now; nothing is kept');
 
-/**
- * Admits a request where its caller's key is valid. That no workspace has the key has to be proven, since one may have received it in a configuration that this host has not learnt of.
- * @param isWanted Whether to wait for the proof.
- */
-export async function admitCaller(parts: GatewayParts, fingerprint: KeyFingerprint, route: Route, isWanted: () => boolean): Promise<Admission> {
-	const wait = createProofWait(parts, isWanted);
+/** Admits a request where its caller's key is valid. That no workspace has the key has to be proven, since one may have received it in a configuration that this host has not learnt of. */
+export async function admitCaller(parts: GatewayParts, fingerprint: KeyFingerprint, route: Route, options: ProofWaitOptions): Promise<Admission> {
+	const wait = createProofWait(parts, options);
 	for (;;) {
 		const admission = admitByKey(parts, fingerprint, route);
 		if (admission.admitted || admission.refusal !== UNKNOWN_KEY || wait.isConfirmed()) {
@@ -61,8 +58,8 @@
 }
 
 /** Admits an operation where its caller's key is valid and the workspace is within its rate limit. */
-export async function admitOperation(parts: GatewayParts, fingerprint: KeyFingerprint, route: Route, isWanted: () => boolean): Promise<Admission> {
-	const admission = await admitCaller(parts, fingerprint, route, isWanted);
+export async function admitOperation(parts: GatewayParts, fingerprint: KeyFingerprint, route: Route, options: ProofWaitOptions): Promise<Admission> {
+	const admission = await admitCaller(parts, fingerprint, route, options);
 	if (!admission.admitted || !admission.workspace) {
 		return admission;
 	}
--- a/src/gateway/find-route.ts
+++ b/src/gateway/find-route.ts
@@ -2,7 +2,7 @@
 import type {Route} from '../routes/routing.js';
 import {AnswerCode} from '../statements/statement-answer.js';
 import type {GatewayParts} from './gateway-parts.js';
-import {createProofWait} from './proof-wait.js';
+import {createProofWait, type ProofWaitOptions} from './proof-wait.js';
 import {refuse, type RefusalResult} from './statement-result.js';
 
 /** The route of a database, or the refusal of a request that names one without a route. */
@@ -20,13 +20,10 @@
 const UNPROVEN = refuse(AnswerCode.Overloaded, 'this host cannot tell whether its configuration is the latest; nothing ran', UNPROVEN_RETRY_AFTER_MS);
 const ARRIVING = refuse(AnswerCode.Overloaded, 'a later configuration is arriving at this host; nothing ran', ARRIVING_RETRY_AFTER_MS);
 
-/**
- * Finds the route of a database. That there is none has to be proven, and a route counts only while the configuration that has it may be in force.
- * @param isWanted Whether to wait for the proof; otherwise the request is refused as unproven.
- */
-export async function findRoute(parts: GatewayParts, database: string, isWanted: () => boolean): Promise<RouteLookup> {
+/** Finds the route of a database. That there is none has to be proven, and a route counts only while the configuration that has it may be in force. */
+export async function findRoute(parts: GatewayParts, database: string, options: ProofWaitOptions): Promise<RouteLookup> {
 	const {mirror} = parts;
-	const wait = createProofWait(parts, isWanted);
+	const wait = createProofWait(parts, options);
 	do {
 		const route = mirror.state.routing?.routes.get(database);
 		if (route && mayBeInForce(parts)) {
--- a/src/gateway/open-session.ts
+++ b/src/gateway/open-session.ts
@@ -15,8 +15,8 @@
 	getStopPlan(): StopPlan | undefined;
 };
 
-/** Maximum wait for the first configuration, in milliseconds: callers give up on a session that is not open after 2,000. */
-const ROUTING_WAIT_MS = 1800;
+/** Time within which a session is opened or refused, in milliseconds: callers give up on one that is not open after 2,000. */
+const OPEN_WITHIN_MS = 1800;
 
 /** Poll interval for the first configuration at a host that starts, in milliseconds. */
 const ROUTING_RECHECK_MS = 20;
@@ -34,10 +34,11 @@
 	}
 
 	const {database} = req;
-	await waitForRouting(parts, options);
+	const until = clock.now() + OPEN_WITHIN_MS;
+	await waitForRouting(parts, options, until);
 	// A host that is stopping may end before the wait for proof does; another host can serve the caller.
-	const isWanted = () => !channel.left && !getStopPlan();
-	const found = mirror.state.routing && await findRoute(parts, database, isWanted);
+	const wait = {isWanted: () => !channel.left && !getStopPlan(), until};
+	const found = mirror.state.routing && await findRoute(parts, database, wait);
 	const plan = getStopPlan();
 	if (isPastAdmission(plan, clock.now()) || (plan && !found?.found)) {
 		log.info('a session was refused: the host is stopping', {database});
@@ -59,7 +60,7 @@
 
 	const {route} = found;
 	const memory = createSessionMemory(database, getFingerprint(req.key));
-	const admission = await admitCaller(parts, memory.fingerprint, route, isWanted);
+	const admission = await admitCaller(parts, memory.fingerprint, route, wait);
 	if (!admission.admitted) {
 		const {code, text} = admission.refusal.end;
 		log.info('a session was refused: its key is not valid', {database, code, routing: mirror.state.routing?.version});
@@ -72,8 +73,7 @@
 }
 
 /** Waits for the first configuration. A host that has just started knows no routes yet, which must not be mistaken for a route that does not exist. */
-async function waitForRouting({clock, mirror}: GatewayParts, {channel, getStopPlan}: OpenSessionOptions) {
-	const until = clock.now() + ROUTING_WAIT_MS;
+async function waitForRouting({clock, mirror}: GatewayParts, {channel, getStopPlan}: OpenSessionOptions, until: number) {
 	while (!mirror.state.routing && !channel.left && !getStopPlan() && clock.now() < until) {
 		await clock.sleep(ROUTING_RECHECK_MS);
 	}
--- a/src/gateway/proof-wait.ts
+++ b/src/gateway/proof-wait.ts
@@ -13,8 +13,16 @@
 	next(): Promise<boolean>;
 };
 
-/** Maximum wait, in milliseconds: callers give up on a session that is not open after 2,000. */
-const MAX_WAIT_MS = 1000;
+/** Options of {@link createProofWait}. */
+export type ProofWaitOptions = {
+	/** Whether the caller may still be served here. */
+	isWanted(): boolean;
+	/** Steady time at which the wait ends at the latest. */
+	readonly until?: number;
+};
+
+/** Maximum wait, in milliseconds: one interval between confirmations and the time for a read of the store. */
+const MAX_WAIT_MS = CONFIRM_INTERVAL_MS + 200;
 
 /** The same at a host that the store has not confirmed for {@link ISOLATED_AFTER_MS}, in milliseconds: one that was just resumed has its confirmation within that time. */
 const ISOLATED_WAIT_MS = 150;
@@ -22,14 +30,11 @@
 /** Age of the last confirmation by the store above which the next one cannot be expected soon, in milliseconds: several attempts have failed. */
 const ISOLATED_AFTER_MS = 5 * CONFIRM_INTERVAL_MS;
 
-/**
- * Creates the wait of a request that arrives now.
- * @param isWanted Whether the caller may still be served here.
- */
-export function createProofWait({clock, elapsedClock, mirror}: Pick<GatewayParts, 'clock' | 'elapsedClock' | 'mirror'>, isWanted: () => boolean): ProofWait {
+/** Creates the wait of a request that arrives now. */
+export function createProofWait({clock, elapsedClock, mirror}: GatewayParts, {isWanted, until: latestAt = Number.POSITIVE_INFINITY}: ProofWaitOptions): ProofWait {
 	const arrivedAt = elapsedClock.elapsed();
 	const isConfirmedSince = (at: number) => mirror.routingConfirmedAt !== undefined && mirror.routingConfirmedAt >= at;
-	const until = clock.now() + (isConfirmedSince(arrivedAt - ISOLATED_AFTER_MS) ? MAX_WAIT_MS : ISOLATED_WAIT_MS);
+	const until = Math.min(latestAt, clock.now() + (isConfirmedSince(arrivedAt - ISOLATED_AFTER_MS) ? MAX_WAIT_MS : ISOLATED_WAIT_MS));
 
 	return {
 		isConfirmed: () => isConfirmedSince(arrivedAt),
--- a/tests/gateway/find-route-tests.ts
+++ b/tests/gateway/find-route-tests.ts
@@ -48,7 +48,7 @@
 			const parts = {
 				clock, elapsedClock: {elapsed: () => clock.now()}, log: createSilentLog(), mirror, maxRoutingAgeMs: MAX_AGE_MS,
 			} as unknown as GatewayParts;
-			const found = await clock.runUntil(findRoute(parts, database, () => true));
+			const found = await clock.runUntil(findRoute(parts, database, {isWanted: () => true}));
 			const result = found.found ? 'found' : found.refusal.end.code;
 			expect(`${result} after ${clock.now() - askedAt}`).to.equal(expected);
 		});
@@ -64,7 +64,7 @@
 	doTest('is not unknown by a confirmation requested before, which ends no wait', 'other', {
 		ageMs: 300, confirmations: [{atMs: 5, requestedMs: -1}, {atMs: 705, requestedMs: 700}],
 	}, 'unknown-database after 705');
-	doTest('is not unknown where no confirmation comes', 'other', {ageMs: 300}, 'overloaded after 1000');
+	doTest('is not unknown where no confirmation comes', 'other', {ageMs: 300}, 'overloaded after 900');
 	doTest('is not waited for where the store has confirmed nothing for long', 'other', {ageMs: 3600}, 'overloaded after 150');
 	doTest('is not unknown where the store has never confirmed', 'other', {}, 'overloaded after 150');
 });
