Ask peers also where the polled host tells only of endpoints

A host whose source is cut off from all others and which the store turns away stayed behind for as long as that lasted: the source answered each poll with what its endpoints had shown (no fence), which counted as something new, so that the host neither read the store nor asked its peers. Whether its own confirmation is overdue decides now.

--- a/src/mirror/store-mirror.ts
+++ b/src/mirror/store-mirror.ts
@@ -291,7 +291,8 @@
 		const polled = feedClient.poll(parent, overdue || source.isRecovering(clock.now()) ? OVERDUE_HOLD_MS : POLL_HOLD_MS);
 		if (overdue) {
 			const first = await withinMs(clock, OVERDUE_WAIT_MS, polled);
-			if (first.timedOut || !first.value?.isNew) {
+			// A response may be new for what it says of endpoints alone.
+			if (first.timedOut || isOverdue()) {
 				readUnscheduled();
 			}
 		}
--- a/tests/mirror/change-feed-client-tests.ts
+++ b/tests/mirror/change-feed-client-tests.ts
@@ -54,6 +54,22 @@
 	doTest('a confirmation as of later, by the time for which the request was held', {heldMs: 30, ageMs: 0}, 1030);
 	doTest('a confirmation as of earlier, by its age beyond that time', {heldMs: 30, ageMs: 200}, 830);
 
+	function doRoutingTest(what: string, update: Partial<StoreUpdate>, expected: {readonly confirmedAt?: number; readonly isComplete: boolean}) {
+		it(what, async () => {
+			const {copy} = await poll(update);
+			expect({confirmedAt: copy.routingConfirmedAt, isComplete: copy.isRoutingComplete}).to.deep.equal({confirmedAt: undefined, ...expected});
+		});
+	}
+
+	doRoutingTest('no confirmation of the configuration by hosts that confirmed each other', {ageMs: 0}, {isComplete: true});
+	doRoutingTest('the store\'s confirmation of the configuration, as of its own time', {ageMs: 0, withoutStoreMs: 250}, {confirmedAt: 750, isComplete: true});
+	doRoutingTest('the confirmation of a configuration that a later one follows, as of before', {
+		revision: 20, ageMs: 0, withoutStoreMs: 0, wholeAgeMs: 400,
+	}, {confirmedAt: 600, isComplete: false});
+	doRoutingTest('none of a configuration that the store has never confirmed', {
+		revision: 20, ageMs: 0, withoutStoreMs: 0, wholeAgeMs: Number.POSITIVE_INFINITY,
+	}, {isComplete: false});
+
 	/**
 	 * While the request is in flight this host reads the store itself and sees an entry that is removed again before the response. The other host reports that it holds what this
 	 * one did at its request; if that were taken for what this host holds now, the entry would stay.
--- a/tests/proxy/unproven-route-tests.ts
+++ b/tests/proxy/unproven-route-tests.ts
@@ -8,6 +8,9 @@
 /** Time after which a host is polled again that did not respond once, in milliseconds, and a second more. */
 const NO_LONGER_AVOIDED_MS = 6000;
 
+/** Age of a confirmation at a host whose source is current, in milliseconds: two intervals, after which it would ask peers. */
+const MAX_AGE_AT_A_CURRENT_SOURCE_MS = 1400;
+
 function createRouting(version: number, routes: readonly Route[]): Routing {
 	return {
 		version, routes: new Map(routes.map(route => [route.database, route])), groups: new Map([['nights', {name: 'nights', maxConnections: 22}]]), workspaces: new Map(), idleTransactionMs: 3000,
@@ -111,6 +114,47 @@
 		expect(await tryOpen(bench, 'entry-5', 'later')).to.equal('opened');
 		system.stop();
 	});
+
+	/** Guards against a host that goes on polling one which is as little in touch as itself: cut off from all others, but not from this one. */
+	it('has its route added soon at a host whose source is cut off from all others', async () => {
+		const bench = await createProxyBench({proxies: 6});
+		const {system, clock} = bench;
+		for (const name of ['entry-2', 'entry-5']) {
+			system.store.setFaults(name, {refused: true});
+		}
+
+		for (const name of ['entry-1', 'entry-3', 'entry-4', 'entry-6']) {
+			system.network.setFaultsBetween('entry-2:7000', `${name}:7000`, {cut: true});
+		}
+
+		await clock.advance(500);
+		system.store.setRouting(createRouting(2, [...ROUTES, ADDED]));
+		await clock.advance(3000);
+		expect(await tryOpen(bench, 'entry-5', 'added')).to.equal('opened');
+		system.stop();
+	});
+
+	/** Guards against asking all peers again and again, each of which reads the store, for as long as the source stays behind. */
+	it('has its host leave a source that is behind, rather than ask peers each time', async () => {
+		const bench = await createProxyBench({proxies: 6});
+		const {system, clock} = bench;
+		system.kill(system.proxies.find(({name}) => name === 'entry-2')!);
+		for (const name of ['entry-2', 'entry-5']) {
+			system.store.setFaults(name, {refused: true});
+		}
+
+		await clock.runUntil(system.startProxy('entry-2'));
+		const mirror = system.proxies.find(({name}) => name === 'entry-5')!.kernel.getOrThrow('storeMirror');
+		await clock.advance(NO_LONGER_AVOIDED_MS);
+		let maxAgeMs = 0;
+		for (let passedMs = 0; passedMs < 10_000; passedMs += 50) {
+			await clock.advance(50);
+			maxAgeMs = Math.max(maxAgeMs, clock.now() - mirror.routingConfirmedAt!);
+		}
+
+		expect(maxAgeMs).to.be.lessThan(MAX_AGE_AT_A_CURRENT_SOURCE_MS);
+		system.stop();
+	});
 });
 
 describe('a route that a host holds', () => {
@@ -133,4 +177,17 @@
 		expect(await bench.ask(idle, 'READ a')).to.match(/^done/v);
 		bench.system.stop();
 	});
+
+	/** What hosts confirm together keeps primaries in use in an outage; it does not show that a later configuration is pending. */
+	it('is served at the primary throughout an outage of the store that is shorter than the bound', async () => {
+		const bench = await createProxyBench({proxies: 3, maxRoutingAgeMs: 15_000});
+		const {caller} = await open(bench, 'entry-2', 'sync');
+		bench.system.store.setFaults(undefined, {refused: true});
+		for (let i = 0; i < 7; i++) {
+			await bench.clock.advance(1000);
+			expect(await bench.ask(caller, `WRITE a ${i}`)).to.match(/^done/v);
+		}
+
+		bench.system.stop();
+	});
 });
