Refuse unknown keys at once where the store has confirmed the configuration lately

A key that no workspace has is now refused at once where the store has confirmed the configuration within 3 s, the time in which an added key has to be in force; else as by a host that cannot verify keys.

--- a/src/gateway/admit-operation.ts
+++ b/src/gateway/admit-operation.ts
@@ -1,10 +1,10 @@
+import {MAX_ROUTING_LAG_MS} from '../mirror/store-mirror.js';
 import type {Route} from '../routes/routing.js';
 import {AnswerCode} from '../statements/statement-answer.js';
 import {AccessDenial} from '../workspaces/caller-access.js';
 import type {KeyFingerprint} from '../workspaces/key-index.js';
 import type {Workspace} from '../workspaces/workspace.js';
 import type {GatewayParts} from './gateway-parts.js';
-import {createProofWait, type ProofWaitOptions} from './proof-wait.js';
 import {refuse, type RefusalResult} from './statement-result.js';
 
 /** Whether a caller's request is admitted, and the workspace for which it runs. */
@@ -16,32 +16,23 @@
 const UNVERIFIABLE_RETRY_AFTER_MS = 50;
 
 const UNKNOWN_KEY = refuse(AnswerCode.Unauthenticated, 'no workspace has this key; nothing is kept');
-const UNVERIFIABLE = refuse(AnswerCode.Overloaded, 'this host cannot tell whether the key was revoked; nothing is kept', UNVERIFIABLE_RETRY_AFTER_MS);
+const UNVERIFIABLE = refuse(AnswerCode.Overloaded, 'this host cannot tell whether the key is valid; nothing is kept', UNVERIFIABLE_RETRY_AFTER_MS);
 
 const OTHER_WORKSPACE = refuse(AnswerCode.Unauthenticated, 'the key is of another workspace now; nothing is kept');
 
-/** Admits a request where its caller's key is valid. That no workspace has the key has to be proven, since one may have received it in a configuration that this host has not learnt of. */
-export async function admitCaller(parts: GatewayParts, fingerprint: KeyFingerprint, route: Route, options: ProofWaitOptions): Promise<Admission> {
-	const wait = createProofWait(parts, options);
-	for (;;) {
-		const admission = admitByKey(parts, fingerprint, route);
-		if (admission.admitted || admission.refusal !== UNKNOWN_KEY || wait.isConfirmed()) {
-			return admission;
-		}
-
-		if (!await wait.next()) {
-			return {admitted: false, refusal: UNVERIFIABLE};
-		}
-	}
-}
-
-function admitByKey({access, elapsedClock}: GatewayParts, fingerprint: KeyFingerprint, route: Route): Admission {
-	const verdict = access.authorize(fingerprint, route, elapsedClock.elapsed());
+/**
+ * Admits a request where its caller's key is valid. That no workspace has the key is proven by a configuration that the store has confirmed lately; an earlier one may lack a key that
+ * was added since.
+ */
+export function admitCaller({access, elapsedClock, mirror}: GatewayParts, fingerprint: KeyFingerprint, route: Route): Admission {
+	const now = elapsedClock.elapsed();
+	const verdict = access.authorize(fingerprint, route, now);
 	if (verdict.allowed) {
 		return {admitted: true, workspace: verdict.workspace};
 	}
 
-	return {admitted: false, refusal: verdict.denial === AccessDenial.UnknownKey ? UNKNOWN_KEY : UNVERIFIABLE};
+	const isProven = now - (mirror.routingConfirmedAt ?? Number.NEGATIVE_INFINITY) <= MAX_ROUTING_LAG_MS;
+	return {admitted: false, refusal: verdict.denial === AccessDenial.UnknownKey && isProven ? UNKNOWN_KEY : UNVERIFIABLE};
 }
 
 /**
@@ -49,7 +40,7 @@
  * transaction was begun; undefined where it still does.
  */
 export function refuseInTransaction(parts: GatewayParts, fingerprint: KeyFingerprint, route: Route, begunFor: Workspace | undefined): RefusalResult | undefined {
-	const admission = admitByKey(parts, fingerprint, route);
+	const admission = admitCaller(parts, fingerprint, route);
 	if (!admission.admitted) {
 		return admission.refusal;
 	}
@@ -58,8 +49,8 @@
 }
 
 /** Admits an operation where its caller's key is valid and the workspace is within its rate limit. */
-export async function admitOperation(parts: GatewayParts, fingerprint: KeyFingerprint, route: Route, options: ProofWaitOptions): Promise<Admission> {
-	const admission = await admitCaller(parts, fingerprint, route, options);
+export async function admitOperation(parts: GatewayParts, fingerprint: KeyFingerprint, route: Route): Promise<Admission> {
+	const admission = admitCaller(parts, fingerprint, route);
 	if (!admission.admitted || !admission.workspace) {
 		return admission;
 	}
--- a/src/gateway/caller-session.ts
+++ b/src/gateway/caller-session.ts
@@ -82,13 +82,10 @@
 
 	const isWanted = () => !channel.left && !givenUp;
 
-	/** How long a statement waits for the next confirmation of the configuration. */
-	const proofWait = {isWanted: () => isWanted() && !getStopPlan()};
-
 	const getRoute = () => transactionRoute ?? mirror.state.routing?.routes.get(memory.database);
 
 	const lookUpRoute = async (): Promise<RouteLookup> =>
-		transactionRoute ? {found: true, route: transactionRoute} : findRoute(parts, memory.database, proofWait);
+		transactionRoute ? {found: true, route: transactionRoute} : findRoute(parts, memory.database, {isWanted: () => isWanted() && !getStopPlan()});
 
 	/** Returns the time by which a statement that arrives now is answered within its route's target. */
 	const getTargetAt = ({targetLatencyMs}: Route) => targetLatencyMs === 0 ? Number.POSITIVE_INFINITY : clock.now() + targetLatencyMs;
@@ -120,7 +117,7 @@
 
 		const arrivedAt = elapsedClock.elapsed();
 		const targetAt = getTargetAt(route);
-		const admission = await admitOperation(parts, memory.fingerprint, route, proofWait);
+		const admission = await admitOperation(parts, memory.fingerprint, route);
 		if (!admission.admitted) {
 			newTrace(admission.workspace);
 			return admission.refusal;
@@ -175,7 +172,7 @@
 			return STOPPING;
 		}
 
-		const admission = await admitOperation(parts, memory.fingerprint, route, proofWait);
+		const admission = await admitOperation(parts, memory.fingerprint, route);
 		if (!admission.admitted) {
 			newTrace(admission.workspace);
 			return admission.refusal;
--- a/src/gateway/open-session.ts
+++ b/src/gateway/open-session.ts
@@ -37,8 +37,7 @@
 	const until = clock.now() + OPEN_WITHIN_MS;
 	await waitForRouting(parts, options, until);
 	// A host that is stopping may end before the wait for proof does; another host can serve the caller.
-	const wait = {isWanted: () => !channel.left && !getStopPlan(), until};
-	const found = mirror.state.routing && await findRoute(parts, database, wait);
+	const found = mirror.state.routing && await findRoute(parts, database, {isWanted: () => !channel.left && !getStopPlan(), until});
 	const plan = getStopPlan();
 	if (isPastAdmission(plan, clock.now()) || (plan && !found?.found)) {
 		log.info('a session was refused: the host is stopping', {database});
@@ -60,7 +59,7 @@
 
 	const {route} = found;
 	const memory = createSessionMemory(database, getFingerprint(req.key));
-	const admission = await admitCaller(parts, memory.fingerprint, route, wait);
+	const admission = admitCaller(parts, memory.fingerprint, route);
 	if (!admission.admitted) {
 		const {code, text} = admission.refusal.end;
 		log.info('a session was refused: its key is not valid', {database, code, routing: mirror.state.routing?.version});
