--- a/src/mirror/change-feed-client.ts
+++ b/src/mirror/change-feed-client.ts
@@ -14,7 +14,9 @@
 	readonly update: StoreUpdate;
 	/** Whether the copy was confirmed to be complete at a time after the request. */
 	readonly confirmed: boolean;
-	/** Whether the response held something newer than what was known. */
+	/** Whether the response held a later confirmation than the one that was known. */
+	readonly isLater: boolean;
+	/** Whether the response held something newer than what was known, of endpoints for example. */
 	readonly isNew: boolean;
 };
 
@@ -146,7 +148,9 @@
 
 	const applyUpdate = async (address: string, update: StoreUpdate, requestedAt: number, sentContents: ContentsId): Promise<PollResult> => {
 		if (update.declined) {
-			return {update, confirmed: false, isNew: false};
+			return {
+				update, confirmed: false, isLater: false, isNew: false,
+			};
 		}
 
 		const before = copy.partsConfirmedAt ?? Number.NEGATIVE_INFINITY;
@@ -158,10 +162,12 @@
 
 		const confirmedAt = isComplete ? applyConfirmation(update, requestedAt, hasRouting) : undefined;
 		applyUnfenced(update.unfenced, requestedAt + update.heldMs);
+		const isLater = confirmedAt !== undefined && confirmedAt > before;
 		return {
 			update,
 			confirmed: confirmedAt !== undefined && confirmedAt >= requestedAt,
-			isNew: (confirmedAt !== undefined && confirmedAt > before) || update.unfenced.length > 0,
+			isLater,
+			isNew: isLater || update.unfenced.length > 0,
 		};
 	};
 
--- a/src/mirror/store-mirror.ts
+++ b/src/mirror/store-mirror.ts
@@ -291,8 +291,7 @@
 		const polled = feedClient.poll(parent, overdue || source.isRecovering(clock.now()) ? OVERDUE_HOLD_MS : POLL_HOLD_MS);
 		if (overdue) {
 			const first = await withinMs(clock, OVERDUE_WAIT_MS, polled);
-			// A response may be new for what it says of endpoints alone.
-			if (first.timedOut || isOverdue()) {
+			if (first.timedOut || !first.value?.isLater) {
 				readUnscheduled();
 			}
 		}
--- a/src/platform/store-schemas.ts
+++ b/src/platform/store-schemas.ts
@@ -42,12 +42,13 @@
 };
 
 /** A name that is a field of messages and part of paths. Blanks separate fields, and ends of lines end messages, so it contains none. */
-const fieldSchema = z.string().regex(/^[!-~]{1,200}$/v);
+const FIELD = /^[!-~]{1,200}$/v;
+
+const fieldSchema = z.string().regex(FIELD);
 
 /** The longest time that a timer can wait for, in milliseconds; a longer one would end at once. */
 const MAX_TIMER_MS = (2 ** 31) - 1;
 
-const timeSchema = z.number().nonnegative().max(MAX_TIMER_MS);
 const timeoutSchema = z.number().positive().max(MAX_TIMER_MS);
 
 const MAX_PRIORITY = 1000;
@@ -58,20 +59,30 @@
 const routeSchema = z.object({
 	name: z.string(),
 	/** The database that callers name; it is not a host, despite the name. */
-	host: fieldSchema,
+	host: z.string(),
 	/** The read policy, not the kind of database. */
 	type: z.string(),
 	/** The timeout of one statement, not of the whole operation. */
-	timeoutMs: timeoutSchema,
-	targetLatencyMs: timeSchema.default(0),
-	priority: z.number().nonnegative().max(MAX_PRIORITY).default(0),
+	timeoutMs: z.number(),
+	targetLatencyMs: z.number().default(0),
+	priority: z.number().default(0),
 	/** The database group. */
-	backend: fieldSchema,
-	maxStalenessMs: timeSchema.default(0),
+	backend: z.string(),
+	maxStalenessMs: z.number().default(0),
 	/** Whether callers without a key are served too. */
 	allowAnonymous: z.boolean().default(false),
 });
 
+const routesSchema = z.array(routeSchema);
+
+const isWithin = (value: number, max: number) => value >= 0 && value <= max;
+
+/** Whether a route's names and numbers can be used. Checked outside of the schema, where a large configuration would take three times as long. */
+function isUsableRoute({host, backend, timeoutMs, targetLatencyMs, maxStalenessMs, priority}: z.infer<typeof routeSchema>): boolean {
+	const isInTime = timeoutMs > 0 && [timeoutMs, targetLatencyMs, maxStalenessMs].every(ms => isWithin(ms, MAX_TIMER_MS));
+	return FIELD.test(host) && FIELD.test(backend) && isInTime && isWithin(priority, MAX_PRIORITY);
+}
+
 /** A database group. */
 const groupSchema = z.object({
 	name: fieldSchema,
@@ -81,6 +92,8 @@
 	syncReplicas: z.int().nonnegative().max(MAX_SYNC_REPLICAS).default(0),
 });
 
+const groupsSchema = z.array(groupSchema);
+
 const limitsSchema = z.object({txIdleMs: timeoutSchema.default(DEFAULT_IDLE_TRANSACTION_MS)});
 
 /** The frame of a configuration. Its routes, groups and workspaces are decoded one by one, so that one unreadable entry does not hide the others. */
@@ -139,10 +152,10 @@
 		onUnusable(ConfigurationEntry.Limits, parsed.data.limits);
 	}
 
-	const decodedRoutes = decodeByName(routes, routeSchema, ({host}) => host, entry => {
+	const decodedRoutes = decodeByName(routes, routesSchema, route => isUsableRoute(route) ? route.host : undefined, entry => {
 		onUnusable(ConfigurationEntry.Route, entry);
 	});
-	const decodedGroups = decodeByName(backends, groupSchema, ({name}) => name, entry => {
+	const decodedGroups = decodeByName(backends, groupsSchema, ({name}) => name, entry => {
 		onUnusable(ConfigurationEntry.Group, entry);
 	});
 	return {
@@ -156,15 +169,19 @@
 	};
 }
 
-/** Decodes entries one by one; of several with one name only the first counts. */
-function decodeByName<T>(entries: readonly unknown[], schema: z.ZodType<T>, getName: (entry: T) => string, onUnusable: (entry: unknown) => void): readonly T[] {
+/**
+ * Decodes entries, one by one where one of them cannot be decoded. Of several with one name only the first counts.
+ * @param getName Returns the name of an entry; undefined where it cannot be used.
+ */
+function decodeByName<T>(entries: readonly unknown[], schema: z.ZodArray<z.ZodType<T>>, getName: (entry: T) => string | undefined, onUnusable: (entry: unknown) => void): readonly T[] {
+	const all = schema.safeParse(entries).data ?? entries.map(entry => schema.element.safeParse(entry).data);
 	const decoded = new Map<string, T>();
-	for (const entry of entries) {
-		const {data} = schema.safeParse(entry);
-		if (data === undefined || decoded.has(getName(data))) {
-			onUnusable(entry);
+	for (const [i, entry] of all.entries()) {
+		const name = entry && getName(entry);
+		if (entry === undefined || name === undefined || decoded.has(name)) {
+			onUnusable(entries[i]);
 		} else {
-			decoded.set(getName(data), data);
+			decoded.set(name, entry);
 		}
 	}
 
