Ask peers out of turn in small fleets only

Where a large configuration fills narrow links, readings of the store time out; hosts then asked peers, which read it too, and left sources that were behind for the same reason. That this is the cause is read and not shown by a trace.

Fleets of more than 16 hosts do as before in all three places: peers asked by the host that reads for all, no source left for being behind, readings out of turn. Smaller ones, where each host can ask all others, keep the fix. So the fault may still come in a large fleet: listed as open.

--- a/src/mirror/peer-choice.ts
+++ b/src/mirror/peer-choice.ts
@@ -2,7 +2,7 @@
  * Maximum number of hosts that confirm each other's copies by unanimity. Each calls every other: 16 hosts make 240 calls in 700 ms of an outage, 68 would make 4,500 and 900
  * would make 810,000, and one dead host prevents unanimity. Larger fleets rely on whether their endpoints show fences instead.
  */
-const MAX_UNANIMOUS_HOSTS = 16;
+export const MAX_UNANIMOUS_HOSTS = 16;
 
 /** Number of peers that a host of a larger fleet asks per round whether they reach the store. */
 const PEERS_PER_ROUND = 3;
--- a/src/mirror/store-mirror.ts
+++ b/src/mirror/store-mirror.ts
@@ -14,6 +14,7 @@
 import {createChangeFeedServer} from './change-feed-server.js';
 import {createChangeFeedClient} from './change-feed-client.js';
 import {createChangeFeedSource} from './change-feed-source.js';
+import {MAX_UNANIMOUS_HOSTS} from './peer-choice.js';
 import {createPeerConfirmation} from './peer-confirmation.js';
 import {createReadRateLimiter} from './read-rate-limiter.js';
 import {createStoreReader} from './store-reader.js';
@@ -239,12 +240,15 @@
 
 	const isOverdue = () => copy.partsConfirmedAt === undefined || elapsedClock.elapsed() - copy.partsConfirmedAt > OVERDUE_MS;
 
+	/** Whether the fleet is small enough for each host to ask all others. In a larger one the readings that they make for it would fill narrow links beside a large configuration. */
+	const mayAskPeers = () => source.getOthers().length < MAX_UNANIMOUS_HOSTS;
+
 	/**
 	 * Reads the store outside the schedule, and asks peers where it does not answer and the host that is polled does not confirm either: that one may be alive and as little in touch
 	 * with the store, having just started for example.
 	 */
 	const confirmUnscheduled = async () => {
-		if (!await reader.readAfterNow() && isOverdue()) {
+		if (!await reader.readAfterNow() && isOverdue() && mayAskPeers()) {
 			await peerConfirmation.confirm();
 		}
 	};
@@ -257,7 +261,7 @@
 	};
 
 	/** Whether a polled host was confirmed so long before this one that it is no source of updates. */
-	const isBehind = ({ageMs}: StoreUpdate) => !isOverdue() && (ageMs === undefined || elapsedClock.elapsed() - copy.partsConfirmedAt! < ageMs - OVERDUE_MS);
+	const isBehind = ({ageMs}: StoreUpdate) => mayAskPeers() && !isOverdue() && (ageMs === undefined || elapsedClock.elapsed() - copy.partsConfirmedAt! < ageMs - OVERDUE_MS);
 
 	/** Whether the hosts that this one polls do not confirm and one of them is excluded: it cannot wait for the configuration from them. */
 	const isFeedFailing = () => isOverdue() && source.isAvoiding(clock.now());
@@ -291,7 +295,7 @@
 		const polled = feedClient.poll(parent, overdue || source.isRecovering(clock.now()) ? OVERDUE_HOLD_MS : POLL_HOLD_MS);
 		if (overdue) {
 			const first = await withinMs(clock, OVERDUE_WAIT_MS, polled);
-			if (first.timedOut || !first.value?.isLater) {
+			if (first.timedOut || !(mayAskPeers() ? first.value?.isLater : first.value?.isNew)) {
 				readUnscheduled();
 			}
 		}
