Say what the bounds of decoded numbers mean

Cause: read as a newcomer, the bounds of priorities, connections, slots, cores and round trips stood without a unit or a reason. Comments only: the built proxy is byte for byte the same.

--- a/src/leadership/leadership-record.ts
+++ b/src/leadership/leadership-record.ts
@@ -111,11 +111,12 @@
 	holder: z.string(), incarnation: z.string(), token: countSchema, renewals: countSchema, released: z.boolean().optional(),
 });
 
+/** Bounds far above what any host has: a number beyond them was not written by one. */
 const MAX_CORES = 10_000;
 const MAX_RTT_MS = 3_600_000;
 const MAX_PORT = 65_535;
 
-/** Whether a text can be the address of a host. */
+/** Whether a text can be the address of a host. That it can be called is decided by the transport, whose addresses need not be IP addresses. */
 function isPeerAddress(address: string): boolean {
 	const [, port] = /^.+:(\d{1,5})$/v.exec(address) ?? [];
 	return port !== undefined && Number(port) > 0 && Number(port) <= MAX_PORT;
--- a/src/mirror/store-mirror.ts
+++ b/src/mirror/store-mirror.ts
@@ -240,7 +240,7 @@
 
 	const isOverdue = () => copy.partsConfirmedAt === undefined || elapsedClock.elapsed() - copy.partsConfirmedAt > OVERDUE_MS;
 
-	/** Whether the fleet is small enough for each host to ask all others. In a larger one the readings that they make for it would fill narrow links beside a large configuration. */
+	/** Whether the fleet is small enough for each host to ask all others. In a larger one the reads that they make for it may fill narrow links beside a large configuration. */
 	const mayAskPeers = () => source.getOthers().length < MAX_UNANIMOUS_HOSTS;
 
 	/**
--- a/src/platform/boot-settings.ts
+++ b/src/platform/boot-settings.ts
@@ -42,6 +42,7 @@
 /** Maximum of a bound, in seconds: a day, which fits into a timer. */
 const MAX_BOUND_S = 86_400;
 
+/** Bound of the cores of a host, far above any. */
 const MAX_CORES = 10_000;
 
 /** The fields under the platform's names; unknown keys are ignored. */
--- a/src/platform/store-schemas.ts
+++ b/src/platform/store-schemas.ts
@@ -51,9 +51,12 @@
 
 const timeoutSchema = z.number().positive().max(MAX_TIMER_MS);
 
+/** Bounds far above what any deployment configures: a number beyond them is an error of its writer, and some would make sums, timers or lists of that length fail. */
 const MAX_PRIORITY = 1000;
+/** Connections that one server accepts. */
 const MAX_CONNECTIONS = 1_000_000;
 const MAX_SYNC_REPLICAS = 100;
+/** Statements that one server runs at once. */
 const MAX_SLOTS = 100_000;
 
 const routeSchema = z.object({
--- a/src/platform/workspace-schema.ts
+++ b/src/platform/workspace-schema.ts
@@ -1,6 +1,7 @@
 import * as z from 'zod';
 import type {Workspace} from '../workspaces/workspace.js';
 
+/** The same bound as of a route's priority. */
 const MAX_PRIORITY = 1000;
 
 /** Operations per second that no workspace reaches. */
