--- a/tests/configuration-check/main.ts
+++ b/tests/configuration-check/main.ts
@@ -26,7 +26,11 @@
 const MAX_PRINTED = 3;
 
 const [first, count] = [Number(values.first), Number(values.count)];
-const turnedAway = Object.values(TurnedAway).find(value => value === values['turned-away']) ?? TurnedAway.All;
+const turnedAway = Object.values(TurnedAway).find(value => value === values['turned-away']);
+if (turnedAway === undefined || ![first, count, Number(values['length-ms']), Number(values['max-age-ms'])].every(number => number > 0)) {
+	throw new Error(`--turned-away takes ${Object.values(TurnedAway).join(', ')}; the other options take numbers above 0`);
+}
+
 const totals: Record<'schedules' | 'broken' | 'violations' | 'versions' | keyof ConfigurationFigures, number> = {
 	schedules: 0, broken: 0, violations: 0, versions: 0, stable: 0, stableBusy: 0, stableAlone: 0, stableBusyAlone: 0, changing: 0, changingBusy: 0, unknown: 0,
 };
