--- a/src/links/link-session.ts
+++ b/src/links/link-session.ts
@@ -1,4 +1,5 @@
 import {Access, type PreparedShape} from '../statements/statement.js';
+import type {AnswerCode} from '../statements/statement-answer.js';
 import type {EndpointLink, EndpointRequest} from './endpoint-link.js';
 
 /** The session values and the prepared statement that a statement needs on its connection. */
@@ -29,8 +30,16 @@
 	return `${access === Access.Read ? 'r' : 'w'}_${shape}`;
 }
 
+/** Options of the session of a connection. */
+export type SessionLinkOptions = {
+	/** Workspace for which the connection was opened; undefined where it was opened for none. */
+	readonly workspace?: string;
+	/** Called where the endpoint refused a command that sets up the session, with the command's kind. */
+	onRefused?(kind: string, code: AnswerCode): void;
+};
+
 /** Creates the session of a new connection. */
-export function createSessionLink(link: EndpointLink, workspace?: string): SessionLink {
+export function createSessionLink(link: EndpointLink, {workspace, onRefused}: SessionLinkOptions = {}): SessionLink {
 	let values = new Map<string, string>();
 	const prepared = new Set<string>();
 
@@ -41,6 +50,7 @@
 	const send = (command: EndpointRequest['command']) => {
 		void link.exchange({command}).then(answer => {
 			if (answer.end.kind === 'error') {
+				onRefused?.(command.kind, answer.end.code);
 				link.cut();
 			}
 		}, () => undefined);
--- a/src/links/pool-connections.ts
+++ b/src/links/pool-connections.ts
@@ -147,7 +147,7 @@
 		try {
 			const link: EndpointLink = await openCheckedLink(options, workspace, timeoutMs, meter?.listener ?? listener);
 			opening.link = link;
-			const sessionLink = createSessionLink(link, workspace);
+			const sessionLink = createSessionLink(link, {workspace, onRefused: noteSetupRefused});
 			all.add(sessionLink);
 			if (meter) {
 				meters.set(sessionLink, meter);
@@ -234,6 +234,13 @@
 		}
 	};
 
+	/** A refused command leaves a session whose values or prepared statements are not those of its caller. */
+	const noteSetupRefused = (kind: string, code: AnswerCode) => {
+		log.warn('an endpoint refused to set up a session; the connection is cut', {
+			endpoint: target.endpointId, group: target.group, command: kind, code,
+		});
+	};
+
 	const openOne = async (workspace: string | undefined) => {
 		try {
 			const startedAt = clock.now();
--- a/tests/links/link-session-tests.ts
+++ b/tests/links/link-session-tests.ts
@@ -18,7 +18,15 @@
 			this.isCut = true;
 		},
 	};
-	return {sent, link, sessionLink: createSessionLink(link as unknown as EndpointLink)};
+	const refusals: string[] = [];
+	const sessionLink = createSessionLink(link as unknown as EndpointLink, {
+		onRefused(kind, code) {
+			refusals.push(`${kind} ${code}`);
+		},
+	});
+	return {
+		sent, link, sessionLink, refusals,
+	};
 }
 
 const values = (entries: Record<string, string>) => new Map(Object.entries(entries));
@@ -51,10 +59,10 @@
 
 	/** The endpoint refuses a value. The statement that follows would run without it, and its caller would take the rows for correct. */
 	it('cuts a connection whose endpoint refuses a value', async () => {
-		const {link, sessionLink} = createRecordingLink('SET a 1');
+		const {link, sessionLink, refusals} = createRecordingLink('SET a 1');
 		sessionLink.adapt({values: values({a: '1'})});
 		await Promise.resolve();
 		await Promise.resolve();
-		expect(link.isCut).to.equal(true);
+		expect([link.isCut, refusals]).to.deep.equal([true, ['set failed']]);
 	});
 });
