Let each connection name its prepared statements, whatever bytes their shapes hold

Cause: the name under which a shape was prepared was `r_` or `w_` and the shape itself. A shape may hold blanks, and a blank ends a name, so `PARSE w_qf WRITE ve WRITE qf WRITE ve` prepared another shape under the name of a third caller's `qf`, and EXECUTE carried the rest of the name as arguments. Class: text that is opaque to the proxy was joined into a line as a field of its own.

Designs weighed. Names that the connection gives itself: one byte each, never longer than a caller's; only the host that holds the connection knows them, so the command between hosts carries the shape.

Versions mixed: hosts of this version name what earlier remote hosts send; earlier pool hosts get requests that they run unchanged as before, and the others by calls that they do not know and refuse, so those are refused as not run.

--- a/src/connection-sharing/checkout-calls.ts
+++ b/src/connection-sharing/checkout-calls.ts
@@ -1,9 +1,9 @@
 import type {AcquireRequest, QueueRefusal} from '../links/endpoint-pool.js';
-import type {EndpointCommand, EndpointRequest, EndpointStatus} from '../links/endpoint-link.js';
-import type {PreparedShape} from '../statements/statement.js';
+import type {EndpointCommand, EndpointStatus} from '../links/endpoint-link.js';
 import type {EndpointLoad} from '../links/endpoint-load.js';
 import type {EndpointAnswer} from '../statements/statement-answer.js';
 import type {LogPosition} from '../terms/log-position.js';
+import type {NeededOnWire, RequestOnWire} from './prepared-on-wire.js';
 
 /** Reasons for which a pool host refuses a checkout. */
 export const CheckoutRefusal = {
@@ -35,7 +35,7 @@
 	readonly workspace?: string;
 	/** Weight of the workspace among those of one priority level, above 0 and at most 1; 1 where it is undefined. */
 	readonly weight?: number;
-	/** Name of the prepared statement that the connection is for, where it is known. */
+	/** Key of the prepared statement that the connection is for, where it is known. */
 	readonly statement?: string;
 	/** Time in which the operation has to start to be within its latency target, in milliseconds; undefined where it has none. */
 	readonly startInMs?: number;
@@ -66,8 +66,8 @@
 	/** Number of the request within its checkout, from 1: the next request must not run where one was lost on the way. */
 	readonly turn: number;
 	/** What has to be set and prepared first; undefined for a request that depends on neither. */
-	readonly needed?: {readonly values: ReadonlyArray<readonly [string, string]>; readonly prepared?: PreparedShape};
-	readonly request: EndpointRequest;
+	readonly needed?: NeededOnWire;
+	readonly request: RequestOnWire;
 	/** Whether the checkout ends with the answer, where that leaves no transaction open. */
 	readonly last: boolean;
 };
@@ -94,6 +94,9 @@
 		'loan-exchange': {req: CheckoutExchange; res: {readonly answer?: EndpointAnswer; readonly over?: true} & CheckoutLoad};
 		/** Checks out a connection for one read, runs the read and ends the checkout; answered as `loan-open` where it is refused, else as `loan-exchange`. */
 		'loan-run': {req: CheckoutRun; res: (CheckoutRefused | {readonly answer?: EndpointAnswer; readonly over?: true}) & CheckoutLoad};
+		/** The same two for a prepared statement that pool hosts of earlier versions would change; they answer that they know no such call, so it has not run. */
+		'loan-exchange-shape': PeerCalls['loan-exchange'];
+		'loan-run-shape': PeerCalls['loan-run'];
 		/** Returns a connection, or has it cut with all that is in flight on it; ends a request that still waits, where `loan` is its `waitId`. */
 		'loan-end': {req: {readonly loan: string; readonly cut: boolean}; res: {readonly ended: true}};
 		/** Asks a pool host of a group's primary for the newest log position that it saw there, and how long ago it sent the request that brought it. */
--- a/src/connection-sharing/checkout-server.ts
+++ b/src/connection-sharing/checkout-server.ts
@@ -17,6 +17,7 @@
 	CheckoutRefusal, type CheckoutLoad, type CheckoutResponse, type CheckoutExchange, type CheckoutRequest, type CheckoutRun,
 } from './checkout-calls.js';
 import type {HostWatch} from './host-watch.js';
+import {fromNeededOnWire, fromRequestOnWire} from './prepared-on-wire.js';
 import {createWaitingPlaces} from './waiting-places.js';
 
 /** Serves checkouts of this host's connections to hosts that keep none. */
@@ -186,15 +187,11 @@
 		}
 
 		checkout.lastAt = clock.now();
-		if (needed) {
-			checkout.sessionLink.adapt({values: new Map(needed.values), prepared: needed.prepared});
-		}
-
 		try {
 			const sentAt = elapsedClock.elapsed();
 			const {group, id: endpointId} = checkout.endpoint.entry;
 			const isPrimary = primaryLeases.get(group, sentAt)?.primaryId === endpointId;
-			const answer = await checkout.sessionLink.link.exchange(request);
+			const answer = await checkout.sessionLink.exchange(fromRequestOnWire(request), needed && fromNeededOnWire(needed));
 			checkout.lastAt = clock.now();
 			checkout.state = answer.state;
 			if (isPrimary && answer.position && answer.state === SessionState.Idle) {
@@ -269,11 +266,17 @@
 		hostWatch && endpoint ? {...response, load: endpoint.ownPool.getLoad(clock.now())} : response;
 
 	peers.handle('loan-open', async (req, from) => addLoad(await openCheckout(req, from.address), directory.get(req.endpointId)));
-	peers.handle('loan-run', async (req, from) => addLoad(await run(req, from.address), directory.get(req.endpointId)));
-	peers.handle('loan-exchange', async (req, from) => {
-		const endpoint = checkouts.get(req.loan)?.endpoint;
-		return addLoad(await exchange(req, from.address), endpoint);
-	});
+	for (const kind of ['loan-run', 'loan-run-shape'] as const) {
+		peers.handle(kind, async (req, from) => addLoad(await run(req, from.address), directory.get(req.endpointId)));
+	}
+
+	for (const kind of ['loan-exchange', 'loan-exchange-shape'] as const) {
+		peers.handle(kind, async (req, from) => {
+			const endpoint = checkouts.get(req.loan)?.endpoint;
+			return addLoad(await exchange(req, from.address), endpoint);
+		});
+	}
+
 	peers.handle('loan-end', async ({loan: id, cut}, from) => {
 		const checkout = checkouts.get(id);
 		if (checkout?.remoteHost === from.address) {
--- a/src/connection-sharing/remote-link.ts
+++ b/src/connection-sharing/remote-link.ts
@@ -1,6 +1,6 @@
-import type {EndpointLink, EndpointRequest} from '../links/endpoint-link.js';
+import type {EndpointLink} from '../links/endpoint-link.js';
 import {createLinkLost, throwUnexpectedAnswer} from '../links/link-errors.js';
-import {getPreparedName, type SessionLink} from '../links/link-session.js';
+import type {NeededSession, SessionLink, SessionRequest} from '../links/link-session.js';
 import {isPeerError} from '../peers/peer-errors.js';
 import type {PeerCalls} from '../peers/peer-calls.js';
 import type {Peers} from '../peers/peers.js';
@@ -8,7 +8,7 @@
 import {AnswerCode, type EndpointAnswer} from '../statements/statement-answer.js';
 import type {CheckoutLoad} from './checkout-calls.js';
 import {createCloseState} from './close-state.js';
-import {createPendingSession} from './pending-session.js';
+import {isKnownToEveryVersion, toNeededOnWire, toRequestOnWire} from './prepared-on-wire.js';
 
 /** A connection that is checked out at another host. */
 export type RemoteLink = SessionLink & {
@@ -47,7 +47,6 @@
  */
 export function createRemoteLink({peers, poolHost, checkoutId, single, onReceived, onLoad}: RemoteLinkOptions): RemoteLink {
 	const closeState = createCloseState();
-	const pendingSession = createPendingSession();
 	let turn = 0;
 	let pending = 0;
 	/** State of the connection after its last answer. */
@@ -58,11 +57,11 @@
 		peers.call(poolHost, 'loan-end', {loan: checkoutId, cut}, END_TIMEOUT_MS).catch(ignorePeerError);
 	};
 
-	const send = async (request: EndpointRequest): Promise<PeerCalls['loan-exchange']['res']> => {
+	const send = async (request: SessionRequest, needed: NeededSession | undefined): Promise<PeerCalls['loan-exchange']['res']> => {
 		try {
 			turn++;
-			return await peers.call(poolHost, 'loan-exchange', {
-				loan: checkoutId, turn, needed: pendingSession.take(), request, last: single,
+			return await peers.call(poolHost, isKnownToEveryVersion(request, needed?.prepared) ? 'loan-exchange' : 'loan-exchange-shape', {
+				loan: checkoutId, turn, needed: needed && toNeededOnWire(needed), request: toRequestOnWire(request, needed?.prepared), last: single,
 			}, EXCHANGE_TIMEOUT_MS);
 		} catch (err) {
 			if (!isPeerError(err)) {
@@ -73,6 +72,32 @@
 		}
 	};
 
+	const exchange = async (request: SessionRequest, needed?: NeededSession): Promise<EndpointAnswer> => {
+		if (closeState.closed) {
+			throw createLinkLost(poolHost, 'the checkout had ended before');
+		}
+
+		pending++;
+		const response = await send(request, needed);
+		const {answer, over} = response;
+		pending--;
+		onLoad?.(response);
+		if (over) {
+			// A pool host that was not reached may still be alive, with the transaction open.
+			end(true);
+			return state === SessionState.Idle ? DID_NOT_RUN : ROLLED_BACK;
+		}
+
+		if (!answer) {
+			closeState.close();
+			throw createLinkLost(poolHost, 'the pool host or the endpoint ended it');
+		}
+
+		state = answer.state;
+		onReceived();
+		return answer;
+	};
+
 	const link: EndpointLink = {
 		get pending() {
 			return pending;
@@ -81,29 +106,7 @@
 			return closeState.closed;
 		},
 		async exchange(request) {
-			if (closeState.closed) {
-				throw createLinkLost(poolHost, 'the checkout had ended before');
-			}
-
-			pending++;
-			const response = await send(request);
-			const {answer, over} = response;
-			pending--;
-			onLoad?.(response);
-			if (over) {
-				// A pool host that was not reached may still be alive, with the transaction open.
-				end(true);
-				return state === SessionState.Idle ? DID_NOT_RUN : ROLLED_BACK;
-			}
-
-			if (!answer) {
-				closeState.close();
-				throw createLinkLost(poolHost, 'the pool host or the endpoint ended it');
-			}
-
-			state = answer.state;
-			onReceived();
-			return answer;
+			return request.command.kind === 'execute' ? throwUnexpectedAnswer(poolHost, 'execute') : exchange({...request, command: request.command});
 		},
 		async readStatus(request) {
 			return throwUnexpectedAnswer(poolHost, request.command.kind);
@@ -121,8 +124,7 @@
 		link,
 		// The pool host sets the values, since it knows which ones its connection has.
 		matches: () => true,
-		getName: getPreparedName,
-		adapt: pendingSession.set,
+		exchange,
 		release() {
 			if (single && turn > 0) {
 				closeState.close();
--- a/src/connection-sharing/remote-read.ts
+++ b/src/connection-sharing/remote-read.ts
@@ -1,7 +1,7 @@
-import type {EndpointLink, EndpointRequest} from '../links/endpoint-link.js';
+import type {EndpointLink} from '../links/endpoint-link.js';
 import {createLinkLost, throwUnexpectedAnswer} from '../links/link-errors.js';
 import type {AcquireRequest} from '../links/endpoint-pool.js';
-import {getPreparedName, type SessionLink} from '../links/link-session.js';
+import type {NeededSession, SessionLink, SessionRequest} from '../links/link-session.js';
 import type {UnreachableHosts} from '../membership/unreachable-hosts.js';
 import {isPeerError} from '../peers/peer-errors.js';
 import type {PeerCalls} from '../peers/peer-calls.js';
@@ -9,10 +9,10 @@
 import {AnswerCode, type EndpointAnswer} from '../statements/statement-answer.js';
 import {SessionState} from '../statements/statement.js';
 import type {Clock} from '../time/clock.js';
-import {CheckoutRefusal, type CheckoutExchange, type CheckoutLoad} from './checkout-calls.js';
+import {CheckoutRefusal, type CheckoutLoad} from './checkout-calls.js';
 import {allowForLostTime, createCheckoutRequest} from './checkout-opener.js';
 import {createCloseState} from './close-state.js';
-import {createPendingSession} from './pending-session.js';
+import {isKnownToEveryVersion, toNeededOnWire, toRequestOnWire} from './prepared-on-wire.js';
 import type {PoolHostWait} from './pool-host-wait.js';
 import {REFUSED_RETRY_DELAY_MS} from './single-place-acquire.js';
 import {TurnWait} from './turn-wait.js';
@@ -28,7 +28,7 @@
 	/** Returns the pool hosts to ask, in order. */
 	getPoolHosts(): readonly string[];
 	/** Runs the read on a connection of this host where no pool host answers; resolves with undefined where none came free. */
-	runOnOwn(needed: CheckoutExchange['needed'], request: EndpointRequest): Promise<EndpointAnswer | undefined>;
+	runOnOwn(request: SessionRequest, needed: NeededSession | undefined): Promise<EndpointAnswer | undefined>;
 	/** Called after each answer of the endpoint. */
 	onReceived(): void;
 	/** Called where the pool hosts do not reach the endpoint. */
@@ -58,7 +58,6 @@
 	const {endpointId, acquireRequest, peers, unreachable, clock, waitIds} = options;
 	const wait = options.wait ?? new TurnWait({peers, clock});
 	const closeState = createCloseState();
-	const pendingSession = createPendingSession();
 	let pending = 0;
 	/** Time for which the read has waited at pool hosts that failed or refused it, in milliseconds. */
 	let lostMs = 0;
@@ -67,17 +66,18 @@
 	const isWanted = () => !closeState.closed && acquireRequest.isWanted?.() !== false;
 
 	/** Runs the read at one pool host; resolves with undefined where that does not answer. A heartbeat distinguishes a slow endpoint from a failed pool host. */
-	const runAt = async (poolHost: string, neededNow: CheckoutExchange['needed'], request: EndpointRequest): Promise<Run | undefined> => {
+	const runAt = async (poolHost: string, request: SessionRequest, needed: NeededSession | undefined): Promise<Run | undefined> => {
 		const now = clock.now();
 		const waitMs = Math.max(1, wait.getWaitMs(acquireRequest.until, now));
+		const isKnown = isKnownToEveryVersion(request, needed?.prepared);
 		const checkoutRequest = createCheckoutRequest(endpointId, allowForLostTime(acquireRequest, lostMs), waitMs, now, waitIds?.next());
 		try {
-			const response = peers.call(poolHost, 'loan-run', {
+			const response = peers.call(poolHost, isKnown ? 'loan-run' : 'loan-run-shape', {
 				...checkoutRequest,
 				single: true,
 				epoch: acquireRequest.read?.epoch,
-				needed: neededNow,
-				request,
+				needed: needed && toNeededOnWire(needed),
+				request: toRequestOnWire(request, needed?.prepared),
 			}, RUN_TIMEOUT_MS);
 			const run = await wait.whenRun(poolHost, waitMs, response, isWanted);
 			if (run) {
@@ -102,16 +102,20 @@
 				throw err;
 			}
 
-			unreachable.add(poolHost, clock.now());
+			// A pool host of an earlier version refuses this one call and serves all others.
+			if (isKnown || err.sent) {
+				unreachable.add(poolHost, clock.now());
+			}
+
 			return undefined;
 		}
 	};
 
 	/** Asks each pool host once; resolves with the answer, else with the most transient reason of those that refused, or undefined where none gave one. */
-	const runAtAny = async (neededNow: CheckoutExchange['needed'], request: EndpointRequest): Promise<EndpointAnswer | CheckoutRefusal | undefined> => {
+	const runAtAny = async (request: SessionRequest, needed: NeededSession | undefined): Promise<EndpointAnswer | CheckoutRefusal | undefined> => {
 		let refusal: CheckoutRefusal | undefined;
 		for (const poolHost of options.getPoolHosts()) {
-			const run = await runAt(poolHost, neededNow, request);
+			const run = await runAt(poolHost, request, needed);
 			if (run && 'refused' in run && run.refused === CheckoutRefusal.Hopeless) {
 				if (run.queue) {
 					acquireRequest.onRefused?.(run.queue);
@@ -140,10 +144,9 @@
 		return refusal;
 	};
 
-	const runAnywhere = async (request: EndpointRequest): Promise<EndpointAnswer> => {
-		const neededNow = pendingSession.take();
+	const runAnywhere = async (request: SessionRequest, needed: NeededSession | undefined): Promise<EndpointAnswer> => {
 		do {
-			const run = await runAtAny(neededNow, request);
+			const run = await runAtAny(request, needed);
 			if (typeof run === 'object') {
 				return run;
 			}
@@ -157,7 +160,7 @@
 			}
 
 			if (run === undefined && (!waitIds || isWanted())) {
-				return await options.runOnOwn(neededNow, request) ?? DID_NOT_RUN;
+				return await options.runOnOwn(request, needed) ?? DID_NOT_RUN;
 			}
 
 			if (waitIds) {
@@ -169,6 +172,20 @@
 		return DID_NOT_RUN;
 	};
 
+	const exchange = async (request: SessionRequest, needed?: NeededSession): Promise<EndpointAnswer> => {
+		pending++;
+		try {
+			const answer = await runAnywhere(request, needed);
+			if (answer !== DID_NOT_RUN) {
+				options.onReceived();
+			}
+
+			return answer;
+		} finally {
+			pending--;
+		}
+	};
+
 	const link: EndpointLink = {
 		get pending() {
 			return pending;
@@ -177,17 +194,7 @@
 			return closeState.closed;
 		},
 		async exchange(request) {
-			pending++;
-			try {
-				const answer = await runAnywhere(request);
-				if (answer !== DID_NOT_RUN) {
-					options.onReceived();
-				}
-
-				return answer;
-			} finally {
-				pending--;
-			}
+			return request.command.kind === 'execute' ? throwUnexpectedAnswer(endpointId, 'execute') : exchange({...request, command: request.command});
 		},
 		async readStatus(request) {
 			return throwUnexpectedAnswer(endpointId, request.command.kind);
@@ -202,8 +209,7 @@
 		isSentAhead: true,
 		// The pool host sets the values, since it knows which ones its connection has.
 		matches: () => true,
-		getName: getPreparedName,
-		adapt: pendingSession.set,
+		exchange,
 	};
 }
 
--- a/src/connection-sharing/shared-pool.ts
+++ b/src/connection-sharing/shared-pool.ts
@@ -1,8 +1,8 @@
 import {createEndpointHealth, Suspicion, type EndpointHealth} from '../links/endpoint-health.js';
-import type {EndpointCommand, EndpointRequest, EndpointStatus} from '../links/endpoint-link.js';
+import type {EndpointCommand, EndpointStatus} from '../links/endpoint-link.js';
 import type {EndpointPool, AcquireRequest} from '../links/endpoint-pool.js';
 import {throwUnexpectedAnswer} from '../links/link-errors.js';
-import type {SessionLink} from '../links/link-session.js';
+import type {NeededSession, SessionLink, SessionRequest} from '../links/link-session.js';
 import type {UnreachableHosts} from '../membership/unreachable-hosts.js';
 import {isPeerError} from '../peers/peer-errors.js';
 import type {Peers} from '../peers/peers.js';
@@ -11,7 +11,7 @@
 import type {Clock} from '../time/clock.js';
 import {withinMs} from '../time/deadline.js';
 import type {RecordedLoadReports} from '../endpoint-load/load-reports.js';
-import {CheckoutRefusal, type CheckoutExchange, type CheckoutLoad} from './checkout-calls.js';
+import {CheckoutRefusal, type CheckoutLoad} from './checkout-calls.js';
 import {createCheckoutOpener, type CheckoutResult} from './checkout-opener.js';
 import type {HostWatch} from './host-watch.js';
 import {LeastLoadOrder} from './least-load-order.js';
@@ -209,15 +209,14 @@
 	};
 
 	/** Runs a read on a connection of this host; resolves with undefined where none came free. */
-	const runOnOwn = async (acquireRequest: AcquireRequest, needed: CheckoutExchange['needed'], request: EndpointRequest) => {
+	const runOnOwn = async (acquireRequest: AcquireRequest, request: SessionRequest, needed: NeededSession | undefined) => {
 		const own = await ownPool.acquire({...acquireRequest, until: Math.min(acquireRequest.until, clock.now() + OWN_WAIT_MS)});
 		if (!own) {
 			return undefined;
 		}
 
 		try {
-			own.adapt({values: new Map(needed?.values), prepared: needed?.prepared});
-			return await own.link.exchange(request);
+			return await own.exchange(request, needed);
 		} finally {
 			ownPool.release(own);
 		}
@@ -227,7 +226,7 @@
 		const sessionLink = createRemoteRead({
 			endpointId: entry.id, acquireRequest, peers, unreachable, clock, getPoolHosts: () => getRemotePoolHosts(acquireRequest.workspace), onReceived: noteReceived, onUnreachable: noteUnreachable,
 			wait, waitIds: scheduling?.waitIds, onResponse: noteResponse,
-			runOnOwn: async (needed, request) => runOnOwn(acquireRequest, needed, request),
+			runOnOwn: async (request, needed) => runOnOwn(acquireRequest, request, needed),
 		});
 		checkouts.set(sessionLink, {...sessionLink, release() {}}); // eslint-disable-line @typescript-eslint/no-empty-function
 		return sessionLink;
--- a/src/endpoint-load/service-times.ts
+++ b/src/endpoint-load/service-times.ts
@@ -14,7 +14,7 @@
 export type StatementKey = {
 	readonly group: string;
 	readonly database: string;
-	/** The prepared shape; undefined for a statement that is not prepared. */
+	/** Key of the prepared shape; undefined for a statement that is not prepared. */
 	readonly shape?: string;
 };
 
--- a/src/gateway/acquire-link.ts
+++ b/src/gateway/acquire-link.ts
@@ -54,7 +54,7 @@
 	readonly single?: boolean;
 	/** Whether it is for a single read, which may run more than once. */
 	readonly reads?: boolean;
-	/** Name of the prepared statement that it is for; undefined where the statement is not prepared or not known yet. */
+	/** Key of the prepared statement that it is for; undefined where the statement is not prepared or not known yet. */
 	readonly statement?: string;
 	/** Ids of endpoints that have been tried already. */
 	readonly excluded?: ReadonlySet<string>;
--- a/src/gateway/caller-session.ts
+++ b/src/gateway/caller-session.ts
@@ -1,6 +1,6 @@
 import type {RetryBudget} from '../retries/retry-budget.js';
-import {getPreparedName} from '../links/link-session.js';
 import type {Route} from '../routes/routing.js';
+import {getShapeKey} from '../statements/shape-key.js';
 import {
 	Access, SessionState, type IdentifiedStatement, type Statement,
 } from '../statements/statement.js';
@@ -190,7 +190,7 @@
 				until,
 				queueTimeout: createQueueTimeout(route),
 				single: true,
-				statement: shape.prepared && getPreparedName(shape.prepared),
+				statement: shape.prepared && getShapeKey(shape.prepared),
 				isWanted,
 				trace: newTrace(admission.workspace),
 			},
--- a/src/gateway/caller-transaction.ts
+++ b/src/gateway/caller-transaction.ts
@@ -115,10 +115,9 @@
 				continue;
 			}
 
-			candidate.sessionLink.adapt({values: req.memory.values});
 			const answer = await exchangeWithin(parts, candidate, {
 				id: beginId, command: {kind: 'begin', readOnly}, floor: candidate.floor,
-			}, {timeoutMs: until - clock.now()});
+			}, {timeoutMs: until - clock.now(), needed: {values: req.memory.values}});
 			if (answer?.end.kind === 'complete') {
 				return candidate;
 			}
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,10 +1,12 @@
 import type {StatementKey} from '../endpoint-load/service-times.js';
 import {LinkError} from '../links/link-errors.js';
 import type {EndpointRequest} from '../links/endpoint-link.js';
+import type {NeededSession, SessionRequest} from '../links/link-session.js';
 import {ObservedOutcome} from '../outliers/group-outliers.js';
 import {
 	type Access, SessionState, type PreparedShape, type Statement,
 } from '../statements/statement.js';
+import {getShapeKey} from '../statements/shape-key.js';
 import {AnswerCode, type EndpointAnswer} from '../statements/statement-answer.js';
 import {withinMs} from '../time/deadline.js';
 import type {GatewayParts} from './gateway-parts.js';
@@ -43,25 +45,25 @@
 }): Promise<EndpointAnswer | undefined> {
 	const {id, statement, floor, timeoutMs} = options;
 	const prepared = getShape(memory, statement)?.prepared;
-	acquired.sessionLink.adapt({values: memory.values, prepared});
-	const command = statement.kind === 'run'
-		? {kind: 'run', text: statement.text} as const
-		: {kind: 'execute', name: prepared ? acquired.sessionLink.getName(prepared) : statement.name, args: statement.args} as const;
+	const command = statement.kind === 'run' ? {kind: 'run', text: statement.text} as const : {kind: 'execute', args: statement.args} as const;
 	return exchangeWithin(parts, acquired, {id, command, floor}, {
 		timeoutMs,
-		statement: {group: acquired.endpoint.entry.group, database: memory.database, shape: prepared && acquired.sessionLink.getName(prepared)},
+		needed: {values: memory.values, prepared},
+		statement: {group: acquired.endpoint.entry.group, database: memory.database, shape: prepared && getShapeKey(prepared)},
 	});
 }
 
 /** How a request is sent. */
 export type ExchangeOptions = {
 	readonly timeoutMs: number;
+	/** What has to be set and prepared first; undefined for commit and rollback, which depend on neither. */
+	readonly needed?: NeededSession;
 	/** The statement that is sent; undefined for begin, commit and rollback. */
 	readonly statement?: StatementKey;
 };
 
 /** Sends a request. Resolves with the answer, or cuts the connection and resolves with undefined where no whole answer came in `timeoutMs` milliseconds. */
-export async function exchangeWithin(parts: GatewayParts, acquired: AcquiredLink, req: EndpointRequest, {timeoutMs, statement}: ExchangeOptions): Promise<EndpointAnswer | undefined> {
+export async function exchangeWithin(parts: GatewayParts, acquired: AcquiredLink, req: SessionRequest, {timeoutMs, needed, statement}: ExchangeOptions): Promise<EndpointAnswer | undefined> {
 	const {clock, elapsedClock, knowledge, primaryLeases, estimates} = parts;
 	const {lease, endpoint} = acquired;
 	const sentAt = clock.now();
@@ -71,7 +73,7 @@
 	let answer: EndpointAnswer | undefined;
 	let isReset = false;
 	try {
-		const bounded = await withinMs(clock, timeoutMs, acquired.sessionLink.link.exchange(req));
+		const bounded = await withinMs(clock, timeoutMs, acquired.sessionLink.exchange(req, needed));
 		answer = bounded.timedOut ? undefined : bounded.value;
 	} catch (err) {
 		if (!(err instanceof LinkError)) {
--- a/src/links/endpoint-link.ts
+++ b/src/links/endpoint-link.ts
@@ -32,12 +32,15 @@
 /** The commands of an endpoint. */
 export type EndpointCommand =
 	| {readonly kind: 'run'; readonly text: string}
-	| {readonly kind: 'execute'; readonly name: string; readonly args: string}
+	/** Runs the statement that was prepared under that name on this connection; `args` is undefined where no blank follows the name. */
+	| {readonly kind: 'execute'; readonly name: string; readonly args?: string}
 	| {readonly kind: 'begin'; readonly readOnly: boolean}
 	| {readonly kind: 'commit'}
 	| {readonly kind: 'rollback'}
 	| {readonly kind: 'set'; readonly name: string; readonly value: string}
 	| {readonly kind: 'prepare'; readonly name: string; readonly shape: PreparedShape}
+	/** Drops a prepared statement. */
+	| {readonly kind: 'close'; readonly name: string}
 	/** Clears session values and prepared names. */
 	| {readonly kind: 'reset'}
 	| {readonly kind: 'status'}
--- a/src/links/endpoint-pool.ts
+++ b/src/links/endpoint-pool.ts
@@ -24,7 +24,7 @@
 	readonly workspace?: string;
 	/** Weight of the workspace among those of one priority level, above 0 and at most 1; 1 where it is undefined. */
 	readonly weight?: number;
-	/** Name of the prepared statement that the connection is for, where it is known; its usual time is expected of the request. */
+	/** Key of the prepared statement that the connection is for, where it is known; its usual time is expected of the request. */
 	readonly statement?: string;
 	/** Whether the connection serves one statement that leaves no transaction open. */
 	readonly single: boolean;
--- a/src/links/link-session.ts
+++ b/src/links/link-session.ts
@@ -1,15 +1,26 @@
-import {Access, type PreparedShape} from '../statements/statement.js';
-import type {AnswerCode} from '../statements/statement-answer.js';
-import type {EndpointLink, EndpointRequest} from './endpoint-link.js';
+import type {AnswerCode, EndpointAnswer} from '../statements/statement-answer.js';
+import type {PreparedShape} from '../statements/statement.js';
+import type {EndpointCommand, EndpointLink, EndpointRequest} from './endpoint-link.js';
+import {createLinkLost} from './link-errors.js';
+import {createPreparedNames} from './prepared-names.js';
 
-/** The session values and the prepared statement that a statement needs on its connection. */
+/** The session values and the prepared statement that a request needs on its connection. */
 export type NeededSession = {
 	/** Exactly these values must be set: a value of another caller's session must not be visible. */
 	readonly values: ReadonlyMap<string, string>;
-	/** A statement that must be prepared on the connection. */
+	/** A statement that must be prepared on the connection; an `execute` runs it. */
 	readonly prepared?: PreparedShape;
 };
 
+/** A command on a connection whose session gives the prepared statement its name. */
+export type SessionCommand =
+	| Exclude<EndpointCommand, {readonly kind: 'execute'}>
+	/** Runs the prepared statement that is needed. */
+	| {readonly kind: 'execute'; readonly args?: string};
+
+/** A request on such a connection. */
+export type SessionRequest = Omit<EndpointRequest, 'command'> & {readonly command: SessionCommand};
+
 /** A connection to an endpoint, with the session values and prepared statements that are set on it. */
 export type SessionLink = {
 	readonly link: EndpointLink;
@@ -19,19 +30,19 @@
 	readonly isSentAhead?: boolean;
 	/** Returns whether exactly these values are set, so that the connection can be used without a change. */
 	matches(values: ReadonlyMap<string, string>): boolean;
-	/** Sends the commands that set up the session for the next statement; the endpoint answers in order, so the statement may follow at once. */
-	adapt(needed: NeededSession): void;
-	/** Returns the name under which a shape is prepared on connections: the same for all callers, whose own names may collide. */
-	getName(shape: PreparedShape): string;
+	/**
+	 * Sets up the session as it is needed, sends the request behind that without waiting, and resolves with its answer. Without `needed` the session is left as it is.
+	 *
+	 * Rejects with LinkLostError where the connection ends before the whole answer, and where the endpoint refused to set up the session: the request ran under values or
+	 * statements which its caller had not set.
+	 */
+	exchange(req: SessionRequest, needed?: NeededSession): Promise<EndpointAnswer>;
 };
 
-/** Returns the name under which a shape is prepared; it is the same on every host, since hosts share connections. */
-export function getPreparedName({access, shape}: PreparedShape): string {
-	return `${access === Access.Read ? 'r' : 'w'}_${shape}`;
-}
-
 /** Options of the session of a connection. */
 export type SessionLinkOptions = {
+	/** `ip:port` of the endpoint, for errors. */
+	readonly address: string;
 	/** Workspace for which the connection was opened; undefined where it was opened for none. */
 	readonly workspace?: string;
 	/** Called where the endpoint refused a command that sets up the session, with the command's kind. */
@@ -39,54 +50,91 @@
 };
 
 /** Creates the session of a new connection. */
-export function createSessionLink(link: EndpointLink, {workspace, onRefused}: SessionLinkOptions = {}): SessionLink {
+export function createSessionLink(link: EndpointLink, {address, workspace, onRefused}: SessionLinkOptions): SessionLink {
 	let values = new Map<string, string>();
-	const prepared = new Set<string>();
+	const prepared = createPreparedNames();
+	let isRefused = false;
 
-	/**
-	 * Guards against a statement that runs under values which its caller never set: where the endpoint does not accept a value, or
-	 * a statement to prepare, the connection is cut before its next answer can be used.
-	 */
-	const send = (command: EndpointRequest['command']) => {
-		void link.exchange({command}).then(answer => {
-			if (answer.end.kind === 'error') {
-				onRefused?.(command.kind, answer.end.code);
+	/** Sends a command of the session's own. Where the endpoint refuses it, cuts the connection before the next answer on it can be used. */
+	const send = (command: EndpointCommand, onDone?: () => void) => {
+		void link.exchange({command}).then(({end}) => {
+			if (end.kind === 'error') {
+				isRefused = true;
+				onRefused?.(command.kind, end.code);
 				link.cut();
+				return;
 			}
+
+			onDone?.();
 		}, () => undefined);
 	};
 
-	const reset = () => {
-		send({kind: 'reset'});
-		values = new Map();
-		prepared.clear();
+	const setValues = (needed: ReadonlyMap<string, string>) => {
+		if ([...values.keys()].some(name => !needed.has(name))) {
+			send({kind: 'reset'});
+			values = new Map();
+			prepared.clear();
+		}
+
+		for (const [name, value] of needed) {
+			if (values.get(name) !== value) {
+				send({kind: 'set', name, value});
+				values.set(name, value);
+			}
+		}
 	};
 
-	const sessionLink: SessionLink = {
+	/** Prepares a shape where it is not prepared, and returns its name. */
+	const prepare = (shape: PreparedShape): string => {
+		const found = prepared.getName(shape);
+		if (found !== undefined) {
+			return found;
+		}
+
+		const added = prepared.add(shape);
+		if (!added) {
+			link.cut();
+			throw createLinkLost(address, 'no name is left for a prepared statement');
+		}
+
+		const {name, evicted} = added;
+		if (evicted) {
+			send({kind: 'close', name: evicted.name}, evicted.confirmClosed);
+		}
+
+		send({kind: 'prepare', name, shape});
+		return name;
+	};
+
+	/** Gives the request the name of the prepared statement that it runs. */
+	const nameRequest = ({command, ...rest}: SessionRequest, shape: PreparedShape | undefined): EndpointRequest => {
+		if (command.kind !== 'execute') {
+			return {...rest, command};
+		}
+
+		if (!shape) {
+			throw createLinkLost(address, 'a request runs a statement that is not given');
+		}
+
+		return {...rest, command: {kind: 'execute', name: prepare(shape), args: command.args}};
+	};
+
+	return {
 		link,
 		workspace,
 		matches: needed => needed.size === values.size && [...needed].every(([name, value]) => values.get(name) === value),
-		getName: getPreparedName,
-		adapt(needed) {
-			if ([...values.keys()].some(name => !needed.values.has(name))) {
-				reset();
+		async exchange(req, needed) {
+			if (needed) {
+				setValues(needed.values);
 			}
 
-			for (const [name, value] of needed.values) {
-				if (values.get(name) !== value) {
-					send({kind: 'set', name, value});
-					values.set(name, value);
-				}
+			const answer = await link.exchange(nameRequest(req, needed?.prepared));
+			// The endpoint may answer a refused command and the request at once, before the connection could be cut.
+			if (isRefused) {
+				throw createLinkLost(address, 'the endpoint refused to set up the session');
 			}
 
-			if (needed.prepared) {
-				const name = getPreparedName(needed.prepared);
-				if (!prepared.has(name)) {
-					send({kind: 'prepare', name, shape: needed.prepared});
-					prepared.add(name);
-				}
-			}
+			return answer;
 		},
 	};
-	return sessionLink;
 }
--- a/src/links/pool-connections.ts
+++ b/src/links/pool-connections.ts
@@ -147,7 +147,7 @@
 		try {
 			const link: EndpointLink = await openCheckedLink(options, workspace, timeoutMs, meter?.listener ?? listener);
 			opening.link = link;
-			const sessionLink = createSessionLink(link, {workspace, onRefused: noteSetupRefused});
+			const sessionLink = createSessionLink(link, {address: target.address, workspace, onRefused: noteSetupRefused});
 			all.add(sessionLink);
 			if (meter) {
 				meters.set(sessionLink, meter);
--- a/src/platform/caller-lines.ts
+++ b/src/platform/caller-lines.ts
@@ -75,7 +75,8 @@
 
 		case 'EXECUTE': {
 			const [name, args] = splitFirstWord(rest);
-			return name === '' ? MALFORMED : {kind: 'execute', name, args};
+			const isFollowed = name.length < rest.length;
+			return name === '' ? MALFORMED : {kind: 'execute', name, ...(isFollowed && {args})};
 		}
 
 		case 'CLOSE': {
--- a/src/platform/endpoint-lines.ts
+++ b/src/platform/endpoint-lines.ts
@@ -28,7 +28,7 @@
 		}
 
 		case 'execute': {
-			return command.args === '' ? `EXECUTE ${command.name}` : `EXECUTE ${command.name} ${command.args}`;
+			return command.args === undefined ? `EXECUTE ${command.name}` : `EXECUTE ${command.name} ${command.args}`;
 		}
 
 		case 'begin': {
@@ -43,6 +43,10 @@
 			return `PARSE ${command.name} ${command.shape.access === Access.Read ? 'READ' : 'WRITE'} ${command.shape.shape}`;
 		}
 
+		case 'close': {
+			return `CLOSE ${command.name}`;
+		}
+
 		case 'fence': {
 			return `PAUSE ${command.term}`;
 		}
--- a/src/regions/counted-opener.ts
+++ b/src/regions/counted-opener.ts
@@ -70,7 +70,7 @@
 		return FRAMING_BYTES + command.text.length;
 	}
 
-	return command.kind === 'execute' ? FRAMING_BYTES + command.name.length + command.args.length : FRAMING_BYTES;
+	return command.kind === 'execute' ? FRAMING_BYTES + command.name.length + (command.args?.length ?? 0) : FRAMING_BYTES;
 }
 
 function getAnswerBytes({rows}: EndpointAnswer): number {
--- a/src/stand-ins/plain-group/line-server.ts
+++ b/src/stand-ins/plain-group/line-server.ts
@@ -133,7 +133,10 @@
 			return {kind: 'run', text: statement.text};
 		}
 
-		case 'forget':
+		case 'forget': {
+			return {kind: 'close', name: statement.name};
+		}
+
 		case 'malformed': {
 			return undefined;
 		}
--- a/src/stand-ins/plain-group/plain-server.ts
+++ b/src/stand-ins/plain-group/plain-server.ts
@@ -204,7 +204,7 @@
 
 			case 'execute': {
 				const shape = session.prepared.get(command.name);
-				return shape ? run(session, id, `${shape.access === 'read' ? 'READ' : 'WRITE'} ${command.args}`) : refuse(session, AnswerCode.UnknownStatement);
+				return shape ? run(session, id, `${shape.access === 'read' ? 'READ' : 'WRITE'} ${command.args ?? ''}`) : refuse(session, AnswerCode.UnknownStatement);
 			}
 
 			case 'begin': {
@@ -235,6 +235,11 @@
 				return complete(session);
 			}
 
+			case 'close': {
+				session.prepared.delete(command.name);
+				return complete(session);
+			}
+
 			case 'reset': {
 				session.values.clear();
 				session.prepared.clear();
@@ -282,7 +287,7 @@
 		async execute(session, req) {
 			const {server, transaction} = session;
 			const {command} = req;
-			const text = command.kind === 'run' ? command.text : (command.kind === 'execute' ? command.args : undefined);
+			const text = command.kind === 'run' ? command.text : (command.kind === 'execute' ? command.args ?? '' : undefined);
 			if (text !== undefined || command.kind === 'commit') {
 				await server.slots?.acquire();
 				await clock.sleep(getServiceMs(text ?? '') + server.slowMs);
--- a/src/statements/statement.ts
+++ b/src/statements/statement.ts
@@ -14,8 +14,8 @@
 	| {readonly kind: 'rollback'}
 	/** A read or a write whose text is sent to an endpoint unchanged. */
 	| {readonly kind: 'run'; readonly access: Access; readonly text: string}
-	/** Runs a prepared statement; its arguments are sent to the endpoint unchanged. */
-	| {readonly kind: 'execute'; readonly name: string; readonly args: string}
+	/** Runs a prepared statement; its arguments are sent to the endpoint unchanged. They are undefined where no blank follows the name. */
+	| {readonly kind: 'execute'; readonly name: string; readonly args?: string}
 	| {readonly kind: 'set'; readonly name: string; readonly value: string}
 	| {readonly kind: 'prepare'; readonly name: string; readonly shape: PreparedShape}
 	| {readonly kind: 'forget'; readonly name: string}
--- a/tests/connection-sharing/checkout-server-tests.ts
+++ b/tests/connection-sharing/checkout-server-tests.ts
@@ -1,8 +1,8 @@
 import {expect} from 'chai';
 import type {PrimaryLease} from '../../src/leadership/primary-leases.js';
-import type {EndpointRequest} from '../../src/links/endpoint-link.js';
+import type {EndpointLink, EndpointRequest} from '../../src/links/endpoint-link.js';
 import {createLinkLost} from '../../src/links/link-errors.js';
-import type {SessionLink} from '../../src/links/link-session.js';
+import {createSessionLink, type SessionLink} from '../../src/links/link-session.js';
 import {createCheckoutServer, type CheckoutServerOptions} from '../../src/connection-sharing/checkout-server.js';
 import type {CheckoutResponse, CheckoutRequest} from '../../src/connection-sharing/checkout-calls.js';
 import type {PeerCalls} from '../../src/peers/peer-calls.js';
@@ -90,7 +90,7 @@
 			return closed;
 		},
 		give() {
-			given.resolve({link, adapt() {}} as unknown as SessionLink); // eslint-disable-line @typescript-eslint/no-empty-function
+			given.resolve(createSessionLink(link as unknown as EndpointLink, {address: 'i-1:5432'}));
 		},
 		setLease(epoch: number) {
 			lease = {epoch, primaryId: 'i-1'};
--- a/tests/links/link-session-tests.ts
+++ b/tests/links/link-session-tests.ts
@@ -20,6 +20,7 @@
 	};
 	const refusals: string[] = [];
 	const sessionLink = createSessionLink(link as unknown as EndpointLink, {
+		address: '10.1.0.9:8080',
 		onRefused(kind, code) {
 			refusals.push(`${kind} ${code}`);
 		},
@@ -29,17 +30,20 @@
 	};
 }
 
+const STATEMENT = {id: 'c1', command: {kind: 'run', text: 'READ a'}} as const;
+const EXECUTE = {id: 'c1', command: {kind: 'execute', args: '7'}} as const;
+
 const values = (entries: Record<string, string>) => new Map(Object.entries(entries));
 
 describe('adapting a connection to a session', () => {
 	function doTest(name: string, sessions: ReadonlyArray<Record<string, string>>, expected: readonly string[]) {
-		it(name, () => {
+		it(name, async () => {
 			const {sent, sessionLink} = createRecordingLink();
 			for (const session of sessions) {
-				sessionLink.adapt({values: values(session)});
+				await sessionLink.exchange(STATEMENT, {values: values(session)});
 			}
 
-			expect(sent).to.deep.equal(expected);
+			expect(sent.filter(text => text !== 'QUERY c1 READ a')).to.deep.equal(expected);
 		});
 	}
 
@@ -48,21 +52,27 @@
 	doTest('sets values that differ', [{a: '1'}, {a: '2'}], ['SET a 1', 'SET a 2']);
 	doTest('clears values that another session set', [{a: '1', b: '2'}, {b: '2'}], ['SET a 1', 'SET b 2', 'RESET', 'SET b 2']);
 
-	it('prepares a shape once, under one name for all, and again after a reset', () => {
+	it('prepares a shape once, and again after a reset', async () => {
 		const {sent, sessionLink} = createRecordingLink();
 		const prepared = {access: 'read', shape: 'q1'} as const;
-		sessionLink.adapt({values: values({a: '1'}), prepared});
-		sessionLink.adapt({values: values({a: '1'}), prepared});
-		sessionLink.adapt({values: values({}), prepared});
-		expect(sent).to.deep.equal(['SET a 1', 'PARSE r_q1 READ q1', 'RESET', 'PARSE r_q1 READ q1']);
+		await sessionLink.exchange(EXECUTE, {values: values({a: '1'}), prepared});
+		await sessionLink.exchange(EXECUTE, {values: values({a: '1'}), prepared});
+		await sessionLink.exchange(EXECUTE, {values: values({}), prepared});
+		expect(sent).to.deep.equal([
+			'SET a 1',
+			'PARSE a READ q1',
+			'QUERY c1 EXECUTE a 7',
+			'QUERY c1 EXECUTE a 7',
+			'RESET',
+			'PARSE a READ q1',
+			'QUERY c1 EXECUTE a 7',
+		]);
 	});
 
-	/** The endpoint refuses a value. The statement that follows would run without it, and its caller would take the rows for correct. */
-	it('cuts a connection whose endpoint refuses a value', async () => {
+	/** The endpoint refuses a value. The statement that follows runs without it, and its caller would take the rows for correct. */
+	it('cuts a connection whose endpoint refuses a value, and returns no answer of it', async () => {
 		const {link, sessionLink, refusals} = createRecordingLink('SET a 1');
-		sessionLink.adapt({values: values({a: '1'})});
-		await Promise.resolve();
-		await Promise.resolve();
-		expect([link.isCut, refusals]).to.deep.equal([true, ['set failed']]);
+		const outcome = await sessionLink.exchange(STATEMENT, {values: values({a: '1'})}).catch((err: unknown) => (err as Error).name);
+		expect([outcome, link.isCut, refusals]).to.deep.equal(['LinkLostError', true, ['set failed']]);
 	});
 });
--- /dev/null
+++ b/tests/links/prepared-names-tests.ts
@@ -0,0 +1,106 @@
+import process from 'node:process';
+import {expect} from 'chai';
+import * as fc from 'fast-check';
+import {createSessionLink} from '../../src/links/link-session.js';
+import {MAX_PREPARED} from '../../src/links/prepared-names.js';
+import {formatRequest} from '../../src/platform/endpoint-lines.js';
+import {parseCallerLine} from '../../src/platform/caller-lines.js';
+import {MAX_LINE_BYTES} from '../../src/platform/line-reader.js';
+import {getShapeKey} from '../../src/statements/shape-key.js';
+import {Access, type PreparedShape} from '../../src/statements/statement.js';
+import {createLineEndpoint} from './line-endpoint.js';
+
+const NO_VALUES = new Map<string, string>();
+
+function createBench() {
+	const endpoint = createLineEndpoint();
+	const sessionLink = createSessionLink(endpoint.link, {address: '10.1.0.9:8080'});
+	return {
+		endpoint,
+		sessionLink,
+		execute: async (prepared: PreparedShape, args?: string) => sessionLink.exchange({id: 'c1', command: {kind: 'execute', args}}, {values: NO_VALUES, prepared}),
+	};
+}
+
+const writeShape = (shape: string): PreparedShape => ({access: Access.Write, shape});
+
+/** Words of the protocol, names that a connection gives, blanks, and any bytes. */
+const wordOrByte = fc.oneof(
+	fc.constantFrom('WRITE', 'READ', 'qf', 'q1d', 'a', 'b', 'w_qf', 'r_q1', ' ', '  ', '\t', '\n', '\r', '-', '\0', '\u00FF'),
+	fc.integer({min: 0, max: 255}).map(byte => String.fromCodePoint(byte)),
+);
+const text = fc.array(wordOrByte, {minLength: 1, maxLength: 8}).map(parts => parts.join('')).filter(joined => !joined.includes('\r\n'));
+
+describe('prepared statements on a connection', () => {
+	/** Two callers share a connection: the name made of one's shape was cut at a blank and became the name of the other's. */
+	it('run the shape and arguments of their own caller, whatever bytes these hold', async () => {
+		await fc.assert(fc.asyncProperty(
+			fc.array(fc.record({
+				access: fc.constantFrom(Access.Read, Access.Write), shape: text, args: fc.option(fc.oneof(text, fc.constant('')), {nil: undefined}),
+			}), {minLength: 1, maxLength: 12}),
+			async statements => {
+				const {endpoint, execute} = createBench();
+				for (const {args, ...prepared} of statements) {
+					await execute(prepared, args);
+				}
+
+				expect(endpoint.executed).to.deep.equal(statements.map(({access, shape, args}) => ({
+					id: 'c1', access: access === Access.Read ? 'READ' : 'WRITE', shape, args,
+				})));
+			},
+		), {seed: 66, numRuns: Number(process.env.PROPERTY_RUNS ?? 300)});
+	});
+
+	/** Names that only grow would fill the memory of the endpoint and of this host with shapes that nobody uses any more. */
+	it('are bounded, with those used least recently closed at the endpoint', async () => {
+		const {endpoint, execute} = createBench();
+		for (let i = 0; i < 3 * MAX_PREPARED; i++) {
+			await execute(writeShape(`q${i}`), '1a4');
+			await execute(writeShape('often used'), '1a4');
+		}
+
+		expect(endpoint.executed.map(({shape}) => shape)).to.deep.equal(Array.from({length: 3 * MAX_PREPARED}, (_, i) => [`q${i}`, 'often used']).flat());
+		expect(endpoint.names.size).to.equal(MAX_PREPARED);
+		expect(endpoint.lines.filter(line => line.includes('often used'))).to.have.length(1);
+	});
+
+	/** A statement that the endpoint did not close would still run under a name that was given to another shape. */
+	it('are cut off with their connection where the endpoint refuses to close one', async () => {
+		const {endpoint, execute} = createBench();
+		endpoint.refuses = line => line.includes('CLOSE');
+		for (let i = 0; i < MAX_PREPARED; i++) {
+			await execute(writeShape(`q${i}`));
+		}
+
+		const outcome = await execute(writeShape('one more')).catch((err: unknown) => (err as Error).name);
+		expect([outcome, endpoint.link.closed]).to.deep.equal(['LinkLostError', true]);
+	});
+
+	/** Names that hold the shape made a request of nearly the maximum size too long for the endpoint. */
+	it('take no more bytes than the caller sent', async () => {
+		const {endpoint, execute} = createBench();
+		const shape = 'q WRITE '.repeat(20);
+		const start = 'QUERY c1 EXECUTE s ';
+		await execute(writeShape(shape), 'x'.repeat(MAX_LINE_BYTES - start.length));
+		expect(Math.max(...endpoint.lines.map(line => line.length))).to.equal(MAX_LINE_BYTES);
+	});
+
+	it('keep a blank before empty arguments', () => {
+		for (const line of ['QUERY c1 EXECUTE s', 'QUERY c1 EXECUTE s ', 'QUERY c1 EXECUTE s  ']) {
+			const message = parseCallerLine(line);
+			const command = message.kind === 'statement' && message.statement.kind === 'execute' ? message.statement : undefined;
+			expect(formatRequest({id: 'c1', command: command!})).to.equal(`${line}\r\n`);
+		}
+	});
+});
+
+describe('the key of a prepared shape', () => {
+	/** Two shapes under one key would run in each other's place. */
+	it('differs where the shapes differ, and has a bounded length', () => {
+		const long = 'q'.repeat(1000);
+		const shapes = ['q', ' q', 'q ', 'w_q', '\u00E9', '\u00C3\u00A9', long, `${long} `, `${long}\u00E9`, `${long}\u00C3\u00A9`];
+		const keys = shapes.flatMap(shape => [getShapeKey({access: Access.Read, shape}), getShapeKey({access: Access.Write, shape})]);
+		expect(new Set(keys).size).to.equal(2 * shapes.length);
+		expect(Math.max(...keys.map(key => key.length))).to.be.at.most(66);
+	});
+});
--- a/tests/platform/caller-lines-tests.ts
+++ b/tests/platform/caller-lines-tests.ts
@@ -34,6 +34,8 @@
 	doStatement('SET zone a b', {kind: 'set', name: 'zone', value: 'a b'});
 	doStatement('PARSE s1 WRITE q2c', {kind: 'prepare', name: 's1', shape: {access: 'write', shape: 'q2c'}});
 	doStatement('PARSE s1 q2c', {kind: 'malformed'});
+	doStatement('EXECUTE s1', {kind: 'execute', name: 's1'});
+	doStatement('EXECUTE s1 ', {kind: 'execute', name: 's1', args: ''});
 	doStatement('EXECUTE s1 1a4 data with blanks', {kind: 'execute', name: 's1', args: '1a4 data with blanks'});
 	doStatement('CLOSE s1', {kind: 'forget', name: 's1'});
 	// Callers may not state a minimum log position, nor send the commands that only the proxy sends.
--- a/tests/platform/endpoint-lines-tests.ts
+++ b/tests/platform/endpoint-lines-tests.ts
@@ -13,7 +13,9 @@
 	doTest('QUERY c1 AFTER 3.1207 READ 1a4', {id: 'c1', command: {kind: 'run', text: 'READ 1a4'}, floor: {term: 3, position: 1207}});
 	doTest('QUERY c1 AFTER 3.1207 BEGIN READ', {id: 'c1', command: {kind: 'begin', readOnly: true}, floor: {term: 3, position: 1207}});
 	doTest('QUERY c1 EXECUTE w_q2c 1a4 data', {id: 'c1', command: {kind: 'execute', name: 'w_q2c', args: '1a4 data'}});
-	doTest('QUERY c1 EXECUTE w_q2c', {id: 'c1', command: {kind: 'execute', name: 'w_q2c', args: ''}});
+	doTest('QUERY c1 EXECUTE w_q2c', {id: 'c1', command: {kind: 'execute', name: 'w_q2c'}});
+	doTest('QUERY c1 EXECUTE w_q2c ', {id: 'c1', command: {kind: 'execute', name: 'w_q2c', args: ''}});
+	doTest('QUERY - CLOSE a', {command: {kind: 'close', name: 'a'}});
 	doTest('QUERY - PARSE r_q READ q', {command: {kind: 'prepare', name: 'r_q', shape: {access: 'read', shape: 'q'}}});
 	doTest('QUERY - SET a b c', {command: {kind: 'set', name: 'a', value: 'b c'}});
 	doTest('QUERY - STATUS', {command: {kind: 'status'}});
