Bound what a caller's session holds

What callers saw: nothing yet. A session kept every prepared statement and every value for as long as it lasted, however many and however large, so one caller could take a host over its memory limit.

--- a/src/gateway/caller-session.ts
+++ b/src/gateway/caller-session.ts
@@ -20,7 +20,9 @@
 import {createQueueTimeout} from './queue-timeout.js';
 import {runRead} from './run-read.js';
 import {runWrite} from './run-write.js';
-import {createSessionMemory, rememberStatement} from './session-memory.js';
+import {
+	createSessionMemory, MAX_SESSION_BYTES, MAX_SESSION_ENTRIES, rememberStatement,
+} from './session-memory.js';
 import {SessionPhase} from './session-phase.js';
 import {createStatementTrace} from './statement-trace.js';
 import {DONE, refuse, type StatementResult} from './statement-result.js';
@@ -58,6 +60,9 @@
 /** Fingerprint of the key of a session that is not open yet. */
 const NO_KEY = getFingerprint('');
 
+/** Answer to a session value or a prepared statement for which the session has no room. */
+const SESSION_FULL = refuse(AnswerCode.TooLarge, `a session holds at most ${MAX_SESSION_ENTRIES} prepared statements and values of each kind, and ${MAX_SESSION_BYTES} bytes; nothing was set or prepared`);
+
 /** Statements that prepare for a later one; a draining session stays open after them. */
 const SETUP_KINDS: ReadonlySet<Statement['kind']> = new Set(['set', 'prepare', 'forget']);
 
@@ -253,8 +258,7 @@
 			case 'set':
 			case 'prepare':
 			case 'forget': {
-				rememberStatement(memory, statement);
-				return DONE;
+				return rememberStatement(memory, statement) ? DONE : SESSION_FULL;
 			}
 		}
 	};
--- a/src/gateway/session-memory.ts
+++ b/src/gateway/session-memory.ts
@@ -22,21 +22,55 @@
 	};
 }
 
-/** Records a session value or prepared statement that a caller set, prepared or dropped. */
-export function rememberStatement(memory: SessionMemory, statement: Extract<Statement, {kind: 'set' | 'prepare' | 'forget'}>): void {
+/** Maximum number of prepared statements in a session, and of session values. */
+export const MAX_SESSION_ENTRIES = 500;
+
+/** Maximum size of the names, values and shapes of a session together, in bytes: that of two messages, so that a single one always fits. */
+export const MAX_SESSION_BYTES = 2_097_152;
+
+/**
+ * Records a session value or prepared statement that a caller set, prepared or dropped. Returns false, and records nothing, where the session would hold too much.
+ *
+ * Guards against a caller that fills the memory of a host with a session that it never uses.
+ */
+export function rememberStatement(memory: SessionMemory, statement: Extract<Statement, {kind: 'set' | 'prepare' | 'forget'}>): boolean {
 	switch (statement.kind) {
 		case 'set': {
-			memory.values.set(statement.name, statement.value);
-			return;
+			return remember(memory, memory.values, statement.name, statement.value);
 		}
 
 		case 'prepare': {
-			memory.prepared.set(statement.name, statement.shape);
-			return;
+			return remember(memory, memory.prepared, statement.name, statement.shape);
 		}
 
 		case 'forget': {
 			memory.prepared.delete(statement.name);
+			return true;
 		}
 	}
 }
+
+function remember<T extends string | PreparedShape>(memory: SessionMemory, entries: Map<string, T>, name: string, entry: T): boolean {
+	const previous = entries.get(name);
+	const count = entries.size + (previous === undefined ? 1 : 0);
+	const bytes = getBytes(memory) - (previous === undefined ? 0 : getEntryBytes(name, previous)) + getEntryBytes(name, entry);
+	if (count > MAX_SESSION_ENTRIES || bytes > MAX_SESSION_BYTES) {
+		return false;
+	}
+
+	entries.set(name, entry);
+	return true;
+}
+
+function getBytes({values, prepared}: SessionMemory): number {
+	let bytes = 0;
+	for (const [name, entry] of [...values, ...prepared]) {
+		bytes += getEntryBytes(name, entry);
+	}
+
+	return bytes;
+}
+
+function getEntryBytes(name: string, entry: string | PreparedShape): number {
+	return name.length + (typeof entry === 'string' ? entry.length : entry.shape.length);
+}
--- a/src/statements/statement-answer.ts
+++ b/src/statements/statement-answer.ts
@@ -27,7 +27,7 @@
 	Unauthenticated: 'unauthenticated',
 	/** The workspace has used up its rate limit; nothing ran. */
 	RateLimited: 'rate-limited',
-	/** The message is over the size limit. */
+	/** The message, what an endpoint would receive for it, or what it would add to its session is over a size limit; nothing ran. */
 	TooLarge: 'too-large',
 	/** The text cannot be parsed, or is not allowed in this state. */
 	Malformed: 'malformed',
