Refuse a read that is over the size limit with its log position, before it is sent

What callers saw: a read of nearly 1 MiB that a replica may serve was sent with the log position before it, which took it over the limit of a message. The endpoint ended the connection, the read was sent to the next one, and so on.

The connection now answers such a request as too large without sending it.

--- a/src/gateway/caller-session.ts
+++ b/src/gateway/caller-session.ts
@@ -61,7 +61,8 @@
 const NO_KEY = getFingerprint('');
 
 /** Answer to a session value or a prepared statement for which the session has no room. */
-const SESSION_FULL = refuse(AnswerCode.TooLarge, `a session holds at most ${MAX_SESSION_ENTRIES} prepared statements and values of each kind, and ${MAX_SESSION_BYTES} bytes; nothing was set or prepared`);
+const SESSION_FULL_REASON = `a session holds at most ${MAX_SESSION_ENTRIES} prepared statements, ${MAX_SESSION_ENTRIES} values and ${MAX_SESSION_BYTES} bytes; nothing was set or prepared`;
+const SESSION_FULL = refuse(AnswerCode.TooLarge, SESSION_FULL_REASON);
 
 /** Statements that prepare for a later one; a draining session stays open after them. */
 const SETUP_KINDS: ReadonlySet<Statement['kind']> = new Set(['set', 'prepare', 'forget']);
--- a/src/platform/line-reader.ts
+++ b/src/platform/line-reader.ts
@@ -1,7 +1,8 @@
 /** Maximum size of a message, in bytes: the protocol's limit of 1 MiB. */
 export const MAX_LINE_BYTES = 1_048_576;
 
-const LINE_END = '\r\n';
+/** The end of a line, which does not count towards its size. */
+export const LINE_END = '\r\n';
 
 /** Splits a stream of text into lines. */
 export type LineReader = {
--- a/src/platform/tcp-link-opener.ts
+++ b/src/platform/tcp-link-opener.ts
@@ -3,12 +3,15 @@
 	EndpointLink, EndpointRequest, LinkListener, LinkOpener, LinkTarget,
 } from '../links/endpoint-link.js';
 import {createLinkLost, createLinkRefused, throwUnexpectedAnswer} from '../links/link-errors.js';
-import {isOverloaded, type AnswerEnd, type EndpointAnswer} from '../statements/statement-answer.js';
+import {SessionState} from '../statements/statement.js';
+import {
+	AnswerCode, isOverloaded, type AnswerEnd, type EndpointAnswer,
+} from '../statements/statement-answer.js';
 import type {LogPosition} from '../terms/log-position.js';
 import {withinMs} from '../time/deadline.js';
 import type {Clock} from '../time/clock.js';
 import {formatRequest, formatStartup, parseStatusRow} from './endpoint-lines.js';
-import {createLineReader} from './line-reader.js';
+import {createLineReader, LINE_END, MAX_LINE_BYTES} from './line-reader.js';
 import {parseCode, parseState} from './wire-codes.js';
 import {parsePosition} from './position-text.js';
 
@@ -58,6 +61,7 @@
 	let firstPosition: LogPosition | undefined;
 	let rows: string[] = [];
 	let end: AnswerEnd | undefined;
+	let lastState: SessionState = SessionState.Idle;
 
 	const failLink = (reason: string, cause?: unknown) => {
 		if (closed) {
@@ -95,6 +99,7 @@
 		};
 		rows = [];
 		end = undefined;
+		lastState = state;
 		listener.onAnswered(isOverloaded(answer));
 		waiter.resolve(answer);
 	};
@@ -128,10 +133,15 @@
 				throw createLinkLost(address, 'it had ended before');
 			}
 
+			const line = formatRequest(req);
+			if (line.length > MAX_LINE_BYTES + LINE_END.length) {
+				return createTooLarge(lastState, line.length);
+			}
+
 			listener.onSent();
 			return new Promise((resolve, reject) => {
 				waiters.push({resolve, reject});
-				socket.write(formatRequest(req), 'latin1');
+				socket.write(line, 'latin1');
 			});
 		},
 		async readStatus(req: EndpointRequest) {
@@ -199,6 +209,13 @@
 /** How long a closed link may take to end, in milliseconds; endpoints wait as long for a peer that does not respond. */
 const CLOSE_TIMEOUT_MS = 3000;
 
+/** Creates the answer to a request that is not sent: with the log position before it, a read of nearly the maximum size is over that size, and the endpoint would end the connection. */
+function createTooLarge(state: SessionState, bytes: number): EndpointAnswer {
+	return {
+		rows: [], end: {kind: 'error', code: AnswerCode.TooLarge, text: `the endpoint would receive ${bytes} bytes, more than a message may have; nothing ran`}, state, unsent: true,
+	};
+}
+
 function parseError(line: string): AnswerEnd {
 	const [, codeName = '', ...text] = line.split(' ');
 	return {kind: 'error', code: parseCode(codeName), text: text.join(' ')};
