--- a/src/connection-sharing/remote-read.ts
+++ b/src/connection-sharing/remote-read.ts
@@ -159,7 +159,7 @@
 				return DID_NOT_RUN;
 			}
 
-			if (run === undefined && (!waitIds || isWanted())) {
+			if (run === undefined && isWanted()) {
 				return await options.runOnOwn(request, needed) ?? DID_NOT_RUN;
 			}
 
--- a/tests/connection-sharing/remote-read-tests.ts
+++ b/tests/connection-sharing/remote-read-tests.ts
@@ -21,7 +21,7 @@
 };
 
 /** Runs one read through some pool hosts; resolves with its outcome, the time that it took, and the calls that were made. */
-async function runRead(poolHosts: Readonly<Record<string, FakePoolHost>>, options: {readonly untilMs?: number; readonly own?: EndpointAnswer} = {}) {
+async function runRead(poolHosts: Readonly<Record<string, FakePoolHost>>, options: {readonly untilMs?: number; readonly own?: EndpointAnswer; readonly wantedMs?: number} = {}) {
 	const clock = createVirtualClock(0);
 	const calls: string[] = [];
 	let unreachable = 0;
@@ -41,7 +41,7 @@
 	const sessionLink = createRemoteRead({
 		endpointId: 'i-1',
 		acquireRequest: {
-			priority: 1, until: options.untilMs ?? 600, values: new Map(), single: true, read: {epoch: 4},
+			priority: 1, until: options.untilMs ?? 600, values: new Map(), single: true, read: {epoch: 4}, isWanted: () => clock.now() < (options.wantedMs ?? Number.POSITIVE_INFINITY),
 		},
 		peers,
 		unreachable: hosts,
@@ -105,6 +105,12 @@
 		expect(outcome).to.equal('7');
 	});
 
+	/** A read ran on a connection of its own host after its caller had been answered. */
+	it('does not run on a connection of this host once its caller has left', async () => {
+		const {outcome} = await runRead({a: {run: {}, failed: true}}, {own: DONE, wantedMs: 50});
+		expect(outcome).to.equal('not run');
+	});
+
 	it('rejects as lost where the endpoint ends the connection during the read', async () => {
 		const {outcome} = await runRead({a: {run: {}}});
 		expect(outcome).to.equal('LinkLostError');
