Give away the names of prepared statements only once they are free

Three ways in which names and the endpoint's state came apart: a CLOSE that is refused discarded the good answer behind it (told as unknown, or a transaction rolled back); names were given anew before a RESET was confirmed, so with RESET and PARSE both refused EXECUTE ran the shape of another caller; requests that a host refuses by itself (a replica that lags, a message too large) were answered before the commands sent for them, and after some of them no name was left and a healthy connection was cut.

Now a name is free only once its CLOSE or RESET is confirmed; a statement that is not closed keeps its name, and its connection ends after an answer outside a transaction; an answer waits for the commands sent before its request.

--- a/src/links/link-session.ts
+++ b/src/links/link-session.ts
@@ -1,5 +1,5 @@
 import type {AnswerCode, EndpointAnswer} from '../statements/statement-answer.js';
-import type {PreparedShape} from '../statements/statement.js';
+import {SessionState, type PreparedShape} from '../statements/statement.js';
 import type {EndpointCommand, EndpointLink, EndpointRequest} from './endpoint-link.js';
 import {createLinkLost} from './link-errors.js';
 import {createPreparedNames} from './prepared-names.js';
@@ -23,6 +23,7 @@
 
 /** A connection to an endpoint, with the session values and prepared statements that are set on it. */
 export type SessionLink = {
+	/** The connection itself, for commands that need no session and for its end; requests of callers go through {@link exchange}. */
 	readonly link: EndpointLink;
 	/** The workspace for which the connection was opened, the only one that may use it; undefined where it was opened for none. */
 	readonly workspace?: string;
@@ -34,7 +35,7 @@
 	 * Sets up the session as it is needed, sends the request behind that without waiting, and resolves with its answer. Without `needed` the session is left as it is.
 	 *
 	 * Rejects with LinkLostError where the connection ends before the whole answer, and where the endpoint refused to set up the session: the request ran under values or
-	 * statements which its caller had not set.
+	 * statements which its caller had not set, if it ran.
 	 */
 	exchange(req: SessionRequest, needed?: NeededSession): Promise<EndpointAnswer>;
 };
@@ -53,27 +54,35 @@
 export function createSessionLink(link: EndpointLink, {address, workspace, onRefused}: SessionLinkOptions): SessionLink {
 	let values = new Map<string, string>();
 	const prepared = createPreparedNames();
+	/** Settles once every command of the session's own has been answered. */
+	let setup = Promise.resolve();
 	let isRefused = false;
+	let isWornOut = false;
 
 	/** Sends a command of the session's own. Where the endpoint refuses it, cuts the connection before the next answer on it can be used. */
 	const send = (command: EndpointCommand, onDone?: () => void) => {
-		void link.exchange({command}).then(({end}) => {
-			if (end.kind === 'error') {
-				isRefused = true;
-				onRefused?.(command.kind, end.code);
-				link.cut();
+		setup = link.exchange({command}).then(({end}) => {
+			if (end.kind !== 'error') {
+				onDone?.();
 				return;
 			}
 
-			onDone?.();
+			onRefused?.(command.kind, end.code);
+			if (command.kind === 'close') {
+				// The statement keeps its name, which is not used again.
+				isWornOut = true;
+				return;
+			}
+
+			isRefused = true;
+			link.cut();
 		}, () => undefined);
 	};
 
 	const setValues = (needed: ReadonlyMap<string, string>) => {
 		if ([...values.keys()].some(name => !needed.has(name))) {
-			send({kind: 'reset'});
+			send({kind: 'reset'}, prepared.clear().confirmReset);
 			values = new Map();
-			prepared.clear();
 		}
 
 		for (const [name, value] of needed) {
@@ -128,12 +137,20 @@
 				setValues(needed.values);
 			}
 
-			const answer = await link.exchange(nameRequest(req, needed?.prepared));
+			const request = nameRequest(req, needed?.prepared);
+			const setUp = setup;
+			const answer = await link.exchange(request);
+			// A request that was refused without being sent is answered before the commands that were sent for it.
+			await setUp;
 			// The endpoint may answer a refused command and the request at once, before the connection could be cut.
 			if (isRefused) {
 				throw createLinkLost(address, 'the endpoint refused to set up the session');
 			}
 
+			if (isWornOut && answer.state === SessionState.Idle) {
+				link.close();
+			}
+
 			return answer;
 		},
 	};
--- a/src/links/prepared-names.ts
+++ b/src/links/prepared-names.ts
@@ -8,12 +8,12 @@
 	/** Returns the name of a shape; undefined where it is not prepared. */
 	getName(shape: PreparedShape): string | undefined;
 	/**
-	 * Gives a name to a shape that has none; the least recently used one loses its name where there are too many. Returns undefined where every name is in use or being
-	 * closed, which does not happen on a connection that awaits each answer.
+	 * Gives a name to a shape that has none; the least recently used one loses its name where there are too many. Returns undefined where every name is in use or waits to be
+	 * confirmed as free.
 	 */
 	add(shape: PreparedShape): NewName | undefined;
-	/** Forgets all shapes, after a reset of the connection. */
-	clear(): void;
+	/** Forgets all shapes, at a reset of the connection; `confirmReset` is to be called once the endpoint has done it, since their names are not given to other shapes before. */
+	clear(): {confirmReset(): void};
 };
 
 /** The name of a shape that is to be prepared. */
@@ -41,12 +41,13 @@
 
 /** Creates the names of a connection on which nothing is prepared. */
 export function createPreparedNames(): PreparedNames {
-	let state = createState();
+	/** Names by the keys of their shapes, the least recently used first. */
+	const names = new Map<string, string>();
+	const free = [...NAMES];
 
 	const evict = (): EvictedName => {
-		const [key, name] = state.names.entries().next().value!;
-		const {free} = state;
-		state.names.delete(key);
+		const [key, name] = names.entries().next().value!;
+		names.delete(key);
 		return {
 			name,
 			confirmClosed() {
@@ -57,39 +58,37 @@
 
 	return {
 		get size() {
-			return state.names.size;
+			return names.size;
 		},
 		getName(shape) {
 			const key = getShapeKey(shape);
-			const name = state.names.get(key);
+			const name = names.get(key);
 			if (name !== undefined) {
 				// The map is ordered by last use.
-				state.names.delete(key);
-				state.names.set(key, name);
+				names.delete(key);
+				names.set(key, name);
 			}
 
 			return name;
 		},
 		add(shape) {
-			const name = state.free.shift();
+			const name = free.shift();
 			if (name === undefined) {
 				return undefined;
 			}
 
-			const evicted = state.names.size >= MAX_PREPARED ? evict() : undefined;
-			state.names.set(getShapeKey(shape), name);
+			const evicted = names.size >= MAX_PREPARED ? evict() : undefined;
+			names.set(getShapeKey(shape), name);
 			return {name, evicted};
 		},
 		clear() {
-			state = createState();
+			const released = [...names.values()];
+			names.clear();
+			return {
+				confirmReset() {
+					free.push(...released);
+				},
+			};
 		},
 	};
 }
-
-function createState() {
-	return {
-		/** Names by the keys of their shapes, the least recently used first. */
-		names: new Map<string, string>(),
-		free: [...NAMES],
-	};
-}
--- a/tests/links/line-endpoint.ts
+++ b/tests/links/line-endpoint.ts
@@ -1,3 +1,4 @@
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import type {EndpointLink, EndpointRequest} from '../../src/links/endpoint-link.js';
 import {createLinkLost} from '../../src/links/link-errors.js';
 import {formatRequest} from '../../src/platform/endpoint-lines.js';
@@ -16,6 +17,8 @@
 	readonly names: ReadonlyMap<string, {readonly access: string; readonly shape: string}>;
 	/** Lines for which this returns true are answered with an error. */
 	refuses(line: string): boolean;
+	/** Lines for which this returns true are answered only after the next ones. */
+	answersLate(line: string): boolean;
 };
 
 /** Creates such a connection. */
@@ -82,6 +85,10 @@
 				const line = formatRequest(req).slice(0, -'\r\n'.length);
 				lines.push(line);
 				const end: AnswerEnd = endpoint.refuses(line) ? {kind: 'error', code: AnswerCode.Failed, text: ''} : perform(line);
+				if (endpoint.answersLate(line)) {
+					await nextTurn();
+				}
+
 				return {rows: [], end, state: SessionState.Idle};
 			},
 			async readStatus() {
@@ -99,6 +106,7 @@
 		executed,
 		names,
 		refuses: () => false,
+		answersLate: () => false,
 	};
 	return endpoint;
 }
--- a/tests/links/link-session-tests.ts
+++ b/tests/links/link-session-tests.ts
@@ -64,8 +64,8 @@
 			'QUERY c1 EXECUTE a 7',
 			'QUERY c1 EXECUTE a 7',
 			'RESET',
-			'PARSE a READ q1',
-			'QUERY c1 EXECUTE a 7',
+			'PARSE b READ q1',
+			'QUERY c1 EXECUTE b 7',
 		]);
 	});
 
--- a/tests/links/prepared-names-tests.ts
+++ b/tests/links/prepared-names-tests.ts
@@ -64,16 +64,37 @@
 		expect(endpoint.lines.filter(line => line.includes('often used'))).to.have.length(1);
 	});
 
-	/** A statement that the endpoint did not close would still run under a name that was given to another shape. */
-	it('are cut off with their connection where the endpoint refuses to close one', async () => {
+	/** A statement that the endpoint did not close would still run under a name that was given to another shape; an answer behind it is good. */
+	it('keep their names where the endpoint refuses to close them, until their connection ends after the answer', async () => {
 		const {endpoint, execute} = createBench();
 		endpoint.refuses = line => line.includes('CLOSE');
 		for (let i = 0; i < MAX_PREPARED; i++) {
 			await execute(writeShape(`q${i}`));
 		}
 
-		const outcome = await execute(writeShape('one more')).catch((err: unknown) => (err as Error).name);
-		expect([outcome, endpoint.link.closed]).to.deep.equal(['LinkLostError', true]);
+		const answer = await execute(writeShape('one more'));
+		expect([answer.end.kind, endpoint.executed.at(-1)?.shape, endpoint.link.closed]).to.deep.equal(['complete', 'one more', true]);
+	});
+
+	/** An endpoint that refused a reset still knew the old statements, and ran one of them under the name of a new one. */
+	it('leave their names unused until the endpoint confirms a reset', async () => {
+		const {endpoint, execute, sessionLink} = createBench();
+		await sessionLink.exchange({id: 'c1', command: {kind: 'run', text: 'READ a'}}, {values: new Map([['v', '1']])});
+		await sessionLink.exchange({id: 'c1', command: {kind: 'execute'}}, {values: new Map([['v', '1']]), prepared: writeShape('first')});
+		endpoint.refuses = line => line.includes('RESET') || line.includes('PARSE');
+		const outcome = await execute(writeShape('second')).catch((err: unknown) => (err as Error).name);
+		expect([outcome, endpoint.executed.map(({shape}) => shape)]).to.deep.equal(['LinkLostError', ['first']]);
+	});
+
+	/** Requests that a host refuses by itself, as for a replica that lags, left the commands before them in flight, and the names ran out. */
+	it('are free again where their requests are refused without being sent', async () => {
+		const {endpoint, execute} = createBench();
+		endpoint.answersLate = line => !line.includes('EXECUTE');
+		for (let i = 0; i < 2 * MAX_PREPARED; i++) {
+			await execute(writeShape(`q${i}`));
+		}
+
+		expect([endpoint.executed.length, endpoint.link.closed]).to.deep.equal([2 * MAX_PREPARED, false]);
 	});
 
 	/** Names that hold the shape made a request of nearly the maximum size too long for the endpoint. */
