--- a/src/gateway/session-memory.ts
+++ b/src/gateway/session-memory.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import type {PreparedShape, Statement} from '../statements/statement.js';
 import type {LogPosition} from '../terms/log-position.js';
 import type {KeyFingerprint} from '../workspaces/key-index.js';
@@ -18,7 +19,7 @@
 /** Creates the memory of a new session. */
 export function createSessionMemory(database: string, fingerprint: KeyFingerprint): SessionMemory {
 	return {
-		database, fingerprint, values: new Map(), prepared: new Map(), floors: new Map(),
+		database: copyText(database), fingerprint, values: new Map(), prepared: new Map(), floors: new Map(),
 	};
 }
 
@@ -34,32 +35,36 @@
  * Guards against a caller that fills the memory of a host with a session that it never uses.
  */
 export function rememberStatement(memory: SessionMemory, statement: Extract<Statement, {kind: 'set' | 'prepare' | 'forget'}>): boolean {
+	const {name} = statement;
 	switch (statement.kind) {
 		case 'set': {
-			return remember(memory, memory.values, statement.name, statement.value);
+			const {value} = statement;
+			return hasRoom(memory, memory.values, name, value) && Boolean(memory.values.set(copyText(name), copyText(value)));
 		}
 
 		case 'prepare': {
-			return remember(memory, memory.prepared, statement.name, statement.shape);
+			const {access, shape} = statement.shape;
+			return hasRoom(memory, memory.prepared, name, shape) && Boolean(memory.prepared.set(copyText(name), {access, shape: copyText(shape)}));
 		}
 
 		case 'forget': {
-			memory.prepared.delete(statement.name);
+			memory.prepared.delete(name);
 			return true;
 		}
 	}
 }
 
-function remember<T extends string | PreparedShape>(memory: SessionMemory, entries: Map<string, T>, name: string, entry: T): boolean {
+/** Returns whether a text may be recorded under the name, in place of what is recorded there. */
+function hasRoom(memory: SessionMemory, entries: ReadonlyMap<string, string | PreparedShape>, name: string, text: string): boolean {
 	const previous = entries.get(name);
 	const count = entries.size + (previous === undefined ? 1 : 0);
-	const bytes = getBytes(memory) - (previous === undefined ? 0 : getEntryBytes(name, previous)) + getEntryBytes(name, entry);
-	if (count > MAX_SESSION_ENTRIES || bytes > MAX_SESSION_BYTES) {
-		return false;
-	}
+	const bytes = getBytes(memory) - (previous === undefined ? 0 : getEntryBytes(name, previous)) + getEntryBytes(name, text);
+	return count <= MAX_SESSION_ENTRIES && bytes <= MAX_SESSION_BYTES;
+}
 
-	entries.set(name, entry);
-	return true;
+/** Copies a text that is a part of a caller's message, which would otherwise stay in memory as a whole for as long as the part. */
+function copyText(text: string): string {
+	return Buffer.from(text, 'latin1').toString('latin1');
 }
 
 function getBytes({values, prepared}: SessionMemory): number {
--- a/tests/gateway/session-memory-tests.ts
+++ b/tests/gateway/session-memory-tests.ts
@@ -1,3 +1,7 @@
+import {Buffer} from 'node:buffer';
+import process from 'node:process';
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
 import {expect} from 'chai';
 import {
 	createSessionMemory, MAX_SESSION_BYTES, MAX_SESSION_ENTRIES, rememberStatement, type SessionMemory,
@@ -37,4 +41,24 @@
 		expect([set(memory, 'c'), set(memory, 'a', half), prepare(memory, 'b', 'q1')]).to.deep.equal([false, false, true]);
 		expect(memory.values.get('a')).to.equal(half.slice(1));
 	});
+
+	/** The names of values kept the whole messages in memory in which they had come: 100 of them some 96 MiB, counted as 2 kB. */
+	it('keeps nothing of the messages in which it came', () => {
+		setFlagsFromString('--expose-gc');
+		const collect = runInNewContext('gc') as () => void;
+		const memory = createMemory();
+		collect();
+		const before = process.memoryUsage().heapUsed;
+		for (let i = 0; i < 40; i++) {
+			const name = `name-of-a-session-value-${i}`;
+			for (const value of ['x'.repeat(1_000_000), 'y']) {
+				const line = Buffer.from(`${name} ${value}`, 'latin1').toString('latin1');
+				set(memory, line.slice(0, name.length), line.slice(name.length + 1));
+			}
+		}
+
+		collect();
+		expect(memory.values.size).to.equal(40);
+		expect(process.memoryUsage().heapUsed - before).to.be.lessThan(10_000_000);
+	});
 });
