Count no time for answers that an endpoint did not give, and clearer comments

A read that is refused as too large without being sent counted as an answer of about 0 ms, which made its endpoint look fast. Found by the review, by reading; no test shows it alone.

--- a/src/gateway/caller-session.ts
+++ b/src/gateway/caller-session.ts
@@ -60,8 +60,9 @@
 /** Fingerprint of the key of a session that is not open yet. */
 const NO_KEY = getFingerprint('');
 
-/** Answer to a session value or a prepared statement for which the session has no room. */
 const SESSION_FULL_REASON = `a session holds at most ${MAX_SESSION_ENTRIES} prepared statements, ${MAX_SESSION_ENTRIES} values and ${MAX_SESSION_BYTES} bytes; nothing was set or prepared`;
+
+/** Answer to a session value or a prepared statement for which the session has no room. */
 const SESSION_FULL = refuse(AnswerCode.TooLarge, SESSION_FULL_REASON);
 
 /** Statements that prepare for a later one; a draining session stays open after them. */
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -118,10 +118,12 @@
 		});
 	}
 
-	function noteAnswer({end, position, state}: EndpointAnswer) {
+	function noteAnswer({
+		end, position, state, unsent,
+	}: EndpointAnswer) {
 		const stats = knowledge.getStats(endpoint.entry.id);
 		const isLagging = end.kind === 'error' && end.code === AnswerCode.Lagging;
-		if (!isLagging && (req.command.kind === 'run' || req.command.kind === 'execute')) {
+		if (!isLagging && !unsent && (req.command.kind === 'run' || req.command.kind === 'execute')) {
 			stats.noteAnswer(clock.now() - sentAt);
 		}
 
--- a/src/platform/tcp-link-opener.ts
+++ b/src/platform/tcp-link-opener.ts
@@ -134,8 +134,9 @@
 			}
 
 			const line = formatRequest(req);
-			if (line.length > MAX_LINE_BYTES + LINE_END.length) {
-				return createTooLarge(lastState, line.length);
+			const bytes = line.length - LINE_END.length;
+			if (bytes > MAX_LINE_BYTES) {
+				return createTooLarge(lastState, bytes);
 			}
 
 			listener.onSent();
--- a/src/statements/shape-key.ts
+++ b/src/statements/shape-key.ts
@@ -5,7 +5,7 @@
 const MAX_LITERAL_LENGTH = 64;
 
 /**
- * Returns a key that stands for a prepared shape in maps and statistics, the same on every host and of bounded length. It is no name for an endpoint: it may hold any
+ * Returns a key that stands for a prepared shape in maps and statistics, the same on every host and of bounded length. It must not be sent as a name: it may hold any
  * byte of the shape.
  */
 export function getShapeKey({access, shape}: PreparedShape): string {
--- a/tests/links/prepared-names-tests.ts
+++ b/tests/links/prepared-names-tests.ts
@@ -12,7 +12,8 @@
 
 const NO_VALUES = new Map<string, string>();
 
-function createBench() {
+/** Creates a session on a connection whose endpoint reads lines. */
+function createLineSession() {
 	const endpoint = createLineEndpoint();
 	const sessionLink = createSessionLink(endpoint.link, {address: '10.1.0.9:8080'});
 	return {
@@ -39,7 +40,7 @@
 				access: fc.constantFrom(Access.Read, Access.Write), shape: text, args: fc.option(fc.oneof(text, fc.constant('')), {nil: undefined}),
 			}), {minLength: 1, maxLength: 12}),
 			async statements => {
-				const {endpoint, execute} = createBench();
+				const {endpoint, execute} = createLineSession();
 				for (const {args, ...prepared} of statements) {
 					await execute(prepared, args);
 				}
@@ -53,7 +54,7 @@
 
 	/** Names that only grow would fill the memory of the endpoint and of this host with shapes that nobody uses any more. */
 	it('are bounded, with those used least recently closed at the endpoint', async () => {
-		const {endpoint, execute} = createBench();
+		const {endpoint, execute} = createLineSession();
 		for (let i = 0; i < 3 * MAX_PREPARED; i++) {
 			await execute(writeShape(`q${i}`), '1a4');
 			await execute(writeShape('often used'), '1a4');
@@ -66,7 +67,7 @@
 
 	/** A statement that the endpoint did not close would still run under a name that was given to another shape; an answer behind it is good. */
 	it('keep their names where the endpoint refuses to close them, until their connection ends after the answer', async () => {
-		const {endpoint, execute} = createBench();
+		const {endpoint, execute} = createLineSession();
 		endpoint.refuses = line => line.includes('CLOSE');
 		for (let i = 0; i < MAX_PREPARED; i++) {
 			await execute(writeShape(`q${i}`));
@@ -78,7 +79,7 @@
 
 	/** An endpoint that refused a reset still knew the old statements, and ran one of them under the name of a new one. */
 	it('leave their names unused until the endpoint confirms a reset', async () => {
-		const {endpoint, execute, sessionLink} = createBench();
+		const {endpoint, execute, sessionLink} = createLineSession();
 		await sessionLink.exchange({id: 'c1', command: {kind: 'run', text: 'READ a'}}, {values: new Map([['v', '1']])});
 		await sessionLink.exchange({id: 'c1', command: {kind: 'execute'}}, {values: new Map([['v', '1']]), prepared: writeShape('first')});
 		endpoint.refuses = line => line.includes('RESET') || line.includes('PARSE');
@@ -88,7 +89,7 @@
 
 	/** Requests that a host refuses by itself, as for a replica that lags, left the commands before them in flight, and the names ran out. */
 	it('are free again where their requests are refused without being sent', async () => {
-		const {endpoint, execute} = createBench();
+		const {endpoint, execute} = createLineSession();
 		endpoint.answersLate = line => !line.includes('EXECUTE');
 		for (let i = 0; i < 2 * MAX_PREPARED; i++) {
 			await execute(writeShape(`q${i}`));
@@ -99,7 +100,7 @@
 
 	/** Names that hold the shape made a request of nearly the maximum size too long for the endpoint. */
 	it('take no more bytes than the caller sent', async () => {
-		const {endpoint, execute} = createBench();
+		const {endpoint, execute} = createLineSession();
 		const shape = 'q WRITE '.repeat(20);
 		const start = 'QUERY c1 EXECUTE s ';
 		await execute(writeShape(shape), 'x'.repeat(MAX_LINE_BYTES - start.length));
