Keep the reason of a refusal one message, whatever names it holds

What callers would have seen: a second message that no endpoint and no host meant for them. The refusal of work at a group without a provable successor names the endpoints that are awaited. They come from the group's record in the store, whose ids may be any text where another program wrote it; a line end there ended the message, and what followed it was read as the next answer, such as `READY I -`. A character above U+00FF is written as its low byte, so that U+010A ended it too. Not seen in a deployment.

A refusal by the proxy itself now replaces each character that is not printable ASCII by its code point. All of them are created in one place, so what other reasons come to hold is covered as well; ordinary texts are the same byte for byte. Texts of endpoints are not changed: they arrive as bytes without a line end.

--- a/src/gateway/statement-result.ts
+++ b/src/gateway/statement-result.ts
@@ -1,5 +1,6 @@
 import type {AnswerCode, AnswerEnd} from '../statements/statement-answer.js';
 import type {LogPosition} from '../terms/log-position.js';
+import {getPrintableText} from './printable-text.js';
 
 /** The result of a statement, without the session state that is sent with it. */
 export type StatementResult = {
@@ -20,5 +21,5 @@
  */
 export function refuse(code: AnswerCode, reason: string, retryAfterMs?: number): RefusalResult {
 	const text = retryAfterMs === undefined ? reason : `retry-after-ms=${Math.ceil(retryAfterMs)} ${reason}`;
-	return {rows: [], end: {kind: 'error', code, text}};
+	return {rows: [], end: {kind: 'error', code, text: getPrintableText(text)}};
 }
