Send the name of whom a connection is for as one field

What callers would have seen: BUSY for every statement of a workspace whose name holds U+0120, or another character whose low byte is a blank or part of a line end. The connections that hosts open for a workspace name it in STARTUP before the endpoint's id. The check of its name excludes blanks of Unicode, but the line is written as Latin-1, where U+0120 becomes a blank and U+010D U+010A the end of the line: the endpoint then took a part of the name for the expected id and refused with WRONGNODE, or took the rest for another message. The name of a host, which comes from the settings file, was not checked for blanks at all. Not seen in a deployment.

Characters that cannot stand in a field are now sent as the bytes of their UTF-8 in the form %XX, and a percent sign before two digits of that kind likewise, so that different names stay different. Leaving such a workspace out would refuse its callers for a word that endpoints take as it comes. Names of printable ASCII and Latin-1 without such a sequence are sent as before.

Seen red on the commit before: five of the eight tests of tests/platform/line-field-tests.ts.

--- a/src/platform/endpoint-lines.ts
+++ b/src/platform/endpoint-lines.ts
@@ -2,6 +2,7 @@
 import type {EndpointCommand, EndpointRequest, EndpointStatus} from '../links/endpoint-link.js';
 import {Access} from '../statements/statement.js';
 import {getServerId} from './endpoint-identity.js';
+import {formatLineField} from './line-field.js';
 import {formatPosition, parsePosition} from './position-text.js';
 
 /** The id of requests that the proxy sends on its own behalf rather than for a caller. */
@@ -12,7 +13,7 @@
  * for takes that of the key.
  */
 export function formatStartup(group: string, onBehalfOf: string, endpointId: string): string {
-	return `STARTUP ${group} ${onBehalfOf} ${getServerId(endpointId)}\r\n`;
+	return `STARTUP ${group} ${formatLineField(onBehalfOf)} ${getServerId(endpointId)}\r\n`;
 }
 
 /** Formats a request to an endpoint. */
