Look up the floor of a group among a session's own floors only

What callers would have seen: for a group named `constructor`, which is a valid name, a new session's floor was the function that every object inherits in place of the start of the log, and reads compared log positions with it. Not seen in a deployment.

Class: names from outside as keys of a plain object. A floor is now looked up among the object's own members. The other readers of floors list the members, and `__proto__` is no valid name of a group.

--- a/src/routing/session-floor.ts
+++ b/src/routing/session-floor.ts
@@ -1,5 +1,7 @@
 import {LOG_START, type LogPosition} from '../terms/log-position.js';
-import {withFloor, type Session, type Sessions} from '../sessions/session.js';
+import {
+	getOwnFloor, withFloor, type Session, type Sessions,
+} from '../sessions/session.js';
 
 /** Header value of a caller that starts a session and has written nothing before. */
 export const NEW_SESSION = 'new';
@@ -44,7 +46,7 @@
  * to have vanished. A barrier covers every write acknowledged before it, by any caller.
  */
 export function getFloor(session: Session, group: string): LogPosition | undefined {
-	return session.floors[group] ?? (session.trimmed ? undefined : LOG_START);
+	return getOwnFloor(session, group) ?? (session.trimmed ? undefined : LOG_START);
 }
 
 /** Returns the session with the group's floor raised to an acknowledged write. */
--- a/src/sessions/session.ts
+++ b/src/sessions/session.ts
@@ -15,9 +15,15 @@
 	readonly trimmed?: boolean;
 };
 
+/** Returns the floor that the session has for the group; undefined where it has none. The group may be named like a member that every object inherits. */
+export function getOwnFloor({floors}: Session, group: string): LogPosition | undefined {
+	return Object.hasOwn(floors, group) ? floors[group] : undefined;
+}
+
 /** Returns the session with the group's floor raised to `log` where that is later, and the group moved to the end as the newest. */
 export function withFloor(session: Session, group: string, log: LogPosition): Session {
-	const {[group]: held, ...others} = session.floors;
+	const held = getOwnFloor(session, group);
+	const {[group]: _, ...others} = session.floors;
 	return {...session, floors: {...others, [group]: held ? getLaterLogPosition(held, log) : log}};
 }
 
--- a/tests/routing/session-floor-tests.ts
+++ b/tests/routing/session-floor-tests.ts
@@ -32,4 +32,13 @@
 	doTest('two tokens over a promotion', `${atNine},${newTerm}`, 'floor (2, 3)');
 	doTest('a token and an invalid one', `${atFive},rubbish`, 'bad');
 	doTest('an invalid token', 'rubbish', 'bad');
+
+	/** Guards against a group that is named like a member of every object, which was taken for its floor. */
+	it('is the start of the log for a new session, whatever the group is named', () => {
+		expect(getFloor(empty, 'constructor')).to.deep.equal({term: 0, position: 0});
+	});
+
+	it('is the first write to a group that is named like a member of every object', () => {
+		expect(getFloor(raiseFloor(empty, 'constructor', {term: 1, position: 5}, WALL_MS), 'constructor')).to.deep.equal({term: 1, position: 5});
+	});
 });
