Take a read policy with an inherited name for an unknown one

What callers would have seen: a route whose `type` is `constructor` or another member of every object got that member as its policy rather than the strictest one, so that its reads followed no known policy. The store accepts only valid configurations, so it takes a new version of the platform, or a fault of its check, to get there. Not seen in a deployment.

Class: names from outside as keys of a plain object. The policies are in a map now, as the codes and states of messages are.

--- a/src/platform/store-schemas.ts
+++ b/src/platform/store-schemas.ts
@@ -34,12 +34,12 @@
 /** How long a transaction may be idle, in milliseconds, if the configuration does not say; the platform's examples use the same value. */
 const DEFAULT_IDLE_TRANSACTION_MS = 3000;
 
-const POLICIES: Readonly<Record<string, ReadPolicy>> = {
-	primary: ReadPolicy.Primary,
-	bounded: ReadPolicy.Bounded,
+const POLICIES = new Map<string, ReadPolicy>([
+	['primary', ReadPolicy.Primary],
+	['bounded', ReadPolicy.Bounded],
 	// The staleness bound applies to this policy too, though the platform's name does not say so.
-	read_your_writes: ReadPolicy.OwnWrites,
-};
+	['read_your_writes', ReadPolicy.OwnWrites],
+]);
 
 /** A name that is a field of messages and part of paths. Blanks separate fields, and ends of lines end messages, so it contains none. */
 const FIELD = /^[!-~]{1,200}$/v;
@@ -197,7 +197,7 @@
 		database: route.host,
 		group: route.backend,
 		// An unknown policy is replaced by the strictest one, under which no read is stale.
-		policy: POLICIES[route.type] ?? ReadPolicy.Primary,
+		policy: POLICIES.get(route.type) ?? ReadPolicy.Primary,
 		maxReadAgeMs: route.maxStalenessMs,
 		statementTimeoutMs: route.timeoutMs,
 		targetLatencyMs: route.targetLatencyMs,
