List the most frequent causes first where names are numbers

What operators saw: in the report of a fleet's logs, databases and workspaces whose names are numbers stood first, whatever their counts, and could displace the most frequent ones from the four that are listed for an endpoint. An object lists keys that are numbers first, in ascending order, so that the order in which the counts were put into it was lost.

The text of the report now orders the counts itself. The JSON report is the same: the order of its members never meant anything.

--- a/src/reports/format-report.ts
+++ b/src/reports/format-report.ts
@@ -46,7 +46,7 @@
 const MAX_PARTS = 4;
 
 function formatParts(title: string, counts: Counts): readonly string[] {
-	const parts = Object.entries(counts);
+	const parts = toDescending(counts);
 	const more = parts.length - MAX_PARTS;
 	return parts.length === 0 ? [] : [`${title}: ${parts.slice(0, MAX_PARTS).map(([name, count]) => `${name} ${count}`).join(', ')}${more > 0 ? ` and ${more} more` : ''}`];
 }
@@ -68,8 +68,13 @@
 	return `${formatTime(firstAt)} generation ${generation}: seen by ${hosts} hosts within ${Math.round(lastAt - firstAt)} ms, ${recordsWritten} records of leadership written again`;
 }
 
+/** Returns the counts in descending order. An object lists names that are numbers first, whatever their counts. */
+function toDescending(counts: Counts): ReadonlyArray<readonly [string, number]> {
+	return Object.entries(counts).toSorted((left, right) => right[1] - left[1]);
+}
+
 function formatCounts(title: string, counts: Counts): readonly string[] {
-	return formatList(title, Object.entries(counts).map(([cause, count]) => `${String(count).padStart(7)}  ${cause}`));
+	return formatList(title, toDescending(counts).map(([cause, count]) => `${String(count).padStart(7)}  ${cause}`));
 }
 
 function formatList(title: string, lines: readonly string[]): readonly string[] {
--- a/tests/reports/fleet-report-tests.ts
+++ b/tests/reports/fleet-report-tests.ts
@@ -92,6 +92,14 @@
 		expect([Object.keys(refusalsByDatabase).length, leftOut.causes]).to.deep.equal([1000, 500]);
 	});
 
+	/** Guards against databases whose names are numbers, which were listed first whatever their counts. */
+	it('lists the most frequent cause first, also beside names that are numbers', () => {
+		const refused = (database: string) => line('entry-1', 0, 'callers: a statement was refused', {code: 'overloaded', text: 'no', database});
+		const lines = formatReport(report([refused('270'), refused('sync'), refused('sync'), refused('11')])).split('\n');
+		const start = lines.indexOf('refusals by database:');
+		expect(lines.slice(start + 1, start + 4)).to.deep.equal(['        2  sync', '        1  11', '        1  270']);
+	});
+
 	it('does not mistake the names of inherited object members for known sentences', () => {
 		expect(report([line('entry-1', 0, 'toString'), line('entry-1', 0, 'constructor: toString')]).unreadLines).to.equal(0);
 	});
