Name the holder of the failover lease by characters that a header may hold

What callers would have seen: a group without a primary for as long as a host held the failover lease whose name, which comes from the settings file, has a character above U+00FF or a control character. The order to promote a server names the holder in a header, and the HTTP client threw a TypeError rather than send it. Not seen in a deployment.

The name is now encoded as in the first message to an endpoint; names of printable characters of Latin-1 without blanks are sent as before.

--- a/src/platform/http-promotion-orders.ts
+++ b/src/platform/http-promotion-orders.ts
@@ -3,6 +3,7 @@
 import {PlatformError} from '../object-store/platform-errors.js';
 import type {Clock} from '../time/clock.js';
 import {getServerId} from './endpoint-identity.js';
+import {formatLineField} from './line-field.js';
 
 /** Options of the client. */
 export type HttpPromotionOrdersOptions = {
@@ -27,7 +28,7 @@
 					method: 'POST',
 					path: '/promote',
 					body: {backend: group, id: getServerId(endpointId)},
-					headers: {'X-Aldercroft-Lease-Holder': holder, 'X-Aldercroft-Fencing-Token': String(token)},
+					headers: {'X-Aldercroft-Lease-Holder': formatLineField(holder), 'X-Aldercroft-Fencing-Token': String(token)},
 					timeoutMs,
 				});
 				onCall('promote', String(res.status));
