Remove the gauges of connections to endpoints that have gone

What operators saw: `aldercroft_endpoint_links` kept the last state of every endpoint that the host had ever known. A server gets another id with each start, so that the set of label values grew for as long as the process ran, and sums over it counted connections that had long ended.

The gauge is now set for the endpoints that are there and reset before, as that of the concurrency budgets is.

--- a/src/gateway/prom-gateway-metrics.ts
+++ b/src/gateway/prom-gateway-metrics.ts
@@ -25,7 +25,8 @@
 	observeReplacement(part: string, seconds: number): void;
 	/** Sets the gauges whose values are read at each scrape. */
 	setState(state: ProxyState): void;
-	setPool(endpoint: string, open: number, inUse: number, waiting: number): void;
+	/** Sets the state of the connections to the endpoints that are there; those of all other endpoints are removed. */
+	setPools(pools: readonly PoolState[]): void;
 	/** Sets the state of the concurrency budgets of which this host has a share; those of all other endpoints are removed. */
 	setRooms(rooms: readonly RoomState[]): void;
 	/** Counts that the allocator of a budget did not respond, so that the next pool host was asked. */
@@ -36,6 +37,15 @@
 	readonly contentType: string;
 };
 
+/** The state of a host's connections to one endpoint. */
+export type PoolState = {
+	readonly endpoint: string;
+	readonly open: number;
+	readonly inUse: number;
+	/** Number of requests that wait for a connection. */
+	readonly waiting: number;
+};
+
 /** The state of a proxy that its gauges show. */
 export type ProxyState = {
 	readonly confirmationAgeSeconds: number;
@@ -189,10 +199,13 @@
 			leavingPrimaries.set({work: 'taken'}, state.leavingPrimaries - state.unusablePrimaries);
 			leavingPrimaries.set({work: 'refused'}, state.unusablePrimaries);
 		},
-		setPool(endpoint, open, inUse, waiting) {
-			poolLinks.set({endpoint, state: 'open'}, open);
-			poolLinks.set({endpoint, state: 'lent'}, inUse);
-			poolLinks.set({endpoint, state: 'waiting'}, waiting);
+		setPools(pools) {
+			poolLinks.reset();
+			for (const {endpoint, open, inUse, waiting} of pools) {
+				poolLinks.set({endpoint, state: 'open'}, open);
+				poolLinks.set({endpoint, state: 'lent'}, inUse);
+				poolLinks.set({endpoint, state: 'waiting'}, waiting);
+			}
 		},
 		setRooms(rooms) {
 			roomPlaces.reset();
--- a/src/proxy/run-proxy.ts
+++ b/src/proxy/run-proxy.ts
@@ -154,9 +154,10 @@
 		unusablePrimaries: leaving.filter(id => !directory.mayTakeWork(id, elapsed())).length,
 	});
 	metrics.setRooms(kernel.get('endpointRooms')?.list() ?? []);
-	for (const {entry, pool} of mirror.state.endpoints.map(({id}) => directory.get(id)).filter(endpoint => endpoint !== undefined)) {
-		metrics.setPool(entry.id, pool.open, pool.inUse, pool.waiting);
-	}
+	metrics.setPools(mirror.state.endpoints.map(({id}) => directory.get(id)).filter(endpoint => endpoint !== undefined)
+		.map(({entry, pool}) => ({
+			endpoint: entry.id, open: pool.open, inUse: pool.inUse, waiting: pool.waiting,
+		})));
 }
 
 function readSettings(path: string | undefined): BootSettings {
