Change no other object where a path cannot hold a record's name

What operators would have seen: calls of hosts that change or delete `/objects/aldercroft-hosts/` or `/objects/` itself, whose effect is the store's to define. Records of hosts that cannot be read are marked, and later deleted, under the name that they have in the store. Another program may have named one `..`, `.` or nothing; a URL resolves these names to the path of the kind or of all kinds. Not seen in a deployment.

`encodeURIComponent` leaves dots as they are, and a URL resolves `%2E%2E` as well, so no encoding helps: such a change is refused before it is sent, with the error that a refusal by the store has, which every caller handles. Half of a surrogate pair, which threw a URIError, is refused likewise. All other names are sent as before.

--- a/src/platform/http-metadata-store.ts
+++ b/src/platform/http-metadata-store.ts
@@ -185,13 +185,13 @@
 					what, method: 'POST', path, body: {meta: {name}, spec: value}, timeoutMs,
 				}
 				: {
-					what, method: 'PUT', path: `${path}/${encodeURIComponent(name)}`, body: {meta: {name, modRevision: getWithinGeneration(version)}, spec: value}, timeoutMs,
+					what, method: 'PUT', path: `${path}/${encodeForPath(what, name)}`, body: {meta: {name, modRevision: getWithinGeneration(version)}, spec: value}, timeoutMs,
 				});
 			return isConditionUnmet(res) ? throwVersionConflict(kind, name, version) : toRecord(parse(what, res, storeObjectSchema), res.generation);
 		},
 		async deleteRecord(kind, name, expectedVersion, timeoutMs) {
 			const what = `delete ${kind} ${name}`;
-			const path = `/objects/${KIND_NAMES[kind]}/${encodeURIComponent(name)}?modRevision=${getWithinGeneration(expectedVersion)}`;
+			const path = `/objects/${KIND_NAMES[kind]}/${encodeForPath(what, name)}?modRevision=${getWithinGeneration(expectedVersion)}`;
 			const res = await exchange('delete', {
 				what, method: 'DELETE', path, timeoutMs,
 			});
@@ -212,7 +212,15 @@
 	return names.findLast(name => name !== undefined);
 }
 
-/** Encodes a name for a path. Half of a surrogate pair, which another writer may have put into a name, has no encoding. */
+/** A name that no path can hold: an empty one, one that is resolved to another path, and half of a surrogate pair, which has no encoding. */
+const NOT_IN_PATH = /^\.{0,2}$|\p{Surrogate}/u;
+
+/** Encodes the name of a record for the path of a change; throws PlatformRefusedError where no path can hold it, since the change would be one of another object. */
+function encodeForPath(what: string, name: string): string {
+	return NOT_IN_PATH.test(name) ? throwPlatformRefused(what, 'no path can hold the name') : encodeURIComponent(name);
+}
+
+/** Encodes a name for a query. Half of a surrogate pair, which another writer may have put into a name, has no encoding. */
 function encodeName(name: string): string {
 	return encodeURIComponent(name.replaceAll(/\p{Surrogate}/gu, '\uFFFD'));
 }
--- a/tests/platform/http-metadata-store-tests.ts
+++ b/tests/platform/http-metadata-store-tests.ts
@@ -5,6 +5,7 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {createLineLog} from '../../src/log/line-log.js';
+import {PlatformRefusedError} from '../../src/object-store/platform-errors.js';
 import {createHttpMetadataStore} from '../../src/platform/http-metadata-store.js';
 import {getServerId} from '../../src/platform/endpoint-identity.js';
 import {createSystemClock} from '../../src/time/system-clock.js';
@@ -169,6 +170,54 @@
 	});
 });
 
+describe('HTTP metadata store with records that another program has named', () => {
+	let server: Server;
+	let paths: string[] = [];
+	let address = '';
+
+	before(async () => {
+		server = createServer((req, res) => {
+			paths.push(req.url ?? '');
+			res.writeHead(200, {'content-type': 'application/json'}).end(JSON.stringify(makeItem('x', {})));
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+	});
+
+	after(() => {
+		server.closeAllConnections();
+		server.close();
+	});
+
+	/** Guards against changes of another object, or of a whole kind, where the path that holds the name is resolved to another one. */
+	function doTest(name: string, expected: readonly string[]) {
+		it(`changes and deletes the record ${JSON.stringify(name)} at ${expected.length === 0 ? 'no path' : 'its own path'}`, async () => {
+			paths = [];
+			const store = createHttpMetadataStore({
+				address, clock: createSystemClock(), log: createLineLog(() => undefined), onCall: () => undefined, onGeneration: () => undefined,
+			});
+			const results = await Promise.allSettled([
+				store.putRecord('hosts', {name, version: 7, value: {}}, 60_000),
+				store.deleteRecord('hosts', name, 7, 60_000),
+			]);
+			expect(paths.toSorted()).to.deep.equal(expected);
+			const errors = results.filter(result => result.status === 'rejected').map(({reason}) => reason instanceof PlatformRefusedError);
+			expect(errors).to.deep.equal(expected.length === 0 ? [true, true] : []);
+		});
+	}
+
+	const getPaths = (encoded: string) => [`/objects/aldercroft-hosts/${encoded}`, `/objects/aldercroft-hosts/${encoded}?modRevision=7`];
+
+	doTest('front-1', getPaths('front-1'));
+	doTest('a/../b c?d', getPaths('a%2F..%2Fb%20c%3Fd'));
+	doTest('...', getPaths('...'));
+	doTest('..', []);
+	doTest('.', []);
+	doTest('', []);
+	doTest('\uD800', []);
+});
+
 describe('HTTP metadata store behind a slow link', () => {
 	const TIMEOUT_MS = 200;
 	const PAGE = makePage(Array.from({length: 60}, (_, i) => makeItem(`i-${i}`, GOOD)));
