--- a/tests/gateway/statement-result-tests.ts
+++ b/tests/gateway/statement-result-tests.ts
@@ -17,5 +17,10 @@
 	doTest('an ordinary server', 'i-7 1790000000000', 'i-7 1790000000000');
 	doTest('one with line ends', 'i-7\r\nREADY I -', String.raw`i-7\u{d}\u{a}READY I -`);
 	doTest('one whose low bytes are line ends', 'i-7\u010D\u010AREADY I -', String.raw`i-7\u{10d}\u{10a}READY I -`);
+	it('has a bounded length, whatever it names', () => {
+		const {reason} = getUnprovenRefusal({phase: 'changing', awaited: ['\u010A'.repeat(500_000)]})!;
+		expect(refuse('overloaded', reason).end.text.length).to.be.within(1000, 10_000);
+	});
+
 	doTest('one beyond the basic plane', '\u{1F40D}\uD800', String.raw`\u{1f40d}\u{d800}`);
 });
