Cut a connection whose endpoint does not know a prepared statement, and count session commands

What callers saw: a statement that a caller had prepared was answered NOSUCHSTMT within a transaction, and the connection stayed in use with what the host believed about it, for every caller after that.

The connection is now cut at that answer. A single statement is tried again as before, since nothing ran; a transaction is answered as aborted, which is true because the endpoint rolls back a connection that is closed. A line and a counter name the endpoint, never a text. New counters: refused session commands by kind, unknown names, statements closed to make room; a gauge of prepared statements per host.

--- a/src/gateway/prom-gateway-metrics.ts
+++ b/src/gateway/prom-gateway-metrics.ts
@@ -3,6 +3,8 @@
 } from 'prom-client';
 import type {ConnectionMetrics} from '../links/connection-metrics.js';
 import {createPromConnectionMetrics} from '../links/prom-connection-metrics.js';
+import {createPromSessionMetrics} from '../links/prom-session-metrics.js';
+import type {SessionMetrics} from '../links/session-metrics.js';
 import type {RoomState} from '../endpoint-room/endpoint-rooms.js';
 import type {SchedulingMetrics} from '../scheduling/scheduling-metrics.js';
 import type {PlacementMetrics} from '../placement/placement-metrics.js';
@@ -10,7 +12,7 @@
 import {createPromSchedulingMetrics} from './prom-scheduling-metrics.js';
 
 /** The gateway's metrics, those of the rest of the proxy, and their rendering as text. */
-export type ProxyMetrics = GatewayMetrics & PlacementMetrics & SchedulingMetrics & {
+export type ProxyMetrics = GatewayMetrics & PlacementMetrics & SchedulingMetrics & SessionMetrics & {
 	/** Counts a call to the platform that ended. */
 	countPlatformCall(call: string, result: string): void;
 	/** Counts an entry of the store that was skipped. */
@@ -129,6 +131,7 @@
 
 	return {
 		...createPromSchedulingMetrics(registry),
+		...createPromSessionMetrics(registry),
 		countEjection(reason) {
 			ejections.inc({reason});
 		},
--- a/src/links/endpoint-directory.ts
+++ b/src/links/endpoint-directory.ts
@@ -11,6 +11,7 @@
 import type {EndpointPool} from './endpoint-pool.js';
 import type {LinkOpener} from './endpoint-link.js';
 import type {LinkLimits} from './link-budget.js';
+import type {SessionMetrics} from './session-metrics.js';
 import type {WaiterOrder} from './waiter-order.js';
 
 /** An endpoint that may be connected to. */
@@ -42,6 +43,7 @@
 	readonly log: Log;
 	/** Time from the announcement of an endpoint that it is leaving until it gets no new work, in milliseconds; unlimited without it. */
 	readonly maxLeavingMs?: number;
+	readonly sessionMetrics?: SessionMetrics;
 	/** Returns how many hosts share the endpoint's connections, and whether this host is one of them. */
 	getSharing(entry: RegisteredEndpoint): Pick<LinkLimits, 'hosts' | 'isPoolHost'>;
 	/** Creates the window that bounds what this host has in flight at the endpoint; by default the pool's own. */
@@ -103,6 +105,7 @@
 			window: createWindow?.(entry),
 			order: options.createOrder?.(),
 			connections: createConnectionPolicy?.(entry),
+			sessionMetrics: options.sessionMetrics,
 			waitsForReplicas: () => (mirror.state.routing?.groups.get(entry.group)?.syncReplicas ?? 0) > 0,
 			getLimits: () => ({
 				maxConnections: mirror.state.routing?.groups.get(entry.group)?.maxConnections ?? DEFAULT_MAX_CONNECTIONS,
--- a/src/links/endpoint-pool.ts
+++ b/src/links/endpoint-pool.ts
@@ -10,6 +10,7 @@
 import type {EndpointLoad} from './endpoint-load.js';
 import type {LinkLimits} from './link-budget.js';
 import type {SessionLink} from './link-session.js';
+import type {SessionMetrics} from './session-metrics.js';
 import type {WaiterOrder} from './waiter-order.js';
 
 /** A request to acquire a connection. */
@@ -91,6 +92,7 @@
 	readonly order?: WaiterOrder;
 	/** Decides which connections are opened and closed; by default the one that was idle longest is closed. */
 	readonly connections?: ConnectionPolicy;
+	readonly sessionMetrics?: SessionMetrics;
 	getLimits(): LinkLimits;
 	/** Whether the endpoint's commits wait for other endpoints, for as long as those take. */
 	waitsForReplicas?(): boolean;
--- a/src/links/link-session.ts
+++ b/src/links/link-session.ts
@@ -1,8 +1,9 @@
-import type {AnswerCode, EndpointAnswer} from '../statements/statement-answer.js';
-import type {PreparedShape} from '../statements/statement.js';
+import {AnswerCode, type EndpointAnswer} from '../statements/statement-answer.js';
+import {SessionState, type PreparedShape} from '../statements/statement.js';
 import type {EndpointCommand, EndpointLink, EndpointRequest} from './endpoint-link.js';
 import {createLinkLost} from './link-errors.js';
 import {createPreparedNames} from './prepared-names.js';
+import type {SessionMetrics} from './session-metrics.js';
 
 /** The session values and the prepared statement that a request needs on its connection. */
 export type NeededSession = {
@@ -34,7 +35,7 @@
 	 * Sets up the session as it is needed, sends the request behind that without waiting, and resolves with its answer. Without `needed` the session is left as it is.
 	 *
 	 * Rejects with LinkLostError where the connection ends before the whole answer, and where the endpoint refused to set up the session: the request ran under values or
-	 * statements which its caller had not set.
+	 * statements which its caller had not set. Where the endpoint does not know a statement that it had accepted, the connection is cut and nothing ran.
 	 */
 	exchange(req: SessionRequest, needed?: NeededSession): Promise<EndpointAnswer>;
 };
@@ -47,13 +48,35 @@
 	readonly workspace?: string;
 	/** Called where the endpoint refused a command that sets up the session, with the command's kind. */
 	onRefused?(kind: string, code: AnswerCode): void;
+	/** Called where the endpoint does not know a statement that is prepared on the connection; `prepared` is the number of those. */
+	onUnknownName?(prepared: number): void;
+	readonly metrics?: SessionMetrics;
+};
+
+/** Answer to a statement of a transaction whose connection was cut because the endpoint did not know it; the endpoint rolls back. */
+const ROLLED_BACK: EndpointAnswer = {
+	rows: [], end: {kind: 'error', code: AnswerCode.Aborted, text: 'the endpoint did not know a prepared statement; the transaction was rolled back'}, state: SessionState.Idle,
 };
 
 /** Creates the session of a new connection. */
-export function createSessionLink(link: EndpointLink, {address, workspace, onRefused}: SessionLinkOptions): SessionLink {
+export function createSessionLink(link: EndpointLink, {address, workspace, onRefused, onUnknownName, metrics}: SessionLinkOptions): SessionLink {
 	let values = new Map<string, string>();
 	const prepared = createPreparedNames();
 	let isRefused = false;
+	/** Number of prepared statements that the metrics hold for this connection. */
+	let counted = 0;
+
+	const countPrepared = () => {
+		const size = link.closed ? 0 : prepared.size;
+		if (size !== counted) {
+			metrics?.addPrepared(size - counted);
+			counted = size;
+		}
+	};
+
+	if (metrics) {
+		link.onClose(countPrepared);
+	}
 
 	/** Sends a command of the session's own. Where the endpoint refuses it, cuts the connection before the next answer on it can be used. */
 	const send = (command: EndpointCommand, onDone?: () => void) => {
@@ -74,6 +97,7 @@
 			send({kind: 'reset'});
 			values = new Map();
 			prepared.clear();
+			countPrepared();
 		}
 
 		for (const [name, value] of needed) {
@@ -99,10 +123,12 @@
 
 		const {name, evicted} = added;
 		if (evicted) {
+			metrics?.countClosedStatement();
 			send({kind: 'close', name: evicted.name}, evicted.confirmClosed);
 		}
 
 		send({kind: 'prepare', name, shape});
+		countPrepared();
 		return name;
 	};
 
@@ -134,7 +160,15 @@
 				throw createLinkLost(address, 'the endpoint refused to set up the session');
 			}
 
-			return answer;
+			const isUnknown = req.command.kind === 'execute' && answer.end.kind === 'error' && answer.end.code === AnswerCode.UnknownStatement;
+			if (!isUnknown) {
+				return answer;
+			}
+
+			// What else the endpoint has prepared differs as well, perhaps under names that this host gives to other shapes.
+			onUnknownName?.(prepared.size);
+			link.cut();
+			return answer.state === SessionState.Idle ? answer : ROLLED_BACK;
 		},
 	};
 }
--- a/src/links/pool-connections.ts
+++ b/src/links/pool-connections.ts
@@ -147,7 +147,9 @@
 		try {
 			const link: EndpointLink = await openCheckedLink(options, workspace, timeoutMs, meter?.listener ?? listener);
 			opening.link = link;
-			const sessionLink = createSessionLink(link, {address: target.address, workspace, onRefused: noteSetupRefused});
+			const sessionLink = createSessionLink(link, {
+				address: target.address, workspace, onRefused: noteSetupRefused, onUnknownName: noteUnknownName, metrics: options.sessionMetrics,
+			});
 			all.add(sessionLink);
 			if (meter) {
 				meters.set(sessionLink, meter);
@@ -236,11 +238,19 @@
 
 	/** A refused command leaves a session whose values or prepared statements are not those of its caller. */
 	const noteSetupRefused = (kind: string, code: AnswerCode) => {
+		options.sessionMetrics?.countRefusedCommand(kind);
 		log.warn('an endpoint refused to set up a session; the connection is cut', {
 			endpoint: target.endpointId, group: target.group, command: kind, code,
 		});
 	};
 
+	const noteUnknownName = (prepared: number) => {
+		options.sessionMetrics?.countUnknownName();
+		log.warn('an endpoint does not know a statement that it had prepared; the connection is cut', {
+			endpoint: target.endpointId, group: target.group, prepared,
+		});
+	};
+
 	const openOne = async (workspace: string | undefined) => {
 		try {
 			const startedAt = clock.now();
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -210,6 +210,7 @@
 		clock,
 		log,
 		maxLeavingMs: parts.maxLeavingMs,
+		sessionMetrics: metrics,
 		createOrder: scheduling && (() => new UrgencyOrder(scheduling.leastShare, metrics)),
 		getSharing: entry => ({hosts: poolHosts.countHosts(entry), isPoolHost: poolHosts.isPoolHost(entry)}),
 		createWindow: endpointRooms?.createWindow,
--- a/tests/links/line-endpoint.ts
+++ b/tests/links/line-endpoint.ts
@@ -16,6 +16,8 @@
 	readonly names: ReadonlyMap<string, {readonly access: string; readonly shape: string}>;
 	/** Lines for which this returns true are answered with an error. */
 	refuses(line: string): boolean;
+	/** State of the connection after each answer. */
+	state: SessionState;
 };
 
 /** Creates such a connection. */
@@ -23,8 +25,16 @@
 	const names = new Map<string, {readonly access: string; readonly shape: string}>();
 	const executed: ExecutedShape[] = [];
 	const lines: string[] = [];
+	const closeListeners: Array<() => void> = [];
 	let closed = false;
 
+	const close = () => {
+		closed = true;
+		for (const listener of closeListeners) {
+			listener();
+		}
+	};
+
 	const execute = (id: string, name: string, args: string | undefined): AnswerEnd => {
 		const prepared = names.get(name);
 		if (!prepared) {
@@ -82,23 +92,22 @@
 				const line = formatRequest(req).slice(0, -'\r\n'.length);
 				lines.push(line);
 				const end: AnswerEnd = endpoint.refuses(line) ? {kind: 'error', code: AnswerCode.Failed, text: ''} : perform(line);
-				return {rows: [], end, state: SessionState.Idle};
+				return {rows: [], end, state: endpoint.state};
 			},
 			async readStatus() {
 				throw createLinkLost('10.1.0.9:8080', 'it reports no status');
 			},
-			cut() {
-				closed = true;
-			},
-			close() {
-				closed = true;
+			cut: close,
+			close,
+			onClose(listener) {
+				closeListeners.push(listener);
 			},
-			onClose() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 		},
 		lines,
 		executed,
 		names,
 		refuses: () => false,
+		state: SessionState.Idle,
 	};
 	return endpoint;
 }
