--- a/src/connection-sharing/remote-link.ts
+++ b/src/connection-sharing/remote-link.ts
@@ -37,8 +37,8 @@
 const END_TIMEOUT_MS = 1000;
 
 /** Answers for a request that never reached the endpoint, the same as those to one that it rejected: so the request is tried again, or its transaction ends. */
-const DID_NOT_RUN: EndpointAnswer = {rows: [], end: {kind: 'error', code: AnswerCode.Overloaded, text: 'the loan was over; nothing ran'}, state: SessionState.Idle};
-const ROLLED_BACK: EndpointAnswer = {rows: [], end: {kind: 'error', code: AnswerCode.Aborted, text: 'the loan was over; the transaction was rolled back'}, state: SessionState.Idle};
+const DID_NOT_RUN: EndpointAnswer = createRefusal(AnswerCode.Overloaded, 'the loan was over; nothing ran');
+const ROLLED_BACK: EndpointAnswer = createRefusal(AnswerCode.Aborted, 'the loan was over; the transaction was rolled back');
 
 /**
  * Creates the remote host's side of a checkout. A pool host that fails, or does not answer, counts as a lost connection: a request that was sent on it may
@@ -135,5 +135,15 @@
 	};
 }
 
+function createRefusal(code: AnswerCode, text: string): EndpointAnswer {
+	return {
+		rows: [],
+		end: {
+			kind: 'error', code, text, isOwn: true,
+		},
+		state: SessionState.Idle,
+	};
+}
+
 /** Does nothing: a checkout whose end message is lost is revoked by the pool host. */
 function ignorePeerError(): void {} // eslint-disable-line @typescript-eslint/no-empty-function
--- a/src/connection-sharing/remote-read.ts
+++ b/src/connection-sharing/remote-read.ts
@@ -45,7 +45,12 @@
 const RUN_TIMEOUT_MS = 8000;
 
 const DID_NOT_RUN: EndpointAnswer = {
-	rows: [], end: {kind: 'error', code: AnswerCode.Overloaded, text: 'no lender had a connection; nothing ran'}, state: SessionState.Idle, unsent: true,
+	rows: [],
+	end: {
+		kind: 'error', code: AnswerCode.Overloaded, text: 'no lender had a connection; nothing ran', isOwn: true,
+	},
+	state: SessionState.Idle,
+	unsent: true,
 };
 
 type Run = PeerCalls['loan-run']['res'];
--- a/src/gateway/find-route.ts
+++ b/src/gateway/find-route.ts
@@ -2,6 +2,7 @@
 import {AnswerCode} from '../statements/statement-answer.js';
 import type {GatewayParts} from './gateway-parts.js';
 import {createProofWait, type ProofWaitOptions} from './proof-wait.js';
+import {describeDatabase} from './describe-database.js';
 import {refuse, type RefusalResult} from './statement-result.js';
 
 /** The route of a database, or the refusal of a request that names one without a route. */
@@ -46,7 +47,7 @@
 	const {code, text} = refusal.end;
 	const storeConfirmedAgoMs = mirror.routingConfirmedAt === undefined ? undefined : Math.round(elapsedClock.elapsed() - mirror.routingConfirmedAt);
 	log.info('a database has no route that is known to be in force', {
-		database, code, reason: text, routing: mirror.state.routing?.version, storeConfirmedAgoMs,
+		...describeDatabase(mirror, database), code, reason: text, routing: mirror.state.routing?.version, storeConfirmedAgoMs,
 	});
 	return {found: false, refusal};
 }
--- a/src/gateway/observe-statement.ts
+++ b/src/gateway/observe-statement.ts
@@ -16,6 +16,9 @@
 	readonly trace: StatementTrace;
 };
 
+/** Logged in place of an endpoint's text, which may repeat a statement of a caller. */
+const ENDPOINT_TEXT = 'an endpoint answered so';
+
 /** Counts an answered statement. Logs it where it was refused or late, so that it can be explained afterwards. */
 export function observeStatement(parts: GatewayParts, answered: AnsweredStatement): void {
 	const {elapsedClock, log, metrics, mirror} = parts;
@@ -31,7 +34,7 @@
 	log.info(end.kind === 'error' ? 'a statement was refused' : 'a statement was answered late', {
 		id,
 		kind: statement.kind,
-		...(end.kind === 'error' && {code: end.code, text: end.text}),
+		...(end.kind === 'error' && {code: end.code, text: end.isOwn ? end.text : ENDPOINT_TEXT}),
 		database,
 		group: route?.group,
 		tookMs: Math.round(tookMs),
--- a/src/gateway/open-session.ts
+++ b/src/gateway/open-session.ts
@@ -2,6 +2,7 @@
 import {getFingerprint} from '../workspaces/key-index.js';
 import {admitCaller} from './admit-operation.js';
 import type {CallerChannel, CallerRequest} from './caller-channel.js';
+import {describeDatabase} from './describe-database.js';
 import {findRoute} from './find-route.js';
 import type {GatewayParts} from './gateway-parts.js';
 import {createSessionMemory, type SessionMemory} from './session-memory.js';
@@ -40,13 +41,13 @@
 	const found = mirror.state.routing && await findRoute(parts, database, {isWanted: () => !channel.left && !getStopPlan(), until});
 	const plan = getStopPlan();
 	if (isPastAdmission(plan, clock.now()) || (plan && !found?.found)) {
-		log.info('a session was refused: the host is stopping', {database});
+		log.info('a session was refused: the host is stopping', describeDatabase(mirror, database));
 		channel.refuse(STOPPING.end.code, STOPPING.end.text);
 		return undefined;
 	}
 
 	if (!found) {
-		log.info('a session was refused: no configuration is known yet', {database});
+		log.info('a session was refused: no configuration is known yet', describeDatabase(mirror, database));
 		channel.refuse(AnswerCode.Overloaded, 'this host is starting');
 		return undefined;
 	}
--- a/src/gateway/statement-result.ts
+++ b/src/gateway/statement-result.ts
@@ -20,5 +20,9 @@
  */
 export function refuse(code: AnswerCode, reason: string, retryAfterMs?: number): RefusalResult {
 	const text = retryAfterMs === undefined ? reason : `retry-after-ms=${Math.ceil(retryAfterMs)} ${reason}`;
-	return {rows: [], end: {kind: 'error', code, text}};
+	return {
+		rows: [], end: {
+			kind: 'error', code, text, isOwn: true,
+		},
+	};
 }
--- a/src/links/link-session.ts
+++ b/src/links/link-session.ts
@@ -55,7 +55,11 @@
 
 /** Answer to a statement of a transaction whose connection was cut because the endpoint did not know it; the endpoint rolls back. */
 const ROLLED_BACK: EndpointAnswer = {
-	rows: [], end: {kind: 'error', code: AnswerCode.Aborted, text: 'the endpoint did not know a prepared statement; the transaction was rolled back'}, state: SessionState.Idle,
+	rows: [],
+	end: {
+		kind: 'error', code: AnswerCode.Aborted, text: 'the endpoint did not know a prepared statement; the transaction was rolled back', isOwn: true,
+	},
+	state: SessionState.Idle,
 };
 
 /** Creates the session of a new connection. */
--- a/src/placement/gate-replicas.ts
+++ b/src/placement/gate-replicas.ts
@@ -52,7 +52,9 @@
 			if (isRefused(gate, reachedInMs, now)) {
 				return {
 					rows: [],
-					end: {kind: 'error', code: AnswerCode.Lagging, text: `${endpointId} is behind; nothing ran`},
+					end: {
+						kind: 'error', code: AnswerCode.Lagging, text: `${endpointId} is behind; nothing ran`, isOwn: true,
+					},
 					state: SessionState.Idle,
 					position: progress.held,
 					reachedInMs: toFinite(reachedInMs),
--- a/src/platform/tcp-link-opener.ts
+++ b/src/platform/tcp-link-opener.ts
@@ -212,7 +212,12 @@
 /** Creates the answer to a request that is not sent: with the log position before it, a read of nearly the maximum size is over that size, and the endpoint would end the connection. */
 function createTooLarge(state: SessionState, bytes: number): EndpointAnswer {
 	return {
-		rows: [], end: {kind: 'error', code: AnswerCode.TooLarge, text: `the endpoint would receive ${bytes} bytes, more than a message may have; nothing ran`}, state, unsent: true,
+		rows: [],
+		end: {
+			kind: 'error', code: AnswerCode.TooLarge, text: `the endpoint would receive ${bytes} bytes, more than a message may have; nothing ran`, isOwn: true,
+		},
+		state,
+		unsent: true,
 	};
 }
 
--- a/src/statements/statement-answer.ts
+++ b/src/statements/statement-answer.ts
@@ -42,7 +42,8 @@
 export type AnswerEnd =
 	/** `signature` is the endpoint's proof that it ran the statement; undefined where the proxy itself answered. */
 	| {readonly kind: 'complete'; readonly signature?: string}
-	| {readonly kind: 'error'; readonly code: AnswerCode; readonly text: string};
+	/** `isOwn` is set where a proxy wrote the text, which then holds nothing of a caller; that of an endpoint may repeat a statement. */
+	| {readonly kind: 'error'; readonly code: AnswerCode; readonly text: string; readonly isOwn?: true};
 
 /** A whole answer of an endpoint to one statement. */
 export type EndpointAnswer = {
