Cut a connection whose endpoint sends what no request awaits, and log and count such faults

What a caller could see: the rows of an answer that it had not asked for, with its own. Rows and an end that arrive while no request is outstanding stayed with the connection until the next request, whose READY then ended them as its own answer.

Any line while no request is outstanding now cuts the connection. Each cut because of what an endpoint sent is logged and counted by five reasons (unmatched, unasked-error, incomplete, unknown-line, too-long), without a text of the line; an error unasked has its own, since a server may send one before it closes. Requests refused unsent as too large are counted too.

--- a/src/platform/tcp-link-opener.ts
+++ b/src/platform/tcp-link-opener.ts
@@ -2,7 +2,10 @@
 import type {
 	EndpointLink, EndpointRequest, LinkListener, LinkOpener, LinkTarget,
 } from '../links/endpoint-link.js';
+import {LinkFault} from '../links/link-fault.js';
+import type {LinkMetrics} from '../links/link-metrics.js';
 import {createLinkLost, createLinkRefused, throwUnexpectedAnswer} from '../links/link-errors.js';
+import type {Log} from '../log/log.js';
 import {SessionState} from '../statements/statement.js';
 import {
 	AnswerCode, isOverloaded, type AnswerEnd, type EndpointAnswer,
@@ -20,6 +23,8 @@
 	readonly clock: Clock;
 	/** Sent to endpoints as the name of whom the connection is for, where it is not for a workspace. */
 	readonly hostName: string;
+	readonly log?: Log;
+	readonly metrics?: LinkMetrics;
 };
 
 type Waiter = {
@@ -28,12 +33,26 @@
 };
 
 /** Opens links to endpoints over TCP. */
-export function createTcpLinkOpener({clock, hostName}: TcpLinkOpenerOptions): LinkOpener {
+export function createTcpLinkOpener({clock, hostName, log: parentLog, metrics}: TcpLinkOpenerOptions): LinkOpener {
+	const log = parentLog?.withPrefix('endpoints: ');
+	const noteFault = ({address, group, endpointId}: LinkTarget, fault: LinkFault) => {
+		metrics?.countLinkFault(fault);
+		log?.warn('a connection is cut because of what its endpoint sent', {
+			endpoint: endpointId, group, address, fault,
+		});
+	};
+
 	return {
 		async open(target, timeoutMs, listener) {
 			const [host, port] = splitAddress(target.address);
 			const socket = connect({host, port, noDelay: true});
-			const opening = createTcpLink(socket, target, listener);
+			const opening = createTcpLink(socket, target, {
+				listener,
+				onFault(fault) {
+					noteFault(target, fault);
+				},
+				onUnsent: metrics?.countUnsent,
+			});
 			socket.write(formatStartup(target.group, target.workspace ?? hostName, target.endpointId), 'latin1');
 			const bounded = await withinMs(clock, timeoutMs, opening);
 			if (bounded.timedOut) {
@@ -52,7 +71,13 @@
 	return [address.slice(0, colon), Number(address.slice(colon + 1))];
 }
 
-async function createTcpLink(socket: Socket, target: LinkTarget, listener: LinkListener): Promise<EndpointLink> {
+type TcpLinkEvents = {
+	readonly listener: LinkListener;
+	onFault(fault: LinkFault): void;
+	onUnsent?(): void;
+};
+
+async function createTcpLink(socket: Socket, target: LinkTarget, {listener, onFault, onUnsent}: TcpLinkEvents): Promise<EndpointLink> {
 	const {address} = target;
 	const reader = createLineReader();
 	const waiters: Waiter[] = [];
@@ -79,7 +104,11 @@
 	};
 
 	/** Fails the link and resets its socket. An answer that is incomplete or matches no request must end the link, so that no caller gets another caller's rows. */
-	const failAndReset = (reason: string) => {
+	const failAndReset = (reason: string, fault?: LinkFault) => {
+		if (fault && !closed) {
+			onFault(fault);
+		}
+
 		failLink(reason);
 		socket.resetAndDestroy();
 	};
@@ -90,7 +119,7 @@
 		const waiter = waiters.shift();
 		if (!waiter || !end || !state) {
 			waiter?.reject(createLinkLost(address, 'an answer that is incomplete or matches no request'));
-			failAndReset('an answer that is incomplete or matches no request');
+			failAndReset('an answer that is incomplete or matches no request', LinkFault.Incomplete);
 			return;
 		}
 
@@ -105,7 +134,10 @@
 	};
 
 	const handleLine = (line: string) => {
-		if (line.startsWith('DATAROW ')) {
+		if (waiters.length === 0) {
+			// The rows and the end of an answer that nobody waits for would be taken for those of the next request.
+			failAndReset('an answer that matches no request', line.startsWith('ERROR ') ? LinkFault.UnaskedError : LinkFault.Unmatched);
+		} else if (line.startsWith('DATAROW ')) {
 			rows.push(line.slice('DATAROW '.length));
 		} else if (line.startsWith('COMPLETE ')) {
 			end = {kind: 'complete', signature: line.slice('COMPLETE '.length)};
@@ -114,7 +146,7 @@
 		} else if (line.startsWith('READY ')) {
 			finishAnswer(line);
 		} else {
-			failAndReset('an unknown kind of line');
+			failAndReset('an unknown kind of line', LinkFault.UnknownLine);
 		}
 	};
 
@@ -135,6 +167,7 @@
 
 			const line = formatRequest(req);
 			if (line.length > MAX_LINE_BYTES + LINE_END.length) {
+				onUnsent?.();
 				return createTooLarge(lastState, line.length);
 			}
 
@@ -181,7 +214,7 @@
 		socket.on('data', (chunk: string) => {
 			const lines = reader.push(chunk);
 			if (!lines) {
-				failAndReset('a line over the limit');
+				failAndReset('a line over the limit', LinkFault.TooLong);
 				return;
 			}
 
--- a/src/proxy/main.ts
+++ b/src/proxy/main.ts
@@ -58,7 +58,9 @@
 			onStoreBytes = listener;
 		},
 		orders: createHttpPromotionOrders({address: settings.ordersAddress, clock, onCall}),
-		opener: createTcpLinkOpener({clock, hostName: settings.hostName}),
+		opener: createTcpLinkOpener({
+			clock, hostName: settings.hostName, log, metrics,
+		}),
 		peers: createWsPeers({
 			hostAddress: peerHost, peerPort: Number(peerPort), peerKeys: (process.env[KEYS_VARIABLE] ?? '').split(','), clock, random, log,
 		}),
