Log and count requests between hosts of two versions

What operators saw: in a rolling replacement, statements with blanks in their shapes were refused by pool hosts of the earlier version, and nothing said so: the refusal looked like any other that was not run.

The other direction is recognized by a request that this version would have sent with the later call. Each is counted by its sign (refused, received) and logged once a minute for each host. What is sent between hosts is unchanged.

Seen red with the three calls of note taken out: four of the nine tests in tests/connection-sharing/earlier-versions-tests.ts fail (nothing counted).

--- a/src/connection-sharing/checkout-opener.ts
+++ b/src/connection-sharing/checkout-opener.ts
@@ -7,6 +7,7 @@
 	getScheduleOnWire, type CheckoutRefusal, type CheckoutLoad, type CheckoutRequest, type CheckoutResponse,
 } from './checkout-calls.js';
 import {POOL_HOST_ROUND_TRIP_MS} from './pool-host-timeouts.js';
+import type {EarlierVersions} from './earlier-versions.js';
 import type {PoolHostWait} from './pool-host-wait.js';
 import {createRemoteLink, type RemoteLink} from './remote-link.js';
 import type {WaitIds} from './wait-ids.js';
@@ -26,6 +27,7 @@
 	readonly wait: PoolHostWait;
 	/** Names the requests, so that they can be ended while they wait; undefined where each waits to its end. */
 	readonly waitIds?: WaitIds;
+	readonly earlierVersions?: EarlierVersions;
 	/** Called after each answer of the endpoint. */
 	onReceived(): void;
 	/** Called with each response of a pool host. */
@@ -56,7 +58,7 @@
 		}
 
 		return createRemoteLink({
-			peers, poolHost, checkoutId: response.loan, single, onReceived, onLoad(load) {
+			peers, poolHost, checkoutId: response.loan, single, onReceived, earlierVersions: options.earlierVersions, onLoad(load) {
 				onResponse(poolHost, load);
 			},
 		});
--- a/src/connection-sharing/checkout-server.ts
+++ b/src/connection-sharing/checkout-server.ts
@@ -17,7 +17,8 @@
 	CheckoutRefusal, type CheckoutLoad, type CheckoutResponse, type CheckoutExchange, type CheckoutRequest, type CheckoutRun,
 } from './checkout-calls.js';
 import type {HostWatch} from './host-watch.js';
-import {fromNeededOnWire, fromRequestOnWire} from './prepared-on-wire.js';
+import {VersionSign, type EarlierVersions} from './earlier-versions.js';
+import {fromNeededOnWire, fromRequestOnWire, isKnownToEveryVersion} from './prepared-on-wire.js';
 import {createWaitingPlaces} from './waiting-places.js';
 
 /** Serves checkouts of this host's connections to hosts that keep none. */
@@ -47,6 +48,7 @@
 	readonly log: Log;
 	/** Set with scheduling: requests give up their place where their remote host is silent, and responses carry the endpoint's load. */
 	readonly hostWatch?: HostWatch;
+	readonly earlierVersions?: EarlierVersions;
 	/** Returns the maximum idle time between two requests of a checkout, in milliseconds. */
 	getMaxIdleMs(): number;
 };
@@ -265,13 +267,24 @@
 	const addLoad = <T extends Record<string, unknown>>(response: T, endpoint: KnownEndpoint | undefined): T & CheckoutLoad =>
 		hostWatch && endpoint ? {...response, load: endpoint.ownPool.getLoad(clock.now())} : response;
 
+	/** A host of this version sends with another call what not every version can run. */
+	const noteVersion = (kind: string, {request, needed}: Pick<CheckoutExchange, 'request' | 'needed'>, address: string) => {
+		if (!kind.endsWith('-shape') && !isKnownToEveryVersion(fromRequestOnWire(request), needed?.prepared)) {
+			options.earlierVersions?.note(VersionSign.Received, address);
+		}
+	};
+
 	peers.handle('loan-open', async (req, from) => addLoad(await openCheckout(req, from.address), directory.get(req.endpointId)));
 	for (const kind of ['loan-run', 'loan-run-shape'] as const) {
-		peers.handle(kind, async (req, from) => addLoad(await run(req, from.address), directory.get(req.endpointId)));
+		peers.handle(kind, async (req, from) => {
+			noteVersion(kind, req, from.address);
+			return addLoad(await run(req, from.address), directory.get(req.endpointId));
+		});
 	}
 
 	for (const kind of ['loan-exchange', 'loan-exchange-shape'] as const) {
 		peers.handle(kind, async (req, from) => {
+			noteVersion(kind, req, from.address);
 			const endpoint = checkouts.get(req.loan)?.endpoint;
 			return addLoad(await exchange(req, from.address), endpoint);
 		});
--- a/src/connection-sharing/remote-link.ts
+++ b/src/connection-sharing/remote-link.ts
@@ -8,6 +8,7 @@
 import {AnswerCode, type EndpointAnswer} from '../statements/statement-answer.js';
 import type {CheckoutLoad} from './checkout-calls.js';
 import {createCloseState} from './close-state.js';
+import {VersionSign, type EarlierVersions} from './earlier-versions.js';
 import {isKnownToEveryVersion, toNeededOnWire, toRequestOnWire} from './prepared-on-wire.js';
 
 /** A connection that is checked out at another host. */
@@ -28,6 +29,7 @@
 	onReceived(): void;
 	/** Called with the endpoint's load where the pool host sends it along. */
 	onLoad?(response: CheckoutLoad): void;
+	readonly earlierVersions?: EarlierVersions;
 };
 
 /** Timeout for an exchange with a pool host, in milliseconds: the sender of a statement bounds it by a far shorter time. */
@@ -45,7 +47,7 @@
  * have run, and a transaction on it is rolled back, since only the remote host would commit it. A request that was never sent, or arrived after the
  * checkout had ended, certainly did not run.
  */
-export function createRemoteLink({peers, poolHost, checkoutId, single, onReceived, onLoad}: RemoteLinkOptions): RemoteLink {
+export function createRemoteLink({peers, poolHost, checkoutId, single, onReceived, onLoad, earlierVersions}: RemoteLinkOptions): RemoteLink {
 	const closeState = createCloseState();
 	let turn = 0;
 	let pending = 0;
@@ -68,6 +70,10 @@
 				throw err;
 			}
 
+			if (err.isUnknownKind) {
+				earlierVersions?.note(VersionSign.Refused, poolHost);
+			}
+
 			return err.sent ? {} : {over: true};
 		}
 	};
--- a/src/connection-sharing/remote-read.ts
+++ b/src/connection-sharing/remote-read.ts
@@ -12,6 +12,7 @@
 import {CheckoutRefusal, type CheckoutLoad} from './checkout-calls.js';
 import {allowForLostTime, createCheckoutRequest} from './checkout-opener.js';
 import {createCloseState} from './close-state.js';
+import {VersionSign, type EarlierVersions} from './earlier-versions.js';
 import {isKnownToEveryVersion, toNeededOnWire, toRequestOnWire} from './prepared-on-wire.js';
 import type {PoolHostWait} from './pool-host-wait.js';
 import {REFUSED_RETRY_DELAY_MS} from './single-place-acquire.js';
@@ -37,6 +38,7 @@
 	readonly wait?: PoolHostWait;
 	/** Names the read while it waits, so that it can be ended; undefined where it always waits to its end. */
 	readonly waitIds?: WaitIds;
+	readonly earlierVersions?: EarlierVersions;
 	/** Called with each response of a pool host. */
 	onResponse?(poolHost: string, response: CheckoutLoad): void;
 };
@@ -107,6 +109,10 @@
 				throw err;
 			}
 
+			if (err.isUnknownKind) {
+				options.earlierVersions?.note(VersionSign.Refused, poolHost);
+			}
+
 			// A pool host of an earlier version refuses this one call and serves all others.
 			if (isKnown || err.sent) {
 				unreachable.add(poolHost, clock.now());
--- a/src/connection-sharing/shared-pool.ts
+++ b/src/connection-sharing/shared-pool.ts
@@ -13,6 +13,7 @@
 import type {RecordedLoadReports} from '../endpoint-load/load-reports.js';
 import {CheckoutRefusal, type CheckoutLoad} from './checkout-calls.js';
 import {createCheckoutOpener, type CheckoutResult} from './checkout-opener.js';
+import type {EarlierVersions} from './earlier-versions.js';
 import type {HostWatch} from './host-watch.js';
 import {LeastLoadOrder} from './least-load-order.js';
 import {NearFirstOrder} from './near-first-order.js';
@@ -38,6 +39,7 @@
 	readonly peers: Peers;
 	readonly clock: Clock;
 	readonly ownPeerAddress: string;
+	readonly earlierVersions?: EarlierVersions;
 	/** Set with scheduling: requests wait in one place, chosen by workspace or by load. */
 	readonly scheduling?: SharedPoolScheduling;
 };
@@ -62,7 +64,7 @@
  * Guards against an endpoint's few connections being split among many hosts: each would have less than one, and a host with one is blocked by a
  * transaction while those of others are idle. Where no pool host answers, the host opens its own connections as far as the endpoint allows.
  */
-export function createSharedPool({entry, ownPool, poolHosts, unreachable, peers, clock, ownPeerAddress, scheduling}: SharedPoolOptions): EndpointPool {
+export function createSharedPool({entry, ownPool, poolHosts, unreachable, peers, clock, ownPeerAddress, earlierVersions, scheduling}: SharedPoolOptions): EndpointPool {
 	const checkouts = new Map<SessionLink, RemoteLink>();
 	const received = createEndpointHealth();
 	const createdAt = clock.now();
@@ -112,7 +114,7 @@
 	};
 
 	const checkOutAt = createCheckoutOpener({
-		endpointId: entry.id, peers, unreachable, clock, wait, waitIds: scheduling?.waitIds, onReceived: noteReceived, onResponse: noteResponse,
+		endpointId: entry.id, peers, unreachable, clock, wait, waitIds: scheduling?.waitIds, onReceived: noteReceived, onResponse: noteResponse, earlierVersions,
 	});
 
 	/**
@@ -225,7 +227,7 @@
 	const startRemoteRead = (acquireRequest: AcquireRequest): SessionLink => {
 		const sessionLink = createRemoteRead({
 			endpointId: entry.id, acquireRequest, peers, unreachable, clock, getPoolHosts: () => getRemotePoolHosts(acquireRequest.workspace), onReceived: noteReceived, onUnreachable: noteUnreachable,
-			wait, waitIds: scheduling?.waitIds, onResponse: noteResponse,
+			wait, waitIds: scheduling?.waitIds, onResponse: noteResponse, earlierVersions,
 			runOnOwn: async (request, needed) => runOnOwn(acquireRequest, request, needed),
 		});
 		checkouts.set(sessionLink, {...sessionLink, release() {}}); // eslint-disable-line @typescript-eslint/no-empty-function
--- a/src/gateway/prom-gateway-metrics.ts
+++ b/src/gateway/prom-gateway-metrics.ts
@@ -3,6 +3,8 @@
 } from 'prom-client';
 import type {ConnectionMetrics} from '../links/connection-metrics.js';
 import {createPromConnectionMetrics} from '../links/prom-connection-metrics.js';
+import type {VersionMetrics} from '../connection-sharing/earlier-versions.js';
+import {createPromVersionMetrics} from '../connection-sharing/prom-version-metrics.js';
 import type {LinkMetrics} from '../links/link-metrics.js';
 import {createPromLinkMetrics} from '../links/prom-link-metrics.js';
 import {createPromSessionMetrics} from '../links/prom-session-metrics.js';
@@ -14,7 +16,7 @@
 import {createPromSchedulingMetrics} from './prom-scheduling-metrics.js';
 
 /** The gateway's metrics, those of the rest of the proxy, and their rendering as text. */
-export type ProxyMetrics = GatewayMetrics & PlacementMetrics & SchedulingMetrics & SessionMetrics & LinkMetrics & {
+export type ProxyMetrics = GatewayMetrics & PlacementMetrics & SchedulingMetrics & SessionMetrics & LinkMetrics & VersionMetrics & {
 	/** Counts a call to the platform that ended. */
 	countPlatformCall(call: string, result: string): void;
 	/** Counts an entry of the store that was skipped. */
@@ -135,6 +137,7 @@
 		...createPromSchedulingMetrics(registry),
 		...createPromSessionMetrics(registry),
 		...createPromLinkMetrics(registry),
+		...createPromVersionMetrics(registry),
 		countEjection(reason) {
 			ejections.inc({reason});
 		},
--- a/src/peers/incoming-link.ts
+++ b/src/peers/incoming-link.ts
@@ -3,7 +3,7 @@
 import {createSleepAlarm} from '../time/sleep-alarm.js';
 import {createFrameWriter} from './frame-writer.js';
 import {authenticateAsResponder, type PeerCredentials} from './peer-authentication.js';
-import {throwNotAuthenticated} from './peer-errors.js';
+import {throwNotAuthenticated, UNKNOWN_KIND_REASON} from './peer-errors.js';
 import {
 	decodeFrames, encodeFrame, FrameType, type CallFrame, type PeerFrame,
 } from './peer-frame.js';
@@ -73,7 +73,7 @@
 	const respond = async (call: CallFrame) => {
 		const handler = draining ? undefined : handlers.get(call.kind);
 		if (!handler) {
-			const reason = draining ? 'the host ends its links' : 'no handler for this kind of call';
+			const reason = draining ? 'the host ends its links' : UNKNOWN_KIND_REASON;
 			write({type: FrameType.Refusal, id: call.id, reason});
 			return;
 		}
--- a/src/peers/peer-errors.ts
+++ b/src/peers/peer-errors.ts
@@ -1,12 +1,15 @@
 import ModernError from 'modern-errors';
 
-/** A call to another proxy that got no response. `sent` is true if the peer may have acted on it. */
+/** Reason of a peer that has no handler for a kind of call, as hosts of an earlier version have none for later kinds. */
+export const UNKNOWN_KIND_REASON = 'no handler for this kind of call';
+
+/** A call to another proxy that got no response. `sent` is true if the peer may have acted on it, `isUnknownKind` if it does not know this kind of call. */
 export const PeerError = ModernError.subclass('PeerError', {
-	props: {sent: false},
+	props: {sent: false, isUnknownKind: false},
 });
 
 /** Returns whether an error is a PeerError. */
-export function isPeerError(err: unknown): err is InstanceType<typeof PeerError> & {sent: boolean} {
+export function isPeerError(err: unknown): err is InstanceType<typeof PeerError> & {sent: boolean; isUnknownKind: boolean} {
 	return err instanceof PeerError;
 }
 
@@ -47,5 +50,5 @@
 
 /** @internal Created, not thrown: it rejects a pending call. */
 export function createCallError(address: string, kind: string, reason: string, sent: boolean) {
-	return new PeerError(`${address} gave no answer to ${kind}: ${reason}`, {props: {sent}});
+	return new PeerError(`${address} gave no answer to ${kind}: ${reason}`, {props: {sent, isUnknownKind: reason === UNKNOWN_KIND_REASON}});
 }
--- a/src/proxy/create-proxy.ts
+++ b/src/proxy/create-proxy.ts
@@ -19,6 +19,7 @@
 import type {LinkOpener} from '../links/endpoint-link.js';
 import {createLoadReports, type LoadReports} from '../endpoint-load/load-reports.js';
 import {EndpointZoneLayout} from '../connection-sharing/endpoint-zone-layout.js';
+import {createEarlierVersions} from '../connection-sharing/earlier-versions.js';
 import {createHostWatch} from '../connection-sharing/host-watch.js';
 import {MonitorLayout} from '../connection-sharing/monitor-layout.js';
 import {ExpectedUsePolicy} from '../links/expected-use-policy.js';
@@ -193,6 +194,7 @@
 	const unreachable = createUnreachableHosts();
 	const hostWatch = scheduling && createHostWatch({peers, clock});
 	const waitIds = createWaitIds(peers);
+	const earlierVersions = createEarlierVersions({clock, log, metrics});
 	const endpointRooms = scheduling && createEndpointRooms({
 		poolHosts,
 		peers,
@@ -215,7 +217,7 @@
 		getSharing: entry => ({hosts: poolHosts.countHosts(entry), isPoolHost: poolHosts.isPoolHost(entry)}),
 		createWindow: endpointRooms?.createWindow,
 		sharePool: (entry, ownPool) => createSharedPool({
-			entry, ownPool, poolHosts, unreachable, peers, clock, ownPeerAddress: peerAddress, scheduling: hostWatch && {
+			entry, ownPool, poolHosts, unreachable, peers, clock, ownPeerAddress: peerAddress, earlierVersions, scheduling: hostWatch && {
 				loads: loadReports, hostWatch, waitIds, random,
 			},
 		}),
@@ -242,6 +244,7 @@
 		random,
 		log,
 		hostWatch,
+		earlierVersions,
 		getMaxIdleMs: () => getMaxTransactionIdleMs(mirror.state.routing),
 	});
 	const sampleFetcher = createSampleFetcher({
