--- a/src/links/prom-link-metrics.ts
+++ b/src/links/prom-link-metrics.ts
@@ -5,7 +5,7 @@
 export function createPromLinkMetrics(registry: Registry): LinkMetrics {
 	const registers = [registry];
 	const faults = new Counter({
-		name: 'aldercroft_connection_faults_total', help: 'Connections that were cut because of what their endpoint sent, by the fault', labelNames: ['fault'], registers,
+		name: 'aldercroft_link_faults_total', help: 'Connections that were cut because of what their endpoint sent, by the fault', labelNames: ['fault'], registers,
 	});
 	const unsent = new Counter({
 		name: 'aldercroft_oversized_requests_total', help: 'Requests that were not sent to an endpoint, since they were over the size limit', registers,
--- a/tests/platform/tcp-link-faults-tests.ts
+++ b/tests/platform/tcp-link-faults-tests.ts
@@ -80,7 +80,7 @@
 				: await ask();
 			expect([outcome, link.closed]).to.deep.equal([given.answer === undefined ? 'closed' : 'LinkLostError', true]);
 			expect(lines).to.deep.equal([`endpoints: a connection is cut because of what its endpoint sent {"endpoint":"i-1","group":"nights","fault":"${fault}"}`]);
-			expect(await read()).to.deep.equal([`connection_faults_total{fault="${fault}"} 1`]);
+			expect(await read()).to.deep.equal([`link_faults_total{fault="${fault}"} 1`]);
 		});
 	}
 
