--- a/src/connection-sharing/remote-link.ts
+++ b/src/connection-sharing/remote-link.ts
@@ -8,6 +8,7 @@
 import {AnswerCode, type EndpointAnswer} from '../statements/statement-answer.js';
 import type {CheckoutLoad} from './checkout-calls.js';
 import {createCloseState} from './close-state.js';
+import {VersionSign, type EarlierVersions} from './earlier-versions.js';
 import {isKnownToEveryVersion, toNeededOnWire, toRequestOnWire} from './prepared-on-wire.js';
 
 /** A connection that is checked out at another host. */
@@ -28,6 +29,7 @@
 	onReceived(): void;
 	/** Called with the endpoint's load where the pool host sends it along. */
 	onLoad?(response: CheckoutLoad): void;
+	readonly earlierVersions?: EarlierVersions;
 };
 
 /** Timeout for an exchange with a pool host, in milliseconds: the sender of a statement bounds it by a far shorter time. */
@@ -37,15 +39,15 @@
 const END_TIMEOUT_MS = 1000;
 
 /** Answers for a request that never reached the endpoint, the same as those to one that it rejected: so the request is tried again, or its transaction ends. */
-const DID_NOT_RUN: EndpointAnswer = {rows: [], end: {kind: 'error', code: AnswerCode.Overloaded, text: 'the loan was over; nothing ran'}, state: SessionState.Idle};
-const ROLLED_BACK: EndpointAnswer = {rows: [], end: {kind: 'error', code: AnswerCode.Aborted, text: 'the loan was over; the transaction was rolled back'}, state: SessionState.Idle};
+const DID_NOT_RUN: EndpointAnswer = createRefusal(AnswerCode.Overloaded, 'the loan was over; nothing ran');
+const ROLLED_BACK: EndpointAnswer = createRefusal(AnswerCode.Aborted, 'the loan was over; the transaction was rolled back');
 
 /**
  * Creates the remote host's side of a checkout. A pool host that fails, or does not answer, counts as a lost connection: a request that was sent on it may
  * have run, and a transaction on it is rolled back, since only the remote host would commit it. A request that was never sent, or arrived after the
  * checkout had ended, certainly did not run.
  */
-export function createRemoteLink({peers, poolHost, checkoutId, single, onReceived, onLoad}: RemoteLinkOptions): RemoteLink {
+export function createRemoteLink({peers, poolHost, checkoutId, single, onReceived, onLoad, earlierVersions}: RemoteLinkOptions): RemoteLink {
 	const closeState = createCloseState();
 	let turn = 0;
 	let pending = 0;
@@ -68,6 +70,10 @@
 				throw err;
 			}
 
+			if (err.isUnknownKind) {
+				earlierVersions?.note(VersionSign.Refused, poolHost);
+			}
+
 			return err.sent ? {} : {over: true};
 		}
 	};
@@ -135,5 +141,15 @@
 	};
 }
 
+function createRefusal(code: AnswerCode, text: string): EndpointAnswer {
+	return {
+		rows: [],
+		end: {
+			kind: 'error', code, text, isOwn: true,
+		},
+		state: SessionState.Idle,
+	};
+}
+
 /** Does nothing: a checkout whose end message is lost is revoked by the pool host. */
 function ignorePeerError(): void {} // eslint-disable-line @typescript-eslint/no-empty-function
--- a/tests/links/line-endpoint.ts
+++ b/tests/links/line-endpoint.ts
@@ -19,6 +19,8 @@
 	refuses(line: string): boolean;
 	/** Lines for which this returns true are answered only after the next ones. */
 	answersLate(line: string): boolean;
+	/** State of the connection after each answer. */
+	state: SessionState;
 };
 
 /** Creates such a connection. */
@@ -26,8 +28,16 @@
 	const names = new Map<string, {readonly access: string; readonly shape: string}>();
 	const executed: ExecutedShape[] = [];
 	const lines: string[] = [];
+	const closeListeners: Array<() => void> = [];
 	let closed = false;
 
+	const close = () => {
+		closed = true;
+		for (const listener of closeListeners) {
+			listener();
+		}
+	};
+
 	const execute = (id: string, name: string, args: string | undefined): AnswerEnd => {
 		const prepared = names.get(name);
 		if (!prepared) {
@@ -89,24 +99,23 @@
 					await nextTurn();
 				}
 
-				return {rows: [], end, state: SessionState.Idle};
+				return {rows: [], end, state: endpoint.state};
 			},
 			async readStatus() {
 				throw createLinkLost('10.1.0.9:8080', 'it reports no status');
 			},
-			cut() {
-				closed = true;
-			},
-			close() {
-				closed = true;
+			cut: close,
+			close,
+			onClose(listener) {
+				closeListeners.push(listener);
 			},
-			onClose() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 		},
 		lines,
 		executed,
 		names,
 		refuses: () => false,
 		answersLate: () => false,
+		state: SessionState.Idle,
 	};
 	return endpoint;
 }
