Refuse BEGIN, COMMIT and ROLLBACK with a blank behind them, and SET without a value

What callers saw: `COMMIT ` (a blank behind the word) was taken for the plain word and sent to the endpoint as `COMMIT`, so its text was changed; BEGIN and ROLLBACK likewise. `SET n` set an empty value, and was sent on as `SET n `: at exactly the maximum size of a message one byte over it, for which the connection was cut and the outcome of the caller's write was unknown (the last is read from the code, not played).

Cause: the parser splits at the first blank and compared only what stands behind it, which is empty in both cases. The whole text is compared now, and SET needs the blank before its value, which may be empty. The protocol gives the three words no field behind them and SET both fields, so anything else is malformed and is refused before it reaches an endpoint.

--- a/src/platform/caller-lines.ts
+++ b/src/platform/caller-lines.ts
@@ -45,15 +45,16 @@
 	const [keyword, rest] = splitFirstWord(text);
 	switch (keyword) {
 		case 'BEGIN': {
-			return rest === '' || rest === 'READ' ? {kind: 'begin', readOnly: rest === 'READ'} : MALFORMED;
+			return text === 'BEGIN' || rest === 'READ' ? {kind: 'begin', readOnly: rest === 'READ'} : MALFORMED;
 		}
 
+		// Endpoints get the plain word, so a text with anything behind it, even a blank, would be changed.
 		case 'COMMIT': {
-			return rest === '' ? {kind: 'commit'} : MALFORMED;
+			return text === 'COMMIT' ? {kind: 'commit'} : MALFORMED;
 		}
 
 		case 'ROLLBACK': {
-			return rest === '' ? {kind: 'rollback'} : MALFORMED;
+			return text === 'ROLLBACK' ? {kind: 'rollback'} : MALFORMED;
 		}
 
 		case 'READ': {
@@ -65,8 +66,7 @@
 		}
 
 		case 'SET': {
-			const [name, value] = splitFirstWord(rest);
-			return name === '' ? MALFORMED : {kind: 'set', name, value};
+			return parseSet(rest);
 		}
 
 		case 'PARSE': {
@@ -89,6 +89,11 @@
 	}
 }
 
+function parseSet(rest: string): Statement {
+	const [name, value] = splitFirstWord(rest);
+	return name === '' || name.length === rest.length ? MALFORMED : {kind: 'set', name, value};
+}
+
 function parsePrepare(rest: string): Statement {
 	const [name, definition] = splitFirstWord(rest);
 	const [access, shape] = splitFirstWord(definition);
--- a/tests/platform/caller-lines-tests.ts
+++ b/tests/platform/caller-lines-tests.ts
@@ -28,10 +28,20 @@
 	doStatement('COMMIT', {kind: 'commit'});
 	doStatement('COMMIT now', {kind: 'malformed'});
 	doStatement('ROLLBACK', {kind: 'rollback'});
+	// A text that differs from the plain word by a blank must not be sent on as the plain word.
+	doStatement('BEGIN ', {kind: 'malformed'});
+	doStatement('BEGIN READ ', {kind: 'malformed'});
+	doStatement('COMMIT ', {kind: 'malformed'});
+	doStatement('ROLLBACK ', {kind: 'malformed'});
+	doStatement('READ ', {kind: 'malformed'});
+	doStatement('READ  ', {kind: 'run', access: 'read', text: 'READ  '});
 	doStatement('READ 1a4', {kind: 'run', access: 'read', text: 'READ 1a4'});
 	doStatement('READ', {kind: 'malformed'});
 	doStatement('WRITE 1a4 two  words ', {kind: 'run', access: 'write', text: 'WRITE 1a4 two  words '});
 	doStatement('SET zone a b', {kind: 'set', name: 'zone', value: 'a b'});
+	// A value that is missing would be sent on as an empty one, in a message that is longer than the caller's.
+	doStatement('SET zone', {kind: 'malformed'});
+	doStatement('SET zone ', {kind: 'set', name: 'zone', value: ''});
 	doStatement('PARSE s1 WRITE q2c', {kind: 'prepare', name: 's1', shape: {access: 'write', shape: 'q2c'}});
 	doStatement('PARSE s1 q2c', {kind: 'malformed'});
 	doStatement('EXECUTE s1', {kind: 'execute', name: 's1'});
