Refuse at once what is too large for a message between hosts

What callers saw: nothing in the record; found by test. A request is at most 1 MiB and a session's values 2 MiB, but bytes from 128 on take two bytes in a message between hosts, whose limit is 4 MiB. Values stood twice in a read, the shape of a prepared statement twice in an EXECUTE. What did not fit was never sent, and - a read marked its pool host as unreachable, for every caller of the host, and was answered as busy; - so did the checkout of a connection, which carried the values as a preference; - a request on a checkout was answered as busy and ended the checkout, and was tried again until its timeout; - a transaction was begun again and again until its timeout.

Cause: a PeerError that says "not sent" was taken for a pool host that is not reached.

Now the size is determined before the call: a request that does not fit is answered with TOOBIG, as not sent, and neither marks a pool host nor takes a turn number of the checkout, which stays usable. Values over 16 KiB are left out of checkout requests, where they only serve as a preference, and the name for hosts of earlier versions is left out of calls that those do not know. A transaction whose begin is too large fails at once. What is sent is not larger than before, so hosts of earlier versions read it.

A read that is too large with its log position goes on to the primary only where it fits without the position; any other one would be tried at each replica in vain. This choice in run-read has no test of its own.

--- a/src/connection-sharing/checkout-calls.ts
+++ b/src/connection-sharing/checkout-calls.ts
@@ -29,7 +29,7 @@
 	readonly priority: number;
 	/** Maximum wait for a connection, in milliseconds. */
 	readonly waitMs: number;
-	/** Session values; a connection that has them set is preferred. */
+	/** Session values; a connection that has them set is preferred. Empty where they are large. */
 	readonly values: ReadonlyArray<readonly [string, string]>;
 	/** Workspace whose connections may serve the request; undefined where there are no workspaces. */
 	readonly workspace?: string;
--- a/src/connection-sharing/checkout-opener.ts
+++ b/src/connection-sharing/checkout-opener.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import type {AcquireRequest} from '../links/endpoint-pool.js';
 import type {UnreachableHosts} from '../membership/unreachable-hosts.js';
 import {isPeerError} from '../peers/peer-errors.js';
@@ -104,13 +105,25 @@
 	return request.startBy === undefined || lostMs === 0 ? request : {...request, startBy: request.startBy + lostMs};
 }
 
+/** Maximum size of the session values in a checkout request, in bytes: larger ones are sent only with the requests that need them. */
+const MAX_PREFERRED_BYTES = 16_384;
+
+function getPreferredValues({values}: AcquireRequest): CheckoutRequest['values'] {
+	let bytes = 0;
+	for (const [name, value] of values) {
+		bytes += Buffer.byteLength(name) + Buffer.byteLength(value);
+	}
+
+	return bytes > MAX_PREFERRED_BYTES ? [] : [...values];
+}
+
 /** Creates the checkout request for a request to acquire a connection, which waits for `waitMs` milliseconds from the steady time `now`. */
 export function createCheckoutRequest(endpointId: string, request: AcquireRequest, waitMs: number, now: number, waitId: string | undefined): CheckoutRequest {
 	return {
 		endpointId,
 		priority: request.priority,
 		waitMs,
-		values: [...request.values],
+		values: getPreferredValues(request),
 		workspace: request.workspace,
 		...getScheduleOnWire(request, now),
 		...(waitId !== undefined && {waitId}),
--- /dev/null
+++ b/src/connection-sharing/frame-room.ts
@@ -0,0 +1,28 @@
+import {Buffer} from 'node:buffer';
+import {DEFAULT_PEER_LIMITS} from '../peers/peer-limits.js';
+
+/** Room in a frame for all but the texts of callers and endpoints, in bytes: names of fields, figures, and the values of a checkout request. */
+const RESERVED_BYTES = 65_536;
+
+const MAX_TEXT_BYTES = DEFAULT_PEER_LIMITS.maxFrameBytes - RESERVED_BYTES;
+
+/** Maximum size of what stands before a text in a frame, in bytes. */
+const TEXT_HEADER_BYTES = 5;
+
+/** Maximum number of bytes of one character in a frame; the bytes of a caller's message from 128 on take two. */
+const MAX_CHARACTER_BYTES = 3;
+
+/** Returns whether one message between hosts has room for these texts. */
+export function fitsInFrame(texts: readonly string[]): boolean {
+	return getBytes(texts, text => text.length * MAX_CHARACTER_BYTES) <= MAX_TEXT_BYTES
+		|| getBytes(texts, text => Buffer.byteLength(text)) <= MAX_TEXT_BYTES;
+}
+
+function getBytes(texts: readonly string[], getLength: (text: string) => number): number {
+	let bytes = 0;
+	for (const text of texts) {
+		bytes += TEXT_HEADER_BYTES + getLength(text);
+	}
+
+	return bytes;
+}
--- a/src/connection-sharing/prepared-on-wire.ts
+++ b/src/connection-sharing/prepared-on-wire.ts
@@ -28,9 +28,10 @@
 	}
 
 	const {args} = command;
+	const name = prepared && isKnownToEveryVersion({command}, prepared) ? getEarlierName(prepared) : '';
 	return {
 		...rest,
-		command: {kind: 'execute', name: prepared ? getEarlierName(prepared) : '', args: args ?? ''},
+		command: {kind: 'execute', name, args: args ?? ''},
 		...(args === '' && {hasEmptyArgs: true}),
 	};
 }
--- a/src/connection-sharing/remote-link.ts
+++ b/src/connection-sharing/remote-link.ts
@@ -9,6 +9,7 @@
 import type {CheckoutLoad} from './checkout-calls.js';
 import {createCloseState} from './close-state.js';
 import {isKnownToEveryVersion, toNeededOnWire, toRequestOnWire} from './prepared-on-wire.js';
+import {getTooLargeAnswer} from './too-large-request.js';
 
 /** A connection that is checked out at another host. */
 export type RemoteLink = SessionLink & {
@@ -77,6 +78,11 @@
 			throw createLinkLost(poolHost, 'the checkout had ended before');
 		}
 
+		const tooLarge = getTooLargeAnswer(request, needed, state);
+		if (tooLarge) {
+			return tooLarge;
+		}
+
 		pending++;
 		const response = await send(request, needed);
 		const {answer, over} = response;
--- a/src/connection-sharing/remote-read.ts
+++ b/src/connection-sharing/remote-read.ts
@@ -15,6 +15,7 @@
 import {isKnownToEveryVersion, toNeededOnWire, toRequestOnWire} from './prepared-on-wire.js';
 import type {PoolHostWait} from './pool-host-wait.js';
 import {REFUSED_RETRY_DELAY_MS} from './single-place-acquire.js';
+import {getTooLargeAnswer} from './too-large-request.js';
 import {TurnWait} from './turn-wait.js';
 import type {WaitIds} from './wait-ids.js';
 
@@ -173,6 +174,11 @@
 	};
 
 	const exchange = async (request: SessionRequest, needed?: NeededSession): Promise<EndpointAnswer> => {
+		const tooLarge = getTooLargeAnswer(request, needed, SessionState.Idle);
+		if (tooLarge) {
+			return tooLarge;
+		}
+
 		pending++;
 		try {
 			const answer = await runAnywhere(request, needed);
--- a/src/gateway/caller-transaction.ts
+++ b/src/gateway/caller-transaction.ts
@@ -123,6 +123,12 @@
 			}
 
 			candidate.release();
+			if (answer?.end.kind === 'error' && answer.end.code === AnswerCode.TooLarge) {
+				// The session values stay too large, wherever it is begun.
+				failure = answer;
+				return undefined;
+			}
+
 			if (readOnly) {
 				excluded.add(candidate.endpoint.entry.id);
 			} else {
@@ -214,7 +220,7 @@
 			const ending = acquired;
 			if (!ending) {
 				acquired = await begin(until);
-				return acquired ? this.commit(id, until) : failUnbegun();
+				return acquired ? this.commit(id, until) : failure ?? failUnbegun();
 			}
 
 			// A replaced primary may still commit. Before a commit is sent, a rollback still has a certain outcome.
--- a/src/gateway/run-read.ts
+++ b/src/gateway/run-read.ts
@@ -145,7 +145,7 @@
 		return {kind: 'again', reason: 'no whole answer came'};
 	}
 
-	if (answer.end.kind === 'error' && (RETRIED_CODES.has(answer.end.code) || isTooLargeWithFloor(answer, acquired))) {
+	if (answer.end.kind === 'error' && (RETRIED_CODES.has(answer.end.code) || answer.fitsWithoutFloor)) {
 		return {
 			kind: 'again', reason: answer.end.code, reachedInMs: answer.reachedInMs, unsent: answer.unsent,
 		};
@@ -158,11 +158,6 @@
 	return {kind: 'answer', answer};
 }
 
-/** Whether the read leaves no room in its message for the position that a replica must have reached; a primary gets it without one. */
-function isTooLargeWithFloor({end}: EndpointAnswer, {floor}: AcquiredLink): boolean {
-	return end.kind === 'error' && end.code === AnswerCode.TooLarge && floor !== undefined;
-}
-
 /** Errors of the endpoint rather than of the read itself. */
 const RETRIED_CODES: ReadonlySet<AnswerCode> = new Set([
 	AnswerCode.Overloaded, AnswerCode.Lagging, AnswerCode.ReadOnly, AnswerCode.UnknownStatement, AnswerCode.Failed, AnswerCode.TimedOut,
--- a/src/platform/tcp-link-opener.ts
+++ b/src/platform/tcp-link-opener.ts
@@ -135,7 +135,7 @@
 
 			const line = formatRequest(req);
 			if (line.length > MAX_LINE_BYTES + LINE_END.length) {
-				return createTooLarge(lastState, line.length);
+				return createTooLarge(lastState, line.length, formatRequest({...req, floor: undefined}).length <= MAX_LINE_BYTES + LINE_END.length);
 			}
 
 			listener.onSent();
@@ -210,9 +210,13 @@
 const CLOSE_TIMEOUT_MS = 3000;
 
 /** Creates the answer to a request that is not sent: with the log position before it, a read of nearly the maximum size is over that size, and the endpoint would end the connection. */
-function createTooLarge(state: SessionState, bytes: number): EndpointAnswer {
+function createTooLarge(state: SessionState, bytes: number, fitsWithoutFloor: boolean): EndpointAnswer {
 	return {
-		rows: [], end: {kind: 'error', code: AnswerCode.TooLarge, text: `the endpoint would receive ${bytes} bytes, more than a message may have; nothing ran`}, state, unsent: true,
+		rows: [],
+		end: {kind: 'error', code: AnswerCode.TooLarge, text: `the endpoint would receive ${bytes} bytes, more than a message may have; nothing ran`},
+		state,
+		unsent: true,
+		...(fitsWithoutFloor && {fitsWithoutFloor}),
 	};
 }
 
--- a/src/statements/statement-answer.ts
+++ b/src/statements/statement-answer.ts
@@ -27,7 +27,7 @@
 	Unauthenticated: 'unauthenticated',
 	/** The workspace has used up its rate limit; nothing ran. */
 	RateLimited: 'rate-limited',
-	/** The message, what an endpoint would receive for it, or what it would add to its session is over a size limit; nothing ran. */
+	/** The message, what an endpoint or a pool host would receive for it, what it would add to its session, or the answer is over a size limit; nothing is kept. */
 	TooLarge: 'too-large',
 	/** The text cannot be parsed, or is not allowed in this state. */
 	Malformed: 'malformed',
@@ -57,6 +57,8 @@
 	readonly reachedInMs?: number;
 	/** Set where a proxy answered in place of the endpoint, so that the request took none of the endpoint's time as far as is known. */
 	readonly unsent?: true;
+	/** Set where a read was too large only with the log position that an endpoint must have reached: one that needs none would get it. */
+	readonly fitsWithoutFloor?: true;
 };
 
 /** Whether the endpoint refused for overload; nothing ran then. */
--- a/tests/platform/tcp-link-opener-tests.ts
+++ b/tests/platform/tcp-link-opener-tests.ts
@@ -48,7 +48,9 @@
 		const text = 'READ '.padEnd(MAX_LINE_BYTES - 'QUERY c1 '.length, 'x');
 		const before = received.length;
 		const refused = await link.exchange({id: 'c1', command: {kind: 'run', text}, floor: {term: 3, position: 7}});
-		expect([refused.end.kind === 'error' && refused.end.code, refused.unsent, received.length - before]).to.deep.equal(['too-large', true, 0]);
+		expect([refused.end.kind === 'error' && refused.end.code, refused.unsent, refused.fitsWithoutFloor, received.length - before]).to.deep.equal(['too-large', true, true, 0]);
+		const longer = await link.exchange({id: 'c12', command: {kind: 'run', text}, floor: {term: 3, position: 7}});
+		expect([longer.end.kind === 'error' && longer.end.code, longer.fitsWithoutFloor]).to.deep.equal(['too-large', undefined]);
 
 		const answered = await link.exchange({id: 'c1', command: {kind: 'run', text}});
 		expect([answered.end.kind, received.at(-1)]).to.deep.equal(['complete', `QUERY c1 ${text}`]);
