Answer a read whose rows are too large for a message between hosts, at once and truly

What callers saw: nothing in the record; found by test. Rows of an endpoint that together are over 4 MiB cannot be returned by a pool host. Its remote host got no response: a read marked the pool host as unreachable for every caller and ran again at the next one; a transaction was reported as lost; a write's outcome as unknown.

Cause: the pool host's response failed to be encoded, which the remote host could not tell from a pool host that failed.

The pool host now determines the size and answers in place of the rows: TOOBIG for a read and for a statement of an open transaction, of which nothing is kept, and INDOUBT for what may have taken effect, a write outside a transaction or a commit. The texts say which.

--- a/src/connection-sharing/checkout-server.ts
+++ b/src/connection-sharing/checkout-server.ts
@@ -13,6 +13,7 @@
 import type {Clock} from '../time/clock.js';
 import type {ElapsedClock} from '../time/elapsed-clock.js';
 import {createSleepAlarm} from '../time/sleep-alarm.js';
+import {boundAnswer} from './bound-answer.js';
 import {
 	CheckoutRefusal, type CheckoutLoad, type CheckoutResponse, type CheckoutExchange, type CheckoutRequest, type CheckoutRun,
 } from './checkout-calls.js';
@@ -168,7 +169,7 @@
 		return {loan: checkout.id};
 	};
 
-	const exchange = async ({loan: id, turn, needed, request, last}: CheckoutExchange, remoteHost: string) => {
+	const exchange = async ({loan: id, turn, needed, request, last}: CheckoutExchange, remoteHost: string, isRead = false) => {
 		const checkout = checkouts.get(id);
 		if (checkout?.remoteHost !== remoteHost) {
 			return CHECKOUT_OVER;
@@ -204,7 +205,7 @@
 				revokeIfIdle(checkout);
 			}
 
-			return {answer};
+			return {answer: boundAnswer(answer, isRead)};
 		} catch (err) {
 			if (!(err instanceof LinkError)) {
 				throw err;
@@ -240,7 +241,7 @@
 
 		return exchange({
 			loan: granted.loan, turn: 1, needed: req.needed, request: req.request, last: true,
-		}, remoteHost);
+		}, remoteHost, true);
 	};
 
 	const sendCommand = async ({endpointId, command, timeoutMs}: {
--- a/tests/connection-sharing/large-messages-tests.ts
+++ b/tests/connection-sharing/large-messages-tests.ts
@@ -4,7 +4,8 @@
 } from '../../src/links/link-session.js';
 import {MAX_LINE_BYTES} from '../../src/platform/line-reader.js';
 import {createVirtualClock} from '../../src/stand-ins/time/virtual-clock.js';
-import {Access} from '../../src/statements/statement.js';
+import {Access, SessionState} from '../../src/statements/statement.js';
+import {AnswerCode, type EndpointAnswer} from '../../src/statements/statement-answer.js';
 import {createLineEndpoint} from '../links/line-endpoint.js';
 import {createHostPair} from './host-pair.js';
 
@@ -13,10 +14,20 @@
 
 const LARGE_VALUES = new Map([['a', HIGH.repeat(MAX_LINE_BYTES - 10)], ['b', HIGH.repeat(MAX_LINE_BYTES - 10)]]);
 const NO_VALUES = new Map<string, string>();
+const DONE: EndpointAnswer['end'] = {kind: 'complete', signature: 'signed'};
+const LARGE_ROWS = Array.from({length: 5}, () => 'x'.repeat(MAX_LINE_BYTES - 100));
 
 function createBench() {
 	const endpoint = createLineEndpoint();
-	const sessionLink = createSessionLink(endpoint.link, {address: '10.1.0.9:8080'});
+	let answer: EndpointAnswer | undefined;
+	const link = {
+		...endpoint.link,
+		async exchange(req: Parameters<typeof endpoint.link.exchange>[0]) {
+			const own = await endpoint.link.exchange(req);
+			return answer && req.id !== undefined ? answer : own;
+		},
+	};
+	const sessionLink = createSessionLink(link, {address: '10.1.0.9:8080'});
 	const pair = createHostPair({acquire: async () => sessionLink, release() {}}, createVirtualClock(0)); // eslint-disable-line @typescript-eslint/no-empty-function
 	const getAcquireRequest = (values: ReadonlyMap<string, string>, single: boolean) => ({
 		priority: 1, until: 600, values, single,
@@ -24,6 +35,9 @@
 	return {
 		endpoint,
 		pair,
+		answerWith(given: EndpointAnswer) {
+			answer = given;
+		},
 		startRead: (values = NO_VALUES) => pair.startRead({...getAcquireRequest(values, true), read: {epoch: 4}}),
 		async checkOut(values = NO_VALUES, single = false) {
 			return (await pair.checkOut(getAcquireRequest(values, single)))!;
@@ -92,4 +106,36 @@
 		expect(await getOutcome(bench.startRead(values), READ, {values, prepared: {access: Access.Read, shape: 'q'.repeat(1_000_000)}})).to.equal('done');
 		expect(bench.getCallerLines()).to.deep.equal(['QUERY c1 READ 1a4']);
 	});
+
+	/** The pool host sent no response, so it was marked as unreachable, and the read went to the next one. */
+	it('are refused where the rows of a read are too large', async () => {
+		const bench = createBench();
+		bench.answerWith({rows: LARGE_ROWS, end: DONE, state: SessionState.Idle});
+		expect([await getOutcome(bench.startRead(), READ), bench.pair.isMarked]).to.deep.equal(['too-large', false]);
+		expect(bench.getCallerLines()).to.have.length(1);
+	});
+
+	/** The connection was lost to its caller, although nothing of an open transaction is kept. */
+	it('are refused where the rows of a read in a transaction are too large, which leaves it open for its rollback', async () => {
+		const bench = createBench();
+		const checkout = await bench.checkOut();
+		bench.answerWith({rows: LARGE_ROWS, end: DONE, state: SessionState.Open});
+		expect([await getOutcome(checkout, READ), checkout.link.closed]).to.deep.equal(['too-large', false]);
+		bench.answerWith({rows: [], end: DONE, state: SessionState.Idle});
+		expect(await getOutcome(checkout, {id: 'c4', command: {kind: 'rollback'}})).to.equal('done');
+	});
+
+	/** A write that took effect must not be told as not run. */
+	it('leave the outcome of a write unknown whose rows are too large', async () => {
+		const bench = createBench();
+		bench.answerWith({rows: LARGE_ROWS, end: DONE, state: SessionState.Idle});
+		expect(await getOutcome(await bench.checkOut(NO_VALUES, true), WRITE)).to.equal(AnswerCode.OutcomeUnknown);
+	});
+
+	it('pass where the rows of a read are just below the limit', async () => {
+		const bench = createBench();
+		bench.answerWith({rows: LARGE_ROWS.slice(0, 3).map(() => HIGH.repeat(680_000)), end: DONE, state: SessionState.Idle});
+		const answer = await bench.startRead().exchange(READ);
+		expect(answer.rows.map(row => row.length)).to.deep.equal([680_000, 680_000, 680_000]);
+	});
 });
