Keep the session values of a read that goes from pool host to pool host

What callers saw: nothing in the record; found by reading. A single read that waits at a pool host may get a second attempt elsewhere. Once that is answered, its caller may set another value while the first attempt goes on to the next pool host, which then set the newer value for the earlier read. The answer is not used, but the endpoint ran a statement under values that its caller had not set when it was sent.

Cause: the values of the session were handed down as the map that SET changes. The read copies them when it begins; all other requests are encoded or sent at once.

--- a/src/connection-sharing/remote-read.ts
+++ b/src/connection-sharing/remote-read.ts
@@ -181,7 +181,8 @@
 
 		pending++;
 		try {
-			const answer = await runAnywhere(request, needed);
+			// The read may still be sent to a further pool host when its caller has the answer of a second attempt and sets other values.
+			const answer = await runAnywhere(request, needed && {...needed, values: new Map(needed.values)});
 			if (answer !== DID_NOT_RUN) {
 				options.onReceived();
 			}
--- a/tests/connection-sharing/remote-read-tests.ts
+++ b/tests/connection-sharing/remote-read-tests.ts
@@ -1,6 +1,8 @@
 import {expect} from 'chai';
 import {createRemoteRead} from '../../src/connection-sharing/remote-read.js';
 import {CheckoutRefusal} from '../../src/connection-sharing/checkout-calls.js';
+import type {NeededOnWire} from '../../src/connection-sharing/prepared-on-wire.js';
+import type {NeededSession} from '../../src/links/link-session.js';
 import type {PeerCalls} from '../../src/peers/peer-calls.js';
 import type {Peers} from '../../src/peers/peers.js';
 import {throwPeerSilent} from '../../src/peers/peer-errors.js';
@@ -21,19 +23,22 @@
 };
 
 /** Runs one read through some pool hosts; resolves with its outcome, the time that it took, and the calls that were made. */
-async function runRead(poolHosts: Readonly<Record<string, FakePoolHost>>, options: {readonly untilMs?: number; readonly own?: EndpointAnswer} = {}) {
+async function runRead(poolHosts: Readonly<Record<string, FakePoolHost>>, options: {readonly untilMs?: number; readonly own?: EndpointAnswer; readonly needed?: NeededSession; onCall?(): void} = {}) {
 	const clock = createVirtualClock(0);
 	const calls: string[] = [];
+	const values: unknown[] = [];
 	let unreachable = 0;
 	const hosts = createUnreachableHosts();
 	const peers = {
-		async call(address: string, kind: string, _req: unknown, timeoutMs: number) {
+		async call(address: string, kind: string, req: {readonly needed?: NeededOnWire}, timeoutMs: number) {
 			const {run, afterMs = 2, failed = false} = poolHosts[address]!;
 			if (kind === 'host-alive' && !failed) {
 				return {alive: true};
 			}
 
 			calls.push(`${kind} ${address}`);
+			values.push(req.needed?.values);
+			options.onCall?.();
 			await clock.sleep(Math.min(failed ? timeoutMs : afterMs, timeoutMs));
 			return failed ? throwPeerSilent(address, kind) : run;
 		},
@@ -53,10 +58,10 @@
 			unreachable++;
 		},
 	});
-	const answer = await clock.runUntil(sessionLink.link.exchange({id: 's1', command: {kind: 'run', text: 'READ a'}}).catch((err: unknown) => (err as Error).name));
+	const answer = await clock.runUntil(sessionLink.exchange({id: 's1', command: {kind: 'run', text: 'READ a'}}, options.needed).catch((err: unknown) => (err as Error).name));
 	const outcome = typeof answer === 'object' && answer.end.kind === 'complete' ? answer.rows.join(' ') : 'not run';
 	return {
-		outcome: typeof answer === 'string' ? answer : outcome, ms: clock.now(), calls, unreachable,
+		outcome: typeof answer === 'string' ? answer : outcome, ms: clock.now(), calls, values, unreachable,
 	};
 }
 
@@ -84,6 +89,18 @@
 		expect([outcome, calls]).to.deep.equal(['7', ['loan-run a']]);
 	});
 
+	/** A second attempt was answered, and the caller set another value, while the first one still went from pool host to pool host. */
+	it('is sent with the values of its caller at the time of the read', async () => {
+		const values = new Map([['zone', 'a']]);
+		const seen = await runRead({a: {run: {refused: CheckoutRefusal.Busy}}, b: {run: {answer: DONE}}}, {
+			needed: {values},
+			onCall() {
+				values.set('zone', 'b');
+			},
+		});
+		expect(seen.values).to.deep.equal([[['zone', 'a']], [['zone', 'a']]]);
+	});
+
 	it('is answered as not run, in time, where no pool host has a free connection', async () => {
 		const {outcome, ms} = await runRead({a: {run: {refused: CheckoutRefusal.Busy}, afterMs: 100}}, {untilMs: 250});
 		expect(outcome).to.equal('not run');
