Test that two callers' texts on one connection stay their own

Two sessions run at once on one connection, with colliding names and values. The bench also grants no second attempts and answers heartbeats, so that no verdict depends on how fast the machine is.

--- a/tests/connection-sharing/host-pair.ts
+++ b/tests/connection-sharing/host-pair.ts
@@ -65,6 +65,7 @@
 		},
 	} as unknown as Peers;
 
+	handlers.set('host-alive', async () => ({alive: true}));
 	createCheckoutServer({
 		peers,
 		directory: {get: () => ({entry: {id: 'i-1', group: 'nights'}, ownPool: {...pool, health: {getSuspicion: () => undefined}}}), mayTakeWork: () => true},
--- a/tests/gateway/caller-texts-tests.ts
+++ b/tests/gateway/caller-texts-tests.ts
@@ -3,8 +3,8 @@
 import * as fc from 'fast-check';
 import {MAX_LINE_BYTES} from '../../src/platform/line-reader.js';
 import {expectConversation, type CallerRequestText} from './text-model.js';
-import {startTextBench, type TextBench} from './text-bench.js';
-import type {GivenAnswer} from './text-endpoint.js';
+import {startTextBench, type CallerAnswer, type TextBench} from './text-bench.js';
+import type {GivenAnswer, ReceivedStatement} from './text-endpoint.js';
 
 const WORDS = ['READ', 'WRITE', 'AFTER', 'PARSE', 'EXECUTE', 'SET', 'COMMIT', '-', '3.7', 's1', 'w_qf', 'a', 'b', '', '\t', '\r', '\n', '\n\r', '\0', '\u00A0', '\u00FF', '__proto__'];
 
@@ -46,6 +46,15 @@
 /** Leaves out the text of an error. */
 const toCode = (end: string) => end.split(' ', 2).join(' ');
 
+const describeAnswer = ({rows, end, state}: CallerAnswer) => `${rows.length} rows, ${toCode(end)}, ${state}`;
+
+const toLines = (reqs: readonly CallerRequestText[]) => reqs.map(({id, text}) => `QUERY ${id} ${text}\r\n`);
+
+/** Returns the statements whose ids begin with the number of the caller. */
+function getOfCaller(received: readonly ReceivedStatement[], caller: number) {
+	return received.filter(({id}) => id.startsWith(String(caller)));
+}
+
 describe('a caller\'s text', () => {
 	const benches: TextBench[] = [];
 
@@ -65,7 +74,7 @@
 		endpoint.received.length = 0;
 		endpoint.answers.splice(0, endpoint.answers.length, ...answers);
 		const expected = expectConversation(sent, answers);
-		const seen = await converse(toPieces(sent.map(req => `QUERY ${req.id} ${req.text}\r\n`).join(''), cuts));
+		const seen = await converse(toPieces(toLines(sent).join(''), cuts));
 		expect(endpoint.violations).to.deep.equal([]);
 		expect(endpoint.received).to.deep.equal(expected.received);
 		expect(seen.map((got, i) => expected.answers[i]?.isOwnError ? {...got, end: toCode(got.end), isOwnError: true} : got)).to.deep.equal(expected.answers);
@@ -88,6 +97,35 @@
 	doTest('reaches the endpoint, and its answer the caller, byte for byte', false);
 	doTest('reaches the endpoint through a pool host, and its answer the caller, byte for byte', true);
 
+	/** Runs two sessions at once. Names and values of callers collide, and their sessions alternate on one connection. */
+	async function checkPair({endpoint, converse}: TextBench, sent: ReadonlyArray<readonly CallerRequestText[]>) {
+		endpoint.received.length = 0;
+		const callers = sent.map((reqs, caller) => reqs.map(req => ({...req, id: `${caller}${req.id}`})));
+		const seen = await Promise.all(callers.map(async reqs => converse(toLines(reqs))));
+		expect(endpoint.violations).to.deep.equal([]);
+		for (const [caller, reqs] of callers.entries()) {
+			const expected = expectConversation(reqs, []);
+			expect(getOfCaller(endpoint.received, caller)).to.deep.equal(getOfCaller(expected.received, caller));
+			expect(seen[caller]!.map(got => describeAnswer(got))).to.deep.equal(expected.answers.map(answer => describeAnswer(answer)));
+		}
+	}
+
+	function doPairTest(name: string, isRemote: boolean) {
+		it(name, async function () {
+			this.timeout(0);
+			const bench = await start(isRemote);
+			await fc.assert(
+				fc.asyncProperty(requests, requests, async (...sent) => {
+					await checkPair(bench, sent);
+				}),
+				{seed: 66, numRuns: Number(process.env.PROPERTY_RUNS ?? 300)},
+			);
+		});
+	}
+
+	doPairTest('reaches the endpoint beside that of another caller', false);
+	doPairTest('reaches the endpoint beside that of another caller through a pool host', true);
+
 	function doLargeTest(name: string, isRemote: boolean) {
 		it(name, async () => {
 			const bench = await start(isRemote);
--- a/tests/gateway/text-bench.ts
+++ b/tests/gateway/text-bench.ts
@@ -12,7 +12,7 @@
 import {createPlacementKnowledge} from '../../src/placement/placement-knowledge.js';
 import {createTcpCallerChannel} from '../../src/platform/tcp-caller-channel.js';
 import {createTcpLinkOpener} from '../../src/platform/tcp-link-opener.js';
-import {createRetryBudget} from '../../src/retries/retry-budget.js';
+import type {RetryBudget} from '../../src/retries/retry-budget.js';
 import {ReadPolicy, type Route} from '../../src/routes/routing.js';
 import {createServiceTime} from '../../src/scheduling/service-time.js';
 import {createSystemClock} from '../../src/time/system-clock.js';
@@ -26,6 +26,14 @@
 	name: 'd', database: 'd', group: 'nights', policy: ReadPolicy.Primary, maxReadAgeMs: 0, statementTimeoutMs: PATIENCE_MS, targetLatencyMs: PATIENCE_MS, priority: 0,
 };
 
+/** A second attempt, which a slow machine would cause, would run a statement twice. */
+const NO_RETRIES: RetryBudget = {
+	noteFresh() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+	noteTry() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+	take: () => false,
+	getState: () => ({left: 0, nextAfterMs: 0, freshEveryMs: Infinity}),
+};
+
 /** The answer to one request, as its caller received it. */
 export type CallerAnswer = {readonly rows: readonly string[]; readonly end: string; readonly state: string};
 
@@ -171,9 +179,8 @@
 	const parts = createParts(pool, pair, isRemote);
 	const sessions: Array<Promise<void>> = [];
 	const server: Server = createServer({allowHalfOpen: true}, socket => {
-		const budget = createRetryBudget({}, 0);
 		sessions.push(createCallerSession({
-			parts, channel: createTcpCallerChannel(socket), getBudget: () => budget, getStopPlan: () => undefined,
+			parts, channel: createTcpCallerChannel(socket), getBudget: () => NO_RETRIES, getStopPlan: () => undefined,
 		}).run());
 	});
 	server.listen(0, '127.0.0.1');
