--- a/src/connection-sharing/remote-read.ts
+++ b/src/connection-sharing/remote-read.ts
@@ -16,6 +16,7 @@
 import {isKnownToEveryVersion, toNeededOnWire, toRequestOnWire} from './prepared-on-wire.js';
 import type {PoolHostWait} from './pool-host-wait.js';
 import {REFUSED_RETRY_DELAY_MS} from './single-place-acquire.js';
+import {getTooLargeAnswer} from './too-large-request.js';
 import {TurnWait} from './turn-wait.js';
 import type {WaitIds} from './wait-ids.js';
 
@@ -184,9 +185,15 @@
 	};
 
 	const exchange = async (request: SessionRequest, needed?: NeededSession): Promise<EndpointAnswer> => {
+		const tooLarge = getTooLargeAnswer(request, needed, SessionState.Idle);
+		if (tooLarge) {
+			return tooLarge;
+		}
+
 		pending++;
 		try {
-			const answer = await runAnywhere(request, needed);
+			// The read may still be sent to a further pool host when its caller has the answer of a second attempt and sets other values.
+			const answer = await runAnywhere(request, needed && {...needed, values: new Map(needed.values)});
 			if (answer !== DID_NOT_RUN) {
 				options.onReceived();
 			}
--- a/src/platform/tcp-link-opener.ts
+++ b/src/platform/tcp-link-opener.ts
@@ -169,7 +169,7 @@
 			const bytes = line.length - LINE_END.length;
 			if (bytes > MAX_LINE_BYTES) {
 				onUnsent?.();
-				return createTooLarge(lastState, bytes);
+				return createTooLarge(lastState, bytes, formatRequest({...req, floor: undefined}).length <= MAX_LINE_BYTES + LINE_END.length);
 			}
 
 			listener.onSent();
@@ -244,7 +244,7 @@
 const CLOSE_TIMEOUT_MS = 3000;
 
 /** Creates the answer to a request that is not sent: with the log position before it, a read of nearly the maximum size is over that size, and the endpoint would end the connection. */
-function createTooLarge(state: SessionState, bytes: number): EndpointAnswer {
+function createTooLarge(state: SessionState, bytes: number, fitsWithoutFloor: boolean): EndpointAnswer {
 	return {
 		rows: [],
 		end: {
@@ -252,6 +252,7 @@
 		},
 		state,
 		unsent: true,
+		...(fitsWithoutFloor && {fitsWithoutFloor}),
 	};
 }
 
