Keep the connection where a pool host of an earlier version refuses a statement

Found by the review: a statement that an earlier pool host does not know was refused rightly, but its checkout was ended with a cut, so a single write with a blank in its shape had a healthy connection of the endpoint cut and opened anew every 20 ms until its timeout. And a pool host that could not be reached at all was not marked for it. The checkout now ends without a cut (the pool host still cuts where a transaction is open), the refusal says why, and only a host that answers that it does not know the call stays unmarked. Seen red: three cases of prepared-on-wire-tests.ts, 'loan-end cut' in place of 'loan-end kept'. The repetition until the statement's timeout remains, while versions are mixed.

--- a/src/connection-sharing/bound-answer.ts
+++ b/src/connection-sharing/bound-answer.ts
@@ -21,6 +21,7 @@
 		end: {
 			kind: 'error',
 			code: isKept ? AnswerCode.OutcomeUnknown : AnswerCode.TooLarge,
+			isOwn: true,
 			text: isKept ? `${TOO_LARGE}; the outcome is unknown` : `${TOO_LARGE}; nothing is kept`,
 		},
 		state,
--- a/src/connection-sharing/remote-link.ts
+++ b/src/connection-sharing/remote-link.ts
@@ -41,8 +41,15 @@
 
 /** Answers for a request that never reached the endpoint, the same as those to one that it rejected: so the request is tried again, or its transaction ends. */
 const DID_NOT_RUN: EndpointAnswer = createRefusal(AnswerCode.Overloaded, 'the loan was over; nothing ran');
+const NOT_RUN_BY_EARLIER_VERSION: EndpointAnswer = createRefusal(AnswerCode.Overloaded, 'the host with the connection has an earlier version and cannot run the statement; nothing ran');
 const ROLLED_BACK: EndpointAnswer = createRefusal(AnswerCode.Aborted, 'the loan was over; the transaction was rolled back');
 
+/** The response to a request, or how the request could not be sent. */
+type SentExchange = PeerCalls['loan-exchange']['res'] & {
+	/** Whether the pool host does not know the call, because its version is an earlier one. */
+	readonly isUnknownKind?: boolean;
+};
+
 /**
  * Creates the remote host's side of a checkout. A pool host that fails, or does not answer, counts as a lost connection: a request that was sent on it may
  * have run, and a transaction on it is rolled back, since only the remote host would commit it. A request that was never sent, or arrived after the
@@ -60,7 +67,7 @@
 		peers.call(poolHost, 'loan-end', {loan: checkoutId, cut}, END_TIMEOUT_MS).catch(ignorePeerError);
 	};
 
-	const send = async (request: SessionRequest, needed: NeededSession | undefined): Promise<PeerCalls['loan-exchange']['res']> => {
+	const send = async (request: SessionRequest, needed: NeededSession | undefined): Promise<SentExchange> => {
 		try {
 			turn++;
 			return await peers.call(poolHost, isKnownToEveryVersion(request, needed?.prepared) ? 'loan-exchange' : 'loan-exchange-shape', {
@@ -75,7 +82,7 @@
 				earlierVersions?.note(VersionSign.Refused, poolHost);
 			}
 
-			return err.sent ? {} : {over: true};
+			return err.sent ? {} : {over: true, isUnknownKind: err.isUnknownKind};
 		}
 	};
 
@@ -91,13 +98,13 @@
 
 		pending++;
 		const response = await send(request, needed);
-		const {answer, over} = response;
+		const {answer, over, isUnknownKind = false} = response;
 		pending--;
 		onLoad?.(response);
 		if (over) {
-			// A pool host that was not reached may still be alive, with the transaction open.
-			end(true);
-			return state === SessionState.Idle ? DID_NOT_RUN : ROLLED_BACK;
+			// A pool host that was not reached may still be alive, with the transaction open. One that does not know the call cuts the connection only where a transaction is open on it.
+			end(!isUnknownKind);
+			return state === SessionState.Idle ? (isUnknownKind ? NOT_RUN_BY_EARLIER_VERSION : DID_NOT_RUN) : ROLLED_BACK;
 		}
 
 		if (!answer) {
--- a/src/connection-sharing/remote-read.ts
+++ b/src/connection-sharing/remote-read.ts
@@ -77,10 +77,9 @@
 	const runAt = async (poolHost: string, request: SessionRequest, needed: NeededSession | undefined): Promise<Run | undefined> => {
 		const now = clock.now();
 		const waitMs = Math.max(1, wait.getWaitMs(acquireRequest.until, now));
-		const isKnown = isKnownToEveryVersion(request, needed?.prepared);
 		const checkoutRequest = createCheckoutRequest(endpointId, allowForLostTime(acquireRequest, lostMs), waitMs, now, waitIds?.next());
 		try {
-			const response = peers.call(poolHost, isKnown ? 'loan-run' : 'loan-run-shape', {
+			const response = peers.call(poolHost, isKnownToEveryVersion(request, needed?.prepared) ? 'loan-run' : 'loan-run-shape', {
 				...checkoutRequest,
 				single: true,
 				epoch: acquireRequest.read?.epoch,
@@ -110,12 +109,10 @@
 				throw err;
 			}
 
+			// A pool host of an earlier version refuses this one call and serves all others.
 			if (err.isUnknownKind) {
 				options.earlierVersions?.note(VersionSign.Refused, poolHost);
-			}
-
-			// A pool host of an earlier version refuses this one call and serves all others.
-			if (isKnown || err.sent) {
+			} else {
 				unreachable.add(poolHost, clock.now());
 			}
 
--- a/src/connection-sharing/too-large-request.ts
+++ b/src/connection-sharing/too-large-request.ts
@@ -16,7 +16,9 @@
 
 	return {
 		rows: [],
-		end: {kind: 'error', code: AnswerCode.TooLarge, text: 'the statement and its session are more than a message between hosts may have; nothing ran'},
+		end: {
+			kind: 'error', code: AnswerCode.TooLarge, text: 'the statement and its session are more than a message between hosts may have; nothing ran', isOwn: true,
+		},
 		state,
 		unsent: true,
 	};
--- a/tests/connection-sharing/prepared-on-wire-tests.ts
+++ b/tests/connection-sharing/prepared-on-wire-tests.ts
@@ -6,7 +6,7 @@
 } from '../../src/connection-sharing/prepared-on-wire.js';
 import {createRemoteLink} from '../../src/connection-sharing/remote-link.js';
 import {createSessionLink, type SessionRequest} from '../../src/links/link-session.js';
-import {throwPeerUnreachable} from '../../src/peers/peer-errors.js';
+import {createCallError, UNKNOWN_KIND_REASON} from '../../src/peers/peer-errors.js';
 import type {Peers} from '../../src/peers/peers.js';
 import {Access, type PreparedShape} from '../../src/statements/statement.js';
 import {createLineEndpoint} from '../links/line-endpoint.js';
@@ -44,9 +44,13 @@
 async function sendToEarlierPoolHost(shape: string, given: string | undefined) {
 	const calls: string[] = [];
 	const peers = {
-		async call(address: string, kind: string) {
-			calls.push(kind);
-			return kind.endsWith('-shape') ? throwPeerUnreachable(address) : {};
+		async call(address: string, kind: string, req: {readonly cut?: boolean}) {
+			calls.push(req.cut === undefined ? kind : `${kind} ${req.cut ? 'cut' : 'kept'}`);
+			if (kind.endsWith('-shape')) {
+				throw createCallError(address, kind, UNKNOWN_KIND_REASON, false);
+			}
+
+			return {};
 		},
 	} as unknown as Peers;
 	const link = createRemoteLink({
@@ -54,7 +58,7 @@
 	});
 	const answer = await link.exchange(toExecute(given), {values: new Map(), prepared: {access: Access.Write, shape}}).catch((err: unknown) => (err as Error).name);
 	const code = typeof answer === 'object' && answer.end.kind === 'error' ? answer.end.code : undefined;
-	return {outcome: code ?? answer, calls: calls.filter(kind => kind !== 'loan-end')};
+	return {outcome: code ?? answer, calls};
 }
 
 /** In a rolling replacement, hosts of both versions use each other's connections. */
@@ -91,7 +95,7 @@
 		});
 	}
 
-	const notRun = {outcome: 'overloaded', calls: ['loan-exchange-shape']};
+	const notRun = {outcome: 'overloaded', calls: ['loan-exchange-shape', 'loan-end kept']};
 	doTest('is not run where the pool host is the earlier one and the shape holds a blank', 'qf WRITE ve', '1a4', notRun);
 	doTest('is not run where the pool host is the earlier one and would drop a blank', 'qf', '', notRun);
 	doTest('is not run where the pool host is the earlier one and its name would be too long', 'qf', 'x'.repeat(1_048_000), notRun);
