Let the stand-in endpoints tell what each statement ran as, and judge it

Tests of statements saw ids and results only, not the shape, values and transaction that a statement ran under, and the stand-in read lines with the proxy's own parser for callers, cut data at its first blank, passed over lines above 1 MiB and let prepared statements run at a primary that had lost the lead in the middle of a transaction.

The platform on loopback takes the number of connections of a server, and a proxy its program and zone; defaults as before.

--- a/src/stand-ins/plain-group/line-server.ts
+++ b/src/stand-ins/plain-group/line-server.ts
@@ -1,12 +1,12 @@
 import {once} from 'node:events';
 import {createServer, type Server, type Socket} from 'node:net';
-import type {EndpointCommand, EndpointLink, EndpointRequest} from '../../links/endpoint-link.js';
+import type {EndpointLink} from '../../links/endpoint-link.js';
 import {isLinkRefused} from '../../links/link-errors.js';
-import {formatCallerAnswer, formatReady, parseStatement} from '../../platform/caller-lines.js';
+import {formatCallerAnswer, formatReady} from '../../platform/caller-lines.js';
 import {createLineReader} from '../../platform/line-reader.js';
 import {formatCode} from '../../platform/wire-codes.js';
-import {parsePosition} from '../../platform/position-text.js';
-import {SessionState, type Statement} from '../../statements/statement.js';
+import {SessionState} from '../../statements/statement.js';
+import {parseEndpointLine} from './parse-endpoint-line.js';
 import type {PlainGroup} from './plain-group.js';
 import type {PlainServer} from './plain-server.js';
 
@@ -35,7 +35,13 @@
 		});
 	});
 	socket.on('data', (chunk: string) => {
-		for (const line of reader.push(chunk) ?? []) {
+		const lines = reader.push(chunk);
+		if (!lines) {
+			socket.destroy();
+			return;
+		}
+
+		for (const line of lines) {
 			if (!opening) {
 				opening = open(group, server, socket, line);
 				continue;
@@ -66,13 +72,12 @@
 }
 
 async function answer(link: EndpointLink | undefined, socket: Socket, line: string) {
-	const [keyword, id, ...rest] = line.split(' ');
-	if (!link || keyword !== 'QUERY' || id === undefined) {
+	if (!link || !line.startsWith('QUERY ')) {
 		socket.end();
 		return;
 	}
 
-	const req = parseRequest(id, rest.join(' '));
+	const req = parseEndpointLine(line);
 	if (!req) {
 		socket.write('ERROR MALFORMED -\r\nREADY I -\r\n');
 		return;
@@ -86,68 +91,3 @@
 		socket.destroy();
 	}
 }
-
-function parseRequest(id: string, text: string): EndpointRequest | undefined {
-	const [first = '', position = '', ...rest] = text.split(' ');
-	if (first === 'AFTER') {
-		const command = parseCommand(rest.join(' '));
-		return command && {id, command, floor: parsePosition(position)};
-	}
-
-	const command = parseCommand(text);
-	return command && {id, command};
-}
-
-function parseCommand(text: string): EndpointCommand | undefined {
-	const [keyword = '', term] = text.split(' ');
-	switch (keyword) {
-		case 'STATUS': {
-			return {kind: 'status'};
-		}
-
-		case 'RESET': {
-			return {kind: 'reset'};
-		}
-
-		case 'RESUME': {
-			return {kind: 'unfence'};
-		}
-
-		case 'PAUSE': {
-			return {kind: 'fence', term: Number(term)};
-		}
-
-		case 'STEPDOWN': {
-			return {kind: 'step-down', term: Number(term)};
-		}
-
-		default: {
-			return toCommand(parseStatement(text));
-		}
-	}
-}
-
-function toCommand(statement: Statement): EndpointCommand | undefined {
-	switch (statement.kind) {
-		case 'run': {
-			return {kind: 'run', text: statement.text};
-		}
-
-		case 'forget': {
-			return {kind: 'close', name: statement.name};
-		}
-
-		case 'malformed': {
-			return undefined;
-		}
-
-		case 'begin':
-		case 'commit':
-		case 'rollback':
-		case 'execute':
-		case 'set':
-		case 'prepare': {
-			return statement;
-		}
-	}
-}
--- a/src/stand-ins/plain-group/plain-group.ts
+++ b/src/stand-ins/plain-group/plain-group.ts
@@ -109,6 +109,7 @@
 	}));
 	let latestPrimary = servers[0]!;
 	let term = 1;
+	let connections = 0;
 	let stopped = false;
 
 	const isHeld = (other: PlainServer, commit: PlainCommit) => other.log[commit.position - 1]?.commit === commit;
@@ -185,7 +186,7 @@
 
 	const connect = (server: PlainServer, workspace: string | undefined, listener: LinkListener, isCut: () => boolean, latencyMs: number): EndpointLink => {
 		const session: PlainSession = {
-			server, workspace, closed: false, values: new Map(), prepared: new Map(), queue: Promise.resolve(),
+			server, connection: ++connections, workspace, closed: false, values: new Map(), prepared: new Map(), queue: Promise.resolve(),
 		};
 		server.sessions.add(session);
 		const closeListeners: Array<() => void> = [];
--- a/src/stand-ins/plain-group/plain-server.ts
+++ b/src/stand-ins/plain-group/plain-server.ts
@@ -1,10 +1,11 @@
 import {EndpointRole} from '../../endpoints/endpoint.js';
 import type {EndpointRequest, EndpointStatus} from '../../links/endpoint-link.js';
-import {SessionState, type PreparedShape} from '../../statements/statement.js';
+import {Access, SessionState, type PreparedShape} from '../../statements/statement.js';
 import {AnswerCode, type AnswerEnd, type EndpointAnswer} from '../../statements/statement-answer.js';
 import {holdsLogPosition, type LogPosition} from '../../terms/log-position.js';
 import type {Clock} from '../../time/clock.js';
 import type {ServiceSlots} from '../database/service-slots.js';
+import type {RanStatement} from './ran-statement.js';
 import {
 	getVisibleEnd, readItem, type LogEntry, type PlainCommit,
 } from './plain-log.js';
@@ -12,12 +13,14 @@
 /** A session on a server, which is one connection. */
 export type PlainSession = {
 	readonly server: PlainServer;
+	/** Number of the connection, unique in its group. */
+	readonly connection: number;
 	/** Workspace for which the connection was opened. */
 	readonly workspace?: string;
 	closed: boolean;
 	values: Map<string, string>;
 	prepared: Map<string, PreparedShape>;
-	transaction?: {readonly readOnly: boolean; readonly writes: Array<PlainCommit['writes'][number]>};
+	transaction?: {readonly ordinal: number; readonly readOnly: boolean; readonly writes: Array<PlainCommit['writes'][number]>};
 	/** Settles once the last request has been served: requests are served one after the other. */
 	queue: Promise<unknown>;
 };
@@ -66,11 +69,16 @@
 	onCommit(commit: PlainCommit, server: PlainServer, id: string, workspace?: string): void;
 	/** Called when a server has become primary; commits of the former primary that its log lacks are lost. */
 	onPromoted?(server: PlainServer): void;
+	/** Called for every request, also a refused one, at the moment at which it takes effect. */
+	onStatement?(statement: RanStatement): void;
 };
 
+/** A request to a server, with the line in which it arrived; undefined where it arrived in memory. */
+export type PlainRequest = EndpointRequest & {readonly line?: string};
+
 /** Executes the requests of sessions. */
 export type PlainExecutor = {
-	execute(session: PlainSession, req: EndpointRequest): Promise<EndpointAnswer>;
+	execute(session: PlainSession, req: PlainRequest): Promise<EndpointAnswer>;
 };
 
 /** Options of an executor. */
@@ -94,6 +102,7 @@
 export function createPlainExecutor({clock, getServiceMs, observer, whenReceived}: PlainExecutorOptions): PlainExecutor {
 	/** Fraction of the next failure of a read, by server. */
 	const unfailed = new Map<PlainServer, number>();
+	let transactions = 0;
 
 	const getState = (session: PlainSession) => session.transaction ? SessionState.Open : SessionState.Idle;
 
@@ -157,9 +166,28 @@
 		return commit(session, id, [made]);
 	};
 
-	const run = (session: PlainSession, id: string, text: string) => {
-		const [keyword, item = '', data = ''] = text.split(' ');
-		return keyword === 'WRITE' ? write(session, id, item, data) : read(session, id, item);
+	/** Runs a statement on its arguments; the last one extends to the end of the line. */
+	const run = (session: PlainSession, id: string, access: Access, args: string) => {
+		if (lostPrimaryRole(session)) {
+			return refuse(session, AnswerCode.ReadOnly);
+		}
+
+		if (access === Access.Read) {
+			return read(session, id, args);
+		}
+
+		const blank = args.indexOf(' ');
+		return blank === -1 ? write(session, id, args, '') : write(session, id, args.slice(0, blank), args.slice(blank + 1));
+	};
+
+	const runText = (session: PlainSession, id: string, text: string) => {
+		const blank = text.indexOf(' ');
+		return run(session, id, text.startsWith('WRITE ') ? Access.Write : Access.Read, text.slice(blank + 1));
+	};
+
+	const execute = (session: PlainSession, id: string, name: string, args = '') => {
+		const shape = session.prepared.get(name);
+		return shape ? run(session, id, shape.access, args) : refuse(session, AnswerCode.UnknownStatement);
 	};
 
 	const begin = (session: PlainSession, readOnly: boolean) => {
@@ -167,7 +195,7 @@
 			return refuse(session, AnswerCode.ReadOnly);
 		}
 
-		session.transaction = {readOnly, writes: []};
+		session.transaction = {ordinal: ++transactions, readOnly, writes: []};
 		return complete(session);
 	};
 
@@ -199,12 +227,11 @@
 		const {server} = session;
 		switch (command.kind) {
 			case 'run': {
-				return lostPrimaryRole(session) ? refuse(session, AnswerCode.ReadOnly) : run(session, id, command.text);
+				return runText(session, id, command.text);
 			}
 
 			case 'execute': {
-				const shape = session.prepared.get(command.name);
-				return shape ? run(session, id, `${shape.access === 'read' ? 'READ' : 'WRITE'} ${command.args ?? ''}`) : refuse(session, AnswerCode.UnknownStatement);
+				return execute(session, id, command.name, command.args);
 			}
 
 			case 'begin': {
@@ -269,11 +296,34 @@
 		}
 	};
 
+	/** Performs a request and reports it to the observer. */
+	const performObserved = (session: PlainSession, req: PlainRequest) => {
+		const {server, transaction} = session;
+		const {command} = req;
+		const shape = command.kind === 'execute' ? session.prepared.get(command.name) : undefined;
+		const before = server.log.length;
+		const performed = isBehind(session, req.floor) ? refuse(session, AnswerCode.Lagging) : perform(session, req);
+		observer.onStatement?.({
+			server: server.id,
+			connection: session.connection,
+			id: req.id ?? '-',
+			line: req.line,
+			command,
+			shape,
+			values: new Map(session.values),
+			transaction: (transaction ?? session.transaction)?.ordinal,
+			committed: server.log.slice(before).flatMap(entry => entry.commit.writes.map(({statementId}) => statementId)),
+			rows: performed.rows,
+			end: performed.end,
+		});
+		return performed;
+	};
+
 	/** Performs a request; where it committed, waits for the replicas, which takes a slot. */
-	const performAndWait = async (session: PlainSession, req: EndpointRequest) => {
+	const performAndWait = async (session: PlainSession, req: PlainRequest) => {
 		const {server} = session;
 		const before = server.log.length;
-		const performed = perform(session, req);
+		const performed = performObserved(session, req);
 		if (whenReceived && server.log.length > before) {
 			await server.slots?.acquire();
 			await whenReceived(server.log.at(-1)!.commit, server);
@@ -302,7 +352,7 @@
 				return refuse(session, AnswerCode.Aborted);
 			}
 
-			return isBehind(session, req.floor) ? refuse(session, AnswerCode.Lagging) : performAndWait(session, req);
+			return performAndWait(session, req);
 		},
 	};
 }
--- a/src/stand-ins/plain-platform/local-platform.ts
+++ b/src/stand-ins/plain-platform/local-platform.ts
@@ -29,12 +29,30 @@
 export type LocalPlatform = {
 	readonly group: PlainGroup;
 	readonly store: HttpStoreServer;
-	/** Starts a proxy from the bundle under `target/`. Resolves once it is ready; rejects where it ends before that or takes too long. */
-	startProxy(name: string): Promise<LocalProxy>;
+	/** Starts a proxy. Resolves once it is ready; rejects where it ends before that or takes too long. */
+	startProxy(name: string, options?: LocalProxyOptions): Promise<LocalProxy>;
 	/** Ends all proxies and servers, and removes the settings files. */
 	stop(): Promise<void>;
 };
 
+/** Options of the platform. */
+export type LocalPlatformOptions = {
+	/** Number of connections that each server accepts; default 22. */
+	readonly maxConnections?: number;
+};
+
+/** Options of a proxy. */
+export type LocalProxyOptions = {
+	/** Path of the program; default is the bundle under `target/`. */
+	readonly bundle?: string;
+	/** Availability zone; default `zone-a`. */
+	readonly zone?: string;
+};
+
+const DEFAULT_MAX_CONNECTIONS = 22;
+const DEFAULT_BUNDLE = 'target/aldercroft-proxy.cjs';
+const DEFAULT_ZONE = 'zone-a';
+
 const HOST = '127.0.0.1';
 const GROUP = 'nights';
 const READY_TIMEOUT_MS = 10_000;
@@ -48,12 +66,12 @@
 ];
 
 /** Starts the platform and the group, without proxies. */
-export async function startLocalPlatform(observer: PlainObserver): Promise<LocalPlatform> {
+export async function startLocalPlatform(observer: PlainObserver, {maxConnections = DEFAULT_MAX_CONNECTIONS}: LocalPlatformOptions = {}): Promise<LocalPlatform> {
 	const clock = createSystemClock();
 	const [storePort, ordersPort, ...serverPorts] = await findFreePorts(5) as [number, number, ...number[]];
 	const store = await startHttpStoreServer(HOST, storePort);
 	const group = createPlainGroup({
-		clock, name: GROUP, zones: ['zone-a', 'zone-b', 'zone-c'], observer,
+		clock, name: GROUP, zones: ['zone-a', 'zone-b', 'zone-c'], observer, maxConnections,
 	});
 	const lineServers = await Promise.all(group.servers.map(async (server, i) => startLineServer(group, server, HOST, serverPorts[i]!)));
 	const orders = await startOrderServer(group, ordersPort);
@@ -85,7 +103,7 @@
 		routes: ROUTES.map(route => ({
 			...route, name: `r-${route.host}`, pathPrefix: '/', timeoutMs: 1000, targetLatencyMs: 200, priority: 1, backend: GROUP, maxAttempts: 2,
 		})),
-		backends: [{name: GROUP, maxConnections: 22, syncReplicas: 0}],
+		backends: [{name: GROUP, maxConnections, syncReplicas: 0}],
 		limits: {txIdleMs: 3000},
 	});
 	register();
@@ -95,12 +113,12 @@
 	return {
 		group,
 		store,
-		async startProxy(name) {
+		async startProxy(name, {bundle = DEFAULT_BUNDLE, zone = DEFAULT_ZONE} = {}) {
 			const [callerPort, readyPort, peerPort, metricsPort] = await findFreePorts(4) as [number, number, number, number];
 			const settings = path.join(folder, `${name}.conf`);
 			writeFileSync(settings, [
 				`nodeName=${name}`,
-				'zone=zone-a',
+				`zone=${zone}`,
 				`ip=${HOST}`,
 				`listen.front=${HOST}:${callerPort}`,
 				`listen.readiness=${HOST}:${readyPort}`,
@@ -110,7 +128,7 @@
 				`cloud.address=${HOST}:${ordersPort}`,
 				'bounds.graceS=6',
 			].join('\n'));
-			const child = spawn(process.execPath, ['target/aldercroft-proxy.cjs', `--metrics-port=${metricsPort}`], {
+			const child = spawn(process.execPath, [bundle, `--metrics-port=${metricsPort}`], {
 				env: {PATH: process.env.PATH, ALDERCROFT_BOOT: settings, ALDERCROFT_PEER_KEYS: 'a key of the local platform alone, 32+'},
 				stdio: ['ignore', 'pipe', 'inherit'],
 			});
