Set session values that precede a COMMIT before it runs

Cause: values are sent to the connection with the next statement, and a commit carried none, so a SET as the last statement before COMMIT was acknowledged and not in force.

Fix: the commit carries the values like every other statement.

Seen red before the fix: tests/platform/session-values-tests.ts, {zone: v1} at the commit in place of {zone: v2, lang: v3}.

--- a/src/gateway/caller-transaction.ts
+++ b/src/gateway/caller-transaction.ts
@@ -143,7 +143,7 @@
 	/** Commits, again where the endpoint refused for overload: the commit did not run then, and the transaction is still open there. */
 	const commitAtEndpoint = async (ending: AcquiredLink, id: string, until: number) => {
 		for (;;) {
-			const answer = await exchangeWithin(parts, ending, {id, command: {kind: 'commit'}}, {timeoutMs: until - clock.now()});
+			const answer = await exchangeWithin(parts, ending, {id, command: {kind: 'commit'}}, {timeoutMs: until - clock.now(), needed: {values: req.memory.values}});
 			const mayRepeat = answer !== undefined && isOverloaded(answer) && answer.state === SessionState.Open;
 			if (!mayRepeat || clock.now() + MIN_COMMIT_RETRY_MS >= until) {
 				return answer;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -56,7 +56,7 @@
 /** How a request is sent. */
 export type ExchangeOptions = {
 	readonly timeoutMs: number;
-	/** What has to be set and prepared first; undefined for commit and rollback, which depend on neither. */
+	/** What has to be set and prepared first; undefined for a rollback, which depends on neither. */
 	readonly needed?: NeededSession;
 	/** The statement that is sent; undefined for begin, commit and rollback. */
 	readonly statement?: StatementKey;
--- /dev/null
+++ b/tests/platform/session-values-tests.ts
@@ -0,0 +1,38 @@
+import {expect} from 'chai';
+import {startLocalPlatform, type LocalPlatform} from '../../src/stand-ins/plain-platform/local-platform.js';
+import {openWireCaller} from '../../src/stand-ins/plain-platform/wire-caller.js';
+
+/** Runs the built program as a process against the stand-ins, over real sockets. */
+describe('session values of callers', () => {
+	const valuesById = new Map<string, Readonly<Record<string, string>>>();
+	let platform: LocalPlatform;
+
+	before(async () => {
+		platform = await startLocalPlatform({
+			onRead() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+			onCommit() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+			onStatement({id, values}) {
+				valuesById.set(id, Object.fromEntries(values));
+			},
+		});
+	});
+
+	after(async () => {
+		await platform.stop();
+	});
+
+	/** The values that were set last in a transaction were missing at its commit. */
+	it('are in force for a commit that follows them', async () => {
+		const proxy = await platform.startProxy('entry-1');
+		const caller = await openWireCaller(proxy.callerPort, 'sync');
+		await caller.ask('s1', 'SET zone v1');
+		await caller.ask('b1', 'BEGIN');
+		await caller.ask('w1', 'WRITE i 7');
+		await caller.ask('s2', 'SET zone v2');
+		await caller.ask('s3', 'SET lang v3');
+		await caller.ask('c1', 'COMMIT');
+		caller.leave();
+		expect(valuesById.get('w1')).to.deep.equal({zone: 'v1'});
+		expect(valuesById.get('c1')).to.deep.equal({zone: 'v2', lang: 'v3'});
+	});
+});
