--- a/src/stand-ins/plain-group/line-server.ts
+++ b/src/stand-ins/plain-group/line-server.ts
@@ -10,17 +10,25 @@
 import type {PlainGroup} from './plain-group.js';
 import type {PlainServer} from './plain-server.js';
 
-/** Serves one server of a group over TCP, in the line protocol of the platform; listens at `host` and `port`. Resolves once it listens. */
-export async function startLineServer(group: PlainGroup, server: PlainServer, host: string, port: number): Promise<Server> {
+/** Where a server listens. */
+export type LineServerOptions = {
+	readonly host: string;
+	readonly port: number;
+	/** Called for each request that is not understood, with its line. */
+	onMalformed?(line: string): void;
+};
+
+/** Serves one server of a group over TCP, in the line protocol of the platform. Resolves once it listens. */
+export async function startLineServer(group: PlainGroup, server: PlainServer, {host, port, onMalformed}: LineServerOptions): Promise<Server> {
 	const listener = createServer(socket => {
-		void serve(group, server, socket);
+		void serve(group, server, socket, onMalformed);
 	});
 	listener.listen(port, host);
 	await once(listener, 'listening');
 	return listener;
 }
 
-async function serve(group: PlainGroup, server: PlainServer, socket: Socket) {
+async function serve(group: PlainGroup, server: PlainServer, socket: Socket, onMalformed: LineServerOptions['onMalformed']) {
 	const reader = createLineReader();
 	let opening: Promise<EndpointLink | undefined> | undefined;
 	let answers = Promise.resolve();
@@ -48,7 +56,7 @@
 			}
 
 			const opened = opening;
-			answers = answers.then(async () => answer(await opened, socket, line));
+			answers = answers.then(async () => answer(await opened, socket, line, onMalformed));
 		}
 	});
 }
@@ -71,7 +79,7 @@
 	}
 }
 
-async function answer(link: EndpointLink | undefined, socket: Socket, line: string) {
+async function answer(link: EndpointLink | undefined, socket: Socket, line: string, onMalformed: LineServerOptions['onMalformed']) {
 	if (!link || !line.startsWith('QUERY ')) {
 		socket.end();
 		return;
@@ -79,6 +87,7 @@
 
 	const req = parseEndpointLine(line);
 	if (!req) {
+		onMalformed?.(line);
 		socket.write('ERROR MALFORMED -\r\nREADY I -\r\n');
 		return;
 	}
--- a/src/stand-ins/plain-group/plain-server.ts
+++ b/src/stand-ins/plain-group/plain-server.ts
@@ -71,6 +71,8 @@
 	onPromoted?(server: PlainServer): void;
 	/** Called for every request, also a refused one, at the moment at which it takes effect. */
 	onStatement?(statement: RanStatement): void;
+	/** Called for every line that a server on a socket did not understand, and so did not run. */
+	onMalformed?(line: string): void;
 };
 
 /** A request to a server, with the line in which it arrived; undefined where it arrived in memory. */
--- a/src/stand-ins/plain-platform/local-platform.ts
+++ b/src/stand-ins/plain-platform/local-platform.ts
@@ -73,7 +73,7 @@
 	const group = createPlainGroup({
 		clock, name: GROUP, zones: ['zone-a', 'zone-b', 'zone-c'], observer, maxConnections,
 	});
-	const lineServers = await Promise.all(group.servers.map(async (server, i) => startLineServer(group, server, HOST, serverPorts[i]!)));
+	const lineServers = await Promise.all(group.servers.map(async (server, i) => startLineServer(group, server, {host: HOST, port: serverPorts[i]!, onMalformed: observer.onMalformed})));
 	const orders = await startOrderServer(group, ordersPort);
 	const folder = mkdtempSync(path.join(tmpdir(), 'aldercroft-local-'));
 	const children: ChildProcess[] = [];
--- a/tests/statement-check/main.ts
+++ b/tests/statement-check/main.ts
@@ -29,6 +29,9 @@
 /** Violations of each rule that are printed for a seed. */
 const MAX_PRINTED = 3;
 
+/** Characters of a line that are printed. */
+const MAX_SHOWN = 100;
+
 const [first, count, seconds, proxies] = [Number(values.seed), Number(values.count), Number(values.seconds), Number(values.proxies)];
 if (![first, count, proxies].every(number => Number.isSafeInteger(number) && number > 0) || !(seconds > 0)) {
 	throw new Error('--seed, --count and --proxies take whole numbers above 0, --seconds a number above 0');
@@ -40,12 +43,17 @@
 		seed, seconds, proxies, bundle: values.bundle, earlierBundle: values.earlier, faults: !values.calm,
 	});
 	const byRule = Object.values(StatementRule).map(rule => result.violations.filter(violation => violation.rule === rule));
-	console.log(`seed ${seed}: ${byRule.map((found, i) => `${found.length} ${Object.values(StatementRule)[i]}`).join(', ')} ${JSON.stringify(result.figures)}`);
+	const counts = byRule.map((found, i) => `${found.length} ${Object.values(StatementRule)[i]}`).join(', ');
+	console.log(`seed ${seed}: ${counts}, ${result.malformed.length} lines not understood ${JSON.stringify(result.figures)}`);
 	for (const violation of byRule.flatMap(found => found.slice(0, MAX_PRINTED))) {
 		console.log(`  ${violation.rule} ${violation.id} (${violation.session ?? 'no session'}): ${violation.what}`);
 	}
 
-	if (result.violations.length > 0) {
+	for (const line of result.malformed.slice(0, MAX_PRINTED)) {
+		console.log(`  not understood: ${JSON.stringify(line.slice(0, MAX_SHOWN))}`);
+	}
+
+	if (result.violations.length > 0 || result.malformed.length > 0) {
 		broken++;
 	}
 
--- a/tests/statement-check/run-statement-soak.ts
+++ b/tests/statement-check/run-statement-soak.ts
@@ -49,6 +49,8 @@
 /** The outcome of a soak. */
 export type StatementSoakResult = {
 	readonly violations: readonly StatementViolation[];
+	/** Lines that a server did not understand: a proxy sends none, whatever callers send. */
+	readonly malformed: readonly string[];
 	readonly figures: StatementSoakFigures;
 	readonly sessions: readonly SessionRecord[];
 	readonly ran: readonly RanStatement[];
@@ -80,6 +82,7 @@
 export async function runStatementSoak(options: StatementSoakOptions): Promise<StatementSoakResult> {
 	const {seed, seconds, earlierBundle, faults: hasFaults = true} = options;
 	const ran: RanStatement[] = [];
+	const malformed: string[] = [];
 	const faults: string[] = [];
 	const logs = new Map<string, readonly string[]>();
 	const counts = {
@@ -97,6 +100,9 @@
 		onStatement(statement) {
 			ran.push(statement);
 		},
+		onMalformed(line) {
+			malformed.push(line);
+		},
 	}, {maxConnections: MAX_CONNECTIONS});
 
 	const noteFault = (what: string) => {
@@ -193,7 +199,7 @@
 		const sessions = records.flat();
 		await Promise.all(faultSeries);
 		return {
-			violations: checkStatements(sessions, ran), figures: {...countStatements(sessions, ran), ...counts}, sessions, ran, faults, logs,
+			violations: checkStatements(sessions, ran), malformed, figures: {...countStatements(sessions, ran), ...counts}, sessions, ran, faults, logs,
 		};
 	} finally {
 		stopping = true;
