--- a/src/stand-ins/plain-group/line-server.ts
+++ b/src/stand-ins/plain-group/line-server.ts
@@ -1,26 +1,34 @@
 import {once} from 'node:events';
 import {createServer, type Server, type Socket} from 'node:net';
-import type {EndpointCommand, EndpointLink, EndpointRequest} from '../../links/endpoint-link.js';
+import type {EndpointLink} from '../../links/endpoint-link.js';
 import {isLinkRefused} from '../../links/link-errors.js';
-import {formatCallerAnswer, formatReady, parseStatement} from '../../platform/caller-lines.js';
+import {formatCallerAnswer, formatReady} from '../../platform/caller-lines.js';
 import {createLineReader} from '../../platform/line-reader.js';
 import {formatCode} from '../../platform/wire-codes.js';
-import {parsePosition} from '../../platform/position-text.js';
-import {SessionState, type Statement} from '../../statements/statement.js';
+import {SessionState} from '../../statements/statement.js';
+import {parseEndpointLine} from './parse-endpoint-line.js';
 import type {PlainGroup} from './plain-group.js';
 import type {PlainServer} from './plain-server.js';
 
-/** Serves one server of a group over TCP, in the line protocol of the platform; listens at `host` and `port`. Resolves once it listens. */
-export async function startLineServer(group: PlainGroup, server: PlainServer, host: string, port: number): Promise<Server> {
+/** Where a server listens. */
+export type LineServerOptions = {
+	readonly host: string;
+	readonly port: number;
+	/** Called for each request that is not understood, with its line. */
+	onMalformed?(line: string): void;
+};
+
+/** Serves one server of a group over TCP, in the line protocol of the platform. Resolves once it listens. */
+export async function startLineServer(group: PlainGroup, server: PlainServer, {host, port, onMalformed}: LineServerOptions): Promise<Server> {
 	const listener = createServer(socket => {
-		void serve(group, server, socket);
+		void serve(group, server, socket, onMalformed);
 	});
 	listener.listen(port, host);
 	await once(listener, 'listening');
 	return listener;
 }
 
-async function serve(group: PlainGroup, server: PlainServer, socket: Socket) {
+async function serve(group: PlainGroup, server: PlainServer, socket: Socket, onMalformed: LineServerOptions['onMalformed']) {
 	const reader = createLineReader();
 	let opening: Promise<EndpointLink | undefined> | undefined;
 	let answers = Promise.resolve();
@@ -35,14 +43,20 @@
 		});
 	});
 	socket.on('data', (chunk: string) => {
-		for (const line of reader.push(chunk) ?? []) {
+		const lines = reader.push(chunk);
+		if (!lines) {
+			socket.destroy();
+			return;
+		}
+
+		for (const line of lines) {
 			if (!opening) {
 				opening = open(group, server, socket, line);
 				continue;
 			}
 
 			const opened = opening;
-			answers = answers.then(async () => answer(await opened, socket, line));
+			answers = answers.then(async () => answer(await opened, socket, line, onMalformed));
 		}
 	});
 }
@@ -65,15 +79,15 @@
 	}
 }
 
-async function answer(link: EndpointLink | undefined, socket: Socket, line: string) {
-	const [keyword, id, ...rest] = line.split(' ');
-	if (!link || keyword !== 'QUERY' || id === undefined) {
+async function answer(link: EndpointLink | undefined, socket: Socket, line: string, onMalformed: LineServerOptions['onMalformed']) {
+	if (!link || !line.startsWith('QUERY ')) {
 		socket.end();
 		return;
 	}
 
-	const req = parseRequest(id, rest.join(' '));
+	const req = parseEndpointLine(line);
 	if (!req) {
+		onMalformed?.(line);
 		socket.write('ERROR MALFORMED -\r\nREADY I -\r\n');
 		return;
 	}
@@ -86,68 +100,3 @@
 		socket.destroy();
 	}
 }
-
-function parseRequest(id: string, text: string): EndpointRequest | undefined {
-	const [first = '', position = '', ...rest] = text.split(' ');
-	if (first === 'AFTER') {
-		const command = parseCommand(rest.join(' '));
-		return command && {id, command, floor: parsePosition(position)};
-	}
-
-	const command = parseCommand(text);
-	return command && {id, command};
-}
-
-function parseCommand(text: string): EndpointCommand | undefined {
-	const [keyword = '', term] = text.split(' ');
-	switch (keyword) {
-		case 'STATUS': {
-			return {kind: 'status'};
-		}
-
-		case 'RESET': {
-			return {kind: 'reset'};
-		}
-
-		case 'RESUME': {
-			return {kind: 'unfence'};
-		}
-
-		case 'PAUSE': {
-			return {kind: 'fence', term: Number(term)};
-		}
-
-		case 'STEPDOWN': {
-			return {kind: 'step-down', term: Number(term)};
-		}
-
-		default: {
-			return toCommand(parseStatement(text));
-		}
-	}
-}
-
-function toCommand(statement: Statement): EndpointCommand | undefined {
-	switch (statement.kind) {
-		case 'run': {
-			return {kind: 'run', text: statement.text};
-		}
-
-		case 'forget': {
-			return {kind: 'close', name: statement.name};
-		}
-
-		case 'malformed': {
-			return undefined;
-		}
-
-		case 'begin':
-		case 'commit':
-		case 'rollback':
-		case 'execute':
-		case 'set':
-		case 'prepare': {
-			return statement;
-		}
-	}
-}
