Set session values that precede a caller's ROLLBACK before it runs

The same fault as at COMMIT: a SET as the last statement before the caller's ROLLBACK was acknowledged and not in force when the endpoint ran the rollback under the caller's id. Seen red: tests/platform/session-values-tests.ts, {zone: v1} in place of {zone: v2, lang: v3}.

--- a/src/gateway/caller-transaction.ts
+++ b/src/gateway/caller-transaction.ts
@@ -72,7 +72,9 @@
 			return;
 		}
 
-		void exchangeWithin(parts, ending, {id, command: {kind: 'rollback'}}, {timeoutMs: ROLLBACK_TIMEOUT_MS}).then(answer => {
+		// The caller's own rollback is its statement, which runs under the values that it has set; an endpoint whose transaction has failed accepts none.
+		const needed = id !== undefined && ending.state === SessionState.Open ? {values: req.memory.values} : undefined;
+		void exchangeWithin(parts, ending, {id, command: {kind: 'rollback'}}, {timeoutMs: ROLLBACK_TIMEOUT_MS, needed}).then(answer => {
 			if (!answer) {
 				log.debug('a rollback was not answered; its connection is cut', {id: beginId, group});
 			}
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -57,7 +57,7 @@
 /** How a request is sent. */
 export type ExchangeOptions = {
 	readonly timeoutMs: number;
-	/** What has to be set and prepared first; undefined for a rollback, which depends on neither. */
+	/** What has to be set and prepared first; undefined for a rollback by the host itself, which depends on neither. */
 	readonly needed?: NeededSession;
 	/** The statement that is sent; undefined for begin, commit and rollback. */
 	readonly statement?: StatementKey;
