--- a/src/connection-sharing/remote-read.ts
+++ b/src/connection-sharing/remote-read.ts
@@ -189,7 +189,7 @@
 
 		pending++;
 		try {
-			// The read may still be sent to a further pool host when its caller has the answer of a second attempt and sets other values.
+			// The caller may set other values while the read still waits to be sent to a further pool host.
 			const answer = await runAnywhere(request, needed && {...needed, values: new Map(needed.values)});
 			if (answer !== DID_NOT_RUN) {
 				options.onReceived();
--- a/src/gateway/caller-transaction.ts
+++ b/src/gateway/caller-transaction.ts
@@ -119,7 +119,7 @@
 
 			const answer = await exchangeWithin(parts, candidate, {
 				id: beginId, command: {kind: 'begin', readOnly}, floor: candidate.floor,
-			}, {timeoutMs: until - clock.now(), needed: {values: new Map(req.memory.values)}});
+			}, {timeoutMs: until - clock.now(), needed: {values: req.memory.values}});
 			if (answer?.end.kind === 'complete') {
 				return candidate;
 			}
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -48,8 +48,7 @@
 	const command = statement.kind === 'run' ? {kind: 'run', text: statement.text} as const : {kind: 'execute', args: statement.args} as const;
 	return exchangeWithin(parts, acquired, {id, command, floor}, {
 		timeoutMs,
-		// The caller may change its values while the request still waits at another host.
-		needed: {values: new Map(memory.values), prepared},
+		needed: {values: memory.values, prepared},
 		statement: {group: acquired.endpoint.entry.group, database: memory.database, shape: prepared && getShapeKey(prepared)},
 	});
 }
