--- a/tests/statement-check/soak-caller.ts
+++ b/tests/statement-check/soak-caller.ts
@@ -33,8 +33,6 @@
 
 const MAX_TRANSACTION_STATEMENTS = 6;
 
-const MAX_PREPARED_NAMES = 13;
-
 /** Runs sessions one after the other, and returns what each sent and what it was told. */
 export async function runSoakCaller(options: SoakCallerOptions): Promise<SessionRecord[]> {
 	const {name, random, databases, getPort, isStopping} = options;
@@ -104,7 +102,11 @@
 
 	const execute = (id: string) => {
 		const known = pickPrepared();
-		const text = `EXECUTE ${random.fraction() < 0.95 && known !== undefined ? known : texts.name()}`;
+		return executeNamed(id, random.fraction() < 0.95 && known !== undefined ? known : texts.name());
+	};
+
+	const executeNamed = (id: string, name: string) => {
+		const text = `EXECUTE ${name}`;
 		if (random.fraction() < filledShare) {
 			// Items that nobody else reads: a row of this size would not fit into a message.
 			return texts.fill(id, `${text} filled-`);
@@ -122,11 +124,18 @@
 	const prepare = async () => {
 		const name = texts.name();
 		const isDone = await session.ask(() => `PARSE ${name} ${random.fraction() < 0.5 ? 'READ' : 'WRITE'} ${texts.shape()}`);
-		if (isDone && session.prepared.size < MAX_PREPARED_NAMES) {
-			session.prepared.add(name);
+		if (!isDone) {
+			return false;
+		}
+
+		session.prepared.add(name);
+		if (hasValues) {
+			return true;
 		}
 
-		return isDone;
+		// Connections that are not reset are to run many shapes, so that they close some.
+		await session.ask(id => executeNamed(id, name));
+		return true;
 	};
 
 	const forget = async () => {
@@ -194,7 +203,7 @@
 	};
 
 	for (let i = 0; i < operations && !isStopping(); i++) {
-		if (session.closed || !await operate()) {
+		if (session.closed || !await operate() || session.state !== 'I') {
 			return;
 		}
 
