Start a proxy of the local platform again where its ports were taken

Ports are chosen free and bound some 100 ms later by the proxy; a connection of another process may have one by then. The start is tried again where the proxy says EADDRINUSE, and any other end is an error with the last line that it logged.

--- a/src/stand-ins/plain-platform/local-platform.ts
+++ b/src/stand-ins/plain-platform/local-platform.ts
@@ -58,6 +58,9 @@
 const READY_TIMEOUT_MS = 10_000;
 const READY_POLL_MS = 20;
 
+/** Maximum number of tries to start a proxy whose ports are taken by others. */
+const MAX_START_TRIES = 5;
+
 /** Databases that callers can open, with the read policy of each. */
 const ROUTES = [
 	{host: 'sync', type: 'primary'},
@@ -110,48 +113,62 @@
 	const registering = setInterval(register, 200);
 	group.start();
 
+	const tryToStartProxy = async (name: string, {bundle = DEFAULT_BUNDLE, zone = DEFAULT_ZONE}: LocalProxyOptions): Promise<LocalProxy | undefined> => {
+		const [callerPort, readyPort, peerPort, metricsPort] = await findFreePorts(4) as [number, number, number, number];
+		const settings = path.join(folder, `${name}.conf`);
+		writeFileSync(settings, [
+			`nodeName=${name}`,
+			`zone=${zone}`,
+			`ip=${HOST}`,
+			`listen.front=${HOST}:${callerPort}`,
+			`listen.readiness=${HOST}:${readyPort}`,
+			`listen.control=${HOST}:${peerPort}`,
+			'portRange=7440,7455',
+			`platform.address=${HOST}:${storePort}`,
+			`cloud.address=${HOST}:${ordersPort}`,
+			'bounds.graceS=6',
+		].join('\n'));
+		const child = spawn(process.execPath, [bundle, `--metrics-port=${metricsPort}`], {
+			env: {PATH: process.env.PATH, ALDERCROFT_BOOT: settings, ALDERCROFT_PEER_KEYS: 'a key of the local platform alone, 32+'},
+			stdio: ['ignore', 'pipe', 'inherit'],
+		});
+		children.push(child);
+		const lines: string[] = [];
+		child.stdout.setEncoding('utf8').on('data', (chunk: string) => {
+			lines.push(...chunk.split('\n').filter(line => line !== ''));
+		});
+		if (!await waitUntilReady(readyPort, child, lines)) {
+			return undefined;
+		}
+
+		return {
+			name,
+			callerPort,
+			metricsPort,
+			lines,
+			async end(signal) {
+				child.kill(signal);
+				if (child.exitCode === null && child.signalCode === null) {
+					await once(child, 'exit');
+				}
+
+				return child.exitCode ?? undefined;
+			},
+		};
+	};
+
 	return {
 		group,
 		store,
-		async startProxy(name, {bundle = DEFAULT_BUNDLE, zone = DEFAULT_ZONE} = {}) {
-			const [callerPort, readyPort, peerPort, metricsPort] = await findFreePorts(4) as [number, number, number, number];
-			const settings = path.join(folder, `${name}.conf`);
-			writeFileSync(settings, [
-				`nodeName=${name}`,
-				`zone=${zone}`,
-				`ip=${HOST}`,
-				`listen.front=${HOST}:${callerPort}`,
-				`listen.readiness=${HOST}:${readyPort}`,
-				`listen.control=${HOST}:${peerPort}`,
-				'portRange=7440,7455',
-				`platform.address=${HOST}:${storePort}`,
-				`cloud.address=${HOST}:${ordersPort}`,
-				'bounds.graceS=6',
-			].join('\n'));
-			const child = spawn(process.execPath, [bundle, `--metrics-port=${metricsPort}`], {
-				env: {PATH: process.env.PATH, ALDERCROFT_BOOT: settings, ALDERCROFT_PEER_KEYS: 'a key of the local platform alone, 32+'},
-				stdio: ['ignore', 'pipe', 'inherit'],
-			});
-			children.push(child);
-			const lines: string[] = [];
-			child.stdout.setEncoding('utf8').on('data', (chunk: string) => {
-				lines.push(...chunk.split('\n').filter(line => line !== ''));
-			});
-			await waitUntilReady(readyPort, child);
-			return {
-				name,
-				callerPort,
-				metricsPort,
-				lines,
-				async end(signal) {
-					child.kill(signal);
-					if (child.exitCode === null && child.signalCode === null) {
-						await once(child, 'exit');
-					}
-
-					return child.exitCode ?? undefined;
-				},
-			};
+		async startProxy(name, proxyOptions = {}) {
+			for (let tries = 0; tries < MAX_START_TRIES; tries++) {
+				const proxy = await tryToStartProxy(name, proxyOptions);
+				if (proxy) {
+					return proxy;
+				}
+			}
+
+			throw new Error(`the ports of ${name} were taken ${MAX_START_TRIES} times`);
 		},
 		async stop() {
 			clearInterval(registering);
@@ -188,12 +205,13 @@
 	return server;
 }
 
-async function waitUntilReady(port: number, child: ChildProcess) {
+/** Waits until a proxy is ready; resolves with false where it ended because a port was taken between the choice of its ports and its start. */
+async function waitUntilReady(port: number, child: ChildProcess, lines: readonly string[]): Promise<boolean> {
 	const until = performance.now() + READY_TIMEOUT_MS;
 	while (performance.now() < until && child.exitCode === null) {
 		const res = await fetch(`http://${HOST}:${port}/ready`).catch(() => undefined);
 		if (res?.status === 200) {
-			return;
+			return true;
 		}
 
 		await new Promise(resolve => {
@@ -201,5 +219,9 @@
 		});
 	}
 
-	throw new Error(`the proxy was not ready within ${READY_TIMEOUT_MS} ms, or ended with ${child.exitCode}`);
+	if (lines.some(line => line.includes('EADDRINUSE'))) {
+		return false;
+	}
+
+	throw new Error(`the proxy was not ready within ${READY_TIMEOUT_MS} ms, or ended with ${child.exitCode}: ${lines.at(-1)}`);
 }
