Count what stands before a text in a frame as it is written

Each text was counted with 5 bytes before it, so an answer of 900,000 short rows, which take 1.8 MB, was refused as too large between hosts. MessagePack writes 1, 2, 3 or 5 bytes, by the length of the text.

--- a/src/connection-sharing/frame-room.ts
+++ b/src/connection-sharing/frame-room.ts
@@ -6,9 +6,6 @@
 
 const MAX_TEXT_BYTES = DEFAULT_PEER_LIMITS.maxFrameBytes - RESERVED_BYTES;
 
-/** Maximum size of what stands before a text in a frame, in bytes. */
-const TEXT_HEADER_BYTES = 5;
-
 /** Maximum number of bytes of one character in a frame; the bytes of a caller's message from 128 on take two. */
 const MAX_CHARACTER_BYTES = 3;
 
@@ -21,8 +18,18 @@
 function getBytes(texts: readonly string[], getLength: (text: string) => number): number {
 	let bytes = 0;
 	for (const text of texts) {
-		bytes += TEXT_HEADER_BYTES + getLength(text);
+		const length = getLength(text);
+		bytes += getHeaderBytes(length) + length;
 	}
 
 	return bytes;
 }
+
+/** Returns the size of what MessagePack writes before a text of that many bytes. */
+function getHeaderBytes(length: number): number {
+	if (length < 32) {
+		return 1;
+	}
+
+	return length < 256 ? 2 : (length < 65_536 ? 3 : 5);
+}
--- a/tests/connection-sharing/large-messages-tests.ts
+++ b/tests/connection-sharing/large-messages-tests.ts
@@ -132,6 +132,13 @@
 		expect(await getOutcome(await bench.checkOut(NO_VALUES, true), WRITE)).to.equal(AnswerCode.OutcomeUnknown);
 	});
 
+	it('pass where the rows of a read are many and short', async () => {
+		const bench = createBench();
+		bench.answerWith({rows: Array.from({length: 900_000}, () => '7'), end: DONE, state: SessionState.Idle});
+		const answer = await bench.startRead().exchange(READ);
+		expect(answer.rows.length).to.equal(900_000);
+	});
+
 	it('pass where the rows of a read are just below the limit', async () => {
 		const bench = createBench();
 		bench.answerWith({rows: LARGE_ROWS.slice(0, 3).map(() => HIGH.repeat(680_000)), end: DONE, state: SessionState.Idle});
