--- a/src/connection-sharing/remote-link.ts
+++ b/src/connection-sharing/remote-link.ts
@@ -1,5 +1,5 @@
 import type {EndpointLink} from '../links/endpoint-link.js';
-import {createLinkLost, throwUnexpectedAnswer} from '../links/link-errors.js';
+import {createLinkLost, throwSessionNeeded, throwUnexpectedAnswer} from '../links/link-errors.js';
 import type {NeededSession, SessionLink, SessionRequest} from '../links/link-session.js';
 import {isPeerError} from '../peers/peer-errors.js';
 import type {PeerCalls} from '../peers/peer-calls.js';
@@ -125,7 +125,7 @@
 			return closeState.closed;
 		},
 		async exchange(request) {
-			return request.command.kind === 'execute' ? throwUnexpectedAnswer(poolHost, 'execute') : exchange({...request, command: request.command});
+			return request.command.kind === 'execute' ? throwSessionNeeded(poolHost) : exchange({...request, command: request.command});
 		},
 		async readStatus(request) {
 			return throwUnexpectedAnswer(poolHost, request.command.kind);
--- a/src/connection-sharing/remote-read.ts
+++ b/src/connection-sharing/remote-read.ts
@@ -1,5 +1,5 @@
 import type {EndpointLink} from '../links/endpoint-link.js';
-import {createLinkLost, throwUnexpectedAnswer} from '../links/link-errors.js';
+import {createLinkLost, throwSessionNeeded, throwUnexpectedAnswer} from '../links/link-errors.js';
 import type {AcquireRequest} from '../links/endpoint-pool.js';
 import type {NeededSession, SessionLink, SessionRequest} from '../links/link-session.js';
 import type {UnreachableHosts} from '../membership/unreachable-hosts.js';
@@ -209,7 +209,7 @@
 			return closeState.closed;
 		},
 		async exchange(request) {
-			return request.command.kind === 'execute' ? throwUnexpectedAnswer(endpointId, 'execute') : exchange({...request, command: request.command});
+			return request.command.kind === 'execute' ? throwSessionNeeded(endpointId) : exchange({...request, command: request.command});
 		},
 		async readStatus(request) {
 			return throwUnexpectedAnswer(endpointId, request.command.kind);
--- a/src/links/link-errors.ts
+++ b/src/links/link-errors.ts
@@ -32,6 +32,11 @@
 	return new LinkRefusedError(`${address} refused a session: ${code}`, {props: {code}});
 }
 
+/** @internal */
+export function throwSessionNeeded(address: string): never {
+	throw new LinkError(`a prepared statement at ${address} is run by its session, which knows its name`);
+}
+
 /** @internal */
 export function throwUnexpectedAnswer(address: string, requestKind: string): never {
 	throw new LinkError(`${address} sent an unexpected answer to ${requestKind}`);
