--- a/tests/statement-check/run-statement-soak.ts
+++ b/tests/statement-check/run-statement-soak.ts
@@ -1,3 +1,4 @@
+import {setTimeout} from 'node:timers/promises';
 import {AnswerCode} from '../../src/statements/statement-answer.js';
 import type {Random} from '../../src/random/random.js';
 import {createSeededRandom} from '../../src/random/seeded-random.js';
@@ -16,7 +17,7 @@
 	readonly seconds: number;
 	/** Number of proxies that run at the same time. */
 	readonly proxies: number;
-	/** Connections that a server accepts; default 4, fewer than callers and hosts, so that they share them. With as few, a failover often finds no connection in time. */
+	/** Connections that a server accepts; default 4, fewer than callers, so that callers and hosts share them. */
 	readonly connections?: number;
 	/** Program of the proxies; default is the bundle under `target/`. */
 	readonly bundle?: string;
@@ -272,16 +273,7 @@
 	};
 }
 
+/** Resolves after a time, or as soon as the signal is aborted. */
 async function sleep(ms: number, signal: AbortSignal): Promise<void> {
-	return new Promise(resolve => {
-		const timer = setTimeout(resolve, ms);
-		signal.addEventListener('abort', () => {
-			clearTimeout(timer);
-			resolve();
-		}, {once: true});
-		if (signal.aborted) {
-			clearTimeout(timer);
-			resolve();
-		}
-	});
+	await setTimeout(ms, undefined, {signal}).catch(() => undefined);
 }
