--- a/tests/statement-check/run-statement-soak.ts
+++ b/tests/statement-check/run-statement-soak.ts
@@ -190,18 +190,20 @@
 				isStopping: () => stopping,
 			});
 		}));
-		const faultSeries = [
+		const faultSeries = Promise.all([
 			repeat(createRandom(1), 4000, replaceProxy),
 			repeat(createRandom(2), 6000, replaceProxy),
 			repeat(createRandom(3), 8000, endServer),
 			repeat(createRandom(4), 1500, loseAnswers),
-		];
+		]);
+		// One that fails ends the run below, so that no proxy is left behind.
+		faultSeries.catch(() => undefined);
 		await sleep(seconds * 1000, stopped.signal);
 		stopping = true;
 		const records = await Promise.all(callers);
 		stopped.abort();
 		const sessions = records.flat();
-		await Promise.all(faultSeries);
+		await faultSeries;
 		return {
 			violations: checkStatements(sessions, ran), malformed, figures: {...countStatements(sessions, ran), ...counts}, sessions, ran, faults, logs,
 		};
